--- /dev/null
+++ b/lib/frame/frame.go
@@ -0,0 +1,68 @@
+// Package frame carries msgpack values over a byte stream: each frame is a
+// four-byte big-endian length, one kind byte and the encoded value.
+package frame
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxLen is the longest frame accepted, in bytes.
+const MaxLen = 16 << 20
+
+const headLen = 5
+
+// Errors of Read and Write.
+var (
+	ErrTooLong = errors.New("frame too long")
+	ErrFormat  = errors.New("malformed frame")
+)
+
+// Kind tells the reader which type a frame holds.
+type Kind uint8
+
+// Write encodes the value and writes it as one frame.
+func Write(w io.Writer, kind Kind, value any) error {
+	body, err := msgpack.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	if len(body) > MaxLen {
+		return fmt.Errorf("%w: %d bytes", ErrTooLong, len(body))
+	}
+	buf := make([]byte, headLen, headLen+len(body))
+	binary.BigEndian.PutUint32(buf, uint32(len(body)))
+	buf[4] = byte(kind)
+	_, err = w.Write(append(buf, body...))
+	return err
+}
+
+// Read reads one frame and returns its kind and its encoded value. It
+// returns io.EOF only between two frames.
+func Read(r io.Reader) (Kind, []byte, error) {
+	var head [headLen]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:4])
+	if n > MaxLen {
+		return 0, nil, fmt.Errorf("%w: %d bytes", ErrTooLong, n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrFormat, io.ErrUnexpectedEOF)
+	}
+	return Kind(head[4]), body, nil
+}
+
+// Decode reads the encoded value of a frame into out.
+func Decode(body []byte, out any) error {
+	if err := msgpack.Unmarshal(body, out); err != nil {
+		return fmt.Errorf("%w: %w", ErrFormat, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/logfmt/logfmt.go
@@ -0,0 +1,50 @@
+// Package logfmt makes loggers that write one line of key=value pairs for
+// each event. The line starts with time, level and event.
+package logfmt
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes to w from the given level on.
+func New(w io.Writer, level zerolog.Level) zerolog.Logger {
+	out := zerolog.ConsoleWriter{
+		Out:     w,
+		NoColor: true,
+		PartsOrder: []string{
+			zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName,
+		},
+		FormatTimestamp:     pair("time"),
+		FormatLevel:         pair("level"),
+		FormatMessage:       pair("event"),
+		FormatErrFieldValue: value,
+		FormatFieldValue:    value,
+	}
+	return zerolog.New(out).Level(level).With().Timestamp().Logger()
+}
+
+func init() {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
+func pair(key string) zerolog.Formatter {
+	return func(v any) string { return key + "=" + value(v) }
+}
+
+func value(v any) string {
+	s := fmt.Sprint(v)
+	if strings.HasPrefix(s, `"`) {
+		// The writer hands some values over quoted already.
+		return s
+	}
+	if s == "" || strings.ContainsAny(s, " =\"\n\t") {
+		return strconv.Quote(s)
+	}
+	return s
+}
