--- /dev/null
+++ b/state/apply.go
@@ -0,0 +1,245 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Reasons for which the fold refuses a record. Outcome.Refused wraps one.
+var (
+	// ErrDuplicate: a record with this id was folded before.
+	ErrDuplicate = errors.New("already applied")
+	// ErrStale: the author had not seen the present revision.
+	ErrStale = errors.New("changed in the meantime")
+	// ErrUnknown: the record names something that does not exist.
+	ErrUnknown = errors.New("not found")
+	// ErrInUse: the record takes or drops something that is still in use.
+	ErrInUse = errors.New("in use")
+	// ErrInvalid: the record's values are out of range.
+	ErrInvalid = errors.New("not valid")
+)
+
+// Outcome tells what became of one record. It is the same on every daemon.
+type Outcome struct {
+	Offset models.Offset
+	Record models.RecordID
+	// Refused is nil for a record that took effect.
+	Refused error
+	Events  []Event
+}
+
+// Event tells what a record changed: one of the types below.
+type Event interface{ event() }
+
+type (
+	// ConfigChanged tells that a ChangeConfig was accepted.
+	ConfigChanged struct{ Operator models.OperatorName }
+	// GroupFormed tells of a new group.
+	GroupFormed struct {
+		Group  models.Group
+		Reason string
+	}
+	// GroupRetired tells that a group takes no new requests.
+	GroupRetired struct {
+		Group  models.Group
+		Reason string
+	}
+	// GroupEnded tells that a group is gone.
+	GroupEnded struct {
+		Group  models.Group
+		Reason string
+	}
+	// DaemonJoined tells of a daemon or its new incarnation.
+	DaemonJoined struct{ Daemon models.Daemon }
+	// DaemonLeft tells that a daemon is off the roster.
+	DaemonLeft struct {
+		Daemon models.Daemon
+		Reason string
+	}
+)
+
+func (ConfigChanged) event() {}
+func (GroupFormed) event()   {}
+func (GroupRetired) event()  {}
+func (GroupEnded) event()    {}
+func (DaemonJoined) event()  {}
+func (DaemonLeft) event()    {}
+
+// ErrGap is returned by Apply for an offset that is not the next one.
+var ErrGap = errors.New("offset out of order")
+
+// Apply folds the record at the given offset. It returns ErrGap, and
+// changes nothing, unless the offset is the one after the last applied.
+func (s *State) Apply(offset models.Offset, data []byte) (Outcome, error) {
+	if offset != s.Applied+1 {
+		return Outcome{}, fmt.Errorf("%w: got %d after %d", ErrGap, offset, s.Applied)
+	}
+	s.Applied = offset
+	rec, err := Decode(data)
+	if err != nil {
+		return Outcome{Offset: offset, Refused: err}, nil
+	}
+	out := Outcome{Offset: offset, Record: rec.ID}
+	if _, doubled := s.seen[rec.ID]; doubled {
+		out.Refused = ErrDuplicate
+		return out, nil
+	}
+	s.remember(rec.ID)
+	out.Events, out.Refused = s.applyBody(offset, rec)
+	return out, nil
+}
+
+func (s *State) applyBody(offset models.Offset, rec Record) ([]Event, error) {
+	switch body := rec.Body.(type) {
+	case ChangeConfig:
+		return s.applyChange(offset, rec, body)
+	case FormGroup:
+		return s.applyForm(offset, body)
+	case RetireGroup:
+		return s.applyRetire(offset, body)
+	case EndGroup:
+		return s.applyEnd(body)
+	case JoinDaemon:
+		return s.applyJoin(offset, body)
+	case LeaveDaemon:
+		return s.applyLeave(body)
+	case CheckpointPart:
+		return nil, nil
+	default:
+		panic(fmt.Sprintf("state: unknown body %T", rec.Body))
+	}
+}
+
+func (s *State) applyForm(offset models.Offset, form FormGroup) ([]Event, error) {
+	g := form.Group
+	model, ok := s.Models[g.Model]
+	if !ok {
+		return nil, fmt.Errorf("%w: model %s", ErrUnknown, g.Model)
+	}
+	if model.Revision != form.ModelRevision {
+		return nil, fmt.Errorf("%w: model %s is at revision %d, the author saw %d",
+			ErrStale, g.Model, model.Revision, form.ModelRevision)
+	}
+	if err := checkGroup(g, model); err != nil {
+		return nil, err
+	}
+	if _, exists := s.Groups[g.ID]; exists {
+		return nil, fmt.Errorf("%w: group %s exists", ErrInUse, g.ID)
+	}
+	for _, ref := range form.Replaces {
+		if _, err := s.group(ref); err != nil {
+			return nil, err
+		}
+	}
+	for _, m := range g.Members {
+		if err := s.checkFree(m.ID, form.Replaces); err != nil {
+			return nil, err
+		}
+	}
+	var events []Event
+	for _, ref := range form.Replaces {
+		events = append(events, GroupEnded{Group: s.Groups[ref.ID], Reason: form.Reason})
+		s.removeGroup(ref.ID)
+	}
+	g.Fence, g.Retiring = offset, 0
+	s.addGroup(g)
+	return append(events, GroupFormed{Group: g, Reason: form.Reason}), nil
+}
+
+func checkGroup(g models.Group, model models.Model) error {
+	if err := models.CheckName(g.ID); err != nil {
+		return fmt.Errorf("%w: group: %w", ErrInvalid, err)
+	}
+	if g.Version != model.Version {
+		return fmt.Errorf("%w: model %s serves version %s, not %s", ErrInvalid, g.Model, model.Version, g.Version)
+	}
+	if len(g.Members) != model.Members {
+		return fmt.Errorf("%w: model %s needs %d members, not %d", ErrInvalid, g.Model, model.Members, len(g.Members))
+	}
+	if !model.Place.Allows(g.Zone, g.Domain) {
+		return fmt.Errorf("%w: model %s may not stand in zone %s, fabric domain %s", ErrInvalid, g.Model, g.Zone, g.Domain)
+	}
+	ids := map[models.InstanceID]bool{}
+	for _, m := range g.Members {
+		if ids[m.ID] {
+			return fmt.Errorf("%w: instance %s is listed twice", ErrInvalid, m.ID)
+		}
+		ids[m.ID] = true
+	}
+	return nil
+}
+
+func (s *State) checkFree(id models.InstanceID, replaced []GroupRef) error {
+	if _, drained := s.Drained[id]; drained {
+		return fmt.Errorf("%w: instance %s is drained", ErrInUse, id)
+	}
+	owner, owned := s.owner[id]
+	if !owned || slices.ContainsFunc(replaced, func(r GroupRef) bool { return r.ID == owner }) {
+		return nil
+	}
+	return fmt.Errorf("%w: instance %s belongs to group %s", ErrInUse, id, owner)
+}
+
+// group returns the group that a reference names, if it still is the one
+// that the author saw.
+func (s *State) group(ref GroupRef) (models.Group, error) {
+	g, ok := s.Groups[ref.ID]
+	if !ok {
+		return models.Group{}, fmt.Errorf("%w: group %s", ErrUnknown, ref.ID)
+	}
+	if g.Fence != ref.Fence {
+		return models.Group{}, fmt.Errorf("%w: group %s has fence %d, the author saw %d", ErrStale, ref.ID, g.Fence, ref.Fence)
+	}
+	return g, nil
+}
+
+func (s *State) applyRetire(offset models.Offset, retire RetireGroup) ([]Event, error) {
+	g, err := s.group(retire.Group)
+	if err != nil {
+		return nil, err
+	}
+	if g.Retiring != 0 {
+		return nil, fmt.Errorf("%w: group %s retires already", ErrStale, g.ID)
+	}
+	g.Retiring = offset
+	s.Groups[g.ID] = g
+	return []Event{GroupRetired{Group: g, Reason: retire.Reason}}, nil
+}
+
+func (s *State) applyEnd(end EndGroup) ([]Event, error) {
+	g, err := s.group(end.Group)
+	if err != nil {
+		return nil, err
+	}
+	s.removeGroup(g.ID)
+	return []Event{GroupEnded{Group: g, Reason: end.Reason}}, nil
+}
+
+func (s *State) applyJoin(offset models.Offset, join JoinDaemon) ([]Event, error) {
+	d := join.Daemon
+	if err := models.CheckName(d.ID); err != nil {
+		return nil, fmt.Errorf("%w: daemon: %w", ErrInvalid, err)
+	}
+	if present := s.Daemons[d.ID]; present.Incarnation != join.Was {
+		return nil, fmt.Errorf("%w: daemon %s is at incarnation %d, the author saw %d",
+			ErrStale, d.ID, present.Incarnation, join.Was)
+	}
+	d.Joined = offset
+	s.Daemons[d.ID] = d
+	return []Event{DaemonJoined{Daemon: d}}, nil
+}
+
+func (s *State) applyLeave(leave LeaveDaemon) ([]Event, error) {
+	d, ok := s.Daemons[leave.ID]
+	if !ok {
+		return nil, fmt.Errorf("%w: daemon %s", ErrUnknown, leave.ID)
+	}
+	if d.Incarnation != leave.Incarnation {
+		return nil, fmt.Errorf("%w: daemon %s has come back", ErrStale, leave.ID)
+	}
+	delete(s.Daemons, leave.ID)
+	return []Event{DaemonLeft{Daemon: d, Reason: leave.Reason}}, nil
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,209 @@
+package state
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// RememberedIDs is how many of the last record ids the state keeps, to tell
+// a doubled record from a new one. A proposer tries for at most ten seconds
+// and the log takes some hundred appends a second, so a record's tries lie
+// within a few thousand offsets. A double that comes even later meets the
+// revision checks, which refuse it as stale.
+const RememberedIDs = 4096
+
+// KeptAudit is how many audit entries the state keeps: about a week at
+// 7,100 changes a day.
+const KeptAudit = 50000
+
+// State is everything that the daemons agree on. Values in its maps are
+// never changed in place, so a Clone may share them.
+type State struct {
+	// Applied is the offset of the last record folded.
+	Applied    models.Offset
+	Models     map[models.ModelName]models.Model
+	Workspaces map[models.WorkspaceName]models.Workspace
+	Services   map[models.ServiceName]models.Service
+	Operators  map[models.OperatorName]models.Operator
+	Policy     models.Policy
+	Drained    map[models.InstanceID]models.Drain
+	Groups     map[models.GroupID]models.Group
+	Daemons    map[models.DaemonID]models.Daemon
+	Audit      []models.AuditEntry
+	// ConfigOffset is the offset of the last accepted ChangeConfig.
+	ConfigOffset models.Offset
+
+	// owner is derived from Groups.
+	owner map[models.InstanceID]models.GroupID
+	// recent lists the last RememberedIDs ids, oldest first.
+	recent []models.RecordID
+	seen   map[models.RecordID]struct{}
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		Models:     map[models.ModelName]models.Model{},
+		Workspaces: map[models.WorkspaceName]models.Workspace{},
+		Services:   map[models.ServiceName]models.Service{},
+		Operators:  map[models.OperatorName]models.Operator{},
+		Policy:     models.Policy{Downtime: 1, Stranded: 1},
+		Drained:    map[models.InstanceID]models.Drain{},
+		Groups:     map[models.GroupID]models.Group{},
+		Daemons:    map[models.DaemonID]models.Daemon{},
+		owner:      map[models.InstanceID]models.GroupID{},
+		seen:       map[models.RecordID]struct{}{},
+	}
+}
+
+// Owner returns the group that the instance belongs to.
+func (s *State) Owner(id models.InstanceID) (models.GroupID, bool) {
+	g, ok := s.owner[id]
+	return g, ok
+}
+
+// Clone returns a copy that later records do not change. A clone is for
+// reading and marshalling, not for folding on.
+func (s *State) Clone() *State {
+	c := *s
+	c.Models = maps.Clone(s.Models)
+	c.Workspaces = maps.Clone(s.Workspaces)
+	c.Services = maps.Clone(s.Services)
+	c.Operators = maps.Clone(s.Operators)
+	c.Drained = maps.Clone(s.Drained)
+	c.Groups = maps.Clone(s.Groups)
+	c.Daemons = maps.Clone(s.Daemons)
+	c.owner = maps.Clone(s.owner)
+	c.Audit = slices.Clip(s.Audit)
+	c.recent = slices.Clip(s.recent)
+	c.seen = nil
+	return &c
+}
+
+// snapshot is the canonical form of a state: the same state always gives
+// the same bytes.
+type snapshot struct {
+	Applied      models.Offset       `msgpack:"o"`
+	ConfigOffset models.Offset       `msgpack:"c"`
+	Models       []models.Model      `msgpack:"m"`
+	Workspaces   []models.Workspace  `msgpack:"w"`
+	Services     []models.Service    `msgpack:"s"`
+	Operators    []models.Operator   `msgpack:"op"`
+	Policy       models.Policy       `msgpack:"p"`
+	Drained      []models.Drain      `msgpack:"dr"`
+	Groups       []models.Group      `msgpack:"g"`
+	Daemons      []models.Daemon     `msgpack:"d"`
+	Audit        []models.AuditEntry `msgpack:"a"`
+	Recent       []models.RecordID   `msgpack:"r"`
+}
+
+// Marshal writes the state in its canonical form.
+func (s *State) Marshal() ([]byte, error) {
+	data, err := msgpack.Marshal(snapshot{
+		Applied:      s.Applied,
+		ConfigOffset: s.ConfigOffset,
+		Models:       sorted(s.Models),
+		Workspaces:   sorted(s.Workspaces),
+		Services:     sorted(s.Services),
+		Operators:    sorted(s.Operators),
+		Policy:       s.Policy,
+		Drained:      sorted(s.Drained),
+		Groups:       sorted(s.Groups),
+		Daemons:      sorted(s.Daemons),
+		Audit:        s.Audit,
+		Recent:       s.recent,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return data, nil
+}
+
+// Unmarshal reads what Marshal wrote.
+func Unmarshal(data []byte) (*State, error) {
+	var snap snapshot
+	if err := msgpack.Unmarshal(data, &snap); err != nil {
+		return nil, fmt.Errorf("%w: state: %w", ErrUndecodable, err)
+	}
+	s := New()
+	s.Applied, s.ConfigOffset, s.Policy = snap.Applied, snap.ConfigOffset, snap.Policy
+	for _, v := range snap.Models {
+		s.Models[v.Name] = v
+	}
+	for _, v := range snap.Workspaces {
+		s.Workspaces[v.Name] = v
+	}
+	for _, v := range snap.Services {
+		s.Services[v.Name] = v
+	}
+	for _, v := range snap.Operators {
+		s.Operators[v.Name] = v
+	}
+	for _, v := range snap.Drained {
+		s.Drained[v.Instance] = v
+	}
+	for _, v := range snap.Groups {
+		s.addGroup(v)
+	}
+	for _, v := range snap.Daemons {
+		s.Daemons[v.ID] = v
+	}
+	for _, entry := range snap.Audit {
+		entry.At = entry.At.UTC()
+		s.Audit = append(s.Audit, entry)
+	}
+	for _, id := range snap.Recent {
+		s.remember(id)
+	}
+	return s, nil
+}
+
+// Digest is a hash of the whole state, in hex. Two daemons that applied the
+// same offset have the same digest.
+func (s *State) Digest() (string, error) {
+	data, err := s.Marshal()
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+func (s *State) addGroup(g models.Group) {
+	s.Groups[g.ID] = g
+	for _, m := range g.Members {
+		s.owner[m.ID] = g.ID
+	}
+}
+
+func (s *State) removeGroup(id models.GroupID) {
+	for _, m := range s.Groups[id].Members {
+		delete(s.owner, m.ID)
+	}
+	delete(s.Groups, id)
+}
+
+func (s *State) remember(id models.RecordID) {
+	if len(s.recent) == RememberedIDs {
+		delete(s.seen, s.recent[0])
+		s.recent = s.recent[1:]
+	}
+	s.recent = append(s.recent, id)
+	s.seen[id] = struct{}{}
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []V {
+	values := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[k])
+	}
+	return values
+}
