--- /dev/null
+++ b/worker/engine/client.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// Errors that calls to an engine return.
+var (
+	// ErrFenced: the engine has seen a newer fence.
+	ErrFenced = errors.New("the instance has seen a newer fence")
+	// ErrUnhealthy: the engine answered something else than expected.
+	ErrUnhealthy = errors.New("unexpected answer from the instance")
+	// ErrStranger: another instance answers at the address.
+	ErrStranger = errors.New("another instance answers at this address")
+)
+
+const maxStatus = 64 << 10
+
+// Client watches engines and gives them orders.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client that shares its connections among all calls.
+func NewClient() *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
+		DisableCompression: true,
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Status asks the instance for its status and returns ErrStranger if the
+// answer comes from another one.
+func (c *Client) Status(ctx context.Context, id models.InstanceID, addr netip.AddrPort) (types.EngineStatus, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/status", addr), nil)
+	if err != nil {
+		return types.EngineStatus{}, trace.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return types.EngineStatus{}, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return types.EngineStatus{}, trace.Wrap(ErrUnhealthy, "status: %s", resp.Status)
+	}
+	var status types.EngineStatus
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&status); err != nil {
+		return types.EngineStatus{}, trace.Wrap(errors.Join(ErrUnhealthy, err))
+	}
+	if status.Instance != id {
+		return types.EngineStatus{}, trace.Wrap(ErrStranger, "%s instead of %s", status.Instance, id)
+	}
+	return status, nil
+}
+
+// Send gives the order. It returns ErrFenced if the instance refused it as
+// too old.
+func (c *Client) Send(ctx context.Context, addr netip.AddrPort, order types.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/orders", addr), bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	// An order that may have been sent must not be sent again behind our
+	// back on another connection.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return trace.Wrap(ErrFenced)
+	default:
+		return trace.Wrap(ErrUnhealthy, "order: %s", resp.Status)
+	}
+}
--- /dev/null
+++ b/worker/engine/watcher.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/probe"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// Watch asks the engines in targets for their status at each tick, until
+// the context ends.
+func (c *Client) Watch(
+	ctx context.Context, ticks <-chan timer.Tick,
+	targets <-chan map[models.InstanceID]netip.AddrPort, out chan<- types.Message,
+) error {
+	p := probe.Prober[models.InstanceID, netip.AddrPort, types.EngineStatus]{
+		Ticks: ticks, Targets: targets, Ask: c.Status,
+		Deliver: func(ctx context.Context, r probe.Result[models.InstanceID, netip.AddrPort, types.EngineStatus]) {
+			if r.Err != nil {
+				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Err: r.Err})
+				return
+			}
+			types.Send(ctx, out, types.InstanceSeen{Instance: r.Key, Addr: r.Target, Asked: r.Asked, Status: r.Answer})
+		},
+	}
+	return p.Run(ctx)
+}
--- /dev/null
+++ b/worker/peer/server.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/lib/frame"
+)
+
+// Source answers heartbeats. It is called from many goroutines.
+type Source interface {
+	Answer(Heartbeat) Answer
+}
+
+// idleTimeout closes a connection on which no heartbeat comes.
+const idleTimeout = 10 * time.Second
+
+// Server answers the heartbeats of other daemons.
+type Server struct {
+	Source Source
+	Log    zerolog.Logger
+	// Bytes, if set, counts what is sent and received.
+	Bytes func(sent, received int)
+
+	listener net.Listener
+}
+
+// Listen binds the address and returns the one bound.
+func (s *Server) Listen(addr netip.AddrPort) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen for peers on %s: %w", addr, err)
+	}
+	s.listener = l
+	bound := l.Addr().(*net.TCPAddr).AddrPort()
+	return netip.AddrPortFrom(bound.Addr().Unmap(), bound.Port()), nil
+}
+
+// Run answers until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("accept a peer: %w", err)
+		}
+		go s.serve(ctx, conn)
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	counted := &countingConn{Conn: conn, count: s.Bytes}
+	for {
+		if err := s.answerOne(counted); err != nil {
+			if !errors.Is(err, io.EOF) && ctx.Err() == nil {
+				s.Log.Debug().Err(err).Stringer("remote", conn.RemoteAddr()).Msg("peer-connection-ended")
+			}
+			return
+		}
+	}
+}
+
+func (s *Server) answerOne(conn net.Conn) error {
+	if err := conn.SetDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return err
+	}
+	kind, body, err := frame.Read(conn)
+	if err != nil {
+		return err
+	}
+	if kind != kindHeartbeat {
+		return fmt.Errorf("%w: kind %d instead of a heartbeat", frame.ErrFormat, kind)
+	}
+	var beat Heartbeat
+	if err := frame.Decode(body, &beat); err != nil {
+		return err
+	}
+	return frame.Write(conn, kindStatus, s.Source.Answer(beat))
+}
+
+// countingConn tells how many bytes pass.
+type countingConn struct {
+	net.Conn
+	count func(sent, received int)
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.count != nil {
+		c.count(0, n)
+	}
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.count != nil {
+		c.count(n, 0)
+	}
+	return n, err
+}
--- /dev/null
+++ b/worker/platform/client.go
@@ -0,0 +1,121 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Errors that calls to the platform return.
+var (
+	// ErrRefused: the platform said that it did not do what it was asked.
+	ErrRefused = errors.New("the platform refused")
+	// ErrUnknown: the platform's answer was lost; the call may have taken
+	// effect.
+	ErrUnknown = errors.New("no answer from the platform")
+	// ErrExpired: the log no longer holds the offset.
+	ErrExpired = errors.New("the log no longer holds this offset")
+)
+
+const (
+	callTimeout = 2 * time.Second
+	maxAnswer   = 64 << 20
+)
+
+// Client calls the platform's log and instance list.
+type Client struct {
+	log  netip.AddrPort
+	list netip.AddrPort
+	http *http.Client
+}
+
+// NewClient returns a client of the log and the list at these addresses.
+func NewClient(log, list netip.AddrPort) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	return &Client{log: log, list: list, http: &http.Client{Transport: transport}}
+}
+
+// Append appends one record to a stream. It returns ErrRefused if the log
+// said that it did not take the record, and ErrUnknown if it may have.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (models.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/log/%s", c.log, stream)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, trace.Wrap(errors.Join(ErrUnknown, err))
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+		return 0, trace.Wrap(ErrRefused, "append: %s", resp.Status)
+	case resp.StatusCode != http.StatusOK:
+		return 0, trace.Wrap(ErrUnknown, "append: %s", resp.Status)
+	}
+	var answer AppendAnswer
+	if err := decode(resp.Body, &answer); err != nil {
+		return 0, trace.Wrap(errors.Join(ErrUnknown, err))
+	}
+	return answer.Offset, nil
+}
+
+// Read reads the stream from the offset on. If there is nothing yet, it
+// waits up to the given time. It returns ErrExpired, with First set in the
+// answer, for an offset that the log no longer holds.
+func (c *Client) Read(ctx context.Context, stream string, from models.Offset, wait time.Duration) (ReadAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	var answer ReadAnswer
+	url := fmt.Sprintf("http://%s/log/%s?from=%d&wait=%s", c.log, stream, from, wait)
+	status, err := c.load(ctx, url, &answer)
+	if err != nil {
+		return ReadAnswer{}, err
+	}
+	if status == http.StatusGone {
+		return answer, trace.Wrap(ErrExpired, "offset %d, first is %d", from, answer.First)
+	}
+	return answer, nil
+}
+
+// Instances reads the platform's list of instances.
+func (c *Client) Instances(ctx context.Context) ([]models.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var answer ListAnswer
+	_, err := c.load(ctx, fmt.Sprintf("http://%s/instances", c.list), &answer)
+	return answer.Instances, err
+}
+
+func (c *Client) load(ctx context.Context, url string, out any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
+		return resp.StatusCode, trace.Wrap(ErrRefused, "%s", resp.Status)
+	}
+	return resp.StatusCode, trace.Wrap(decode(resp.Body, out))
+}
+
+func decode(body io.Reader, out any) error {
+	return json.NewDecoder(io.LimitReader(body, maxAnswer)).Decode(out)
+}
--- /dev/null
+++ b/worker/service/service.go
@@ -0,0 +1,45 @@
+// Package service speaks to plain services: calls that the system routes
+// and does not understand.
+package service
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/probe"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// Watch tries at each tick whether the services' instances in targets accept
+// connections, until the context ends. Plain services have no status call in
+// common.
+func Watch(
+	ctx context.Context, ticks <-chan timer.Tick,
+	targets <-chan map[models.InstanceID]netip.AddrPort, out chan<- types.Message,
+) error {
+	p := probe.Prober[models.InstanceID, netip.AddrPort, struct{}]{
+		Ticks: ticks, Targets: targets, Ask: connect,
+		Deliver: func(ctx context.Context, r probe.Result[models.InstanceID, netip.AddrPort, struct{}]) {
+			if r.Err != nil {
+				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Err: r.Err})
+				return
+			}
+			types.Send(ctx, out, types.ServiceSeen{Instance: r.Key, Asked: r.Asked})
+		},
+	}
+	return p.Run(ctx)
+}
+
+func connect(ctx context.Context, _ models.InstanceID, addr netip.AddrPort) (struct{}, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return struct{}{}, trace.Wrap(err)
+	}
+	return struct{}{}, trace.Wrap(conn.Close())
+}
--- /dev/null
+++ b/worker/types/log.go
@@ -0,0 +1,21 @@
+package types
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Entry is one record of the log with its offset.
+type Entry struct {
+	Offset models.Offset `json:"offset" msgpack:"o"`
+	Data   []byte        `json:"data" msgpack:"d"`
+}
+
+// Append is a record to be appended, and until when to try.
+type Append struct {
+	Stream string
+	Record models.RecordID
+	Data   []byte
+	Until  time.Time
+}
--- /dev/null
+++ b/worker/types/messages.go
@@ -0,0 +1,153 @@
+// Package types holds the messages by which the workers, which speak to the
+// outside, tell a daemon's owner what they saw. Data flows one way: a worker
+// never changes what the owner holds.
+package types
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Message is one of the types below.
+type Message interface{ message() }
+
+// LogRead tells that a read of the state stream that began at Began was
+// answered: the stream held nothing from Next on at that time or later.
+type LogRead struct {
+	Began   time.Time
+	Entries []Entry
+	Next    models.Offset
+}
+
+// LogExpired tells that the offset wanted next is no longer on the log.
+type LogExpired struct{ First models.Offset }
+
+// LogAway tells that a read of the log failed.
+type LogAway struct{ Err error }
+
+// AppendEnded tells what the log answered to an append. Err is nil once the
+// log has taken the record.
+type AppendEnded struct {
+	Append Append
+	Offset models.Offset
+	// Ambiguous tells that a try may have taken effect although Err is set.
+	Ambiguous bool
+	Err       error
+}
+
+// CheckpointRead carries the newest whole checkpoint on the log.
+type CheckpointRead struct {
+	At    models.Offset
+	State []byte
+}
+
+// CheckpointWritten tells how writing a checkpoint ended.
+type CheckpointWritten struct {
+	At    models.Offset
+	Bytes int
+	Err   error
+}
+
+// ListRead carries the platform's list of instances.
+type ListRead struct{ Instances []models.Instance }
+
+// ListAway tells that the list could not be read.
+type ListAway struct{ Err error }
+
+// InstanceSeen carries an instance's own word. It was true at some time
+// after Asked.
+type InstanceSeen struct {
+	Instance models.InstanceID
+	Addr     netip.AddrPort
+	Asked    time.Time
+	Status   EngineStatus
+}
+
+// ServiceSeen tells that a plain service's instance accepted a connection
+// at some time after Asked.
+type ServiceSeen struct {
+	Instance models.InstanceID
+	Asked    time.Time
+}
+
+// InstanceSilent tells that an instance did not answer in time.
+type InstanceSilent struct {
+	Instance models.InstanceID
+	Err      error
+}
+
+// OrderEnded tells what an instance answered to an order.
+type OrderEnded struct {
+	Dispatch Dispatch
+	Err      error
+}
+
+// PeerSeen carries what another daemon told in answer to a heartbeat that
+// was sent at Asked.
+type PeerSeen struct {
+	Asked time.Time
+	// RoundTrip is how long the answer took.
+	RoundTrip time.Duration
+	Peer      PeerStatus
+}
+
+// PeerSilent tells that the daemon at the address did not answer in time.
+type PeerSilent struct {
+	Addr netip.AddrPort
+	Err  error
+}
+
+// PeerRecords carries records that another daemon relayed.
+type PeerRecords struct {
+	From    models.DaemonID
+	Entries []Entry
+}
+
+// PeerState carries a whole state from another daemon.
+type PeerState struct {
+	From  models.DaemonID
+	State []byte
+}
+
+func (LogRead) message()           {}
+func (LogExpired) message()        {}
+func (LogAway) message()           {}
+func (AppendEnded) message()       {}
+func (CheckpointRead) message()    {}
+func (CheckpointWritten) message() {}
+func (ListRead) message()          {}
+func (ListAway) message()          {}
+func (InstanceSeen) message()      {}
+func (ServiceSeen) message()       {}
+func (InstanceSilent) message()    {}
+func (OrderEnded) message()        {}
+func (PeerSeen) message()          {}
+func (PeerSilent) message()        {}
+func (PeerRecords) message()       {}
+func (PeerState) message()         {}
+
+// PeerStatus is what a daemon tells others of itself with each heartbeat.
+type PeerStatus struct {
+	ID          models.DaemonID `msgpack:"i"`
+	Incarnation uint64          `msgpack:"n"`
+	Zone        models.Zone     `msgpack:"z"`
+	Addr        netip.AddrPort  `msgpack:"a"`
+	Applied     models.Offset   `msgpack:"o"`
+	Config      models.Offset   `msgpack:"c"`
+	// LogAge is how long ago the daemon last knew from the log that it had
+	// folded all there was; negative if it never did.
+	LogAge time.Duration `msgpack:"l"`
+	// Serving tells that the daemon takes new requests.
+	Serving bool `msgpack:"s"`
+}
+
+// Send delivers a message unless the context ends first.
+func Send(ctx context.Context, out chan<- Message, msg Message) {
+	select {
+	case out <- msg:
+	case <-ctx.Done():
+	}
+}
