--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Pinned, so that the verdict stays the same.
+STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
+REVIVE = github.com/mgechev/revive@v1.17.0
+
+.PHONY: all build test lint format demo
+
+all: build lint test
+
+build:
+	go build -o bin/lupinkeel .
+
+test:
+	go test -race ./...
+
+lint:
+	@bad=$$(gofmt -l .); if [ -n "$$bad" ]; then echo "gofmt would change: $$bad"; exit 1; fi
+	go vet ./...
+	go run $(STATICCHECK) ./...
+	go run $(REVIVE) -config revive.toml -set_exit_status ./...
+
+format:
+	gofmt -w .
+
+demo:
+	go run . demo --once
--- /dev/null
+++ b/api/chat.go
@@ -0,0 +1,135 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/router"
+	"github.com/lupinkeel/lupinkeel/worker/upstream"
+)
+
+const chatPath = "/v1/chat/completions"
+
+// chatRequest is the part of a request that the daemon reads. The whole body
+// goes to the engine as it came.
+type chatRequest struct {
+	Model    models.ModelName  `json:"model"`
+	Messages []json.RawMessage `json:"messages"`
+	Stream   bool              `json:"stream"`
+}
+
+func parseChat(body []byte) (chatRequest, error) {
+	var chat chatRequest
+	if err := json.Unmarshal(body, &chat); err != nil {
+		return chat, fmt.Errorf("%w: %w", ErrBody, err)
+	}
+	if chat.Model == "" {
+		return chat, fmt.Errorf("%w: model is missing", ErrBody)
+	}
+	if len(chat.Messages) == 0 {
+		return chat, fmt.Errorf("%w: messages is missing or empty", ErrBody)
+	}
+	return chat, nil
+}
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	e, ctx, done := s.begin(w, r, true)
+	if e == nil {
+		return
+	}
+	defer done()
+	chat, err := parseChat(e.body)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	e.choose = func(now time.Time) (router.Target, error) {
+		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, now, s.flights.at, e.tried)
+	}
+	e.call = func(t router.Target) upstream.Call {
+		return upstream.Call{
+			Addr: t.Addr, Method: http.MethodPost, Path: chatPath, Header: passOn(r.Header), Body: e.body,
+			Request: e.req.ID, Group: t.Group.ID, Fence: t.Group.Fence, Priority: e.priority, Fresh: !e.req.Repeatable,
+		}
+	}
+	e.answer = e.answerWhole
+	if chat.Stream {
+		e.answer = e.answerStream
+	}
+	var last netip.AddrPort
+	defer func() {
+		if e.req.End() == router.EndMayHaveRun && last.IsValid() {
+			s.cancelRun(last, e.req.ID)
+		}
+	}()
+	answer := e.answer
+	e.answer = func(ctx context.Context, t router.Target, a *upstream.Answer) error {
+		last = t.Addr
+		return answer(ctx, t, a)
+	}
+	e.run(ctx)
+}
+
+// cancelRun tells an engine that nobody waits for a run any more.
+func (s *Server) cancelRun(addr netip.AddrPort, id models.RequestID) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelWithin)
+	defer cancel()
+	answer, err := s.upstream.Do(ctx, upstream.Call{Addr: addr, Method: http.MethodDelete, Path: "/v1/runs/" + string(id), Request: id})
+	if err != nil {
+		s.log.Debug().Err(err).Str("request", string(id)).Msg("cancel-failed")
+		return
+	}
+	answer.Body.Close()
+}
+
+// answerStream passes events on, each whole, until the end mark. It says
+// nothing to the caller before the first event.
+func (e *exchange) answerStream(ctx context.Context, target router.Target, answer *upstream.Answer) error {
+	if answer.Status != http.StatusOK {
+		return e.answerWhole(ctx, target, answer)
+	}
+	defer answer.Body.Close()
+	events := upstream.NewEvents(answer.Body)
+	event, err := events.Next()
+	if err != nil {
+		return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
+	}
+	e.w.Header().Set("Cache-Control", "no-store")
+	if err := e.writeHead(target, answer); err != nil {
+		return err
+	}
+	flush := http.NewResponseController(e.w).Flush
+	for {
+		if _, err := event.WriteTo(e.w); err != nil {
+			return err
+		}
+		if err := flush(); err != nil {
+			return err
+		}
+		if event.Last() {
+			return nil
+		}
+		if event, err = events.Next(); err != nil {
+			e.writeErrorEvent(err)
+			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
+		}
+	}
+}
+
+// writeErrorEvent tells a caller within the stream that it ends here. The
+// connection is broken off afterwards.
+func (e *exchange) writeErrorEvent(cause error) {
+	err := fmt.Errorf("%w: %w", ErrUpstream, cause)
+	data, merr := json.Marshal(errorBody{Error: detailOf(err, router.EndMayHaveRun)})
+	if merr != nil {
+		return
+	}
+	// If this fails the caller is gone and needs no telling.
+	_, _ = fmt.Fprintf(e.w, "event: error\ndata: %s\n\n", data)
+	_ = http.NewResponseController(e.w).Flush()
+}
--- /dev/null
+++ b/api/client.go
@@ -0,0 +1,40 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// askTimeout is longer than a daemon takes for any command.
+const askTimeout = changeTimeout + forceTimeout + 2*time.Second
+
+// Ask sends an operator's commands to the daemon at the address. Its error
+// means that no daemon answered; the answer tells of everything else.
+func Ask(ctx context.Context, admin netip.AddrPort, token, text string, waitAll bool) (AskAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/ask", admin)
+	if waitAll {
+		url += "?wait=all"
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(text)))
+	if err != nil {
+		return AskAnswer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return AskAnswer{}, err
+	}
+	defer resp.Body.Close()
+	var answer AskAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return AskAnswer{}, fmt.Errorf("answer with status %d: %w", resp.StatusCode, err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/api/operators.go
@@ -0,0 +1,261 @@
+package api
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/daemon"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/planner"
+	"github.com/lupinkeel/lupinkeel/query"
+	"github.com/lupinkeel/lupinkeel/router"
+	"github.com/lupinkeel/lupinkeel/state"
+)
+
+// AskAnswer is what an operator's command gives.
+type AskAnswer struct {
+	query.Answer
+	// Change is set for a command that changes something.
+	Change *ChangeResult `json:"change,omitempty"`
+	// Error is set for a command that could not be carried out.
+	Error *errorDetail `json:"error,omitempty"`
+}
+
+// ChangeResult tells what became of a change.
+type ChangeResult struct {
+	Result ChangeEnd     `json:"result"`
+	Reason string        `json:"reason,omitempty"`
+	Offset models.Offset `json:"offset,omitempty"`
+	// InForce of Of daemons of the roster have the change in force.
+	InForce int `json:"in_force"`
+	Of      int `json:"of"`
+	// RetryAfterMS is when to try a refused change again, 0 if that would
+	// not help.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// ChangeEnd is what became of a change.
+type ChangeEnd string
+
+// The ends of a change.
+const (
+	// ChangeAccepted: a majority of the daemons has it in force, and it
+	// will never revert.
+	ChangeAccepted ChangeEnd = "accepted"
+	// ChangeRecorded: the change is agreed, but not known to be in force on
+	// a majority of the daemons yet.
+	ChangeRecorded ChangeEnd = "recorded"
+	// ChangeRefused: the change did not and will not take effect.
+	ChangeRefused ChangeEnd = "refused"
+	// ChangeUnknown: the change may take effect; show audit tells.
+	ChangeUnknown ChangeEnd = "unknown"
+	// ChangePlanned: the change would be accepted now.
+	ChangePlanned ChangeEnd = "planned"
+)
+
+const (
+	// changeTimeout bounds how long an operator waits for a change.
+	changeTimeout = 8 * time.Second
+	// forceTimeout bounds how long of this a majority, or all daemons, are
+	// waited for.
+	forceTimeout = 3 * time.Second
+)
+
+// serveAsk carries out commands. The query parameter wait=all waits until a
+// change is in force on every daemon.
+func (s *Server) serveAsk(w http.ResponseWriter, r *http.Request) {
+	view := s.daemon.View()
+	operator, err := operatorOf(view.State, s.cfg.BootstrapToken, r)
+	if err != nil {
+		writeAskProblem(w, err)
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, query.MaxScriptLen))
+	if err != nil {
+		writeAskProblem(w, fmt.Errorf("%w: %w", ErrBodyLength, err))
+		return
+	}
+	commands, err := query.Parse(string(text))
+	if err != nil {
+		writeAskProblem(w, fmt.Errorf("%w: %w", ErrBody, err))
+		return
+	}
+	a := asker{s: s, view: view, operator: operator, text: string(text), waitAll: r.URL.Query().Get("wait") == "all"}
+	answer, err := a.carryOut(r.Context(), commands)
+	if err != nil {
+		writeAskProblem(w, err)
+		return
+	}
+	writeJSON(w, statusOf(answer), answer)
+}
+
+func writeAskProblem(w http.ResponseWriter, err error) {
+	p := problemOf(err)
+	if p.status == http.StatusInternalServerError {
+		p.status = http.StatusBadRequest
+	}
+	detail := detailOf(err, router.EndNone)
+	writeJSON(w, p.status, AskAnswer{Error: &detail})
+}
+
+func statusOf(a AskAnswer) int {
+	if a.Change == nil {
+		return http.StatusOK
+	}
+	switch {
+	case a.Change.Result == ChangeRefused && a.Change.RetryAfterMS > 0:
+		return http.StatusServiceUnavailable
+	case a.Change.Result == ChangeRefused:
+		return http.StatusConflict
+	case a.Change.Result == ChangeUnknown:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusOK
+	}
+}
+
+// asker carries out one operator's commands on one view.
+type asker struct {
+	s        *Server
+	view     *daemon.View
+	operator models.Operator
+	text     string
+	waitAll  bool
+}
+
+// errMixed is returned for commands that can't be carried out together.
+var errMixed = errors.New("changes and questions can't be mixed, and only one question or plan is answered at a time")
+
+func (a asker) carryOut(ctx context.Context, commands []*query.Command) (AskAnswer, error) {
+	var changes []*query.Change
+	for _, c := range commands {
+		if c.Change != nil {
+			changes = append(changes, c.Change)
+		}
+	}
+	switch {
+	case len(commands) == 0:
+		return AskAnswer{}, fmt.Errorf("%w: there is no command", ErrBody)
+	case len(changes) == len(commands):
+		return a.change(ctx, changes)
+	case len(commands) > 1:
+		return AskAnswer{}, errMixed
+	case commands[0].Plan != nil:
+		return a.preview([]*query.Change{commands[0].Plan})
+	default:
+		answer, err := query.Ask(a.facts(), commands[0])
+		return AskAnswer{Answer: answer}, err
+	}
+}
+
+func (a asker) facts() query.Facts {
+	now := time.Now()
+	f := query.Facts{
+		Now: now, Self: a.s.cfg.ID, State: a.view.State, Instances: a.view.Instances,
+		Evidence: a.view.Evidence, Gates: a.view.Table.Gates,
+		Rules: planner.Rules{ReplaceAfter: a.s.cfg.ReplaceAfter, Bound: a.s.cfg.GateBound},
+	}
+	own := a.s.daemon.Status(now)
+	_, listed := a.view.State.Daemons[own.ID]
+	f.Daemons = append(f.Daemons, query.Daemon{Status: own, OnRoster: listed})
+	for _, p := range a.view.Peers {
+		f.Daemons = append(f.Daemons, query.Daemon{Status: p.Status, Age: now.Sub(p.Seen), OnRoster: p.OnRoster})
+	}
+	return f
+}
+
+func (a asker) compile(changes []*query.Change) (state.ChangeConfig, error) {
+	if a.operator.Right != models.RightChange {
+		return state.ChangeConfig{}, ErrRight
+	}
+	ops, err := query.Compile(a.view.State, changes)
+	if err != nil {
+		return state.ChangeConfig{}, err
+	}
+	var notes []string
+	for _, c := range changes {
+		if c.Note != "" {
+			notes = append(notes, c.Note)
+		}
+	}
+	return state.ChangeConfig{
+		Operator: a.operator.Name, Note: strings.Join(notes, "; "), Text: strings.TrimSpace(a.text), Ops: ops,
+	}, nil
+}
+
+// preview tells what a change would do, without making it.
+func (a asker) preview(changes []*query.Change) (AskAnswer, error) {
+	change, err := a.compile(changes)
+	if err != nil {
+		return AskAnswer{}, err
+	}
+	next, err := a.view.State.Preview(change.Ops)
+	if err != nil {
+		return AskAnswer{Change: &ChangeResult{Result: ChangeRefused, Reason: err.Error()}}, nil
+	}
+	return AskAnswer{
+		Answer: query.Preview(a.facts(), next),
+		Change: &ChangeResult{Result: ChangePlanned, Of: len(a.view.State.Daemons)},
+	}, nil
+}
+
+// change makes a change and tells on how many daemons it is in force.
+func (a asker) change(ctx context.Context, changes []*query.Change) (AskAnswer, error) {
+	change, err := a.compile(changes)
+	if err != nil {
+		return AskAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	outcome, err := a.s.daemon.Propose(ctx, change)
+	switch {
+	case errors.Is(err, daemon.ErrLogAway):
+		return AskAnswer{Change: &ChangeResult{Result: ChangeRefused, Reason: err.Error(), RetryAfterMS: retryLog.Milliseconds()}}, nil
+	case err != nil:
+		return AskAnswer{Change: &ChangeResult{Result: ChangeUnknown, Reason: err.Error() + "; show audit tells whether it took effect"}}, nil
+	case outcome.Refused != nil:
+		return AskAnswer{Change: &ChangeResult{Result: ChangeRefused, Offset: outcome.Offset, Reason: a.explain(outcome)}}, nil
+	}
+	return AskAnswer{Change: a.inForce(ctx, outcome.Offset)}, nil
+}
+
+// retryLog is when to try a change again that met an outage of the log.
+const retryLog = 5 * time.Second
+
+// explain tells a loser which change it lost to.
+func (a asker) explain(outcome state.Outcome) string {
+	reason := outcome.Refused.Error()
+	var conflict *state.Conflict
+	if !errors.As(outcome.Refused, &conflict) {
+		return reason
+	}
+	for _, e := range slices.Backward(a.s.daemon.View().State.Audit) {
+		if e.Offset == conflict.Present {
+			return fmt.Sprintf("%s; revision %d was made by %s through %s: %s", reason, e.Offset, e.Operator, e.Daemon, e.Change)
+		}
+	}
+	return reason
+}
+
+func (a asker) inForce(ctx context.Context, offset models.Offset) *ChangeResult {
+	ctx, cancel := context.WithTimeout(ctx, forceTimeout)
+	defer cancel()
+	enough := func(have, of int) bool {
+		if a.waitAll {
+			return have == of && of > 0
+		}
+		return have > of/2
+	}
+	have, of := a.s.daemon.OnDaemons(ctx, offset, enough)
+	result := &ChangeResult{Result: ChangeRecorded, Offset: offset, InForce: have, Of: of}
+	if have > of/2 {
+		result.Result = ChangeAccepted
+	}
+	return result
+}
--- /dev/null
+++ b/commands/ask.go
@@ -0,0 +1,145 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/lupinkeel/lupinkeel/api"
+	"github.com/lupinkeel/lupinkeel/config"
+)
+
+func init() {
+	register(ask{})
+	register(apply{})
+}
+
+// ask carries out commands of the operators' language.
+type ask struct{}
+
+func (ask) Aliases() []string { return []string{"ask", "a"} }
+func (ask) Usage() string     { return "ask a daemon, or change the configuration through it" }
+func (ask) ArgsUsage() string { return "'COMMAND [; COMMAND ...]'" }
+func (ask) Flags() []cli.Flag { return config.AskFlags() }
+
+func (ask) Execute(c *cli.Context) error {
+	text := strings.Join(c.Args().Slice(), " ")
+	if strings.TrimSpace(text) == "" {
+		return fmt.Errorf("%w: ask needs a command such as 'show groups'", ErrUsage)
+	}
+	return askDaemon(c, text)
+}
+
+// apply carries out the commands of a file.
+type apply struct{}
+
+func (apply) Aliases() []string { return []string{"apply"} }
+func (apply) Usage() string     { return "make the changes of a file, all or none" }
+func (apply) ArgsUsage() string { return " " }
+
+func (apply) Flags() []cli.Flag {
+	return append(config.AskFlags(), &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "file of commands, - for standard input"})
+}
+
+func (apply) Execute(c *cli.Context) error {
+	text, err := readFile(c.String("file"))
+	if err != nil {
+		return err
+	}
+	return askDaemon(c, text)
+}
+
+func readFile(path string) (string, error) {
+	switch path {
+	case "":
+		return "", fmt.Errorf("%w: --file is missing", ErrUsage)
+	case "-":
+		data, err := io.ReadAll(os.Stdin)
+		return string(data), err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", ErrUsage, err)
+	}
+	return string(data), nil
+}
+
+// askDaemon sends the text and prints the answer.
+func askDaemon(c *cli.Context, text string) error {
+	settings, err := config.LoadAsk(c)
+	if err != nil {
+		return err
+	}
+	answer, err := api.Ask(c.Context, settings.Admin, settings.Token, text, settings.WaitAll)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	if settings.JSON {
+		if err := json.NewEncoder(c.App.Writer).Encode(answer); err != nil {
+			return err
+		}
+	} else {
+		printAnswer(c.App.Writer, answer)
+	}
+	return answerError(answer)
+}
+
+func answerError(a api.AskAnswer) error {
+	switch {
+	case a.Error != nil:
+		return fmt.Errorf("%w: %s", ErrUsage, a.Error.Message)
+	case a.Change == nil:
+		return nil
+	case a.Change.Result == api.ChangeRefused:
+		return fmt.Errorf("%w: %s%s", ErrRefused, a.Change.Reason, retryHint(a.Change))
+	case a.Change.Result == api.ChangeUnknown:
+		return fmt.Errorf("%w: %s", ErrUnknown, a.Change.Reason)
+	default:
+		return nil
+	}
+}
+
+func retryHint(r *api.ChangeResult) string {
+	if r.RetryAfterMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; nothing was changed, try again in %d ms", r.RetryAfterMS)
+}
+
+func printAnswer(w io.Writer, a api.AskAnswer) {
+	printTable(w, a.Columns, a.Rows)
+	if a.Text != "" {
+		fmt.Fprintln(w, strings.TrimRight(a.Text, "\n"))
+	}
+	if c := a.Change; c != nil && (c.Result == api.ChangeAccepted || c.Result == api.ChangeRecorded) {
+		fmt.Fprintf(w, "%s at revision %d, in force on %d of %d daemons\n", c.Result, c.Offset, c.InForce, c.Of)
+	}
+	if c := a.Change; c != nil && c.Result == api.ChangePlanned {
+		fmt.Fprintln(w, "the change would be accepted")
+	}
+}
+
+// printTable aligns the columns with two spaces between them.
+func printTable(w io.Writer, columns []string, rows [][]string) {
+	if len(columns) == 0 {
+		return
+	}
+	all := append([][]string{columns}, rows...)
+	widths := make([]int, len(columns))
+	for _, row := range all {
+		for i, cell := range row {
+			widths[i] = max(widths[i], len(cell))
+		}
+	}
+	for _, row := range all {
+		var b strings.Builder
+		for i, cell := range row {
+			fmt.Fprintf(&b, "%-*s  ", widths[i], cell)
+		}
+		fmt.Fprintln(w, strings.TrimRight(b.String(), " "))
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,131 @@
+// Package config turns flags and environment variables into checked
+// settings, one file a section. A setting that can't be used is refused at
+// the start with the names of its flag and its environment variable.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// ErrSetting is returned for a setting that can't be used.
+var ErrSetting = errors.New("bad setting")
+
+const envPrefix = "LUPINKEEL_"
+
+// Env is the environment variable that sets a flag.
+func Env(flag string) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func stringFlag(name, usage, value string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Value: value, EnvVars: []string{Env(name)}}
+}
+
+func listFlag(name, usage string) cli.Flag {
+	return &cli.StringSliceFlag{Name: name, Usage: usage, EnvVars: []string{Env(name)}}
+}
+
+func durationFlag(name, usage string, value time.Duration) cli.Flag {
+	return &cli.DurationFlag{Name: name, Usage: usage, Value: value, EnvVars: []string{Env(name)}}
+}
+
+func intFlag(name, usage string, value int) cli.Flag {
+	return &cli.IntFlag{Name: name, Usage: usage, Value: value, EnvVars: []string{Env(name)}}
+}
+
+// reader reads flags and gathers everything that is wrong with them.
+type reader struct {
+	c    *cli.Context
+	errs []error
+}
+
+func (r *reader) fail(flag string, err error) {
+	r.errs = append(r.errs, fmt.Errorf("%w: --%s (%s): %w", ErrSetting, flag, Env(flag), err))
+}
+
+func (r *reader) err() error { return errors.Join(r.errs...) }
+
+var (
+	errEmpty    = errors.New("must be set")
+	errLevel    = errors.New("allowed are debug, info, warn and error")
+	errZeroPort = errors.New("needs a port other than 0")
+)
+
+func (r *reader) addr(flag string) netip.AddrPort {
+	text := r.c.String(flag)
+	if text == "" {
+		r.fail(flag, errEmpty)
+		return netip.AddrPort{}
+	}
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		r.fail(flag, fmt.Errorf("%q is not an IP address and port such as 127.0.0.1:7000", text))
+	}
+	return addr
+}
+
+// target is an address to call, not one to listen on.
+func (r *reader) target(flag string) netip.AddrPort {
+	addr := r.addr(flag)
+	if addr.IsValid() && addr.Port() == 0 {
+		r.fail(flag, errZeroPort)
+	}
+	return addr
+}
+
+func (r *reader) targets(flag string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, text := range r.c.StringSlice(flag) {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			r.fail(flag, fmt.Errorf("%q is not an IP address and port", text))
+			continue
+		}
+		out = append(out, addr)
+	}
+	return out
+}
+
+func name[S ~string](r *reader, flag string) S {
+	value := S(r.c.String(flag))
+	if err := models.CheckName(value); err != nil {
+		r.fail(flag, err)
+	}
+	return value
+}
+
+func (r *reader) duration(flag string, least, most time.Duration) time.Duration {
+	d := r.c.Duration(flag)
+	if d < least || d > most {
+		r.fail(flag, fmt.Errorf("%s is out of range, allowed are %s to %s", d, least, most))
+	}
+	return d
+}
+
+func (r *reader) count(flag string, least, most int) int {
+	n := r.c.Int(flag)
+	if n < least || n > most {
+		r.fail(flag, fmt.Errorf("%d is out of range, allowed are %d to %d", n, least, most))
+	}
+	return n
+}
+
+func (r *reader) hash(flag string) string {
+	text := r.c.String(flag)
+	if text == "" {
+		return ""
+	}
+	probe := models.Operator{Name: "x", Right: models.RightAsk, Tokens: []string{text}}
+	if err := probe.Check(); err != nil {
+		r.fail(flag, err)
+	}
+	return text
+}
--- /dev/null
+++ b/config/log.go
@@ -0,0 +1,21 @@
+package config
+
+import (
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v2"
+)
+
+// LogFlags are the flags that LoadLog reads.
+func LogFlags() []cli.Flag {
+	return []cli.Flag{stringFlag("log-level", "least level of events to log: debug, info, warn or error", "info")}
+}
+
+// LoadLog reads and checks the level of the log.
+func LoadLog(c *cli.Context) (zerolog.Level, error) {
+	r := &reader{c: c}
+	level, err := zerolog.ParseLevel(c.String("log-level"))
+	if err != nil || level < zerolog.DebugLevel || level > zerolog.ErrorLevel {
+		r.fail("log-level", errLevel)
+	}
+	return level, r.err()
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,144 @@
+// Package daemon puts one daemon together: a goroutine that owns all that
+// the daemon knows, and the workers that speak to the outside. The owner
+// publishes immutable views; everybody else reads those and sends the owner
+// messages.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/config"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/engine"
+	"github.com/lupinkeel/lupinkeel/worker/peer"
+	"github.com/lupinkeel/lupinkeel/worker/platform"
+	"github.com/lupinkeel/lupinkeel/worker/service"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	inboxLen   = 256
+	appenders  = 4
+	orderers   = 8
+	ordersLen  = 64
+	appendsLen = 64
+)
+
+// Daemon is one lupinkeel daemon without its HTTP servers.
+type Daemon struct {
+	cfg         config.Serve
+	log         zerolog.Logger
+	clock       *timer.Service
+	incarnation uint64
+	view        atomic.Pointer[View]
+	stats       *stats
+
+	platform *platform.Client
+	engines  *engine.Client
+	peers    *peer.Client
+	server   *peer.Server
+	peerAddr netip.AddrPort
+
+	inbox       chan types.Message
+	proposals   chan proposal
+	appends     chan types.Append
+	orders      chan types.Dispatch
+	seek        chan models.Offset
+	engineAddrs chan map[models.InstanceID]netip.AddrPort
+	serviceAddr chan map[models.InstanceID]netip.AddrPort
+	peerAddrs   chan map[netip.AddrPort]struct{}
+}
+
+// New makes a daemon and binds its address for peers.
+func New(cfg config.Serve, log zerolog.Logger) (*Daemon, error) {
+	now := time.Now()
+	d := &Daemon{
+		cfg:         cfg,
+		log:         log.With().Str("daemon", string(cfg.ID)).Logger(),
+		clock:       timer.New(now),
+		incarnation: uint64(now.UnixNano()),
+		stats:       newStats(),
+		platform:    platform.NewClient(cfg.Log, cfg.List),
+		engines:     engine.NewClient(),
+		inbox:       make(chan types.Message, inboxLen),
+		proposals:   make(chan proposal),
+		appends:     make(chan types.Append, appendsLen),
+		orders:      make(chan types.Dispatch, ordersLen),
+		seek:        make(chan models.Offset, 1),
+		engineAddrs: make(chan map[models.InstanceID]netip.AddrPort, 1),
+		serviceAddr: make(chan map[models.InstanceID]netip.AddrPort, 1),
+		peerAddrs:   make(chan map[netip.AddrPort]struct{}, 1),
+	}
+	d.peers = peer.NewClient(d.stats.countPeerBytes)
+	d.server = &peer.Server{Source: d, Log: d.log, Bytes: d.stats.countPeerBytes}
+	addr, err := d.server.Listen(cfg.Peer)
+	if err != nil {
+		return nil, err
+	}
+	d.peerAddr = addr
+	d.view.Store(emptyView())
+	return d, nil
+}
+
+// ID is the daemon's name.
+func (d *Daemon) ID() models.DaemonID { return d.cfg.ID }
+
+// PeerAddr is where the daemon listens for other daemons.
+func (d *Daemon) PeerAddr() netip.AddrPort { return d.peerAddr }
+
+// View returns what the daemon knows now.
+func (d *Daemon) View() *View { return d.view.Load() }
+
+// Run runs the daemon until the context ends or one of its parts fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o := newOwner(d)
+	follower := &platform.Follower{
+		Client: d.platform, Stream: platform.StreamState, Next: 1, Seek: d.seek, Out: d.inbox,
+	}
+	listTicks := d.clock.Subscribe(d.cfg.ListEvery)
+	parts := map[string]func(context.Context) error{
+		"owner":       o.run,
+		"clock":       d.clock.Run,
+		"follower":    follower.Run,
+		"list":        func(ctx context.Context) error { return d.platform.PollInstances(ctx, listTicks, d.inbox) },
+		"engines":     d.watchEngines(),
+		"services":    d.watchServices(),
+		"heartbeats":  d.beat(),
+		"peer-server": d.server.Run,
+	}
+	var tasks []task.Task
+	for name, run := range parts {
+		tasks = append(tasks, task.Start(ctx, name, run))
+	}
+	for range appenders {
+		a := &platform.Appender{Client: d.platform, Appends: d.appends, Out: d.inbox}
+		tasks = append(tasks, task.Start(ctx, "appender", a.Run))
+	}
+	for range orderers {
+		r := &engine.Orderer{Client: d.engines, Orders: d.orders, Out: d.inbox}
+		tasks = append(tasks, task.Start(ctx, "orderer", r.Run))
+	}
+	err := task.WaitAny(ctx, tasks...)
+	cancel()
+	return errors.Join(err, task.Wait(tasks...))
+}
+
+func (d *Daemon) watchEngines() func(context.Context) error {
+	ticks := d.clock.Subscribe(d.cfg.WatchEvery)
+	return func(ctx context.Context) error { return d.engines.Watch(ctx, ticks, d.engineAddrs, d.inbox) }
+}
+
+func (d *Daemon) watchServices() func(context.Context) error {
+	ticks := d.clock.Subscribe(d.cfg.WatchEvery)
+	return func(ctx context.Context) error { return service.Watch(ctx, ticks, d.serviceAddr, d.inbox) }
+}
--- /dev/null
+++ b/daemon/owner.go
@@ -0,0 +1,318 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/planner"
+	"github.com/lupinkeel/lupinkeel/router"
+	"github.com/lupinkeel/lupinkeel/state"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	planEvery    = 250 * time.Millisecond
+	publishEvery = 100 * time.Millisecond
+	// keptRecords is how many folded records are kept to be relayed.
+	keptRecords = 2048
+)
+
+// owner is the one goroutine that holds what a daemon knows.
+type owner struct {
+	d     *Daemon
+	ctx   context.Context
+	state *state.State
+
+	// recent are the last records folded, for daemons that lack them. The
+	// slice is only ever appended to and cut at its front, so that views
+	// may share it.
+	recent    []types.Entry
+	instances map[models.InstanceID]models.Instance
+	evidence  map[models.InstanceID]planner.Evidence
+	// serviceSeen is when each plain service's instance last accepted a
+	// connection.
+	serviceSeen map[models.InstanceID]time.Time
+	peers       map[models.DaemonID]Peer
+
+	logProof       time.Time
+	logError       error
+	joined         bool
+	superseded     bool
+	lastCheckpoint models.Offset
+	checkpointing  bool
+	restoring      bool
+
+	pending map[models.RecordID]*pendingProposal
+	// standing is since when the planner has wanted something, by its key.
+	standing map[string]time.Time
+	// silent is since when a daemon of the roster has been found silent.
+	silent  map[models.DaemonID]time.Time
+	ordered map[models.InstanceID]time.Time
+
+	engineAddrs  map[models.InstanceID]netip.AddrPort
+	serviceAddrs map[models.InstanceID]netip.AddrPort
+	peerAddrs    map[netip.AddrPort]struct{}
+
+	// changed asks for a view at once instead of at the next tick.
+	changed bool
+	cloned  *state.State
+	encoded *encodedState
+}
+
+func newOwner(d *Daemon) *owner {
+	return &owner{
+		d:           d,
+		state:       state.New(),
+		instances:   map[models.InstanceID]models.Instance{},
+		evidence:    map[models.InstanceID]planner.Evidence{},
+		serviceSeen: map[models.InstanceID]time.Time{},
+		peers:       map[models.DaemonID]Peer{},
+		pending:     map[models.RecordID]*pendingProposal{},
+		standing:    map[string]time.Time{},
+		silent:      map[models.DaemonID]time.Time{},
+		ordered:     map[models.InstanceID]time.Time{},
+	}
+}
+
+func emptyView() *View {
+	s := state.New()
+	return &View{State: s, Table: router.Table{State: s}, encoded: &encodedState{}}
+}
+
+func (o *owner) run(ctx context.Context) error {
+	o.ctx = ctx
+	plan := o.d.clock.Subscribe(planEvery)
+	publish := o.d.clock.Subscribe(publishEvery)
+	defer o.abandonProposals()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case msg := <-o.d.inbox:
+			o.handle(msg)
+			o.handleWaiting()
+		case p := <-o.d.proposals:
+			o.accept(p)
+		case tick := <-plan:
+			o.noticePause(tick)
+			o.plan(tick.At)
+		case tick := <-publish:
+			o.noticePause(tick)
+			o.changed = true
+		}
+		if o.changed {
+			o.publish(time.Now())
+		}
+	}
+}
+
+// handleWaiting handles the messages that have come already, so that one
+// view shows them all.
+func (o *owner) handleWaiting() {
+	for range inboxLen {
+		select {
+		case msg := <-o.d.inbox:
+			o.handle(msg)
+		default:
+			return
+		}
+	}
+}
+
+func (o *owner) handle(msg types.Message) {
+	switch msg := msg.(type) {
+	case types.LogRead:
+		o.handleLogRead(msg)
+	case types.LogExpired:
+		o.handleLogExpired(msg)
+	case types.LogAway:
+		o.handleLogAway(msg)
+	case types.AppendEnded:
+		o.handleAppendEnded(msg)
+	case types.CheckpointRead:
+		o.handleCheckpointRead(msg)
+	case types.CheckpointWritten:
+		o.handleCheckpointWritten(msg)
+	case types.ListRead:
+		o.handleListRead(msg)
+	case types.ListAway:
+		o.d.log.Warn().Err(msg.Err).Msg("list-away")
+	case types.InstanceSeen:
+		o.handleInstanceSeen(msg)
+	case types.ServiceSeen:
+		o.serviceSeen[msg.Instance] = msg.Asked
+	case types.InstanceSilent:
+		o.handleInstanceSilent(msg)
+	case types.OrderEnded:
+		o.handleOrderEnded(msg)
+	case types.PeerSeen:
+		o.handlePeerSeen(msg)
+	case types.PeerSilent:
+		o.d.log.Debug().Err(msg.Err).Stringer("peer", msg.Addr).Msg("peer-silent")
+	case types.PeerRecords:
+		o.applyEntries(msg.Entries, "peer")
+	case types.PeerState:
+		o.handlePeerState(msg)
+	}
+}
+
+// noticePause forgets what silence seemed to prove while the process itself
+// stood still.
+func (o *owner) noticePause(tick timer.Tick) {
+	if tick.Paused == 0 {
+		return
+	}
+	o.d.stats.pauses.Inc()
+	o.d.log.Warn().Dur("for", tick.Paused).Msg("process-paused")
+	for id, e := range o.evidence {
+		e.Watched = tick.At
+		o.evidence[id] = e
+	}
+	clear(o.standing)
+	clear(o.silent)
+}
+
+func (o *owner) handleListRead(msg types.ListRead) {
+	next := make(map[models.InstanceID]models.Instance, len(msg.Instances))
+	for _, i := range msg.Instances {
+		next[i.ID] = i
+	}
+	if maps.Equal(next, o.instances) {
+		return
+	}
+	o.instances = next
+	o.retarget()
+	o.changed = true
+}
+
+// retarget tells the watchers whom to watch: the instances on the list, and
+// the members of groups that the list does not show (any more).
+func (o *owner) retarget() {
+	engines := map[models.InstanceID]netip.AddrPort{}
+	services := map[models.InstanceID]netip.AddrPort{}
+	for id, i := range o.instances {
+		if i.Kind == models.KindService {
+			services[id] = i.Addr
+		} else {
+			engines[id] = i.Addr
+		}
+	}
+	for _, g := range o.state.Groups {
+		for _, m := range g.Members {
+			if _, listed := engines[m.ID]; !listed {
+				engines[m.ID] = m.Addr
+			}
+		}
+	}
+	now := time.Now()
+	for id := range engines {
+		if _, known := o.evidence[id]; !known {
+			o.evidence[id] = planner.Evidence{Watched: now}
+		}
+	}
+	maps.DeleteFunc(o.evidence, func(id models.InstanceID, _ planner.Evidence) bool {
+		_, watched := engines[id]
+		return !watched
+	})
+	sendTargets(o.d.engineAddrs, &o.engineAddrs, engines)
+	sendTargets(o.d.serviceAddr, &o.serviceAddrs, services)
+}
+
+// sendTargets hands the targets to a prober if they differ from the last.
+func sendTargets[K, V comparable](to chan map[K]V, last *map[K]V, next map[K]V) {
+	if maps.Equal(*last, next) {
+		return
+	}
+	*last = next
+	replace(to, next)
+}
+
+// replace puts a value into a channel of length one in place of what may be
+// waiting there. Only the owner sends on such a channel, so it never blocks:
+// the receiver may be waiting for the owner itself.
+func replace[T any](to chan T, value T) {
+	select {
+	case <-to:
+	default:
+	}
+	to <- value
+}
+
+func (o *owner) handleInstanceSeen(msg types.InstanceSeen) {
+	e, watched := o.evidence[msg.Instance]
+	if !watched || msg.Asked.Before(e.Seen) {
+		return
+	}
+	o.changed = o.changed || e.Silent > 0 || e.Status.Fence != msg.Status.Fence || e.Status.Phase != msg.Status.Phase ||
+		e.Status.Leaving != msg.Status.Leaving
+	e.Seen, e.Status, e.Silent = msg.Asked, msg.Status, 0
+	o.evidence[msg.Instance] = e
+}
+
+func (o *owner) handleInstanceSilent(msg types.InstanceSilent) {
+	e, watched := o.evidence[msg.Instance]
+	if !watched {
+		return
+	}
+	if e.Silent == 0 {
+		o.d.log.Warn().Str("instance", string(msg.Instance)).Err(msg.Err).Msg("instance-silent")
+		o.changed = true
+	}
+	e.Silent++
+	o.evidence[msg.Instance] = e
+}
+
+// publish shows the others what the owner knows.
+func (o *owner) publish(now time.Time) {
+	if o.cloned == nil || o.cloned.Applied != o.state.Applied {
+		o.cloned = o.state.Clone()
+		o.encoded = &encodedState{}
+	}
+	view := &View{
+		State:        o.cloned,
+		Instances:    o.instances,
+		Evidence:     maps.Clone(o.evidence),
+		Peers:        slices.Collect(maps.Values(o.peers)),
+		CurrentUntil: o.currentUntil(now),
+		LogProof:     o.logProof,
+		LogError:     o.logError,
+		Superseded:   o.superseded,
+		recent:       slices.Clip(o.recent),
+		encoded:      o.encoded,
+	}
+	view.Table = router.Table{State: o.cloned, Gates: o.gates(), Services: o.serviceTable()}
+	o.d.view.Store(view)
+	o.changed = false
+}
+
+func (o *owner) gates() map[models.GroupID]planner.Gate {
+	gates := make(map[models.GroupID]planner.Gate, len(o.state.Groups))
+	for id, g := range o.state.Groups {
+		gates[id] = planner.GateOf(g, o.evidence, o.d.cfg.GateBound)
+	}
+	return gates
+}
+
+func (o *owner) serviceTable() map[models.ServiceName][]router.ServiceInstance {
+	table := map[models.ServiceName][]router.ServiceInstance{}
+	for _, id := range slices.Sorted(maps.Keys(o.serviceSeen)) {
+		i, listed := o.instances[id]
+		_, drained := o.state.Drained[id]
+		if !listed || i.Leaving || drained {
+			continue
+		}
+		table[i.Service] = append(table[i.Service], router.ServiceInstance{
+			Instance: i, OpenUntil: o.serviceSeen[id].Add(o.d.cfg.GateBound),
+		})
+	}
+	return table
+}
+
+func newRecordID() models.RecordID { return models.RecordID(uuid.NewString()) }
--- /dev/null
+++ b/query/answer.go
@@ -0,0 +1,377 @@
+package query
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/planner"
+	"github.com/lupinkeel/lupinkeel/state"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// Facts is what a question is answered from: what one daemon knows at one
+// time.
+type Facts struct {
+	Now       time.Time
+	Self      models.DaemonID
+	State     *state.State
+	Instances map[models.InstanceID]models.Instance
+	Evidence  map[models.InstanceID]planner.Evidence
+	Gates     map[models.GroupID]planner.Gate
+	Daemons   []Daemon
+	// Rules are the planner's, for questions about what it will do.
+	Rules planner.Rules
+}
+
+// Daemon is one daemon as the answering one knows it.
+type Daemon struct {
+	Status types.PeerStatus
+	// Age is how old the status is.
+	Age      time.Duration
+	OnRoster bool
+}
+
+// Answer is what a question gives.
+type Answer struct {
+	Columns []string   `json:"columns,omitempty"`
+	Rows    [][]string `json:"rows,omitempty"`
+	// Text is a sentence, or the configuration as commands.
+	Text string `json:"text,omitempty"`
+}
+
+// Errors of a question.
+var (
+	ErrUnknownTable  = errors.New("no such table")
+	ErrUnknownColumn = errors.New("no such column")
+)
+
+// tables are what can be shown, by name.
+var tables = map[string]func(Facts) Answer{
+	"groups":     showGroups,
+	"instances":  showInstances,
+	"models":     showModels,
+	"workspaces": showWorkspaces,
+	"services":   showServices,
+	"operators":  showOperators,
+	"daemons":    showDaemons,
+	"audit":      showAudit,
+	"stranded":   showStranded,
+}
+
+// Tables lists what can be shown.
+func Tables() []string { return append(sortedKeys(tables), "config") }
+
+// Ask answers a question. Changes are none of its business.
+func Ask(f Facts, c *Command) (Answer, error) {
+	switch {
+	case c.Show != nil && c.Show.What == "config":
+		return Answer{Text: Print(f.State)}, nil
+	case c.Show != nil:
+		return show(f, c.Show)
+	case c.Why != nil:
+		return why(f, c.Why)
+	default:
+		return Answer{}, fmt.Errorf("%w: this is no question", ErrSyntax)
+	}
+}
+
+func show(f Facts, s *Show) (Answer, error) {
+	table, ok := tables[s.What]
+	if !ok {
+		return Answer{}, fmt.Errorf("%w: %s; there are %s", ErrUnknownTable, s.What, strings.Join(Tables(), ", "))
+	}
+	answer := table(f)
+	for _, c := range s.Conds {
+		column := slices.Index(answer.Columns, c.Field)
+		if column < 0 {
+			return Answer{}, fmt.Errorf("%w: %s at line %d, column %d; %s has %s",
+				ErrUnknownColumn, c.Field, c.Pos.Line, c.Pos.Column, s.What, strings.Join(answer.Columns, ", "))
+		}
+		answer.Rows = slices.DeleteFunc(answer.Rows, func(row []string) bool { return !matches(row[column], c) })
+	}
+	return answer, nil
+}
+
+// matches compares numbers as numbers and all else as text; "~" looks for a
+// part of the text.
+func matches(value string, c *Cond) bool {
+	order := strings.Compare(value, c.Value)
+	a, errA := strconv.ParseFloat(value, 64)
+	b, errB := strconv.ParseFloat(c.Value, 64)
+	if errA == nil && errB == nil {
+		order = int(max(-1, min(1, (a-b)*1e9)))
+	}
+	switch c.Op {
+	case "=":
+		return order == 0
+	case "!=":
+		return order != 0
+	case "<":
+		return order < 0
+	case ">":
+		return order > 0
+	default:
+		return strings.Contains(value, c.Value)
+	}
+}
+
+func showGroups(f Facts) Answer {
+	answer := Answer{Columns: []string{"group", "model", "version", "zone", "domain", "members", "fence", "serving", "running", "why"}}
+	for _, id := range sortedKeys(f.State.Groups) {
+		g := f.State.Groups[id]
+		gate := f.Gates[id]
+		answer.Rows = append(answer.Rows, []string{
+			string(id), string(g.Model), string(g.Version), string(g.Zone), string(g.Domain),
+			strings.Join(memberNames(g), ","), fmt.Sprint(g.Fence), yesNo(gate.Open(f.Now)),
+			fmt.Sprint(gate.Load.Running), whyClosed(f, gate),
+		})
+	}
+	return answer
+}
+
+func memberNames(g models.Group) []string {
+	names := make([]string, 0, len(g.Members))
+	for _, m := range g.Members {
+		names = append(names, string(m.ID))
+	}
+	return names
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func whyClosed(f Facts, gate planner.Gate) string {
+	switch {
+	case gate.Open(f.Now):
+		return ""
+	case gate.Why == "":
+		return "nothing has been heard of a member for too long"
+	default:
+		return gate.Why
+	}
+}
+
+func showInstances(f Facts) Answer {
+	answer := Answer{Columns: []string{"instance", "kind", "zone", "domain", "accelerators", "group", "phase", "state", "addr"}}
+	for _, id := range sortedKeys(f.Instances) {
+		i := f.Instances[id]
+		e := f.Evidence[id]
+		group, _ := f.State.Owner(id)
+		answer.Rows = append(answer.Rows, []string{
+			string(id), string(i.Kind), string(i.Zone), string(i.Domain), fmt.Sprint(i.Accelerators),
+			string(group), string(e.Status.Phase), instanceState(f, i, e), i.Addr.String(),
+		})
+	}
+	return answer
+}
+
+func instanceState(f Facts, i models.Instance, e planner.Evidence) string {
+	_, drained := f.State.Drained[i.ID]
+	switch {
+	case drained:
+		return "drained"
+	case i.Leaving || e.Status.Leaving:
+		return "leaving"
+	case i.Kind == models.KindService:
+		return "listed"
+	case e.Seen.IsZero():
+		return "unseen"
+	case e.Silent > 0:
+		return "silent"
+	default:
+		return "alive"
+	}
+}
+
+func showModels(f Facts) Answer {
+	answer := Answer{Columns: []string{"model", "version", "members", "replicas", "groups", "serving", "zones", "domains", "revision"}}
+	for _, name := range sortedKeys(f.State.Models) {
+		m := f.State.Models[name]
+		groups, serving := 0, 0
+		for id, g := range f.State.Groups {
+			if g.Model != name {
+				continue
+			}
+			groups++
+			if f.Gates[id].Open(f.Now) {
+				serving++
+			}
+		}
+		answer.Rows = append(answer.Rows, []string{
+			string(name), string(m.Version), fmt.Sprint(m.Members), fmt.Sprint(m.Replicas), fmt.Sprint(groups), fmt.Sprint(serving),
+			list(m.Place.Zones, wordAny), list(m.Place.Domains, wordAny), fmt.Sprint(m.Revision),
+		})
+	}
+	return answer
+}
+
+func showWorkspaces(f Facts) Answer {
+	answer := Answer{Columns: []string{"workspace", "models", "services", "zones", "domains", "share", "concurrent", "tokens", "revision"}}
+	for _, name := range sortedKeys(f.State.Workspaces) {
+		w := f.State.Workspaces[name]
+		rules := make([]string, 0, len(w.Models))
+		for _, r := range w.Models {
+			rules = append(rules, r.String())
+		}
+		answer.Rows = append(answer.Rows, []string{
+			string(name), list(rules, wordNone), list(w.Services, wordNone), list(w.Place.Zones, wordAny),
+			list(w.Place.Domains, wordAny), fmt.Sprint(w.Share), fmt.Sprint(w.Concurrent), fmt.Sprint(len(w.Tokens)), fmt.Sprint(w.Revision),
+		})
+	}
+	return answer
+}
+
+func showServices(f Facts) Answer {
+	answer := Answer{Columns: []string{"service", "instances", "zones", "domains", "revision"}}
+	for _, name := range sortedKeys(f.State.Services) {
+		v := f.State.Services[name]
+		instances := 0
+		for _, i := range f.Instances {
+			if i.Service == name && i.Kind == models.KindService {
+				instances++
+			}
+		}
+		answer.Rows = append(answer.Rows, []string{
+			string(name), fmt.Sprint(instances), list(v.Place.Zones, wordAny), list(v.Place.Domains, wordAny), fmt.Sprint(v.Revision),
+		})
+	}
+	return answer
+}
+
+func showOperators(f Facts) Answer {
+	answer := Answer{Columns: []string{"operator", "right", "tokens", "revision"}}
+	for _, name := range sortedKeys(f.State.Operators) {
+		o := f.State.Operators[name]
+		answer.Rows = append(answer.Rows, []string{string(name), string(o.Right), fmt.Sprint(len(o.Tokens)), fmt.Sprint(o.Revision)})
+	}
+	return answer
+}
+
+func showDaemons(f Facts) Answer {
+	answer := Answer{Columns: []string{"daemon", "zone", "peer", "on-roster", "serving", "applied", "config", "log-age", "heard"}}
+	for _, d := range f.Daemons {
+		s := d.Status
+		logAge := "never"
+		if s.LogAge >= 0 {
+			logAge = (s.LogAge + d.Age).Round(time.Millisecond).String()
+		}
+		answer.Rows = append(answer.Rows, []string{
+			string(s.ID), string(s.Zone), s.Addr.String(), yesNo(d.OnRoster), yesNo(s.Serving),
+			fmt.Sprint(s.Applied), fmt.Sprint(s.Config), logAge, d.Age.Round(time.Millisecond).String() + " ago",
+		})
+	}
+	slices.SortFunc(answer.Rows, func(a, b []string) int { return strings.Compare(a[0], b[0]) })
+	return answer
+}
+
+func showAudit(f Facts) Answer {
+	answer := Answer{Columns: []string{"offset", "at", "operator", "daemon", "result", "change", "note"}}
+	for _, e := range f.State.Audit {
+		result := "accepted"
+		if e.Refused != "" {
+			result = "refused: " + e.Refused
+		}
+		answer.Rows = append(answer.Rows, []string{
+			fmt.Sprint(e.Offset), e.At.Format(time.RFC3339), string(e.Operator), string(e.Daemon), result, e.Change, e.Note,
+		})
+	}
+	return answer
+}
+
+func showStranded(f Facts) Answer {
+	answer := Answer{Columns: []string{"instance", "zone", "domain", "accelerators", "why"}}
+	for _, id := range sortedKeys(f.Instances) {
+		i := f.Instances[id]
+		if i.Kind != models.KindEngine {
+			continue
+		}
+		if reason := whyStranded(f, i); reason != "" {
+			answer.Rows = append(answer.Rows, []string{string(id), string(i.Zone), string(i.Domain), fmt.Sprint(i.Accelerators), reason})
+		}
+	}
+	return answer
+}
+
+// whyStranded tells why the instance's accelerators serve nobody; empty if
+// they do serve.
+func whyStranded(f Facts, i models.Instance) string {
+	group, owned := f.State.Owner(i.ID)
+	switch {
+	case owned && f.Gates[group].Open(f.Now):
+		return ""
+	case owned:
+		return fmt.Sprintf("its group %s does not serve: %s", group, whyClosed(f, f.Gates[group]))
+	}
+	switch instanceState(f, i, f.Evidence[i.ID]) {
+	case "drained":
+		return "an operator drained it"
+	case "leaving":
+		return "it is leaving"
+	case "unseen", "silent":
+		return "it does not answer"
+	}
+	return planner.WhyFree(f.input(), i)
+}
+
+func (f Facts) input() planner.Input {
+	return planner.Input{State: f.State, Instances: f.Instances, Evidence: f.Evidence, Now: f.Now, Rules: f.Rules}
+}
+
+func why(f Facts, w *Why) (Answer, error) {
+	switch w.What {
+	case "group":
+		g, ok := f.State.Groups[models.GroupID(w.Name)]
+		if !ok {
+			return Answer{}, fmt.Errorf("%w: group %q", ErrNotFound, w.Name)
+		}
+		gate := f.Gates[g.ID]
+		if gate.Open(f.Now) {
+			return Answer{Text: fmt.Sprintf("Group %s serves: all of its %d members are in place.", g.ID, len(g.Members))}, nil
+		}
+		return Answer{Text: fmt.Sprintf("Group %s does not serve: %s.", g.ID, whyClosed(f, gate))}, nil
+	case "instance":
+		i, ok := f.Instances[models.InstanceID(w.Name)]
+		if !ok {
+			return Answer{}, fmt.Errorf("%w: instance %q", ErrNotFound, w.Name)
+		}
+		if reason := whyStranded(f, i); reason != "" {
+			return Answer{Text: fmt.Sprintf("Instance %s serves nobody: %s.", i.ID, reason)}, nil
+		}
+		group, _ := f.State.Owner(i.ID)
+		return Answer{Text: fmt.Sprintf("Instance %s serves in group %s.", i.ID, group)}, nil
+	case "stranded":
+		return whyAllStranded(f), nil
+	default:
+		return Answer{}, fmt.Errorf("%w: %s %q", ErrNotFound, w.What, w.Name)
+	}
+}
+
+// whyAllStranded sums the stranded accelerators up by reason.
+func whyAllStranded(f Facts) Answer {
+	rows := showStranded(f).Rows
+	if len(rows) == 0 {
+		return Answer{Text: "No accelerator is stranded."}
+	}
+	const accelerators, reason = 3, 4
+	total := 0
+	byReason := map[string]int{}
+	for _, row := range rows {
+		n, _ := strconv.Atoi(row[accelerators])
+		total += n
+		byReason[row[reason]] += n
+	}
+	var parts []string
+	for _, r := range sortedKeys(byReason) {
+		parts = append(parts, fmt.Sprintf("%d because %s", byReason[r], r))
+	}
+	return Answer{Text: fmt.Sprintf("%d accelerators are stranded: %s.", total, strings.Join(parts, "; "))}
+}
--- /dev/null
+++ b/query/preview.go
@@ -0,0 +1,26 @@
+package query
+
+import (
+	"fmt"
+
+	"github.com/lupinkeel/lupinkeel/planner"
+	"github.com/lupinkeel/lupinkeel/state"
+)
+
+// Preview tells what the planner would do first if the state were next.
+func Preview(f Facts, next *state.State) Answer {
+	answer := Answer{Columns: []string{"step", "group", "domain", "reason"}}
+	in := f.input()
+	in.State = next
+	for _, p := range planner.Plan(in) {
+		switch body := p.Body.(type) {
+		case state.FormGroup:
+			answer.Rows = append(answer.Rows, []string{"form", fmt.Sprintf("%s of %d", body.Group.Model, len(body.Group.Members)), p.Key, body.Reason})
+		case state.RetireGroup:
+			answer.Rows = append(answer.Rows, []string{"retire", string(body.Group.ID), p.Key, body.Reason})
+		case state.EndGroup:
+			answer.Rows = append(answer.Rows, []string{"end", string(body.Group.ID), p.Key, body.Reason})
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,229 @@
+// Package site runs a whole site on loopback in one process: the platform,
+// engines, plain services and daemons. The demo and the measurements use it;
+// tests of failures run real processes instead.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/api"
+	"github.com/lupinkeel/lupinkeel/config"
+	"github.com/lupinkeel/lupinkeel/daemon"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/standin"
+)
+
+// Tokens that work on every site.
+const (
+	OperatorToken = "site-operator"
+	CallerToken   = "site-caller"
+)
+
+// Domain describes one fabric domain of a site.
+type Domain struct {
+	Name    models.Domain
+	Zone    models.Zone
+	Engines int
+}
+
+// Options describe a site.
+type Options struct {
+	Daemons int
+	// Zones are given to the daemons in turn.
+	Zones    []models.Zone
+	Domains  []Domain
+	Services []models.ServiceName
+	// Engine is copied for each engine; its ID and Platform are filled in.
+	Engine standin.EngineOptions
+	// Accelerators is how many each engine has.
+	Accelerators int
+	// Tune may change the settings of a daemon before it starts.
+	Tune func(*config.Serve)
+	Log  zerolog.Logger
+}
+
+// Node is one daemon of a site.
+type Node struct {
+	Daemon *daemon.Daemon
+	Server *api.Server
+	stop   context.CancelFunc
+	tasks  []task.Task
+}
+
+// Site is a running site.
+type Site struct {
+	Platform     *standin.Platform
+	PlatformAddr netip.AddrPort
+	Engines      map[models.InstanceID]*standin.Engine
+	Nodes        []*Node
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	opts  Options
+	tasks []task.Task
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Start starts everything. Stop ends it.
+func Start(ctx context.Context, opts Options) (*Site, error) {
+	ctx, stop := context.WithCancel(ctx)
+	s := &Site{
+		Platform: standin.NewPlatform(), Engines: map[models.InstanceID]*standin.Engine{},
+		ctx: ctx, stop: stop, opts: opts,
+	}
+	if err := s.start(); err != nil {
+		return nil, errors.Join(err, s.Stop())
+	}
+	return s, nil
+}
+
+func (s *Site) start() error {
+	server, err := standin.Listen(loopback, s.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	s.PlatformAddr = server.Addr
+	s.run("platform", server.Run)
+	for _, d := range s.opts.Domains {
+		for n := range d.Engines {
+			if err := s.startEngine(d, n+1); err != nil {
+				return err
+			}
+		}
+	}
+	for n, name := range s.opts.Services {
+		if err := s.startService(name, s.opts.Zones[n%len(s.opts.Zones)]); err != nil {
+			return err
+		}
+	}
+	for range s.opts.Daemons {
+		if _, err := s.StartDaemon(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) run(name string, run func(context.Context) error) {
+	s.tasks = append(s.tasks, task.Start(s.ctx, name, run))
+}
+
+func (s *Site) startEngine(d Domain, n int) error {
+	opts := s.opts.Engine
+	opts.ID = models.InstanceID(fmt.Sprintf("%s-%d", d.Name, n))
+	opts.Platform = s.PlatformAddr
+	engine := standin.NewEngine(opts)
+	server, err := standin.Listen(loopback, engine.Handler())
+	if err != nil {
+		return err
+	}
+	s.Engines[opts.ID] = engine
+	s.run(string(opts.ID), server.Run)
+	s.run(string(opts.ID)+"-members", engine.Run)
+	s.Platform.List.Control(standin.ListControl{Put: []models.Instance{{
+		ID: opts.ID, Kind: models.KindEngine, Addr: server.Addr, Zone: d.Zone, Domain: d.Name,
+		Accelerators: max(1, s.opts.Accelerators), ChecksFences: !opts.IgnoreFences,
+	}}})
+	return nil
+}
+
+func (s *Site) startService(name models.ServiceName, zone models.Zone) error {
+	server, err := standin.Listen(loopback, standin.NewService(string(name)).Handler())
+	if err != nil {
+		return err
+	}
+	s.run(string(name), server.Run)
+	s.Platform.List.Control(standin.ListControl{Put: []models.Instance{{
+		ID: models.InstanceID(name + "-1"), Kind: models.KindService, Addr: server.Addr,
+		Zone: zone, Domain: models.Domain(zone + "-services"), Service: name,
+	}}})
+	return nil
+}
+
+// StartDaemon adds one daemon.
+func (s *Site) StartDaemon() (*Node, error) {
+	n := len(s.Nodes)
+	settings := config.Defaults()
+	settings.ID = models.DaemonID(fmt.Sprintf("daemon-%d", n+1))
+	settings.Zone = s.opts.Zones[n%len(s.opts.Zones)]
+	settings.Listen, settings.Admin, settings.Peer = loopback, loopback, loopback
+	settings.Log, settings.List = s.PlatformAddr, s.PlatformAddr
+	settings.BootstrapToken = api.HashToken(OperatorToken)
+	settings.StopGrace = 0
+	for _, other := range s.Nodes {
+		settings.Peers = append(settings.Peers, other.Daemon.PeerAddr())
+	}
+	if s.opts.Tune != nil {
+		s.opts.Tune(&settings)
+	}
+	d, err := daemon.New(settings, s.opts.Log)
+	if err != nil {
+		return nil, err
+	}
+	server, err := api.New(settings, s.opts.Log, d)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(s.ctx)
+	node := &Node{Daemon: d, Server: server, stop: stop}
+	node.tasks = []task.Task{task.Start(ctx, "daemon", d.Run), task.Start(ctx, "server", server.Run)}
+	s.Nodes = append(s.Nodes, node)
+	return node, nil
+}
+
+// Stop ends the daemon.
+func (n *Node) Stop() error {
+	n.stop()
+	return task.Wait(n.tasks...)
+}
+
+// Stop ends everything.
+func (s *Site) Stop() error {
+	s.stop()
+	var errs []error
+	for _, n := range s.Nodes {
+		errs = append(errs, n.Stop())
+	}
+	return errors.Join(append(errs, task.Wait(s.tasks...))...)
+}
+
+// ErrNotReady is returned by WaitFor when its time is up.
+var ErrNotReady = errors.New("not ready in time")
+
+// WaitFor waits until the condition holds on every daemon.
+func (s *Site) WaitFor(ctx context.Context, what string, holds func(*daemon.View) bool) error {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		if s.everywhere(holds) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %s", ErrNotReady, what)
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *Site) everywhere(holds func(*daemon.View) bool) bool {
+	for _, n := range s.Nodes {
+		if !holds(n.Daemon.View()) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ask sends an operator's command to one daemon.
+func (s *Site) Ask(ctx context.Context, node int, text string) (api.AskAnswer, error) {
+	return api.Ask(ctx, s.Nodes[node].Server.AdminAddr(), OperatorToken, text, false)
+}
