--- a/api/server.go
+++ b/api/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/lupinkeel/lupinkeel/config"
 	"github.com/lupinkeel/lupinkeel/daemon"
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/router"
 	"github.com/lupinkeel/lupinkeel/worker/upstream"
@@ -69,7 +70,7 @@
 func New(cfg config.Serve, log zerolog.Logger, d *daemon.Daemon) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
-		upstream: upstream.NewClient(), flights: newFlights(),
+		upstream: upstream.NewClient(dial.From(cfg.Source)), flights: newFlights(),
 	}
 	s.stats = newStats(d.Metrics(), s.flights.count)
 	var err error
--- a/config/config.go
+++ b/config/config.go
@@ -72,6 +72,19 @@
 	return addr
 }
 
+// source is an optional IP address to leave from.
+func (r *reader) source(flag string) netip.Addr {
+	text := r.c.String(flag)
+	if text == "" {
+		return netip.Addr{}
+	}
+	addr, err := netip.ParseAddr(text)
+	if err != nil {
+		r.fail(flag, fmt.Errorf("%q is not an IP address", text))
+	}
+	return addr
+}
+
 // target is an address to call, not one to listen on.
 func (r *reader) target(flag string) netip.AddrPort {
 	addr := r.addr(flag)
--- a/config/serve.go
+++ b/config/serve.go
@@ -18,6 +18,12 @@
 	Listen netip.AddrPort
 	Admin  netip.AddrPort
 	Peer   netip.AddrPort
+	// AdvertisePeer is where other daemons reach Peer; the address bound if
+	// not valid.
+	AdvertisePeer netip.AddrPort
+	// Source is where connections to others leave from; the system chooses
+	// if it is not valid.
+	Source netip.Addr
 	// Peers are daemons to ask first, before the roster is known.
 	Peers []netip.AddrPort
 	Log   netip.AddrPort
@@ -77,6 +83,8 @@
 		stringFlag("listen", "address for callers", "127.0.0.1:7700"),
 		stringFlag("admin", "address for operators, probes and metrics", "127.0.0.1:7701"),
 		stringFlag("peer", "address for other daemons", "127.0.0.1:7702"),
+		stringFlag("advertise-peer", "address at which other daemons reach --peer, if another", ""),
+		stringFlag("source", "IP address from which connections leave", ""),
 		listFlag("peers", "addresses of other daemons to ask first"),
 		stringFlag("log", "address of the platform's log", ""),
 		stringFlag("list", "address of the platform's instance list", ""),
@@ -104,6 +112,7 @@
 		Listen:          r.addr("listen"),
 		Admin:           r.addr("admin"),
 		Peer:            r.addr("peer"),
+		Source:          r.source("source"),
 		Peers:           r.targets("peers"),
 		Log:             r.target("log"),
 		List:            r.target("list"),
@@ -119,5 +128,8 @@
 		RequestTimeout:  r.duration("request-timeout", time.Second, time.Hour),
 		StopGrace:       r.duration("stop-grace", 0, time.Hour),
 	}
+	if c.String("advertise-peer") != "" {
+		s.AdvertisePeer = r.target("advertise-peer")
+	}
 	return s, r.err()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/config"
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -40,6 +42,7 @@
 	incarnation uint64
 	view        atomic.Pointer[View]
 	stats       *stats
+	dialer      *net.Dialer
 
 	platform *platform.Client
 	engines  *engine.Client
@@ -60,14 +63,16 @@
 // New makes a daemon and binds its address for peers.
 func New(cfg config.Serve, log zerolog.Logger) (*Daemon, error) {
 	now := time.Now()
+	dialer := dial.From(cfg.Source)
 	d := &Daemon{
+		dialer:      dialer,
 		cfg:         cfg,
 		log:         log.With().Str("daemon", string(cfg.ID)).Logger(),
 		clock:       timer.New(now),
 		incarnation: uint64(now.UnixNano()),
 		stats:       newStats(),
-		platform:    platform.NewClient(cfg.Log, cfg.List),
-		engines:     engine.NewClient(),
+		platform:    platform.NewClient(cfg.Log, cfg.List, dialer),
+		engines:     engine.NewClient(dialer),
 		inbox:       make(chan types.Message, inboxLen),
 		proposals:   make(chan proposal),
 		appends:     make(chan types.Append, appendsLen),
@@ -77,13 +82,16 @@
 		serviceAddr: make(chan map[models.InstanceID]netip.AddrPort, 1),
 		peerAddrs:   make(chan map[netip.AddrPort]struct{}, 1),
 	}
-	d.peers = peer.NewClient(d.stats.countPeerBytes)
+	d.peers = peer.NewClient(dialer, d.stats.countPeerBytes)
 	d.server = &peer.Server{Source: d, Log: d.log, Bytes: d.stats.countPeerBytes}
 	addr, err := d.server.Listen(cfg.Peer)
 	if err != nil {
 		return nil, err
 	}
 	d.peerAddr = addr
+	if cfg.AdvertisePeer.IsValid() {
+		d.peerAddr = cfg.AdvertisePeer
+	}
 	d.view.Store(emptyView())
 	return d, nil
 }
@@ -91,7 +99,7 @@
 // ID is the daemon's name.
 func (d *Daemon) ID() models.DaemonID { return d.cfg.ID }
 
-// PeerAddr is where the daemon listens for other daemons.
+// PeerAddr is where other daemons reach this one.
 func (d *Daemon) PeerAddr() netip.AddrPort { return d.peerAddr }
 
 // View returns what the daemon knows now.
@@ -140,5 +148,5 @@
 
 func (d *Daemon) watchServices() func(context.Context) error {
 	ticks := d.clock.Subscribe(d.cfg.WatchEvery)
-	return func(ctx context.Context) error { return service.Watch(ctx, ticks, d.serviceAddr, d.inbox) }
+	return func(ctx context.Context) error { return service.Watch(ctx, d.dialer, ticks, d.serviceAddr, d.inbox) }
 }
--- /dev/null
+++ b/e2e/commands_test.go
@@ -0,0 +1,342 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lupinkeel/lupinkeel/api"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/standin"
+)
+
+// scriptCommands are what scripts may call beside testscript's own:
+//
+//	site [flags]            start a site; see parseSite
+//	ask DAEMON COMMAND      ask as the operator; the answer is on stdout
+//	await DAEMON ROWS TABLE wait until the table has so many rows
+//	chat DAEMON MODEL [stream] [tokens=N]
+//	                        send a request and check that its answer is whole
+//	http DAEMON METHOD PATH [BODY] [HEADER:VALUE ...]
+//	                        call; status, headers and body are on stdout
+//	sigkill | sigstop | sigcont | sigterm | restart NAME
+//	gone NAME               wait until a process has ended
+//	fault LINK JSON         switch a link's faults
+//	control WHAT JSON       switch the platform's faults
+//	leaving ENGINE          make an engine say that it is leaving
+//	remember NAME INSTANCE  note the fence that the instance is at
+//	noruns NAME SLACK       no run at that fence began later than the slack
+//	                        after remember; the slack is a promised bound
+//	load start | load stop  requests through all daemons, checked
+//	logged PROCESS REGEXP   wait until the process has logged it
+//	elapse DURATION         let time pass, to see that nothing happens
+var scriptCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"site":     cmdSite,
+	"ask":      cmdAsk,
+	"await":    cmdAwait,
+	"chat":     cmdChat,
+	"http":     cmdHTTP,
+	"sigkill":  process(func(b *bench, name string) error { return b.kill(name) }),
+	"sigstop":  process(func(b *bench, name string) error { return b.signal(name, syscall.SIGSTOP) }),
+	"sigcont":  process(func(b *bench, name string) error { return b.signal(name, syscall.SIGCONT) }),
+	"sigterm":  process(func(b *bench, name string) error { return b.signal(name, syscall.SIGTERM) }),
+	"restart":  process(func(b *bench, name string) error { return b.restart(name) }),
+	"gone":     process(awaitGone),
+	"fault":    cmdFault,
+	"control":  cmdControl,
+	"leaving":  cmdLeaving,
+	"remember": cmdRemember,
+	"noruns":   cmdNoRuns,
+	"load":     cmdLoad,
+	"logged":   cmdLogged,
+	"elapse":   cmdElapse,
+}
+
+const awaitFor = 30 * time.Second
+
+func benchOf(ts *testscript.TestScript) *bench { return ts.Value(benchKey{}).(*bench) }
+
+func need(ts *testscript.TestScript, args []string, least int, usage string) {
+	if len(args) < least {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+func process(act func(*bench, string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		for _, name := range args {
+			ts.Check(act(benchOf(ts), name))
+		}
+	}
+}
+
+func awaitGone(b *bench, name string) error {
+	select {
+	case <-b.procs[name].done:
+		return nil
+	case <-time.After(awaitFor):
+		return fmt.Errorf("%s has not ended", name)
+	}
+}
+
+// cmdSite reads -daemons N, -domain NAME:ZONE:ENGINES, -service NAME,
+// -ignore-fences, -serve FLAG and -engine FLAG.
+func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
+	spec := siteSpec{daemons: 3}
+	for len(args) > 0 {
+		flag := args[0]
+		args = args[1:]
+		if flag == "-ignore-fences" {
+			spec.ignore = true
+			continue
+		}
+		need(ts, args, 1, "site [-FLAG VALUE] ...")
+		value := args[0]
+		args = args[1:]
+		switch flag {
+		case "-daemons":
+			n, err := strconv.Atoi(value)
+			ts.Check(err)
+			spec.daemons = n
+		case "-domain":
+			part := strings.Split(value, ":")
+			n, err := strconv.Atoi(part[2])
+			ts.Check(err)
+			spec.domains = append(spec.domains, domainSpec{name: part[0], zone: part[1], engines: n})
+		case "-service":
+			spec.services = append(spec.services, value)
+		case "-serve":
+			spec.flags = append(spec.flags, value)
+		case "-engine":
+			spec.engine = append(spec.engine, value)
+		default:
+			ts.Fatalf("site: unknown flag %s", flag)
+		}
+	}
+	ts.Check(benchOf(ts).startSite(spec))
+}
+
+func (b *bench) ask(daemon, text string) (api.AskAnswer, error) {
+	d, err := b.daemon(daemon)
+	if err != nil {
+		return api.AskAnswer{}, err
+	}
+	return api.Ask(context.Background(), d.admin, operatorToken, text, false)
+}
+
+func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2, "ask DAEMON COMMAND")
+	var answer api.AskAnswer
+	text := strings.ReplaceAll(strings.Join(args[1:], " "), "$CALLER", api.HashToken(callerToken))
+	// A daemon that is starting does not answer yet.
+	err := within(awaitFor, func() (err error) {
+		answer, err = benchOf(ts).ask(args[0], text)
+		return err
+	})
+	ts.Check(err)
+	data, err := json.MarshalIndent(answer, "", " ")
+	ts.Check(err)
+	fmt.Fprintln(ts.Stdout(), string(data))
+	failed := answer.Error != nil || (answer.Change != nil && (answer.Change.Result == api.ChangeRefused || answer.Change.Result == api.ChangeUnknown))
+	if failed != neg {
+		ts.Fatalf("ask %s: %s", args[0], data)
+	}
+}
+
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "await DAEMON ROWS TABLE")
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	var last api.AskAnswer
+	err = within(awaitFor, func() error {
+		answer, err := benchOf(ts).ask(args[0], strings.Join(args[2:], " "))
+		last = answer
+		if err == nil && len(answer.Rows) != want {
+			err = fmt.Errorf("%s: %d rows instead of %d", args[2], len(answer.Rows), want)
+		}
+		return err
+	})
+	if err != nil {
+		for _, row := range last.Rows {
+			ts.Logf("%s", strings.Join(row, " | "))
+		}
+		ts.Fatalf("await %s: %v", args[0], err)
+	}
+}
+
+func cmdChat(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2, "chat DAEMON MODEL [stream] [tokens=N]")
+	d, err := benchOf(ts).daemon(args[0])
+	ts.Check(err)
+	r := chat{model: args[1], tokens: 8, prompt: "asked by a script"}
+	for _, a := range args[2:] {
+		if n, ok := strings.CutPrefix(a, "tokens="); ok {
+			r.tokens, err = strconv.Atoi(n)
+			ts.Check(err)
+		}
+		r.stream = r.stream || a == "stream"
+	}
+	res := r.send(context.Background(), d.callers)
+	fmt.Fprintf(ts.Stdout(), "%+v\n", res)
+	if (res.end == endWhole) == neg {
+		ts.Fatalf("chat %s %s: %+v", args[0], args[1], res)
+	}
+}
+
+func cmdHTTP(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "http DAEMON METHOD PATH [BODY] [HEADER:VALUE ...]")
+	d, err := benchOf(ts).daemon(args[0])
+	ts.Check(err)
+	body := ""
+	if len(args) > 3 {
+		body = args[3]
+	}
+	if n, ok := strings.CutPrefix(body, "length="); ok {
+		length, err := strconv.Atoi(n)
+		ts.Check(err)
+		body = strings.Repeat("x", length)
+	}
+	req, err := http.NewRequest(args[1], "http://"+d.callers.String()+args[2], strings.NewReader(body))
+	ts.Check(err)
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	for _, h := range args[min(4, len(args)):] {
+		name, value, _ := strings.Cut(h, ":")
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "status %d\n", resp.StatusCode)
+	for _, name := range slices.Sorted(mapKeys(resp.Header)) {
+		fmt.Fprintf(ts.Stdout(), "%s: %s\n", name, resp.Header.Get(name))
+	}
+	fmt.Fprintf(ts.Stdout(), "%s\n", text)
+}
+
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "fault LINK JSON")
+	b := benchOf(ts)
+	body := args[1]
+	for _, d := range b.daemons {
+		body = strings.ReplaceAll(body, "@"+d.name, d.source.String())
+	}
+	ts.Check(post(fmt.Sprintf("http://%s/links/%s", b.proxy, args[0]), body))
+}
+
+func cmdControl(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "control WHAT JSON")
+	ts.Check(post(fmt.Sprintf("http://%s/control/%s", benchOf(ts).platform, args[0]), args[1]))
+}
+
+func cmdLeaving(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "leaving ENGINE")
+	addr := benchOf(ts).engines[models.InstanceID(args[0])]
+	ts.Check(post(fmt.Sprintf("http://%s/control/leaving", addr), "{}"))
+}
+
+// memory is what remember notes.
+type memory struct {
+	fence models.Fence
+	at    time.Time
+}
+
+func cmdRemember(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "remember NAME INSTANCE")
+	b := benchOf(ts)
+	type status struct {
+		Fence models.Fence `json:"fence"`
+	}
+	s, err := fetch[status](fmt.Sprintf("http://%s/status", b.engines[models.InstanceID(args[1])]))
+	ts.Check(err)
+	b.memories[args[0]] = memory{fence: s.Fence, at: time.Now()}
+}
+
+func cmdNoRuns(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "noruns NAME SLACK")
+	b := benchOf(ts)
+	slack, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	m, ok := b.memories[args[0]]
+	if !ok || m.fence == 0 {
+		ts.Fatalf("noruns: %s was not remembered in a group", args[0])
+	}
+	for _, r := range b.runs() {
+		if late := r.Started.Sub(m.at); r.Fence == m.fence && late > slack {
+			ts.Fatalf("request %s began on the old group %s after it was broken", r.Request, late)
+		}
+	}
+}
+
+// runs lists what the engines that answer have begun.
+func (b *bench) runs() []standin.RunReport {
+	var out []standin.RunReport
+	for _, addr := range b.engines {
+		reports, err := fetch[[]standin.RunReport](fmt.Sprintf("http://%s/control/runs", addr))
+		if err == nil {
+			out = append(out, reports...)
+		}
+	}
+	return out
+}
+
+func cmdLogged(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2, "logged PROCESS REGEXP")
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
+	find := func() error {
+		data, err := os.ReadFile(benchOf(ts).procs[args[0]].log)
+		if err == nil && !pattern.Match(data) {
+			err = fmt.Errorf("%s has not logged %s", args[0], args[1])
+		}
+		return err
+	}
+	if neg {
+		if find() == nil {
+			ts.Fatalf("%s has logged %s", args[0], args[1])
+		}
+		return
+	}
+	ts.Check(within(awaitFor, find))
+}
+
+// cmdElapse lets time pass where a script has nothing to wait for: it
+// proves that something does not happen.
+func cmdElapse(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "elapse DURATION")
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "load start|stop [model ...]")
+	b := benchOf(ts)
+	if args[0] == "start" {
+		var targets []netip.AddrPort
+		for _, d := range b.daemons {
+			targets = append(targets, d.callers)
+		}
+		b.load = startLoad(targets, args[1:])
+		return
+	}
+	b.load.stop()
+	summary, err := b.load.check(b.runs())
+	fmt.Fprintln(ts.Stdout(), summary)
+	ts.Logf("%s", summary)
+	b.load = nil
+	ts.Check(err)
+}
--- /dev/null
+++ b/e2e/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package e2e
+
+// raceFlag builds the daemons like the tests.
+const raceFlag = "-race"
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,18 @@
 	// CutAfter closes a connection once so many bytes have come down; 0 is
 	// off.
 	CutAfter int `json:"cut_after"`
+	// Only limits the faults to connections from these addresses; empty
+	// means all.
+	Only []netip.Addr `json:"only,omitempty"`
+}
+
+// hits reports whether the faults apply to a caller's connection.
+func (f Faults) hits(caller net.Conn) bool {
+	if len(f.Only) == 0 {
+		return true
+	}
+	from := caller.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	return slices.Contains(f.Only, from)
 }
 
 // Link is a TCP proxy to one target that injects faults.
@@ -63,7 +76,9 @@
 	l.changed = make(chan struct{})
 	if f.Cut {
 		for c := range l.open {
-			c.Close()
+			if f.hits(c) {
+				c.Close()
+			}
 		}
 	}
 }
@@ -79,9 +94,14 @@
 	})
 }
 
-func (l *Link) state() (Faults, <-chan struct{}) {
+// faultsFor returns the faults in force for a caller's connection, and a
+// channel that is closed when they change.
+func (l *Link) faultsFor(caller net.Conn) (Faults, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.faults.hits(caller) {
+		return Faults{}, l.changed
+	}
 	return l.faults, l.changed
 }
 
@@ -104,7 +124,7 @@
 func (l *Link) track(conn net.Conn) (allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.faults.Cut {
+	if l.faults.Cut && l.faults.hits(conn) {
 		conn.Close()
 		return false
 	}
@@ -134,11 +154,11 @@
 	stop := context.AfterFunc(ctx, func() { caller.Close(); target.Close() })
 	defer stop()
 	up := task.Start(ctx, "up", func(ctx context.Context) error {
-		return l.pipe(ctx, target, caller, func(f Faults) bool { return f.DropUp }, false)
+		return l.pipe(ctx, caller, target, caller, func(f Faults) bool { return f.DropUp }, false)
 	})
 	down := task.Start(ctx, "down", func(ctx context.Context) error {
 		defer cancel()
-		return l.pipe(ctx, caller, target, func(f Faults) bool { return f.DropDown }, true)
+		return l.pipe(ctx, caller, caller, target, func(f Faults) bool { return f.DropDown }, true)
 	})
 	// Both ends report a closed connection; there is nothing to add.
 	_ = task.Wait(up, down)
@@ -148,13 +168,13 @@
 
 const pipeBuffer = 32 << 10
 
-func (l *Link) pipe(ctx context.Context, to, from net.Conn, drop func(Faults) bool, count bool) error {
+func (l *Link) pipe(ctx context.Context, caller, to, from net.Conn, drop func(Faults) bool, count bool) error {
 	buf := make([]byte, pipeBuffer)
 	passed := 0
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			f, werr := l.hold(ctx)
+			f, werr := l.hold(ctx, caller)
 			if werr != nil {
 				return werr
 			}
@@ -186,9 +206,9 @@
 
 // hold waits while the link is frozen, then for its delay, and returns the
 // faults in force.
-func (l *Link) hold(ctx context.Context) (Faults, error) {
+func (l *Link) hold(ctx context.Context, caller net.Conn) (Faults, error) {
 	for {
-		f, changed := l.state()
+		f, changed := l.faultsFor(caller)
 		if !f.Freeze {
 			return f, sleep(ctx, time.Duration(f.Delay))
 		}
--- a/worker/engine/client.go
+++ b/worker/engine/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -33,8 +34,9 @@
 type Client struct{ http *http.Client }
 
 // NewClient returns a client that shares its connections among all calls.
-func NewClient() *Client {
+func NewClient(dialer *net.Dialer) *Client {
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
 		DisableCompression: true,
 	}
--- a/worker/peer/client.go
+++ b/worker/peer/client.go
@@ -16,13 +16,15 @@
 	// Bytes, if set, counts what is sent and received.
 	Bytes func(sent, received int)
 
+	dialer *net.Dialer
+
 	mu    sync.Mutex
 	conns map[netip.AddrPort]net.Conn
 }
 
 // NewClient returns a client without connections.
-func NewClient(count func(sent, received int)) *Client {
-	return &Client{Bytes: count, conns: map[netip.AddrPort]net.Conn{}}
+func NewClient(dialer *net.Dialer, count func(sent, received int)) *Client {
+	return &Client{dialer: dialer, Bytes: count, conns: map[netip.AddrPort]net.Conn{}}
 }
 
 // Exchange sends a heartbeat and returns the answer. Only one exchange with
@@ -47,8 +49,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	var dialer net.Dialer
-	fresh, err := dialer.DialContext(ctx, "tcp", addr.String())
+	fresh, err := c.dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
--- a/worker/platform/client.go
+++ b/worker/platform/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -40,8 +41,8 @@
 }
 
 // NewClient returns a client of the log and the list at these addresses.
-func NewClient(log, list netip.AddrPort) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+func NewClient(log, list netip.AddrPort, dialer *net.Dialer) *Client {
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	return &Client{log: log, list: list, http: &http.Client{Transport: transport}}
 }
 
--- a/worker/service/service.go
+++ b/worker/service/service.go
@@ -19,11 +19,11 @@
 // connections, until the context ends. Plain services have no status call in
 // common.
 func Watch(
-	ctx context.Context, ticks <-chan timer.Tick,
+	ctx context.Context, dialer *net.Dialer, ticks <-chan timer.Tick,
 	targets <-chan map[models.InstanceID]netip.AddrPort, out chan<- types.Message,
 ) error {
 	p := probe.Prober[models.InstanceID, netip.AddrPort, struct{}]{
-		Ticks: ticks, Targets: targets, Ask: connect,
+		Ticks: ticks, Targets: targets, Ask: connect(dialer),
 		Deliver: func(ctx context.Context, r probe.Result[models.InstanceID, netip.AddrPort, struct{}]) {
 			if r.Err != nil {
 				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Err: r.Err})
@@ -35,11 +35,12 @@
 	return p.Run(ctx)
 }
 
-func connect(ctx context.Context, _ models.InstanceID, addr netip.AddrPort) (struct{}, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
-	if err != nil {
-		return struct{}{}, trace.Wrap(err)
+func connect(dialer *net.Dialer) func(context.Context, models.InstanceID, netip.AddrPort) (struct{}, error) {
+	return func(ctx context.Context, _ models.InstanceID, addr netip.AddrPort) (struct{}, error) {
+		conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+		if err != nil {
+			return struct{}{}, trace.Wrap(err)
+		}
+		return struct{}{}, trace.Wrap(conn.Close())
 	}
-	return struct{}{}, trace.Wrap(conn.Close())
 }
--- a/worker/upstream/upstream.go
+++ b/worker/upstream/upstream.go
@@ -33,8 +33,6 @@
 	ErrTooLong = errors.New("the answer is too long")
 )
 
-const dialTimeout = time.Second
-
 // Call is one try of a request.
 type Call struct {
 	Addr   netip.AddrPort
@@ -66,8 +64,7 @@
 }
 
 // NewClient returns a client that keeps idle connections to every upstream.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewClient(dialer *net.Dialer) *Client {
 	shared := &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
