--- a/lib/frame/frame.go
+++ b/lib/frame/frame.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"io"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"github.com/lupinkeel/lupinkeel/lib/pack"
 )
 
 // MaxLen is the longest frame accepted, in bytes.
@@ -27,7 +27,7 @@
 
 // Write encodes the value and writes it as one frame.
 func Write(w io.Writer, kind Kind, value any) error {
-	body, err := msgpack.Marshal(value)
+	body, err := pack.Marshal(value)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
@@ -61,7 +61,7 @@
 
 // Decode reads the encoded value of a frame into out.
 func Decode(body []byte, out any) error {
-	if err := msgpack.Unmarshal(body, out); err != nil {
+	if err := pack.Unmarshal(body, out); err != nil {
 		return fmt.Errorf("%w: %w", ErrFormat, err)
 	}
 	return nil
--- /dev/null
+++ b/lib/pack/check.go
@@ -0,0 +1,149 @@
+package pack
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// maxDepth is how deep arrays and maps may nest.
+const maxDepth = 32
+
+// check walks over one encoded value without keeping any of it. It refuses
+// lengths that the data can't hold, for which the codec would set memory
+// aside, and nesting so deep that the codec's recursion would run out of
+// stack.
+func check(data []byte) error {
+	w := walker{data: data}
+	// open holds, for each array or map that is being walked, how many of
+	// its values are still to come.
+	open := []int{1}
+	for len(open) > 0 {
+		last := len(open) - 1
+		if open[last] == 0 {
+			open = open[:last]
+			continue
+		}
+		open[last]--
+		children, err := w.step()
+		if err != nil {
+			return err
+		}
+		if children == 0 {
+			continue
+		}
+		if children > len(w.data) {
+			return fmt.Errorf("%w: %d values in %d bytes", ErrMalformed, children, len(w.data))
+		}
+		if len(open) == maxDepth {
+			return fmt.Errorf("%w: nested deeper than %d", ErrMalformed, maxDepth)
+		}
+		open = append(open, children)
+	}
+	return nil
+}
+
+// walker holds the bytes that are still to be walked.
+type walker struct{ data []byte }
+
+// step walks over one value up to its children and returns their number.
+func (w *walker) step() (int, error) {
+	head, err := w.take(1)
+	if err != nil {
+		return 0, err
+	}
+	c := head[0]
+	switch {
+	case msgpcode.IsFixedNum(c):
+		return 0, nil
+	case msgpcode.IsFixedMap(c):
+		return 2 * int(c&msgpcode.FixedMapMask), nil
+	case msgpcode.IsFixedArray(c):
+		return int(c & msgpcode.FixedArrayMask), nil
+	case msgpcode.IsFixedString(c):
+		return 0, w.skip(int(c & msgpcode.FixedStrMask))
+	}
+	return w.stepLong(c)
+}
+
+func (w *walker) stepLong(c byte) (int, error) {
+	switch c {
+	case msgpcode.Nil, msgpcode.False, msgpcode.True:
+		return 0, nil
+	case msgpcode.Uint8, msgpcode.Int8:
+		return 0, w.skip(1)
+	case msgpcode.Uint16, msgpcode.Int16, msgpcode.FixExt1:
+		return 0, w.skip(2)
+	case msgpcode.FixExt2:
+		return 0, w.skip(3)
+	case msgpcode.Uint32, msgpcode.Int32, msgpcode.Float:
+		return 0, w.skip(4)
+	case msgpcode.FixExt4:
+		return 0, w.skip(5)
+	case msgpcode.Uint64, msgpcode.Int64, msgpcode.Double:
+		return 0, w.skip(8)
+	case msgpcode.FixExt8:
+		return 0, w.skip(9)
+	case msgpcode.FixExt16:
+		return 0, w.skip(17)
+	case msgpcode.Str8, msgpcode.Bin8:
+		return 0, w.skipCounted(1, 0)
+	case msgpcode.Str16, msgpcode.Bin16:
+		return 0, w.skipCounted(2, 0)
+	case msgpcode.Str32, msgpcode.Bin32:
+		return 0, w.skipCounted(4, 0)
+	case msgpcode.Ext8:
+		return 0, w.skipCounted(1, 1)
+	case msgpcode.Ext16:
+		return 0, w.skipCounted(2, 1)
+	case msgpcode.Ext32:
+		return 0, w.skipCounted(4, 1)
+	case msgpcode.Array16:
+		return w.count(2)
+	case msgpcode.Array32:
+		return w.count(4)
+	case msgpcode.Map16:
+		n, err := w.count(2)
+		return 2 * n, err
+	case msgpcode.Map32:
+		n, err := w.count(4)
+		return 2 * n, err
+	default:
+		return 0, fmt.Errorf("%w: unknown code %#x", ErrMalformed, c)
+	}
+}
+
+func (w *walker) take(n int) ([]byte, error) {
+	if n > len(w.data) {
+		return nil, fmt.Errorf("%w: ends early", ErrMalformed)
+	}
+	taken := w.data[:n]
+	w.data = w.data[n:]
+	return taken, nil
+}
+
+func (w *walker) skip(n int) error {
+	_, err := w.take(n)
+	return err
+}
+
+// count reads a length of so many bytes.
+func (w *walker) count(bytes int) (int, error) {
+	b, err := w.take(bytes)
+	if err != nil {
+		return 0, err
+	}
+	var wide [4]byte
+	copy(wide[len(wide)-bytes:], b)
+	return int(binary.BigEndian.Uint32(wide[:])), nil
+}
+
+// skipCounted skips a length, that many bytes, and some more.
+func (w *walker) skipCounted(bytes, more int) error {
+	n, err := w.count(bytes)
+	if err != nil {
+		return err
+	}
+	return w.skip(n + more)
+}
--- a/state/record.go
+++ b/state/record.go
@@ -11,6 +11,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/lupinkeel/lupinkeel/lib/pack"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -137,21 +138,21 @@
 // Encode writes a record as it stands on the log.
 func Encode(rec Record) ([]byte, error) {
 	wire := wireRecord{ID: rec.ID, Author: rec.Author, At: rec.At, Kind: bodyKind(rec.Body)}
-	body, err := msgpack.Marshal(rec.Body)
+	body, err := pack.Marshal(rec.Body)
 	if err != nil {
 		return nil, fmt.Errorf("encode record: %w", err)
 	}
 	wire.Body = body
 	if change, ok := rec.Body.(ChangeConfig); ok {
 		for _, op := range change.Ops {
-			body, err := msgpack.Marshal(op)
+			body, err := pack.Marshal(op)
 			if err != nil {
 				return nil, fmt.Errorf("encode operation: %w", err)
 			}
 			wire.Ops = append(wire.Ops, wireOp{Kind: opKind(op), Body: body})
 		}
 	}
-	return msgpack.Marshal(wire)
+	return pack.Marshal(wire)
 }
 
 // Decode reads a record; it returns ErrUndecodable for anything else.
@@ -160,7 +161,7 @@
 		return Record{}, fmt.Errorf("%w: %d bytes, allowed are %d", ErrUndecodable, len(data), MaxRecordLen)
 	}
 	var wire wireRecord
-	if err := msgpack.Unmarshal(data, &wire); err != nil {
+	if err := pack.Unmarshal(data, &wire); err != nil {
 		return Record{}, fmt.Errorf("%w: %w", ErrUndecodable, err)
 	}
 	body, err := decodeBody(wire)
@@ -225,6 +226,6 @@
 
 func decodeAs[T any](data []byte) (T, error) {
 	var value T
-	err := msgpack.Unmarshal(data, &value)
+	err := pack.Unmarshal(data, &value)
 	return value, err
 }
--- a/state/state.go
+++ b/state/state.go
@@ -8,8 +8,7 @@
 	"maps"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/lupinkeel/lupinkeel/lib/pack"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -107,7 +106,7 @@
 
 // Marshal writes the state in its canonical form.
 func (s *State) Marshal() ([]byte, error) {
-	data, err := msgpack.Marshal(snapshot{
+	data, err := pack.Marshal(snapshot{
 		Applied:      s.Applied,
 		ConfigOffset: s.ConfigOffset,
 		Models:       sorted(s.Models),
@@ -130,7 +129,7 @@
 // Unmarshal reads what Marshal wrote.
 func Unmarshal(data []byte) (*State, error) {
 	var snap snapshot
-	if err := msgpack.Unmarshal(data, &snap); err != nil {
+	if err := pack.Unmarshal(data, &snap); err != nil {
 		return nil, fmt.Errorf("%w: state: %w", ErrUndecodable, err)
 	}
 	s := New()
