daemon: ask the peers of the settings before the roster is known

Ruled out: the relay of records itself (the peers held them all). Change: aim the heartbeats when the owner starts.

--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -91,6 +91,7 @@
 	plan := o.d.clock.Subscribe(planEvery)
 	publish := o.d.clock.Subscribe(publishEvery)
 	defer o.abandonProposals()
+	o.retargetPeers()
 	for {
 		select {
 		case <-ctx.Done():
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -62,7 +62,8 @@
 func (d *Daemon) heartbeat(now time.Time) peer.Heartbeat {
 	v := d.View()
 	return peer.Heartbeat{
-		From: d.ownStatus(v, now), After: v.State.Applied, WantRecords: now.Sub(v.LogProof) > logQuiet,
+		From: d.ownStatus(v, now), After: v.State.Applied,
+		WantRecords: v.LogError != nil || now.Sub(v.LogProof) > logQuiet,
 	}
 }
 
--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -44,7 +44,9 @@
 	load    *load
 	// memories are what scripts remember.
 	memories map[string]memory
-	flags    []string
+	// asks are commands in the background.
+	asks  map[string]chan string
+	flags []string
 }
 
 type daemonAddrs struct {
@@ -69,7 +71,7 @@
 func newBench(env *testscript.Env) *bench {
 	return &bench{
 		dir: env.WorkDir, procs: map[string]*proc{},
-		addrs: map[string]netip.AddrPort{}, engines: map[models.InstanceID]netip.AddrPort{}, memories: map[string]memory{},
+		addrs: map[string]netip.AddrPort{}, engines: map[models.InstanceID]netip.AddrPort{}, memories: map[string]memory{}, asks: map[string]chan string{},
 	}
 }
 
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -41,6 +41,13 @@
 //	                        after remember; the slack is a promised bound
 //	load start | load stop  requests through all daemons, checked
 //	logged PROCESS REGEXP   wait until the process has logged it
+//	race DAEMON COMMAND DAEMON COMMAND
+//	                        ask two at once; just one must be accepted
+//	bgask NAME DAEMON COMMAND, bgend NAME RESULT
+//	                        ask in the background; how it must have ended
+//	same DAEMON ...         wait until all hold the same state
+//	double                  append every record of the log once more
+//	many N DAEMON COMMAND   ask N times, %d in the command counts
 //	elapse DURATION         let time pass, to see that nothing happens
 var scriptCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"site":     cmdSite,
@@ -62,6 +69,12 @@
 	"load":     cmdLoad,
 	"logged":   cmdLogged,
 	"elapse":   cmdElapse,
+	"race":     cmdRace,
+	"bgask":    cmdBackgroundAsk,
+	"bgend":    cmdBackgroundEnd,
+	"same":     cmdSame,
+	"double":   cmdDouble,
+	"many":     cmdMany,
 }
 
 const awaitFor = 30 * time.Second
--- /dev/null
+++ b/e2e/state_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lupinkeel/lupinkeel/api"
+	"github.com/lupinkeel/lupinkeel/worker/platform"
+)
+
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 4, "race DAEMON COMMAND DAEMON COMMAND")
+	b := benchOf(ts)
+	ends := make(chan string, 2)
+	for i := 0; i < 4; i += 2 {
+		go func() { ends <- b.askResult(args[i], args[i+1]) }()
+	}
+	first, second := <-ends, <-ends
+	accepted := strings.Count(first+second, "accepted")
+	if accepted != 1 || !strings.Contains(first+second, "refused") {
+		ts.Fatalf("race: %s and %s", first, second)
+	}
+	fmt.Fprintln(ts.Stdout(), first)
+	fmt.Fprintln(ts.Stdout(), second)
+}
+
+// askResult is what became of a change, with the reason.
+func (b *bench) askResult(daemon, text string) string {
+	answer, err := b.ask(daemon, text)
+	switch {
+	case err != nil:
+		return "silent: " + err.Error()
+	case answer.Error != nil:
+		return "error: " + answer.Error.Message
+	case answer.Change == nil:
+		return "answered"
+	default:
+		return string(answer.Change.Result) + ": " + answer.Change.Reason
+	}
+}
+
+func cmdBackgroundAsk(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "bgask NAME DAEMON COMMAND")
+	b := benchOf(ts)
+	end := make(chan string, 1)
+	b.asks[args[0]] = end
+	go func() { end <- b.askResult(args[1], args[2]) }()
+}
+
+func cmdBackgroundEnd(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "bgend NAME RESULT")
+	got := <-benchOf(ts).asks[args[0]]
+	if !strings.HasPrefix(got, args[1]) {
+		ts.Fatalf("%s ended %q instead of %s", args[0], got, args[1])
+	}
+	fmt.Fprintln(ts.Stdout(), got)
+}
+
+func cmdSame(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(within(awaitFor, func() error { return benchOf(ts).sameState(args) }))
+}
+
+var errDiffer = errors.New("states differ")
+
+func (b *bench) sameState(daemons []string) error {
+	const applied, digest = 1, 3
+	seen := map[string]string{}
+	var first string
+	for _, d := range daemons {
+		answer, err := b.ask(d, "show state")
+		if err != nil {
+			return err
+		}
+		if len(answer.Rows) != 1 {
+			return fmt.Errorf("%w: %s answered %v", errDiffer, d, answer.Error)
+		}
+		row := answer.Rows[0]
+		if other, ok := seen[row[applied]]; ok && other != row[digest] {
+			panic(fmt.Sprintf("at offset %s daemons hold %s and %s", row[applied], other, row[digest]))
+		}
+		seen[row[applied]] = row[digest]
+		if first == "" {
+			first = row[applied]
+		}
+		if row[applied] != first {
+			return fmt.Errorf("%w: %s is at %s, another at %s", errDiffer, d, row[applied], first)
+		}
+	}
+	return nil
+}
+
+// cmdDouble appends every record that the log holds once more, as a retry
+// that comes very late would.
+func cmdDouble(ts *testscript.TestScript, _ bool, _ []string) {
+	base := fmt.Sprintf("http://%s/log/%s", benchOf(ts).platform, platform.StreamState)
+	answer, err := fetch[platform.ReadAnswer](base + "?from=1")
+	ts.Check(err)
+	for _, e := range answer.Entries {
+		resp, err := http.Post(base, "application/octet-stream", bytes.NewReader(e.Data))
+		ts.Check(err)
+		resp.Body.Close()
+	}
+}
+
+func cmdMany(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "many N DAEMON COMMAND")
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for i := range n {
+		text := strings.ReplaceAll(args[2], "%d", strconv.Itoa(i))
+		answer, err := benchOf(ts).ask(args[1], text)
+		ts.Check(err)
+		if answer.Change == nil || answer.Change.Result != api.ChangeAccepted {
+			ts.Fatalf("%s: %+v %+v", text, answer.Change, answer.Error)
+		}
+	}
+}
--- a/query/answer.go
+++ b/query/answer.go
@@ -61,6 +61,7 @@
 	"daemons":    showDaemons,
 	"audit":      showAudit,
 	"stranded":   showStranded,
+	"state":      showState,
 }
 
 // Tables lists what can be shown.
@@ -273,6 +274,19 @@
 	return answer
 }
 
+// showState tells how far the answering daemon has folded the log. Daemons
+// at the same offset show the same digest.
+func showState(f Facts) Answer {
+	digest, err := f.State.Digest()
+	if err != nil {
+		digest = err.Error()
+	}
+	return Answer{
+		Columns: []string{"daemon", "applied", "config", "digest"},
+		Rows:    [][]string{{string(f.Self), fmt.Sprint(f.State.Applied), fmt.Sprint(f.State.ConfigOffset), digest}},
+	}
+}
+
 func showAudit(f Facts) Answer {
 	answer := Answer{Columns: []string{"offset", "at", "operator", "daemon", "result", "change", "note"}}
 	for _, e := range f.State.Audit {
--- a/worker/engine/client.go
+++ b/worker/engine/client.go
@@ -56,14 +56,14 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return types.EngineStatus{}, trace.Wrap(ErrUnhealthy, "status: %s", resp.Status)
+		return types.EngineStatus{}, trace.Wrap(fmt.Errorf("%w: status: %s", ErrUnhealthy, resp.Status))
 	}
 	var status types.EngineStatus
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&status); err != nil {
 		return types.EngineStatus{}, trace.Wrap(errors.Join(ErrUnhealthy, err))
 	}
 	if status.Instance != id {
-		return types.EngineStatus{}, trace.Wrap(ErrStranger, "%s instead of %s", status.Instance, id)
+		return types.EngineStatus{}, trace.Wrap(fmt.Errorf("%w: %s instead of %s", ErrStranger, status.Instance, id))
 	}
 	return status, nil
 }
@@ -93,6 +93,6 @@
 	case http.StatusConflict:
 		return trace.Wrap(ErrFenced)
 	default:
-		return trace.Wrap(ErrUnhealthy, "order: %s", resp.Status)
+		return trace.Wrap(fmt.Errorf("%w: order: %s", ErrUnhealthy, resp.Status))
 	}
 }
--- a/worker/platform/checkpoint.go
+++ b/worker/platform/checkpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/gravitational/trace"
 
@@ -35,7 +36,7 @@
 			return nil, err
 		}
 		if len(answer.Entries) == 0 {
-			return nil, trace.Wrap(ErrRefused, "the log ended early at %d of %d", next, end.Next)
+			return nil, trace.Wrap(fmt.Errorf("%w: the log ended early at %d of %d", ErrRefused, next, end.Next))
 		}
 		entries = append(entries, answer.Entries...)
 		next = entries[len(entries)-1].Offset + 1
--- a/worker/platform/client.go
+++ b/worker/platform/client.go
@@ -63,9 +63,9 @@
 	defer resp.Body.Close()
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
-		return 0, trace.Wrap(ErrRefused, "append: %s", resp.Status)
+		return 0, trace.Wrap(fmt.Errorf("%w: append: %s", ErrRefused, resp.Status))
 	case resp.StatusCode != http.StatusOK:
-		return 0, trace.Wrap(ErrUnknown, "append: %s", resp.Status)
+		return 0, trace.Wrap(fmt.Errorf("%w: append: %s", ErrUnknown, resp.Status))
 	}
 	var answer AppendAnswer
 	if err := decode(resp.Body, &answer); err != nil {
@@ -87,7 +87,7 @@
 		return ReadAnswer{}, err
 	}
 	if status == http.StatusGone {
-		return answer, trace.Wrap(ErrExpired, "offset %d, first is %d", from, answer.First)
+		return answer, trace.Wrap(fmt.Errorf("%w: offset %d, first is %d", ErrExpired, from, answer.First))
 	}
 	return answer, nil
 }
@@ -112,7 +112,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
-		return resp.StatusCode, trace.Wrap(ErrRefused, "%s", resp.Status)
+		return resp.StatusCode, trace.Wrap(fmt.Errorf("%w: %s", ErrRefused, resp.Status))
 	}
 	return resp.StatusCode, trace.Wrap(decode(resp.Body, out))
 }
