--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 demo:
 	go run . demo --once
+
+.PHONY: measure-config
+measure-config: build
+	bin/lupinkeel measure config
--- a/api/client.go
+++ b/api/client.go
@@ -15,13 +15,10 @@
 
 // Ask sends an operator's commands to the daemon at the address. Its error
 // means that no daemon answered; the answer tells of everything else.
-func Ask(ctx context.Context, admin netip.AddrPort, token, text string, waitAll bool) (AskAnswer, error) {
+func Ask(ctx context.Context, admin netip.AddrPort, token, text string, opts AskOptions) (AskAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/ask", admin)
-	if waitAll {
-		url += "?wait=all"
-	}
+	url := fmt.Sprintf("http://%s/ask?%s", admin, opts.values().Encode())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(text)))
 	if err != nil {
 		return AskAnswer{}, err
--- a/api/errors.go
+++ b/api/errors.go
@@ -31,7 +31,7 @@
 var (
 	ErrBody       = errors.New("bad request body")
 	ErrBodyLength = errors.New("request body too long")
-	ErrToken      = errors.New("no workspace has this token")
+	ErrToken      = errors.New("no workspace or operator has this token")
 	ErrRight      = errors.New("this operator may only ask")
 	ErrNotCurrent = errors.New("this daemon can't show that its configuration is current")
 	ErrStopping   = errors.New("this daemon is stopping")
--- a/api/operators.go
+++ b/api/operators.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -55,6 +56,8 @@
 	ChangeRefused ChangeEnd = "refused"
 	// ChangeUnknown: the change may take effect; show audit tells.
 	ChangeUnknown ChangeEnd = "unknown"
+	// ChangeWouldRefuse: the change would be refused now.
+	ChangeWouldRefuse ChangeEnd = "would-be-refused"
 	// ChangePlanned: the change would be accepted now.
 	ChangePlanned ChangeEnd = "planned"
 )
@@ -67,8 +70,39 @@
 	forceTimeout = 3 * time.Second
 )
 
-// serveAsk carries out commands. The query parameter wait=all waits until a
-// change is in force on every daemon.
+// AskOptions say how commands are to be carried out.
+type AskOptions struct {
+	// WaitAll waits until a change is in force on every daemon.
+	WaitAll bool
+	// Diff tells what changes would do instead of making them.
+	Diff bool
+	// Prune removes what the changes do not set.
+	Prune bool
+}
+
+// The query parameters of a call, which are true or not there.
+const (
+	paramWaitAll = "wait_all"
+	paramDiff    = "diff"
+	paramPrune   = "prune"
+)
+
+func readAskOptions(q url.Values) AskOptions {
+	on := func(name string) bool { return q.Get(name) == "true" }
+	return AskOptions{WaitAll: on(paramWaitAll), Diff: on(paramDiff), Prune: on(paramPrune)}
+}
+
+func (o AskOptions) values() url.Values {
+	q := url.Values{}
+	for name, set := range map[string]bool{paramWaitAll: o.WaitAll, paramDiff: o.Diff, paramPrune: o.Prune} {
+		if set {
+			q.Set(name, "true")
+		}
+	}
+	return q
+}
+
+// serveAsk carries out commands.
 func (s *Server) serveAsk(w http.ResponseWriter, r *http.Request) {
 	view := s.daemon.View()
 	operator, err := operatorOf(view.State, s.cfg.BootstrapToken, r)
@@ -86,7 +120,7 @@
 		writeAskProblem(w, fmt.Errorf("%w: %w", ErrBody, err))
 		return
 	}
-	a := asker{s: s, view: view, operator: operator, text: string(text), waitAll: r.URL.Query().Get("wait") == "all"}
+	a := asker{s: s, view: view, operator: operator, text: string(text), opts: readAskOptions(r.URL.Query())}
 	answer, err := a.carryOut(r.Context(), commands)
 	if err != nil {
 		writeAskProblem(w, err)
@@ -126,7 +160,7 @@
 	view     *daemon.View
 	operator models.Operator
 	text     string
-	waitAll  bool
+	opts     AskOptions
 }
 
 // errMixed is returned for commands that can't be carried out together.
@@ -142,6 +176,8 @@
 	switch {
 	case len(commands) == 0:
 		return AskAnswer{}, fmt.Errorf("%w: there is no command", ErrBody)
+	case len(changes) == len(commands) && a.opts.Diff:
+		return a.preview(changes)
 	case len(changes) == len(commands):
 		return a.change(ctx, changes)
 	case len(commands) > 1:
@@ -174,10 +210,14 @@
 	if a.operator.Right != models.RightChange {
 		return state.ChangeConfig{}, ErrRight
 	}
+	if a.opts.Prune {
+		changes = append(changes, query.Prune(a.view.State, changes)...)
+	}
 	ops, err := query.Compile(a.view.State, changes)
 	if err != nil {
 		return state.ChangeConfig{}, err
 	}
+	ops = query.Effective(a.view.State, ops)
 	var notes []string
 	for _, c := range changes {
 		if c.Note != "" {
@@ -195,14 +235,26 @@
 	if err != nil {
 		return AskAnswer{}, err
 	}
+	if len(change.Ops) == 0 {
+		return a.nothing(), nil
+	}
 	next, err := a.view.State.Preview(change.Ops)
 	if err != nil {
-		return AskAnswer{Change: &ChangeResult{Result: ChangeRefused, Reason: err.Error()}}, nil
+		return AskAnswer{Change: &ChangeResult{Result: ChangeWouldRefuse, Reason: err.Error()}}, nil
 	}
+	answer := query.Preview(a.facts(), next)
+	answer.Text = query.Diff(a.view.State, next)
+	return AskAnswer{Answer: answer, Change: &ChangeResult{Result: ChangePlanned, Of: len(a.view.State.Daemons)}}, nil
+}
+
+// nothing answers changes that leave everything as it is.
+func (a asker) nothing() AskAnswer {
+	offset := a.view.State.ConfigOffset
+	have, of := a.view.InForce(a.s.cfg.ID, offset)
 	return AskAnswer{
-		Answer: query.Preview(a.facts(), next),
-		Change: &ChangeResult{Result: ChangePlanned, Of: len(a.view.State.Daemons)},
-	}, nil
+		Answer: query.Answer{Text: "Nothing to change."},
+		Change: &ChangeResult{Result: ChangeAccepted, Offset: offset, InForce: have, Of: of},
+	}
 }
 
 // change makes a change and tells on how many daemons it is in force.
@@ -211,6 +263,9 @@
 	if err != nil {
 		return AskAnswer{}, err
 	}
+	if len(change.Ops) == 0 {
+		return a.nothing(), nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	outcome, err := a.s.daemon.Propose(ctx, change)
@@ -247,7 +302,7 @@
 	ctx, cancel := context.WithTimeout(ctx, forceTimeout)
 	defer cancel()
 	enough := func(have, of int) bool {
-		if a.waitAll {
+		if a.opts.WaitAll {
 			return have == of && of > 0
 		}
 		return have > of/2
--- a/api/server.go
+++ b/api/server.go
@@ -70,7 +70,7 @@
 func New(cfg config.Serve, log zerolog.Logger, d *daemon.Daemon) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
-		upstream: upstream.NewClient(dial.From(cfg.Source)), flights: newFlights(),
+		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), flights: newFlights(),
 	}
 	s.stats = newStats(d.Metrics(), s.flights.count)
 	var err error
--- a/commands/ask.go
+++ b/commands/ask.go
@@ -16,6 +16,7 @@
 func init() {
 	register(ask{})
 	register(apply{})
+	register(diff{})
 }
 
 // ask carries out commands of the operators' language.
@@ -31,7 +32,7 @@
 	if strings.TrimSpace(text) == "" {
 		return fmt.Errorf("%w: ask needs a command such as 'show groups'", ErrUsage)
 	}
-	return askDaemon(c, text)
+	return askDaemon(c, text, api.AskOptions{WaitAll: c.Bool("wait-all")})
 }
 
 // apply carries out the commands of a file.
@@ -42,7 +43,10 @@
 func (apply) ArgsUsage() string { return " " }
 
 func (apply) Flags() []cli.Flag {
-	return append(config.AskFlags(), &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "file of commands, - for standard input"})
+	return append(config.AskFlags(),
+		&cli.StringFlag{Name: "file", Aliases: []string{"f"}, Usage: "file of commands, - for standard input"},
+		&cli.BoolFlag{Name: "prune", Usage: "remove what the file does not set"},
+	)
 }
 
 func (apply) Execute(c *cli.Context) error {
@@ -50,7 +54,23 @@
 	if err != nil {
 		return err
 	}
-	return askDaemon(c, text)
+	return askDaemon(c, text, api.AskOptions{WaitAll: c.Bool("wait-all"), Prune: c.Bool("prune")})
+}
+
+// diff tells what the commands of a file would change.
+type diff struct{ apply }
+
+func (diff) Aliases() []string { return []string{"diff"} }
+func (diff) Usage() string {
+	return "tell what apply would change, and what the planner would do first"
+}
+
+func (diff) Execute(c *cli.Context) error {
+	text, err := readFile(c.String("file"))
+	if err != nil {
+		return err
+	}
+	return askDaemon(c, text, api.AskOptions{Diff: true, Prune: c.Bool("prune")})
 }
 
 func readFile(path string) (string, error) {
@@ -69,12 +89,12 @@
 }
 
 // askDaemon sends the text and prints the answer.
-func askDaemon(c *cli.Context, text string) error {
+func askDaemon(c *cli.Context, text string, opts api.AskOptions) error {
 	settings, err := config.LoadAsk(c)
 	if err != nil {
 		return err
 	}
-	answer, err := api.Ask(c.Context, settings.Admin, settings.Token, text, settings.WaitAll)
+	answer, err := api.Ask(c.Context, settings.Admin, settings.Token, text, opts)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -121,6 +141,9 @@
 	if c := a.Change; c != nil && c.Result == api.ChangePlanned {
 		fmt.Fprintln(w, "the change would be accepted")
 	}
+	if c := a.Change; c != nil && c.Result == api.ChangeWouldRefuse {
+		fmt.Fprintf(w, "the change would be refused: %s\n", c.Reason)
+	}
 }
 
 // printTable aligns the columns with two spaces between them.
--- a/config/ask.go
+++ b/config/ask.go
@@ -8,10 +8,9 @@
 
 // Ask holds the settings of the commands that speak to a daemon.
 type Ask struct {
-	Admin   netip.AddrPort
-	Token   string
-	JSON    bool
-	WaitAll bool
+	Admin netip.AddrPort
+	Token string
+	JSON  bool
 }
 
 // AskFlags are the flags that LoadAsk reads.
@@ -27,6 +26,6 @@
 // LoadAsk reads and checks the settings.
 func LoadAsk(c *cli.Context) (Ask, error) {
 	r := &reader{c: c}
-	a := Ask{Admin: r.target("admin"), Token: c.String("token"), JSON: c.Bool("json"), WaitAll: c.Bool("wait-all")}
+	a := Ask{Admin: r.target("admin"), Token: c.String("token"), JSON: c.Bool("json")}
 	return a, r.err()
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -42,7 +41,6 @@
 	incarnation uint64
 	view        atomic.Pointer[View]
 	stats       *stats
-	dialer      *net.Dialer
 
 	platform *platform.Client
 	engines  *engine.Client
@@ -63,16 +61,12 @@
 // New makes a daemon and binds its address for peers.
 func New(cfg config.Serve, log zerolog.Logger) (*Daemon, error) {
 	now := time.Now()
-	dialer := dial.From(cfg.Source)
 	d := &Daemon{
-		dialer:      dialer,
 		cfg:         cfg,
 		log:         log.With().Str("daemon", string(cfg.ID)).Logger(),
 		clock:       timer.New(now),
 		incarnation: uint64(now.UnixNano()),
 		stats:       newStats(),
-		platform:    platform.NewClient(cfg.Log, cfg.List, dialer),
-		engines:     engine.NewClient(dialer),
 		inbox:       make(chan types.Message, inboxLen),
 		proposals:   make(chan proposal),
 		appends:     make(chan types.Append, appendsLen),
@@ -82,8 +76,10 @@
 		serviceAddr: make(chan map[models.InstanceID]netip.AddrPort, 1),
 		peerAddrs:   make(chan map[netip.AddrPort]struct{}, 1),
 	}
-	d.peers = peer.NewClient(dialer, d.stats.countPeerBytes)
-	d.server = &peer.Server{Source: d, Log: d.log, Bytes: d.stats.countPeerBytes}
+	d.platform = platform.NewClient(cfg.Log, cfg.List, d.dialer(d.stats.countPlatform))
+	d.engines = engine.NewClient(d.dialer(d.stats.countWatch))
+	d.peers = peer.NewClient(d.dialer(d.stats.countPeers))
+	d.server = &peer.Server{Source: d, Log: d.log, Bytes: d.stats.countPeers}
 	addr, err := d.server.Listen(cfg.Peer)
 	if err != nil {
 		return nil, err
@@ -96,6 +92,10 @@
 	return d, nil
 }
 
+func (d *Daemon) dialer(count dial.Count) dial.Dialer {
+	return dial.Dialer{Source: d.cfg.Source, Count: count}
+}
+
 // ID is the daemon's name.
 func (d *Daemon) ID() models.DaemonID { return d.cfg.ID }
 
@@ -148,5 +148,7 @@
 
 func (d *Daemon) watchServices() func(context.Context) error {
 	ticks := d.clock.Subscribe(d.cfg.WatchEvery)
-	return func(ctx context.Context) error { return service.Watch(ctx, d.dialer, ticks, d.serviceAddr, d.inbox) }
+	return func(ctx context.Context) error {
+		return service.Watch(ctx, d.dialer(d.stats.countWatch), ticks, d.serviceAddr, d.inbox)
+	}
 }
--- a/daemon/stats.go
+++ b/daemon/stats.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,8 +16,7 @@
 	proposed      *metrics.Counter
 	orders        *metrics.Counter
 	ordersFailed  *metrics.Counter
-	peerSent      *metrics.Counter
-	peerReceived  *metrics.Counter
+	bytes         map[string]*metrics.Counter
 	pauses        *metrics.Counter
 	checkpoints   *metrics.Counter
 	relayed       *metrics.Counter
@@ -25,25 +25,56 @@
 
 func newStats() *stats {
 	set := metrics.NewSet()
-	return &stats{
+	s := &stats{
 		set:           set,
 		applied:       set.NewCounter("lupinkeel_records_applied_total"),
 		refused:       set.NewCounter("lupinkeel_records_refused_total"),
 		proposed:      set.NewCounter("lupinkeel_proposals_total"),
 		orders:        set.NewCounter("lupinkeel_orders_total"),
 		ordersFailed:  set.NewCounter("lupinkeel_orders_failed_total"),
-		peerSent:      set.NewCounter("lupinkeel_peer_sent_bytes_total"),
-		peerReceived:  set.NewCounter("lupinkeel_peer_received_bytes_total"),
 		pauses:        set.NewCounter("lupinkeel_process_pauses_total"),
 		checkpoints:   set.NewCounter("lupinkeel_checkpoints_written_total"),
 		relayed:       set.NewCounter("lupinkeel_records_relayed_total"),
 		appendsFailed: set.NewCounter("lupinkeel_appends_failed_total"),
 	}
+	s.addTraffic(set)
+	return s
 }
 
-func (s *stats) countPeerBytes(sent, received int) {
-	s.peerSent.Add(sent)
-	s.peerReceived.Add(received)
+// The kinds of control traffic that are counted apart.
+const (
+	trafficPeers    = "peers"
+	trafficPlatform = "platform"
+	trafficWatch    = "watch"
+)
+
+func (s *stats) addTraffic(set *metrics.Set) {
+	s.bytes = map[string]*metrics.Counter{}
+	for _, with := range []string{trafficPeers, trafficPlatform, trafficWatch} {
+		for _, way := range []string{"sent", "received"} {
+			s.bytes[with+way] = set.NewCounter(fmt.Sprintf("lupinkeel_control_bytes_total{with=%q,way=%q}", with, way))
+		}
+	}
+}
+
+func (s *stats) count(with string, sent, received int) {
+	s.bytes[with+"sent"].Add(sent)
+	s.bytes[with+"received"].Add(received)
+}
+
+func (s *stats) countPeers(sent, received int)    { s.count(trafficPeers, sent, received) }
+func (s *stats) countPlatform(sent, received int) { s.count(trafficPlatform, sent, received) }
+func (s *stats) countWatch(sent, received int)    { s.count(trafficWatch, sent, received) }
+
+// Traffic is how many bytes of control traffic a daemon has passed.
+type Traffic struct{ Peers, Platform, Watch uint64 }
+
+// Traffic returns the bytes that have passed so far, both ways.
+func (d *Daemon) Traffic() Traffic {
+	both := func(with string) uint64 {
+		return d.stats.bytes[with+"sent"].Get() + d.stats.bytes[with+"received"].Get()
+	}
+	return Traffic{Peers: both(trafficPeers), Platform: both(trafficPlatform), Watch: both(trafficWatch)}
 }
 
 // Metrics is the set that the daemon's other parts add theirs to.
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -48,6 +48,7 @@
 //	same DAEMON ...         wait until all hold the same state
 //	double                  append every record of the log once more
 //	many N DAEMON COMMAND   ask N times, %d in the command counts
+//	admin DAEMON            let lupinkeel ask speak to this daemon
 //	elapse DURATION         let time pass, to see that nothing happens
 var scriptCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"site":     cmdSite,
@@ -69,6 +70,7 @@
 	"load":     cmdLoad,
 	"logged":   cmdLogged,
 	"elapse":   cmdElapse,
+	"admin":    cmdAdmin,
 	"race":     cmdRace,
 	"bgask":    cmdBackgroundAsk,
 	"bgend":    cmdBackgroundEnd,
@@ -146,7 +148,7 @@
 	if err != nil {
 		return api.AskAnswer{}, err
 	}
-	return api.Ask(context.Background(), d.admin, operatorToken, text, false)
+	return api.Ask(context.Background(), d.admin, operatorToken, text, api.AskOptions{})
 }
 
 func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
@@ -326,6 +328,13 @@
 	ts.Check(within(awaitFor, find))
 }
 
+func cmdAdmin(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "admin DAEMON")
+	d, err := benchOf(ts).daemon(args[0])
+	ts.Check(err)
+	ts.Setenv("LUPINKEEL_ADMIN", d.admin.String())
+}
+
 // cmdElapse lets time pass where a script has nothing to wait for: it
 // proves that something does not happen.
 func cmdElapse(ts *testscript.TestScript, _ bool, args []string) {
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -48,6 +48,11 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", filepath.Dir(binary)+string(os.PathListSeparator)+os.Getenv("PATH"))
+			root, err := filepath.Abs("..")
+			if err != nil {
+				return err
+			}
+			env.Setenv("ROOT", root)
 			b := newBench(env)
 			env.Values[benchKey{}] = b
 			env.Defer(b.stop)
--- a/lib/dial/dial.go
+++ b/lib/dial/dial.go
@@ -1,8 +1,9 @@
-// Package dial makes dialers that leave from an address of the process's
-// own, as the settings say.
+// Package dial makes the connections of a process: they leave from an
+// address of its own, as the settings say, and their bytes are counted.
 package dial
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"time"
@@ -11,12 +12,52 @@
 // Timeout bounds how long a connection may take to be made.
 const Timeout = time.Second
 
-// From returns a dialer whose connections leave from the source; the system
-// chooses one if the source is not valid.
-func From(source netip.Addr) *net.Dialer {
-	d := &net.Dialer{Timeout: Timeout}
-	if source.IsValid() {
-		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+// Count is told how many bytes have passed.
+type Count func(sent, received int)
+
+// Dialer makes connections. The zero value lets the system choose the
+// address and counts nothing.
+type Dialer struct {
+	// Source is where connections leave from, if valid.
+	Source netip.Addr
+	// Count, if set, is told of the bytes of all connections.
+	Count Count
+}
+
+// DialContext connects as net.Dialer does.
+func (d Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: Timeout}
+	if d.Source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.Source, 0))
+	}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return Counted(conn, d.Count), nil
+}
+
+// Counted returns the connection with its bytes counted.
+func Counted(conn net.Conn, count Count) net.Conn {
+	if count == nil {
+		return conn
 	}
-	return d
+	return &countedConn{Conn: conn, count: count}
+}
+
+type countedConn struct {
+	net.Conn
+	count Count
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count(0, n)
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count(n, 0)
+	return n, err
 }
--- a/site/site.go
+++ b/site/site.go
@@ -44,6 +44,9 @@
 	Engine standin.EngineOptions
 	// Accelerators is how many each engine has.
 	Accelerators int
+	// Apart gives each daemon a loopback address of its own to leave from,
+	// and puts a link with faults before the platform.
+	Apart bool
 	// Tune may change the settings of a daemon before it starts.
 	Tune func(*config.Serve)
 	Log  zerolog.Logger
@@ -61,8 +64,11 @@
 type Site struct {
 	Platform     *standin.Platform
 	PlatformAddr netip.AddrPort
-	Engines      map[models.InstanceID]*standin.Engine
-	Nodes        []*Node
+	// Link stands before the platform's log and list if the daemons are
+	// apart.
+	Link    *standin.Link
+	Engines map[models.InstanceID]*standin.Engine
+	Nodes   []*Node
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -92,6 +98,12 @@
 	}
 	s.PlatformAddr = server.Addr
 	s.run("platform", server.Run)
+	if s.opts.Apart {
+		if s.Link, err = standin.NewLink(loopback, server.Addr); err != nil {
+			return err
+		}
+		s.run("link", s.Link.Run)
+	}
 	for _, d := range s.opts.Domains {
 		for n := range d.Engines {
 			if err := s.startEngine(d, n+1); err != nil {
@@ -150,7 +162,14 @@
 
 // StartDaemon adds one daemon.
 func (s *Site) StartDaemon() (*Node, error) {
-	n := len(s.Nodes)
+	node, err := s.newNode(len(s.Nodes))
+	if err == nil {
+		s.Nodes = append(s.Nodes, node)
+	}
+	return node, err
+}
+
+func (s *Site) newNode(n int) (*Node, error) {
 	settings := config.Defaults()
 	settings.ID = models.DaemonID(fmt.Sprintf("daemon-%d", n+1))
 	settings.Zone = s.opts.Zones[n%len(s.opts.Zones)]
@@ -158,9 +177,16 @@
 	settings.Log, settings.List = s.PlatformAddr, s.PlatformAddr
 	settings.BootstrapToken = api.HashToken(OperatorToken)
 	settings.StopGrace = 0
-	for _, other := range s.Nodes {
+	for i, other := range s.Nodes {
+		if i == n {
+			continue
+		}
 		settings.Peers = append(settings.Peers, other.Daemon.PeerAddr())
 	}
+	if s.opts.Apart {
+		settings.Source = Source(n)
+		settings.Log, settings.List = s.Link.Addr, s.Link.Addr
+	}
 	if s.opts.Tune != nil {
 		s.opts.Tune(&settings)
 	}
@@ -175,10 +201,29 @@
 	ctx, stop := context.WithCancel(s.ctx)
 	node := &Node{Daemon: d, Server: server, stop: stop}
 	node.tasks = []task.Task{task.Start(ctx, "daemon", d.Run), task.Start(ctx, "server", server.Run)}
-	s.Nodes = append(s.Nodes, node)
 	return node, nil
 }
 
+// Source is the address that the nth daemon leaves from, from 0.
+func Source(n int) netip.Addr {
+	const perBlock = 250
+	return netip.AddrFrom4([4]byte{127, 0, byte(1 + n/perBlock), byte(1 + n%perBlock)})
+}
+
+// Replace ends the nth daemon and starts another in its place, under the
+// same name and at another address.
+func (s *Site) Replace(n int) error {
+	if err := s.Nodes[n].Stop(); err != nil {
+		return err
+	}
+	node, err := s.newNode(n)
+	if err != nil {
+		return err
+	}
+	s.Nodes[n] = node
+	return nil
+}
+
 // Stop ends the daemon.
 func (n *Node) Stop() error {
 	n.stop()
@@ -225,5 +270,5 @@
 
 // Ask sends an operator's command to one daemon.
 func (s *Site) Ask(ctx context.Context, node int, text string) (api.AskAnswer, error) {
-	return api.Ask(ctx, s.Nodes[node].Server.AdminAddr(), OperatorToken, text, false)
+	return api.Ask(ctx, s.Nodes[node].Server.AdminAddr(), OperatorToken, text, api.AskOptions{})
 }
--- a/standin/log.go
+++ b/standin/log.go
@@ -241,8 +241,13 @@
 	}
 }
 
-func (l *Log) serveCounts(w http.ResponseWriter, _ *http.Request) {
+// Counts tells what the log has carried so far.
+func (l *Log) Counts() LogCounts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	writeJSON(w, http.StatusOK, l.counts)
+	return l.counts
+}
+
+func (l *Log) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, l.Counts())
 }
--- a/worker/engine/client.go
+++ b/worker/engine/client.go
@@ -7,13 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
@@ -34,7 +34,7 @@
 type Client struct{ http *http.Client }
 
 // NewClient returns a client that shares its connections among all calls.
-func NewClient(dialer *net.Dialer) *Client {
+func NewClient(dialer dial.Dialer) *Client {
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
--- a/worker/peer/client.go
+++ b/worker/peer/client.go
@@ -8,23 +8,21 @@
 	"sync"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 )
 
 // Client sends heartbeats. It keeps one connection to each address.
 type Client struct {
-	// Bytes, if set, counts what is sent and received.
-	Bytes func(sent, received int)
-
-	dialer *net.Dialer
+	dialer dial.Dialer
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]net.Conn
 }
 
 // NewClient returns a client without connections.
-func NewClient(dialer *net.Dialer, count func(sent, received int)) *Client {
-	return &Client{dialer: dialer, Bytes: count, conns: map[netip.AddrPort]net.Conn{}}
+func NewClient(dialer dial.Dialer) *Client {
+	return &Client{dialer: dialer, conns: map[netip.AddrPort]net.Conn{}}
 }
 
 // Exchange sends a heartbeat and returns the answer. Only one exchange with
@@ -44,16 +42,15 @@
 
 func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	c.mu.Lock()
-	conn := c.conns[addr]
+	known := c.conns[addr]
 	c.mu.Unlock()
-	if conn != nil {
-		return conn, nil
+	if known != nil {
+		return known, nil
 	}
-	fresh, err := c.dialer.DialContext(ctx, "tcp", addr.String())
+	conn, err := c.dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
-	conn = &countingConn{Conn: fresh, count: c.Bytes}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[addr] = conn
--- a/worker/peer/server.go
+++ b/worker/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 )
 
@@ -27,7 +28,7 @@
 	Source Source
 	Log    zerolog.Logger
 	// Bytes, if set, counts what is sent and received.
-	Bytes func(sent, received int)
+	Bytes dial.Count
 
 	listener net.Listener
 }
@@ -63,7 +64,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	counted := &countingConn{Conn: conn, count: s.Bytes}
+	counted := dial.Counted(conn, s.Bytes)
 	for {
 		if err := s.answerOne(counted); err != nil {
 			if !errors.Is(err, io.EOF) && ctx.Err() == nil {
@@ -91,25 +92,3 @@
 	}
 	return frame.Write(conn, kindStatus, s.Source.Answer(beat))
 }
-
-// countingConn tells how many bytes pass.
-type countingConn struct {
-	net.Conn
-	count func(sent, received int)
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if c.count != nil {
-		c.count(0, n)
-	}
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if c.count != nil {
-		c.count(n, 0)
-	}
-	return n, err
-}
--- a/worker/platform/client.go
+++ b/worker/platform/client.go
@@ -7,13 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -41,7 +41,7 @@
 }
 
 // NewClient returns a client of the log and the list at these addresses.
-func NewClient(log, list netip.AddrPort, dialer *net.Dialer) *Client {
+func NewClient(log, list netip.AddrPort, dialer dial.Dialer) *Client {
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	return &Client{log: log, list: list, http: &http.Client{Transport: transport}}
 }
--- a/worker/service/service.go
+++ b/worker/service/service.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 
 	"github.com/gravitational/trace"
 
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/probe"
@@ -19,7 +19,7 @@
 // connections, until the context ends. Plain services have no status call in
 // common.
 func Watch(
-	ctx context.Context, dialer *net.Dialer, ticks <-chan timer.Tick,
+	ctx context.Context, dialer dial.Dialer, ticks <-chan timer.Tick,
 	targets <-chan map[models.InstanceID]netip.AddrPort, out chan<- types.Message,
 ) error {
 	p := probe.Prober[models.InstanceID, netip.AddrPort, struct{}]{
@@ -35,7 +35,7 @@
 	return p.Run(ctx)
 }
 
-func connect(dialer *net.Dialer) func(context.Context, models.InstanceID, netip.AddrPort) (struct{}, error) {
+func connect(dialer dial.Dialer) func(context.Context, models.InstanceID, netip.AddrPort) (struct{}, error) {
 	return func(ctx context.Context, _ models.InstanceID, addr netip.AddrPort) (struct{}, error) {
 		conn, err := dialer.DialContext(ctx, "tcp", addr.String())
 		if err != nil {
--- a/worker/upstream/upstream.go
+++ b/worker/upstream/upstream.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -18,6 +17,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/engine"
 )
@@ -64,7 +64,7 @@
 }
 
 // NewClient returns a client that keeps idle connections to every upstream.
-func NewClient(dialer *net.Dialer) *Client {
+func NewClient(dialer dial.Dialer) *Client {
 	shared := &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
