--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 .PHONY: measure-config
 measure-config: build
 	bin/lupinkeel measure config
+
+.PHONY: measure-capacity
+measure-capacity: build
+	bin/lupinkeel measure capacity
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/urfave/cli/v2"
 
@@ -16,10 +17,10 @@
 
 func (measures) Aliases() []string { return []string{"measure"} }
 func (measures) Usage() string     { return "run a measurement on stand-ins and print its figures" }
-func (measures) ArgsUsage() string { return "config" }
+func (measures) ArgsUsage() string { return "config | capacity" }
 func (measures) Flags() []cli.Flag { return nil }
 
-func (measures) Subcommands() []Command { return []Command{measureConfig{}} }
+func (measures) Subcommands() []Command { return []Command{measureConfig{}, measureCapacity{}} }
 
 func (measures) Execute(c *cli.Context) error {
 	return fmt.Errorf("%w: no measurement %q", ErrUsage, c.Args().First())
@@ -55,3 +56,26 @@
 	opts := measure.ConfigOptions{Daemons: c.Int("daemons"), Changes: c.Int("changes")}
 	return printReport(c, func(ctx context.Context) (measure.Report, error) { return measure.Config(ctx, opts) })
 }
+
+// measureCapacity measures what daemons cost.
+type measureCapacity struct{}
+
+func (measureCapacity) Aliases() []string { return []string{"capacity"} }
+func (measureCapacity) Usage() string     { return "what a daemon costs, by daemons, instances and groups" }
+func (measureCapacity) ArgsUsage() string { return " " }
+
+func (measureCapacity) Flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.IntSliceFlag{Name: "daemons", Value: cli.NewIntSlice(3, 9, 27, 81), Usage: "points of the slope by daemons"},
+		&cli.IntSliceFlag{Name: "instances", Value: cli.NewIntSlice(50, 100, 200), Usage: "points of the slope by instances"},
+		&cli.IntSliceFlag{Name: "groups", Value: cli.NewIntSlice(75, 300, 1300), Usage: "points of the slope by groups"},
+		&cli.DurationFlag{Name: "window", Value: 8 * time.Second, Usage: "how long each point is measured"},
+	}
+}
+
+func (measureCapacity) Execute(c *cli.Context) error {
+	opts := measure.CapacityOptions{
+		Daemons: c.IntSlice("daemons"), Instances: c.IntSlice("instances"), Groups: c.IntSlice("groups"), Window: c.Duration("window"),
+	}
+	return printReport(c, func(ctx context.Context) (measure.Report, error) { return measure.Capacity(ctx, opts) })
+}
--- a/measure/config.go
+++ b/measure/config.go
@@ -126,6 +126,9 @@
 		} else {
 			figures.Refused++
 		}
+		if n%10 == 7 {
+			faultErr = firstError(faultErr, s.late(ctx))
+		}
 		time.Sleep(time.Until(asked.Add(changeEvery)))
 	}
 	took := time.Since(started).Seconds()
@@ -243,11 +246,8 @@
 	case 8 * tenth:
 		s.platform().Log.Control(standin.LogControl{Delay: &noDelay})
 	}
-	switch n % 10 {
-	case 5:
+	if n%10 == 5 {
 		s.platform().Log.Control(standin.LogControl{LoseAnswers: &lose})
-	case 7:
-		return s.late(ctx)
 	}
 	return nil
 }
