--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,7 @@
 .PHONY: measure-capacity
 measure-capacity: build
 	bin/lupinkeel measure capacity
+
+.PHONY: measure-groups
+measure-groups: build
+	bin/lupinkeel measure groups
--- a/api/operators.go
+++ b/api/operators.go
@@ -195,7 +195,7 @@
 	f := query.Facts{
 		Now: now, Self: a.s.cfg.ID, State: a.view.State, Instances: a.view.Instances,
 		Evidence: a.view.Evidence, Gates: a.view.Table.Gates,
-		Rules: planner.Rules{ReplaceAfter: a.s.cfg.ReplaceAfter, Bound: a.s.cfg.GateBound},
+		Rules: planner.DefaultRules(a.s.cfg.ReplaceAfter, a.s.cfg.GateBound),
 	}
 	own := a.s.daemon.Status(now)
 	_, listed := a.view.State.Daemons[own.ID]
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -17,10 +17,10 @@
 
 func (measures) Aliases() []string { return []string{"measure"} }
 func (measures) Usage() string     { return "run a measurement on stand-ins and print its figures" }
-func (measures) ArgsUsage() string { return "config | capacity" }
+func (measures) ArgsUsage() string { return "config | groups | capacity" }
 func (measures) Flags() []cli.Flag { return nil }
 
-func (measures) Subcommands() []Command { return []Command{measureConfig{}, measureCapacity{}} }
+func (measures) Subcommands() []Command { return []Command{measureConfig{}, measureGroups{}, measureCapacity{}} }
 
 func (measures) Execute(c *cli.Context) error {
 	return fmt.Errorf("%w: no measurement %q", ErrUsage, c.Args().First())
@@ -57,6 +57,17 @@
 	return printReport(c, func(ctx context.Context) (measure.Report, error) { return measure.Config(ctx, opts) })
 }
 
+// measureGroups measures the planning of groups.
+type measureGroups struct{}
+
+func (measureGroups) Aliases() []string { return []string{"groups"} }
+func (measureGroups) Usage() string {
+	return "group downtime and stranded accelerators on traces of events"
+}
+func (measureGroups) ArgsUsage() string            { return " " }
+func (measureGroups) Flags() []cli.Flag            { return nil }
+func (measureGroups) Execute(c *cli.Context) error { return printReport(c, measure.Groups) }
+
 // measureCapacity measures what daemons cost.
 type measureCapacity struct{}
 
--- a/config/serve.go
+++ b/config/serve.go
@@ -66,7 +66,7 @@
 		WatchEvery:      250 * time.Millisecond,
 		ListEvery:       time.Second,
 		HeartbeatEvery:  250 * time.Millisecond,
-		ReplaceAfter:    3 * time.Second,
+		ReplaceAfter:    time.Second,
 		CheckpointEvery: 1000,
 		MaxBody:         4 << 20,
 		RequestTimeout:  2 * time.Minute,
--- a/daemon/act.go
+++ b/daemon/act.go
@@ -30,7 +30,7 @@
 	}
 	in := planner.Input{
 		State: o.state, Instances: o.instances, Evidence: o.evidence, Now: now,
-		Rules: planner.Rules{ReplaceAfter: o.d.cfg.ReplaceAfter, Bound: o.d.cfg.GateBound},
+		Rules: planner.DefaultRules(o.d.cfg.ReplaceAfter, o.d.cfg.GateBound),
 	}
 	o.sendOrders(in)
 	if o.logError != nil {
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -157,6 +157,8 @@
 		o.handlePeerSeen(msg)
 	case types.PeerSilent:
 		o.d.log.Debug().Err(msg.Err).Stringer("peer", msg.Addr).Msg("peer-silent")
+	case types.PeerVouched:
+		o.handleVouched(msg)
 	case types.PeerRecords:
 		o.applyEntries(msg.Entries, "peer")
 	case types.PeerState:
@@ -251,10 +253,37 @@
 	if !watched || msg.Asked.Before(e.Seen) {
 		return
 	}
-	o.changed = o.changed || e.Silent > 0 || e.Status.Fence != msg.Status.Fence || e.Status.Phase != msg.Status.Phase ||
-		e.Status.Leaving != msg.Status.Leaving
-	e.Seen, e.Status, e.Silent = msg.Asked, msg.Status, 0
-	o.evidence[msg.Instance] = e
+	e.Direct, e.SilentSince = msg.Asked, time.Time{}
+	o.see(msg.Instance, e, msg.Asked, msg.Status)
+}
+
+// see notes that the instance was as its status says.
+func (o *owner) see(id models.InstanceID, e planner.Evidence, at time.Time, status types.EngineStatus) {
+	o.changed = o.changed || e.Silent() || e.Status.Fence != status.Fence || e.Status.Phase != status.Phase ||
+		e.Status.Leaving != status.Leaving
+	if !e.Seen.IsZero() && e.Away(at) > o.d.cfg.ReplaceAfter {
+		e.Absences++
+		e.Returned = at
+	} else if e.Absences > 0 && at.Sub(e.Returned) > forgetAbsences {
+		e.Absences = 0
+	}
+	e.Seen, e.Status = at, status
+	o.evidence[id] = e
+}
+
+// forgetAbsences is how long an instance has to be there without a break
+// until its absences are forgotten.
+const forgetAbsences = 10 * time.Minute
+
+// handleVouched notes what another daemon saw of instances that do not
+// answer this one.
+func (o *owner) handleVouched(msg types.PeerVouched) {
+	for _, v := range msg.Vouches {
+		e, watched := o.evidence[v.Status.Instance]
+		if at := msg.Asked.Add(-v.Age); watched && at.After(e.Seen) {
+			o.see(v.Status.Instance, e, at, v.Status)
+		}
+	}
 }
 
 func (o *owner) handleInstanceSilent(msg types.InstanceSilent) {
@@ -262,11 +291,11 @@
 	if !watched {
 		return
 	}
-	if e.Silent == 0 {
+	if e.SilentSince.IsZero() {
+		e.SilentSince = msg.Asked
 		o.d.log.Warn().Str("instance", string(msg.Instance)).Err(msg.Err).Msg("instance-silent")
 		o.changed = true
 	}
-	e.Silent++
 	o.evidence[msg.Instance] = e
 }
 
@@ -285,6 +314,7 @@
 		LogProof:     o.logProof,
 		LogError:     o.logError,
 		Superseded:   o.superseded,
+		silent:       o.silentInstances(),
 		recent:       slices.Clip(o.recent),
 		encoded:      o.encoded,
 	}
@@ -293,6 +323,17 @@
 	o.changed = false
 }
 
+// silentInstances lists the instances that others may have seen lately.
+func (o *owner) silentInstances() []models.InstanceID {
+	var out []models.InstanceID
+	for id, e := range o.evidence {
+		if !e.SilentSince.IsZero() && len(out) < maxVouches {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (o *owner) gates() map[models.GroupID]planner.Gate {
 	gates := make(map[models.GroupID]planner.Gate, len(o.state.Groups))
 	for id, g := range o.state.Groups {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -17,6 +17,8 @@
 	// peerBound is the age beyond which a daemon counts as silent in the
 	// order of turn.
 	peerBound = 3 * time.Second
+	// maxVouches is of how many silent instances others are asked.
+	maxVouches = 64
 	// maxRelayed is how many records one answer carries at most.
 	maxRelayed = 256
 	// logQuiet is the age of the last proof from the log beyond which a
@@ -54,6 +56,9 @@
 		types.Send(ctx, d.inbox, types.PeerRecords{From: answer.Status.ID, Entries: answer.Records})
 	}
 	types.Send(ctx, d.inbox, types.PeerSeen{Asked: asked, Peer: answer.Status})
+	if len(answer.Vouches) > 0 {
+		types.Send(ctx, d.inbox, types.PeerVouched{Asked: asked, Vouches: answer.Vouches})
+	}
 	for _, h := range answer.Heard {
 		types.Send(ctx, d.inbox, types.PeerSeen{Asked: asked.Add(-h.Age), Peer: h.Status})
 	}
@@ -63,6 +68,7 @@
 	v := d.View()
 	return peer.Heartbeat{
 		From: d.ownStatus(v, now), After: v.State.Applied,
+		Silent:      v.silent,
 		WantRecords: v.LogError != nil || now.Sub(v.LogProof) > logQuiet,
 	}
 }
@@ -93,6 +99,12 @@
 			}
 		}
 	}
+	for _, id := range beat.Silent[:min(len(beat.Silent), maxVouches)] {
+		e, watched := v.Evidence[id]
+		if age := now.Sub(e.Direct); watched && e.SilentSince.IsZero() && age < d.cfg.GateBound {
+			answer.Vouches = append(answer.Vouches, types.Vouch{Age: age, Status: e.Status})
+		}
+	}
 	if beat.WantRecords && v.State.Applied > beat.After {
 		d.relay(v, beat.After, &answer)
 	}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -29,6 +29,8 @@
 	// Superseded tells that another process runs under this daemon's name.
 	Superseded bool
 
+	// silent are the instances that do not answer this daemon.
+	silent []models.InstanceID
 	// recent are the last records folded, oldest first.
 	recent  []types.Entry
 	encoded *encodedState
--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -75,14 +75,22 @@
 	}
 }
 
+// nextPort counts up from below the range that the system gives to outgoing
+// connections, so that none of those takes a port between its choice and its
+// use.
+var nextPort = 20000
+
 // freeAddr picks a port that is free now at the address.
 func freeAddr(ip string) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return netip.AddrPort{}, err
+	for nextPort < 32000 {
+		nextPort++
+		addr := netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(nextPort))
+		l, err := net.Listen("tcp", addr.String())
+		if err == nil {
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, errors.New("no port is free")
 }
 
 // start runs the program under test with its log in a file.
--- /dev/null
+++ b/measure/world_test.go
@@ -0,0 +1,111 @@
+package measure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/state"
+)
+
+const restSteps = int(90 * time.Second / worldStep)
+
+func smallWorld(t *rapid.T) *world {
+	w := newWorld(worldOptions{Load: time.Second, LoadsPerSecond: 50, ReplaceAfter: time.Second})
+	domains := rapid.IntRange(1, 3).Draw(t, "domains")
+	for n := range rapid.IntRange(1, 8).Draw(t, "instances") {
+		d := rapid.IntRange(0, domains-1).Draw(t, "domain")
+		w.add(models.InstanceID(fmt.Sprintf("i%d", n)), domainName(d))
+	}
+	ops := []state.Op{state.PutPolicy{Policy: models.Policy{Downtime: 1, Stranded: 100}}}
+	for n := range 2 {
+		ops = append(ops, state.PutModel{Model: models.Model{
+			Name: models.ModelName(fmt.Sprintf("m%d", n)), Version: "v1",
+			Members:  rapid.IntRange(1, 4).Draw(t, "members"),
+			Replicas: rapid.IntRange(0, 3).Draw(t, "replicas"),
+		}})
+	}
+	if err := w.configure(ops...); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// checkWorld checks what must hold at every step. That no instance belongs
+// to two groups is checked by the fold's own tests as well.
+func checkWorld(t *rapid.T, w *world) {
+	owner := map[models.InstanceID]models.GroupID{}
+	loading := 0
+	for id, g := range w.state.Groups {
+		for _, m := range g.Members {
+			if other, taken := owner[m.ID]; taken {
+				t.Fatalf("instance %s belongs to %s and %s", m.ID, other, id)
+			}
+			owner[m.ID] = id
+			if i, listed := w.listed[m.ID]; listed && i.Domain != g.Domain {
+				t.Fatalf("group %s of domain %s has member %s of domain %s", id, g.Domain, m.ID, i.Domain)
+			}
+		}
+	}
+	for _, m := range w.machines {
+		if m.model != "" && w.now.Before(m.loaded) {
+			loading++
+		}
+	}
+	if loading > w.rules.MaxLoads {
+		t.Fatalf("%d loads at once", loading)
+	}
+}
+
+// TestRestIsOptimal lets members go and come back at random and then lets
+// the planner come to rest: as many instances serve as at best can.
+func TestRestIsOptimal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := smallWorld(t)
+		for range rapid.IntRange(0, 8).Draw(t, "events") {
+			id := models.InstanceID(fmt.Sprintf("i%d", rapid.IntRange(0, 7).Draw(t, "instance")))
+			w.set(id, rapid.Bool().Draw(t, "up"))
+			for range rapid.IntRange(1, 20).Draw(t, "steps") {
+				if err := w.step(); err != nil {
+					t.Fatal(err)
+				}
+				checkWorld(t, w)
+			}
+		}
+		for range restSteps {
+			if err := w.step(); err != nil {
+				t.Fatal(err)
+			}
+			checkWorld(t, w)
+		}
+		records := w.records
+		for range restSteps / 10 {
+			if err := w.step(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if w.records != records {
+			t.Fatalf("the planner is not at rest: %d more records, the last are %+v", w.records-records, w.last)
+		}
+		_, used := w.serving()
+		if _, best := w.mostUsable(); used != best {
+			t.Fatalf("%d instances serve, %d could: %+v", used, best, w.state.Groups)
+		}
+	})
+}
+
+// TestTraces runs the traces' invariants: no proposal is ever refused, and
+// the planner keeps its promise for single deaths.
+func TestTraces(t *testing.T) {
+	c := qt.New(t)
+	real, err := playTrace(t.Context(), singleDeaths(), player{"real", false, models.Policy{Downtime: 9, Stranded: 1}})
+	c.Assert(err, qt.IsNil)
+	naive, err := playTrace(t.Context(), singleDeaths(), player{"naive", true, models.Policy{Downtime: 9, Stranded: 1}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(real.Downtime <= 1.2*real.DowntimeLimit, qt.IsTrue)
+	c.Assert(real.Downtime <= naive.Downtime/4, qt.IsTrue, qt.Commentf("%v against %v", real.Downtime, naive.Downtime))
+}
--- /dev/null
+++ b/planner/assign.go
@@ -0,0 +1,290 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Target tells how many groups of each model each fabric domain should hold.
+type Target map[models.Domain]map[models.ModelName]int
+
+func (t Target) add(d models.Domain, m models.ModelName, n int) {
+	if n == 0 {
+		return
+	}
+	if t[d] == nil {
+		t[d] = map[models.ModelName]int{}
+	}
+	t[d][m] += n
+}
+
+// total counts the groups of a model.
+func (t Target) total(m models.ModelName) int {
+	total := 0
+	for _, counts := range t {
+		total += counts[m]
+	}
+	return total
+}
+
+// supply is what one fabric domain has to offer.
+type supply struct {
+	domain models.Domain
+	zone   models.Zone
+	// usable counts the instances that can take work, those in groups
+	// included.
+	usable int
+	// whole counts the groups that have all of their members.
+	whole map[models.ModelName]int
+	// accelerators is what one instance of the domain has.
+	accelerators int
+}
+
+// The weight of breaking up groups that serve, against accelerators that
+// would then not be stranded: a group that is broken up is down for about
+// regroupSeconds, and the gain is taken to last for repackSeconds.
+const (
+	regroupSeconds = 60
+	repackSeconds  = 600
+)
+
+// assign decides how many groups of each model to have in each fabric
+// domain. It keeps the groups that are whole, and breaks some of them up
+// only where that leaves so many fewer accelerators stranded that the
+// operators' weights call for it.
+func assign(supplies []supply, wanted []models.Model, policy models.Policy) Target {
+	keep := assignKeeping(supplies, wanted)
+	free := assignFree(supplies, wanted)
+	gain := usedAccelerators(free, supplies, wanted) - usedAccelerators(keep, supplies, wanted)
+	broken := brokenUp(free, supplies) - brokenUp(keep, supplies)
+	if gain*policy.Stranded*repackSeconds > broken*policy.Downtime*regroupSeconds {
+		return free
+	}
+	return keep
+}
+
+// assignKeeping keeps as many of the whole groups as are wanted and fills up
+// with what is left.
+func assignKeeping(supplies []supply, wanted []models.Model) Target {
+	kept := Target{}
+	left := slices.Clone(supplies)
+	rest := slices.Clone(wanted)
+	for i, m := range rest {
+		for j, s := range left {
+			n := min(s.whole[m.Name], rest[i].Replicas)
+			if !m.Place.Allows(s.zone, s.domain) {
+				n = 0
+			}
+			kept.add(s.domain, m.Name, n)
+			rest[i].Replicas -= n
+			left[j].usable -= n * m.Members
+		}
+	}
+	for d, counts := range assignFree(left, rest) {
+		for m, n := range counts {
+			kept.add(d, m, n)
+		}
+	}
+	return kept
+}
+
+// Bounds of the exact assignment. Beyond them, and where all groups have the
+// same size, domains are filled one after another.
+const (
+	maxStates  = 4096
+	maxDomains = 64
+)
+
+// assignFree assigns as if there were no groups yet, but prefers what is
+// there among assignments that use as many instances.
+func assignFree(supplies []supply, wanted []models.Model) Target {
+	states := 1
+	for _, m := range wanted {
+		states *= m.Replicas + 1
+		if states > maxStates {
+			return fill(supplies, wanted)
+		}
+	}
+	if len(supplies) > maxDomains {
+		return fill(supplies, wanted)
+	}
+	return assignExactly(supplies, wanted, states)
+}
+
+// fill gives the largest groups their instances first. Domains that have an
+// instance left over anyway come first, so that groups have a spare near.
+func fill(supplies []supply, wanted []models.Model) Target {
+	target := Target{}
+	left := slices.Clone(supplies)
+	bySize := slices.Clone(wanted)
+	slices.SortStableFunc(bySize, func(a, b models.Model) int { return cmp.Compare(b.Members, a.Members) })
+	for _, m := range bySize {
+		order := make([]int, len(left))
+		for i := range order {
+			order[i] = i
+		}
+		slices.SortStableFunc(order, func(a, b int) int {
+			return cmp.Compare(left[b].usable%m.Members, left[a].usable%m.Members)
+		})
+		need := m.Replicas
+		for _, i := range order {
+			s := left[i]
+			if !m.Place.Allows(s.zone, s.domain) || s.usable < m.Members {
+				continue
+			}
+			n := min(need, s.usable/m.Members)
+			target.add(s.domain, m.Name, n)
+			left[i].usable -= n * m.Members
+			need -= n
+		}
+	}
+	return target
+}
+
+// The parts of an assignment's score, in order of weight: instances used,
+// groups kept, domains with groups and a spare.
+const (
+	scoreUsed  = 10000
+	scoreKept  = 10
+	scoreSpare = 1
+)
+
+// assignExactly finds the assignment with the highest score by dynamic
+// programming over the domains; a state is how many groups of each model
+// have been given out.
+func assignExactly(supplies []supply, wanted []models.Model, states int) Target {
+	const unreached = -1
+	best := make([]int, states)
+	for i := range best {
+		best[i] = unreached
+	}
+	best[0] = 0
+	// choices[d][state] is what domain d holds on the best way to state.
+	choices := make([][][]int, len(supplies))
+	for d, s := range supplies {
+		next := slices.Clone(best)
+		choices[d] = make([][]int, states)
+		for _, combination := range combinations(s, wanted) {
+			score := combinationScore(s, wanted, combination)
+			step := stateIndex(wanted, combination)
+			for state, reached := range best {
+				if reached == unreached || !fits(wanted, state, combination) {
+					continue
+				}
+				if reached+score > next[state+step] {
+					next[state+step] = reached + score
+					choices[d][state+step] = combination
+				}
+			}
+		}
+		best = next
+	}
+	state := 0
+	for i, score := range best {
+		if score > best[state] {
+			state = i
+		}
+	}
+	return backtrack(supplies, wanted, choices, state)
+}
+
+func backtrack(supplies []supply, wanted []models.Model, choices [][][]int, state int) Target {
+	target := Target{}
+	for d := len(supplies) - 1; d >= 0; d-- {
+		combination := choices[d][state]
+		if combination == nil {
+			continue
+		}
+		for i, n := range combination {
+			target.add(supplies[d].domain, wanted[i].Name, n)
+		}
+		state -= stateIndex(wanted, combination)
+	}
+	return target
+}
+
+// combinations lists the ways, but for the empty one, to fill one domain.
+func combinations(s supply, wanted []models.Model) [][]int {
+	var out [][]int
+	current := make([]int, len(wanted))
+	var extend func(model, left int)
+	extend = func(model, left int) {
+		if model == len(wanted) {
+			if slices.Max(current) > 0 {
+				out = append(out, slices.Clone(current))
+			}
+			return
+		}
+		m := wanted[model]
+		most := 0
+		if m.Place.Allows(s.zone, s.domain) {
+			most = min(m.Replicas, max(0, left)/m.Members)
+		}
+		for n := 0; n <= most; n++ {
+			current[model] = n
+			extend(model+1, left-n*m.Members)
+		}
+		current[model] = 0
+	}
+	if len(wanted) > 0 {
+		extend(0, s.usable)
+	}
+	return out
+}
+
+func combinationScore(s supply, wanted []models.Model, combination []int) int {
+	used, kept := 0, 0
+	for i, n := range combination {
+		used += n * wanted[i].Members
+		kept += min(n, s.whole[wanted[i].Name])
+	}
+	score := used*scoreUsed + kept*scoreKept
+	if used < s.usable {
+		score += scoreSpare
+	}
+	return score
+}
+
+// stateIndex numbers the states: the counts are digits, each with its
+// model's replicas as the highest.
+func stateIndex(wanted []models.Model, counts []int) int {
+	index, weight := 0, 1
+	for i, n := range counts {
+		index += n * weight
+		weight *= wanted[i].Replicas + 1
+	}
+	return index
+}
+
+func fits(wanted []models.Model, state int, more []int) bool {
+	for i, m := range wanted {
+		if state%(m.Replicas+1)+more[i] > m.Replicas {
+			return false
+		}
+		state /= m.Replicas + 1
+	}
+	return true
+}
+
+func usedAccelerators(t Target, supplies []supply, wanted []models.Model) int {
+	used := 0
+	for _, s := range supplies {
+		for _, m := range wanted {
+			used += t[s.domain][m.Name] * m.Members * s.accelerators
+		}
+	}
+	return used
+}
+
+// brokenUp counts the whole groups that a target has no place for.
+func brokenUp(t Target, supplies []supply) int {
+	broken := 0
+	for _, s := range supplies {
+		for m, n := range s.whole {
+			broken += max(0, n-t[s.domain][m])
+		}
+	}
+	return broken
+}
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -21,8 +21,49 @@
 	// paused itself: silence before that proves nothing.
 	Watched time.Time
 	Status  types.EngineStatus
-	// Silent counts the questions in a row that went unanswered.
-	Silent int
+	// Direct is when the instance last answered this daemon itself; Seen
+	// may come from another daemon.
+	Direct time.Time
+	// SilentSince is the first of this daemon's questions since Direct that
+	// went unanswered, zero if there is none.
+	SilentSince time.Time
+	// Absences counts how often the instance was away and came back, the
+	// old ones forgotten; Returned is when it last did.
+	Absences int
+	Returned time.Time
+}
+
+// Silent reports whether nobody has seen the instance since it stopped
+// answering this daemon.
+func (e Evidence) Silent() bool {
+	return !e.SilentSince.IsZero() && !e.Seen.After(e.SilentSince)
+}
+
+// present reports whether the instance is known to answer.
+func (e Evidence) present(now time.Time, bound time.Duration) bool {
+	return !e.Seen.IsZero() && !e.Silent() && now.Sub(e.Seen) <= bound
+}
+
+const (
+	// steadyFor is how long an instance has to be back before it counts,
+	// doubled for each absence up to steadyDoublings times.
+	steadyFor       = time.Second
+	steadyDoublings = 5
+)
+
+// steady reports whether an instance that flaps has been back for long
+// enough to be given work.
+func (e Evidence) steady(now time.Time) bool {
+	if e.Absences < 2 {
+		return true
+	}
+	wait := steadyFor << min(e.Absences, steadyDoublings)
+	return now.Sub(e.Returned) >= wait
+}
+
+// holds reports whether the instance has the model's weights.
+func (e Evidence) holds(m models.Model) bool {
+	return e.Status.Model == m.Name && e.Status.Version == m.Version
 }
 
 // Away is how long the instance is known not to have answered.
@@ -80,7 +121,7 @@
 func memberFault(g models.Group, m models.Member, e Evidence) string {
 	s := e.Status
 	switch {
-	case e.Silent > 0:
+	case e.Silent():
 		return fmt.Sprintf("member %s does not answer", m.ID)
 	case s.Group != g.ID || s.Fence != g.Fence:
 		return fmt.Sprintf("member %s has not joined the group", m.ID)
--- a/planner/orders.go
+++ b/planner/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -13,62 +14,149 @@
 // fabric domain, so that one daemon gives a group all of its orders.
 func OrderKey(d models.Domain) string { return "orders/" + string(d) }
 
-// Orders lists the orders that make the instances do what the state says.
-// Only instances whose own word is at hand get one: an order is never given
-// on a guess.
+// Orders lists the orders that make the instances do what the state says,
+// and that let spares load weights ahead of need. Only instances whose own
+// word is at hand get one: an order is never given on a guess. Orders that
+// make an instance load weights are given to the group first that lacks the
+// fewest, and no more at once than the rules allow: a group with seven of
+// eight loaded serves nobody.
 func Orders(in Input) map[models.Domain][]types.Dispatch {
-	out := map[models.Domain][]types.Dispatch{}
-	for _, g := range in.State.Groups {
-		out[g.Domain] = append(out[g.Domain], loadOrders(in, g)...)
-	}
-	for _, i := range in.Instances {
-		if d, ok := leaveOrder(in, i); ok {
-			out[i.Domain] = append(out[i.Domain], d)
+	o := &ordering{Input: in, out: map[models.Domain][]types.Dispatch{}, busy: map[models.Domain]bool{}}
+	for id, e := range in.Evidence {
+		if e.Status.Phase == types.PhaseLoading && fresh(in, e) {
+			o.loads++
+			if e.Status.Group != "" {
+				o.busy[in.Instances[id].Domain] = true
+			}
 		}
 	}
-	for _, dispatches := range out {
-		slices.SortFunc(dispatches, func(a, b types.Dispatch) int { return cmp.Compare(a.Instance, b.Instance) })
+	groups := slices.SortedFunc(maps.Values(in.State.Groups), func(a, b models.Group) int {
+		return cmp.Or(cmp.Compare(lacking(in, a), lacking(in, b)), cmp.Compare(a.Fence, b.Fence))
+	})
+	for _, g := range groups {
+		o.orderGroup(g)
+	}
+	for _, id := range slices.Sorted(maps.Keys(in.Instances)) {
+		o.orderSpare(in.Instances[id])
+	}
+	return o.out
+}
+
+// ordering is one round of orders.
+type ordering struct {
+	Input
+	out   map[models.Domain][]types.Dispatch
+	loads int
+	// busy are the domains in which a group's member loads or is told to.
+	busy map[models.Domain]bool
+	// preparing counts the spares of each domain that hold weights or are
+	// told to load them.
+	preparing map[models.Domain]int
+}
+
+// lacking counts the members that have no weights yet.
+func lacking(in Input, g models.Group) int {
+	n := 0
+	for _, m := range g.Members {
+		if s := in.Evidence[m.ID].Status; s.Model != g.Model || s.Version != g.Version {
+			n++
+		}
 	}
-	return out
+	return n
 }
 
-func loadOrders(in Input, g models.Group) []types.Dispatch {
-	var out []types.Dispatch
+func fresh(in Input, e Evidence) bool { return e.present(in.Now, in.Rules.Bound) }
+
+func (o *ordering) orderGroup(g models.Group) {
 	addrs := make([]netip.AddrPort, 0, len(g.Members))
 	for _, m := range g.Members {
 		addrs = append(addrs, m.Addr)
 	}
 	for rank, m := range g.Members {
-		e, known := in.Evidence[m.ID]
-		if !known || !fresh(in, e) || e.Status.Fence >= g.Fence {
+		e, known := o.Evidence[m.ID]
+		if !known || !fresh(o.Input, e) || e.Status.Fence >= g.Fence {
 			continue
 		}
-		out = append(out, types.Dispatch{
-			Instance: m.ID, Addr: m.Addr, Decided: in.Now,
+		loads := e.Status.Model != g.Model || e.Status.Version != g.Version
+		if loads && o.loads >= o.Rules.MaxLoads {
+			continue
+		}
+		if loads {
+			o.loads++
+			o.busy[g.Domain] = true
+		}
+		o.out[g.Domain] = append(o.out[g.Domain], types.Dispatch{
+			Instance: m.ID, Addr: m.Addr, Decided: o.Now,
 			Order: types.Order{
 				Kind: types.OrderLoad, Group: g.ID, Fence: g.Fence,
 				Model: g.Model, Version: g.Version, Rank: rank, Members: addrs,
 			},
 		})
 	}
-	return out
 }
 
-// leaveOrder tells an instance to leave a group that the state does not
-// know. Its fence is the last offset applied: larger than the group's, and
-// smaller than that of any group formed later.
-func leaveOrder(in Input, i models.Instance) (types.Dispatch, bool) {
-	e, known := in.Evidence[i.ID]
-	_, owned := in.State.Owner(i.ID)
-	if !known || owned || !fresh(in, e) || e.Status.Group == "" || e.Status.Fence > in.State.Applied {
-		return types.Dispatch{}, false
+// orderSpare tells an instance of no group to leave the group that it still
+// believes in, or to load weights ahead of need. The fence is the last
+// offset applied: larger than that of any group that has ended, smaller than
+// that of any group formed later.
+func (o *ordering) orderSpare(i models.Instance) {
+	e, known := o.Evidence[i.ID]
+	_, owned := o.State.Owner(i.ID)
+	if !known || owned || i.Kind != models.KindEngine || !fresh(o.Input, e) || e.Status.Fence > o.State.Applied {
+		return
 	}
-	return types.Dispatch{
-		Instance: i.ID, Addr: i.Addr, Decided: in.Now,
-		Order: types.Order{Kind: types.OrderLeave, Group: e.Status.Group, Fence: in.State.Applied},
-	}, true
+	order := types.Order{Kind: types.OrderLeave, Group: e.Status.Group, Fence: o.State.Applied}
+	if e.Status.Group == "" {
+		m, wanted := o.prepare(i, e)
+		if !wanted {
+			return
+		}
+		order = types.Order{Kind: types.OrderPrepare, Fence: o.State.Applied, Model: m.Name, Version: m.Version}
+	}
+	o.out[i.Domain] = append(o.out[i.Domain], types.Dispatch{Instance: i.ID, Addr: i.Addr, Decided: o.Now, Order: order})
 }
 
-func fresh(in Input, e Evidence) bool {
-	return e.Silent == 0 && in.Now.Sub(e.Seen) <= in.Rules.Bound
+// sparesPrepared is how many spares of a domain hold weights ahead of need.
+const sparesPrepared = 2
+
+// prepare tells which model's weights a spare should load: those that most
+// groups of its domain serve. It waits while a group of the domain loads.
+func (o *ordering) prepare(i models.Instance, e Evidence) (models.Model, bool) {
+	_, drained := o.State.Drained[i.ID]
+	if drained || i.Leaving || e.Status.Leaving || !e.steady(o.Now) {
+		return models.Model{}, false
+	}
+	m, ok := o.mainModel(i.Domain)
+	if !ok || o.busy[i.Domain] {
+		return models.Model{}, false
+	}
+	if o.preparing == nil {
+		o.preparing = map[models.Domain]int{}
+	}
+	if o.preparing[i.Domain] >= sparesPrepared {
+		return models.Model{}, false
+	}
+	o.preparing[i.Domain]++
+	if e.holds(m) || e.Status.Phase == types.PhaseLoading || o.loads >= o.Rules.MaxLoads/2 {
+		return models.Model{}, false
+	}
+	o.loads++
+	return m, true
+}
+
+func (o *ordering) mainModel(d models.Domain) (models.Model, bool) {
+	counts := map[models.ModelName]int{}
+	for _, g := range o.State.Groups {
+		if m := o.State.Models[g.Model]; g.Domain == d && g.Retiring == 0 && m.Version == g.Version {
+			counts[g.Model]++
+		}
+	}
+	var best models.ModelName
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		if best == "" || counts[name] > counts[best] {
+			best = name
+		}
+	}
+	m, ok := o.State.Models[best]
+	return m, ok
 }
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -9,14 +9,28 @@
 
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/state"
+	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
 // Rules are the bounds that the planner works with.
 type Rules struct {
-	// ReplaceAfter is how long a group waits for a missing member.
+	// ReplaceAfter is how long a group waits for a missing member. Waiting
+	// is short, because a member that comes back while its replacement
+	// still loads is taken back: see swapBack.
 	ReplaceAfter time.Duration
 	// Bound is the age beyond which evidence counts for nothing.
 	Bound time.Duration
+	// MaxUnsettled is how many groups may be on their way to serving, in
+	// all, and MaxUnsettledDomain in one fabric domain.
+	MaxUnsettled       int
+	MaxUnsettledDomain int
+	// MaxLoads is how many instances may load weights at once.
+	MaxLoads int
+}
+
+// DefaultRules returns the rules for a wait and a bound.
+func DefaultRules(replaceAfter, bound time.Duration) Rules {
+	return Rules{ReplaceAfter: replaceAfter, Bound: bound, MaxUnsettled: 64, MaxUnsettledDomain: 8, MaxLoads: 128}
 }
 
 // Input is what one round of planning sees.
@@ -32,7 +46,7 @@
 // Proposal is a record that should be appended.
 type Proposal struct {
 	Body state.Body
-	// Key is what the order of turn is taken from.
+	// Key is what the order of turn is taken from: the fabric domain.
 	Key string
 }
 
@@ -40,30 +54,90 @@
 // names of new groups included, so that two daemons that plan on the same
 // state do not form two groups.
 func Plan(in Input) []Proposal {
-	p := &round{Input: in, taken: map[models.InstanceID]bool{}}
-	p.endGroups()
-	p.repairGroups()
-	p.formGroups()
+	p := newRound(in)
+	p.retireUnwanted()
+	p.swapBack()
+	target := assign(p.supplies(), p.wanted(), in.State.Policy)
+	for _, d := range p.domains {
+		p.fillDomain(d, target[d])
+	}
+	p.endSurplus(target)
 	return p.proposals
 }
 
+// health is how a group is doing.
+type health uint8
+
+const (
+	// healthWhole: every member is there, or has been away for less time
+	// than a group waits.
+	healthWhole health = iota
+	// healthBroken: a member is missing.
+	healthBroken
+	// healthUnwanted: the configuration or a leaving member ends the group.
+	healthUnwanted
+)
+
 // round is one round of planning.
 type round struct {
 	Input
+	domains []models.Domain
+	zones   map[models.Domain]models.Zone
+	// engines lists each domain's engines by id.
+	engines map[models.Domain][]models.Instance
+	groups  []models.Group
+	health  map[models.GroupID]health
+	// reasons tells why a group is broken or unwanted.
+	reasons   map[models.GroupID]string
+	unsettled map[models.Domain]int
+	inAll     int
+	// committed counts the groups of a model that are whole, formed in this
+	// round, or broken for so short a time that none is formed elsewhere.
+	committed map[models.ModelName]int
+	// taken are the instances, and ended the groups, that a proposal of
+	// this round uses up.
+	taken     map[models.InstanceID]bool
+	ended     map[models.GroupID]bool
+	formed    int
 	proposals []Proposal
-	// taken are the instances that a proposal of this round uses.
-	taken  map[models.InstanceID]bool
-	formed int
+}
+
+func newRound(in Input) *round {
+	p := &round{
+		Input: in, zones: map[models.Domain]models.Zone{}, engines: map[models.Domain][]models.Instance{},
+		health: map[models.GroupID]health{}, reasons: map[models.GroupID]string{}, unsettled: map[models.Domain]int{},
+		taken: map[models.InstanceID]bool{}, ended: map[models.GroupID]bool{}, committed: map[models.ModelName]int{},
+	}
+	for _, id := range slices.Sorted(maps.Keys(in.Instances)) {
+		i := in.Instances[id]
+		if i.Kind != models.KindEngine {
+			continue
+		}
+		p.zones[i.Domain] = i.Zone
+		p.engines[i.Domain] = append(p.engines[i.Domain], i)
+	}
+	p.domains = slices.Sorted(maps.Keys(p.engines))
+	p.groups = slices.SortedFunc(maps.Values(in.State.Groups), func(a, b models.Group) int { return cmp.Compare(a.Fence, b.Fence) })
+	for _, g := range p.groups {
+		p.health[g.ID], p.reasons[g.ID] = p.examine(g)
+		if p.health[g.ID] == healthWhole || p.patient(g) {
+			p.committed[g.Model]++
+		}
+		if p.health[g.ID] == healthWhole && !p.settled(g) {
+			p.unsettled[g.Domain]++
+			p.inAll++
+		}
+	}
+	return p
 }
 
 func (p *round) propose(d models.Domain, body state.Body) {
 	p.proposals = append(p.proposals, Proposal{Body: body, Key: string(d)})
 }
 
-// present reports whether the instance answers and can take work.
+// present reports whether the instance answers.
 func (p *round) present(id models.InstanceID) bool {
-	e, known := p.Evidence[id]
-	return known && e.Silent == 0 && p.Now.Sub(e.Seen) <= p.Rules.Bound
+	return p.Evidence[id].present(p.Now, p.Rules.Bound)
 }
 
 func (p *round) leaving(id models.InstanceID) bool {
@@ -71,45 +145,33 @@
 	return drained || p.Instances[id].Leaving || p.Evidence[id].Status.Leaving
 }
 
-// missing lists the members that have been away for longer than a group
+// missing reports whether the instance has been away for longer than a group
 // waits.
-func (p *round) missing(g models.Group) []models.InstanceID {
-	var out []models.InstanceID
+func (p *round) missing(id models.InstanceID) bool {
+	e, watched := p.Evidence[id]
+	return watched && !p.present(id) && e.Away(p.Now) > p.Rules.ReplaceAfter
+}
+
+func (p *round) examine(g models.Group) (health, string) {
+	if why := p.unwanted(g); why != "" {
+		return healthUnwanted, why
+	}
 	for _, m := range g.Members {
-		e, watched := p.Evidence[m.ID]
-		if watched && !p.present(m.ID) && e.Away(p.Now) > p.Rules.ReplaceAfter {
-			out = append(out, m.ID)
+		if p.leaving(m.ID) {
+			return healthUnwanted, fmt.Sprintf("member %s is leaving", m.ID)
 		}
 	}
-	return out
-}
-
-func (p *round) groups() []models.Group {
-	return slices.SortedFunc(maps.Values(p.State.Groups), func(a, b models.Group) int {
-		return cmp.Compare(a.Fence, b.Fence)
-	})
-}
-
-// endGroups retires the groups that the configuration does not want, and
-// ends those that have become quiet.
-func (p *round) endGroups() {
-	count := map[models.ModelName]int{}
-	for _, g := range p.groups() {
-		why := p.unwanted(g, count)
-		switch {
-		case why == "":
-			count[g.Model]++
-		case g.Retiring == 0:
-			p.propose(g.Domain, state.RetireGroup{Group: refTo(g), Reason: why})
-		case p.quiet(g):
-			p.propose(g.Domain, state.EndGroup{Group: refTo(g), Reason: why})
+	for _, m := range g.Members {
+		if p.missing(m.ID) {
+			return healthBroken, fmt.Sprintf("member %s is missing", m.ID)
 		}
 	}
+	return healthWhole, ""
 }
 
-func refTo(g models.Group) state.GroupRef { return state.GroupRef{ID: g.ID, Fence: g.Fence} }
-
-func (p *round) unwanted(g models.Group, count map[models.ModelName]int) string {
+// unwanted tells why the configuration does not want a group; empty if it
+// does.
+func (p *round) unwanted(g models.Group) string {
 	m, declared := p.State.Models[g.Model]
 	switch {
 	case g.Retiring != 0:
@@ -122,12 +184,21 @@
 		return fmt.Sprintf("its model now takes %d members", m.Members)
 	case !m.Place.Allows(g.Zone, g.Domain):
 		return "its model may not stand there any more"
-	case count[g.Model] >= m.Replicas:
-		return fmt.Sprintf("its model now wants %d replicas", m.Replicas)
 	}
 	return ""
 }
 
+// settled reports whether every member is loaded for the group.
+func (p *round) settled(g models.Group) bool {
+	for _, m := range g.Members {
+		s := p.Evidence[m.ID].Status
+		if s.Fence != g.Fence || s.Phase != types.PhaseLoaded {
+			return false
+		}
+	}
+	return true
+}
+
 // quiet reports whether every member that answers runs nothing.
 func (p *round) quiet(g models.Group) bool {
 	for _, m := range g.Members {
@@ -138,120 +209,318 @@
 	return true
 }
 
-// repairGroups replaces missing members by spares of the same fabric domain
-// and ends groups that find none.
-func (p *round) repairGroups() {
-	for _, g := range p.groups() {
-		if g.Retiring != 0 || p.unwanted(g, nil) != "" {
-			continue
+// movePatience is how many times longer than for a spare a group waits before
+// another one is formed in its stead from other instances: that takes a
+// whole load of weights.
+const movePatience = 5
+
+// patient reports whether a broken group may still be waited for.
+func (p *round) patient(g models.Group) bool {
+	if p.health[g.ID] != healthBroken {
+		return false
+	}
+	for _, m := range g.Members {
+		if p.Evidence[m.ID].Away(p.Now) > movePatience*p.Rules.ReplaceAfter {
+			return false
 		}
-		missing := p.missing(g)
-		if len(missing) == 0 {
-			continue
+	}
+	return true
+}
+
+// atOnce is the part of a model's groups, one in so many but at least one,
+// that may be retired at a time for a new version or another size.
+const atOnce = 4
+
+// retireUnwanted lets unwanted groups finish their requests and ends them
+// once they are quiet. A changed model is changed a few groups at a time; a
+// leaving member can't wait.
+func (p *round) retireUnwanted() {
+	retiring := map[models.ModelName]int{}
+	for _, g := range p.groups {
+		if g.Retiring != 0 {
+			retiring[g.Model]++
 		}
-		spares := p.free(g.Domain)
-		if len(spares) < len(missing) {
-			p.propose(g.Domain, state.EndGroup{Group: refTo(g), Reason: fmt.Sprintf("member %s is missing and fabric domain %s has no spare", missing[0], g.Domain)})
+	}
+	for _, g := range p.groups {
+		if p.health[g.ID] != healthUnwanted {
 			continue
 		}
-		p.repair(g, missing, spares)
+		why := p.reasons[g.ID]
+		m, declared := p.State.Models[g.Model]
+		rolling := declared && p.unwanted(g) != "" && m.Place.Allows(g.Zone, g.Domain)
+		switch {
+		case g.Retiring != 0 && p.quiet(g):
+			p.ended[g.ID] = true
+			p.propose(g.Domain, state.EndGroup{Group: refTo(g), Reason: why})
+		case g.Retiring != 0:
+		case rolling && retiring[g.Model] >= max(1, m.Replicas/atOnce):
+		default:
+			retiring[g.Model]++
+			p.propose(g.Domain, state.RetireGroup{Group: refTo(g), Reason: why})
+		}
 	}
 }
 
-func (p *round) repair(g models.Group, missing []models.InstanceID, spares []models.Instance) {
-	next := g
-	next.ID = p.newName(g.Model)
-	next.Members = nil
-	for _, m := range g.Members {
-		if slices.Contains(missing, m.ID) {
-			m = memberOf(spares[0])
-			spares = spares[1:]
-			p.taken[m.ID] = true
+func refTo(g models.Group) state.GroupRef { return state.GroupRef{ID: g.ID, Fence: g.Fence} }
+
+// free lists the engines of a domain that belong to no group and can take
+// work, those with the least to do for the model first: weights at hand, few
+// absences lately, then by id.
+func (p *round) free(d models.Domain, m models.Model) []models.Instance {
+	var out []models.Instance
+	for _, i := range p.engines[d] {
+		if _, owned := p.State.Owner(i.ID); !owned && p.eligible(i.ID) {
+			out = append(out, i)
 		}
-		next.Members = append(next.Members, m)
 	}
-	p.propose(g.Domain, state.FormGroup{
-		Group: next, ModelRevision: p.State.Models[g.Model].Revision,
-		Replaces: []state.GroupRef{refTo(g)},
-		Reason:   fmt.Sprintf("member %s is missing", missing[0]),
+	slices.SortStableFunc(out, func(a, b models.Instance) int {
+		ea, eb := p.Evidence[a.ID], p.Evidence[b.ID]
+		return cmp.Or(
+			compareFalseFirst(!ea.holds(m), !eb.holds(m)),
+			cmp.Compare(ea.Absences, eb.Absences),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
+	return out
 }
 
-// newName names a group by the state that it was planned on.
-func (p *round) newName(m models.ModelName) models.GroupID {
-	const longestModel = 40
-	if len(m) > longestModel {
-		m = m[:longestModel]
+func compareFalseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	p.formed++
-	return models.GroupID(fmt.Sprintf("%s-%d.%d", m, p.State.Applied+1, p.formed))
 }
 
-func memberOf(i models.Instance) models.Member {
-	return models.Member{ID: i.ID, Addr: i.Addr, Accelerators: i.Accelerators, ChecksFences: i.ChecksFences}
+func (p *round) eligible(id models.InstanceID) bool {
+	return !p.taken[id] && !p.leaving(id) && p.present(id) && p.Evidence[id].steady(p.Now)
 }
 
-// free lists the engines of a fabric domain that belong to no group and can
-// take work.
-func (p *round) free(d models.Domain) []models.Instance {
-	var out []models.Instance
-	for _, i := range p.Instances {
-		_, owned := p.State.Owner(i.ID)
-		if i.Kind != models.KindEngine || i.Domain != d || owned || p.taken[i.ID] || p.leaving(i.ID) || !p.present(i.ID) {
-			continue
+// supplies counts what each domain has to offer.
+func (p *round) supplies() []supply {
+	out := make([]supply, 0, len(p.domains))
+	at := map[models.Domain]int{}
+	for _, d := range p.domains {
+		s := supply{domain: d, zone: p.zones[d], whole: map[models.ModelName]int{}, accelerators: p.engines[d][0].Accelerators}
+		for _, i := range p.engines[d] {
+			if p.usable(i.ID) {
+				s.usable++
+			}
+		}
+		at[d] = len(out)
+		out = append(out, s)
+	}
+	for _, g := range p.groups {
+		if i, known := at[g.Domain]; known && p.health[g.ID] == healthWhole && !p.ended[g.ID] {
+			out[i].whole[g.Model]++
 		}
-		out = append(out, i)
 	}
-	slices.SortFunc(out, func(a, b models.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-// formGroups forms groups for models that have fewer than they want.
-func (p *round) formGroups() {
-	have := p.wantedGroups()
+// usable reports whether an instance counts as supply: it can take work now,
+// or it is the member of a group that is whole, or it will be free once its
+// group has been retired. If the last did not count, the target would change
+// while a group retires, and change back afterwards, for ever.
+func (p *round) usable(id models.InstanceID) bool {
+	if p.leaving(id) {
+		return false
+	}
+	owner, owned := p.State.Owner(id)
+	switch {
+	case !owned:
+		return p.present(id) && p.Evidence[id].steady(p.Now)
+	case p.health[owner] == healthWhole:
+		return true
+	default:
+		return p.present(id)
+	}
+}
+
+// wanted lists the models by name.
+func (p *round) wanted() []models.Model {
+	var out []models.Model
 	for _, name := range slices.Sorted(maps.Keys(p.State.Models)) {
-		m := p.State.Models[name]
-		for range m.Replicas - have[name] {
-			if !p.form(m) {
+		if m := p.State.Models[name]; m.Replicas > 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// fillDomain forms the groups that the target wants beyond those that are
+// whole: out of what is left of a broken group, spares, and the members of
+// other broken groups of the domain.
+func (p *round) fillDomain(d models.Domain, target map[models.ModelName]int) {
+	whole := map[models.ModelName]int{}
+	for _, g := range p.groups {
+		if g.Domain == d && p.health[g.ID] == healthWhole && !p.ended[g.ID] {
+			whole[g.Model]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(target)) {
+		for range target[name] - whole[name] {
+			if p.unsettled[d] >= p.Rules.MaxUnsettledDomain || p.inAll >= p.Rules.MaxUnsettled {
+				return
+			}
+			if !p.form(d, p.State.Models[name]) {
 				break
 			}
+			p.unsettled[d]++
+			p.inAll++
 		}
 	}
 }
 
-// wantedGroups counts the groups of each model that are to stay.
-func (p *round) wantedGroups() map[models.ModelName]int {
-	have := map[models.ModelName]int{}
-	for _, g := range p.State.Groups {
-		if p.unwanted(g, nil) == "" {
-			have[g.Model]++
+// broken lists the broken groups of a domain that are left, those of the
+// model first, those with the most members left first.
+func (p *round) broken(d models.Domain, m models.ModelName) []models.Group {
+	var out []models.Group
+	for _, g := range p.groups {
+		if g.Domain == d && p.health[g.ID] == healthBroken && !p.ended[g.ID] {
+			out = append(out, g)
 		}
 	}
-	return have
+	slices.SortStableFunc(out, func(a, b models.Group) int {
+		return cmp.Or(
+			compareFalseFirst(a.Model != m, b.Model != m),
+			cmp.Compare(len(p.remaining(b)), len(p.remaining(a))),
+		)
+	})
+	return out
 }
 
-func (p *round) form(m models.Model) bool {
-	for _, d := range p.domains() {
-		free := p.free(d)
-		free = slices.DeleteFunc(free, func(i models.Instance) bool { return !m.Place.Allows(i.Zone, i.Domain) })
-		if len(free) < m.Members {
+// remaining lists the members of a broken group that are there.
+func (p *round) remaining(g models.Group) []models.Member {
+	var out []models.Member
+	for _, m := range g.Members {
+		if p.present(m.ID) && !p.leaving(m.ID) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (p *round) form(d models.Domain, m models.Model) bool {
+	next := models.Group{Model: m.Name, Version: m.Version, Zone: p.zones[d], Domain: d}
+	form := state.FormGroup{ModelRevision: m.Revision, Reason: "its model wants more replicas"}
+	donors := p.broken(d, m.Name)
+	repairs := len(donors) > 0 && donors[0].Model == m.Name
+	if !repairs && p.committed[m.Name] >= m.Replicas {
+		return false
+	}
+	if repairs {
+		form.Reason = p.reasons[donors[0].ID]
+		next.Members = p.remaining(donors[0])[:min(m.Members, len(p.remaining(donors[0])))]
+		form.Replaces = append(form.Replaces, refTo(donors[0]))
+		donors = donors[1:]
+	}
+	for _, i := range p.free(d, m) {
+		if len(next.Members) < m.Members {
+			next.Members = append(next.Members, memberOf(i))
+		}
+	}
+	for _, donor := range slices.Backward(donors) {
+		if len(next.Members) >= m.Members {
+			break
+		}
+		form.Replaces = append(form.Replaces, refTo(donor))
+		for _, member := range p.remaining(donor) {
+			if len(next.Members) < m.Members {
+				next.Members = append(next.Members, member)
+			}
+		}
+	}
+	if len(next.Members) < m.Members {
+		return false
+	}
+	if !repairs || !p.patient(p.State.Groups[form.Replaces[0].ID]) {
+		p.committed[m.Name]++
+	}
+	next.ID = p.newName(m.Name)
+	form.Group = next
+	for _, member := range next.Members {
+		p.taken[member.ID] = true
+	}
+	for _, ref := range form.Replaces {
+		p.ended[ref.ID] = true
+	}
+	p.propose(d, form)
+	return true
+}
+
+// newName names a group by the state that it was planned on.
+func (p *round) newName(m models.ModelName) models.GroupID {
+	const longestModel = 40
+	if len(m) > longestModel {
+		m = m[:longestModel]
+	}
+	p.formed++
+	return models.GroupID(fmt.Sprintf("%s-%d.%d", m, p.State.Applied+1, p.formed))
+}
+
+func memberOf(i models.Instance) models.Member {
+	return models.Member{ID: i.ID, Addr: i.Addr, Accelerators: i.Accelerators, ChecksFences: i.ChecksFences}
+}
+
+// swapBack puts an instance that holds the weights in the place of a member
+// that still loads them. So a member that comes back soon after it was
+// replaced makes the group whole at once, and replacing early costs nothing.
+func (p *round) swapBack() {
+	for _, g := range p.groups {
+		m, declared := p.State.Models[g.Model]
+		if !declared || p.health[g.ID] != healthWhole || p.settled(g) {
 			continue
 		}
-		g := models.Group{ID: p.newName(m.Name), Model: m.Name, Version: m.Version, Zone: free[0].Zone, Domain: d}
-		for _, i := range free[:m.Members] {
-			g.Members = append(g.Members, memberOf(i))
-			p.taken[i.ID] = true
+		loading := slices.IndexFunc(g.Members, func(member models.Member) bool {
+			s := p.Evidence[member.ID].Status
+			return s.Fence == g.Fence && s.Phase == types.PhaseLoading
+		})
+		if loading < 0 {
+			continue
 		}
-		p.propose(d, state.FormGroup{Group: g, ModelRevision: m.Revision, Reason: "its model wants more replicas"})
-		return true
+		spares := p.free(g.Domain, m)
+		if len(spares) == 0 || !p.Evidence[spares[0].ID].holds(m) {
+			continue
+		}
+		next := g
+		next.ID = p.newName(g.Model)
+		next.Members = slices.Clone(g.Members)
+		next.Members[loading] = memberOf(spares[0])
+		p.taken[spares[0].ID] = true
+		p.ended[g.ID] = true
+		p.unsettled[g.Domain]--
+		p.propose(g.Domain, state.FormGroup{
+			Group: next, ModelRevision: m.Revision, Replaces: []state.GroupRef{refTo(g)},
+			Reason: fmt.Sprintf("instance %s holds the weights already", spares[0].ID),
+		})
 	}
-	return false
 }
 
-func (p *round) domains() []models.Domain {
-	seen := map[models.Domain]bool{}
-	for _, i := range p.Instances {
-		seen[i.Domain] = true
+// endSurplus retires whole groups that the target has no place for, and ends
+// broken ones whose model has enough groups without them.
+func (p *round) endSurplus(target Target) {
+	whole := map[models.Domain]map[models.ModelName]int{}
+	for _, g := range p.groups {
+		if p.ended[g.ID] {
+			continue
+		}
+		switch p.health[g.ID] {
+		case healthWhole:
+			if whole[g.Domain] == nil {
+				whole[g.Domain] = map[models.ModelName]int{}
+			}
+			whole[g.Domain][g.Model]++
+			if whole[g.Domain][g.Model] > target[g.Domain][g.Model] {
+				p.propose(g.Domain, state.RetireGroup{Group: refTo(g), Reason: "its model has enough replicas, or its instances are of more use elsewhere"})
+			}
+		case healthBroken:
+			if target.total(g.Model) >= p.State.Models[g.Model].Replicas {
+				p.propose(g.Domain, state.EndGroup{Group: refTo(g), Reason: p.reasons[g.ID] + " and its model has enough replicas without it"})
+			}
+		}
 	}
-	return slices.Sorted(maps.Keys(seen))
 }
--- a/planner/why.go
+++ b/planner/why.go
@@ -11,18 +11,21 @@
 // WhyFree tells an operator why an instance that could take work belongs to
 // no group. It follows the decisions of Plan on the same input.
 func WhyFree(in Input, i models.Instance) string {
-	p := &round{Input: in, taken: map[models.InstanceID]bool{}}
+	p := newRound(in)
 	for _, proposal := range Plan(in) {
 		if proposal.Key == string(i.Domain) {
 			return fmt.Sprintf("a change of fabric domain %s is under way", i.Domain)
 		}
 	}
-	free := len(p.free(i.Domain))
-	have := p.wantedGroups()
+	supplies := p.supplies()
+	target := assign(supplies, p.wanted(), in.State.Policy)
+	if !in.Evidence[i.ID].steady(in.Now) {
+		return "it keeps going away and coming back"
+	}
 	for _, name := range slices.Sorted(maps.Keys(in.State.Models)) {
 		m := in.State.Models[name]
-		if have[name] < m.Replicas && m.Place.Allows(i.Zone, i.Domain) {
-			return fmt.Sprintf("model %s wants %d members and fabric domain %s has %d free", name, m.Members, i.Domain, free)
+		if target.total(name) < m.Replicas && m.Place.Allows(i.Zone, i.Domain) {
+			return fmt.Sprintf("model %s wants %d members and fabric domain %s has %d free", name, m.Members, i.Domain, len(p.free(i.Domain, m)))
 		}
 	}
 	return "every model has the replicas that it wants where the instance may serve"
--- a/query/answer.go
+++ b/query/answer.go
@@ -186,7 +186,7 @@
 		return "listed"
 	case e.Seen.IsZero():
 		return "unseen"
-	case e.Silent > 0:
+	case e.Silent():
 		return "silent"
 	default:
 		return "alive"
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -51,11 +51,18 @@
 	newestFence models.Fence
 	membersOK   bool
 	stopLoad    context.CancelFunc
+	loading     weights
 	runs        map[string]*run
 	history     []RunReport
 	orders      int
 }
 
+// weights name one version of one model.
+type weights struct {
+	model   models.ModelName
+	version models.Version
+}
+
 type reportedLoad struct {
 	at   time.Time
 	load types.Load
@@ -210,7 +217,11 @@
 	e.newestFence = max(e.newestFence, order.Fence)
 	switch order.Kind {
 	case types.OrderLoad:
-		e.startLoad(order)
+		e.join(order)
+	case types.OrderPrepare:
+		if e.status.Group == "" {
+			e.obtain(order)
+		}
 	case types.OrderLeave:
 		e.leave()
 	default:
@@ -220,41 +231,62 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// leave empties the engine. The caller holds the lock.
+// leave takes the engine out of its group; it keeps its weights. The caller
+// holds the lock.
 func (e *Engine) leave() {
-	if e.stopLoad != nil {
-		e.stopLoad()
-		e.stopLoad = nil
-	}
 	e.breakRuns("the replica was ended")
 	e.members, e.membersOK = nil, false
-	e.status.Group, e.status.Fence, e.status.Phase = "", 0, types.PhaseEmpty
+	e.status.Group, e.status.Fence = "", 0
+	if e.status.Phase == types.PhaseLoaded {
+		e.status.Phase = types.PhaseEmpty
+	}
 }
 
-// startLoad begins to load, unless the same order is being carried out or
-// done. Weights of the same version stay. The caller holds the lock.
-func (e *Engine) startLoad(order types.Order) {
+// join makes the engine a member of a group, unless it is already. The
+// caller holds the lock.
+func (e *Engine) join(order types.Order) {
 	if e.status.Group == order.Group && e.status.Fence == order.Fence {
 		return
 	}
-	kept := e.status.Phase == types.PhaseLoaded || e.status.Phase == types.PhaseEmpty
-	kept = kept && e.status.Model == order.Model && e.status.Version == order.Version
 	e.leave()
 	e.members, e.rank = order.Members, order.Rank
 	e.status.Group, e.status.Fence = order.Group, order.Fence
-	if kept {
-		e.status.Phase = types.PhaseLoaded
+	e.obtain(order)
+}
+
+// obtain sees that the engine gets the order's weights: it has them, is
+// loading them, or starts to. The caller holds the lock.
+func (e *Engine) obtain(order types.Order) {
+	wanted := weights{order.Model, order.Version}
+	if e.status.Phase == types.PhaseLoading && e.loading == wanted {
 		return
 	}
-	e.status.Phase = types.PhaseLoading
+	if e.stopLoad != nil {
+		e.stopLoad()
+	}
+	held := weights{e.status.Model, e.status.Version}
+	if held == wanted {
+		e.weightsReady(wanted)
+		return
+	}
+	e.status.Phase, e.loading = types.PhaseLoading, wanted
 	e.status.Model, e.status.Version = "", ""
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stopLoad = cancel
-	go e.load(ctx, order)
+	go e.load(ctx, wanted)
+}
+
+// weightsReady notes that the weights are at hand. The caller holds the lock.
+func (e *Engine) weightsReady(w weights) {
+	e.status.Model, e.status.Version = w.model, w.version
+	e.status.Phase = types.PhaseEmpty
+	if e.status.Group != "" {
+		e.status.Phase = types.PhaseLoaded
+	}
 }
 
-func (e *Engine) load(ctx context.Context, order types.Order) {
-	for e.fetchWeights(ctx, order) != nil {
+func (e *Engine) load(ctx context.Context, w weights) {
+	for e.fetchWeights(ctx, w) != nil {
 		if sleep(ctx, memberTimeout) != nil {
 			return
 		}
@@ -265,12 +297,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if ctx.Err() == nil {
-		e.status.Phase, e.status.Model, e.status.Version = types.PhaseLoaded, order.Model, order.Version
+		e.weightsReady(w)
 	}
 }
 
-func (e *Engine) fetchWeights(ctx context.Context, order types.Order) error {
-	url := fmt.Sprintf("http://%s/weights/%s/%s", e.opts.Platform, order.Model, order.Version)
+func (e *Engine) fetchWeights(ctx context.Context, w weights) error {
+	url := fmt.Sprintf("http://%s/weights/%s/%s", e.opts.Platform, w.model, w.version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/worker/engine/watcher.go
+++ b/worker/engine/watcher.go
@@ -20,7 +20,7 @@
 		Ticks: ticks, Targets: targets, Ask: c.Status,
 		Deliver: func(ctx context.Context, r probe.Result[models.InstanceID, netip.AddrPort, types.EngineStatus]) {
 			if r.Err != nil {
-				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Err: r.Err})
+				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Asked: r.Asked, Err: r.Err})
 				return
 			}
 			types.Send(ctx, out, types.InstanceSeen{Instance: r.Key, Addr: r.Target, Asked: r.Asked, Status: r.Answer})
--- a/worker/peer/wire.go
+++ b/worker/peer/wire.go
@@ -22,6 +22,8 @@
 	// After asks for the records after this offset, if WantRecords is set.
 	After       models.Offset `msgpack:"o"`
 	WantRecords bool          `msgpack:"w"`
+	// Silent are instances that do not answer the sender.
+	Silent []models.InstanceID `msgpack:"s,omitempty"`
 }
 
 // Answer is what the other sends back.
@@ -29,6 +31,8 @@
 	Status types.PeerStatus `msgpack:"s"`
 	// Heard are the daemons that the other has heard of lately.
 	Heard []Heard `msgpack:"h,omitempty"`
+	// Vouches tell of the silent instances that the other has seen.
+	Vouches []types.Vouch `msgpack:"v,omitempty"`
 	// Records follow the offset asked for; State is sent instead when the
 	// other does not remember them any more.
 	Records []types.Entry `msgpack:"r,omitempty"`
--- a/worker/service/service.go
+++ b/worker/service/service.go
@@ -26,7 +26,7 @@
 		Ticks: ticks, Targets: targets, Ask: connect(dialer),
 		Deliver: func(ctx context.Context, r probe.Result[models.InstanceID, netip.AddrPort, struct{}]) {
 			if r.Err != nil {
-				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Err: r.Err})
+				types.Send(ctx, out, types.InstanceSilent{Instance: r.Key, Asked: r.Asked, Err: r.Err})
 				return
 			}
 			types.Send(ctx, out, types.ServiceSeen{Instance: r.Key, Asked: r.Asked})
--- a/worker/types/engine.go
+++ b/worker/types/engine.go
@@ -46,6 +46,9 @@
 const (
 	// OrderLoad makes the instance a member of a group.
 	OrderLoad OrderKind = "load"
+	// OrderPrepare makes an instance of no group load weights ahead of
+	// need.
+	OrderPrepare OrderKind = "prepare"
 	// OrderLeave makes the instance leave its group.
 	OrderLeave OrderKind = "leave"
 )
--- a/worker/types/messages.go
+++ b/worker/types/messages.go
@@ -73,9 +73,11 @@
 	Asked    time.Time
 }
 
-// InstanceSilent tells that an instance did not answer in time.
+// InstanceSilent tells that an instance did not answer a question sent at
+// Asked in time.
 type InstanceSilent struct {
 	Instance models.InstanceID
+	Asked    time.Time
 	Err      error
 }
 
@@ -100,6 +102,19 @@
 	Err  error
 }
 
+// PeerVouched carries what another daemon saw of instances. Ages count from
+// Asked back.
+type PeerVouched struct {
+	Asked   time.Time
+	Vouches []Vouch
+}
+
+// Vouch is one instance as another daemon saw it.
+type Vouch struct {
+	Age    time.Duration `msgpack:"a"`
+	Status EngineStatus  `msgpack:"s"`
+}
+
 // PeerRecords carries records that another daemon relayed.
 type PeerRecords struct {
 	From    models.DaemonID
@@ -126,6 +141,7 @@
 func (OrderEnded) message()        {}
 func (PeerSeen) message()          {}
 func (PeerSilent) message()        {}
+func (PeerVouched) message()       {}
 func (PeerRecords) message()       {}
 func (PeerState) message()         {}
 
