api, state: run keyed requests at most once, resume streams, prove by storm

Weighed for keys: (a) a claim on the log before sending, (b) an owner by hash with copies in other zones, (c) both. (b) is faster but its owners are diskless: when they are replaced together a key is forgotten. (a) costs one append for all claims that come while the last one is on its way, and keyed calls are refused, not run, while the log is away; calls without a key go on. Change: ClaimKeys and ReleaseKeys records, batched; the first claim on the log holds; what is known not to have run gives its key back. Streams go on with the engine's resume of the same run, each token once.

--- a/api/callers.go
+++ b/api/callers.go
@@ -14,6 +14,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/lupinkeel/lupinkeel/daemon"
+	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/router"
 	"github.com/lupinkeel/lupinkeel/worker/upstream"
@@ -28,6 +30,9 @@
 	// HeaderRepeatable is true or false: whether running the request twice
 	// does no harm.
 	HeaderRepeatable = "Lupinkeel-Repeatable"
+	// HeaderKey names a request that must run at most once, whichever
+	// daemon it is sent to and however often.
+	HeaderKey = "Idempotency-Key"
 )
 
 const (
@@ -49,6 +54,9 @@
 	priority  int
 	started   time.Time
 	tried     []netip.AddrPort
+	// key is the hash of workspace and idempotency key; empty without one.
+	key     string
+	claimed bool
 	// choose picks the upstream of the next try.
 	choose func(now time.Time) (router.Target, error)
 	// call makes the try at the target.
@@ -110,7 +118,7 @@
 	}
 	return &exchange{
 		s: s, w: w, r: r, workspace: workspace, body: body, priority: settings.priority, started: time.Now(),
-		req: &router.Request{ID: id, Repeatable: settings.repeatable},
+		req: &router.Request{ID: id, Repeatable: settings.repeatable}, key: settings.keyIn(workspace.Name),
 	}, settings.timeout, nil
 }
 
@@ -119,6 +127,18 @@
 	repeatable bool
 	priority   int
 	timeout    time.Duration
+	key        string
+}
+
+// maxKey is the longest idempotency key, in bytes.
+const maxKey = 256
+
+// keyIn is the hash of a workspace's key; empty without a key.
+func (s settings) keyIn(w models.WorkspaceName) string {
+	if s.key == "" {
+		return ""
+	}
+	return HashToken(string(w) + "/" + s.key)
 }
 
 func (s *Server) readSettings(r *http.Request, repeatable bool) (settings, error) {
@@ -141,15 +161,27 @@
 			return out, fmt.Errorf("%w: header %s is %q, not a duration such as 30s", ErrBody, HeaderTimeout, text)
 		}
 	}
+	if out.key = r.Header.Get(HeaderKey); out.key != "" {
+		out.repeatable = false
+	}
+	if len(out.key) > maxKey {
+		return out, fmt.Errorf("%w: header %s has %d bytes, allowed are %d", ErrBody, HeaderKey, len(out.key), maxKey)
+	}
 	return out, nil
 }
 
 // run sends the request until it has its end.
 func (e *exchange) run(ctx context.Context) {
-	err := e.tryAll(ctx)
+	err := e.claim(ctx)
+	if err == nil {
+		err = e.tryAll(ctx)
+	}
 	answering := e.req.Phase() == router.PhaseAnswering
 	end := e.req.Finish(err == nil)
 	e.s.stats.ends[end].Inc()
+	if e.claimed && end == router.EndNotRun {
+		e.s.release(e.key, e.req.ID)
+	}
 	log := e.s.log.Info()
 	if err != nil {
 		log = e.s.log.Warn().Err(err)
@@ -167,6 +199,48 @@
 	}
 }
 
+// claimWithin bounds how long a request waits for its key to be recorded.
+const claimWithin = 3 * time.Second
+
+// claim records the request's key on the log before anything is sent. Only
+// the request whose claim is the first on the log goes on.
+func (e *exchange) claim(ctx context.Context) error {
+	if e.key == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimWithin)
+	defer cancel()
+	holder, err := e.s.daemon.Claim(ctx, e.key, e.req.ID)
+	switch {
+	case errors.Is(err, daemon.ErrOutcomeUnknown):
+		// Nothing was sent, but the key may stay claimed for nothing.
+		e.claimed = true
+		return fmt.Errorf("%w: %w", ErrNoClaim, err)
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrNoClaim, err)
+	case holder != e.req.ID:
+		return errors.Join(ErrKeyInUse, e.req.HeldElsewhere())
+	}
+	e.claimed = true
+	return nil
+}
+
+const releaseWithin = 10 * time.Second
+
+// release gives a key up in the background, so that the caller may try again
+// with it. If that fails the key stays claimed, which is safe.
+func (s *Server) release(key string, id models.RequestID) {
+	task.Start(context.Background(), "release", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, releaseWithin)
+		defer cancel()
+		err := s.daemon.Release(ctx, key, id)
+		if err != nil {
+			s.log.Warn().Err(err).Str("request", string(id)).Msg("release-failed")
+		}
+		return err
+	})
+}
+
 // tryAll makes one try after another while that is allowed, and returns the
 // error of the last.
 func (e *exchange) tryAll(ctx context.Context) error {
--- a/api/chat.go
+++ b/api/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -93,8 +94,8 @@
 	if answer.Status != http.StatusOK {
 		return e.answerWhole(ctx, target, answer)
 	}
-	defer answer.Body.Close()
 	events := upstream.NewEvents(answer.Body)
+	defer events.Close()
 	event, err := events.Next()
 	if err != nil {
 		return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
@@ -104,6 +105,7 @@
 		return err
 	}
 	flush := http.NewResponseController(e.w).Flush
+	last := 0
 	for {
 		if _, err := event.WriteTo(e.w); err != nil {
 			return err
@@ -114,11 +116,54 @@
 		if event.Last() {
 			return nil
 		}
-		if event, err = events.Next(); err != nil {
+		last = max(last, event.ID)
+		if event, err = events.Next(); err == nil {
+			continue
+		}
+		if events, event, err = e.resume(ctx, target, last, err); err != nil {
 			e.writeErrorEvent(err)
 			return fmt.Errorf("%w: %w", upstream.ErrMayHaveRun, err)
 		}
+		defer events.Close()
+	}
+}
+
+const (
+	resumeTries = 5
+	resumePause = 200 * time.Millisecond
+)
+
+// resume asks the engine for the rest of the same run, after the event that
+// the caller got last. The rest of another run never takes its place.
+func (e *exchange) resume(ctx context.Context, target router.Target, after int, cause error) (*upstream.Events, upstream.Event, error) {
+	if after == 0 {
+		return nil, upstream.Event{}, cause
+	}
+	for try := range resumeTries {
+		answer, err := e.s.upstream.Do(ctx, upstream.Call{
+			Addr: target.Addr, Method: http.MethodGet, Path: fmt.Sprintf("/v1/runs/%s?after=%d", e.req.ID, after),
+			Request: e.req.ID, Group: target.Group.ID, Fence: target.Group.Fence, Fresh: true,
+		})
+		if err == nil && answer.Status != http.StatusOK {
+			answer.Body.Close()
+			return nil, upstream.Event{}, errors.Join(cause, fmt.Errorf("resume: status %d", answer.Status))
+		}
+		if err == nil {
+			events := upstream.NewEvents(answer.Body)
+			event, err := events.Next()
+			if err == nil {
+				e.s.log.Info().Str("request", string(e.req.ID)).Int("after", after).Int("try", try+1).Msg("stream-resumed")
+				return events, event, nil
+			}
+			events.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, upstream.Event{}, errors.Join(cause, ctx.Err())
+		case <-time.After(resumePause):
+		}
 	}
+	return nil, upstream.Event{}, cause
 }
 
 // writeErrorEvent tells a caller within the stream that it ends here. The
--- a/api/errors.go
+++ b/api/errors.go
@@ -36,6 +36,10 @@
 	ErrNotCurrent = errors.New("this daemon can't show that its configuration is current")
 	ErrStopping   = errors.New("this daemon is stopping")
 	ErrUpstream   = errors.New("the upstream failed")
+	// ErrKeyInUse: a request with this key was sent before.
+	ErrKeyInUse = errors.New("a request with this idempotency key may have run already")
+	// ErrNoClaim: the log can't record the key now.
+	ErrNoClaim = errors.New("the idempotency key can't be recorded now")
 )
 
 // retrySoon is when a caller should come back after something that passes.
@@ -66,6 +70,8 @@
 	{router.ErrNoUpstream, problem{http.StatusServiceUnavailable, "overloaded_error", "no_upstream", retrySoon}},
 	{ErrNotCurrent, problem{http.StatusServiceUnavailable, "overloaded_error", "not_current", retrySoon}},
 	{ErrStopping, problem{http.StatusServiceUnavailable, "overloaded_error", "stopping", retrySoon}},
+	{ErrKeyInUse, problem{http.StatusConflict, "invalid_request_error", "key_in_use", 0}},
+	{ErrNoClaim, problem{http.StatusServiceUnavailable, "overloaded_error", "no_claim", retryLog}},
 	{ErrUpstream, problem{http.StatusBadGateway, "api_error", "upstream_failed", retrySoon}},
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,8 +48,11 @@
 	server   *peer.Server
 	peerAddr netip.AddrPort
 
-	inbox       chan types.Message
-	proposals   chan proposal
+	inbox     chan types.Message
+	proposals chan proposal
+	claims    chan claimRequest
+	// states carries questions for the whole state.
+	states      chan chan<- []byte
 	appends     chan types.Append
 	orders      chan types.Dispatch
 	seek        chan models.Offset
@@ -69,6 +72,8 @@
 		stats:       newStats(),
 		inbox:       make(chan types.Message, inboxLen),
 		proposals:   make(chan proposal),
+		claims:      make(chan claimRequest),
+		states:      make(chan chan<- []byte),
 		appends:     make(chan types.Append, appendsLen),
 		orders:      make(chan types.Dispatch, ordersLen),
 		seek:        make(chan models.Offset, 1),
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -63,7 +63,11 @@
 	// changed asks for a view at once instead of at the next tick.
 	changed bool
 	cloned  *state.State
-	encoded *encodedState
+	// marshalled is the whole state as it was at marshalledAt.
+	marshalled   []byte
+	marshalledAt models.Offset
+
+	claims claims
 }
 
 func newOwner(d *Daemon) *owner {
@@ -83,7 +87,7 @@
 
 func emptyView() *View {
 	s := state.New()
-	return &View{State: s, Table: router.Table{State: s}, encoded: &encodedState{}}
+	return &View{State: s, Table: router.Table{State: s}}
 }
 
 func (o *owner) run(ctx context.Context) error {
@@ -101,6 +105,10 @@
 			o.handleWaiting()
 		case p := <-o.d.proposals:
 			o.accept(p)
+		case c := <-o.d.claims:
+			o.claim(c)
+		case reply := <-o.d.states:
+			reply <- o.wholeState()
 		case tick := <-plan:
 			o.noticePause(tick)
 			o.plan(tick.At)
@@ -114,6 +122,19 @@
 	}
 }
 
+// wholeState marshals the state, once for each offset.
+func (o *owner) wholeState() []byte {
+	if o.marshalled == nil || o.marshalledAt != o.state.Applied {
+		data, err := o.state.Marshal()
+		if err != nil {
+			o.d.log.Error().Err(err).Msg("state-unencodable")
+			return nil
+		}
+		o.marshalled, o.marshalledAt = data, o.state.Applied
+	}
+	return o.marshalled
+}
+
 // handleWaiting handles the messages that have come already, so that one
 // view shows them all.
 func (o *owner) handleWaiting() {
@@ -303,7 +324,6 @@
 func (o *owner) publish(now time.Time) {
 	if o.cloned == nil || o.cloned.Applied != o.state.Applied {
 		o.cloned = o.state.Clone()
-		o.encoded = &encodedState{}
 	}
 	view := &View{
 		State:        o.cloned,
@@ -316,7 +336,6 @@
 		Superseded:   o.superseded,
 		silent:       o.silentInstances(),
 		recent:       slices.Clip(o.recent),
-		encoded:      o.encoded,
 	}
 	view.Table = router.Table{State: o.cloned, Gates: o.gates(), Services: o.serviceTable()}
 	o.d.view.Store(view)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -118,13 +118,29 @@
 		return int(int64(e.Offset) - int64(o))
 	})
 	if !found {
-		answer.State = v.marshalled()
+		answer.State = d.wholeState()
 		return
 	}
 	answer.Records = v.recent[at:min(len(v.recent), at+maxRelayed)]
 	d.stats.relayed.Add(len(answer.Records))
 }
 
+// stateWithin bounds how long a heartbeat waits for the whole state.
+const stateWithin = 500 * time.Millisecond
+
+// wholeState asks the owner for the whole state; nil if it is too busy.
+func (d *Daemon) wholeState() []byte {
+	late := time.NewTimer(stateWithin)
+	defer late.Stop()
+	reply := make(chan []byte, 1)
+	select {
+	case d.states <- reply:
+		return <-reply
+	case <-late.C:
+		return nil
+	}
+}
+
 func (o *owner) handlePeerSeen(msg types.PeerSeen) {
 	s := msg.Peer
 	if s.ID == o.d.cfg.ID {
--- a/daemon/propose.go
+++ b/daemon/propose.go
@@ -85,7 +85,7 @@
 		o.pending[rec.ID] = &pendingProposal{reply: reply, key: key, until: until}
 		o.d.stats.proposed.Inc()
 	default:
-		endProposal(reply, proposalEnd{err: fmt.Errorf("%w: too many appends wait", ErrLogAway)})
+		o.end(&pendingProposal{reply: reply, key: key}, proposalEnd{err: fmt.Errorf("%w: too many appends wait", ErrLogAway)})
 	}
 }
 
@@ -103,7 +103,15 @@
 		return
 	}
 	delete(o.pending, out.Record)
-	endProposal(p.reply, proposalEnd{outcome: out})
+	o.end(p, proposalEnd{outcome: out})
+}
+
+// end tells whoever waits for a proposal.
+func (o *owner) end(p *pendingProposal, end proposalEnd) {
+	endProposal(p.reply, end)
+	if p.key == claimsKey {
+		o.claimsEnded(end)
+	}
 }
 
 func (o *owner) handleAppendEnded(msg types.AppendEnded) {
@@ -118,7 +126,7 @@
 		return
 	}
 	delete(o.pending, msg.Append.Record)
-	endProposal(p.reply, proposalEnd{err: fmt.Errorf("%w: %w", ErrLogAway, msg.Err)})
+	o.end(p, proposalEnd{err: fmt.Errorf("%w: %w", ErrLogAway, msg.Err)})
 }
 
 // outcomeGrace is how long after its last try a record is waited for.
@@ -129,7 +137,7 @@
 	for id, p := range o.pending {
 		if now.After(p.until.Add(outcomeGrace)) {
 			delete(o.pending, id)
-			endProposal(p.reply, proposalEnd{err: ErrOutcomeUnknown})
+			o.end(p, proposalEnd{err: ErrOutcomeUnknown})
 		}
 	}
 }
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"sync"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -32,14 +31,7 @@
 	// silent are the instances that do not answer this daemon.
 	silent []models.InstanceID
 	// recent are the last records folded, oldest first.
-	recent  []types.Entry
-	encoded *encodedState
-}
-
-// encodedState marshals a state at most once.
-type encodedState struct {
-	once sync.Once
-	data []byte
+	recent []types.Entry
 }
 
 // Peer is another daemon as this one knows it.
@@ -71,13 +63,3 @@
 	}
 	return have, len(v.State.Daemons)
 }
-
-func (v *View) marshalled() []byte {
-	v.encoded.once.Do(func() {
-		data, err := v.State.Marshal()
-		if err == nil {
-			v.encoded.data = data
-		}
-	})
-	return v.encoded.data
-}
--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -45,7 +45,9 @@
 	// memories are what scripts remember.
 	memories map[string]memory
 	// asks are commands in the background.
-	asks  map[string]chan string
+	asks map[string]chan string
+	// chats are streams in the background.
+	chats map[string]chan result
 	flags []string
 }
 
@@ -71,7 +73,7 @@
 func newBench(env *testscript.Env) *bench {
 	return &bench{
 		dir: env.WorkDir, procs: map[string]*proc{},
-		addrs: map[string]netip.AddrPort{}, engines: map[models.InstanceID]netip.AddrPort{}, memories: map[string]memory{}, asks: map[string]chan string{},
+		addrs: map[string]netip.AddrPort{}, engines: map[models.InstanceID]netip.AddrPort{}, memories: map[string]memory{}, asks: map[string]chan string{}, chats: map[string]chan result{},
 	}
 }
 
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -27,7 +27,7 @@
 //	site [flags]            start a site; see parseSite
 //	ask DAEMON COMMAND      ask as the operator; the answer is on stdout
 //	await DAEMON ROWS TABLE wait until the table has so many rows
-//	chat DAEMON MODEL [stream] [tokens=N]
+//	chat DAEMON MODEL [stream] [tokens=N] [key=K]
 //	                        send a request and check that its answer is whole
 //	http DAEMON METHOD PATH [BODY] [HEADER:VALUE ...]
 //	                        call; status, headers and body are on stdout
@@ -49,34 +49,46 @@
 //	double                  append every record of the log once more
 //	many N DAEMON COMMAND   ask N times, %d in the command counts
 //	admin DAEMON            let lupinkeel ask speak to this daemon
+//	together N MODEL key=K  send the same N times at once; one runs
+//	bgchat NAME DAEMON MODEL tokens=N, bgchatend NAME
+//	                        a stream in the background; it must end whole
+//	unchanged NAME INSTANCE the instance is at the remembered fence still
+//	storm SEED REQUESTS LINK ...
+//	                        random faults on the links until the load has
+//	                        sent so many requests; the seed fixes the faults
 //	elapse DURATION         let time pass, to see that nothing happens
 var scriptCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
-	"site":     cmdSite,
-	"ask":      cmdAsk,
-	"await":    cmdAwait,
-	"chat":     cmdChat,
-	"http":     cmdHTTP,
-	"sigkill":  process(func(b *bench, name string) error { return b.kill(name) }),
-	"sigstop":  process(func(b *bench, name string) error { return b.signal(name, syscall.SIGSTOP) }),
-	"sigcont":  process(func(b *bench, name string) error { return b.signal(name, syscall.SIGCONT) }),
-	"sigterm":  process(func(b *bench, name string) error { return b.signal(name, syscall.SIGTERM) }),
-	"restart":  process(func(b *bench, name string) error { return b.restart(name) }),
-	"gone":     process(awaitGone),
-	"fault":    cmdFault,
-	"control":  cmdControl,
-	"leaving":  cmdLeaving,
-	"remember": cmdRemember,
-	"noruns":   cmdNoRuns,
-	"load":     cmdLoad,
-	"logged":   cmdLogged,
-	"elapse":   cmdElapse,
-	"admin":    cmdAdmin,
-	"race":     cmdRace,
-	"bgask":    cmdBackgroundAsk,
-	"bgend":    cmdBackgroundEnd,
-	"same":     cmdSame,
-	"double":   cmdDouble,
-	"many":     cmdMany,
+	"site":      cmdSite,
+	"ask":       cmdAsk,
+	"await":     cmdAwait,
+	"chat":      cmdChat,
+	"http":      cmdHTTP,
+	"sigkill":   process(func(b *bench, name string) error { return b.kill(name) }),
+	"sigstop":   process(func(b *bench, name string) error { return b.signal(name, syscall.SIGSTOP) }),
+	"sigcont":   process(func(b *bench, name string) error { return b.signal(name, syscall.SIGCONT) }),
+	"sigterm":   process(func(b *bench, name string) error { return b.signal(name, syscall.SIGTERM) }),
+	"restart":   process(func(b *bench, name string) error { return b.restart(name) }),
+	"gone":      process(awaitGone),
+	"fault":     cmdFault,
+	"control":   cmdControl,
+	"leaving":   cmdLeaving,
+	"remember":  cmdRemember,
+	"noruns":    cmdNoRuns,
+	"load":      cmdLoad,
+	"logged":    cmdLogged,
+	"together":  cmdTogether,
+	"storm":     cmdStorm,
+	"elapse":    cmdElapse,
+	"bgchat":    cmdBackgroundChat,
+	"bgchatend": cmdBackgroundChatEnd,
+	"unchanged": cmdUnchanged,
+	"admin":     cmdAdmin,
+	"race":      cmdRace,
+	"bgask":     cmdBackgroundAsk,
+	"bgend":     cmdBackgroundEnd,
+	"same":      cmdSame,
+	"double":    cmdDouble,
+	"many":      cmdMany,
 }
 
 const awaitFor = 30 * time.Second
@@ -191,25 +203,59 @@
 	}
 }
 
-func cmdChat(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, args, 2, "chat DAEMON MODEL [stream] [tokens=N]")
-	d, err := benchOf(ts).daemon(args[0])
-	ts.Check(err)
-	r := chat{model: args[1], tokens: 8, prompt: "asked by a script"}
-	for _, a := range args[2:] {
-		if n, ok := strings.CutPrefix(a, "tokens="); ok {
-			r.tokens, err = strconv.Atoi(n)
+// parseChat reads MODEL [stream] [tokens=N] [key=K].
+func parseChat(ts *testscript.TestScript, args []string) chat {
+	r := chat{model: args[0], tokens: 8, prompt: "asked by a script", header: http.Header{}}
+	for _, a := range args[1:] {
+		name, value, _ := strings.Cut(a, "=")
+		switch name {
+		case "tokens":
+			n, err := strconv.Atoi(value)
 			ts.Check(err)
+			r.tokens = n
+		case "key":
+			r.key = value
+		case "stream":
+			r.stream = true
+		default:
+			ts.Fatalf("chat: unknown argument %s", a)
 		}
-		r.stream = r.stream || a == "stream"
 	}
-	res := r.send(context.Background(), d.callers)
+	return r
+}
+
+func cmdChat(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2, "chat DAEMON MODEL [stream] [tokens=N] [key=K]")
+	d, err := benchOf(ts).daemon(args[0])
+	ts.Check(err)
+	res := parseChat(ts, args[1:]).send(context.Background(), d.callers)
 	fmt.Fprintf(ts.Stdout(), "%+v\n", res)
 	if (res.end == endWhole) == neg {
 		ts.Fatalf("chat %s %s: %+v", args[0], args[1], res)
 	}
 }
 
+// cmdTogether sends one request many times at once through all daemons.
+func cmdTogether(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "together N MODEL key=K")
+	b := benchOf(ts)
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	r := parseChat(ts, args[1:])
+	ends := make(chan result, n)
+	for i := range n {
+		go func() { ends <- r.send(context.Background(), b.daemons[i%len(b.daemons)].callers) }()
+	}
+	var results []result
+	for range n {
+		results = append(results, <-ends)
+	}
+	if whole := countEnds(results)[endWhole]; whole != 1 {
+		ts.Fatalf("%d of %d got a whole answer", whole, n)
+	}
+	ts.Check(checkKeys(results, runCounts(b.runs())))
+}
+
 func cmdHTTP(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 3, "http DAEMON METHOD PATH [BODY] [HEADER:VALUE ...]")
 	d, err := benchOf(ts).daemon(args[0])
@@ -269,15 +315,49 @@
 	at    time.Time
 }
 
-func cmdRemember(ts *testscript.TestScript, _ bool, args []string) {
-	need(ts, args, 2, "remember NAME INSTANCE")
-	b := benchOf(ts)
+func (b *bench) fenceOf(instance string) (models.Fence, error) {
 	type status struct {
 		Fence models.Fence `json:"fence"`
 	}
-	s, err := fetch[status](fmt.Sprintf("http://%s/status", b.engines[models.InstanceID(args[1])]))
+	s, err := fetch[status](fmt.Sprintf("http://%s/status", b.engines[models.InstanceID(instance)]))
+	return s.Fence, err
+}
+
+func cmdUnchanged(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "unchanged NAME INSTANCE")
+	b := benchOf(ts)
+	fence, err := b.fenceOf(args[1])
+	ts.Check(err)
+	if want := b.memories[args[0]].fence; fence != want {
+		ts.Fatalf("%s is at fence %d, it was at %d", args[1], fence, want)
+	}
+}
+
+func cmdBackgroundChat(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "bgchat NAME DAEMON MODEL [tokens=N] [key=K]")
+	b := benchOf(ts)
+	d, err := b.daemon(args[1])
+	ts.Check(err)
+	end := make(chan result, 1)
+	b.chats[args[0]] = end
+	r := parseChat(ts, args[2:])
+	r.prompt, r.stream = "background "+args[0], true
+	go func() { end <- r.send(context.Background(), d.callers) }()
+}
+
+func cmdBackgroundChatEnd(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "bgchatend NAME")
+	if res := <-benchOf(ts).chats[args[0]]; res.end != endWhole {
+		ts.Fatalf("%s: %+v", args[0], res)
+	}
+}
+
+func cmdRemember(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "remember NAME INSTANCE")
+	b := benchOf(ts)
+	fence, err := b.fenceOf(args[1])
 	ts.Check(err)
-	b.memories[args[0]] = memory{fence: s.Fence, at: time.Now()}
+	b.memories[args[0]] = memory{fence: fence, at: time.Now()}
 }
 
 func cmdNoRuns(ts *testscript.TestScript, _ bool, args []string) {
--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -46,10 +46,13 @@
 	tokens int
 	stream bool
 	header http.Header
+	// key, if set, is the idempotency key.
+	key string
 }
 
 type result struct {
 	end     end
+	key     string
 	request string
 	status  int
 	detail  string
@@ -73,12 +76,15 @@
 		req.Header[k] = v
 	}
 	req.Header.Set("Authorization", "Bearer "+callerToken)
+	if c.key != "" {
+		req.Header.Set(api.HeaderKey, c.key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return result{end: endSilent, detail: err.Error()}
+		return result{end: endSilent, key: c.key, detail: err.Error()}
 	}
 	defer resp.Body.Close()
-	res := result{status: resp.StatusCode, request: resp.Header.Get(api.HeaderRequest)}
+	res := result{status: resp.StatusCode, key: c.key, request: resp.Header.Get(api.HeaderRequest)}
 	switch {
 	case resp.StatusCode != http.StatusOK:
 		text, _ := io.ReadAll(resp.Body)
@@ -157,6 +163,9 @@
 const (
 	loadWorkers = 8
 	loadGap     = 20 * time.Millisecond
+	// keyedEvery is which of the requests, one in so many, is sent twice
+	// with one key, through two daemons.
+	keyedEvery = 5
 )
 
 func startLoad(targets []netip.AddrPort, models []string) *load {
@@ -176,15 +185,23 @@
 			tokens: 5 + n%20,
 			stream: n%2 == 0,
 		}
+		if n%keyedEvery == 0 {
+			c.key = c.prompt
+			l.add(c.send(context.Background(), targets[(worker+n+1)%len(targets)]))
+		}
 		// A request in flight is allowed to end when the load stops.
 		res := c.send(context.Background(), targets[(worker+n)%len(targets)])
-		l.mu.Lock()
-		l.results = append(l.results, res)
-		l.mu.Unlock()
+		l.add(res)
 		time.Sleep(loadGap)
 	}
 }
 
+func (l *load) add(r result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, r)
+}
+
 func (l *load) stop() {
 	l.cancel()
 	l.workers.Wait()
@@ -192,14 +209,9 @@
 
 // check compares what callers saw with what the engines ran.
 func (l *load) check(runs []standin.RunReport) (string, error) {
-	ran := map[string]int{}
-	for _, r := range runs {
-		ran[r.Request]++
-	}
-	counts := map[end]int{}
-	var errs []error
+	ran := runCounts(runs)
+	errs := []error{checkKeys(l.results, ran)}
 	for _, r := range l.results {
-		counts[r.end]++
 		switch {
 		case r.end == endWrong:
 			errs = append(errs, fmt.Errorf("request %s: %s", r.request, r.detail))
@@ -207,5 +219,39 @@
 			errs = append(errs, fmt.Errorf("request %s was said not to have run, and ran %d times", r.request, ran[r.request]))
 		}
 	}
-	return fmt.Sprintf("requests %d: %v", len(l.results), counts), errors.Join(errs...)
+	return fmt.Sprintf("requests %d: %v", len(l.results), countEnds(l.results)), errors.Join(errs...)
+}
+
+func runCounts(runs []standin.RunReport) map[string]int {
+	ran := map[string]int{}
+	for _, r := range runs {
+		ran[r.Request]++
+	}
+	return ran
+}
+
+func countEnds(results []result) map[end]int {
+	counts := map[end]int{}
+	for _, r := range results {
+		counts[r.end]++
+	}
+	return counts
+}
+
+// checkKeys checks that of all requests with one key at most one ran, once.
+func checkKeys(results []result, ran map[string]int) error {
+	byKey := map[string]int{}
+	var errs []error
+	for _, r := range results {
+		if r.key == "" {
+			continue
+		}
+		byKey[r.key] += ran[r.request]
+	}
+	for key, n := range byKey {
+		if n > 1 {
+			errs = append(errs, fmt.Errorf("key %q ran %d times", key, n))
+		}
+	}
+	return errors.Join(errs...)
 }
--- a/router/request.go
+++ b/router/request.go
@@ -99,6 +99,17 @@
 	return nil
 }
 
+// HeldElsewhere notes that another request with the same key may run or may
+// have run, so that this one must not be sent.
+func (r *Request) HeldElsewhere() error {
+	if r.phase != PhaseQueued {
+		return r.wrong("hold back")
+	}
+	r.ran = true
+	r.phase = PhaseSent
+	return nil
+}
+
 // Answer notes that the first part of the answer goes to the caller.
 func (r *Request) Answer() error {
 	if r.phase != PhaseSent {
--- a/standin/run.go
+++ b/standin/run.go
@@ -61,6 +61,14 @@
 	return r.done || r.failed != ""
 }
 
+// past reports whether a reader that got so many events has got the final
+// chunk.
+func (r *run) past(events int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return events > len(r.tokens)
+}
+
 type runView struct {
 	tokens []string
 	done   bool
@@ -282,7 +290,11 @@
 			_ = flush()
 			panic(http.ErrAbortHandler)
 		case view.done && len(view.tokens) == 0:
-			writeEvent(w, next, finalChunk(found))
+			// The final chunk counts as one more event, so that it is sent
+			// only once to a reader that resumes.
+			if !found.past(after) {
+				writeEvent(w, next+1, finalChunk(found))
+			}
 			fmt.Fprint(w, "data: [DONE]\n\n")
 			return
 		case view.done:
--- a/state/apply.go
+++ b/state/apply.go
@@ -106,6 +106,11 @@
 		return s.applyJoin(offset, body)
 	case LeaveDaemon:
 		return s.applyLeave(body)
+	case ClaimKeys:
+		return s.applyClaims(body), nil
+	case ReleaseKeys:
+		s.applyReleases(body)
+		return nil, nil
 	case CheckpointPart:
 		return nil, nil
 	default:
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -78,7 +78,12 @@
 
 func genBody(t *rapid.T, s *state.State) state.Body {
 	daemon := models.Daemon{ID: "d1", Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))}
-	switch rapid.IntRange(0, 7).Draw(t, "body") {
+	claim := state.Claim{
+		Key:     fmt.Sprintf("k%d", rapid.IntRange(0, 3).Draw(t, "key")),
+		Request: models.RequestID(fmt.Sprintf("r%d", rapid.IntRange(0, 3).Draw(t, "request"))),
+		At:      time.Unix(int64(rapid.IntRange(0, 2000).Draw(t, "at")), 0),
+	}
+	switch rapid.IntRange(0, 9).Draw(t, "body") {
 	case 0, 1:
 		change := state.ChangeConfig{Operator: "op", Text: "text", Note: "note"}
 		for range rapid.IntRange(0, 3).Draw(t, "ops") {
@@ -96,6 +101,10 @@
 		return state.RetireGroup{Group: genRef(t, s)}
 	case 5:
 		return state.EndGroup{Group: genRef(t, s)}
+	case 8:
+		return state.ClaimKeys{Claims: []state.Claim{claim}}
+	case 9:
+		return state.ReleaseKeys{Claims: []state.Claim{claim}}
 	case 6:
 		return state.JoinDaemon{Daemon: daemon, Was: s.Daemons[daemon.ID].Incarnation}
 	default:
@@ -184,7 +193,7 @@
 		part := state.New()
 		cut := rapid.IntRange(0, len(log)).Draw(t, "cut")
 		fold(t, part, log[:cut])
-		data, err := part.Clone().Marshal()
+		data, err := part.Marshal()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/state/record.go
+++ b/state/record.go
@@ -119,6 +119,8 @@
 	kindJoinDaemon
 	kindLeaveDaemon
 	kindCheckpointPart
+	kindClaimKeys
+	kindReleaseKeys
 )
 
 type wireRecord struct {
@@ -187,6 +189,10 @@
 		return kindLeaveDaemon
 	case CheckpointPart:
 		return kindCheckpointPart
+	case ClaimKeys:
+		return kindClaimKeys
+	case ReleaseKeys:
+		return kindReleaseKeys
 	default:
 		panic(fmt.Sprintf("state: unknown body %T", b))
 	}
@@ -219,6 +225,10 @@
 		return decodeAs[LeaveDaemon](wire.Body)
 	case kindCheckpointPart:
 		return decodeAs[CheckpointPart](wire.Body)
+	case kindClaimKeys:
+		return decodeAs[ClaimKeys](wire.Body)
+	case kindReleaseKeys:
+		return decodeAs[ReleaseKeys](wire.Body)
 	default:
 		return nil, fmt.Errorf("unknown kind %d", wire.Kind)
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/pack"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -40,6 +41,15 @@
 	// ConfigOffset is the offset of the last accepted ChangeConfig.
 	ConfigOffset models.Offset
 
+	// Claims are the keys of requests that may run only once. A Clone is
+	// without them.
+	Claims map[string]Claim
+
+	// claimOrder lists the keys of claims as they were folded, newestClaim
+	// is the latest time in any.
+	claimOrder  []string
+	newestClaim time.Time
+
 	// owner is derived from Groups.
 	owner map[models.InstanceID]models.GroupID
 	// recent lists the last RememberedIDs ids, oldest first.
@@ -58,6 +68,7 @@
 		Drained:    map[models.InstanceID]models.Drain{},
 		Groups:     map[models.GroupID]models.Group{},
 		Daemons:    map[models.DaemonID]models.Daemon{},
+		Claims:     map[string]Claim{},
 		owner:      map[models.InstanceID]models.GroupID{},
 		seen:       map[models.RecordID]struct{}{},
 	}
@@ -70,7 +81,8 @@
 }
 
 // Clone returns a copy that later records do not change. A clone is for
-// reading and marshalling, not for folding on.
+// reading, not for folding on; it is without claims, of which there may be
+// many.
 func (s *State) Clone() *State {
 	c := *s
 	c.Models = maps.Clone(s.Models)
@@ -84,6 +96,7 @@
 	c.Audit = slices.Clip(s.Audit)
 	c.recent = slices.Clip(s.recent)
 	c.seen = nil
+	c.Claims, c.claimOrder = nil, nil
 	return &c
 }
 
@@ -102,6 +115,8 @@
 	Daemons      []models.Daemon     `msgpack:"d"`
 	Audit        []models.AuditEntry `msgpack:"a"`
 	Recent       []models.RecordID   `msgpack:"r"`
+	Claims       []Claim             `msgpack:"k"`
+	NewestClaim  time.Time           `msgpack:"kt"`
 }
 
 // Marshal writes the state in its canonical form.
@@ -119,6 +134,8 @@
 		Daemons:      sorted(s.Daemons),
 		Audit:        s.Audit,
 		Recent:       s.recent,
+		Claims:       s.heldClaims(),
+		NewestClaim:  s.newestClaim,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
@@ -159,6 +176,12 @@
 		entry.At = entry.At.UTC()
 		s.Audit = append(s.Audit, entry)
 	}
+	s.newestClaim = snap.NewestClaim.UTC()
+	for _, c := range snap.Claims {
+		c.At = c.At.UTC()
+		s.Claims[c.Key] = c
+		s.claimOrder = append(s.claimOrder, c.Key)
+	}
 	for _, id := range snap.Recent {
 		s.remember(id)
 	}
--- a/worker/upstream/events.go
+++ b/worker/upstream/events.go
@@ -37,14 +37,18 @@
 
 // Events reads server-sent events.
 type Events struct {
+	body  io.ReadCloser
 	lines *bufio.Scanner
 }
 
-// NewEvents reads events from r.
-func NewEvents(r io.Reader) *Events {
-	lines := bufio.NewScanner(r)
+// Close closes what the events are read from.
+func (e *Events) Close() error { return e.body.Close() }
+
+// NewEvents reads events from the body of an answer.
+func NewEvents(body io.ReadCloser) *Events {
+	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4<<10), maxEventLen)
-	return &Events{lines: lines}
+	return &Events{body: body, lines: lines}
 }
 
 // Next returns the next whole event. It returns ErrEndedEarly if the stream
