daemon, router: sparse heartbeats, admission within capacity, affinity

Ruled out: deltas alone (every age changes all the time). Also: a group is sent at most 1.5 times what it runs, in parts that add up over the daemons; the rest is refused at once; shares and priorities within that; prompts that begin alike go to one group unless it is busy; the load tool.

--- a/api/chat.go
+++ b/api/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"net/netip"
 	"time"
@@ -38,6 +39,18 @@
 	return chat, nil
 }
 
+// prefixLen is how much of a prompt's beginning decides which cache it goes
+// to, in bytes.
+const prefixLen = 256
+
+// prefixOf is a hash of the beginning of the first message.
+func prefixOf(chat chatRequest) uint64 {
+	first := chat.Messages[0]
+	h := fnv.New64a()
+	h.Write(first[:min(len(first), prefixLen)])
+	return h.Sum64()
+}
+
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
 	e, ctx, done := s.begin(w, r, true)
 	if e == nil {
@@ -50,8 +63,15 @@
 		return
 	}
 	e.entry.Wanted = string(chat.Model)
+	capacity := s.daemon.View().Table.CapacityFor(e.workspace, chat.Model, e.started)
+	if err := s.admitted.Enter(chat.Model, e.workspace, capacity, e.priority); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	defer s.admitted.Leave(chat.Model, e.workspace.Name)
+	prefix := prefixOf(chat)
 	e.choose = func(now time.Time) (router.Target, error) {
-		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, now, s.flights.at, e.tried)
+		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, prefix, now, s.flights.at, e.tried)
 	}
 	e.call = func(t router.Target) upstream.Call {
 		return upstream.Call{
--- a/api/errors.go
+++ b/api/errors.go
@@ -69,6 +69,7 @@
 	{router.ErrNotAllowed, problem{http.StatusForbidden, "permission_error", "not_allowed", 0}},
 	{router.ErrNoUpstream, problem{http.StatusServiceUnavailable, "overloaded_error", "no_upstream", retrySoon}},
 	{router.ErrOverLimit, problem{http.StatusTooManyRequests, "rate_limit_error", "over_limit", retrySoon}},
+	{router.ErrOverloaded, problem{http.StatusServiceUnavailable, "overloaded_error", "overloaded", retrySoon}},
 	{ErrNotCurrent, problem{http.StatusServiceUnavailable, "overloaded_error", "not_current", retrySoon}},
 	{ErrStopping, problem{http.StatusServiceUnavailable, "overloaded_error", "stopping", retrySoon}},
 	{ErrKeyInUse, problem{http.StatusConflict, "invalid_request_error", "key_in_use", 0}},
--- a/api/server.go
+++ b/api/server.go
@@ -38,6 +38,7 @@
 	upstream *upstream.Client
 	flights  *flights
 	limits   *router.Limits
+	admitted *router.Admission
 	budget   router.Budget
 	stopping atomic.Bool
 	stats    *stats
@@ -72,7 +73,7 @@
 func New(cfg config.Serve, log zerolog.Logger, d *daemon.Daemon) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
-		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), flights: newFlights(), limits: router.NewLimits(),
+		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), flights: newFlights(), limits: router.NewLimits(), admitted: router.NewAdmission(),
 	}
 	s.stats = newStats(d.Metrics(), s.flights.count)
 	var err error
--- /dev/null
+++ b/commands/load.go
@@ -0,0 +1,69 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v2"
+
+	"github.com/lupinkeel/lupinkeel/config"
+	"github.com/lupinkeel/lupinkeel/load"
+	"github.com/lupinkeel/lupinkeel/router"
+)
+
+func init() { register(loads{}) }
+
+// loads sends a load and reports what came back.
+type loads struct{}
+
+func (loads) Aliases() []string { return []string{"load"} }
+func (loads) Usage() string     { return "send requests at a steady rate and report what came back" }
+func (loads) ArgsUsage() string { return " " }
+func (loads) Flags() []cli.Flag { return config.LoadFlags() }
+
+func (loads) Execute(c *cli.Context) error {
+	settings, err := config.LoadLoad(c)
+	if err != nil {
+		return err
+	}
+	opts := load.Options{
+		Targets: settings.Targets, Model: settings.Model, Rate: settings.Rate, Duration: settings.Duration,
+		Prompt: settings.Prompt, Answer: settings.Answer, Prefixes: settings.Prefixes,
+		Timeout: settings.Timeout, Seed: uint64(settings.Seed),
+	}
+	for _, token := range settings.Tokens {
+		opts.Callers = append(opts.Callers, load.Caller{Token: token, Weight: 1})
+	}
+	report, err := load.Run(c.Context, opts, func(r load.Report) {
+		fmt.Fprintf(c.App.ErrWriter, "%4.0f s  sent %d  whole %d  first token p95 %.1f ms\n",
+			r.Seconds, r.Sent, r.Ends[router.EndWhole], r.FirstToken.P95)
+	})
+	if err != nil {
+		return err
+	}
+	if settings.JSON {
+		return json.NewEncoder(c.App.Writer).Encode(report)
+	}
+	printLoad(c.App.Writer, report)
+	return nil
+}
+
+func printLoad(w io.Writer, r load.Report) {
+	var rows [][]string
+	for _, end := range []router.End{
+		router.EndWhole, router.EndNotRun, router.EndMayHaveRun, load.EndBroken, load.EndShort, load.EndDoubled, load.EndSilent,
+	} {
+		rows = append(rows, []string{string(end), fmt.Sprint(r.Ends[end])})
+	}
+	printTable(w, []string{"end", "requests"}, rows)
+	fmt.Fprintf(w, "sent %d in %.1f s, goodput %.1f/s, %.0f tokens/s\n", r.Sent, r.Seconds, r.Goodput, float64(r.Tokens)/r.Seconds)
+	line := func(p load.Percentiles) []string {
+		return []string{fmt.Sprintf("%.1f", p.P50), fmt.Sprintf("%.1f", p.P95), fmt.Sprintf("%.1f", p.P99), fmt.Sprintf("%.1f", p.Max)}
+	}
+	printTable(w, []string{"ms", "p50", "p95", "p99", "max"}, [][]string{
+		append([]string{"first token"}, line(r.FirstToken)...),
+		append([]string{"between tokens"}, line(r.InterToken)...),
+		append([]string{"refusal"}, line(r.Refusal)...),
+	})
+}
--- a/config/config.go
+++ b/config/config.go
@@ -54,9 +54,10 @@
 func (r *reader) err() error { return errors.Join(r.errs...) }
 
 var (
-	errEmpty    = errors.New("must be set")
-	errLevel    = errors.New("allowed are debug, info, warn and error")
-	errZeroPort = errors.New("needs a port other than 0")
+	errEmpty       = errors.New("must be set")
+	errLevel       = errors.New("allowed are debug, info, warn and error")
+	errNotPositive = errors.New("must be more than 0")
+	errZeroPort    = errors.New("needs a port other than 0")
 )
 
 func (r *reader) addr(flag string) netip.AddrPort {
--- a/daemon/act.go
+++ b/daemon/act.go
@@ -16,6 +16,9 @@
 	// turnStep is how much longer each daemon later in turn waits before it
 	// acts on something that still stands.
 	turnStep = 2 * time.Second
+	// replanEvery is how often planning goes on while nothing has changed:
+	// its waits pass all the same.
+	replanEvery = time.Second
 	// orderAgain is how long an instance is given to follow an order.
 	orderAgain = time.Second
 	// daemonGone is how long a daemon of the roster may be silent.
@@ -25,9 +28,10 @@
 // plan does what should be done now and is this daemon's turn.
 func (o *owner) plan(now time.Time) {
 	o.expireProposals(now)
-	if !o.isCurrent(now) || o.superseded {
+	if !o.isCurrent(now) || o.superseded || (!o.replan && now.Sub(o.planned) < replanEvery) {
 		return
 	}
+	o.replan, o.planned = false, now
 	in := planner.Input{
 		State: o.state, Instances: o.instances, Evidence: o.evidence, Now: now,
 		Rules: planner.DefaultRules(o.d.cfg.ReplaceAfter, o.d.cfg.GateBound),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,9 +39,11 @@
 	log         zerolog.Logger
 	clock       *timer.Service
 	incarnation uint64
-	view        atomic.Pointer[View]
-	stats       *stats
-	trail       *trail
+	// answers counts the answers to heartbeats.
+	answers atomic.Uint64
+	view    atomic.Pointer[View]
+	stats   *stats
+	trail   *trail
 
 	platform *platform.Client
 	engines  *engine.Client
--- a/daemon/fold.go
+++ b/daemon/fold.go
@@ -66,7 +66,7 @@
 
 // afterFold brings up to date what is derived from the state.
 func (o *owner) afterFold() {
-	o.changed = true
+	o.changed, o.replan = true, true
 	me, listed := o.state.Daemons[o.d.cfg.ID]
 	mine := listed && me.Incarnation == o.d.incarnation
 	if o.joined && listed && !mine && !o.superseded {
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -60,6 +60,11 @@
 	serviceAddrs map[models.InstanceID]netip.AddrPort
 	peerAddrs    map[netip.AddrPort]struct{}
 
+	// replan tells that something has changed since planned, when the
+	// planner last ran.
+	replan  bool
+	planned time.Time
+
 	// changed asks for a view at once instead of at the next tick.
 	changed bool
 	cloned  *state.State
@@ -213,7 +218,7 @@
 	}
 	o.instances = next
 	o.retarget()
-	o.changed = true
+	o.changed, o.replan = true, true
 }
 
 // retarget tells the watchers whom to watch: the instances on the list, and
@@ -280,8 +285,10 @@
 
 // see notes that the instance was as its status says.
 func (o *owner) see(id models.InstanceID, e planner.Evidence, at time.Time, status types.EngineStatus) {
-	o.changed = o.changed || e.Silent() || e.Status.Fence != status.Fence || e.Status.Phase != status.Phase ||
-		e.Status.Leaving != status.Leaving
+	if e.Silent() || e.Status.Fence != status.Fence || e.Status.Phase != status.Phase || e.Status.Leaving != status.Leaving ||
+		(e.Status.InFlight > 0) != (status.InFlight > 0) {
+		o.changed, o.replan = true, true
+	}
 	if !e.Seen.IsZero() && e.Away(at) > o.d.cfg.ReplaceAfter {
 		e.Absences++
 		e.Returned = at
@@ -315,7 +322,7 @@
 	if e.SilentSince.IsZero() {
 		e.SilentSince = msg.Asked
 		o.d.log.Warn().Str("instance", string(msg.Instance)).Err(msg.Err).Msg("instance-silent")
-		o.changed = true
+		o.changed, o.replan = true, true
 	}
 	o.evidence[msg.Instance] = e
 }
@@ -337,7 +344,10 @@
 		silent:       o.silentInstances(),
 		recent:       slices.Clip(o.recent),
 	}
-	view.Table = router.Table{State: o.cloned, Gates: o.gates(), Services: o.serviceTable()}
+	gates := o.gates()
+	view.Table = router.Table{
+		State: o.cloned, Gates: gates, Capacity: o.capacity(gates, view.Serving(now)), Services: o.serviceTable(),
+	}
 	o.d.view.Store(view)
 	o.changed = false
 }
@@ -361,6 +371,18 @@
 	return gates
 }
 
+// capacity is this daemon's part of what each group is sent at once.
+func (o *owner) capacity(gates map[models.GroupID]planner.Gate, serving []models.DaemonID) map[models.GroupID]int {
+	out := make(map[models.GroupID]int, len(gates))
+	for id, gate := range gates {
+		if slots := gate.Load.Slots; slots > 0 {
+			total := int(router.QueueFactor * float64(slots))
+			out[id] = max(1, router.Allotment(total, o.d.cfg.ID, serving, string(id)))
+		}
+	}
+	return out
+}
+
 func (o *owner) serviceTable() map[models.ServiceName][]router.ServiceInstance {
 	table := map[models.ServiceName][]router.ServiceInstance{}
 	for _, id := range slices.Sorted(maps.Keys(o.serviceSeen)) {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/planner"
 	"github.com/lupinkeel/lupinkeel/worker/peer"
@@ -17,6 +20,11 @@
 	// peerBound is the age beyond which a daemon counts as silent in the
 	// order of turn.
 	peerBound = 3 * time.Second
+	// sparsePeerBound is the same where daemons hear of most others through
+	// third ones.
+	sparsePeerBound = 12 * time.Second
+	// sparseBeat is which of the heartbeats, one in so many, is sent there.
+	sparseBeat = 4
 	// maxVouches is of how many silent instances others are asked.
 	maxVouches = 64
 	// maxRelayed is how many records one answer carries at most.
@@ -29,8 +37,10 @@
 // beat sends heartbeats to the daemons that the owner names.
 func (d *Daemon) beat() func(context.Context) error {
 	ticks := d.clock.Subscribe(d.cfg.HeartbeatEvery)
+	slow := d.clock.Subscribe(sparseBeat * d.cfg.HeartbeatEvery)
+	beats := make(chan timer.Tick, 1)
 	p := probe.Prober[netip.AddrPort, struct{}, peer.Answer]{
-		Ticks:   ticks,
+		Ticks:   beats,
 		Targets: d.peerAddrs,
 		Ask: func(ctx context.Context, addr netip.AddrPort, _ struct{}) (peer.Answer, error) {
 			return d.peers.Exchange(ctx, addr, d.heartbeat(time.Now()))
@@ -39,7 +49,34 @@
 			d.deliverAnswer(ctx, r.Key, r.Asked, r.Answer, r.Err)
 		},
 	}
-	return p.Run
+	return func(ctx context.Context) error {
+		chooser := task.Start(ctx, "heartbeat-pace", func(ctx context.Context) error { return d.pace(ctx, ticks, slow, beats) })
+		return errors.Join(p.Run(ctx), task.Wait(chooser))
+	}
+}
+
+// pace passes the fast ticks on while there are few daemons and the slow ones
+// when there are many.
+func (d *Daemon) pace(ctx context.Context, fast, slow <-chan timer.Tick, beats chan<- timer.Tick) error {
+	for {
+		var tick timer.Tick
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case tick = <-fast:
+			if sparse(d.View()) {
+				continue
+			}
+		case tick = <-slow:
+			if !sparse(d.View()) {
+				continue
+			}
+		}
+		select {
+		case beats <- tick:
+		default:
+		}
+	}
 }
 
 func (d *Daemon) deliverAnswer(ctx context.Context, addr netip.AddrPort, asked time.Time, answer peer.Answer, err error) {
@@ -92,12 +129,8 @@
 	now := time.Now()
 	v := d.View()
 	answer := peer.Answer{Status: d.ownStatus(v, now)}
-	if d.sparse(v) {
-		for _, p := range v.Peers {
-			if age := now.Sub(p.Seen); age < peerBound && p.Status.ID != beat.From.ID {
-				answer.Heard = append(answer.Heard, peer.Heard{Status: p.Status, Age: age})
-			}
-		}
+	if sparse(v) {
+		answer.Heard = d.heardOfOthers(v, beat.From.ID, now)
 	}
 	for _, id := range beat.Silent[:min(len(beat.Silent), maxVouches)] {
 		e, watched := v.Evidence[id]
@@ -111,6 +144,22 @@
 	return answer
 }
 
+// maxHeard is of how many third daemons an answer tells. The answers go round
+// all daemons, so that each is told of sooner or later.
+const maxHeard = 24
+
+func (d *Daemon) heardOfOthers(v *View, asker models.DaemonID, now time.Time) []peer.Heard {
+	var out []peer.Heard
+	first := int(d.answers.Add(1)) * maxHeard
+	for i := range min(maxHeard, len(v.Peers)) {
+		p := v.Peers[(first+i)%len(v.Peers)]
+		if age := now.Sub(p.Seen); age < sparsePeerBound && p.Status.ID != asker {
+			out = append(out, peer.Heard{Status: p.Status, Age: age})
+		}
+	}
+	return out
+}
+
 // relay adds the records after the offset, or the whole state if those are
 // not at hand.
 func (d *Daemon) relay(v *View, after models.Offset, answer *peer.Answer) {
@@ -175,10 +224,18 @@
 // fullMesh is up to how many daemons each sends heartbeats to all others.
 const fullMesh = 12
 
-func (d *Daemon) sparse(v *View) bool { return len(v.State.Daemons) > fullMesh }
+func sparse(v *View) bool { return len(v.State.Daemons) > fullMesh }
+
+// bound is the age beyond which a daemon counts as silent.
+func (v *View) bound() time.Duration {
+	if sparse(v) {
+		return sparsePeerBound
+	}
+	return peerBound
+}
 
 // retargetPeers chooses whom to send heartbeats to: everybody while there
-// are few; else those at distances 1, 2, 4, ... in an order that all
+// are few; else those at distances 1, 4, 16, ... in an order that all
 // daemons compute alike, so that news reaches everybody in few steps. The
 // addresses from the settings are asked until their daemons are known.
 func (o *owner) retargetPeers() {
@@ -199,6 +256,8 @@
 	sendTargets(o.d.peerAddrs, &o.peerAddrs, targets)
 }
 
+const ringFactor = 4
+
 func neighbours(self models.DaemonID, all []models.DaemonID) []models.DaemonID {
 	others := slices.DeleteFunc(slices.Clone(all), func(d models.DaemonID) bool { return d == self })
 	if len(others) < fullMesh {
@@ -207,7 +266,7 @@
 	ring := planner.Order(append(others, self), "heartbeats")
 	at := slices.Index(ring, self)
 	var out []models.DaemonID
-	for step := 1; step < len(ring); step *= 2 {
+	for step := 1; step < len(ring); step *= ringFactor {
 		out = append(out, ring[(at+step)%len(ring)])
 	}
 	return out
@@ -216,9 +275,13 @@
 // rank is this daemon's place in the order of turn among those that it has
 // heard of lately.
 func (o *owner) rank(key string, now time.Time) int {
+	bound := peerBound
+	if len(o.state.Daemons) > fullMesh {
+		bound = sparsePeerBound
+	}
 	var alive []models.DaemonID
 	for id, p := range o.peers {
-		if p.OnRoster && now.Sub(p.Seen) < peerBound && p.Status.Serving {
+		if p.OnRoster && now.Sub(p.Seen) < bound && p.Status.Serving {
 			alive = append(alive, id)
 		}
 	}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -55,7 +55,7 @@
 func (v *View) Serving(now time.Time) []models.DaemonID {
 	var out []models.DaemonID
 	for _, p := range v.Peers {
-		if p.OnRoster && p.Status.Serving && now.Sub(p.Seen) < peerBound {
+		if p.OnRoster && p.Status.Serving && now.Sub(p.Seen) < v.bound() {
 			out = append(out, p.Status.ID)
 		}
 	}
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return StatePoint{}, err
 	}
-	p := StatePoint{Groups: groups, HeapBytes: liveHeap() - before}
+	p := StatePoint{Groups: groups, HeapBytes: max(liveHeap(), before) - before}
 	data, err := s.Marshal()
 	if err != nil {
 		return p, err
--- a/measure/world_test.go
+++ b/measure/world_test.go
@@ -109,3 +109,37 @@
 	c.Assert(ours.Downtime <= 1.2*ours.DowntimeLimit, qt.IsTrue)
 	c.Assert(ours.Downtime <= naive.Downtime/4, qt.IsTrue, qt.Commentf("%v against %v", ours.Downtime, naive.Downtime))
 }
+
+// TestEveryShortHistory plays every history of up to two events, each an
+// instance that goes or comes back, at two paces, on one small site.
+func TestEveryShortHistory(t *testing.T) {
+	const instances, rest = 6, 60
+	for history := range 2 * instances * 2 * instances * 4 {
+		w := newWorld(worldOptions{Load: time.Second, LoadsPerSecond: 50, ReplaceAfter: time.Second})
+		for n := range instances {
+			w.add(models.InstanceID(fmt.Sprintf("i%d", n)), domainName(n%2))
+		}
+		err := w.configure(
+			state.PutModel{Model: models.Model{Name: "m0", Version: "v1", Members: 2, Replicas: 2}},
+			state.PutModel{Model: models.Model{Name: "m1", Version: "v1", Members: 1, Replicas: 1}},
+			state.PutPolicy{Policy: models.Policy{Downtime: 1, Stranded: 100}})
+		qt.Assert(t, err, qt.IsNil)
+		run := func(steps int) {
+			for range steps {
+				qt.Assert(t, w.step(), qt.IsNil)
+			}
+		}
+		run(rest)
+		left := history
+		for range 2 {
+			w.set(models.InstanceID(fmt.Sprintf("i%d", left%instances)), left/instances%2 == 1)
+			left /= 2 * instances
+			run(1 + 8*(left%2))
+		}
+		run(rest)
+		_, used := w.serving()
+		if _, best := w.mostUsable(); used != best {
+			t.Fatalf("history %d: %d instances serve, %d could", history, used, best)
+		}
+	}
+}
--- a/planner/turn.go
+++ b/planner/turn.go
@@ -44,11 +44,11 @@
 	h.Write([]byte(d))
 	h.Write([]byte{0})
 	h.Write([]byte(key))
-	return mix(h.Sum64())
+	return Mix(h.Sum64())
 }
 
-// mix spreads the bits of a hash whose inputs differ in few of them.
-func mix(x uint64) uint64 {
+// Mix spreads the bits of a hash whose inputs differ in few of them.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/router/choose.go
+++ b/router/choose.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"cmp"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
@@ -25,6 +28,9 @@
 type Table struct {
 	State *state.State
 	Gates map[models.GroupID]planner.Gate
+	// Capacity is how many requests this daemon may have in flight at each
+	// group; a group that does not tell how many it runs is not in it.
+	Capacity map[models.GroupID]int
 	// Services lists the instances of each plain service.
 	Services map[models.ServiceName][]ServiceInstance
 }
@@ -49,32 +55,101 @@
 // Busy tells how many requests this daemon has in flight at an address.
 type Busy func(netip.AddrPort) int
 
+// affinitySlack is how much busier than the least busy group, in parts of
+// what it runs at once, a group may be and still be preferred for its cache.
+const affinitySlack = 0.25
+
+// candidate is a group that may take the request now.
+type candidate struct {
+	group models.Group
+	// busy is the part of its slots that is taken, as far as is known: the
+	// report lags, so what this daemon has in flight counts on top.
+	busy float64
+}
+
 // ChooseGroup returns where a request for the model should run: among the
-// groups that the place rules allow, an open one that has not been tried,
-// with the least work.
-func (t Table) ChooseGroup(w models.Workspace, m models.ModelName, now time.Time, busy Busy, tried []netip.AddrPort) (Target, error) {
+// groups that the place rules allow, an open one that has not been tried and
+// is not full. Of those that are not much busier than the least busy one it
+// takes the first in an order that depends on the prompt's beginning, so that
+// prompts that begin alike meet in the same cache, whichever daemon they come
+// through. It relies on no cache events, which come late and with gaps.
+func (t Table) ChooseGroup(w models.Workspace, m models.ModelName, prefix uint64, now time.Time, busy Busy, tried []netip.AddrPort) (Target, error) {
+	candidates, err := t.candidates(w, m, now, busy, tried)
+	if err != nil {
+		return Target{}, err
+	}
+	least := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.busy, b.busy) }).busy
+	var best models.Group
+	var bestWeight uint64
+	for _, c := range candidates {
+		weight := affinity(prefix, c.group.ID)
+		if c.busy <= least+affinitySlack && (best.ID == "" || weight > bestWeight) {
+			best, bestWeight = c.group, weight
+		}
+	}
+	return targetOf(best), nil
+}
+
+// affinity is the weight of a group in the order for a prefix.
+func affinity(prefix uint64, id models.GroupID) uint64 {
+	h := fnv.New64a()
+	var buf [8]byte
+	binary.BigEndian.PutUint64(buf[:], prefix)
+	h.Write([]byte(id))
+	h.Write(buf[:])
+	return planner.Mix(h.Sum64())
+}
+
+// candidates lists the groups that may take the request now; there is at
+// least one if there is no error.
+func (t Table) candidates(w models.Workspace, m models.ModelName, now time.Time, busy Busy, tried []netip.AddrPort) ([]candidate, error) {
 	model, ok := t.State.Models[m]
 	if !ok {
-		return Target{}, fmt.Errorf("%w: %s", ErrUnknownModel, m)
+		return nil, fmt.Errorf("%w: %s", ErrUnknownModel, m)
 	}
 	if !w.AllowsModel(m, model.Version) {
-		return Target{}, fmt.Errorf("%w: model %s version %s", ErrNotAllowed, m, model.Version)
+		return nil, fmt.Errorf("%w: model %s version %s", ErrNotAllowed, m, model.Version)
 	}
-	best, bestWork := models.Group{}, 0
+	var out []candidate
+	full := false
 	for id, g := range t.State.Groups {
 		if !t.mayRun(w, model, g) || !t.Gates[id].Open(now) || slices.Contains(tried, g.Members[0].Addr) {
 			continue
 		}
+		own := busy(g.Members[0].Addr)
+		if capacity, known := t.Capacity[id]; known && own >= capacity {
+			full = true
+			continue
+		}
 		load := t.Gates[id].Load
-		work := load.Queued + load.Running + 2*busy(g.Members[0].Addr)
-		if best.ID == "" || work < bestWork || (work == bestWork && id < best.ID) {
-			best, bestWork = g, work
+		out = append(out, candidate{group: g, busy: float64(load.Queued+load.Running+own) / float64(max(1, load.Slots))})
+	}
+	switch {
+	case len(out) > 0:
+		return out, nil
+	case full:
+		return nil, fmt.Errorf("%w for model %s: %w", ErrOverloaded, m, errFull)
+	default:
+		return nil, fmt.Errorf("%w: no open group of model %s where workspace %s may run", ErrNoUpstream, m, w.Name)
+	}
+}
+
+// CapacityFor sums up what this daemon may have in flight for a model at the
+// groups where the workspace may run; -1 if it is not known.
+func (t Table) CapacityFor(w models.Workspace, m models.ModelName, now time.Time) int {
+	total, known := 0, false
+	for id, g := range t.State.Groups {
+		if !t.mayRun(w, t.State.Models[m], g) || !t.Gates[id].Open(now) {
+			continue
 		}
+		capacity, told := t.Capacity[id]
+		total += capacity
+		known = known || told
 	}
-	if best.ID == "" {
-		return Target{}, fmt.Errorf("%w: no open group of model %s where workspace %s may run", ErrNoUpstream, m, w.Name)
+	if !known {
+		return -1
 	}
-	return targetOf(best), nil
+	return total
 }
 
 // mayRun applies every place rule: the model's, the workspace's, and which
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -121,7 +121,7 @@
 	running, queued := e.slots.counts()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reported = append(e.reported, reportedLoad{at: now, load: types.Load{Running: running, Queued: queued}})
+	e.reported = append(e.reported, reportedLoad{at: now, load: types.Load{Running: running, Queued: queued, Slots: e.opts.Slots}})
 	for len(e.reported) > 1 && now.Sub(e.reported[1].at) >= e.opts.ReportLag {
 		e.reported = e.reported[1:]
 	}
--- a/worker/types/engine.go
+++ b/worker/types/engine.go
@@ -24,6 +24,9 @@
 type Load struct {
 	Running int `json:"running"`
 	Queued  int `json:"queued"`
+	// Slots is how many requests the engine runs at once; 0 if it does not
+	// tell.
+	Slots int `json:"slots"`
 }
 
 // EngineStatus is what an engine tells of itself.
--- a/worker/types/messages.go
+++ b/worker/types/messages.go
@@ -147,6 +147,9 @@
 
 // PeerStatus is what a daemon tells others of itself with each heartbeat.
 type PeerStatus struct {
+	//lint:ignore U1000 The codec reads it: fields go without their names.
+	_msgpack struct{} `msgpack:",as_array"`
+
 	ID          models.DaemonID `msgpack:"i"`
 	Incarnation uint64          `msgpack:"n"`
 	Zone        models.Zone     `msgpack:"z"`
