planner: name the member at fault, not the one that waits for it

Cause: the full run of scripts failed in group_faults and group_platform: the gate's reason named the first member, which waits for the others ('joining'), instead of the member that is away or loading. Ruled out: the gate itself, which was closed in both. Change: 'joining' is the reason only if no other member is at fault; a table of gate cases.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 .PHONY: measure-groups
 measure-groups: build
 	bin/lupinkeel measure groups
+
+.PHONY: measure-requests
+measure-requests: build
+	bin/lupinkeel measure requests
--- a/commands/measure.go
+++ b/commands/measure.go
@@ -17,11 +17,11 @@
 
 func (measures) Aliases() []string { return []string{"measure"} }
 func (measures) Usage() string     { return "run a measurement on stand-ins and print its figures" }
-func (measures) ArgsUsage() string { return "config | groups | capacity" }
+func (measures) ArgsUsage() string { return "config | groups | requests | capacity" }
 func (measures) Flags() []cli.Flag { return nil }
 
 func (measures) Subcommands() []Command {
-	return []Command{measureConfig{}, measureGroups{}, measureCapacity{}}
+	return []Command{measureConfig{}, measureGroups{}, measureRequests{}, measureCapacity{}}
 }
 
 func (measures) Execute(c *cli.Context) error {
@@ -70,6 +70,24 @@
 func (measureGroups) Flags() []cli.Flag            { return nil }
 func (measureGroups) Execute(c *cli.Context) error { return printReport(c, measure.Groups) }
 
+// measureRequests measures the routing of requests.
+type measureRequests struct{}
+
+func (measureRequests) Aliases() []string { return []string{"requests"} }
+func (measureRequests) Usage() string {
+	return "first token, goodput and refusals from half to three times the capacity"
+}
+func (measureRequests) ArgsUsage() string { return " " }
+
+func (measureRequests) Flags() []cli.Flag {
+	return []cli.Flag{&cli.DurationFlag{Name: "window", Value: 8 * time.Second, Usage: "how long each load is sent"}}
+}
+
+func (measureRequests) Execute(c *cli.Context) error {
+	opts := measure.RequestOptions{Window: c.Duration("window"), Factors: []float64{0.7, 0.9, 1.2, 3}}
+	return printReport(c, func(ctx context.Context) (measure.Report, error) { return measure.Requests(ctx, opts) })
+}
+
 // measureCapacity measures what daemons cost.
 type measureCapacity struct{}
 
--- a/load/load.go
+++ b/load/load.go
@@ -51,8 +51,8 @@
 	Timeout  time.Duration
 	// Seed fixes lengths and prefixes.
 	Seed uint64
-	// Header is sent with every request.
-	Header http.Header
+	// HeaderFor, if set, returns what is sent with a request to a target.
+	HeaderFor func(netip.AddrPort) http.Header
 }
 
 // Ends of a request as its caller sees it, beside those of router.End.
@@ -295,8 +295,10 @@
 	if err != nil {
 		return result{end: EndSilent}
 	}
-	for k, v := range r.opts.Header {
-		httpReq.Header[k] = v
+	if r.opts.HeaderFor != nil {
+		for k, v := range r.opts.HeaderFor(req.target) {
+			httpReq.Header[k] = v
+		}
 	}
 	httpReq.Header.Set("Authorization", "Bearer "+req.token)
 	resp, err := r.http.Do(httpReq)
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -106,15 +106,22 @@
 			gate.Why = fmt.Sprintf("member %s has not been seen", m.ID)
 			return gate
 		}
-		if why := memberFault(g, m, e); why != "" {
+		// A first member that waits for the others is not what keeps the
+		// group from serving, if another member is at fault.
+		joining := e.Status.Phase == types.PhaseJoining
+		if why := memberFault(g, m, e); why != "" && (gate.Why == "" || !joining) {
 			gate.Why = why
-			return gate
+			if !joining {
+				return gate
+			}
 		}
 		if oldest.IsZero() || e.Seen.Before(oldest) {
 			oldest = e.Seen
 		}
 	}
-	gate.OpenUntil = oldest.Add(bound)
+	if gate.Why == "" {
+		gate.OpenUntil = oldest.Add(bound)
+	}
 	return gate
 }
 
--- /dev/null
+++ b/planner/evidence_test.go
@@ -0,0 +1,57 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/planner"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+func TestGate(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	const bound = 2 * time.Second
+	g := models.Group{
+		ID: "g", Model: "m", Version: "v1", Fence: 7,
+		Members: []models.Member{{ID: "a"}, {ID: "b"}},
+	}
+	good := planner.Evidence{Seen: now, Status: types.EngineStatus{Group: "g", Fence: 7, Model: "m", Version: "v1", Phase: types.PhaseLoaded}}
+	with := func(change func(*planner.Evidence)) planner.Evidence {
+		e := good
+		change(&e)
+		return e
+	}
+	joining := with(func(e *planner.Evidence) { e.Status.Phase = types.PhaseJoining })
+	silent := with(func(e *planner.Evidence) { e.SilentSince = now.Add(time.Millisecond) })
+	for _, test := range []struct {
+		name     string
+		a, b     planner.Evidence
+		open     bool
+		why      string
+		retiring models.Offset
+	}{
+		{"all there", good, good, true, "", 0},
+		{"never seen", good, planner.Evidence{}, false, "member b has not been seen", 0},
+		{"silent", good, silent, false, "member b does not answer", 0},
+		{"silent, but seen by another since", good, with(func(e *planner.Evidence) { e.SilentSince = now.Add(-time.Second) }), true, "", 0},
+		{"too old", good, with(func(e *planner.Evidence) { e.Seen = now.Add(-bound) }), false, "", 0},
+		{"at an old fence", good, with(func(e *planner.Evidence) { e.Status.Fence = 6 }), false, "member b has not joined the group", 0},
+		{"loading", good, with(func(e *planner.Evidence) { e.Status.Phase = types.PhaseLoading }), false, "member b is loading", 0},
+		{"wrong weights", good, with(func(e *planner.Evidence) { e.Status.Version = "v2" }), false, "member b holds m v2", 0},
+		{"the first waits for nobody yet", joining, good, false, "member a is joining", 0},
+		{"the first waits for one that is away", joining, silent, false, "member b does not answer", 0},
+		{"retiring", good, good, false, "it is being retired", 9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			group := g
+			group.Retiring = test.retiring
+			gate := planner.GateOf(group, map[models.InstanceID]planner.Evidence{"a": test.a, "b": test.b}, bound)
+			c.Assert(gate.Open(now), qt.Equals, test.open)
+			c.Assert(gate.Why, qt.Equals, test.why)
+		})
+	}
+}
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -30,11 +30,13 @@
 
 // prefixCache remembers the prompt prefixes used last.
 type prefixCache struct {
-	mu     sync.Mutex
-	size   int
-	order  []uint64
-	events []timedEvent
-	seq    int
+	mu    sync.Mutex
+	size  int
+	order []uint64
+	// used and total are the bytes of prompts that were cached, and all.
+	used, total int
+	events      []timedEvent
+	seq         int
 }
 
 type timedEvent struct {
@@ -72,6 +74,8 @@
 		}
 		c.order = append(c.order, p)
 	}
+	c.used += len(prompt) - fresh
+	c.total += len(prompt)
 	for len(c.order) > c.size {
 		c.publish(c.order[0], true)
 		c.order = c.order[1:]
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -320,3 +320,10 @@
 	}
 	return nil
 }
+
+// CacheUse is how many bytes of prompts were cached, and of all prompts.
+func (e *Engine) CacheUse() (cached, total int) {
+	e.cache.mu.Lock()
+	defer e.cache.mu.Unlock()
+	return e.cache.used, e.cache.total
+}
