planner, api, load: split large files, share the percentiles

Change: planner by job (plan, supply, form, retire), api by job (callers, exchange, settings, service, whole), lib/latency for both users. No behaviour changes.

--- /dev/null
+++ b/api/settings.go
@@ -0,0 +1,58 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// settings are what a caller says of its request.
+type settings struct {
+	repeatable bool
+	priority   int
+	timeout    time.Duration
+	key        string
+}
+
+// maxKey is the longest idempotency key, in bytes.
+const maxKey = 256
+
+// keyIn is the hash of a workspace's key; empty without a key.
+func (s settings) keyIn(w models.WorkspaceName) string {
+	if s.key == "" {
+		return ""
+	}
+	return HashToken(string(w) + "/" + s.key)
+}
+
+func (s *Server) readSettings(r *http.Request, repeatable bool) (settings, error) {
+	out := settings{repeatable: repeatable, timeout: s.cfg.RequestTimeout}
+	var err error
+	if text := r.Header.Get(HeaderRepeatable); text != "" {
+		if out.repeatable, err = strconv.ParseBool(text); err != nil {
+			return out, fmt.Errorf("%w: header %s is %q, allowed are true and false", ErrBody, HeaderRepeatable, text)
+		}
+	}
+	if text := r.Header.Get(HeaderPriority); text != "" {
+		out.priority, err = strconv.Atoi(text)
+		if err != nil || out.priority < 0 || out.priority > maxPriority {
+			return out, fmt.Errorf("%w: header %s is %q, allowed are 0 to %d", ErrBody, HeaderPriority, text, maxPriority)
+		}
+	}
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		out.timeout, err = time.ParseDuration(text)
+		if err != nil || out.timeout <= 0 {
+			return out, fmt.Errorf("%w: header %s is %q, not a duration such as 30s", ErrBody, HeaderTimeout, text)
+		}
+	}
+	if out.key = r.Header.Get(HeaderKey); out.key != "" {
+		out.repeatable = false
+	}
+	if len(out.key) > maxKey {
+		return out, fmt.Errorf("%w: header %s has %d bytes, allowed are %d", ErrBody, HeaderKey, len(out.key), maxKey)
+	}
+	return out, nil
+}
--- a/commands/load.go
+++ b/commands/load.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v2"
 
 	"github.com/lupinkeel/lupinkeel/config"
+	"github.com/lupinkeel/lupinkeel/lib/latency"
 	"github.com/lupinkeel/lupinkeel/load"
 	"github.com/lupinkeel/lupinkeel/router"
 )
@@ -58,7 +59,7 @@
 	}
 	printTable(w, []string{"end", "requests"}, rows)
 	fmt.Fprintf(w, "sent %d in %.1f s, goodput %.1f/s, %.0f tokens/s\n", r.Sent, r.Seconds, r.Goodput, float64(r.Tokens)/r.Seconds)
-	line := func(p load.Percentiles) []string {
+	line := func(p latency.Percentiles) []string {
 		return []string{fmt.Sprintf("%.1f", p.P50), fmt.Sprintf("%.1f", p.P95), fmt.Sprintf("%.1f", p.P99), fmt.Sprintf("%.1f", p.Max)}
 	}
 	printTable(w, []string{"ms", "p50", "p95", "p99", "max"}, [][]string{
--- a/load/load.go
+++ b/load/load.go
@@ -18,9 +18,8 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/lupinkeel/lupinkeel/api"
+	"github.com/lupinkeel/lupinkeel/lib/latency"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/router"
 )
@@ -67,14 +66,6 @@
 	EndSilent router.End = "silent"
 )
 
-// Percentiles are in milliseconds.
-type Percentiles struct {
-	P50 float64 `json:"p50_ms"`
-	P95 float64 `json:"p95_ms"`
-	P99 float64 `json:"p99_ms"`
-	Max float64 `json:"max_ms"`
-}
-
 // Report is what a load showed.
 type Report struct {
 	Sent    int                `json:"sent"`
@@ -82,10 +73,10 @@
 	Tokens  int                `json:"tokens"`
 	Seconds float64            `json:"seconds"`
 	// Goodput is whole answers a second.
-	Goodput    float64     `json:"goodput_per_second"`
-	FirstToken Percentiles `json:"first_token"`
-	InterToken Percentiles `json:"inter_token"`
-	Refusal    Percentiles `json:"refusal"`
+	Goodput    float64             `json:"goodput_per_second"`
+	FirstToken latency.Percentiles `json:"first_token"`
+	InterToken latency.Percentiles `json:"inter_token"`
+	Refusal    latency.Percentiles `json:"refusal"`
 }
 
 // Run sends the load and waits for the last answer. progress, if not nil, is
@@ -156,24 +147,20 @@
 	sent       int
 	tokens     int
 	ends       map[router.End]int
-	firstToken *hdrhistogram.Histogram
-	interToken *hdrhistogram.Histogram
-	refusal    *hdrhistogram.Histogram
+	firstToken latency.Times
+	interToken latency.Times
+	refusal    latency.Times
 }
 
-const (
-	longest       = int64(10 * time.Minute / time.Microsecond)
-	histogramSize = 3
-	maxIdle       = 1024
-)
+const maxIdle = 1024
 
 func newRunner(opts Options) *runner {
 	return &runner{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)), ends: map[router.End]int{},
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}},
-		firstToken: hdrhistogram.New(1, longest, histogramSize),
-		interToken: hdrhistogram.New(1, longest, histogramSize),
-		refusal:    hdrhistogram.New(1, longest, histogramSize),
+		firstToken: latency.New(),
+		interToken: latency.New(),
+		refusal:    latency.New(),
 	}
 }
 
@@ -249,23 +236,18 @@
 	defer r.mu.Unlock()
 	r.ends[res.end]++
 	if res.end == router.EndNotRun {
-		record(r.refusal, res.took)
+		r.refusal.Add(res.took)
 		return
 	}
 	if res.firstToken > 0 {
-		record(r.firstToken, res.firstToken)
+		r.firstToken.Add(res.firstToken)
 		r.tokens += 1 + len(res.gaps)
 	}
 	for _, g := range res.gaps {
-		record(r.interToken, g)
+		r.interToken.Add(g)
 	}
 }
 
-func record(h *hdrhistogram.Histogram, d time.Duration) {
-	// Longer than the histogram holds counts as the longest.
-	_ = h.RecordValue(min(longest, max(1, d.Microseconds())))
-}
-
 func (r *runner) report() Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -275,15 +257,10 @@
 	}
 	return Report{
 		Sent: r.sent, Ends: ends, Tokens: r.tokens, Seconds: time.Since(r.started).Seconds(),
-		FirstToken: percentiles(r.firstToken), InterToken: percentiles(r.interToken), Refusal: percentiles(r.refusal),
+		FirstToken: r.firstToken.Percentiles(), InterToken: r.interToken.Percentiles(), Refusal: r.refusal.Percentiles(),
 	}
 }
 
-func percentiles(h *hdrhistogram.Histogram) Percentiles {
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-	return Percentiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1000}
-}
-
 func (r *runner) send(ctx context.Context, req request) result {
 	if r.opts.Timeout > 0 {
 		var cancel context.CancelFunc
--- /dev/null
+++ b/planner/form.go
@@ -0,0 +1,161 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/state"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// fillDomain forms the groups that the target wants beyond those that are
+// whole: out of what is left of a broken group, spares, and the members of
+// other broken groups of the domain.
+func (p *round) fillDomain(d models.Domain, target map[models.ModelName]int) {
+	whole := map[models.ModelName]int{}
+	for _, g := range p.groups {
+		if g.Domain == d && p.health[g.ID] == healthWhole && !p.ended[g.ID] {
+			whole[g.Model]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(target)) {
+		for range target[name] - whole[name] {
+			if p.unsettled[d] >= p.Rules.MaxUnsettledDomain || p.inAll >= p.Rules.MaxUnsettled {
+				return
+			}
+			if !p.form(d, p.State.Models[name]) {
+				break
+			}
+			p.unsettled[d]++
+			p.inAll++
+		}
+	}
+}
+
+// broken lists the broken groups of a domain that are left, those of the
+// model first, those with the most members left first.
+func (p *round) broken(d models.Domain, m models.ModelName) []models.Group {
+	var out []models.Group
+	for _, g := range p.groups {
+		if g.Domain == d && p.health[g.ID] == healthBroken && !p.ended[g.ID] {
+			out = append(out, g)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b models.Group) int {
+		return cmp.Or(
+			compareFalseFirst(a.Model != m, b.Model != m),
+			cmp.Compare(len(p.remaining(b)), len(p.remaining(a))),
+		)
+	})
+	return out
+}
+
+// remaining lists the members of a broken group that are there.
+func (p *round) remaining(g models.Group) []models.Member {
+	var out []models.Member
+	for _, m := range g.Members {
+		if p.present(m.ID) && !p.leaving(m.ID) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (p *round) form(d models.Domain, m models.Model) bool {
+	next := models.Group{Model: m.Name, Version: m.Version, Zone: p.zones[d], Domain: d}
+	form := state.FormGroup{ModelRevision: m.Revision, Reason: "its model wants more replicas"}
+	donors := p.broken(d, m.Name)
+	repairs := len(donors) > 0 && donors[0].Model == m.Name
+	if !repairs && p.committed[m.Name] >= m.Replicas {
+		return false
+	}
+	if repairs {
+		form.Reason = p.reasons[donors[0].ID]
+		next.Members = p.remaining(donors[0])[:min(m.Members, len(p.remaining(donors[0])))]
+		form.Replaces = append(form.Replaces, refTo(donors[0]))
+		donors = donors[1:]
+	}
+	for _, i := range p.free(d, m) {
+		if len(next.Members) < m.Members {
+			next.Members = append(next.Members, memberOf(i))
+		}
+	}
+	for _, donor := range slices.Backward(donors) {
+		if len(next.Members) >= m.Members {
+			break
+		}
+		form.Replaces = append(form.Replaces, refTo(donor))
+		for _, member := range p.remaining(donor) {
+			if len(next.Members) < m.Members {
+				next.Members = append(next.Members, member)
+			}
+		}
+	}
+	if len(next.Members) < m.Members {
+		return false
+	}
+	if !repairs || !p.patient(p.State.Groups[form.Replaces[0].ID]) {
+		p.committed[m.Name]++
+	}
+	next.ID = p.newName(m.Name)
+	form.Group = next
+	for _, member := range next.Members {
+		p.taken[member.ID] = true
+	}
+	for _, ref := range form.Replaces {
+		p.ended[ref.ID] = true
+	}
+	p.propose(d, form)
+	return true
+}
+
+// newName names a group by the state that it was planned on.
+func (p *round) newName(m models.ModelName) models.GroupID {
+	const longestModel = 40
+	if len(m) > longestModel {
+		m = m[:longestModel]
+	}
+	p.formed++
+	return models.GroupID(fmt.Sprintf("%s-%d.%d", m, p.State.Applied+1, p.formed))
+}
+
+func memberOf(i models.Instance) models.Member {
+	return models.Member{ID: i.ID, Addr: i.Addr, Accelerators: i.Accelerators, ChecksFences: i.ChecksFences}
+}
+
+// swapBack puts an instance that holds the weights in the place of a member
+// that still loads them. So a member that comes back soon after it was
+// replaced makes the group whole at once, and replacing early costs nothing.
+func (p *round) swapBack() {
+	for _, g := range p.groups {
+		m, declared := p.State.Models[g.Model]
+		if !declared || p.health[g.ID] != healthWhole || p.settled(g) {
+			continue
+		}
+		loading := slices.IndexFunc(g.Members, func(member models.Member) bool {
+			s := p.Evidence[member.ID].Status
+			return s.Fence == g.Fence && s.Phase == types.PhaseLoading
+		})
+		if loading < 0 {
+			continue
+		}
+		spares := p.free(g.Domain, m)
+		if len(spares) == 0 || !p.Evidence[spares[0].ID].holds(m) {
+			continue
+		}
+		next := g
+		next.ID = p.newName(g.Model)
+		next.Members = slices.Clone(g.Members)
+		next.Members[loading] = memberOf(spares[0])
+		p.taken[spares[0].ID] = true
+		p.ended[g.ID] = true
+		p.unsettled[g.Domain]--
+		p.propose(g.Domain, state.FormGroup{
+			Group: next, ModelRevision: m.Revision, Replaces: []state.GroupRef{refTo(g)},
+			Reason: fmt.Sprintf("instance %s holds the weights already", spares[0].ID),
+		})
+	}
+}
--- /dev/null
+++ b/planner/retire.go
@@ -0,0 +1,67 @@
+package planner
+
+import (
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/state"
+)
+
+// atOnce is the part of a model's groups, one in so many but at least one,
+// that may be retired at a time for a new version or another size.
+const atOnce = 4
+
+// retireUnwanted lets unwanted groups finish their requests and ends them
+// once they are quiet. A changed model is changed a few groups at a time; a
+// leaving member can't wait.
+func (p *round) retireUnwanted() {
+	retiring := map[models.ModelName]int{}
+	for _, g := range p.groups {
+		if g.Retiring != 0 {
+			retiring[g.Model]++
+		}
+	}
+	for _, g := range p.groups {
+		if p.health[g.ID] != healthUnwanted {
+			continue
+		}
+		why := p.reasons[g.ID]
+		m, declared := p.State.Models[g.Model]
+		rolling := declared && p.unwanted(g) != "" && m.Place.Allows(g.Zone, g.Domain)
+		switch {
+		case g.Retiring != 0 && p.quiet(g):
+			p.ended[g.ID] = true
+			p.propose(g.Domain, state.EndGroup{Group: refTo(g), Reason: why})
+		case g.Retiring != 0:
+		case rolling && retiring[g.Model] >= max(1, m.Replicas/atOnce):
+		default:
+			retiring[g.Model]++
+			p.propose(g.Domain, state.RetireGroup{Group: refTo(g), Reason: why})
+		}
+	}
+}
+
+func refTo(g models.Group) state.GroupRef { return state.GroupRef{ID: g.ID, Fence: g.Fence} }
+
+// endSurplus retires whole groups that the target has no place for, and ends
+// broken ones whose model has enough groups without them.
+func (p *round) endSurplus(target Target) {
+	whole := map[models.Domain]map[models.ModelName]int{}
+	for _, g := range p.groups {
+		if p.ended[g.ID] {
+			continue
+		}
+		switch p.health[g.ID] {
+		case healthWhole:
+			if whole[g.Domain] == nil {
+				whole[g.Domain] = map[models.ModelName]int{}
+			}
+			whole[g.Domain][g.Model]++
+			if whole[g.Domain][g.Model] > target[g.Domain][g.Model] {
+				p.propose(g.Domain, state.RetireGroup{Group: refTo(g), Reason: "its model has enough replicas, or its instances are of more use elsewhere"})
+			}
+		case healthBroken:
+			if target.total(g.Model) >= p.State.Models[g.Model].Replicas {
+				p.propose(g.Domain, state.EndGroup{Group: refTo(g), Reason: p.reasons[g.ID] + " and its model has enough replicas without it"})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/planner/supply.go
@@ -0,0 +1,97 @@
+package planner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// supplies counts what each domain has to offer.
+func (p *round) supplies() []supply {
+	out := make([]supply, 0, len(p.domains))
+	at := map[models.Domain]int{}
+	for _, d := range p.domains {
+		s := supply{domain: d, zone: p.zones[d], whole: map[models.ModelName]int{}, accelerators: p.engines[d][0].Accelerators}
+		for _, i := range p.engines[d] {
+			if p.usable(i.ID) {
+				s.usable++
+			}
+		}
+		at[d] = len(out)
+		out = append(out, s)
+	}
+	for _, g := range p.groups {
+		if i, known := at[g.Domain]; known && p.health[g.ID] == healthWhole && !p.ended[g.ID] {
+			out[i].whole[g.Model]++
+		}
+	}
+	return out
+}
+
+// usable reports whether an instance counts as supply: it can take work now,
+// or it is the member of a group that is whole, or it will be free once its
+// group has been retired. If the last did not count, the target would change
+// while a group retires, and change back afterwards, for ever.
+func (p *round) usable(id models.InstanceID) bool {
+	if p.leaving(id) {
+		return false
+	}
+	owner, owned := p.State.Owner(id)
+	switch {
+	case !owned:
+		return p.present(id) && p.Evidence[id].steady(p.Now)
+	case p.health[owner] == healthWhole:
+		return true
+	default:
+		return p.present(id)
+	}
+}
+
+// wanted lists the models by name.
+func (p *round) wanted() []models.Model {
+	var out []models.Model
+	for _, name := range slices.Sorted(maps.Keys(p.State.Models)) {
+		if m := p.State.Models[name]; m.Replicas > 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// free lists the engines of a domain that belong to no group and can take
+// work, those with the least to do for the model first: weights at hand, few
+// absences lately, then by id.
+func (p *round) free(d models.Domain, m models.Model) []models.Instance {
+	var out []models.Instance
+	for _, i := range p.engines[d] {
+		if _, owned := p.State.Owner(i.ID); !owned && p.eligible(i.ID) {
+			out = append(out, i)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b models.Instance) int {
+		ea, eb := p.Evidence[a.ID], p.Evidence[b.ID]
+		return cmp.Or(
+			compareFalseFirst(!ea.holds(m), !eb.holds(m)),
+			cmp.Compare(ea.Absences, eb.Absences),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return out
+}
+
+func compareFalseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (p *round) eligible(id models.InstanceID) bool {
+	return !p.taken[id] && !p.leaving(id) && p.present(id) && p.Evidence[id].steady(p.Now)
+}
