router: balance by what is in flight, not by reports a second old

Cause: 'measure requests' showed 56 ms added to the p99 of the first token at half load: every daemon followed the engines' reports, which are a second old, to the group that was idle then, and met the others there. Ruled out: the daemons' own cost (the p50 rose by 1.3 ms only) and the affinity of prompts (the prompts of that run share no beginning). Change: a daemon takes its own requests in flight for what each of the others has, and of the report only the queue. Also: affinity only for beginnings that came before; a load's goodput counts until its last answer, as the naive router answered most of its load after the load had ended.

--- a/api/chat.go
+++ b/api/chat.go
@@ -69,9 +69,10 @@
 		return
 	}
 	defer s.admitted.Leave(chat.Model, e.workspace.Name)
-	prefix := prefixOf(chat)
+	prompt := router.Prompt{Prefix: prefixOf(chat)}
+	prompt.Seen = s.prefixes.Seen(prompt.Prefix)
 	e.choose = func(now time.Time) (router.Target, error) {
-		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, prefix, now, s.flights.at, e.tried)
+		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, prompt, now, s.flights.at, e.tried)
 	}
 	e.call = func(t router.Target) upstream.Call {
 		return upstream.Call{
--- a/api/server.go
+++ b/api/server.go
@@ -39,6 +39,7 @@
 	flights  *flights
 	limits   *router.Limits
 	admitted *router.Admission
+	prefixes *router.Prefixes
 	budget   router.Budget
 	stopping atomic.Bool
 	stats    *stats
@@ -73,7 +74,7 @@
 func New(cfg config.Serve, log zerolog.Logger, d *daemon.Daemon) (*Server, error) {
 	s := &Server{
 		cfg: cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
-		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), flights: newFlights(), limits: router.NewLimits(), admitted: router.NewAdmission(),
+		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), flights: newFlights(), limits: router.NewLimits(), admitted: router.NewAdmission(), prefixes: router.NewPrefixes(),
 	}
 	s.stats = newStats(d.Metrics(), s.flights.count)
 	var err error
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -345,8 +345,9 @@
 		recent:       slices.Clip(o.recent),
 	}
 	gates := o.gates()
+	serving := view.Serving(now)
 	view.Table = router.Table{
-		State: o.cloned, Gates: gates, Capacity: o.capacity(gates, view.Serving(now)), Services: o.serviceTable(),
+		State: o.cloned, Gates: gates, Daemons: len(serving) + 1, Capacity: o.capacity(gates, serving), Services: o.serviceTable(),
 	}
 	o.d.view.Store(view)
 	o.changed = false
--- a/load/load.go
+++ b/load/load.go
@@ -68,10 +68,13 @@
 
 // Report is what a load showed.
 type Report struct {
-	Sent    int                `json:"sent"`
-	Ends    map[router.End]int `json:"ends"`
-	Tokens  int                `json:"tokens"`
-	Seconds float64            `json:"seconds"`
+	Sent   int                `json:"sent"`
+	Ends   map[router.End]int `json:"ends"`
+	Tokens int                `json:"tokens"`
+	// Seconds is how long it took until the last answer, Sending how long
+	// requests were sent.
+	Seconds float64 `json:"seconds"`
+	Sending float64 `json:"sending_seconds"`
 	// Goodput is whole answers a second.
 	Goodput    float64             `json:"goodput_per_second"`
 	FirstToken latency.Percentiles `json:"first_token"`
@@ -109,8 +112,10 @@
 	sending := time.Since(r.started)
 	answers.Wait()
 	report := r.report()
-	report.Seconds = sending.Seconds()
+	// What was sent in time may end much later: it counts for the time
+	// that it took.
 	report.Goodput = float64(report.Ends[router.EndWhole]) / report.Seconds
+	report.Sending = sending.Seconds()
 	return report, nil
 }
 
--- a/measure/requests.go
+++ b/measure/requests.go
@@ -50,7 +50,7 @@
 	promptBytes    = 2000
 	answerTokens   = 25
 	sharedPrefixes = 12
-	cachedPrefixes = 24
+	cachedPrefixes = 48
 	requestDaemons = 3
 	requestTimeout = 10 * time.Second
 	readyWithin    = 20 * time.Second
--- a/router/choose.go
+++ b/router/choose.go
@@ -28,6 +28,8 @@
 type Table struct {
 	State *state.State
 	Gates map[models.GroupID]planner.Gate
+	// Daemons is how many daemons serve, this one included.
+	Daemons int
 	// Capacity is how many requests this daemon may have in flight at each
 	// group; a group that does not tell how many it runs is not in it.
 	Capacity map[models.GroupID]int
@@ -59,31 +61,46 @@
 // what it runs at once, a group may be and still be preferred for its cache.
 const affinitySlack = 0.25
 
+// Prompt is what the choice needs to know of a prompt.
+type Prompt struct {
+	// Prefix is a hash of its beginning; Seen tells that this came before.
+	Prefix uint64
+	Seen   bool
+}
+
 // candidate is a group that may take the request now.
 type candidate struct {
 	group models.Group
-	// busy is the part of its slots that is taken, as far as is known: the
-	// report lags, so what this daemon has in flight counts on top.
+	// busy is the part of its slots that is taken, as far as is known: what
+	// this daemon has in flight, taken for what each of the others has, and
+	// the queue that the engine reports. What it reports as running is left
+	// out: it is a second old, and all daemons would follow it at once to
+	// the group that was idle then.
 	busy float64
 }
 
 // ChooseGroup returns where a request for the model should run: among the
 // groups that the place rules allow, an open one that has not been tried and
-// is not full. Of those that are not much busier than the least busy one it
-// takes the first in an order that depends on the prompt's beginning, so that
-// prompts that begin alike meet in the same cache, whichever daemon they come
-// through. It relies on no cache events, which come late and with gaps.
-func (t Table) ChooseGroup(w models.Workspace, m models.ModelName, prefix uint64, now time.Time, busy Busy, tried []netip.AddrPort) (Target, error) {
+// is not full: the least busy one, or, for a prompt whose beginning came
+// before, one that is not much busier and comes first in an order that
+// depends on that beginning. So prompts that begin alike meet in the same
+// cache, whichever daemon they come through, without relying on cache events,
+// which come late and with gaps.
+func (t Table) ChooseGroup(w models.Workspace, m models.ModelName, p Prompt, now time.Time, busy Busy, tried []netip.AddrPort) (Target, error) {
 	candidates, err := t.candidates(w, m, now, busy, tried)
 	if err != nil {
 		return Target{}, err
 	}
 	least := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.busy, b.busy) }).busy
+	slack := 0.0
+	if p.Seen {
+		slack = affinitySlack
+	}
 	var best models.Group
 	var bestWeight uint64
 	for _, c := range candidates {
-		weight := affinity(prefix, c.group.ID)
-		if c.busy <= least+affinitySlack && (best.ID == "" || weight > bestWeight) {
+		weight := affinity(p.Prefix, c.group.ID)
+		if c.busy <= least+slack && (best.ID == "" || weight > bestWeight) {
 			best, bestWeight = c.group, weight
 		}
 	}
@@ -122,7 +139,7 @@
 			continue
 		}
 		load := t.Gates[id].Load
-		out = append(out, candidate{group: g, busy: float64(load.Queued+load.Running+own) / float64(max(1, load.Slots))})
+		out = append(out, candidate{group: g, busy: float64(load.Queued+own*max(1, t.Daemons)) / float64(max(1, load.Slots))})
 	}
 	switch {
 	case len(out) > 0:
