--- a/api/chat.go
+++ b/api/chat.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/router"
 	"github.com/lupinkeel/lupinkeel/worker/upstream"
@@ -98,16 +99,20 @@
 	e.run(ctx)
 }
 
-// cancelRun tells an engine that nobody waits for a run any more.
+// cancelRun tells an engine that nobody waits for a run any more. It does so
+// in the background: the caller's answer must not wait for an engine that may
+// be away.
 func (s *Server) cancelRun(addr netip.AddrPort, id models.RequestID) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelWithin)
-	defer cancel()
-	answer, err := s.upstream.Do(ctx, upstream.Call{Addr: addr, Method: http.MethodDelete, Path: "/v1/runs/" + string(id), Request: id})
-	if err != nil {
-		s.log.Debug().Err(err).Str("request", string(id)).Msg("cancel-failed")
-		return
-	}
-	answer.Body.Close()
+	task.Start(context.Background(), "cancel", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, cancelWithin)
+		defer cancel()
+		answer, err := s.upstream.Do(ctx, upstream.Call{Addr: addr, Method: http.MethodDelete, Path: "/v1/runs/" + string(id), Request: id})
+		if err != nil {
+			s.log.Debug().Err(err).Str("request", string(id)).Msg("cancel-failed")
+			return err
+		}
+		return answer.Body.Close()
+	})
 }
 
 // answerStream passes events on, each whole, until the end mark. It says
--- a/api/errors.go
+++ b/api/errors.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/daemon"
+	"github.com/lupinkeel/lupinkeel/query"
 	"github.com/lupinkeel/lupinkeel/router"
 )
 
@@ -74,6 +76,8 @@
 	{ErrStopping, problem{http.StatusServiceUnavailable, "overloaded_error", "stopping", retrySoon}},
 	{ErrKeyInUse, problem{http.StatusConflict, "invalid_request_error", "key_in_use", 0}},
 	{ErrNoClaim, problem{http.StatusServiceUnavailable, "overloaded_error", "no_claim", retryLog}},
+	{daemon.ErrLogAway, problem{http.StatusServiceUnavailable, "api_error", "log_away", retryLog}},
+	{query.ErrNotFound, problem{http.StatusNotFound, "invalid_request_error", "not_found", 0}},
 	{ErrUpstream, problem{http.StatusBadGateway, "api_error", "upstream_failed", retrySoon}},
 }
 
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -20,6 +20,7 @@
 	"github.com/lupinkeel/lupinkeel/api"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/standin"
+	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
 // scriptCommands are what scripts may call beside testscript's own:
@@ -50,6 +51,8 @@
 //	many N DAEMON COMMAND   ask N times, %d in the command counts
 //	admin DAEMON            let lupinkeel ask speak to this daemon
 //	request NAME            set $NAME to the id of the last chat
+//	order INSTANCE NAME     give the instance the load order of the fence
+//	                        that remember noted once more, late
 //	together N MODEL key=K  send the same N times at once; one runs
 //	bgchat NAME DAEMON MODEL tokens=N, bgchatend NAME
 //	                        a stream in the background; it must end whole
@@ -79,6 +82,7 @@
 	"logged":    cmdLogged,
 	"together":  cmdTogether,
 	"request":   cmdRequest,
+	"order":     cmdOrder,
 	"storm":     cmdStorm,
 	"elapse":    cmdElapse,
 	"bgchat":    cmdBackgroundChat,
@@ -332,6 +336,21 @@
 	return s.Fence, err
 }
 
+// cmdOrder is a doubled order that comes late. It succeeds if the instance
+// obeys.
+func cmdOrder(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2, "order INSTANCE NAME")
+	b := benchOf(ts)
+	order, err := json.Marshal(types.Order{
+		Kind: types.OrderLoad, Group: "from-the-past", Fence: b.memories[args[1]].fence, Model: "brief", Version: "v1",
+	})
+	ts.Check(err)
+	err = post(fmt.Sprintf("http://%s/orders", b.engines[models.InstanceID(args[0])]), string(order))
+	if (err != nil) != neg {
+		ts.Fatalf("order to %s: %v", args[0], err)
+	}
+}
+
 func cmdUnchanged(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 2, "unchanged NAME INSTANCE")
 	b := benchOf(ts)
