--- a/worker/types/messages.go
+++ b/worker/types/messages.go
@@ -91,9 +91,7 @@
 // was sent at Asked.
 type PeerSeen struct {
 	Asked time.Time
-	// RoundTrip is how long the answer took.
-	RoundTrip time.Duration
-	Peer      PeerStatus
+	Peer  PeerStatus
 }
 
 // PeerSilent tells that the daemon at the address did not answer in time.
