--- /dev/null
+++ b/cluster/fleet.go
@@ -0,0 +1,360 @@
+package cluster
+
+import (
+	"maps"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/fleet"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	// suspectFor is how long a stalled head is passed over without news.
+	suspectFor = 800 * time.Millisecond
+	// askAgain is how soon an instance is asked for a report once more.
+	askAgain = 400 * time.Millisecond
+	// overdueFactor is how many heartbeats an instance may miss in the store
+	// before it is asked itself.
+	overdueFactor = 2.2
+)
+
+// fleetState is what is known of the upstream instances.
+type fleetState struct {
+	instances map[models.InstanceID]*knownInstance
+	planner   *fleet.Planner
+	until     time.Time
+	// heldTerm is the term of the lease.
+	heldTerm int64
+	// suspects are stalled heads, until when.
+	suspects map[models.InstanceID]suspicion
+	traffic  bool
+	demand   map[models.ModelName]float64
+}
+
+type suspicion struct {
+	group models.GroupKey
+	until time.Time
+}
+
+type knownInstance struct {
+	models.UpstreamInstance
+	// told is when the newest entry or report was asked for.
+	told time.Time
+	// written is when a new entry was last seen.
+	written time.Time
+	// lost is since when it does not answer; zero while it does.
+	lost  time.Time
+	asked time.Time
+}
+
+func newFleetState() fleetState {
+	return fleetState{instances: map[models.InstanceID]*knownInstance{}, suspects: map[models.InstanceID]suspicion{}}
+}
+
+func (f *fleetState) term() int64 {
+	if f.planner == nil {
+		return 0
+	}
+	return f.heldTerm
+}
+
+func (f *fleetState) shown() map[models.InstanceID]models.UpstreamInstance {
+	out := make(map[models.InstanceID]models.UpstreamInstance, len(f.instances))
+	for id, i := range f.instances {
+		out[id] = i.UpstreamInstance
+	}
+	return out
+}
+
+// stalledHeads lists what this node itself found to stand still.
+func (f *fleetState) stalledHeads() []StalledHead {
+	var out []StalledHead
+	for id, s := range f.suspects {
+		if time.Now().Before(s.until) {
+			out = append(out, StalledHead{Group: s.group, Head: id})
+		}
+	}
+	return out
+}
+
+// serving lists the groups and the plain instances that take requests.
+func (f *fleetState) serving(routing *models.Routing, now time.Time) (map[models.ModelName][]Group, map[models.ServiceName][]models.UpstreamInstance) {
+	groups, services := map[models.ModelName][]Group{}, map[models.ServiceName][]models.UpstreamInstance{}
+	if routing == nil {
+		return groups, services
+	}
+	for _, g := range fleet.Groups(f.shown()) {
+		head, there := f.instances[g.Head]
+		if !there || !g.Serving() || !f.usable(head, now) {
+			continue
+		}
+		members := make([]models.InstanceID, 0, len(g.Members))
+		sound := true
+		for _, id := range g.Members {
+			members = append(members, id)
+			sound = sound && f.instances[id].lost.IsZero()
+		}
+		if sound {
+			groups[g.Model] = append(groups[g.Model], Group{Key: g.Key, Model: g.Model, Service: head.Service, Head: head.UpstreamInstance, Members: members})
+		}
+	}
+	for _, i := range f.instances {
+		if s := routing.Services[i.Service]; s.Engine == nil && f.usable(i, now) {
+			services[i.Service] = append(services[i.Service], i.UpstreamInstance)
+		}
+	}
+	return groups, services
+}
+
+func (f *fleetState) usable(i *knownInstance, now time.Time) bool {
+	s, suspect := f.suspects[i.ID]
+	return !i.Draining && i.lost.IsZero() && !(suspect && now.Before(s.until))
+}
+
+func (o *owner) handleInstances(records []platform.KeyedRecord, asked time.Time, whole bool) {
+	known := o.fleet.instances
+	listed := map[models.InstanceID]bool{}
+	for _, r := range records {
+		id := models.InstanceID(r.Key)
+		if len(r.Value) == 0 {
+			o.dropInstance(id)
+			continue
+		}
+		i, err := platform.DecodeInstance(r.Key, r.Value)
+		if err != nil {
+			o.n.log.Error().Err(err).Msg("instance-unreadable")
+			continue
+		}
+		listed[id] = true
+		o.noteEntry(i, asked)
+	}
+	if whole {
+		for id := range known {
+			if !listed[id] {
+				o.dropInstance(id)
+			}
+		}
+	}
+	o.changed = o.changed || len(records) > 0
+}
+
+func (o *owner) dropInstance(id models.InstanceID) {
+	if i, known := o.fleet.instances[id]; known {
+		o.n.log.Info().Str("instance", string(id)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
+		delete(o.fleet.instances, id)
+		o.changed = true
+	}
+}
+
+func (o *owner) noteEntry(i models.UpstreamInstance, asked time.Time) {
+	k, known := o.fleet.instances[i.ID]
+	if !known {
+		k = &knownInstance{}
+		o.fleet.instances[i.ID] = k
+	}
+	if known && (k.Draining != i.Draining || k.Group != i.Group) {
+		o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Str("state", string(i.Group.State)).
+			Bool("draining", i.Draining).Msg("instance-changed")
+	}
+	if k.told.After(asked) {
+		// A report that was asked for later is newer than this entry.
+		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
+	}
+	k.UpstreamInstance, k.written = i, time.Now()
+	if !k.lost.IsZero() && k.written.Sub(k.lost) > askAgain {
+		o.ask(k, k.written)
+	}
+}
+
+// ask has an instance asked for a report, unless that was just done.
+func (o *owner) ask(k *knownInstance, now time.Time) {
+	if now.Sub(k.asked) < askAgain {
+		return
+	}
+	k.asked = now
+	o.n.askReport(o.ctx, k.UpstreamInstance)
+}
+
+func (o *owner) handleReport(m reportEnded) {
+	k, known := o.fleet.instances[m.instance.ID]
+	if !known {
+		return
+	}
+	if m.err != nil {
+		if k.lost.IsZero() {
+			k.lost = m.asked
+			o.n.log.Warn().Str("instance", string(k.ID)).Str("group", string(k.Group.Key.Name)).Err(m.err).Msg("instance-lost")
+		}
+		o.changed = true
+		return
+	}
+	if !k.lost.IsZero() {
+		o.n.log.Info().Str("instance", string(k.ID)).Dur("after", m.asked.Sub(k.lost)).Msg("instance-back")
+	}
+	k.lost, k.told = time.Time{}, m.asked
+	k.Group, k.Loaded, k.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
+	o.changed = true
+}
+
+// handleStalled passes over a head at which nothing moves, and has the
+// members asked if this node plans.
+func (o *owner) handleStalled(group models.GroupKey, head models.InstanceID, from string) {
+	k, known := o.fleet.instances[head]
+	if !known || k.Group.Key != group {
+		return
+	}
+	now := time.Now()
+	if s, suspect := o.fleet.suspects[head]; !suspect || now.After(s.until) {
+		o.n.log.Warn().Str("group", string(group.Name)).Str("head", string(head)).Str("from", from).Msg("group-stalled")
+		if from == ownSuspicion {
+			o.fleet.suspects[head] = suspicion{group: group, until: now.Add(suspectFor)}
+		}
+		o.changed = true
+	}
+	if o.fleet.planner == nil {
+		return
+	}
+	for _, i := range o.fleet.instances {
+		if i.Group.Key == group && i.lost.IsZero() {
+			o.ask(i, now)
+		}
+	}
+}
+
+const ownSuspicion = "own"
+
+func (o *owner) handleLease(m leaseHeld) {
+	f := &o.fleet
+	f.until = m.until
+	if f.planner != nil && f.heldTerm == m.term {
+		return
+	}
+	f.planner, f.heldTerm = fleet.NewPlanner(m.term), m.term
+	o.n.planning.Store(true)
+	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
+}
+
+func (o *owner) stopPlanning(reason string) {
+	if o.fleet.planner == nil {
+		return
+	}
+	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
+	o.fleet.planner = nil
+	o.n.planning.Store(false)
+}
+
+// planGroups gives the orders that are due, if this node plans.
+func (o *owner) planGroups(now time.Time) {
+	f := &o.fleet
+	if f.planner == nil || o.config.routing == nil {
+		return
+	}
+	if now.After(f.until) && !o.mayOutlast(now) {
+		o.stopPlanning("the lease ended")
+		return
+	}
+	if f.planner.Superseded() {
+		o.stopPlanning("an instance has seen a newer term")
+		return
+	}
+	for name, service := range o.config.routing.Services {
+		if service.Engine != nil {
+			o.planService(name, service.Engine, now)
+		}
+	}
+}
+
+// mayOutlast reports whether the planner goes on although its lease could not
+// be renewed: the store is away for the other daemons as well, so that no
+// other can have begun.
+func (o *owner) mayOutlast(now time.Time) bool {
+	if o.peers.term > o.fleet.heldTerm {
+		return false
+	}
+	for _, p := range o.peers.seen {
+		if p.beat.ConfigAge < now.Sub(o.fleet.until) {
+			return false
+		}
+	}
+	return len(o.peers.seen) > 0
+}
+
+func (o *owner) planService(name models.ServiceName, engine *models.EngineProfile, now time.Time) {
+	f := &o.fleet
+	world := fleet.World{
+		Now: now, Profile: engine, Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
+		Demand: o.demand(engine),
+	}
+	world.Traffic = f.traffic
+	for id, i := range f.instances {
+		if i.Service != name {
+			continue
+		}
+		world.Instances[id] = i.UpstreamInstance
+		if !i.lost.IsZero() {
+			world.Lost[id] = true
+		}
+		overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
+		if _, away := o.away[platform.InstancesTopic]; !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
+			o.ask(i, now)
+		}
+	}
+	o.n.stats.plans.Inc()
+	for _, order := range f.planner.Step(world) {
+		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
+			Int64("fence", order.Fence).Msg("order-given")
+		o.n.giveOrder(o.ctx, f.instances[order.Instance].Addr, order)
+	}
+}
+
+const (
+	// demandKept is the part of the former estimate that is kept at each
+	// planning; at ten a second the estimate follows within two seconds.
+	demandKept = 0.95
+	// leastWork is the work, in groups, below which the shares declared in
+	// the configuration are used.
+	leastWork = 0.5
+)
+
+// demand is the part of all instances that each model needs.
+func (o *owner) demand(engine *models.EngineProfile) map[models.ModelName]float64 {
+	work := o.work()
+	total := 0.0
+	for _, m := range engine.Models {
+		total += work[m.Name] * float64(m.Size)
+	}
+	if total > 0 {
+		o.fleet.traffic = true
+	}
+	want := map[models.ModelName]float64{}
+	for _, m := range engine.Models {
+		want[m.Name] = m.Share
+		if total > leastWork {
+			want[m.Name] = work[m.Name] * float64(m.Size) / total
+		}
+	}
+	if o.fleet.demand == nil || total <= leastWork {
+		o.fleet.demand = want
+	}
+	for name, w := range want {
+		o.fleet.demand[name] = demandKept*o.fleet.demand[name] + (1-demandKept)*w
+	}
+	return maps.Clone(o.fleet.demand)
+}
+
+func (o *owner) handleOrderEnded(m orderEnded) {
+	event := o.n.log.Info()
+	if m.err != nil {
+		event = o.n.log.Warn().Err(m.err)
+	}
+	event.Str("order", string(m.order.Kind)).Str("instance", string(m.order.Instance)).Str("group", string(m.order.Group.Name)).
+		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Msg("order-ended")
+	if p := o.fleet.planner; p != nil && m.order.Fence>>fleet.TermBits == o.fleet.heldTerm {
+		p.Note(m.order, m.outcome, m.at)
+	}
+	if k := o.fleet.instances[m.order.Instance]; k != nil && m.outcome == types.OrderUnknown {
+		o.ask(k, m.at)
+	}
+}
--- /dev/null
+++ b/cluster/node.go
@@ -0,0 +1,194 @@
+// Package cluster is what one daemon believes of the world and tells others
+// of it: the configuration, the upstream instances and their groups, the
+// other daemons, and whether it is the one that plans the groups. One
+// goroutine owns these beliefs; others read them as views.
+package cluster
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// Settings are what a node needs to know from the start.
+type Settings struct {
+	ID   models.DaemonID
+	Zone models.Zone
+	// Peer is where other daemons reach this one.
+	Peer netip.AddrPort
+	// Store is the address of the platform's store.
+	Store netip.AddrPort
+	// LeaseMin is the shortest lease that the store grants.
+	LeaseMin time.Duration
+	// InstanceHeartbeat is how often an instance writes its entry.
+	InstanceHeartbeat time.Duration
+}
+
+// Traffic tells what the daemon's callers ask for. It must be safe for use
+// by several goroutines.
+type Traffic interface {
+	// InFlight counts the daemon's requests at each instance.
+	InFlight() map[models.InstanceID]int
+	// Work is the load of each model, in seconds of a replica group for each
+	// second.
+	Work() map[models.ModelName]float64
+}
+
+const (
+	inboxLen = 256
+	// orderTimeout bounds the wait for an order's answer; instances of the
+	// same region answer within some ms.
+	orderTimeout = 500 * time.Millisecond
+	// reportTimeout bounds the wait for an instance's report.
+	reportTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the making of a connection to the store, to
+	// instances for orders, and to other daemons.
+	dialTimeout = 400 * time.Millisecond
+	planEvery   = 100 * time.Millisecond
+	sweepEvery  = time.Second
+)
+
+// Node is one daemon's part in the cluster.
+type Node struct {
+	cfg       Settings
+	log       zerolog.Logger
+	clock     *timer.Service
+	traffic   Traffic
+	store     *platform.Store
+	instances *platform.Instances
+	conns     *h1.Pool
+	inbox     chan message
+	view      atomic.Pointer[View]
+	stats     *stats
+	planning  atomic.Bool
+	started   int64
+}
+
+type stats struct {
+	storeCalls  *metrics.Counter
+	storeErrors *metrics.Counter
+	orders      *metrics.Counter
+	reports     *metrics.Counter
+	plans       *metrics.Counter
+}
+
+// New returns a node that is not running yet.
+func New(cfg Settings, traffic Traffic, set *metrics.Set, log zerolog.Logger) *Node {
+	now := time.Now()
+	n := &Node{
+		cfg: cfg, log: log, clock: timer.New(now), traffic: traffic, inbox: make(chan message, inboxLen),
+		started: now.UnixNano(),
+		stats: &stats{
+			storeCalls:  set.NewCounter("lupinkeel_store_calls_total"),
+			storeErrors: set.NewCounter("lupinkeel_store_errors_total"),
+			orders:      set.NewCounter("lupinkeel_group_orders_total"),
+			reports:     set.NewCounter("lupinkeel_instance_reports_total"),
+			plans:       set.NewCounter("lupinkeel_plans_total"),
+		},
+	}
+	n.conns = h1.NewPool(dialTimeout, nil)
+	n.store = platform.NewStore(cfg.Store, n.conns)
+	n.instances = platform.NewInstances(n.conns)
+	n.view.Store(&View{})
+	return n
+}
+
+// View returns what the node believes now.
+func (n *Node) View() *View { return n.view.Load() }
+
+// Clock is the node's timer service.
+func (n *Node) Clock() *timer.Service { return n.clock }
+
+// ReportStalled tells the node that nothing moves at a group's head.
+func (n *Node) ReportStalled(group models.GroupKey, head models.InstanceID) {
+	select {
+	case n.inbox <- stalled{group: group, head: head}:
+	default:
+		// The owner is behind; the next stream at the head tells again.
+	}
+}
+
+// Run runs the node until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers, err := listenPeers(n)
+	if err != nil {
+		return err
+	}
+	o := newOwner(n)
+	parts := map[string]func(context.Context) error{
+		"owner":     o.run,
+		"clock":     n.clock.Run,
+		"config":    n.followConfig,
+		"instances": n.followInstances,
+		"roster":    n.followRoster,
+		"lease":     n.holdLease,
+		"peers":     peers.run,
+		"sweep":     n.sweep,
+	}
+	var tasks []task.Task
+	for name, run := range parts {
+		tasks = append(tasks, task.Start(ctx, name, run))
+	}
+	err = task.WaitAny(ctx, tasks...)
+	cancel()
+	return errors.Join(err, task.Wait(tasks...))
+}
+
+func (n *Node) sweep(ctx context.Context) error {
+	ticks := n.clock.Subscribe(sweepEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case tick := <-ticks:
+			n.conns.Sweep(tick.At, func(netip.AddrPort) bool { return true })
+		}
+	}
+}
+
+// tell hands a message to the owner.
+func (n *Node) tell(ctx context.Context, m message) {
+	select {
+	case n.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+// giveOrder sends an order in the background and tells the owner its end.
+func (n *Node) giveOrder(ctx context.Context, addr netip.AddrPort, o types.GroupOrder) {
+	n.stats.orders.Inc()
+	task.Start(ctx, "order", func(ctx context.Context) error {
+		limited, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		outcome, err := n.instances.Order(limited, addr, o)
+		n.tell(ctx, orderEnded{order: o, outcome: outcome, err: err, at: time.Now()})
+		return nil
+	})
+}
+
+// askReport asks an instance how it is, in the background.
+func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance) {
+	n.stats.reports.Inc()
+	task.Start(ctx, "report", func(ctx context.Context) error {
+		asked := time.Now()
+		limited, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		told, err := n.instances.Report(limited, i)
+		n.tell(ctx, reportEnded{instance: told, err: err, asked: asked})
+		return nil
+	})
+}
--- /dev/null
+++ b/cluster/peers.go
@@ -0,0 +1,241 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/frame"
+	"github.com/lupinkeel/lupinkeel/lib/pack"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+const (
+	rosterTopic = "daemons"
+	// heartbeatEvery is how often a daemon tells another of itself: often
+	// enough that counts of requests in flight are of use to a choice.
+	heartbeatEvery = 200 * time.Millisecond
+	writeTimeout   = 500 * time.Millisecond
+	readTimeout    = 3 * time.Second
+	redialPause    = 300 * time.Millisecond
+)
+
+// Kinds of frames between daemons.
+const (
+	frameHeartbeat frame.Kind = iota + 1
+	frameConfig
+)
+
+// followRoster writes the node's own entry and keeps a connection to every
+// daemon that has one.
+func (n *Node) followRoster(ctx context.Context) error {
+	if err := n.enroll(ctx); err != nil {
+		return err
+	}
+	links := newLinks(n)
+	read := func(records []platform.KeyedRecord, _ time.Time) message {
+		links.update(ctx, records)
+		return rosterRead{records}
+	}
+	f := follower{n: n, topic: rosterTopic, wait: rosterWait, whole: read, added: read}
+	f.every = func() time.Duration { return 0 }
+	err := f.run(ctx)
+	return errors.Join(err, links.wait())
+}
+
+// enroll writes the node's entry until the store has taken it.
+func (n *Node) enroll(ctx context.Context) error {
+	value, err := pack.Marshal(rosterEntry{Zone: n.cfg.Zone, Addr: n.cfg.Peer.String(), Incarnation: n.started})
+	if err != nil {
+		return err
+	}
+	for {
+		n.stats.storeCalls.Inc()
+		limited, cancel := context.WithTimeout(ctx, answerSlack)
+		err := n.store.Put(limited, rosterTopic, string(n.cfg.ID), value)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		n.stats.storeErrors.Inc()
+		n.tell(ctx, storeAway{what: rosterTopic, err: err})
+		if err := pause(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+}
+
+// links are the connections on which a node tells other daemons of itself.
+type links struct {
+	n      *Node
+	ended  []task.Task
+	cancel map[models.DaemonID]context.CancelFunc
+	addrs  map[models.DaemonID]netip.AddrPort
+}
+
+func newLinks(n *Node) *links {
+	return &links{n: n, cancel: map[models.DaemonID]context.CancelFunc{}, addrs: map[models.DaemonID]netip.AddrPort{}}
+}
+
+func (l *links) update(ctx context.Context, records []platform.KeyedRecord) {
+	for _, r := range records {
+		id := models.DaemonID(r.Key)
+		if id == l.n.cfg.ID {
+			continue
+		}
+		var entry rosterEntry
+		addr, err := netip.AddrPort{}, pack.Unmarshal(r.Value, &entry)
+		if err == nil {
+			addr, err = netip.ParseAddrPort(entry.Addr)
+		}
+		if err != nil {
+			l.n.log.Error().Err(err).Str("peer", r.Key).Msg("roster-entry-unreadable")
+			continue
+		}
+		if l.addrs[id] == addr {
+			continue
+		}
+		if stop := l.cancel[id]; stop != nil {
+			stop()
+		}
+		linkCtx, cancel := context.WithCancel(ctx)
+		l.cancel[id], l.addrs[id] = cancel, addr
+		l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, id, addr) }))
+	}
+}
+
+func (l *links) wait() error {
+	for _, cancel := range l.cancel {
+		cancel()
+	}
+	return task.Wait(l.ended...)
+}
+
+// keepLink tells one other daemon of this one, on one connection after the
+// other.
+func (n *Node) keepLink(ctx context.Context, id models.DaemonID, addr netip.AddrPort) error {
+	for ctx.Err() == nil {
+		err := n.runLink(ctx, addr)
+		n.log.Debug().Str("peer", string(id)).Err(err).Msg("link-ended")
+		if err := pause(ctx, redialPause); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (n *Node) runLink(ctx context.Context, addr netip.AddrPort) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	told := int64(0)
+	for {
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if err := frame.Write(conn, frameHeartbeat, n.heartbeat(n.stalledHeads())); err != nil {
+			return err
+		}
+		if told, err = n.tellConfig(conn, told); err != nil {
+			return err
+		}
+		if err := pause(ctx, heartbeatEvery); err != nil {
+			return err
+		}
+	}
+}
+
+// tellConfig hands a newer configuration over than was told before.
+func (n *Node) tellConfig(conn net.Conn, told int64) (int64, error) {
+	v := n.View()
+	if v.Routing == nil || v.Routing.Version <= told {
+		return told, nil
+	}
+	c := ConfigCopy{Version: v.Routing.Version, Age: time.Since(v.Proven), Data: v.config}
+	return c.Version, frame.Write(conn, frameConfig, c)
+}
+
+// peerServer takes in what other daemons tell.
+type peerServer struct {
+	n        *Node
+	listener net.Listener
+}
+
+func listenPeers(n *Node) (*peerServer, error) {
+	l, err := net.Listen("tcp4", n.cfg.Peer.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for daemons: %w", err)
+	}
+	return &peerServer{n: n, listener: l}, nil
+}
+
+func (s *peerServer) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("accept a daemon: %w", err)
+		}
+		task.Start(ctx, "peer", func(ctx context.Context) error { return s.serve(ctx, conn) })
+	}
+}
+
+func (s *peerServer) serve(ctx context.Context, conn net.Conn) error {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	var from models.DaemonID
+	r := bufio.NewReader(conn)
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+			return err
+		}
+		kind, body, err := frame.Read(r)
+		if err == nil {
+			from, err = s.take(ctx, kind, body, from)
+		}
+		if err != nil {
+			s.n.tell(ctx, peerLost{id: from, err: err})
+			return err
+		}
+	}
+}
+
+func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from models.DaemonID) (models.DaemonID, error) {
+	switch kind {
+	case frameHeartbeat:
+		var b Heartbeat
+		if err := frame.Decode(body, &b); err != nil {
+			return from, err
+		}
+		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
+		return b.From, nil
+	case frameConfig:
+		var c ConfigCopy
+		if err := frame.Decode(body, &c); err != nil {
+			return from, err
+		}
+		s.n.tell(ctx, peerConfig{config: c})
+		return from, nil
+	default:
+		return from, fmt.Errorf("%w: kind %d", frame.ErrFormat, kind)
+	}
+}
+
+// stalledHeads lists the heads that this node itself found stalled.
+func (n *Node) stalledHeads() []StalledHead { return n.View().stalled }
--- /dev/null
+++ b/cluster/view.go
@@ -0,0 +1,41 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// View is what a node believed at one moment. It is never changed.
+type View struct {
+	Routing *models.Routing
+	// Proven is when the routing was last known to be the newest.
+	Proven time.Time
+	// Groups are the replica groups that take requests, by model.
+	Groups map[models.ModelName][]Group
+	// Services are the instances of plain services that take requests.
+	Services map[models.ServiceName][]models.UpstreamInstance
+	// PeersInFlight counts the requests that other daemons have at each
+	// instance.
+	PeersInFlight map[models.InstanceID]int
+	// Daemons is the number of daemons, this one among them.
+	Daemons int
+	Term    int64
+	// Planner tells that this node plans the groups.
+	Planner bool
+	All     map[models.InstanceID]models.UpstreamInstance
+
+	// config is the routing as the store holds it, stalled what this node
+	// itself found to stand still.
+	config  []byte
+	stalled []StalledHead
+}
+
+// Group is a replica group that takes requests.
+type Group struct {
+	Key     models.GroupKey
+	Model   models.ModelName
+	Service models.ServiceName
+	Head    models.UpstreamInstance
+	Members []models.InstanceID
+}
--- /dev/null
+++ b/commands/gateway.go
@@ -0,0 +1,106 @@
+package commands
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v2"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/config"
+	"github.com/lupinkeel/lupinkeel/gateway"
+	"github.com/lupinkeel/lupinkeel/lib/logfmt"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+)
+
+func init() { register(gatewayCommand{}) }
+
+// gatewayCommand runs one daemon on the users' platform.
+type gatewayCommand struct{}
+
+func (gatewayCommand) Aliases() []string { return []string{"gateway"} }
+func (gatewayCommand) Usage() string {
+	return "run one daemon on the users' platform, between callers and upstreams"
+}
+func (gatewayCommand) ArgsUsage() string { return " " }
+
+func (gatewayCommand) Flags() []cli.Flag { return append(config.GatewayFlags(), config.LogFlags()...) }
+
+func (gatewayCommand) Execute(c *cli.Context) error {
+	err := config.ReadFile(c)
+	settings, loadErr := config.LoadGateway(c)
+	level, levelErr := config.LoadLog(c)
+	if err := errors.Join(err, loadErr, levelErr); err != nil {
+		return err
+	}
+	return runGateway(c, settings, logfmt.New(c.App.Writer, level))
+}
+
+const (
+	// memoryPart is the part of the memory allowed that the collector keeps
+	// the heap within; the rest is for stacks and buffers.
+	memoryPart = 0.6
+	megabyte   = 1 << 20
+)
+
+func runGateway(c *cli.Context, s config.Gateway, log zerolog.Logger) error {
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory) * megabyte))
+	}
+	set := metrics.NewSet()
+	traffic := gateway.Traffic()
+	node := cluster.New(cluster.Settings{
+		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
+	}, traffic, set, log)
+	g := gateway.New(gateway.Settings{
+		Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
+		RetryRatio: s.RetryRatio, RetrySlack: float64(s.RetrySlack), RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
+	}, node, traffic, set, log)
+	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
+		Stringer("store", s.Store).Msg("started")
+	background, cancel := context.WithCancel(context.WithoutCancel(c.Context))
+	defer cancel()
+	running := task.Start(background, "node", node.Run)
+	serving := task.Start(c.Context, "gateway", g.Run)
+	reloading := task.Start(background, "reload", func(ctx context.Context) error { return reload(ctx, c, log) })
+	err := task.WaitAny(c.Context, running, serving)
+	if err != nil {
+		cancel()
+	}
+	err = errors.Join(err, task.Wait(serving))
+	cancel()
+	err = errors.Join(err, task.Wait(running, reloading))
+	log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// keysPart of keysWhole is the part of the bound for taken keys within which
+// their newest state must be proved: the rest is for requests under way.
+const (
+	keysPart  = 8
+	keysWhole = 10
+)
+
+// reload reads the settings again whenever the platform says that they have
+// changed, and tells what is wrong with them. All of them take effect with
+// the next start.
+func reload(ctx context.Context, c *cli.Context, log zerolog.Logger) error {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hups:
+			_, err := config.LoadGateway(c)
+			log.Info().Err(err).Msg("settings-read")
+		}
+	}
+}
--- /dev/null
+++ b/fleet/form.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// candidate is a group that could be formed.
+type candidate struct {
+	model   models.ModelProfile
+	members []models.InstanceID
+	loading map[models.InstanceID]bool
+	// ready is how long the slowest member takes.
+	ready time.Duration
+}
+
+// formAll forms groups of free instances, the model that lacks most first.
+func (r *round) formAll() {
+	free := r.free()
+	for {
+		c, found := r.best(free)
+		if !found {
+			return
+		}
+		r.form(c)
+		for domain, ids := range free {
+			free[domain] = slices.DeleteFunc(ids, func(id models.InstanceID) bool { return slices.Contains(c.members, id) })
+		}
+	}
+}
+
+// free lists the instances that may be used, by fabric domain.
+func (r *round) free() map[models.Domain][]models.InstanceID {
+	out := map[models.Domain][]models.InstanceID{}
+	for _, id := range slices.Sorted(maps.Keys(r.Instances)) {
+		_, held := r.held[id]
+		if !r.usable(id) || r.taken[id] || held || !r.released(id) {
+			continue
+		}
+		out[r.Instances[id].Domain] = append(out[r.Instances[id].Domain], id)
+	}
+	return out
+}
+
+// released reports whether an instance's last group has let go of it.
+func (r *round) released(id models.InstanceID) bool {
+	m := r.Instances[id].Group
+	if m.State == models.MemberNone {
+		return true
+	}
+	e := r.ending[m.Key]
+	return e != nil && e.closed
+}
+
+// best picks the group to form next.
+func (r *round) best(free map[models.Domain][]models.InstanceID) (candidate, bool) {
+	var best candidate
+	found := false
+	for _, model := range r.byNeed() {
+		for _, domain := range slices.Sorted(maps.Keys(free)) {
+			c, ok := r.candidate(model, free[domain])
+			if ok && r.mayLoad(len(c.loading)) && (!found || c.better(best)) {
+				best, found = c, true
+			}
+		}
+		if found {
+			return best, true
+		}
+	}
+	return best, found
+}
+
+func (c candidate) better(o candidate) bool {
+	if c.ready != o.ready {
+		return c.ready < o.ready
+	}
+	return len(c.loading) < len(o.loading)
+}
+
+// byNeed lists the models, the one that lacks the greatest part of what it
+// needs first.
+func (r *round) byNeed() []models.ModelProfile {
+	out := slices.Clone(r.Profile.Models)
+	supply := func(m models.ModelProfile) float64 {
+		need := r.Demand[m.Name]
+		if need <= 0 {
+			need = minDemand
+		}
+		// Half a group more, so that a model without any comes first.
+		return (float64(r.settled[m.Name]) + float64(m.Size)/2) / need
+	}
+	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(supply(a), supply(b)) })
+	return out
+}
+
+// minDemand stands for the part of instances that a model needs of which
+// nothing is known.
+const minDemand = 0.02
+
+// candidate is the group of the model that is ready soonest.
+func (r *round) candidate(model models.ModelProfile, ids []models.InstanceID) (candidate, bool) {
+	if len(ids) < model.Size {
+		return candidate{}, false
+	}
+	sorted := slices.Clone(ids)
+	slices.SortStableFunc(sorted, func(a, b models.InstanceID) int {
+		return cmp.Or(cmp.Compare(r.joinTime(a, model), r.joinTime(b, model)), cmp.Compare(r.regret(a, model), r.regret(b, model)))
+	})
+	c := candidate{model: model, members: sorted[:model.Size:model.Size], loading: map[models.InstanceID]bool{}}
+	for _, id := range c.members {
+		t := r.joinTime(id, model)
+		c.ready = max(c.ready, t)
+		if t >= model.Load {
+			c.loading[id] = true
+		}
+	}
+	return c, true
+}
+
+// joinTime is how long the instance takes to join a group of the model.
+func (r *round) joinTime(id models.InstanceID, model models.ModelProfile) time.Duration {
+	i := r.Instances[id]
+	switch {
+	case i.Loaded == model.Name:
+		return rejoin
+	case slices.Contains(i.Staged, model.Name):
+		return model.Warm
+	default:
+		return model.Load
+	}
+}
+
+// regret is 1 for an instance that has another model's weights at hand.
+func (r *round) regret(id models.InstanceID, model models.ModelProfile) int {
+	i := r.Instances[id]
+	if len(i.Staged) > 0 && !slices.Contains(i.Staged, model.Name) {
+		return 1
+	}
+	return 0
+}
+
+// mayLoad reports whether so many loads may begin now.
+func (r *round) mayLoad(n int) bool {
+	if n == 0 {
+		return true
+	}
+	most := r.Profile.LoadsAtOnce
+	if !r.Traffic {
+		return r.loading < most+earlyLoads
+	}
+	bound := r.Profile.LoadsPerSecond * loadWindow.Seconds() * loadMargin
+	return (r.loading == 0 || r.loading+n <= most) && float64(len(r.loads)+n) <= bound
+}
+
+func (r *round) form(c candidate) {
+	epoch := r.next()
+	f := &formation{
+		key: models.GroupKey{Name: nameGroup(c.model.Name, epoch), Epoch: epoch}, model: c.model.Name, members: c.members,
+		joined: map[models.InstanceID]bool{}, loading: c.loading, deadline: r.Now.Add(formFactor*c.ready + formSlack),
+	}
+	for range c.loading {
+		r.loads = append(r.loads, r.Now)
+	}
+	r.forming[f.key] = f
+	r.take(f)
+	r.advance(f)
+}
--- /dev/null
+++ b/fleet/groups.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Group is a replica group as its members tell of it.
+type Group struct {
+	Key   models.GroupKey
+	Model models.ModelName
+	// Members are those that tell that they are in it, by rank; a rank that
+	// nobody holds is missing from the map.
+	Members map[int]models.InstanceID
+	// Head is empty if nobody holds rank 0.
+	Head  models.InstanceID
+	State models.MemberState
+	// Ready counts the members that have their weights.
+	Ready int
+}
+
+// Groups gathers the groups that instances tell of.
+func Groups(instances map[models.InstanceID]models.UpstreamInstance) map[models.GroupKey]*Group {
+	out := map[models.GroupKey]*Group{}
+	for id, i := range instances {
+		if i.Group.State == models.MemberNone {
+			continue
+		}
+		g := out[i.Group.Key]
+		if g == nil {
+			g = &Group{Key: i.Group.Key, Model: ModelOf(i.Group.Key.Name), Members: map[int]models.InstanceID{}}
+			out[g.Key] = g
+		}
+		g.Members[i.Group.Rank] = id
+		if i.Group.Rank == 0 {
+			g.Head, g.State = id, i.Group.State
+		}
+		if i.Group.State != models.MemberJoining {
+			g.Ready++
+		}
+	}
+	return out
+}
+
+// Serving reports whether the group's head takes requests.
+func (g *Group) Serving() bool { return g.State == models.MemberOpen }
+
+// complete reports whether all members of a group of this size are there.
+func (g *Group) complete(size int) bool {
+	for rank := range size {
+		if _, there := g.Members[rank]; !there {
+			return false
+		}
+	}
+	return len(g.Members) == size
+}
--- /dev/null
+++ b/fleet/planner.go
@@ -0,0 +1,219 @@
+// Package fleet decides which replica groups the upstream instances of a
+// model service form, and which orders bring that about. It is pure: a
+// planner is told the time and what the instances say, and returns orders.
+//
+// The instances hold the truth. A planner that starts adopts the groups that
+// it finds; one that was replaced is shut out by the fence of its successor,
+// which every instance remembers.
+package fleet
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	// TermBits is how far a term is shifted to make room for the orders
+	// given in it. A term of a million orders outlasts any deployment's day.
+	TermBits = 20
+	// repeatAfter is how long an order may go unanswered or unheeded before
+	// it is given again under a newer fence.
+	repeatAfter = 600 * time.Millisecond
+	// holdUnfit is how long an instance that refused an order is left alone.
+	holdUnfit = 2 * time.Second
+	// formSlack is added to the expected time of a formation before it is
+	// given up; formFactor allows for loads slowed by others.
+	formSlack  = 3 * time.Second
+	formFactor = 2
+	// rejoin is how long an instance takes to join a group of the model that
+	// it ran last, as the engines' makers state.
+	rejoin = 200 * time.Millisecond
+	// loadWindow is the window over which begun loads are bounded, and
+	// loadMargin the part of the weight store's rate that is used in it.
+	loadWindow = 5 * time.Second
+	loadMargin = 0.8
+	// earlyLoads is how many loads beyond the weight store's best number are
+	// begun before traffic, so that it is never idle between two groups.
+	earlyLoads = 3
+)
+
+// World is what is known at one moment.
+type World struct {
+	Now     time.Time
+	Profile *models.EngineProfile
+	// Instances are those of the model service that have an entry.
+	Instances map[models.InstanceID]models.UpstreamInstance
+	// Lost are instances that have an entry and yet do not answer.
+	Lost map[models.InstanceID]bool
+	// Demand is the part of all instances that each model needs.
+	Demand map[models.ModelName]float64
+	// Traffic tells that requests have come. Until then loads are cheap.
+	Traffic bool
+}
+
+func (w World) usable(id models.InstanceID) bool {
+	i, there := w.Instances[id]
+	return there && !w.Lost[id] && !i.Draining
+}
+
+// Planner gives the orders of one term. Its methods are not safe for use by
+// several goroutines.
+type Planner struct {
+	term int64
+	seq  int64
+	// forming are the groups that are being made, ending those that are
+	// being taken apart.
+	forming map[models.GroupKey]*formation
+	ending  map[models.GroupKey]*ending
+	// sent holds the last order to each instance.
+	sent map[models.InstanceID]*sentOrder
+	// held are instances that refused an order, until when.
+	held  map[models.InstanceID]time.Time
+	loads []time.Time
+	// superseded tells that an instance has seen a newer term.
+	superseded bool
+}
+
+type sentOrder struct {
+	order   types.GroupOrder
+	at      time.Time
+	outcome types.OrderOutcome
+}
+
+// NewPlanner returns the planner of a term. Terms only ever rise.
+func NewPlanner(term int64) *Planner {
+	return &Planner{
+		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
+		sent: map[models.InstanceID]*sentOrder{}, held: map[models.InstanceID]time.Time{},
+	}
+}
+
+// Superseded reports whether a planner of a newer term gives orders.
+func (p *Planner) Superseded() bool { return p.superseded }
+
+// next returns a number that rises with each call and with each term. It
+// serves as fence and as epoch.
+func (p *Planner) next() int64 {
+	p.seq++
+	return p.term<<TermBits | p.seq
+}
+
+// nameGroup makes a group's name, from which ModelOf reads its model.
+func nameGroup(model models.ModelName, epoch int64) models.GroupID {
+	return models.GroupID(string(model) + "." + strconv.FormatInt(epoch, 36))
+}
+
+// ModelOf returns the model of a group that a planner named.
+func ModelOf(name models.GroupID) models.ModelName {
+	at := strings.LastIndexByte(string(name), '.')
+	if at < 0 {
+		return ""
+	}
+	return models.ModelName(name[:at])
+}
+
+// Step returns the orders that are due.
+func (p *Planner) Step(w World) []types.GroupOrder {
+	if w.Profile == nil {
+		return nil
+	}
+	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: map[models.ModelName]int{}}
+	r.forget()
+	r.advanceForming()
+	r.examineGroups()
+	r.advanceEnding()
+	r.formAll()
+	return r.orders
+}
+
+// Note takes in what came of an order.
+func (p *Planner) Note(o types.GroupOrder, outcome types.OrderOutcome, now time.Time) {
+	if s := p.sent[o.Instance]; s != nil && s.order.Fence == o.Fence {
+		s.outcome = outcome
+	}
+	switch outcome {
+	case types.OrderFenced:
+		p.noteFenced(o)
+	case types.OrderUnfit, types.OrderOtherInstance:
+		if o.Kind == types.GroupJoin || outcome == types.OrderOtherInstance {
+			p.held[o.Instance] = now.Add(holdUnfit)
+		}
+	case types.OrderDone, types.OrderBegun:
+		p.noteTaken(o, outcome)
+	case types.OrderUnknown:
+	}
+}
+
+// noteFenced tells an order overtaken by a newer one of this planner from
+// one of another's.
+func (p *Planner) noteFenced(o types.GroupOrder) {
+	if s := p.sent[o.Instance]; s != nil && s.order.Fence == o.Fence {
+		p.superseded = true
+	}
+}
+
+func (p *Planner) noteTaken(o types.GroupOrder, outcome types.OrderOutcome) {
+	if f := p.forming[o.Group]; f != nil && o.Kind == types.GroupJoin {
+		f.joined[o.Instance] = true
+	}
+	if e := p.ending[o.Group]; e != nil && o.Instance == e.head && outcome == types.OrderDone &&
+		(o.Kind == types.GroupCut || o.Kind == types.GroupFinish) {
+		e.closed = true
+	}
+}
+
+// round is one call of Step.
+type round struct {
+	*Planner
+	World
+	groups map[models.GroupKey]*Group
+	orders []types.GroupOrder
+	// taken are instances that stay where they are or are going somewhere.
+	taken map[models.InstanceID]bool
+	// settled counts the instances of each model in groups that stand or
+	// are being made.
+	settled map[models.ModelName]int
+	// loading counts instances that are loading weights.
+	loading int
+}
+
+// forget drops what is kept of instances that are gone.
+func (r *round) forget() {
+	for id := range r.sent {
+		if _, there := r.Instances[id]; !there {
+			delete(r.sent, id)
+		}
+	}
+	for id, until := range r.held {
+		if r.Now.After(until) {
+			delete(r.held, id)
+		}
+	}
+	kept := r.loads[:0]
+	for _, at := range r.loads {
+		if r.Now.Sub(at) < loadWindow {
+			kept = append(kept, at)
+		}
+	}
+	r.loads = kept
+}
+
+// due reports whether an order of this kind may be given to the instance
+// now: not while the same one is under way.
+func (r *round) due(id models.InstanceID, kind types.GroupOrderKind, key models.GroupKey) bool {
+	s := r.sent[id]
+	if s == nil || s.order.Kind != kind || s.order.Group != key {
+		return true
+	}
+	return r.Now.Sub(s.at) >= repeatAfter
+}
+
+func (r *round) order(o types.GroupOrder) {
+	o.Fence = r.next()
+	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: types.OrderUnknown}
+	r.orders = append(r.orders, o)
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,214 @@
+// Package gateway takes callers' requests over HTTP and passes each to an
+// upstream instance, raw: method, path, query, body and headers go through
+// as they came, both ways.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Settings are what a gateway needs to know from the start.
+type Settings struct {
+	// Listen is where callers come, Ready where the balancer asks, Admin
+	// where metrics are served; Admin may be invalid.
+	Listen netip.AddrPort
+	Ready  netip.AddrPort
+	Admin  netip.AddrPort
+	// KeysBound is how old the proof that the keys are current may be.
+	KeysBound time.Duration
+	// ConfigBound is how old it may be for a route or key that is not known
+	// to be refused as unknown.
+	ConfigBound time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// StopGrace is how long a planned stop may take.
+	StopGrace time.Duration
+}
+
+const (
+	// dialTimeout bounds the making of a connection to an upstream: two
+	// round trips between zones, far less than a lost packet's repeat.
+	dialTimeout = 250 * time.Millisecond
+	// maxHeader bounds a request's head where the configuration does not.
+	maxHeader         = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	sweepEvery        = time.Second
+	// stopNotice is how long a stopping daemon goes on taking connections,
+	// until the balancer has asked twice and left it out.
+	stopNotice = 2500 * time.Millisecond
+	// stopMargin is kept for the process to end within StopGrace.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Gateway serves one daemon's callers.
+type Gateway struct {
+	cfg      Settings
+	log      zerolog.Logger
+	node     *cluster.Node
+	balance  *balance
+	budget   *budget
+	conns    *h1.Pool
+	stats    *stats
+	set      *metrics.Set
+	stopping atomic.Bool
+}
+
+type stats struct {
+	ends      map[outcome]*metrics.Counter
+	repeats   *metrics.Counter
+	resumes   *metrics.Counter
+	opened    *metrics.Counter
+	firstByte *metrics.Histogram
+	inFlight  atomic.Int64
+}
+
+func newStats(set *metrics.Set) *stats {
+	s := &stats{
+		ends: map[outcome]*metrics.Counter{}, repeats: set.NewCounter("lupinkeel_request_repeats_total"),
+		resumes: set.NewCounter("lupinkeel_stream_resumes_total"), opened: set.NewCounter("lupinkeel_upstream_connections_total"),
+		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
+	}
+	set.NewGauge("lupinkeel_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
+	for _, o := range outcomes {
+		s.ends[o] = set.NewCounter(fmt.Sprintf("lupinkeel_requests_total{outcome=%q}", string(o)))
+	}
+	return s
+}
+
+// Traffic is what a node reads of a gateway that is yet to be made.
+func Traffic() cluster.Traffic { return newBalance() }
+
+// New returns a gateway. The traffic must come from Traffic.
+func New(cfg Settings, node *cluster.Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
+	g := &Gateway{
+		cfg: cfg, log: log, node: node, balance: traffic.(*balance), stats: newStats(set), set: set,
+		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+	}
+	g.conns = h1.NewPool(dialTimeout, func() { g.stats.opened.Inc() })
+	return g
+}
+
+// Run serves until the context ends and then stops as planned: the balancer
+// is told first, requests in flight end, and then the connections close.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
+	servers := map[netip.AddrPort]*http.Server{g.cfg.Listen: callers, g.cfg.Ready: {Handler: g.readyRoutes()}}
+	if g.cfg.Admin.IsValid() {
+		servers[g.cfg.Admin] = &http.Server{Handler: g.adminRoutes()}
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	tasks := []task.Task{task.Start(background, "sweep", g.sweep)}
+	for addr, server := range servers {
+		l, err := net.Listen("tcp4", addr.String())
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		tasks = append(tasks, task.Start(background, addr.String(), func(context.Context) error { return serveOn(server, l) }))
+	}
+	err := task.WaitAny(ctx, tasks...)
+	if err == nil {
+		g.stop(background, callers)
+	}
+	for _, server := range servers {
+		server.Close()
+	}
+	cancel()
+	return errors.Join(err, task.Wait(tasks...))
+}
+
+func serveOn(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (g *Gateway) stop(ctx context.Context, callers *http.Server) {
+	began := time.Now()
+	g.stopping.Store(true)
+	g.log.Info().Int64("in-flight", g.stats.inFlight.Load()).Msg("stop-begun")
+	time.Sleep(min(stopNotice, g.cfg.StopGrace/2))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(g.cfg.StopGrace-stopMargin))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
+}
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	ticks := g.node.Clock().Subscribe(sweepEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case tick := <-ticks:
+			known := g.node.View().All
+			addrs := make(map[netip.AddrPort]bool, len(known))
+			for _, i := range known {
+				addrs[i.Addr] = true
+			}
+			g.conns.Sweep(tick.At, func(a netip.AddrPort) bool { return addrs[a] })
+			g.balance.forget(known)
+		}
+	}
+}
+
+func (g *Gateway) readyRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/ready", g.serveReady)
+	return mux
+}
+
+func (g *Gateway) adminRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.set.WritePrometheus(w) })
+	mux.HandleFunc("GET /-/ready", g.serveReady)
+	return mux
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || !g.current(g.node.View(), g.cfg.KeysBound) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// current reports whether the configuration was the newest within the bound.
+func (g *Gateway) current(v *cluster.View, bound time.Duration) bool {
+	return v.Routing != nil && time.Since(v.Proven) < bound
+}
+
+// pickService picks one of a route's services by weight, the same one for
+// every try of a request.
+func pickService(route models.Route, point uint64) models.ServiceName {
+	total := 0
+	for _, t := range route.Targets {
+		total += max(0, t.Weight)
+	}
+	if total == 0 {
+		return route.Targets[0].Service
+	}
+	at := int(point % uint64(total))
+	for _, t := range route.Targets {
+		if at -= max(0, t.Weight); at < 0 {
+			return t.Service
+		}
+	}
+	return route.Targets[0].Service
+}
--- /dev/null
+++ b/gateway/unary.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+const (
+	// maxAnswer bounds an answer that is passed on whole, in bytes.
+	maxAnswer = 16 << 20
+	// slowFactor is after how many times its aim a repeatable request is
+	// sent to another instance.
+	slowFactor = 1.5
+	slowLeast  = 150 * time.Millisecond
+)
+
+var (
+	errAnswerTooLong = errors.New("the answer is too long")
+	errUnsigned      = errors.New("the answer is not signed")
+	errSlow          = errors.New("the instance is slow")
+)
+
+// unary sends a request to an instance of a plain service and passes the
+// answer on once it is whole.
+func (e *exchange) unary(ctx context.Context) error {
+	e.g.budget.request(e.began)
+	for {
+		v := e.g.node.View()
+		i, _, found := e.g.balance.pickInstance(v, e.service, e.tried)
+		if !found {
+			return e.noMore(errNoUpstream)
+		}
+		last := len(e.tried)+1 >= e.route.Attempts
+		err := e.tryUnary(ctx, i, last)
+		if err == nil || last || ctx.Err() != nil || !(e.route.Repeatable() || errors.Is(err, errNotRun)) {
+			return err
+		}
+		if !e.g.budget.repeat(time.Now(), v.Daemons) {
+			return errors.Join(err, errBudget)
+		}
+		e.g.stats.repeats.Inc()
+	}
+}
+
+// noMore tells why a request ends for which nothing is left to be tried.
+func (e *exchange) noMore(err error) error {
+	if len(e.tried) > 0 {
+		return errors.Join(errMayHaveRun, err)
+	}
+	return err
+}
+
+// tryUnary makes one try. A failure that the instance gave is passed on only
+// in the last one.
+func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
+	e.g.balance.enter(i.ID)
+	defer e.g.balance.leave(i.ID)
+	if e.route.Repeatable() && !last {
+		limited, cancel := context.WithTimeoutCause(ctx, max(slowLeast, time.Duration(slowFactor*float64(e.route.Aim))), errSlow)
+		defer cancel()
+		ctx = limited
+	}
+	resp, err := e.send(ctx, i, models.Attempt{}, 0, nil)
+	if err != nil {
+		return err
+	}
+	body, err := readWhole(resp)
+	if err != nil {
+		return errors.Join(errMayHaveRun, err)
+	}
+	if resp.Status >= http.StatusInternalServerError && e.route.Repeatable() && !last {
+		return errMayHaveRun
+	}
+	if resp.Status < http.StatusMultipleChoices && !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
+		return errors.Join(errMayHaveRun, errUnsigned)
+	}
+	if _, given := resp.Header["Content-Length"]; !given && e.r.Method != http.MethodHead {
+		resp.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	e.writeHead(resp.Status, resp.Header)
+	_, err = e.w.Write(body)
+	return err
+}
+
+// readWhole reads an answer's body to its end.
+func readWhole(resp *h1.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswer {
+		return nil, errAnswerTooLong
+	}
+	return body, nil
+}
--- /dev/null
+++ b/lib/h1/pool.go
@@ -0,0 +1,139 @@
+// Package h1 keeps HTTP/1.1 connections to upstreams and sends one request
+// at a time on each. Unlike net/http's transport it never sends a request
+// twice, and it tells whether any byte of a request that failed was written.
+package h1
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Errors of Do. Each failure wraps exactly one of them.
+var (
+	// ErrNotSent: no byte of the request was written.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrNoAnswer: the request was written, at least in part, and no head
+	// of an answer came back. It may have been run.
+	ErrNoAnswer = errors.New("the request got no answer")
+)
+
+const (
+	// idleDefault is how long a connection rests in the pool when the
+	// upstream does not tell how long it keeps one.
+	idleDefault = 4 * time.Second
+	// idleMargin is how much sooner than the upstream the pool gives up a
+	// resting connection, so that a request does not cross its close.
+	idleMargin = 300 * time.Millisecond
+	// maxIdle is how many connections to one address rest in the pool.
+	maxIdle = 64
+)
+
+// Pool keeps idle connections, by address. The zero value is not usable; see
+// NewPool.
+type Pool struct {
+	// DialTimeout bounds how long a connection may take to be made.
+	dialTimeout time.Duration
+	opened      func()
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+}
+
+// NewPool returns an empty pool. The function opened is called for each new
+// connection; it may be nil.
+func NewPool(dialTimeout time.Duration, opened func()) *Pool {
+	return &Pool{dialTimeout: dialTimeout, opened: opened, idle: map[netip.AddrPort][]*conn{}}
+}
+
+// take returns a connection that rested for at most freshest, or a new one.
+func (p *Pool) take(ctx context.Context, addr netip.AddrPort, freshest time.Duration) (*conn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			return p.dial(ctx, addr)
+		}
+		if time.Since(c.rested) <= freshest && c.usable() {
+			return c, nil
+		}
+		c.close()
+	}
+}
+
+func (p *Pool) pop(addr netip.AddrPort) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[addr]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := len(conns) - 1
+	c := conns[last]
+	conns[last] = nil
+	p.idle[addr] = conns[:last]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.rested = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.addr]) >= maxIdle {
+		c.close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// Sweep closes connections that have rested for too long, and all those to
+// addresses that keep does not want.
+func (p *Pool) Sweep(now time.Time, keep func(netip.AddrPort) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if keep(addr) && now.Before(c.rested.Add(c.idleFor)) {
+				kept = append(kept, c)
+				continue
+			}
+			c.close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	dialer := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
+	nc, err := dialer.DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if p.opened != nil {
+		p.opened()
+	}
+	return newConn(p, addr, nc.(*net.TCPConn)), nil
+}
+
+// userTimeout is after how long without an acknowledgement the kernel gives
+// up a connection whose peer lost power or is cut off.
+const userTimeout = 4 * time.Second
+
+func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, set)
+}
--- /dev/null
+++ b/lib/sse/reader.go
@@ -0,0 +1,110 @@
+// Package sse splits a stream of server-sent events into whole events and
+// leaves their bytes as they are.
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// MaxEvent is the longest event accepted, in bytes.
+const MaxEvent = 1 << 20
+
+// Errors of Next.
+var (
+	// ErrCut: the stream ended within an event.
+	ErrCut = errors.New("the stream ended within an event")
+	// ErrTooLong: an event is longer than MaxEvent.
+	ErrTooLong = errors.New("event too long")
+)
+
+// Event is one whole event with the blank line that ends it.
+type Event struct {
+	Raw []byte
+	// ID is the number in the event's id field; HasID tells that it has one.
+	ID    int64
+	HasID bool
+}
+
+// Reader splits events off a reader.
+type Reader struct {
+	r   io.Reader
+	buf []byte
+	// at is where the unread bytes in buf begin.
+	at int
+}
+
+const firstBuffer = 2 << 10
+
+// NewReader returns a reader of events.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: r, buf: make([]byte, 0, firstBuffer)}
+}
+
+// Next returns the next event, which is valid until the next call. It returns
+// io.EOF only between two events.
+func (r *Reader) Next() (Event, error) {
+	for {
+		if event, ok := r.split(); ok {
+			return event, nil
+		}
+		if len(r.buf)-r.at > MaxEvent {
+			return Event{}, ErrTooLong
+		}
+		if err := r.fill(); err != nil {
+			if errors.Is(err, io.EOF) && len(r.buf) > r.at {
+				return Event{}, fmt.Errorf("%w: %d bytes left", ErrCut, len(r.buf)-r.at)
+			}
+			return Event{}, err
+		}
+	}
+}
+
+// Pending reports whether a whole event has been read already.
+func (r *Reader) Pending() bool { return bytes.Contains(r.buf[r.at:], []byte("\n\n")) }
+
+func (r *Reader) split() (Event, bool) {
+	end := bytes.Index(r.buf[r.at:], []byte("\n\n"))
+	if end < 0 {
+		return Event{}, false
+	}
+	raw := r.buf[r.at : r.at+end+2]
+	r.at += end + 2
+	return parse(raw), true
+}
+
+func (r *Reader) fill() error {
+	if r.at > 0 {
+		r.buf = append(r.buf[:0], r.buf[r.at:]...)
+		r.at = 0
+	}
+	if cap(r.buf)-len(r.buf) < firstBuffer/2 {
+		grown := make([]byte, len(r.buf), 2*cap(r.buf))
+		copy(grown, r.buf)
+		r.buf = grown
+	}
+	n, err := r.r.Read(r.buf[len(r.buf):cap(r.buf)])
+	r.buf = r.buf[:len(r.buf)+n]
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+func parse(raw []byte) Event {
+	event := Event{Raw: raw}
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err == nil {
+			event.ID, event.HasID = id, true
+		}
+	}
+	return event
+}
