fleet: give each fabric domain to one model, stage spares

Cause: spread thin, every loss of a member left three survivors waiting 16 s for a load; one to three groups of the four-member model served. Ruled out: demand (0.52 of instances, as the configuration's shares say). Next: why answers are late with groups standing.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -30,7 +30,9 @@
 	// suspects are stalled heads, until when.
 	suspects map[models.InstanceID]suspicion
 	traffic  bool
-	demand   map[models.ModelName]float64
+	// supplyLogged is when the supply was last told in the log.
+	supplyLogged time.Time
+	demand       map[models.ModelName]float64
 }
 
 type suspicion struct {
@@ -302,6 +304,7 @@
 		}
 	}
 	o.n.stats.plans.Inc()
+	o.logSupply(engine, world)
 	for _, order := range f.planner.Step(world) {
 		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
 			Int64("fence", order.Fence).Msg("order-given")
@@ -309,6 +312,31 @@
 	}
 }
 
+// supplyEvery is how often the planner tells what serves.
+const supplyEvery = 2 * time.Second
+
+// logSupply tells what each model has and needs.
+func (o *owner) logSupply(engine *models.EngineProfile, w fleet.World) {
+	if w.Now.Sub(o.fleet.supplyLogged) < supplyEvery {
+		return
+	}
+	o.fleet.supplyLogged = w.Now
+	groups, _ := o.fleet.serving(o.config.routing, w.Now)
+	work := o.work()
+	for _, m := range engine.Models {
+		busy := 0
+		for _, g := range groups[m.Name] {
+			busy += o.n.traffic.InFlight()[g.Head.ID]
+			for _, p := range o.peers.seen {
+				busy += p.beat.InFlight[g.Head.ID]
+			}
+		}
+		o.n.log.Info().Str("model", string(m.Name)).Int("groups", len(groups[m.Name])).Int("size", m.Size).Int("in-flight", busy).
+			Float64("demand", w.Demand[m.Name]).Float64("work", work[m.Name]).Int("instances", len(w.Instances)).
+			Int("lost", len(w.Lost)).Msg("supply")
+	}
+}
+
 const (
 	// demandKept is the part of the former estimate that is kept at each
 	// planning; at ten a second the estimate follows within two seconds.
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
 // candidate is a group that could be formed.
@@ -18,19 +19,22 @@
 	ready time.Duration
 }
 
-// formAll forms groups of free instances, the model that lacks most first.
+// formAll forms groups of free instances, the model that lacks most first,
+// and has weights staged on those that are left.
 func (r *round) formAll() {
+	r.layout()
 	free := r.free()
 	for {
 		c, found := r.best(free)
 		if !found {
-			return
+			break
 		}
 		r.form(c)
 		for domain, ids := range free {
 			free[domain] = slices.DeleteFunc(ids, func(id models.InstanceID) bool { return slices.Contains(c.members, id) })
 		}
 	}
+	r.stageAll(free)
 }
 
 // free lists the instances that may be used, by fabric domain.
@@ -56,14 +60,15 @@
 	return e != nil && e.closed
 }
 
-// best picks the group to form next.
+// best picks the group to form next: of the model that lacks most, where it
+// is ready soonest.
 func (r *round) best(free map[models.Domain][]models.InstanceID) (candidate, bool) {
-	var best candidate
-	found := false
 	for _, model := range r.byNeed() {
+		var best candidate
+		found := false
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			c, ok := r.candidate(model, free[domain])
-			if ok && r.mayLoad(len(c.loading)) && (!found || c.better(best)) {
+			c, ok := r.candidate(model, domain, free[domain])
+			if ok && (!found || c.better(best)) {
 				best, found = c, true
 			}
 		}
@@ -71,7 +76,7 @@
 			return best, true
 		}
 	}
-	return best, found
+	return candidate{}, false
 }
 
 func (c candidate) better(o candidate) bool {
@@ -86,12 +91,8 @@
 func (r *round) byNeed() []models.ModelProfile {
 	out := slices.Clone(r.Profile.Models)
 	supply := func(m models.ModelProfile) float64 {
-		need := r.Demand[m.Name]
-		if need <= 0 {
-			need = minDemand
-		}
 		// Half a group more, so that a model without any comes first.
-		return (float64(r.settled[m.Name]) + float64(m.Size)/2) / need
+		return (float64(r.settled[m.Name]) + float64(m.Size)/2) / r.need(m)
 	}
 	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(supply(a), supply(b)) })
 	return out
@@ -101,14 +102,17 @@
 // nothing is known.
 const minDemand = 0.02
 
-// candidate is the group of the model that is ready soonest.
-func (r *round) candidate(model models.ModelProfile, ids []models.InstanceID) (candidate, bool) {
+// candidate is the group of the model that is ready soonest in the domain.
+// Weights are loaded only for groups in the model's own domains, and once
+// there is traffic only if no member has to wait for another's load: until
+// then such members serve better as spares.
+func (r *round) candidate(model models.ModelProfile, domain models.Domain, ids []models.InstanceID) (candidate, bool) {
 	if len(ids) < model.Size {
 		return candidate{}, false
 	}
 	sorted := slices.Clone(ids)
 	slices.SortStableFunc(sorted, func(a, b models.InstanceID) int {
-		return cmp.Or(cmp.Compare(r.joinTime(a, model), r.joinTime(b, model)), cmp.Compare(r.regret(a, model), r.regret(b, model)))
+		return cmp.Compare(r.joinTime(a, model), r.joinTime(b, model))
 	})
 	c := candidate{model: model, members: sorted[:model.Size:model.Size], loading: map[models.InstanceID]bool{}}
 	for _, id := range c.members {
@@ -118,9 +122,29 @@
 			c.loading[id] = true
 		}
 	}
-	return c, true
+	n := len(c.loading)
+	switch {
+	case n == 0:
+		return c, true
+	case !r.ownsLoads(model, domain, len(ids)) || !r.mayLoad(n):
+		return c, false
+	default:
+		return c, !r.Traffic || n == model.Size
+	}
 }
 
+// ownsLoads reports whether weights of the model may be loaded in a domain:
+// in its own, and in another's if more instances are free there than that
+// needs as spares.
+func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int) bool {
+	owner, known := r.Profile.Model(r.domains[domain])
+	return !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 || (free < owner.Size && free > maxSpares)
+}
+
+// maxSpares is how many instances of a domain are kept as spares of its
+// model rather than used for another.
+const maxSpares = 2
+
 // joinTime is how long the instance takes to join a group of the model.
 func (r *round) joinTime(id models.InstanceID, model models.ModelProfile) time.Duration {
 	i := r.Instances[id]
@@ -134,20 +158,8 @@
 	}
 }
 
-// regret is 1 for an instance that has another model's weights at hand.
-func (r *round) regret(id models.InstanceID, model models.ModelProfile) int {
-	i := r.Instances[id]
-	if len(i.Staged) > 0 && !slices.Contains(i.Staged, model.Name) {
-		return 1
-	}
-	return 0
-}
-
 // mayLoad reports whether so many loads may begin now.
 func (r *round) mayLoad(n int) bool {
-	if n == 0 {
-		return true
-	}
 	most := r.Profile.LoadsAtOnce
 	if !r.Traffic {
 		return r.loading < most+earlyLoads
@@ -169,3 +181,65 @@
 	r.take(f)
 	r.advance(f)
 }
+
+// staging is a model that an instance is loading onto its host.
+type staging struct {
+	model models.ModelName
+	until time.Time
+}
+
+// advanceStaging counts the stagings that are under way and forgets those
+// that ended.
+func (r *round) advanceStaging() {
+	for id, s := range r.staging {
+		if !r.usable(id) || isWarm(r.Instances[id], s.model) || r.Now.After(s.until) {
+			delete(r.staging, id)
+			continue
+		}
+		r.loading++
+		if sent := r.sent[id]; sent != nil && sent.outcome == types.OrderUnknown && r.due(id, types.GroupStage, models.GroupKey{}) {
+			r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: s.model})
+		}
+	}
+}
+
+// stageAll has weights staged on free instances that have none of their
+// domain's model, first where the fewest are missing for a whole group.
+func (r *round) stageAll(free map[models.Domain][]models.InstanceID) {
+	type want struct {
+		id      models.InstanceID
+		model   models.ModelProfile
+		missing int
+	}
+	var wants []want
+	for domain, ids := range free {
+		model, known := r.Profile.Model(r.domains[domain])
+		if !known {
+			continue
+		}
+		warm := 0
+		var cold []models.InstanceID
+		for _, id := range ids {
+			if _, under := r.staging[id]; under || isWarm(r.Instances[id], model.Name) {
+				warm++
+			} else {
+				cold = append(cold, id)
+			}
+		}
+		for n, id := range cold {
+			wants = append(wants, want{id, model, model.Size - (warm+n)%model.Size})
+		}
+	}
+	slices.SortFunc(wants, func(a, b want) int {
+		return cmp.Or(cmp.Compare(a.missing, b.missing), cmp.Compare(a.id, b.id))
+	})
+	for _, w := range wants {
+		if !r.mayLoad(1) {
+			return
+		}
+		r.loading++
+		r.loads = append(r.loads, r.Now)
+		r.staging[w.id] = staging{model: w.model.Name, until: r.Now.Add(formFactor*w.model.Load + formSlack)}
+		r.order(types.GroupOrder{Kind: types.GroupStage, Instance: w.id, Model: w.model.Name})
+	}
+}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -38,7 +38,7 @@
 	loadMargin = 0.8
 	// earlyLoads is how many loads beyond the weight store's best number are
 	// begun before traffic, so that it is never idle between two groups.
-	earlyLoads = 3
+	earlyLoads = 8
 )
 
 // World is what is known at one moment.
@@ -72,7 +72,12 @@
 	// sent holds the last order to each instance.
 	sent map[models.InstanceID]*sentOrder
 	// held are instances that refused an order, until when.
-	held  map[models.InstanceID]time.Time
+	held map[models.InstanceID]time.Time
+	// domains are the models that fabric domains are given to, staging what
+	// instances are loading onto their hosts.
+	domains map[models.Domain]models.ModelName
+	staging map[models.InstanceID]staging
+	// loads are when loads were begun of late.
 	loads []time.Time
 	// superseded tells that an instance has seen a newer term.
 	superseded bool
@@ -89,6 +94,7 @@
 	return &Planner{
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, held: map[models.InstanceID]time.Time{},
+		domains: map[models.Domain]models.ModelName{}, staging: map[models.InstanceID]staging{},
 	}
 }
 
@@ -125,6 +131,7 @@
 	r.forget()
 	r.advanceForming()
 	r.examineGroups()
+	r.advanceStaging()
 	r.advanceEnding()
 	r.formAll()
 	return r.orders
