--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -38,6 +38,8 @@
 type suspicion struct {
 	group models.GroupKey
 	until time.Time
+	// own tells that this node itself found it.
+	own bool
 }
 
 type knownInstance struct {
@@ -74,13 +76,24 @@
 func (f *fleetState) stalledHeads() []StalledHead {
 	var out []StalledHead
 	for id, s := range f.suspects {
-		if time.Now().Before(s.until) {
+		if s.own && time.Now().Before(s.until) {
 			out = append(out, StalledHead{Group: s.group, Head: id})
 		}
 	}
 	return out
 }
 
+// suspected lists the heads that any daemon found to stand still.
+func (f *fleetState) suspected(now time.Time) map[models.InstanceID]bool {
+	out := map[models.InstanceID]bool{}
+	for id, s := range f.suspects {
+		if now.Before(s.until) {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // serving lists the groups and the plain instances that take requests.
 func (f *fleetState) serving(routing *models.Routing, now time.Time) (map[models.ModelName][]Group, map[models.ServiceName][]models.UpstreamInstance) {
 	groups, services := map[models.ModelName][]Group{}, map[models.ServiceName][]models.UpstreamInstance{}
@@ -202,16 +215,17 @@
 
 // handleStalled passes over a head at which nothing moves, and has the
 // members asked if this node plans.
-func (o *owner) handleStalled(group models.GroupKey, head models.InstanceID, from string) {
-	k, known := o.fleet.instances[head]
-	if !known || k.Group.Key != group {
+func (o *owner) handleStalled(m stalled) {
+	k, known := o.fleet.instances[m.head]
+	if !known || k.Group.Key != m.group {
 		return
 	}
 	now := time.Now()
-	if s, suspect := o.fleet.suspects[head]; !suspect || now.After(s.until) {
-		o.n.log.Warn().Str("group", string(group.Name)).Str("head", string(head)).Str("from", from).Msg("group-stalled")
-		if from == ownSuspicion {
-			o.fleet.suspects[head] = suspicion{group: group, until: now.Add(suspectFor)}
+	if s, suspect := o.fleet.suspects[m.head]; !suspect || now.After(s.until) {
+		o.n.log.Warn().Str("group", string(m.group.Name)).Str("head", string(m.head)).Str("from", string(m.from)).Msg("group-stalled")
+		o.fleet.suspects[m.head] = suspicion{group: m.group, until: now.Add(suspectFor), own: m.from == ""}
+		if m.from == "" {
+			o.n.links.send(LoadNews{From: o.n.cfg.ID, Stalled: []StalledHead{{Group: m.group, Head: m.head}}})
 		}
 		o.changed = true
 	}
@@ -219,14 +233,12 @@
 		return
 	}
 	for _, i := range o.fleet.instances {
-		if i.Group.Key == group && i.lost.IsZero() {
+		if i.Group.Key == m.group && i.lost.IsZero() {
 			o.ask(i, now)
 		}
 	}
 }
 
-const ownSuspicion = "own"
-
 func (o *owner) handleLease(m leaseHeld) {
 	f := &o.fleet
 	f.until = m.until
@@ -326,10 +338,7 @@
 	for _, m := range engine.Models {
 		busy := 0
 		for _, g := range groups[m.Name] {
-			busy += o.n.traffic.InFlight()[g.Head.ID]
-			for _, p := range o.peers.seen {
-				busy += p.beat.InFlight[g.Head.ID]
-			}
+			busy += o.n.traffic.Loads()[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
 		}
 		o.n.log.Info().Str("model", string(m.Name)).Int("groups", len(groups[m.Name])).Int("size", m.Size).Int("in-flight", busy).
 			Float64("demand", w.Demand[m.Name]).Float64("work", work[m.Name]).Int("instances", len(w.Instances)).
--- /dev/null
+++ b/cluster/loads.go
@@ -0,0 +1,118 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Load is what an instance has to do for one daemon, or for several.
+type Load struct {
+	// Requests counts those under way, Unread the prompt tokens of those
+	// that have had no answer yet.
+	Requests int `msgpack:"r"`
+	Unread   int `msgpack:"u"`
+}
+
+// LoadNews tells the loads that a daemon causes at instances. All tells that
+// it causes none at any other.
+type LoadNews struct {
+	From  models.DaemonID            `msgpack:"id"`
+	All   bool                       `msgpack:"a"`
+	Loads map[models.InstanceID]Load `msgpack:"l"`
+	// Stalled are heads that the daemon just found to stand still.
+	Stalled []StalledHead `msgpack:"s"`
+}
+
+// peerLoads sums what other daemons tell of the loads that they cause. It is
+// safe for use by several goroutines.
+type peerLoads struct {
+	mu  sync.Mutex
+	by  map[models.DaemonID]map[models.InstanceID]Load
+	sum map[models.InstanceID]Load
+}
+
+func newPeerLoads() *peerLoads {
+	return &peerLoads{by: map[models.DaemonID]map[models.InstanceID]Load{}, sum: map[models.InstanceID]Load{}}
+}
+
+func (p *peerLoads) take(news LoadNews) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.by[news.From]
+	if known == nil {
+		known = map[models.InstanceID]Load{}
+		p.by[news.From] = known
+	}
+	if news.All {
+		for id := range known {
+			if _, told := news.Loads[id]; !told {
+				p.set(known, id, Load{})
+			}
+		}
+	}
+	for id, load := range news.Loads {
+		p.set(known, id, load)
+	}
+}
+
+func (p *peerLoads) set(known map[models.InstanceID]Load, id models.InstanceID, load Load) {
+	sum, before := p.sum[id], known[id]
+	sum.Requests += load.Requests - before.Requests
+	sum.Unread += load.Unread - before.Unread
+	p.sum[id], known[id] = sum, load
+	if load == (Load{}) {
+		delete(known, id)
+	}
+	if sum == (Load{}) {
+		delete(p.sum, id)
+	}
+}
+
+// drop forgets what a daemon that is gone told.
+func (p *peerLoads) drop(id models.DaemonID) {
+	p.take(LoadNews{From: id, All: true})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.by, id)
+}
+
+func (p *peerLoads) at(id models.InstanceID) Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sum[id]
+}
+
+// PeersLoad is what other daemons have at an instance, as they told last.
+func (n *Node) PeersLoad(id models.InstanceID) Load { return n.peerLoads.at(id) }
+
+const (
+	// newsDelay is how long changes of loads are gathered before they are
+	// told: short against the time that reading a prompt takes.
+	newsDelay = 4 * time.Millisecond
+	// newsLen is how much news may wait for a slow daemon. What is left out
+	// is made good by the next heartbeat.
+	newsLen = 16
+)
+
+// announce tells all other daemons at once when this one's loads change.
+func (n *Node) announce(ctx context.Context) error {
+	seen := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.traffic.Changed():
+		}
+		if err := pause(ctx, newsDelay); err != nil {
+			return err
+		}
+		var loads map[models.InstanceID]Load
+		loads, seen = n.traffic.LoadsSince(seen)
+		if len(loads) > 0 {
+			n.links.send(LoadNews{From: n.cfg.ID, Loads: loads})
+		}
+	}
+}
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -67,10 +67,12 @@
 		err      error
 		asked    time.Time
 	}
-	// stalled: nothing moves at a group's head.
+	// stalled: nothing moves at a group's head. It was found by another
+	// daemon if from is set.
 	stalled struct {
 		group models.GroupKey
 		head  models.InstanceID
+		from  models.DaemonID
 	}
 )
 
@@ -98,8 +100,8 @@
 	ConfigAge     time.Duration `msgpack:"ca"`
 	// Term is that of the planner that the daemon believes in.
 	Term int64 `msgpack:"t"`
-	// InFlight counts the requests that the daemon has at each instance.
-	InFlight map[models.InstanceID]int `msgpack:"f"`
+	// Loads are what the daemon has at instances.
+	Loads map[models.InstanceID]Load `msgpack:"f"`
 	// Stalled are heads at which nothing moves.
 	Stalled []StalledHead `msgpack:"s"`
 	// Work is what the daemon's callers ask of each model, in seconds of a
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -39,8 +39,13 @@
 // Traffic tells what the daemon's callers ask for. It must be safe for use
 // by several goroutines.
 type Traffic interface {
-	// InFlight counts the daemon's requests at each instance.
-	InFlight() map[models.InstanceID]int
+	// Loads are what the daemon has at instances.
+	Loads() map[models.InstanceID]Load
+	// LoadsSince are the loads that changed since an earlier call, which
+	// gave the number; the first call gives 0.
+	LoadsSince(seen uint64) (map[models.InstanceID]Load, uint64)
+	// Changed yields after loads have changed.
+	Changed() <-chan struct{}
 	// Work is the load of each model, in seconds of a replica group for each
 	// second.
 	Work() map[models.ModelName]float64
@@ -74,6 +79,8 @@
 	stats     *stats
 	planning  atomic.Bool
 	started   int64
+	peerLoads *peerLoads
+	links     *links
 }
 
 type stats struct {
@@ -89,7 +96,7 @@
 	now := time.Now()
 	n := &Node{
 		cfg: cfg, log: log, clock: timer.New(now), traffic: traffic, inbox: make(chan message, inboxLen),
-		started: now.UnixNano(),
+		started: now.UnixNano(), peerLoads: newPeerLoads(),
 		stats: &stats{
 			storeCalls:  set.NewCounter("lupinkeel_store_calls_total"),
 			storeErrors: set.NewCounter("lupinkeel_store_errors_total"),
@@ -101,6 +108,7 @@
 	n.conns = h1.NewPool(dialTimeout, nil)
 	n.store = platform.NewStore(cfg.Store, n.conns)
 	n.instances = platform.NewInstances(n.conns)
+	n.links = newLinks(n)
 	n.view.Store(&View{})
 	return n
 }
@@ -138,6 +146,7 @@
 		"lease":     n.holdLease,
 		"peers":     peers.run,
 		"sweep":     n.sweep,
+		"announce":  n.announce,
 	}
 	var tasks []task.Task
 	for name, run := range parts {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -117,7 +117,7 @@
 	case reportEnded:
 		o.handleReport(m)
 	case stalled:
-		o.handleStalled(m.group, m.head, ownSuspicion)
+		o.handleStalled(m)
 	}
 }
 
@@ -184,7 +184,7 @@
 		}
 	}
 	for _, s := range m.beat.Stalled {
-		o.handleStalled(s.Group, s.Head, string(m.beat.From))
+		o.handleStalled(stalled{group: s.Group, head: s.Head, from: m.beat.From})
 	}
 	o.changed = true
 }
@@ -196,6 +196,7 @@
 	for id, p := range o.peers.seen {
 		if tick.At.Sub(p.at) > peerSilence {
 			delete(o.peers.seen, id)
+			o.n.peerLoads.drop(id)
 			o.n.log.Warn().Str("peer", string(id)).Dur("silent", tick.At.Sub(p.at)).Msg("peer-silent")
 			o.changed = true
 		}
@@ -208,14 +209,10 @@
 	o.changed = false
 	v := &View{
 		Routing: o.config.routing, Proven: o.config.proven, Daemons: len(o.peers.seen) + 1,
-		PeersInFlight: map[models.InstanceID]int{}, Term: max(o.peers.term, o.fleet.term()),
+		Term:    max(o.peers.term, o.fleet.term()),
 		Planner: o.fleet.planner != nil, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(),
 	}
-	for _, p := range o.peers.seen {
-		for id, count := range p.beat.InFlight {
-			v.PeersInFlight[id] += count
-		}
-	}
+	v.Suspects = o.fleet.suspected(time.Now())
 	v.Groups, v.Services = o.fleet.serving(o.config.routing, time.Now())
 	o.n.view.Store(v)
 }
@@ -225,7 +222,7 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Term: v.Term,
-		InFlight: n.traffic.InFlight(), Work: n.traffic.Work(), Stalled: stalled,
+		Loads: n.traffic.Loads(), Work: n.traffic.Work(), Stalled: stalled,
 	}
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/frame"
@@ -18,9 +19,8 @@
 
 const (
 	rosterTopic = "daemons"
-	// heartbeatEvery is how often a daemon tells another of itself: often
-	// enough that counts of requests in flight are of use to a choice.
-	heartbeatEvery = 200 * time.Millisecond
+	// heartbeatEvery is how often a daemon tells another of itself.
+	heartbeatEvery = 300 * time.Millisecond
 	writeTimeout   = 500 * time.Millisecond
 	readTimeout    = 3 * time.Second
 	redialPause    = 300 * time.Millisecond
@@ -30,6 +30,7 @@
 const (
 	frameHeartbeat frame.Kind = iota + 1
 	frameConfig
+	frameLoads
 )
 
 // followRoster writes the node's own entry and keeps a connection to every
@@ -38,15 +39,14 @@
 	if err := n.enroll(ctx); err != nil {
 		return err
 	}
-	links := newLinks(n)
 	read := func(records []platform.KeyedRecord, _ time.Time) message {
-		links.update(ctx, records)
+		n.links.update(ctx, records)
 		return rosterRead{records}
 	}
 	f := follower{n: n, topic: rosterTopic, wait: rosterWait, whole: read, added: read}
 	f.every = func() time.Duration { return 0 }
 	err := f.run(ctx)
-	return errors.Join(err, links.wait())
+	return errors.Join(err, n.links.wait())
 }
 
 // enroll writes the node's entry until the store has taken it.
@@ -77,10 +77,35 @@
 	ended  []task.Task
 	cancel map[models.DaemonID]context.CancelFunc
 	addrs  map[models.DaemonID]netip.AddrPort
+
+	mu   sync.Mutex
+	news map[models.DaemonID]chan LoadNews
 }
 
 func newLinks(n *Node) *links {
-	return &links{n: n, cancel: map[models.DaemonID]context.CancelFunc{}, addrs: map[models.DaemonID]netip.AddrPort{}}
+	return &links{n: n, cancel: map[models.DaemonID]context.CancelFunc{}, addrs: map[models.DaemonID]netip.AddrPort{}, news: map[models.DaemonID]chan LoadNews{}}
+}
+
+// send hands news to the link of every other daemon.
+func (l *links) send(news LoadNews) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, to := range l.news {
+		select {
+		case to <- news:
+		default:
+			// The link is behind or down; the next heartbeat tells all.
+		}
+	}
+}
+
+func (l *links) newsFor(id models.DaemonID) chan LoadNews {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.news[id] == nil {
+		l.news[id] = make(chan LoadNews, newsLen)
+	}
+	return l.news[id]
 }
 
 func (l *links) update(ctx context.Context, records []platform.KeyedRecord) {
@@ -104,9 +129,10 @@
 		if stop := l.cancel[id]; stop != nil {
 			stop()
 		}
+		news := l.newsFor(id)
 		linkCtx, cancel := context.WithCancel(ctx)
 		l.cancel[id], l.addrs[id] = cancel, addr
-		l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, id, addr) }))
+		l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, id, addr, news) }))
 	}
 }
 
@@ -119,9 +145,9 @@
 
 // keepLink tells one other daemon of this one, on one connection after the
 // other.
-func (n *Node) keepLink(ctx context.Context, id models.DaemonID, addr netip.AddrPort) error {
+func (n *Node) keepLink(ctx context.Context, id models.DaemonID, addr netip.AddrPort, news <-chan LoadNews) error {
 	for ctx.Err() == nil {
-		err := n.runLink(ctx, addr)
+		err := n.runLink(ctx, addr, news)
 		n.log.Debug().Str("peer", string(id)).Err(err).Msg("link-ended")
 		if err := pause(ctx, redialPause); err != nil {
 			return nil
@@ -130,7 +156,7 @@
 	return nil
 }
 
-func (n *Node) runLink(ctx context.Context, addr netip.AddrPort) error {
+func (n *Node) runLink(ctx context.Context, addr netip.AddrPort, news <-chan LoadNews) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
@@ -139,21 +165,32 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	told := int64(0)
-	for {
-		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return err
-		}
-		if err := frame.Write(conn, frameHeartbeat, n.heartbeat(n.stalledHeads())); err != nil {
-			return err
-		}
-		if told, err = n.tellConfig(conn, told); err != nil {
-			return err
-		}
-		if err := pause(ctx, heartbeatEvery); err != nil {
-			return err
+	beats := time.NewTicker(heartbeatEvery)
+	defer beats.Stop()
+	told, err := n.beat(conn, 0)
+	for err == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-beats.C:
+			told, err = n.beat(conn, told)
+		case m := <-news:
+			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameLoads, m))
 		}
 	}
+	return err
+}
+
+// beat sends a heartbeat, and the configuration if the other daemon may not
+// have it.
+func (n *Node) beat(conn net.Conn, told int64) (int64, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return told, err
+	}
+	if err := frame.Write(conn, frameHeartbeat, n.heartbeat(n.stalledHeads())); err != nil {
+		return told, err
+	}
+	return n.tellConfig(conn, told)
 }
 
 // tellConfig hands a newer configuration over than was told before.
@@ -223,8 +260,19 @@
 		if err := frame.Decode(body, &b); err != nil {
 			return from, err
 		}
+		s.n.peerLoads.take(LoadNews{From: b.From, All: true, Loads: b.Loads})
 		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
 		return b.From, nil
+	case frameLoads:
+		var news LoadNews
+		if err := frame.Decode(body, &news); err != nil {
+			return from, err
+		}
+		s.n.peerLoads.take(news)
+		for _, head := range news.Stalled {
+			s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
+		}
+		return from, nil
 	case frameConfig:
 		var c ConfigCopy
 		if err := frame.Decode(body, &c); err != nil {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -15,9 +15,8 @@
 	Groups map[models.ModelName][]Group
 	// Services are the instances of plain services that take requests.
 	Services map[models.ServiceName][]models.UpstreamInstance
-	// PeersInFlight counts the requests that other daemons have at each
-	// instance.
-	PeersInFlight map[models.InstanceID]int
+	// Suspects are heads that this or another daemon found to stand still.
+	Suspects map[models.InstanceID]bool
 	// Daemons is the number of daemons, this one among them.
 	Daemons int
 	Term    int64
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -15,15 +15,19 @@
 // workSpan is the time over which the load of a model is averaged.
 const workSpan = 4 * time.Second
 
-// balance counts the daemon's requests at each instance and picks where the
-// next one goes.
+// balance counts what the daemon has at each instance and picks where the
+// next request goes. It is safe for use by several goroutines.
 type balance struct {
-	mu       sync.Mutex
-	inFlight map[models.InstanceID]int
-	work     map[models.ModelName]*average
+	mu    sync.Mutex
+	loads map[models.InstanceID]cluster.Load
+	// stamps number the changes of each instance's load.
+	stamps map[models.InstanceID]uint64
+	last   uint64
+	work   map[models.ModelName]*average
 	// moved is when something last came from a group's head.
-	moved map[models.InstanceID]time.Time
-	freed chan struct{}
+	moved   map[models.InstanceID]time.Time
+	pauses  map[models.ModelName]*pauses
+	changed chan struct{}
 }
 
 // average is a rate that forgets exponentially.
@@ -38,18 +42,35 @@
 
 func newBalance() *balance {
 	return &balance{
-		inFlight: map[models.InstanceID]int{}, work: map[models.ModelName]*average{}, moved: map[models.InstanceID]time.Time{},
-		freed: make(chan struct{}, 1),
+		loads: map[models.InstanceID]cluster.Load{}, stamps: map[models.InstanceID]uint64{},
+		work: map[models.ModelName]*average{}, moved: map[models.InstanceID]time.Time{},
+		pauses: map[models.ModelName]*pauses{}, changed: make(chan struct{}, 1),
 	}
 }
 
-// InFlight counts the requests at each instance.
-func (b *balance) InFlight() map[models.InstanceID]int {
+// Loads are what the daemon has at instances.
+func (b *balance) Loads() map[models.InstanceID]cluster.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return maps.Clone(b.inFlight)
+	return maps.Clone(b.loads)
 }
 
+// LoadsSince are the loads that changed since an earlier call.
+func (b *balance) LoadsSince(seen uint64) (map[models.InstanceID]cluster.Load, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[models.InstanceID]cluster.Load{}
+	for id, stamp := range b.stamps {
+		if stamp > seen {
+			out[id] = b.loads[id]
+		}
+	}
+	return out, b.last
+}
+
+// Changed yields after loads have changed.
+func (b *balance) Changed() <-chan struct{} { return b.changed }
+
 // Work tells the load of each model, in seconds of a replica group for each
 // second.
 func (b *balance) Work() map[models.ModelName]float64 {
@@ -75,20 +96,21 @@
 	a.rate, a.at = a.decayed(now)+seconds/workSpan.Seconds(), now
 }
 
-func (b *balance) enter(id models.InstanceID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.inFlight[id]++
-}
-
-func (b *balance) leave(id models.InstanceID) {
+// add changes what the daemon has at an instance.
+func (b *balance) add(id models.InstanceID, requests, unread int) {
 	b.mu.Lock()
-	if b.inFlight[id]--; b.inFlight[id] <= 0 {
-		delete(b.inFlight, id)
+	load := b.loads[id]
+	load.Requests += requests
+	load.Unread += unread
+	b.loads[id] = load
+	if load == (cluster.Load{}) {
+		delete(b.loads, id)
 	}
+	b.last++
+	b.stamps[id] = b.last
 	b.mu.Unlock()
 	select {
-	case b.freed <- struct{}{}:
+	case b.changed <- struct{}{}:
 	default:
 	}
 }
@@ -112,56 +134,76 @@
 func (b *balance) forget(known map[models.InstanceID]models.UpstreamInstance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.moved, func(id models.InstanceID, _ time.Time) bool {
+	gone := func(id models.InstanceID) bool {
 		_, there := known[id]
-		return !there
-	})
+		_, loaded := b.loads[id]
+		return !there && !loaded
+	}
+	maps.DeleteFunc(b.moved, func(id models.InstanceID, _ time.Time) bool { return gone(id) })
+	maps.DeleteFunc(b.stamps, func(id models.InstanceID, _ uint64) bool { return gone(id) })
 }
 
-// load is how many requests an instance has from all daemons.
-func (b *balance) load(v *cluster.View, id models.InstanceID) int {
-	return b.inFlight[id] + v.PeersInFlight[id]
+// loadAt is what an instance has from all daemons.
+func (b *balance) loadAt(node *cluster.Node, id models.InstanceID) cluster.Load {
+	own, peers := b.loads[id], node.PeersLoad(id)
+	return cluster.Load{Requests: own.Requests + peers.Requests, Unread: own.Unread + peers.Unread}
 }
 
-// pickGroup returns the group with the fewest requests that was not tried,
-// and how many it has.
-func (b *balance) pickGroup(v *cluster.View, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
+// requestCost is how much a request that is being answered weighs against
+// prompts that are to be read: each slows a pass a little, and takes a slot.
+const requestCost = 2 * time.Millisecond
+
+// pickGroup returns the group that was not tried and that answers soonest,
+// and how many requests it has.
+func (b *balance) pickGroup(node *cluster.Node, engine *models.EngineProfile, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	groups := v.Groups[model]
-	best, least := -1, 0
+	groups := node.View().Groups[model]
+	best, requests, least := -1, 0, time.Duration(0)
 	for _, i := range rand.Perm(len(groups)) {
 		g := groups[i]
 		if slices.Contains(tried, g.Head.ID) {
 			continue
 		}
-		if n := b.load(v, g.Head.ID); best < 0 || n < least {
-			best, least = i, n
+		load := b.loadAt(node, g.Head.ID)
+		cost := time.Duration(load.Requests) * requestCost
+		if engine.ReadPerSecond > 0 {
+			cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+		}
+		if load.Requests >= engine.Slots {
+			cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
+		}
+		if best < 0 || cost < least {
+			best, requests, least = i, load.Requests, cost
 		}
 	}
 	if best < 0 {
 		return cluster.Group{}, 0, false
 	}
-	return groups[best], least, true
+	return groups[best], requests, true
 }
 
+// fullCost is how long a request waits at a full group for each one that is
+// ahead of it: about the time between two ends.
+const fullCost = 100 * time.Millisecond
+
 // pickInstance returns the instance of a plain service with the fewest
 // requests that was not tried.
-func (b *balance) pickInstance(v *cluster.View, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, int, bool) {
+func (b *balance) pickInstance(node *cluster.Node, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := v.Services[service]
+	all := node.View().Services[service]
 	best, least := -1, 0
 	for _, i := range rand.Perm(len(all)) {
 		if slices.Contains(tried, all[i].ID) {
 			continue
 		}
-		if n := b.load(v, all[i].ID); best < 0 || n < least {
+		if n := b.loadAt(node, all[i].ID).Requests; best < 0 || n < least {
 			best, least = i, n
 		}
 	}
 	if best < 0 {
-		return models.UpstreamInstance{}, 0, false
+		return models.UpstreamInstance{}, false
 	}
-	return all[best], least, true
+	return all[best], true
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,6 +67,10 @@
 	group models.GroupKey
 	// first is when the first byte of the answer went out.
 	first time.Time
+	// gap is the longest pause between two events, load what the group had
+	// when it was chosen.
+	gap  time.Duration
+	load int
 }
 
 // noDeadline bounds a request whose caller and route name no time.
@@ -258,7 +262,7 @@
 	}
 	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("workspace", string(e.holder.Workspace)).
 		Str("outcome", string(end)).Int("status", status).Str("instance", string(e.at.ID)).Str("zone", string(e.at.Zone)).
-		Str("group", string(e.group.Name)).Int("sent", len(e.tried)).Dur("first", first).Dur("took", time.Since(e.began)).
+		Str("group", string(e.group.Name)).Int("sent", len(e.tried)).Int("load", e.load).Dur("first", first).Dur("gap", e.gap).Dur("took", time.Since(e.began)).
 		Msg("request-ended")
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,14 +16,14 @@
 )
 
 const (
-	// patience is how long nothing may come from a head before it is looked
-	// at: longer than a pass that reads much may take.
-	patience = 250 * time.Millisecond
 	// queueStep is how often a waiting request looks for a place.
 	queueStep = 20 * time.Millisecond
 	// queuePart is the part of its aim that a request waits for a place, so
 	// that a refusal comes early enough to be made good elsewhere.
 	queuePart = 0.22
+	// firstPart is the part of its aim within which the first event of a
+	// request is waited for at a head of which nothing else is known.
+	firstPart = 0.9
 	// overSlots is how many requests beyond its slots a group is sent.
 	overSlots = 2
 )
@@ -41,7 +41,14 @@
 	// last is the newest event that the caller has, if begun.
 	last  int64
 	begun bool
-	flush func() error
+	// moved is when the last event went out.
+	moved time.Time
+	// unread are the prompt's tokens until the first event of a try, sent is
+	// when the try began, and came tells that an event has come in it.
+	unread int
+	sent   time.Time
+	came   bool
+	flush  func() error
 }
 
 func (e *exchange) stream(ctx context.Context) error {
@@ -99,12 +106,13 @@
 	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
 	for {
 		v := s.g.node.View()
-		slots := 0
-		if service, known := v.Routing.Services[s.service]; known && service.Engine != nil {
-			slots = service.Engine.Slots + overSlots
+		engine := v.Routing.Services[s.service].Engine
+		if engine == nil {
+			return cluster.Group{}, errNoUpstream
 		}
-		group, load, found := s.g.balance.pickGroup(v, s.head.Model, s.tried)
-		if found && (load < slots || s.answering) {
+		group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
+		if found && (load < engine.Slots+overSlots || s.answering) {
+			s.load = load
 			return group, nil
 		}
 		if len(s.tried) == 0 && time.Now().After(until) {
@@ -124,11 +132,12 @@
 // try runs the stream on one group until it ends there.
 func (s *stream) try(group cluster.Group) error {
 	head := group.Head
-	s.g.balance.enter(head.ID)
-	defer s.g.balance.leave(head.ID)
-	s.group = group.Key
-	s.g.balance.move(head.ID)
-	resp, err := s.send(s.ctx, head, models.Attempt{Resume: s.begun, After: s.last}, patience, func() bool { return s.keepWaiting(group) })
+	s.g.balance.add(head.ID, 1, s.head.PromptTokens)
+	s.unread = s.head.PromptTokens
+	defer func() { s.g.balance.add(head.ID, -1, -s.unread) }()
+	s.group, s.sent, s.came = group.Key, time.Now(), false
+	patience := s.g.balance.patience(s.head.Model)
+	resp, err := s.send(s.ctx, head, models.Attempt{Resume: s.begun, After: s.last}, patience, func() bool { return s.keepWaiting(group, patience) })
 	if err != nil {
 		return err
 	}
@@ -148,16 +157,28 @@
 
 // keepWaiting decides what becomes of a stream on which nothing came for its
 // patience.
-func (s *stream) keepWaiting(group cluster.Group) bool {
-	if s.g.balance.still(group.Head.ID, time.Now()) < patience {
+func (s *stream) keepWaiting(group cluster.Group, patience time.Duration) bool {
+	now := time.Now()
+	suspect := s.g.node.View().Suspects[group.Head.ID]
+	switch {
+	case s.g.balance.still(group.Head.ID, now) < patience:
 		// The group moves; only this request waits.
 		return true
+	case suspect:
+	case !s.came && now.Sub(s.sent) < time.Duration(firstPart*float64(s.route.Aim)):
+		// Nothing has come yet, and may still be on its way.
+		return true
+	default:
+		s.g.node.ReportStalled(group.Key, group.Head.ID)
 	}
-	s.g.node.ReportStalled(group.Key, group.Head.ID)
 	if len(s.tried) >= s.route.Attempts || !s.route.Repeatable() {
 		return true
 	}
-	_, _, elsewhere := s.g.balance.pickGroup(s.g.node.View(), s.head.Model, s.tried)
+	engine := s.g.node.View().Routing.Services[s.service].Engine
+	if engine == nil {
+		return true
+	}
+	_, _, elsewhere := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
 	return !elsewhere
 }
 
@@ -188,13 +209,14 @@
 		if err != nil {
 			return err
 		}
-		s.g.balance.move(head.ID)
+		s.noteEvent(head)
 		if err := s.check(event); err != nil {
 			return err
 		}
 		if !s.answering {
 			s.writeHead(resp.Status, resp.Header)
 		}
+		s.noteGap()
 		if _, err := s.w.Write(event.Raw); err != nil {
 			return err
 		}
@@ -207,6 +229,27 @@
 	}
 }
 
+// noteEvent notes that the head moves and that the prompt has been read.
+func (s *stream) noteEvent(head models.UpstreamInstance) {
+	s.g.balance.move(head.ID)
+	if !s.came {
+		s.came = true
+		s.g.balance.add(head.ID, 0, -s.unread)
+		s.unread = 0
+		return
+	}
+	s.g.balance.addPause(s.head.Model, time.Since(s.moved))
+}
+
+// noteGap measures the pause before the event that goes out now.
+func (s *stream) noteGap() {
+	now := time.Now()
+	if !s.moved.IsZero() {
+		s.gap = max(s.gap, now.Sub(s.moved))
+	}
+	s.moved = now
+}
+
 // check refuses an event that does not follow the last one.
 func (s *stream) check(event sse.Event) error {
 	if !event.HasID {
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -33,8 +33,7 @@
 func (e *exchange) unary(ctx context.Context) error {
 	e.g.budget.request(e.began)
 	for {
-		v := e.g.node.View()
-		i, _, found := e.g.balance.pickInstance(v, e.service, e.tried)
+		i, found := e.g.balance.pickInstance(e.g.node, e.service, e.tried)
 		if !found {
 			return e.noMore(errNoUpstream)
 		}
@@ -43,7 +42,7 @@
 		if err == nil || last || ctx.Err() != nil || !(e.route.Repeatable() || errors.Is(err, errNotRun)) {
 			return err
 		}
-		if !e.g.budget.repeat(time.Now(), v.Daemons) {
+		if !e.g.budget.repeat(time.Now(), e.g.node.View().Daemons) {
 			return errors.Join(err, errBudget)
 		}
 		e.g.stats.repeats.Inc()
@@ -61,8 +60,8 @@
 // tryUnary makes one try. A failure that the instance gave is passed on only
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
-	e.g.balance.enter(i.ID)
-	defer e.g.balance.leave(i.ID)
+	e.g.balance.add(i.ID, 1, 0)
+	defer e.g.balance.add(i.ID, -1, 0)
 	if e.route.Repeatable() && !last {
 		limited, cancel := context.WithTimeoutCause(ctx, max(slowLeast, time.Duration(slowFactor*float64(e.route.Aim))), errSlow)
 		defer cancel()
