gateway: begin a rival run instead of giving the first one up

Change: the first run goes on while a second one begins elsewhere; whichever has the next event first goes on.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -161,12 +161,17 @@
 	return nil
 }
 
-// send sends the request to an instance.
-func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, a models.Attempt, patience time.Duration, stalled func() bool) (*h1.Response, error) {
+// try notes that the request is about to be sent to an instance.
+func (e *exchange) try(i models.UpstreamInstance) {
 	e.at = i
 	if !slices.Contains(e.tried, i.ID) {
 		e.tried = append(e.tried, i.ID)
 	}
+}
+
+// send sends the request to an instance. It is safe for use by several
+// goroutines.
+func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, a models.Attempt, patience time.Duration, stalled func() time.Duration) (*h1.Response, error) {
 	a.Left, a.Instance, a.Workspace = time.Until(e.until), i.ID, e.holder.Workspace
 	a.Priority = min(maxPriority, e.route.Priority)
 	freshest := freshRepeatable
--- /dev/null
+++ b/gateway/leg.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+var (
+	errCutHead = errors.New("the stream ended early")
+	// errFailure: the instance answered with a failure, which is in answer.
+	errFailure = errors.New("the instance answered with a failure")
+)
+
+// leg is one run of a stream on one group.
+type leg struct {
+	s      *stream
+	group  cluster.Group
+	ctx    context.Context
+	cancel context.CancelFunc
+	// resume is the event after which the run goes on, if resumed.
+	resume  int64
+	resumed bool
+	// patience is how long nothing may come from the group; stalled is asked
+	// then, as in h1.Request.
+	patience time.Duration
+	stalled  func() time.Duration
+
+	answer *h1.Response
+	events *sse.Reader
+	// unread are the prompt's tokens until the first event.
+	unread int
+	sent   time.Time
+	// moved is when the last event came.
+	moved time.Time
+	// next is an event that was read ahead.
+	ahead *sse.Event
+}
+
+// newLeg prepares a run and counts it at its group. It must be closed.
+func (s *stream) newLeg(group cluster.Group) *leg {
+	l := &leg{
+		s: s, group: group, resume: s.last, resumed: s.begun, unread: s.head.PromptTokens, sent: time.Now(),
+		patience: s.g.balance.patience(s.head.Model),
+	}
+	l.ctx, l.cancel = context.WithCancel(s.ctx)
+	s.try(group.Head)
+	s.g.balance.add(group.Head.ID, 1, l.unread)
+	return l
+}
+
+// close ends the run if it has not ended.
+func (l *leg) close() {
+	if l.answer != nil {
+		// Close keeps the connection only if the answer was read to its end.
+		if err := l.answer.Body.Close(); err != nil {
+			l.s.g.log.Debug().Err(err).Msg("answer-not-closed")
+		}
+	}
+	l.cancel()
+	l.s.g.balance.add(l.group.Head.ID, -1, -l.unread)
+	l.unread = 0
+}
+
+// open sends the request and reads the head of the answer.
+func (l *leg) open() error {
+	answer, err := l.s.send(l.ctx, l.group.Head, models.Attempt{Resume: l.resumed, After: l.resume}, l.patience, l.stalled)
+	if err != nil {
+		return err
+	}
+	l.answer = answer
+	switch {
+	case answer.Status != http.StatusOK:
+		return errFailure
+	case !platform.DecodeAnswer(answer.Status, answer.Header).Signed:
+		return errors.Join(errMayHaveRun, errUnsigned)
+	}
+	l.events = sse.NewReader(answer.Body)
+	return nil
+}
+
+// next returns the next event, or io.EOF at the proper end of the stream.
+func (l *leg) next() (sse.Event, error) {
+	if l.ahead != nil {
+		event := *l.ahead
+		l.ahead = nil
+		return event, nil
+	}
+	if l.answer == nil {
+		if err := l.open(); err != nil {
+			return sse.Event{}, err
+		}
+	}
+	event, err := l.events.Next()
+	switch {
+	case errors.Is(err, io.EOF) && l.moved.IsZero() && !l.answer.Framed:
+		return event, errors.Join(errMayHaveRun, errCutHead)
+	case errors.Is(err, io.EOF):
+		return event, io.EOF
+	case err != nil:
+		return event, errors.Join(errMayHaveRun, err)
+	}
+	l.note()
+	return event, nil
+}
+
+// note notes that the group moves and that the prompt has been read.
+func (l *leg) note() {
+	balance, head := l.s.g.balance, l.group.Head.ID
+	balance.move(head)
+	now := time.Now()
+	if l.moved.IsZero() {
+		balance.add(head, 0, -l.unread)
+		l.unread = 0
+	} else {
+		balance.addPause(l.s.head.Model, now.Sub(l.moved))
+	}
+	l.moved = now
+}
+
+// rival is a second run that was begun because nothing came from the first.
+// Whichever has the next event first goes on.
+type rival struct {
+	*leg
+	// ended yields nil once the run has its first event, or its error.
+	ended chan error
+	// result holds what ended yielded, if over.
+	result error
+	over   bool
+}
+
+// newRival begins a second run in the background.
+func (s *stream) newRival(group cluster.Group) *rival {
+	r := &rival{leg: s.newLeg(group), ended: make(chan error, 1)}
+	r.stalled = func() time.Duration { return r.patience }
+	go func() {
+		event, err := r.next()
+		if err == nil {
+			r.ahead = &event
+		}
+		r.ended <- err
+	}()
+	return r
+}
+
+// done reports whether the run has its first event or failed.
+func (r *rival) done() bool {
+	if r.over {
+		return true
+	}
+	select {
+	case r.result = <-r.ended:
+		r.over = true
+	default:
+	}
+	return r.over
+}
+
+// wait waits for the run's first event.
+func (r *rival) wait() error {
+	if !r.over {
+		r.result, r.over = <-r.ended, true
+	}
+	return r.result
+}
+
+// abandon ends the run and waits until nothing of it is left.
+func (r *rival) abandon() {
+	r.cancel()
+	// The run is over either way; its error tells nothing new.
+	_ = r.wait()
+	r.close()
+}
+
+// check refuses an event that does not follow the last one.
+func (s *stream) check(event sse.Event) error {
+	if !event.HasID {
+		return nil
+	}
+	if s.begun && event.ID != s.last+1 {
+		return fmt.Errorf("%w: %w: %d follows %d", errMayHaveRun, errGap, event.ID, s.last)
+	}
+	s.last, s.begun = event.ID, true
+	return nil
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,7 +12,6 @@
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
 	"github.com/lupinkeel/lupinkeel/models"
-	"github.com/lupinkeel/lupinkeel/platform"
 )
 
 const (
@@ -23,18 +22,20 @@
 	queuePart = 0.22
 	// firstPart is the part of its aim within which the first event of a
 	// request is waited for at a head of which nothing else is known.
-	firstPart = 0.9
+	firstPart = 0.75
+	// rivalStep is how often a run that has a rival looks at it.
+	rivalStep = 8 * time.Millisecond
 	// overSlots is how many requests beyond its slots a group is sent.
 	overSlots = 2
+	// spareSends is how often a request may be sent beyond its attempts to
+	// instances that turn out not to run it.
+	spareSends = 3
 )
 
-var (
-	errGap     = errors.New("an event is missing")
-	errCutHead = errors.New("the stream ended early")
-)
+var errGap = errors.New("an event is missing")
 
 // stream passes the events of a stream on as they come, and goes on at
-// another group when one fails and the stream may be resumed.
+// another group when one fails or stands still and the stream may be resumed.
 type stream struct {
 	*exchange
 	ctx context.Context
@@ -43,12 +44,11 @@
 	begun bool
 	// moved is when the last event went out.
 	moved time.Time
-	// unread are the prompt's tokens until the first event of a try, sent is
-	// when the try began, and came tells that an event has come in it.
-	unread int
-	sent   time.Time
-	came   bool
-	flush  func() error
+	// runs counts the runs that were begun and not refused unrun.
+	runs  int
+	leg   *leg
+	rival *rival
+	flush func() error
 }
 
 func (e *exchange) stream(ctx context.Context) error {
@@ -58,25 +58,128 @@
 	if e.head.Resumed {
 		s.last, s.begun = e.head.After, true
 	}
+	defer s.close()
+	group, err := s.pick()
+	if err != nil {
+		return err
+	}
+	s.begin(group)
+	return s.run()
+}
+
+// begin begins a run that takes the place of the former one.
+func (s *stream) begin(group cluster.Group) {
+	s.runs++
+	s.leg = s.newLeg(group)
+	s.leg.stalled = s.stalled
+	s.group = group.Key
+}
+
+func (s *stream) close() {
+	if s.rival != nil {
+		s.rival.abandon()
+	}
+	if s.leg != nil {
+		s.leg.close()
+	}
+}
+
+// run passes events on until the stream ends.
+func (s *stream) run() error {
 	for {
-		group, err := s.pick()
-		if err != nil {
-			return s.noMore(err)
+		event, err := s.leg.next()
+		if err == nil {
+			err = s.check(event)
 		}
-		err = s.try(group)
-		if err == nil || ctx.Err() != nil || len(s.tried) >= s.route.Attempts {
+		switch {
+		case err == nil:
+			s.dropRival()
+			if err := s.pass(event); err != nil {
+				return err
+			}
+		case errors.Is(err, io.EOF):
+			return s.finishStream()
+		case s.ctx.Err() != nil:
 			return err
+		default:
+			if err := s.goOn(err); err != nil {
+				return err
+			}
 		}
-		if !s.route.Repeatable() && !errors.Is(err, errNotRun) {
-			return err
+	}
+}
+
+// goOn has the stream go on elsewhere after its run failed with the error,
+// which is returned if it can't.
+func (s *stream) goOn(cause error) error {
+	if errors.Is(cause, errNotRun) {
+		s.runs--
+	}
+	if s.rival != nil {
+		r := s.rival
+		s.rival = nil
+		if err := r.wait(); err == nil {
+			s.switchTo(r.leg, cause)
+			return nil
 		}
-		if !s.g.budget.repeat(time.Now(), s.g.node.View().Daemons) {
-			return errors.Join(err, errBudget)
+		if errors.Is(r.result, errNotRun) {
+			s.runs--
 		}
-		s.g.stats.resumes.Inc()
-		s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(group.Key.Name)).Int64("after", s.last).
-			Bool("begun", s.answering).Err(err).Msg("stream-moved")
+		r.close()
+	}
+	if errors.Is(cause, errFailure) && !s.mayRepeat() {
+		return s.passFailure(s.leg.answer)
+	}
+	if !s.mayRepeat() && !(errors.Is(cause, errNotRun) && s.runs == 0 && s.maySend()) {
+		return cause
+	}
+	group, err := s.pick()
+	if err != nil {
+		return errors.Join(cause, err)
 	}
+	if !s.spend() {
+		return errors.Join(cause, errBudget)
+	}
+	s.logMove(group, cause)
+	s.leg.close()
+	s.begin(group)
+	return nil
+}
+
+// switchTo has a rival's run take the place of the former one.
+func (s *stream) switchTo(l *leg, cause error) {
+	s.logMove(l.group, cause)
+	s.leg.close()
+	s.leg, s.group = l, l.group.Key
+	l.stalled = s.stalled
+	l.answer.Body.SetStalled(s.stalled)
+}
+
+func (s *stream) logMove(to cluster.Group, cause error) {
+	s.g.stats.resumes.Inc()
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.leg.group.Key.Name)).Str("to", string(to.Key.Name)).
+		Int64("after", s.last).Bool("begun", s.answering).Err(cause).Msg("stream-moved")
+}
+
+// mayRepeat reports whether the request may be run once more.
+func (s *stream) mayRepeat() bool {
+	return s.route.Repeatable() && s.runs < s.route.Attempts && s.maySend()
+}
+
+func (s *stream) maySend() bool { return len(s.tried) < s.route.Attempts+spareSends }
+
+// spend takes a repeat from the budget.
+func (s *stream) spend() bool {
+	return s.g.budget.repeat(time.Now(), s.g.node.View().Daemons)
+}
+
+// dropRival ends a rival that the first run has outpaced.
+func (s *stream) dropRival() {
+	if s.rival == nil {
+		return
+	}
+	s.rival.abandon()
+	s.rival = nil
 }
 
 // addWork counts what the request asks of its model.
@@ -101,21 +204,29 @@
 	return (read + float64(head.AnswerTokens)*token) * model.Pace
 }
 
-// pick waits for a group with a place.
+// look returns the best group that was not tried, if there is one, and
+// whether it has a place.
+func (s *stream) look() (group cluster.Group, found, free bool) {
+	engine := s.g.node.View().Routing.Services[s.service].Engine
+	if engine == nil {
+		return group, false, false
+	}
+	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
+	if found && len(s.tried) == 0 {
+		s.load = load
+	}
+	return group, found, found && load < engine.Slots+overSlots
+}
+
+// pick waits for a group with a place. A stream that has begun takes any.
 func (s *stream) pick() (cluster.Group, error) {
 	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
 	for {
-		v := s.g.node.View()
-		engine := v.Routing.Services[s.service].Engine
-		if engine == nil {
-			return cluster.Group{}, errNoUpstream
-		}
-		group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
-		if found && (load < engine.Slots+overSlots || s.answering) {
-			s.load = load
+		group, found, free := s.look()
+		if free || (found && s.answering) {
 			return group, nil
 		}
-		if len(s.tried) == 0 && time.Now().After(until) {
+		if !s.answering && time.Now().After(until) {
 			if found {
 				return group, errFull
 			}
@@ -129,147 +240,93 @@
 	}
 }
 
-// try runs the stream on one group until it ends there.
-func (s *stream) try(group cluster.Group) error {
-	head := group.Head
-	s.g.balance.add(head.ID, 1, s.head.PromptTokens)
-	s.unread = s.head.PromptTokens
-	defer func() { s.g.balance.add(head.ID, -1, -s.unread) }()
-	s.group, s.sent, s.came = group.Key, time.Now(), false
-	patience := s.g.balance.patience(s.head.Model)
-	resp, err := s.send(s.ctx, head, models.Attempt{Resume: s.begun, After: s.last}, patience, func() bool { return s.keepWaiting(group, patience) })
-	if err != nil {
-		return err
-	}
-	if resp.Status != http.StatusOK {
-		return s.passFailure(resp)
-	}
-	if !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
-		resp.Body.Discard()
-		return errors.Join(errMayHaveRun, errUnsigned)
+// stalled decides what becomes of a run from which nothing came for its
+// patience, and how long to wait for it until then. A rival is begun if the
+// whole group seems to stand still.
+func (s *stream) stalled() time.Duration {
+	l := s.leg
+	if s.rival != nil {
+		return s.besideRival()
 	}
-	if err := s.passEvents(head, resp); err != nil {
-		resp.Body.Discard()
-		return errors.Join(errMayHaveRun, err)
-	}
-	return resp.Body.Close()
-}
-
-// keepWaiting decides what becomes of a stream on which nothing came for its
-// patience.
-func (s *stream) keepWaiting(group cluster.Group, patience time.Duration) bool {
-	now := time.Now()
-	suspect := s.g.node.View().Suspects[group.Head.ID]
+	now, head := time.Now(), l.group.Head.ID
+	suspect := s.g.node.View().Suspects[head]
 	switch {
-	case s.g.balance.still(group.Head.ID, now) < patience:
+	case s.g.balance.still(head, now) < l.patience && !suspect:
 		// The group moves; only this request waits.
-		return true
+		return l.patience
 	case suspect:
-	case !s.came && now.Sub(s.sent) < time.Duration(firstPart*float64(s.route.Aim)):
+	case l.moved.IsZero() && now.Sub(l.sent) < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
-		return true
+		return l.patience / 2
 	default:
-		s.g.node.ReportStalled(group.Key, group.Head.ID)
+		s.g.node.ReportStalled(l.group.Key, head)
 	}
-	if len(s.tried) >= s.route.Attempts || !s.route.Repeatable() {
-		return true
+	if !s.mayRepeat() {
+		return l.patience
 	}
-	engine := s.g.node.View().Routing.Services[s.service].Engine
-	if engine == nil {
-		return true
+	group, _, free := s.look()
+	if !free || !s.spend() {
+		return l.patience
 	}
-	_, _, elsewhere := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
-	return !elsewhere
+	s.runs++
+	s.rival = s.newRival(group)
+	return rivalStep
 }
 
-// passFailure passes on an answer that is no stream, unless the request may
-// be tried elsewhere.
-func (s *stream) passFailure(resp *h1.Response) error {
-	body, err := readWhole(resp)
-	if err != nil {
-		return errors.Join(errMayHaveRun, err)
+// besideRival is stalled for a run that has a rival.
+func (s *stream) besideRival() time.Duration {
+	if !s.rival.done() {
+		return rivalStep
 	}
-	again := s.route.Repeatable() && len(s.tried) < s.route.Attempts && resp.Status >= http.StatusInternalServerError
-	if again || s.answering {
-		return fmt.Errorf("%w: status %d", errMayHaveRun, resp.Status)
+	if s.rival.result == nil {
+		// Ends this run; goOn changes over.
+		return 0
 	}
-	s.writeHead(resp.Status, resp.Header)
-	_, err = s.w.Write(body)
-	return err
-}
-
-// passEvents passes whole events on until the stream ends.
-func (s *stream) passEvents(head models.UpstreamInstance, resp *h1.Response) error {
-	events := sse.NewReader(resp.Body)
-	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return s.end(resp)
-		}
-		if err != nil {
-			return err
-		}
-		s.noteEvent(head)
-		if err := s.check(event); err != nil {
-			return err
-		}
-		if !s.answering {
-			s.writeHead(resp.Status, resp.Header)
-		}
-		s.noteGap()
-		if _, err := s.w.Write(event.Raw); err != nil {
-			return err
-		}
-		if events.Pending() {
-			continue
-		}
-		if err := s.flush(); err != nil {
-			return err
-		}
+	if errors.Is(s.rival.result, errNotRun) {
+		s.runs--
 	}
+	s.rival.close()
+	s.rival = nil
+	return rivalStep
 }
 
-// noteEvent notes that the head moves and that the prompt has been read.
-func (s *stream) noteEvent(head models.UpstreamInstance) {
-	s.g.balance.move(head.ID)
-	if !s.came {
-		s.came = true
-		s.g.balance.add(head.ID, 0, -s.unread)
-		s.unread = 0
-		return
+// pass passes an event on.
+func (s *stream) pass(event sse.Event) error {
+	if !s.answering {
+		s.writeHead(s.leg.answer.Status, s.leg.answer.Header)
 	}
-	s.g.balance.addPause(s.head.Model, time.Since(s.moved))
-}
-
-// noteGap measures the pause before the event that goes out now.
-func (s *stream) noteGap() {
 	now := time.Now()
 	if !s.moved.IsZero() {
 		s.gap = max(s.gap, now.Sub(s.moved))
 	}
 	s.moved = now
-}
-
-// check refuses an event that does not follow the last one.
-func (s *stream) check(event sse.Event) error {
-	if !event.HasID {
-		return nil
+	if _, err := s.w.Write(event.Raw); err != nil {
+		return err
 	}
-	if s.begun && event.ID != s.last+1 {
-		return fmt.Errorf("%w: %d follows %d", errGap, event.ID, s.last)
+	if s.leg.events.Pending() {
+		return nil
 	}
-	s.last, s.begun = event.ID, true
-	return nil
+	return s.flush()
 }
 
-// end ends the answer as whole.
-func (s *stream) end(resp *h1.Response) error {
+// passFailure passes on an answer that is no stream.
+func (s *stream) passFailure(answer *h1.Response) error {
+	body, err := readWhole(answer)
+	if err != nil {
+		return errors.Join(errMayHaveRun, err)
+	}
 	if s.answering {
-		return nil
+		return fmt.Errorf("%w: status %d", errMayHaveRun, answer.Status)
 	}
-	if !resp.Framed {
-		return errCutHead
+	s.writeHead(answer.Status, answer.Header)
+	_, err = s.w.Write(body)
+	return err
+}
+
+// finishStream ends the answer as whole.
+func (s *stream) finishStream() error {
+	if !s.answering {
+		s.writeHead(s.leg.answer.Status, s.leg.answer.Header)
 	}
-	s.writeHead(resp.Status, resp.Header)
 	return nil
 }
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -60,6 +60,7 @@
 // tryUnary makes one try. A failure that the instance gave is passed on only
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
+	e.try(i)
 	e.g.balance.add(i.ID, 1, 0)
 	defer e.g.balance.add(i.ID, -1, 0)
 	if e.route.Repeatable() && !last {
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -33,10 +33,11 @@
 	// Mine, if set, tells an answer's head from that of another request,
 	// which is read to its end and dropped.
 	Mine func(http.Header) bool
-	// Patience is how long nothing may come before Stalled is asked, each
-	// time anew, whether to go on waiting; 0 waits without asking.
+	// Patience is how long nothing may come before Stalled is asked how much
+	// longer to wait; 0 waits without asking. Stalled ends the request by
+	// returning 0.
 	Patience time.Duration
-	Stalled  func() bool
+	Stalled  func() time.Duration
 }
 
 // ErrStalled is returned by reads that Stalled ended.
@@ -65,7 +66,7 @@
 	closed  atomic.Bool
 	// patience and stalled are those of the request under way.
 	patience time.Duration
-	stalled  func() bool
+	stalled  func() time.Duration
 }
 
 const readBuffer = 4 << 10
@@ -82,18 +83,16 @@
 	if c.patience == 0 {
 		return c.nc.Read(p)
 	}
-	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(c.patience)); err != nil {
+	for wait := c.patience; wait > 0; wait = c.stalled() {
+		if err := c.nc.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return 0, err
 		}
 		n, err := c.nc.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !c.stalled() {
-			return 0, ErrStalled
-		}
 	}
+	return 0, ErrStalled
 }
 
 func (c *conn) close() {
@@ -230,6 +229,9 @@
 	return n, err
 }
 
+// SetStalled changes who is asked when nothing comes.
+func (b *Body) SetStalled(stalled func() time.Duration) { b.c.stalled = stalled }
+
 // Buffered tells how many bytes have come that are not read yet.
 func (b *Body) Buffered() int { return b.c.br.Buffered() }
 
