cluster, fleet: ask when an order should be done, tell the others at once

Cause: a repair took 2.1 s of which 1.0 s was waiting for the second order to close and for entries to be read; 257 of 642 orders were refused because two orders to one instance crossed and staging instances were joined.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/fleet"
@@ -30,6 +32,10 @@
 	// suspects are stalled heads, until when.
 	suspects map[models.InstanceID]suspicion
 	traffic  bool
+	// due are instances to be asked for a report, and when.
+	due map[models.InstanceID]time.Time
+	// news is what is to be told to the other daemons.
+	news []InstanceNews
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
 	demand       map[models.ModelName]float64
@@ -51,10 +57,12 @@
 	// lost is since when it does not answer; zero while it does.
 	lost  time.Time
 	asked time.Time
+	// spread is what the other daemons were told last.
+	spread models.UpstreamInstance
 }
 
 func newFleetState() fleetState {
-	return fleetState{instances: map[models.InstanceID]*knownInstance{}, suspects: map[models.InstanceID]suspicion{}}
+	return fleetState{instances: map[models.InstanceID]*knownInstance{}, suspects: map[models.InstanceID]suspicion{}, due: map[models.InstanceID]time.Time{}}
 }
 
 func (f *fleetState) term() int64 {
@@ -152,9 +160,47 @@
 			}
 		}
 	}
+	// Even without news the others learn that this one still reads.
+	o.spread(o.fleet.changedEntries(records, asked)...)
+	if o.fleet.planner != nil && len(o.fleet.news) == 0 {
+		o.n.links.send(LoadNews{From: o.n.cfg.ID, Term: o.fleet.heldTerm})
+	}
 	o.changed = o.changed || len(records) > 0
 }
 
+// changedEntries are the instances of these records of which the others have
+// not been told as they are now.
+func (f *fleetState) changedEntries(records []platform.KeyedRecord, asked time.Time) []InstanceNews {
+	if f.planner == nil {
+		return nil
+	}
+	var out []InstanceNews
+	told := map[models.InstanceID]bool{}
+	for _, r := range records {
+		id := models.InstanceID(r.Key)
+		if told[id] {
+			continue
+		}
+		told[id] = true
+		k, known := f.instances[id]
+		if !known {
+			out = append(out, InstanceNews{Instance: models.UpstreamInstance{ID: id}, Age: time.Since(asked), Gone: true})
+			continue
+		}
+		shown := k.UpstreamInstance
+		shown.Heartbeat = 0
+		if !reflect.DeepEqual(shown, k.spread) {
+			k.spread = shown
+			out = append(out, k.news(asked))
+		}
+	}
+	return out
+}
+
+func (k *knownInstance) news(at time.Time) InstanceNews {
+	return InstanceNews{Instance: k.UpstreamInstance, Age: time.Since(at), Lost: !k.lost.IsZero()}
+}
+
 func (o *owner) dropInstance(id models.InstanceID) {
 	if i, known := o.fleet.instances[id]; known {
 		o.n.log.Info().Str("instance", string(id)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
@@ -173,8 +219,8 @@
 		o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Str("state", string(i.Group.State)).
 			Bool("draining", i.Draining).Msg("instance-changed")
 	}
-	if k.told.After(asked) {
-		// A report that was asked for later is newer than this entry.
+	if known && asked.Before(k.told.Add(entryLag)) && i.Group.Key.Epoch <= k.Group.Key.Epoch {
+		// What the instance itself told is newer than this entry may be.
 		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
 	}
 	k.UpstreamInstance, k.written = i, time.Now()
@@ -200,6 +246,7 @@
 	if m.err != nil {
 		if k.lost.IsZero() {
 			k.lost = m.asked
+			o.spread(k.news(m.asked))
 			o.n.log.Warn().Str("instance", string(k.ID)).Str("group", string(k.Group.Key.Name)).Err(m.err).Msg("instance-lost")
 		}
 		o.changed = true
@@ -210,7 +257,10 @@
 	}
 	k.lost, k.told = time.Time{}, m.asked
 	k.Group, k.Loaded, k.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
+	delete(o.fleet.suspects, k.ID)
+	o.spread(k.news(m.asked))
 	o.changed = true
+	o.planGroups(time.Now())
 }
 
 // handleStalled passes over a head at which nothing moves, and has the
@@ -391,7 +441,53 @@
 	if p := o.fleet.planner; p != nil && m.order.Fence>>fleet.TermBits == o.fleet.heldTerm {
 		p.Note(m.order, m.outcome, m.at)
 	}
-	if k := o.fleet.instances[m.order.Instance]; k != nil && m.outcome == types.OrderUnknown {
+	k := o.fleet.instances[m.order.Instance]
+	if k == nil {
+		return
+	}
+	if m.outcome == types.OrderUnknown {
 		o.ask(k, m.at)
+	} else if d, known := o.expected(m.order, k.UpstreamInstance); known {
+		o.fleet.due[k.ID] = m.at.Add(d)
+	}
+	o.planGroups(m.at)
+}
+
+// reportMargin is how much later than an order should be done the instance is
+// asked whether it is.
+const reportMargin = 15 * time.Millisecond
+
+// expected is how long an order that was begun takes, if the end is worth
+// asking for.
+func (o *owner) expected(order types.GroupOrder, i models.UpstreamInstance) (time.Duration, bool) {
+	service, known := o.config.routing.Services[i.Service]
+	if !known || service.Engine == nil {
+		return 0, false
+	}
+	model, known := service.Engine.Model(fleet.ModelOf(order.Group.Name))
+	switch {
+	case !known:
+		return 0, false
+	case order.Kind == types.GroupOpen:
+		return service.Engine.FormTime + reportMargin, true
+	case order.Kind == types.GroupJoin && i.Loaded == model.Name:
+		return fleet.Rejoin + reportMargin, true
+	case order.Kind == types.GroupJoin && slices.Contains(i.Staged, model.Name):
+		return model.Warm + reportMargin, true
+	}
+	return 0, false
+}
+
+// askDue asks the instances whose orders should be done by now.
+func (o *owner) askDue(now time.Time) {
+	for id, at := range o.fleet.due {
+		if now.Before(at) {
+			continue
+		}
+		delete(o.fleet.due, id)
+		if k := o.fleet.instances[id]; k != nil && o.fleet.planner != nil {
+			k.asked = now
+			o.n.askReport(o.ctx, k.UpstreamInstance)
+		}
 	}
 }
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
@@ -14,14 +15,22 @@
 	// current, so it must stay well below the time within which taken keys
 	// must be refused.
 	configWait = 1200 * time.Millisecond
+	// idleWait is how long it holds the reading of a daemon that has the
+	// proof from another one. If that fails to come for proofBound, the
+	// daemon breaks the reading off and reads for itself.
+	idleWait   = 20 * time.Second
+	proofBound = 1800 * time.Millisecond
+	proofCheck = 200 * time.Millisecond
 	// answerSlack is added to a wait for the answer to arrive.
 	answerSlack = 1500 * time.Millisecond
 	// retryPause is the pause after a reading that failed.
 	retryPause = 150 * time.Millisecond
 	// instancesEvery is how often a daemon reads the entries of instances,
-	// planEntriesEvery how often the one that plans does.
+	// planEntriesEvery how often the one that plans does, and fedEntriesEvery
+	// how often one does that hears from it.
 	instancesEvery   = 500 * time.Millisecond
-	planEntriesEvery = 200 * time.Millisecond
+	planEntriesEvery = 250 * time.Millisecond
+	fedEntriesEvery  = 1500 * time.Millisecond
 	rosterWait       = 20 * time.Second
 )
 
@@ -58,7 +67,10 @@
 type follower struct {
 	n     *Node
 	topic string
-	wait  time.Duration
+	// wait is how long the store may hold a reading.
+	wait func() time.Duration
+	// guard, if set, bounds the context of a reading.
+	guard func(context.Context) (context.Context, context.CancelFunc)
 	// every is the pause between two readings.
 	every func() time.Duration
 	whole func(records []platform.KeyedRecord, asked time.Time) message
@@ -103,7 +115,16 @@
 		f.n.tell(ctx, f.whole(records, asked))
 		return next, nil
 	}
-	records, next, err := f.n.since(ctx, f.topic, from, f.wait)
+	limited := ctx
+	if f.guard != nil {
+		guarded, cancel := f.guard(ctx)
+		defer cancel()
+		limited = guarded
+	}
+	records, next, err := f.n.since(limited, f.topic, from, f.wait())
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(limited), errProofLate) {
+		return from, nil
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -121,20 +142,62 @@
 		}
 		return m
 	}
-	f := follower{n: n, topic: platform.ConfigTopic, wait: configWait, whole: read, added: read}
+	f := follower{n: n, topic: platform.ConfigTopic, whole: read, added: read, guard: n.guardProof}
+	f.wait = func() time.Duration {
+		if n.readsForOthers() {
+			return configWait
+		}
+		return idleWait
+	}
 	f.every = func() time.Duration { return 0 }
 	return f.run(ctx)
 }
 
+// readsForOthers reports whether the node proves to itself, and so to others,
+// that the configuration is current: as the one that plans, and as long as
+// the proof of another is late.
+func (n *Node) readsForOthers() bool {
+	return n.planning.Load() || time.Since(n.View().Proven) > proofBound
+}
+
+// errProofLate ends a long reading because a proof is due.
+var errProofLate = errors.New("the proof of another daemon is late")
+
+// guardProof returns a context that ends once a reading that may take long
+// has to make way for a short one.
+func (n *Node) guardProof(ctx context.Context) (context.Context, context.CancelFunc) {
+	if n.readsForOthers() {
+		return context.WithCancel(ctx)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	watch := task.Start(ctx, "proof", func(ctx context.Context) error {
+		for !n.readsForOthers() {
+			if err := pause(ctx, proofCheck); err != nil {
+				return err
+			}
+		}
+		cancel(errProofLate)
+		return nil
+	})
+	return ctx, func() {
+		cancel(context.Canceled)
+		<-watch.Done
+	}
+}
+
 func (n *Node) followInstances(ctx context.Context) error {
-	f := follower{n: n, topic: platform.InstancesTopic}
+	f := follower{n: n, topic: platform.InstancesTopic, wait: func() time.Duration { return 0 }}
 	f.whole = func(records []platform.KeyedRecord, asked time.Time) message { return instancesRead{records, asked} }
 	f.added = func(records []platform.KeyedRecord, asked time.Time) message { return instancesChanged{records, asked} }
 	f.every = func() time.Duration {
-		if n.planning.Load() {
+		switch {
+		case n.planning.Load():
 			return planEntriesEvery
+		case n.fedLately():
+			return fedEntriesEvery
+		default:
+			return instancesEvery
 		}
-		return instancesEvery
 	}
 	return f.run(ctx)
 }
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -16,8 +16,8 @@
 	termsTopic = "terms"
 	// leaseFactor is how many times the shortest lease a lease lasts, and
 	// renewPart the part of it after which it is renewed.
-	leaseFactor = 3
-	leaseDiv    = 2
+	leaseFactor = 1
+	leaseDiv    = 1
 	renewDiv    = 4
 	// leaseMargin is how much sooner than the store a holder takes its lease
 	// for ended.
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -24,6 +24,9 @@
 	Loads map[models.InstanceID]Load `msgpack:"l"`
 	// Stalled are heads that the daemon just found to stand still.
 	Stalled []StalledHead `msgpack:"s"`
+	// Instances are told by the daemon that plans, in its term.
+	Term      int64          `msgpack:"t"`
+	Instances []InstanceNews `msgpack:"n"`
 }
 
 // peerLoads sums what other daemons tell of the loads that they cause. It is
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -76,6 +76,14 @@
 	}
 )
 
+// newsSeen: the daemon that plans told of instances.
+type newsSeen struct {
+	term      int64
+	instances []InstanceNews
+	at        time.Time
+}
+
+func (newsSeen) isMessage()         {}
 func (configRead) isMessage()       {}
 func (instancesRead) isMessage()    {}
 func (instancesChanged) isMessage() {}
--- /dev/null
+++ b/cluster/news.go
@@ -0,0 +1,81 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// InstanceNews is what the daemon that plans has learned of an instance.
+type InstanceNews struct {
+	Instance models.UpstreamInstance `msgpack:"i"`
+	// Age is how long ago it was so.
+	Age time.Duration `msgpack:"a"`
+	// Lost tells that the instance does not answer, Gone that its entry went.
+	Lost bool `msgpack:"l"`
+	Gone bool `msgpack:"g"`
+}
+
+// entryLag is how long an instance's entry may lag behind what the instance
+// itself tells: the store takes some ms, a slow store hundreds.
+const entryLag = time.Second
+
+// feedFresh is how recent the planner's news must be for a daemon to spare
+// itself reading entries often.
+const feedFresh = 900 * time.Millisecond
+
+// spread tells all other daemons what this one, which plans, has learned.
+func (o *owner) spread(news ...InstanceNews) {
+	if o.fleet.planner == nil {
+		return
+	}
+	o.fleet.news = append(o.fleet.news, news...)
+}
+
+// flushNews sends what spread has gathered.
+func (o *owner) flushNews() {
+	if len(o.fleet.news) == 0 {
+		return
+	}
+	o.n.links.send(LoadNews{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Instances: o.fleet.news})
+	o.fleet.news = nil
+}
+
+// handleNews takes in what the daemon that plans tells.
+func (o *owner) handleNews(m newsSeen) {
+	if m.term < o.peers.term || o.fleet.planner != nil {
+		return
+	}
+	o.peers.term = m.term
+	now := time.Now()
+	for _, news := range m.instances {
+		at := m.at.Add(-news.Age)
+		id := news.Instance.ID
+		k, known := o.fleet.instances[id]
+		switch {
+		case news.Gone:
+			if known && at.After(k.written) {
+				o.dropInstance(id)
+			}
+		case !known:
+			o.fleet.instances[id] = &knownInstance{UpstreamInstance: news.Instance, told: at, written: at}
+		case at.Before(k.told):
+		default:
+			draining := k.Draining || news.Instance.Draining
+			k.UpstreamInstance, k.told = news.Instance, at
+			k.Draining = draining
+			k.lost = time.Time{}
+			delete(o.fleet.suspects, id)
+			if news.Lost {
+				k.lost = now
+			}
+		}
+	}
+	o.n.fed.Store(now.UnixNano())
+	o.changed = true
+}
+
+// fedLately reports whether the planner's news came of late.
+func (n *Node) fedLately() bool {
+	return time.Since(time.Unix(0, n.fed.Load())) < feedFresh
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -57,11 +57,11 @@
 	// same region answer within some ms.
 	orderTimeout = 500 * time.Millisecond
 	// reportTimeout bounds the wait for an instance's report.
-	reportTimeout = 300 * time.Millisecond
+	reportTimeout = 200 * time.Millisecond
 	// dialTimeout bounds the making of a connection to the store, to
 	// instances for orders, and to other daemons.
 	dialTimeout = 400 * time.Millisecond
-	planEvery   = 100 * time.Millisecond
+	planEvery   = 50 * time.Millisecond
 	sweepEvery  = time.Second
 )
 
@@ -81,6 +81,8 @@
 	started   int64
 	peerLoads *peerLoads
 	links     *links
+	// fed is when news of the planner came last, in Unix nanoseconds.
+	fed atomic.Int64
 }
 
 type stats struct {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -66,6 +66,7 @@
 		case tick := <-plan:
 			o.tick(tick)
 		}
+		o.flushNews()
 		if o.changed {
 			o.publish()
 		}
@@ -116,6 +117,8 @@
 		o.handleOrderEnded(m)
 	case reportEnded:
 		o.handleReport(m)
+	case newsSeen:
+		o.handleNews(m)
 	case stalled:
 		o.handleStalled(m)
 	}
@@ -201,6 +204,7 @@
 			o.changed = true
 		}
 	}
+	o.askDue(tick.At)
 	o.planGroups(tick.At)
 }
 
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -43,7 +43,7 @@
 		n.links.update(ctx, records)
 		return rosterRead{records}
 	}
-	f := follower{n: n, topic: rosterTopic, wait: rosterWait, whole: read, added: read}
+	f := follower{n: n, topic: rosterTopic, wait: func() time.Duration { return rosterWait }, whole: read, added: read}
 	f.every = func() time.Duration { return 0 }
 	err := f.run(ctx)
 	return errors.Join(err, n.links.wait())
@@ -269,6 +269,9 @@
 			return from, err
 		}
 		s.n.peerLoads.take(news)
+		if news.Term > 0 {
+			s.n.tell(ctx, newsSeen{term: news.Term, instances: news.Instances, at: time.Now()})
+		}
 		for _, head := range news.Stalled {
 			s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
 		}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -117,6 +117,10 @@
 	c := candidate{model: model, members: sorted[:model.Size:model.Size], loading: map[models.InstanceID]bool{}}
 	for _, id := range c.members {
 		t := r.joinTime(id, model)
+		if _, under := r.staging[id]; under && t >= model.Load {
+			// It comes into question once its weights are there.
+			return candidate{}, false
+		}
 		c.ready = max(c.ready, t)
 		if t >= model.Load {
 			c.loading[id] = true
@@ -150,7 +154,7 @@
 	i := r.Instances[id]
 	switch {
 	case i.Loaded == model.Name:
-		return rejoin
+		return Rejoin
 	case slices.Contains(i.Staged, model.Name):
 		return model.Warm
 	default:
@@ -197,7 +201,7 @@
 			continue
 		}
 		r.loading++
-		if sent := r.sent[id]; sent != nil && sent.outcome == types.OrderUnknown && r.due(id, types.GroupStage, models.GroupKey{}) {
+		if sent := r.sent[id]; sent != nil && sent.order.Kind == types.GroupStage && sent.outcome == types.OrderUnknown && r.due(id, types.GroupStage, models.GroupKey{}) {
 			r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: s.model})
 		}
 	}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -29,9 +29,12 @@
 	// given up; formFactor allows for loads slowed by others.
 	formSlack  = 3 * time.Second
 	formFactor = 2
-	// rejoin is how long an instance takes to join a group of the model that
+	// Rejoin is how long an instance takes to join a group of the model that
 	// it ran last, as the engines' makers state.
-	rejoin = 200 * time.Millisecond
+	Rejoin = 200 * time.Millisecond
+	// repeatClose is how soon a head that began to close is told so again:
+	// its answer tells when it is done.
+	repeatClose = 30 * time.Millisecond
 	// loadWindow is the window over which begun loads are bounded, and
 	// loadMargin the part of the weight store's rate that is used in it.
 	loadWindow = 5 * time.Second
@@ -83,6 +86,9 @@
 	superseded bool
 }
 
+// pending is the outcome of an order until its answer is in.
+const pending types.OrderOutcome = ""
+
 type sentOrder struct {
 	order   types.GroupOrder
 	at      time.Time
@@ -213,14 +219,24 @@
 // now: not while the same one is under way.
 func (r *round) due(id models.InstanceID, kind types.GroupOrderKind, key models.GroupKey) bool {
 	s := r.sent[id]
-	if s == nil || s.order.Kind != kind || s.order.Group != key {
+	if s == nil {
 		return true
 	}
+	if s.outcome == pending && r.Now.Sub(s.at) < repeatAfter {
+		// Orders that cross on the way could arrive in the wrong order.
+		return false
+	}
+	if s.order.Kind != kind || s.order.Group != key {
+		return true
+	}
+	if s.outcome == types.OrderBegun && kind == types.GroupCut {
+		return r.Now.Sub(s.at) >= repeatClose
+	}
 	return r.Now.Sub(s.at) >= repeatAfter
 }
 
 func (r *round) order(o types.GroupOrder) {
 	o.Fence = r.next()
-	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: types.OrderUnknown}
+	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: pending}
 	r.orders = append(r.orders, o)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -258,6 +258,8 @@
 	case l.moved.IsZero() && now.Sub(l.sent) < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
 		return l.patience / 2
+	case l.moved.IsZero() && now.Sub(l.sent) < s.route.Aim:
+		// Too little is known to suspect the group; a rival does no harm.
 	default:
 		s.g.node.ReportStalled(l.group.Key, head)
 	}
--- a/lib/logfmt/logfmt.go
+++ b/lib/logfmt/logfmt.go
@@ -39,6 +39,9 @@
 
 func value(v any) string {
 	s := fmt.Sprint(v)
+	if raw, ok := v.([]byte); ok {
+		s = string(raw)
+	}
 	if strings.HasPrefix(s, `"`) {
 		// The writer hands some values over quoted already.
 		return s
