fleet: stage the larger model on serving hosts, convert groups when it is crowded

Cause: with a quarter of the instances lost or loading, the four-member model had 2 to 4 groups and 60 requests for 51 places, the other 12 groups at half use.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -39,6 +39,7 @@
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
 	demand       map[models.ModelName]float64
+	busy         map[models.ModelName]float64
 }
 
 type suspicion struct {
@@ -351,7 +352,7 @@
 		Now: now, Profile: engine, Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
 		Demand: o.demand(engine),
 	}
-	world.Traffic = f.traffic
+	world.Traffic, world.Busy = f.traffic, o.busy(engine, now)
 	for id, i := range f.instances {
 		if i.Service != name {
 			continue
@@ -374,6 +375,27 @@
 	}
 }
 
+// busyKept is the part of the former average that is kept at each planning,
+// twenty times a second: the average follows within two seconds.
+const busyKept = 0.97
+
+// busy averages how many requests the groups of each model have.
+func (o *owner) busy(engine *models.EngineProfile, now time.Time) map[models.ModelName]float64 {
+	if o.fleet.busy == nil {
+		o.fleet.busy = map[models.ModelName]float64{}
+	}
+	groups, _ := o.fleet.serving(o.config.routing, now)
+	own := o.n.traffic.Loads()
+	for _, m := range engine.Models {
+		sum := 0
+		for _, g := range groups[m.Name] {
+			sum += own[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
+		}
+		o.fleet.busy[m.Name] = busyKept*o.fleet.busy[m.Name] + (1-busyKept)*float64(sum)
+	}
+	return maps.Clone(o.fleet.busy)
+}
+
 // supplyEvery is how often the planner tells what serves.
 const supplyEvery = 2 * time.Second
 
@@ -386,10 +408,7 @@
 	groups, _ := o.fleet.serving(o.config.routing, w.Now)
 	work := o.work()
 	for _, m := range engine.Models {
-		busy := 0
-		for _, g := range groups[m.Name] {
-			busy += o.n.traffic.Loads()[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
-		}
+		busy := int(w.Busy[m.Name])
 		o.n.log.Info().Str("model", string(m.Name)).Int("groups", len(groups[m.Name])).Int("size", m.Size).Int("in-flight", busy).
 			Float64("demand", w.Demand[m.Name]).Float64("work", work[m.Name]).Int("instances", len(w.Instances)).
 			Int("lost", len(w.Lost)).Msg("supply")
--- /dev/null
+++ b/fleet/convert.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	// crowded is the part of its places that a model uses when it is given
+	// instances of another one, calm the part that the other may use
+	// afterwards. At three quarters an engine's pauses begin to grow.
+	crowded = 0.8
+	calm    = 0.62
+	// convertEvery is the least time between two conversions, so that the
+	// effect of one is seen before the next.
+	convertEvery = 4 * time.Second
+	// convertWithin bounds one conversion.
+	convertWithin = 6 * time.Second
+	// flexibleGroups is for how many groups of another model the weights are
+	// staged on the hosts of instances that serve.
+	flexibleGroups = 2
+	// earlyFlexible is how many loads are begun at once before traffic when
+	// all groups are under way.
+	earlyFlexible = 20
+	// keptLoads is how many of the weight store's places are left to repairs
+	// by stagings ahead of need.
+	keptLoads = 2
+)
+
+// conversion takes instances from groups of one model for a group of another.
+type conversion struct {
+	model   models.ModelProfile
+	members []models.InstanceID
+	until   time.Time
+}
+
+// places is how many requests the model's groups run at once.
+func (r *round) places(m models.ModelProfile, groups int) float64 {
+	return float64(groups * r.Profile.Slots)
+}
+
+// use is the part of its places that the model uses with so many groups.
+func (r *round) use(m models.ModelProfile, groups int) float64 {
+	return r.Busy[m.Name] / max(1, r.places(m, groups))
+}
+
+// convert takes instances from a model with places to spare for one that is
+// crowded, where their hosts have its weights.
+func (r *round) convert() {
+	r.advanceConversion()
+	if r.converting != nil || !r.Traffic || r.Now.Sub(r.converted) < convertEvery {
+		return
+	}
+	for _, to := range r.Profile.Models {
+		if r.use(to, r.settled[to.Name]/to.Size) < crowded {
+			continue
+		}
+		if c := r.findConversion(to); c != nil {
+			r.converting, r.converted = c, r.Now
+			r.advanceConversion()
+			return
+		}
+	}
+}
+
+// findConversion picks the members for a group of the model from one domain:
+// free ones that are warm, and those of whole groups of other models.
+func (r *round) findConversion(to models.ModelProfile) *conversion {
+	byDomain := map[models.Domain][]*Group{}
+	for _, g := range r.groups {
+		if from, known := r.Profile.Model(g.Model); known && g.Model != to.Name && g.Serving() && r.forming[g.Key] == nil &&
+			r.ending[g.Key] == nil && r.allStaged(g, to.Name) && len(g.Members) == from.Size {
+			domain := r.Instances[g.Head].Domain
+			byDomain[domain] = append(byDomain[domain], g)
+		}
+	}
+	free := r.free()
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		c := &conversion{model: to, until: r.Now.Add(convertWithin)}
+		for _, id := range free[domain] {
+			if isWarm(r.Instances[id], to.Name) && len(c.members) < to.Size {
+				c.members = append(c.members, id)
+			}
+		}
+		taken := map[models.ModelName]int{}
+		groups := byDomain[domain]
+		slices.SortFunc(groups, func(a, b *Group) int { return cmp.Compare(a.Key.Epoch, b.Key.Epoch) })
+		for _, g := range groups {
+			from, _ := r.Profile.Model(g.Model)
+			left := r.settled[from.Name]/from.Size - taken[from.Name] - 1
+			if len(c.members) >= to.Size || left < 1 || r.use(from, left) > calm {
+				continue
+			}
+			taken[from.Name]++
+			for rank := range from.Size {
+				c.members = append(c.members, g.Members[rank])
+			}
+		}
+		if len(c.members) >= to.Size {
+			c.members = c.members[:to.Size]
+			return c
+		}
+	}
+	return nil
+}
+
+// allStaged reports whether the hosts of all members have the model.
+func (r *round) allStaged(g *Group, model models.ModelName) bool {
+	for _, id := range g.Members {
+		if !r.usable(id) || !slices.Contains(r.Instances[id].Staged, model) {
+			return false
+		}
+	}
+	return true
+}
+
+// advanceConversion closes the groups that the members are in and forms the
+// new one once all are free.
+func (r *round) advanceConversion() {
+	c := r.converting
+	if c == nil {
+		return
+	}
+	free := true
+	for _, id := range c.members {
+		if !r.usable(id) || r.Now.After(c.until) {
+			r.converting = nil
+			return
+		}
+		if r.released(id) {
+			r.taken[id] = true
+			continue
+		}
+		free = false
+		if g := r.groups[r.Instances[id].Group.Key]; g != nil {
+			r.end(g.Key, g.Head, types.GroupFinish)
+		}
+	}
+	if !free {
+		return
+	}
+	r.converting = nil
+	candidate := candidate{model: c.model, members: c.members, loading: map[models.InstanceID]bool{}, ready: c.model.Warm}
+	r.form(candidate)
+}
+
+// stageFlexible stages a crowded or larger model's weights on the hosts of
+// instances that serve another, so that they can be converted within seconds.
+// It is done only while the weight store has nothing better to do.
+func (r *round) stageFlexible() {
+	for _, to := range r.Profile.Models {
+		if to.Size == r.smallest() {
+			continue
+		}
+		ids := r.flexible(to)
+		want := flexibleGroups*to.Size - r.stagedAhead(to)
+		for _, id := range ids {
+			if want <= 0 || !r.mayStageAhead() {
+				return
+			}
+			want--
+			r.stage(id, to)
+		}
+	}
+}
+
+func (r *round) smallest() int {
+	least := r.Profile.Models[0].Size
+	for _, m := range r.Profile.Models {
+		least = min(least, m.Size)
+	}
+	return least
+}
+
+func (r *round) mayStageAhead() bool {
+	if !r.Traffic {
+		return r.loading < r.Profile.LoadsAtOnce+earlyFlexible
+	}
+	return r.loading < r.Profile.LoadsAtOnce-keptLoads && r.mayLoad(1)
+}
+
+// stagedAhead counts the instances of other models whose hosts have this
+// one's weights, or are getting them.
+func (r *round) stagedAhead(to models.ModelProfile) int {
+	n := 0
+	for id, i := range r.Instances {
+		s, under := r.staging[id]
+		if r.usable(id) && r.domains[i.Domain] != to.Name && (slices.Contains(i.Staged, to.Name) || (under && s.model == to.Name)) {
+			n++
+		}
+	}
+	return n
+}
+
+// flexible lists the instances that could be given the model's weights, whole
+// groups at a time, the domain that has the most of them already first.
+func (r *round) flexible(to models.ModelProfile) []models.InstanceID {
+	var groups []*Group
+	have := map[models.Domain]int{}
+	for _, g := range r.groups {
+		domain := r.Instances[g.Head].Domain
+		if !g.Serving() || g.Model == to.Name || r.domains[domain] == to.Name {
+			continue
+		}
+		groups = append(groups, g)
+		for _, id := range g.Members {
+			if _, under := r.staging[id]; under || slices.Contains(r.Instances[id].Staged, to.Name) {
+				have[domain]++
+			}
+		}
+	}
+	slices.SortFunc(groups, func(a, b *Group) int {
+		da, db := r.Instances[a.Head].Domain, r.Instances[b.Head].Domain
+		return cmp.Or(cmp.Compare(have[db], have[da]), cmp.Compare(da, db), cmp.Compare(a.Key.Epoch, b.Key.Epoch))
+	})
+	var out []models.InstanceID
+	for _, g := range groups {
+		for _, id := range slices.Sorted(maps.Values(g.Members)) {
+			if _, under := r.staging[id]; !under && r.usable(id) && !slices.Contains(r.Instances[id].Staged, to.Name) {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -34,7 +34,9 @@
 			free[domain] = slices.DeleteFunc(ids, func(id models.InstanceID) bool { return slices.Contains(c.members, id) })
 		}
 	}
-	r.stageAll(free)
+	if r.stageAll(free) {
+		r.stageFlexible()
+	}
 }
 
 // free lists the instances that may be used, by fabric domain.
@@ -196,7 +198,7 @@
 // that ended.
 func (r *round) advanceStaging() {
 	for id, s := range r.staging {
-		if !r.usable(id) || isWarm(r.Instances[id], s.model) || r.Now.After(s.until) {
+		if !r.usable(id) || slices.Contains(r.Instances[id].Staged, s.model) || r.Now.After(s.until) {
 			delete(r.staging, id)
 			continue
 		}
@@ -208,12 +210,14 @@
 }
 
 // stageAll has weights staged on free instances that have none of their
-// domain's model, first where the fewest are missing for a whole group.
-func (r *round) stageAll(free map[models.Domain][]models.InstanceID) {
+// domain's model, first where a load brings the most instances to use. It
+// reports whether nothing was left to be staged.
+func (r *round) stageAll(free map[models.Domain][]models.InstanceID) bool {
 	type want struct {
-		id      models.InstanceID
-		model   models.ModelProfile
-		missing int
+		id    models.InstanceID
+		model models.ModelProfile
+		// gain is how many instances are brought to use for each load.
+		gain float64
 	}
 	var wants []want
 	for domain, ids := range free {
@@ -231,19 +235,29 @@
 			}
 		}
 		for n, id := range cold {
-			wants = append(wants, want{id, model, model.Size - (warm+n)%model.Size})
+			missing := model.Size - (warm+n)%model.Size
+			wants = append(wants, want{id, model, float64(model.Size) / float64(missing)})
 		}
 	}
 	slices.SortFunc(wants, func(a, b want) int {
-		return cmp.Or(cmp.Compare(a.missing, b.missing), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.id, b.id))
 	})
 	for _, w := range wants {
 		if !r.mayLoad(1) {
-			return
+			return false
 		}
-		r.loading++
-		r.loads = append(r.loads, r.Now)
-		r.staging[w.id] = staging{model: w.model.Name, until: r.Now.Add(formFactor*w.model.Load + formSlack)}
-		r.order(types.GroupOrder{Kind: types.GroupStage, Instance: w.id, Model: w.model.Name})
+		r.stage(w.id, w.model)
+	}
+	return true
+}
+
+// stage has an instance load a model onto its host.
+func (r *round) stage(id models.InstanceID, model models.ModelProfile) {
+	if !r.due(id, types.GroupStage, models.GroupKey{}) {
+		return
 	}
+	r.loading++
+	r.loads = append(r.loads, r.Now)
+	r.staging[id] = staging{model: model.Name, until: r.Now.Add(formFactor*model.Load + formSlack)}
+	r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: model.Name})
 }
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -35,6 +35,9 @@
 	// repeatClose is how soon a head that began to close is told so again:
 	// its answer tells when it is done.
 	repeatClose = 30 * time.Millisecond
+	// repeatFinish is the same for a head that lets its requests end, which
+	// takes a second or so.
+	repeatFinish = 250 * time.Millisecond
 	// loadWindow is the window over which begun loads are bounded, and
 	// loadMargin the part of the weight store's rate that is used in it.
 	loadWindow = 5 * time.Second
@@ -54,6 +57,8 @@
 	Lost map[models.InstanceID]bool
 	// Demand is the part of all instances that each model needs.
 	Demand map[models.ModelName]float64
+	// Busy counts the requests that each model's groups have.
+	Busy map[models.ModelName]float64
 	// Traffic tells that requests have come. Until then loads are cheap.
 	Traffic bool
 }
@@ -80,6 +85,9 @@
 	// instances are loading onto their hosts.
 	domains map[models.Domain]models.ModelName
 	staging map[models.InstanceID]staging
+	// converting is the conversion under way, converted when the last began.
+	converting *conversion
+	converted  time.Time
 	// loads are when loads were begun of late.
 	loads []time.Time
 	// superseded tells that an instance has seen a newer term.
@@ -138,6 +146,7 @@
 	r.advanceForming()
 	r.examineGroups()
 	r.advanceStaging()
+	r.convert()
 	r.advanceEnding()
 	r.formAll()
 	return r.orders
@@ -232,6 +241,9 @@
 	if s.outcome == types.OrderBegun && kind == types.GroupCut {
 		return r.Now.Sub(s.at) >= repeatClose
 	}
+	if s.outcome == types.OrderBegun && kind == types.GroupFinish {
+		return r.Now.Sub(s.at) >= repeatFinish
+	}
 	return r.Now.Sub(s.at) >= repeatAfter
 }
 
