--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -296,7 +296,7 @@
 	if f.planner != nil && f.heldTerm == m.term {
 		return
 	}
-	f.planner, f.heldTerm = fleet.NewPlanner(m.term), m.term
+	f.planner, f.heldTerm, f.busy = fleet.NewPlanner(m.term, time.Now()), m.term, nil
 	o.n.planning.Store(true)
 	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
 }
@@ -391,6 +391,9 @@
 		for _, g := range groups[m.Name] {
 			sum += own[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
 		}
+		if _, known := o.fleet.busy[m.Name]; !known {
+			o.fleet.busy[m.Name] = float64(sum)
+		}
 		o.fleet.busy[m.Name] = busyKept*o.fleet.busy[m.Name] + (1-busyKept)*float64(sum)
 	}
 	return maps.Clone(o.fleet.busy)
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -103,12 +103,13 @@
 	outcome types.OrderOutcome
 }
 
-// NewPlanner returns the planner of a term. Terms only ever rise.
-func NewPlanner(term int64) *Planner {
+// NewPlanner returns the planner of a term that begins now. Terms only ever
+// rise.
+func NewPlanner(term int64, now time.Time) *Planner {
 	return &Planner{
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, held: map[models.InstanceID]time.Time{},
-		domains: map[models.Domain]models.ModelName{}, staging: map[models.InstanceID]staging{},
+		domains: map[models.Domain]models.ModelName{}, staging: map[models.InstanceID]staging{}, converted: now,
 	}
 }
 
