cluster: take an entry that goes forward at once, ask until an order is done

Change: an entry that goes forward in the same group, or into a later one, counts at once; an instance that should be done and is not is asked again after 100 ms.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -220,7 +220,7 @@
 		o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Str("state", string(i.Group.State)).
 			Bool("draining", i.Draining).Msg("instance-changed")
 	}
-	if known && asked.Before(k.told.Add(entryLag)) && i.Group.Key.Epoch <= k.Group.Key.Epoch {
+	if known && asked.Before(k.told.Add(entryLag)) && !i.Group.Follows(k.Group) {
 		// What the instance itself told is newer than this entry may be.
 		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
 	}
@@ -259,6 +259,9 @@
 	k.lost, k.told = time.Time{}, m.asked
 	k.Group, k.Loaded, k.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
 	delete(o.fleet.suspects, k.ID)
+	if o.underWay(k) {
+		o.fleet.due[k.ID] = time.Now().Add(askUnderWay)
+	}
 	o.spread(k.news(m.asked))
 	o.changed = true
 	o.planGroups(time.Now())
@@ -416,6 +419,9 @@
 			Float64("demand", w.Demand[m.Name]).Float64("work", work[m.Name]).Int("instances", len(w.Instances)).
 			Int("lost", len(w.Lost)).Msg("supply")
 	}
+	c := o.fleet.planner.Counts()
+	o.n.log.Info().Int("forming", c.Forming).Int("ending", c.Ending).Int("staging", c.Staging).Int("loading", c.Loading).
+		Int("free", c.Free).Msg("plan")
 }
 
 const (
@@ -500,6 +506,33 @@
 	return 0, false
 }
 
+// askUnderWay is how soon an instance that should have been done is asked
+// again.
+const askUnderWay = 100 * time.Millisecond
+
+// underWay reports whether the instance is still at an order that should be
+// done.
+func (o *owner) underWay(k *knownInstance) bool {
+	if o.fleet.planner == nil {
+		return false
+	}
+	switch o.fleet.planner.Expects(k.ID) {
+	case types.GroupJoin:
+		return k.Group.State == models.MemberJoining && isWarm(k.UpstreamInstance)
+	case types.GroupOpen:
+		return k.Group.State == models.MemberReady
+	default:
+		return false
+	}
+}
+
+// isWarm reports whether the instance had the weights of its group's model
+// when it joined, so that it is done within a second or two.
+func isWarm(i models.UpstreamInstance) bool {
+	model := fleet.ModelOf(i.Group.Key.Name)
+	return i.Loaded == model || slices.Contains(i.Staged, model)
+}
+
 // askDue asks the instances whose orders should be done by now.
 func (o *owner) askDue(now time.Time) {
 	for id, at := range o.fleet.due {
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -92,6 +92,7 @@
 	loads []time.Time
 	// superseded tells that an instance has seen a newer term.
 	superseded bool
+	counts     Counts
 }
 
 // pending is the outcome of an order until its answer is in.
@@ -150,9 +151,32 @@
 	r.convert()
 	r.advanceEnding()
 	r.formAll()
+	p.counts = Counts{Forming: len(p.forming), Ending: len(p.ending), Staging: len(p.staging), Loading: r.loading}
+	for _, ids := range r.free() {
+		p.counts.Free += len(ids)
+	}
 	return r.orders
 }
 
+// Expects is the kind of the last order that the instance began, empty if it
+// is at none.
+func (p *Planner) Expects(id models.InstanceID) types.GroupOrderKind {
+	if s := p.sent[id]; s != nil && s.outcome == types.OrderBegun {
+		return s.order.Kind
+	}
+	return ""
+}
+
+// Counts tells what a planner has under way.
+type Counts struct {
+	// Forming and Ending count groups, the others instances. Free are those
+	// in no group and not on the way into one.
+	Forming, Ending, Staging, Loading, Free int
+}
+
+// Counts tells what was under way after the last Step.
+func (p *Planner) Counts() Counts { return p.counts }
+
 // Note takes in what came of an order.
 func (p *Planner) Note(o types.GroupOrder, outcome types.OrderOutcome, now time.Time) {
 	if s := p.sent[o.Instance]; s != nil && s.order.Fence == o.Fence {
--- a/models/routing.go
+++ b/models/routing.go
@@ -173,6 +173,31 @@
 	Epoch int64   `msgpack:"e"`
 }
 
+// rank orders the states that a member of one group goes through.
+func (s MemberState) rank() int {
+	switch s {
+	case MemberNone:
+		return 0
+	case MemberJoining:
+		return 1
+	case MemberReady:
+		return 2
+	case MemberOpen:
+		return 3
+	default:
+		return 4
+	}
+}
+
+// Follows reports whether a member that was as before can have come to this
+// state since by going forward: into a later group, or further in the same.
+func (m Membership) Follows(before Membership) bool {
+	if m.Key.Epoch != before.Key.Epoch {
+		return m.Key.Epoch > before.Key.Epoch
+	}
+	return m.State.rank() > before.State.rank()
+}
+
 // Membership is what an instance tells of the group that it is in. A zero
 // Key stands for no group.
 type Membership struct {
