cluster: use a term for one planner only; scripted tests for the platform path

Cause: a node whose lease ended kept the term that it had begun, and after the next renewal a new planner gave the same fences and epochs again.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -295,6 +295,10 @@
 
 func (o *owner) handleLease(m leaseHeld) {
 	f := &o.fleet
+	if m.term == o.n.spentTerm.Load() {
+		// The store is asked for another term at the next renewal.
+		return
+	}
 	f.until = m.until
 	if f.planner != nil && f.heldTerm == m.term {
 		return
@@ -310,6 +314,7 @@
 	}
 	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
 	o.fleet.planner = nil
+	o.n.spentTerm.Store(o.fleet.heldTerm)
 	o.n.planning.Store(false)
 }
 
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -49,7 +49,7 @@
 			term = 0
 		default:
 			generation = next
-			if term == 0 {
+			if term == 0 || term == n.spentTerm.Load() {
 				term = n.beginTerm(ctx)
 			}
 			if term != 0 {
--- /dev/null
+++ b/cluster/lease_test.go
@@ -0,0 +1,45 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// noTraffic is the traffic of a daemon without callers.
+type noTraffic struct{}
+
+func (noTraffic) Loads() map[models.InstanceID]Load                      { return nil }
+func (noTraffic) LoadsSince(uint64) (map[models.InstanceID]Load, uint64) { return nil, 0 }
+func (noTraffic) Changed() <-chan struct{}                               { return nil }
+func (noTraffic) Work() map[models.ModelName]float64                     { return nil }
+
+func newTestOwner(t *testing.T) *owner {
+	n := New(Settings{ID: "d1", InstanceHeartbeat: time.Second, LeaseMin: time.Second}, noTraffic{}, metrics.NewSet(), zerolog.Nop())
+	o := newOwner(n)
+	o.ctx = t.Context()
+	return o
+}
+
+// TestTermIsUsedOnce checks that a planner that stopped is not followed by
+// another one in the same term: it would give fences and epochs a second time.
+// A hunted day (trouble-2 of mtkvari-feed, seed 1001669554722) joined an
+// instance to a group of that epoch while its own group was open.
+func TestTermIsUsedOnce(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	until := time.Now().Add(time.Minute)
+	o.handleLease(leaseHeld{term: 5, until: until})
+	c.Assert(o.fleet.planner, qt.IsNotNil)
+	o.stopPlanning("the lease ended")
+	o.handleLease(leaseHeld{term: 5, until: until})
+	c.Assert(o.fleet.planner, qt.IsNil)
+	c.Assert(o.n.spentTerm.Load(), qt.Equals, int64(5))
+	o.handleLease(leaseHeld{term: 6, until: until})
+	c.Assert(o.fleet.planner, qt.IsNotNil)
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -81,6 +81,9 @@
 	started   int64
 	peerLoads *peerLoads
 	links     *links
+	// spentTerm is the last term in which this node planned and stopped: its
+	// fences and epochs must not be given a second time.
+	spentTerm atomic.Int64
 	// fed is when news of the planner came last, in Unix nanoseconds.
 	fed atomic.Int64
 }
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -140,11 +140,12 @@
 }
 
 // ownsLoads reports whether weights of the model may be loaded in a domain:
-// in its own, and in another's if more instances are free there than that
-// needs as spares.
+// in its own, and before traffic in another's if more instances are free
+// there than that needs as spares. Later on, what is free in a domain is what
+// its next group is made of.
 func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int) bool {
 	owner, known := r.Profile.Model(r.domains[domain])
-	return !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 || (free < owner.Size && free > maxSpares)
+	return !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 || (!r.Traffic && free < owner.Size && free > maxSpares)
 }
 
 // maxSpares is how many instances of a domain are kept as spares of its
--- /dev/null
+++ b/fleet/property_test.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// TestRulesHold lets a world go through random troubles, with up to two
+// planners at work and orders carried out late, and checks that no instance
+// is ever in two groups, no group opens with a member missing, and the weight
+// store is never asked for more than it gives.
+func TestRulesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(testProfile(), rapid.Uint64().Draw(t, "seed"))
+		s.demand["big"], s.demand["small"] = 0.5, 0.5
+		s.add("a-0", "a", "z1")
+		for range rapid.IntRange(4, 12).Draw(t, "in a") {
+			s.add(s.freshID("a"), "a", "z1")
+		}
+		for range rapid.IntRange(2, 12).Draw(t, "in b") {
+			s.add(s.freshID("b"), "b", "z2")
+		}
+		s.latePart = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "late")
+		s.newPlanner(1)
+		s.run(20 * time.Second)
+		s.traffic = true
+		term := int64(1)
+		for range rapid.IntRange(1, 8).Draw(t, "troubles") {
+			term = s.trouble(t, term)
+			s.run(time.Duration(rapid.IntRange(100, 4000).Draw(t, "ms")) * time.Millisecond)
+			if len(s.broken) > 0 {
+				t.Fatalf("a rule is broken: %s", s.broken[0])
+			}
+		}
+		if most, bound := s.mostLoads(loadWindow), 30; most > bound {
+			t.Fatalf("%d loads within %s", most, loadWindow)
+		}
+	})
+}
+
+func (s *sim) freshID(domain string) models.InstanceID {
+	id := models.InstanceID(domain + "-1")
+	for s.instances[id] != nil {
+		id += "x"
+	}
+	return id
+}
+
+func (s *sim) trouble(t *rapid.T, term int64) int64 {
+	ids := slices.Sorted(maps.Keys(s.instances))
+	i := s.instances[rapid.SampledFrom(ids).Draw(t, "instance")]
+	switch rapid.SampledFrom([]string{"kill", "cut", "heal", "suspect", "drain", "add", "planner", "busy"}).Draw(t, "trouble") {
+	case "kill":
+		i.dead = true
+	case "cut":
+		i.cut = true
+	case "heal":
+		i.cut = false
+		delete(s.suspected, i.ID)
+	case "suspect":
+		s.suspected[i.ID] = true
+	case "drain":
+		i.Draining = true
+	case "add":
+		s.add(s.freshID(string(i.Domain)), i.Domain, i.Zone)
+	case "planner":
+		term++
+		s.planners = append(s.planners[max(0, len(s.planners)-1):], NewPlanner(term, s.now))
+	case "busy":
+		s.busy["big"] = float64(rapid.IntRange(0, 80).Draw(t, "busy"))
+	}
+	return term
+}
+
+// TestFenceRises checks that a fence of a later term, or a later one of the
+// same, is always greater.
+func TestFenceRises(t *testing.T) {
+	c := qt.New(t)
+	old, next := NewPlanner(7, time.Time{}), NewPlanner(8, time.Time{})
+	last := int64(0)
+	for range 1000 {
+		fence := old.next()
+		c.Assert(fence > last, qt.IsTrue)
+		last = fence
+	}
+	c.Assert(next.next() > last, qt.IsTrue)
+}
+
+// ExampleModelOf shows that a group's name tells its model.
+func ExampleModelOf() {
+	name := nameGroup("brief.large", 1234)
+	println(ModelOf(name) == "brief.large")
+	// Output:
+}
--- /dev/null
+++ b/fleet/sim_test.go
@@ -0,0 +1,326 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const simStep = 50 * time.Millisecond
+
+// simInstance is an engine that carries out group orders as the real ones do.
+type simInstance struct {
+	models.UpstreamInstance
+	dead, cut bool
+	fence     int64
+	epoch     int64
+	members   []models.InstanceID
+	// readyAt is when a join is done, openAt when the head opens, closedAt
+	// when it has closed, stagedAt when a staging is done.
+	readyAt, openAt, closedAt, stagedAt time.Time
+	staging                             models.ModelName
+}
+
+// delivery is an order on its way to an instance.
+type delivery struct {
+	at      time.Time
+	order   types.GroupOrder
+	planner *Planner
+	// silent orders are carried out and not answered.
+	silent bool
+}
+
+// sim is a small world of engines, with the rules that must never be broken
+// checked whenever an order is carried out.
+type sim struct {
+	now       time.Time
+	profile   *models.EngineProfile
+	instances map[models.InstanceID]*simInstance
+	planners  []*Planner
+	onTheWay  []delivery
+	// everReady holds the members that were ready in each composition.
+	everReady map[models.GroupKey]map[models.InstanceID]bool
+	lists     map[models.GroupKey][]models.InstanceID
+	loads     []time.Time
+	demand    map[models.ModelName]float64
+	busy      map[models.ModelName]float64
+	traffic   bool
+	// latePart of the orders go unanswered and are carried out up to 12 s
+	// later.
+	latePart float64
+	rand     *rand.Rand
+	broken   []string
+	// suspected are instances that planners take for lost.
+	suspected map[models.InstanceID]bool
+}
+
+func newSim(profile *models.EngineProfile, seed uint64) *sim {
+	return &sim{
+		now: time.Unix(0, 0), profile: profile, instances: map[models.InstanceID]*simInstance{},
+		everReady: map[models.GroupKey]map[models.InstanceID]bool{}, lists: map[models.GroupKey][]models.InstanceID{},
+		demand: map[models.ModelName]float64{}, busy: map[models.ModelName]float64{},
+		rand: rand.New(rand.NewPCG(seed, 1)), suspected: map[models.InstanceID]bool{},
+	}
+}
+
+func (s *sim) add(id models.InstanceID, domain models.Domain, zone models.Zone) {
+	s.instances[id] = &simInstance{UpstreamInstance: models.UpstreamInstance{ID: id, Domain: domain, Zone: zone, Service: "engines"}}
+}
+
+func (s *sim) newPlanner(term int64) {
+	s.planners = append(s.planners, NewPlanner(term, s.now))
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("%v: ", s.now.Sub(time.Unix(0, 0)))+fmt.Sprintf(format, args...))
+}
+
+// run lets the world go on for a while.
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(simStep)
+		for _, id := range slices.Sorted(maps.Keys(s.instances)) {
+			s.progress(s.instances[id])
+		}
+		for _, p := range s.planners {
+			for _, o := range p.Step(s.world()) {
+				s.send(p, o)
+			}
+		}
+		s.deliver()
+	}
+}
+
+func (s *sim) world() World {
+	w := World{
+		Now: s.now, Profile: s.profile, Instances: map[models.InstanceID]models.UpstreamInstance{},
+		Lost: map[models.InstanceID]bool{}, Demand: s.demand, Busy: s.busy, Traffic: s.traffic,
+	}
+	for id, i := range s.instances {
+		w.Instances[id] = i.UpstreamInstance
+		if i.dead || i.cut || s.suspected[id] {
+			w.Lost[id] = true
+		}
+	}
+	return w
+}
+
+func (s *sim) send(p *Planner, o types.GroupOrder) {
+	d := delivery{at: s.now, order: o, planner: p}
+	if s.rand.Float64() < s.latePart {
+		d.silent = true
+		d.at = s.now.Add(2*time.Second + time.Duration(s.rand.Int64N(int64(10*time.Second))))
+		p.Note(o, types.OrderUnknown, s.now)
+	}
+	s.onTheWay = append(s.onTheWay, d)
+}
+
+func (s *sim) deliver() {
+	due := s.onTheWay
+	s.onTheWay = nil
+	for _, d := range due {
+		if s.now.Before(d.at) {
+			s.onTheWay = append(s.onTheWay, d)
+			continue
+		}
+		i := s.instances[d.order.Instance]
+		outcome := types.OrderUnknown
+		if i != nil && !i.dead && !i.cut {
+			outcome = s.carryOut(i, d.order)
+		}
+		if !d.silent {
+			d.planner.Note(d.order, outcome, s.now)
+		}
+	}
+}
+
+// progress brings to an end what an instance is at.
+func (s *sim) progress(i *simInstance) {
+	if i.dead {
+		return
+	}
+	if i.staging != "" && !s.now.Before(i.stagedAt) {
+		i.Staged, i.staging = []models.ModelName{i.staging}, ""
+	}
+	if i.Group.State == models.MemberJoining && !s.now.Before(i.readyAt) {
+		i.Group.State, i.Loaded = models.MemberReady, ModelOf(i.Group.Key.Name)
+		i.Staged = []models.ModelName{i.Loaded}
+		ready := s.everReady[i.Group.Key]
+		if ready == nil {
+			ready = map[models.InstanceID]bool{}
+			s.everReady[i.Group.Key] = ready
+		}
+		ready[i.ID] = true
+	}
+	if i.Group.State == models.MemberReady && !i.openAt.IsZero() && !s.now.Before(i.openAt) {
+		i.Group.State = models.MemberOpen
+		s.checkWhole(i)
+	}
+	if i.Group.State == models.MemberClosing && !s.now.Before(i.closedAt) {
+		i.Group.State, i.openAt = models.MemberReady, time.Time{}
+	}
+}
+
+// checkWhole checks that a group that begins to serve has all its members.
+func (s *sim) checkWhole(head *simInstance) {
+	key := head.Group.Key
+	model, _ := s.profile.Model(ModelOf(key.Name))
+	if len(s.lists[key]) != model.Size {
+		s.fail("group %s opens with a list of %d", key.Name, len(s.lists[key]))
+	}
+	for _, id := range s.lists[key] {
+		if !s.everReady[key][id] {
+			s.fail("group %s opens though %s was never ready", key.Name, id)
+		}
+	}
+}
+
+func (s *sim) carryOut(i *simInstance, o types.GroupOrder) types.OrderOutcome {
+	if o.Fence < i.fence {
+		return types.OrderFenced
+	}
+	i.fence = o.Fence
+	if o.Kind == types.GroupStage {
+		return s.carryStage(i, o)
+	}
+	if o.Kind == types.GroupJoin {
+		return s.carryJoin(i, o)
+	}
+	if i.Group.Key != o.Group {
+		return types.OrderUnfit
+	}
+	switch o.Kind {
+	case types.GroupOpen:
+		if i.Group.State == models.MemberOpen {
+			return types.OrderDone
+		}
+		if i.Group.State != models.MemberReady || i.Group.Rank != 0 {
+			return types.OrderUnfit
+		}
+		i.openAt = s.now.Add(s.profile.FormTime)
+		return types.OrderBegun
+	case types.GroupCut, types.GroupFinish:
+		return s.carryClose(i, o)
+	case types.GroupLeave:
+		i.Group, i.openAt = models.Membership{}, time.Time{}
+		return types.OrderDone
+	default:
+		return types.OrderUnfit
+	}
+}
+
+func (s *sim) carryStage(i *simInstance, o types.GroupOrder) types.OrderOutcome {
+	model, _ := s.profile.Model(o.Model)
+	if slices.Contains(i.Staged, o.Model) {
+		return types.OrderDone
+	}
+	s.load()
+	i.staging, i.stagedAt = o.Model, s.now.Add(model.Load)
+	return types.OrderBegun
+}
+
+func (s *sim) carryClose(i *simInstance, o types.GroupOrder) types.OrderOutcome {
+	switch i.Group.State {
+	case models.MemberOpen:
+		i.Group.State, i.closedAt = models.MemberClosing, s.now.Add(simStep)
+		if o.Kind == types.GroupFinish {
+			i.closedAt = s.now.Add(time.Second)
+		}
+		return types.OrderBegun
+	case models.MemberClosing:
+		if o.Kind == types.GroupCut {
+			i.closedAt = s.now
+		}
+		return types.OrderBegun
+	case models.MemberReady, models.MemberBroken:
+		i.openAt = time.Time{}
+		return types.OrderDone
+	default:
+		return types.OrderUnfit
+	}
+}
+
+func (s *sim) load() {
+	if s.traffic {
+		s.loads = append(s.loads, s.now)
+	}
+}
+
+func (s *sim) carryJoin(i *simInstance, o types.GroupOrder) types.OrderOutcome {
+	if o.Group.Epoch < i.epoch {
+		return types.OrderFenced
+	}
+	if i.Group.Key == o.Group && i.Group.State != models.MemberNone {
+		return types.OrderDone
+	}
+	s.checkApart(i, o)
+	model, known := s.profile.Model(o.Model)
+	if !known {
+		return types.OrderUnfit
+	}
+	i.epoch = o.Group.Epoch
+	i.Group = models.Membership{Key: o.Group, Rank: slices.Index(o.Members, i.ID), State: models.MemberJoining}
+	i.members, i.openAt = o.Members, time.Time{}
+	s.lists[o.Group] = o.Members
+	switch {
+	case i.Loaded == model.Name:
+		i.readyAt = s.now.Add(Rejoin)
+	case slices.Contains(i.Staged, model.Name):
+		i.readyAt = s.now.Add(model.Warm)
+	default:
+		s.load()
+		i.readyAt = s.now.Add(model.Load)
+	}
+	return types.OrderBegun
+}
+
+// checkApart checks that an instance joins no group while the head of its
+// last one still serves.
+func (s *sim) checkApart(i *simInstance, o types.GroupOrder) {
+	if i.Group.State == models.MemberNone || len(i.members) == 0 {
+		return
+	}
+	head := s.instances[i.members[0]]
+	if head == nil || head.dead || head.Group.Key != i.Group.Key {
+		return
+	}
+	if head.Group.State == models.MemberOpen || head.Group.State == models.MemberClosing {
+		s.fail("%s joins %s while the head of %s is %s", i.ID, o.Group.Name, i.Group.Key.Name, head.Group.State)
+	}
+}
+
+// serving counts the whole groups of a model that serve.
+func (s *sim) serving(model models.ModelName) int {
+	n := 0
+	for _, g := range Groups(s.world().Instances) {
+		profile, _ := s.profile.Model(g.Model)
+		whole := g.Serving() && g.Model == model && g.complete(profile.Size)
+		for _, id := range g.Members {
+			whole = whole && !s.instances[id].dead && !s.instances[id].cut
+		}
+		if whole {
+			n++
+		}
+	}
+	return n
+}
+
+// mostLoads is the greatest number of loads that began within the window.
+func (s *sim) mostLoads(window time.Duration) int {
+	most := 0
+	for at := range s.loads {
+		n := 0
+		for _, t := range s.loads[at:] {
+			if t.Sub(s.loads[at]) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -144,7 +144,7 @@
 }
 
 // loadAt is what an instance has from all daemons.
-func (b *balance) loadAt(node *cluster.Node, id models.InstanceID) cluster.Load {
+func (b *balance) loadAt(node Beliefs, id models.InstanceID) cluster.Load {
 	own, peers := b.loads[id], node.PeersLoad(id)
 	return cluster.Load{Requests: own.Requests + peers.Requests, Unread: own.Unread + peers.Unread}
 }
@@ -155,7 +155,7 @@
 
 // pickGroup returns the group that was not tried and that answers soonest,
 // and how many requests it has.
-func (b *balance) pickGroup(node *cluster.Node, engine *models.EngineProfile, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
+func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	groups := node.View().Groups[model]
@@ -189,7 +189,7 @@
 
 // pickInstance returns the instance of a plain service with the fewest
 // requests that was not tried.
-func (b *balance) pickInstance(node *cluster.Node, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
+func (b *balance) pickInstance(node Beliefs, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := node.View().Services[service]
--- /dev/null
+++ b/gateway/script_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+// TestScripts runs the archives in testdata. The file "config" holds the
+// configuration as the platform's store does. A file named as an instance
+// holds what that instance does with its connections, step by step:
+//
+//	read            reads a request, and notes what came of it
+//	send TEXT       sends a text; \r, \n and \t stand for themselves
+//	head STATUS     sends the head of an answer to the last request, signed
+//	event N         sends the event with this number, as a chunk
+//	end             ends a body that is sent in chunks
+//	wait DURATION   waits
+//	close, reset    ends the connection; the next step takes a new one
+//
+// Instances whose names begin with "g" are heads of groups of model "big",
+// the others are of the plain service. "ask" holds requests, each a line:
+//
+//	METHOD PATH [NAME=VALUE...]
+//
+// and "want" what came of each, and then what the instances saw.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) { runScript(t, file) })
+	}
+}
+
+// fixedBeliefs are beliefs that do not change while a script runs.
+type fixedBeliefs struct {
+	view  *cluster.View
+	clock *timer.Service
+
+	mu      sync.Mutex
+	stalled []models.InstanceID
+}
+
+func (f *fixedBeliefs) View() *cluster.View   { return f.view }
+func (f *fixedBeliefs) Clock() *timer.Service { return f.clock }
+
+// PeersLoad makes instances the busier the later their names are, so that the
+// order in which they are tried is known.
+func (f *fixedBeliefs) PeersLoad(id models.InstanceID) cluster.Load {
+	return cluster.Load{Requests: int(id[len(id)-1] - '1')}
+}
+
+func (f *fixedBeliefs) ReportStalled(_ models.GroupKey, h models.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stalled = append(f.stalled, h)
+}
+
+// instance is an upstream that follows steps.
+type instance struct {
+	name  string
+	l     net.Listener
+	steps []string
+	mu    sync.Mutex
+	saw   []string
+	done  chan error
+}
+
+func runScript(t *testing.T, file string) {
+	c := qt.New(t)
+	archive, err := txtar.ParseFile(file)
+	c.Assert(err, qt.IsNil)
+	parts := map[string]string{}
+	var instances []*instance
+	for _, f := range archive.Files {
+		parts[f.Name] = string(f.Data)
+		if f.Name == "config" || f.Name == "ask" || f.Name == "want" {
+			continue
+		}
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		i := &instance{name: f.Name, l: l, steps: lines(string(f.Data)), done: make(chan error, 1)}
+		go func() { i.done <- i.serve() }()
+		instances = append(instances, i)
+	}
+	beliefs := beliefsFor(c, parts["config"], instances)
+	cfg := Settings{KeysBound: time.Minute, ConfigBound: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	g := New(cfg, beliefs, newBalance(), metrics.NewSet(), zerolog.Nop())
+	front := httptest.NewServer(http.HandlerFunc(g.serve))
+	defer front.Close()
+	var got []string
+	for _, line := range lines(parts["ask"]) {
+		got = append(got, askFront(front.URL, line))
+	}
+	for _, i := range instances {
+		i.l.Close()
+		c.Assert(<-i.done, qt.IsNil)
+		for _, saw := range i.saw {
+			got = append(got, i.name+" "+saw)
+		}
+	}
+	for _, h := range beliefs.stalled {
+		got = append(got, "stalled "+string(h))
+	}
+	c.Assert(got, qt.DeepEquals, lines(parts["want"]))
+}
+
+func beliefsFor(c *qt.C, config string, instances []*instance) *fixedBeliefs {
+	routing, err := platform.DecodeRouting([]byte(config))
+	c.Assert(err, qt.IsNil)
+	v := &cluster.View{
+		Routing: routing, Proven: time.Now(), Groups: map[models.ModelName][]cluster.Group{},
+		Services: map[models.ServiceName][]models.UpstreamInstance{}, Daemons: 1,
+		All: map[models.InstanceID]models.UpstreamInstance{},
+	}
+	for _, i := range instances {
+		u := models.UpstreamInstance{ID: models.InstanceID(i.name), Addr: netip.MustParseAddrPort(i.l.Addr().String()), Service: "plain"}
+		v.All[u.ID] = u
+		if !strings.HasPrefix(i.name, "g") {
+			v.Services["plain"] = append(v.Services["plain"], u)
+			continue
+		}
+		u.Service = "engines"
+		v.Groups["big"] = append(v.Groups["big"], cluster.Group{Key: models.GroupKey{Name: models.GroupID(i.name), Epoch: 1}, Model: "big", Service: "engines", Head: u})
+	}
+	return &fixedBeliefs{view: v, clock: timer.New(time.Now())}
+}
+
+func lines(text string) []string {
+	var out []string
+	for line := range strings.SplitSeq(text, "\n") {
+		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// askFront sends one request and tells what came of it.
+func askFront(url, line string) string {
+	words := strings.Fields(line)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, words[0], url+words[1], nil)
+	if err != nil {
+		return err.Error()
+	}
+	r.Host = "api.example"
+	for _, w := range words[2:] {
+		name, value, _ := strings.Cut(w, "=")
+		switch name {
+		case "body":
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(value)), int64(len(value))
+		case "id":
+			r.Header.Set("X-Lupinkeel-Request-Id", value)
+		case "key":
+			r.Header.Set("Authorization", "Token "+value)
+		case "model":
+			r.Header.Set("X-Lupinkeel-Model", value)
+		case "after":
+			r.Header.Set("Last-Event-Id", value)
+		case "deadline":
+			r.Header.Set("X-Lupinkeel-Deadline-Ms", value)
+		}
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return "no answer"
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	text := fmt.Sprintf("%d %s", resp.StatusCode, strings.ReplaceAll(string(body), "\n", `\n`))
+	if stamp := resp.Header.Get("X-Lupinkeel-Response-Stamp"); stamp != "" {
+		text += " by " + stamp
+	}
+	if err != nil {
+		text += " cut"
+	}
+	return strings.TrimSpace(text)
+}
+
+func (i *instance) note(line string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.saw = append(i.saw, line)
+}
+
+func (i *instance) serve() error {
+	var conn *net.TCPConn
+	var r *bufio.Reader
+	id := ""
+	for _, step := range i.steps {
+		if conn == nil {
+			accepted, err := i.l.Accept()
+			if err != nil {
+				return nil
+			}
+			conn = accepted.(*net.TCPConn)
+			defer conn.Close()
+			r = bufio.NewReader(conn)
+		}
+		verb, text, _ := strings.Cut(step, " ")
+		text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", `\t`, "\t").Replace(text)
+		var err error
+		switch verb {
+		case "read":
+			id, err = i.readRequest(r)
+		case "send":
+			_, err = io.WriteString(conn, text)
+		case "head":
+			_, err = fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\nX-Lupinkeel-Request-Id: %s\r\nX-Lupinkeel-Response-Stamp: %s\r\nTransfer-Encoding: chunked\r\n\r\n", text, id, i.name)
+		case "event":
+			event := fmt.Sprintf("id: %s\ndata: %s\n\n", text, i.name)
+			_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		case "end":
+			_, err = io.WriteString(conn, "0\r\n\r\n")
+		case "wait":
+			var d time.Duration
+			d, err = time.ParseDuration(text)
+			time.Sleep(d)
+		case "close":
+			err, conn = conn.Close(), nil
+		case "reset":
+			err, conn = errors.Join(conn.SetLinger(0), conn.Close()), nil
+		default:
+			return fmt.Errorf("no step %q", verb)
+		}
+		if err != nil && verb != "read" && verb != "event" && verb != "end" {
+			return fmt.Errorf("%s: %s: %w", i.name, step, err)
+		}
+	}
+	if conn != nil {
+		// Whether the gateway closes or keeps the connection is its own
+		// affair.
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, _ = r.ReadByte()
+	}
+	return nil
+}
+
+// readRequest reads a request and notes what an instance is told.
+func (i *instance) readRequest(r *bufio.Reader) (string, error) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		i.note("hears no request")
+		return "", err
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return "", err
+	}
+	h := req.Header
+	line := fmt.Sprintf("%s %s %s", req.Method, req.RequestURI, bytes.TrimSpace(body))
+	for _, shown := range []struct{ label, name string }{
+		{"for", "X-Lupinkeel-Tenant"}, {"after", "Last-Event-Id"}, {"key", "Authorization"}, {"expect", "X-Lupinkeel-Expect-Instance"},
+	} {
+		if v := h.Get(shown.name); v != "" {
+			line += " " + shown.label + "=" + v
+		}
+	}
+	i.note(strings.Join(strings.Fields(line), " "))
+	return h.Get("X-Lupinkeel-Request-Id"), nil
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,6 +19,7 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -56,11 +57,21 @@
 	stopMargin = 400 * time.Millisecond
 )
 
+// Beliefs are what the gateway is told of the world, as a cluster.Node does.
+type Beliefs interface {
+	View() *cluster.View
+	// PeersLoad is what other daemons have at an instance.
+	PeersLoad(id models.InstanceID) cluster.Load
+	// ReportStalled tells that nothing moves at a group's head.
+	ReportStalled(group models.GroupKey, head models.InstanceID)
+	Clock() *timer.Service
+}
+
 // Gateway serves one daemon's callers.
 type Gateway struct {
 	cfg      Settings
 	log      zerolog.Logger
-	node     *cluster.Node
+	node     Beliefs
 	balance  *balance
 	budget   *budget
 	conns    *h1.Pool
@@ -95,7 +106,7 @@
 func Traffic() cluster.Traffic { return newBalance() }
 
 // New returns a gateway. The traffic must come from Traffic.
-func New(cfg Settings, node *cluster.Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
+func New(cfg Settings, node Beliefs, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, balance: traffic.(*balance), stats: newStats(set), set: set,
 		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,6 +112,12 @@
 // goOn has the stream go on elsewhere after its run failed with the error,
 // which is returned if it can't.
 func (s *stream) goOn(cause error) error {
+	if s.answering {
+		// Events that were not flushed because others were to follow.
+		if err := s.flush(); err != nil {
+			return err
+		}
+	}
 	if errors.Is(cause, errNotRun) {
 		s.runs--
 	}
@@ -218,15 +224,19 @@
 	return group, found, found && load < engine.Slots+overSlots
 }
 
-// pick waits for a group with a place. A stream that has begun takes any.
+// pick waits for a group with a place. A stream that has begun takes any, and
+// waits as long as its caller puts up with a pause.
 func (s *stream) pick() (cluster.Group, error) {
 	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
+	if s.answering {
+		until = s.moved.Add(s.route.Pause)
+	}
 	for {
 		group, found, free := s.look()
 		if free || (found && s.answering) {
 			return group, nil
 		}
-		if !s.answering && time.Now().After(until) {
+		if time.Now().After(until) {
 			if found {
 				return group, errFull
 			}
--- /dev/null
+++ b/lib/h1/script_test.go
@@ -0,0 +1,185 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+// TestScripts runs the archives in testdata. The file "serve" holds what a
+// server does, step by step over all connections:
+//
+//	answer TEXT   reads a request and answers; \r\n stands for a line end
+//	send TEXT     sends without reading a request
+//	read          reads a request
+//	wait DURATION waits
+//	close, reset  ends the connection; the next step takes a new one
+//
+// The file "ask" holds what the client does, and "want" a line for each:
+//
+//	get ID [fresh DURATION] [patience DURATION]
+//	wait DURATION
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) { runScript(t, file) })
+	}
+}
+
+func runScript(t *testing.T, file string) {
+	c := qt.New(t)
+	archive, err := txtar.ParseFile(file)
+	c.Assert(err, qt.IsNil)
+	parts := map[string]string{}
+	for _, f := range archive.Files {
+		parts[f.Name] = string(f.Data)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	served := make(chan error, 1)
+	go func() { served <- serveSteps(l, steps(parts["serve"])) }()
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	opened := 0
+	pool := NewPool(time.Second, func() { opened++ })
+	var got []string
+	for _, step := range steps(parts["ask"]) {
+		if line := ask(pool, addr, step); line != "" {
+			got = append(got, line)
+		}
+	}
+	got = append(got, fmt.Sprintf("connections %d", opened))
+	c.Assert(got, qt.DeepEquals, steps(parts["want"]))
+	l.Close()
+	c.Assert(<-served, qt.IsNil)
+}
+
+func steps(text string) []string {
+	var out []string
+	for line := range strings.SplitSeq(text, "\n") {
+		if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func serveSteps(l net.Listener, steps []string) error {
+	var conn *net.TCPConn
+	var r *bufio.Reader
+	for _, step := range steps {
+		if conn == nil {
+			accepted, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			conn = accepted.(*net.TCPConn)
+			defer conn.Close()
+			r = bufio.NewReader(conn)
+		}
+		verb, text, _ := strings.Cut(step, " ")
+		text = strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(text)
+		var err error
+		switch verb {
+		case "answer":
+			if _, err = http.ReadRequest(r); err == nil {
+				_, err = io.WriteString(conn, text)
+			}
+		case "read":
+			_, err = http.ReadRequest(r)
+		case "send":
+			_, err = io.WriteString(conn, text)
+		case "wait":
+			var d time.Duration
+			d, err = time.ParseDuration(text)
+			time.Sleep(d)
+		case "close":
+			err = conn.Close()
+			conn = nil
+		case "reset":
+			err = errors.Join(conn.SetLinger(0), conn.Close())
+			conn = nil
+		default:
+			err = fmt.Errorf("no step %q", verb)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", step, err)
+		}
+	}
+	return nil
+}
+
+func ask(pool *Pool, addr netip.AddrPort, step string) string {
+	words := strings.Fields(step)
+	if words[0] == "wait" {
+		d, err := time.ParseDuration(words[1])
+		time.Sleep(d)
+		return errText(err)
+	}
+	id := words[1]
+	r := Request{
+		Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Freshest: time.Minute,
+		Mine: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+	for i := 2; i+1 < len(words); i += 2 {
+		d, err := time.ParseDuration(words[i+1])
+		if err != nil {
+			return err.Error()
+		}
+		if words[i] == "fresh" {
+			r.Freshest = d
+		} else {
+			r.Patience, r.Stalled = d, func() time.Duration { return 0 }
+		}
+	}
+	resp, err := pool.Do(context.Background(), addr, r)
+	if err != nil {
+		return errText(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if closed := resp.Body.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return errText(err)
+	}
+	return fmt.Sprintf("%d %s framed=%t", resp.Status, body, resp.Framed)
+}
+
+// errText names the sentinel errors that an error wraps.
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	names := ""
+	for name, sentinel := range map[string]error{"not-sent": ErrNotSent} {
+		if errors.Is(err, sentinel) {
+			names += name + " "
+		}
+	}
+	for _, s := range []struct {
+		name string
+		err  error
+	}{{"no-answer", ErrNoAnswer}, {"other-request", ErrOtherRequest}, {"stalled", ErrStalled}, {"cut", io.ErrUnexpectedEOF}} {
+		if errors.Is(err, s.err) {
+			names += s.name + " "
+		}
+	}
+	if names == "" {
+		return "error"
+	}
+	return strings.TrimSpace(names)
+}
--- /dev/null
+++ b/lib/sse/reader_test.go
@@ -0,0 +1,72 @@
+package sse
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStreams reads the streams in testdata, whole and byte by byte, and
+// checks the events that come of them. The lines before "---" are the
+// stream, those after it what is wanted.
+func TestStreams(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.stream")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		qt.Assert(t, err, qt.IsNil)
+		stream, want, found := strings.Cut(string(data), "---\n")
+		qt.Assert(t, found, qt.IsTrue)
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			qt.Assert(t, read(strings.NewReader(stream)), qt.Equals, want)
+			qt.Assert(t, read(iotest.OneByteReader(strings.NewReader(stream))), qt.Equals, want)
+		})
+	}
+}
+
+func read(r io.Reader) string {
+	var out strings.Builder
+	events := NewReader(r)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return out.String() + "end\n"
+		}
+		if err != nil {
+			fmt.Fprintf(&out, "cut=%t\n", errors.Is(err, ErrCut))
+			return out.String()
+		}
+		fmt.Fprintf(&out, "id=%d has=%t bytes=%d\n", event.ID, event.HasID, len(event.Raw))
+	}
+}
+
+func TestTooLong(t *testing.T) {
+	events := NewReader(io.LimitReader(endless{}, 4*MaxEvent))
+	_, err := events.Next()
+	qt.Assert(t, err, qt.ErrorIs, ErrTooLong)
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+func ExampleReader() {
+	events := NewReader(bufio.NewReader(strings.NewReader("id: 7\ndata: a\n\n")))
+	event, err := events.Next()
+	fmt.Println(event.ID, err)
+	// Output: 7 <nil>
+}
