cluster: date a proof by the end of the wait; press a store that is away less

Cause: each daemon read the configuration for itself because the proof that the planner handed on was as old as its wait (1.2 to 2.4 s).

--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -23,8 +23,12 @@
 	proofCheck = 200 * time.Millisecond
 	// answerSlack is added to a wait for the answer to arrive.
 	answerSlack = 1500 * time.Millisecond
-	// retryPause is the pause after a reading that failed.
+	// retryPause is the pause after a reading that failed; it doubles up to
+	// mostPause, so that a store that is away is not pressed.
 	retryPause = 150 * time.Millisecond
+	mostPause  = 600 * time.Millisecond
+	// waitSlack is how much earlier than asked the store may end a wait.
+	waitSlack = 50 * time.Millisecond
 	// instancesEvery is how often a daemon reads the entries of instances,
 	// planEntriesEvery how often the one that plans does, and fedEntriesEvery
 	// how often one does that hears from it.
@@ -79,6 +83,7 @@
 
 func (f *follower) run(ctx context.Context) error {
 	from := int64(-1)
+	failed := retryPause
 	for {
 		next, err := f.readOnce(ctx, from)
 		switch {
@@ -91,12 +96,13 @@
 		case err != nil:
 			f.n.stats.storeErrors.Inc()
 			f.n.tell(ctx, storeAway{what: f.topic, err: err})
-			if err := pause(ctx, retryPause); err != nil {
+			if err := pause(ctx, failed); err != nil {
 				return err
 			}
+			failed = min(mostPause, 2*failed)
 			continue
 		}
-		from = next
+		from, failed = next, retryPause
 		if d := f.every(); d > 0 {
 			if err := pause(ctx, d); err != nil {
 				return err
@@ -121,13 +127,18 @@
 		defer cancel()
 		limited = guarded
 	}
-	records, next, err := f.n.since(limited, f.topic, from, f.wait())
+	wait := f.wait()
+	records, next, err := f.n.since(limited, f.topic, from, wait)
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(limited), errProofLate) {
 		return from, nil
 	}
 	if err != nil {
 		return 0, err
 	}
+	if len(records) == 0 && wait > waitSlack {
+		// The store held the call and looked once more at the end of the wait.
+		asked = asked.Add(wait - waitSlack)
+	}
 	f.n.tell(ctx, f.added(records, asked))
 	return next, nil
 }
