gateway: take the expected pass as the measure of a silence

Change: the pass that is expected follows from the requests and unread prompts at the group, and how much longer a pause may be is learned as a ratio.

--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -149,6 +149,13 @@
 	return cluster.Load{Requests: own.Requests + peers.Requests, Unread: own.Unread + peers.Unread}
 }
 
+// loadNow is what an instance has from all daemons.
+func (b *balance) loadNow(node Beliefs, id models.InstanceID) cluster.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.loadAt(node, id)
+}
+
 // requestCost is how much a request that is being answered weighs against
 // prompts that are to be read: each slows a pass a little, and takes a slot.
 const requestCost = 2 * time.Millisecond
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -171,7 +171,7 @@
 
 // send sends the request to an instance. It is safe for use by several
 // goroutines.
-func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, a models.Attempt, patience time.Duration, stalled func() time.Duration) (*h1.Response, error) {
+func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, a models.Attempt, patience h1.Patience) (*h1.Response, error) {
 	a.Left, a.Instance, a.Workspace = time.Until(e.until), i.ID, e.holder.Workspace
 	a.Priority = min(maxPriority, e.route.Priority)
 	freshest := freshRepeatable
@@ -180,7 +180,7 @@
 	}
 	resp, err := e.g.conns.Do(ctx, i.Addr, h1.Request{
 		Method: e.r.Method, Target: e.r.RequestURI, Host: e.r.Host, Header: platform.ForwardHeader(e.r.Header, a), Body: e.body,
-		Freshest: freshest, Patience: patience, Stalled: stalled,
+		Freshest: freshest, Patience: patience,
 		Mine: func(h http.Header) bool { return platform.DecodeAnswer(0, h).ID == e.head.ID },
 	})
 	switch {
--- a/gateway/leg.go
+++ b/gateway/leg.go
@@ -30,10 +30,8 @@
 	// resume is the event after which the run goes on, if resumed.
 	resume  int64
 	resumed bool
-	// patience is how long nothing may come from the group; stalled is asked
-	// then, as in h1.Request.
-	patience time.Duration
-	stalled  func() time.Duration
+	// patience is asked when nothing comes from the group.
+	patience h1.Patience
 
 	answer *h1.Response
 	events *sse.Reader
@@ -50,7 +48,6 @@
 func (s *stream) newLeg(group cluster.Group) *leg {
 	l := &leg{
 		s: s, group: group, resume: s.last, resumed: s.begun, unread: s.head.PromptTokens, sent: time.Now(),
-		patience: s.g.balance.patience(s.head.Model),
 	}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	s.try(group.Head)
@@ -73,7 +70,7 @@
 
 // open sends the request and reads the head of the answer.
 func (l *leg) open() error {
-	answer, err := l.s.send(l.ctx, l.group.Head, models.Attempt{Resume: l.resumed, After: l.resume}, l.patience, l.stalled)
+	answer, err := l.s.send(l.ctx, l.group.Head, models.Attempt{Resume: l.resumed, After: l.resume}, l.patience)
 	if err != nil {
 		return err
 	}
@@ -122,11 +119,30 @@
 		balance.add(head, 0, -l.unread)
 		l.unread = 0
 	} else {
-		balance.addPause(l.s.head.Model, now.Sub(l.moved))
+		balance.addPause(l.s.head.Model, now.Sub(l.moved), l.pass())
 	}
 	l.moved = now
 }
 
+// pass is how long the group's next pass should take.
+func (l *leg) pass() time.Duration {
+	engine := l.s.g.node.View().Routing.Services[l.s.service].Engine
+	if engine == nil {
+		return firstPatience
+	}
+	model, known := engine.Model(l.s.head.Model)
+	if !known {
+		return firstPatience
+	}
+	load := l.s.g.balance.loadNow(l.s.g.node, l.group.Head.ID)
+	return passTime(engine, model, load)
+}
+
+// longest is how long nothing may come from the group while it works.
+func (l *leg) longest() time.Duration {
+	return l.s.g.balance.patience(l.s.head.Model, l.pass())
+}
+
 // rival is a second run that was begun because nothing came from the first.
 // Whichever has the next event first goes on.
 type rival struct {
@@ -141,7 +157,7 @@
 // newRival begins a second run in the background.
 func (s *stream) newRival(group cluster.Group) *rival {
 	r := &rival{leg: s.newLeg(group), ended: make(chan error, 1)}
-	r.stalled = func() time.Duration { return r.patience }
+	r.patience = func(time.Duration) time.Duration { return rivalStep }
 	go func() {
 		event, err := r.next()
 		if err == nil {
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -3,39 +3,59 @@
 import (
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
 const (
-	// pauseStep and pauseSteps are the width and the number of the steps in
-	// which pauses between events are counted.
-	pauseStep  = 5 * time.Millisecond
-	pauseSteps = 80
+	// ratioStep and ratioSteps are the width and the number of the steps in
+	// which pauses are counted, as parts of the pass that was expected.
+	ratioStep  = 0.1
+	ratioSteps = 80
 	// pausesKept is how many pauses are remembered before their counts are
 	// halved, so that what is learned follows the load within seconds.
-	pausesKept = 4000
+	pausesKept = 3000
 	// rarePause is the part of pauses that may be longer than the patience.
-	rarePause = 0.0008
+	// A stream has some 35 of them, and a rival that was begun in vain costs
+	// one reading of its prompt.
+	rarePause = 0.003
 	// leastPauses is how many must have been seen to rely on them.
 	leastPauses = 300
-	// pauseMargin is put on top of the longest usual pause.
-	pauseMargin = 1.15
 	// firstPatience is the patience while too little is known, leastPatience
 	// and mostPatience bound it afterwards.
 	firstPatience = 250 * time.Millisecond
-	leastPatience = 80 * time.Millisecond
+	leastPatience = 40 * time.Millisecond
 	mostPatience  = 400 * time.Millisecond
+	// netSlack is put on top for the way from the group and through the
+	// daemon.
+	netSlack = 10 * time.Millisecond
 )
 
-// pauses counts the pauses between the events of a model's streams.
+// passTime is how long a pass of a group takes with this load: the steps of
+// those that write, and the reading of what is unread.
+func passTime(engine *models.EngineProfile, model models.ModelProfile, load cluster.Load) time.Duration {
+	running := time.Duration(min(load.Requests, engine.Slots))
+	steps := time.Duration(max(1, engine.Stride)) * (engine.Step + running*engine.PerRequest)
+	read := time.Duration(0)
+	if engine.ReadPerSecond > 0 {
+		read = time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+	}
+	return time.Duration(model.Pace * float64(steps+read))
+}
+
+// pauses counts the pauses between the events of a model's streams, each as
+// a part of the pass that was expected.
 type pauses struct {
-	counts [pauseSteps]float64
+	counts [ratioSteps]float64
 	total  float64
 }
 
-func (p *pauses) add(d time.Duration) {
-	at := int(d / pauseStep)
-	if at >= pauseSteps {
+func (p *pauses) add(pause, pass time.Duration) {
+	if pass <= 0 {
+		return
+	}
+	at := int(float64(pause) / float64(pass) / ratioStep)
+	if at >= ratioSteps {
 		// Longer ones are stalls, from which nothing is to be learned.
 		return
 	}
@@ -50,23 +70,24 @@
 	p.total /= 2
 }
 
-// patience is how long nothing may come from a head that works.
-func (p *pauses) patience() time.Duration {
+// patience is how long nothing may come from a head whose pass should take
+// this long.
+func (p *pauses) patience(pass time.Duration) time.Duration {
 	if p.total < leastPauses {
 		return firstPatience
 	}
 	above := 0.0
-	for at := pauseSteps - 1; at >= 0; at-- {
+	for at := ratioSteps - 1; at >= 0; at-- {
 		above += p.counts[at]
 		if above > rarePause*p.total {
-			longest := pauseMargin * float64((time.Duration(at)+1)*pauseStep)
-			return min(mostPatience, max(leastPatience, time.Duration(longest)))
+			longest := time.Duration(float64(at+1) * ratioStep * float64(pass))
+			return min(mostPatience, max(leastPatience, longest+netSlack))
 		}
 	}
 	return firstPatience
 }
 
-func (b *balance) addPause(model models.ModelName, d time.Duration) {
+func (b *balance) addPause(model models.ModelName, pause, pass time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pauses[model]
@@ -74,15 +95,16 @@
 		p = &pauses{}
 		b.pauses[model] = p
 	}
-	p.add(d)
+	p.add(pause, pass)
 }
 
-// patience is how long nothing may come from a head of the model's groups.
-func (b *balance) patience(model models.ModelName) time.Duration {
+// patience is how long nothing may come from a head of the model's groups
+// whose pass should take this long.
+func (b *balance) patience(model models.ModelName, pass time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p := b.pauses[model]; p != nil {
-		return p.patience()
+		return p.patience(pass)
 	}
 	return firstPatience
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,6 +23,10 @@
 	// firstPart is the part of its aim within which the first event of a
 	// request is waited for at a head of which nothing else is known.
 	firstPart = 0.75
+	// firstStep is how often a run that waits is looked at, givenUpStep how
+	// often one for which nothing more can be done.
+	firstStep   = 40 * time.Millisecond
+	givenUpStep = 250 * time.Millisecond
 	// rivalStep is how often a run that has a rival looks at it.
 	rivalStep = 8 * time.Millisecond
 	// overSlots is how many requests beyond its slots a group is sent.
@@ -71,7 +75,7 @@
 func (s *stream) begin(group cluster.Group) {
 	s.runs++
 	s.leg = s.newLeg(group)
-	s.leg.stalled = s.stalled
+	s.leg.patience = s.patience
 	s.group = group.Key
 }
 
@@ -157,8 +161,8 @@
 	s.logMove(l.group, cause)
 	s.leg.close()
 	s.leg, s.group = l, l.group.Key
-	l.stalled = s.stalled
-	l.answer.Body.SetStalled(s.stalled)
+	l.patience = s.patience
+	l.answer.Body.SetPatience(s.patience)
 }
 
 func (s *stream) logMove(to cluster.Group, cause error) {
@@ -250,42 +254,48 @@
 	}
 }
 
-// stalled decides what becomes of a run from which nothing came for its
-// patience, and how long to wait for it until then. A rival is begun if the
-// whole group seems to stand still.
-func (s *stream) stalled() time.Duration {
+// patience decides how much longer to wait for a run from which nothing came.
+// A rival is begun if the whole group seems to stand still.
+func (s *stream) patience(silence time.Duration) time.Duration {
 	l := s.leg
 	if s.rival != nil {
 		return s.besideRival()
 	}
+	if l.moved.IsZero() && silence == 0 {
+		return firstStep
+	}
+	longest := l.longest()
+	if silence < longest {
+		return longest - silence
+	}
 	now, head := time.Now(), l.group.Head.ID
 	suspect := s.g.node.View().Suspects[head]
 	switch {
-	case s.g.balance.still(head, now) < l.patience && !suspect:
-		// The group moves; only this request waits.
-		return l.patience
 	case suspect:
+	case s.g.balance.still(head, now) < longest:
+		// The group moves; only this request waits.
+		return firstStep
 	case l.moved.IsZero() && now.Sub(l.sent) < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
-		return l.patience / 2
+		return firstStep
 	case l.moved.IsZero() && now.Sub(l.sent) < s.route.Aim:
 		// Too little is known to suspect the group; a rival does no harm.
 	default:
 		s.g.node.ReportStalled(l.group.Key, head)
 	}
 	if !s.mayRepeat() {
-		return l.patience
+		return givenUpStep
 	}
 	group, _, free := s.look()
 	if !free || !s.spend() {
-		return l.patience
+		return firstStep
 	}
 	s.runs++
 	s.rival = s.newRival(group)
 	return rivalStep
 }
 
-// besideRival is stalled for a run that has a rival.
+// besideRival is patience for a run that has a rival.
 func (s *stream) besideRival() time.Duration {
 	if !s.rival.done() {
 		return rivalStep
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -68,7 +68,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	resp, err := e.send(ctx, i, models.Attempt{}, 0, nil)
+	resp, err := e.send(ctx, i, models.Attempt{}, nil)
 	if err != nil {
 		return err
 	}
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -33,14 +33,16 @@
 	// Mine, if set, tells an answer's head from that of another request,
 	// which is read to its end and dropped.
 	Mine func(http.Header) bool
-	// Patience is how long nothing may come before Stalled is asked how much
-	// longer to wait; 0 waits without asking. Stalled ends the request by
-	// returning 0.
-	Patience time.Duration
-	Stalled  func() time.Duration
+	// Patience, if set, tells how much longer to wait for the next bytes when
+	// none came for so long; 0 ends the request.
+	Patience Patience
 }
 
-// ErrStalled is returned by reads that Stalled ended.
+// Patience tells how much longer to wait after a silence. Each wait for bytes
+// begins with a silence of 0.
+type Patience func(silence time.Duration) time.Duration
+
+// ErrStalled is returned by reads that a Patience ended.
 var ErrStalled = errors.New("the answer stands still")
 
 // Response is the head of an answer. Its body must be closed; one that was
@@ -64,9 +66,8 @@
 	rested  time.Time
 	idleFor time.Duration
 	closed  atomic.Bool
-	// patience and stalled are those of the request under way.
-	patience time.Duration
-	stalled  func() time.Duration
+	// patience is that of the request under way.
+	patience Patience
 }
 
 const readBuffer = 4 << 10
@@ -77,13 +78,14 @@
 	return c
 }
 
-// Read reads from the connection and asks, whenever nothing came for the
-// patience of the request, whether to go on.
+// Read reads from the connection and asks the request's patience how long to
+// wait.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.patience == 0 {
+	if c.patience == nil {
 		return c.nc.Read(p)
 	}
-	for wait := c.patience; wait > 0; wait = c.stalled() {
+	began := time.Now()
+	for wait := c.patience(0); wait > 0; wait = c.patience(time.Since(began)) {
 		if err := c.nc.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return 0, err
 		}
@@ -129,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.patience, c.stalled = r.Patience, r.Stalled
+	c.patience = r.Patience
 	stop := context.AfterFunc(ctx, c.close)
 	n, err := c.nc.Write(r.encode())
 	if err != nil {
@@ -229,8 +231,8 @@
 	return n, err
 }
 
-// SetStalled changes who is asked when nothing comes.
-func (b *Body) SetStalled(stalled func() time.Duration) { b.c.stalled = stalled }
+// SetPatience changes who is asked when nothing comes.
+func (b *Body) SetPatience(p Patience) { b.c.patience = p }
 
 // Buffered tells how many bytes have come that are not read yet.
 func (b *Body) Buffered() int { return b.c.br.Buffered() }
@@ -249,7 +251,7 @@
 		b.c.close()
 		return nil
 	}
-	b.c.patience, b.c.stalled = 0, nil
+	b.c.patience = nil
 	if err := b.c.nc.SetReadDeadline(time.Time{}); err != nil {
 		b.c.close()
 		return err
--- a/lib/h1/script_test.go
+++ b/lib/h1/script_test.go
@@ -142,7 +142,7 @@
 		if words[i] == "fresh" {
 			r.Freshest = d
 		} else {
-			r.Patience, r.Stalled = d, func() time.Duration { return 0 }
+			r.Patience = func(silence time.Duration) time.Duration { return d - silence }
 		}
 	}
 	resp, err := pool.Do(context.Background(), addr, r)
