fleet: a head that was told to open leaves before its members are used

Cause: close at a head that is about to open is answered 'holds already' and the head opens all the same; its members were then free in the planner's books.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -51,7 +51,7 @@
 
 func runGateway(c *cli.Context, s config.Gateway, log zerolog.Logger) error {
 	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory) * megabyte))
+		debug.SetMemoryLimit(int64(memoryPart * s.Memory * megabyte))
 	}
 	set := metrics.NewSet()
 	traffic := gateway.Traffic()
@@ -60,7 +60,7 @@
 	}, traffic, set, log)
 	g := gateway.New(gateway.Settings{
 		Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
-		RetryRatio: s.RetryRatio, RetrySlack: float64(s.RetrySlack), RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
+		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
 		Stringer("store", s.Store).Msg("started")
--- a/config/config.go
+++ b/config/config.go
@@ -57,6 +57,7 @@
 	errEmpty       = errors.New("must be set")
 	errLevel       = errors.New("allowed are debug, info, warn and error")
 	errNotPositive = errors.New("must be more than 0")
+	errNegative    = errors.New("must not be less than 0")
 	errRatio       = errors.New("must be 0 to 1")
 	errZeroPort    = errors.New("needs a port other than 0")
 )
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -29,11 +29,11 @@
 	KeysBound   time.Duration
 	ConfigBound time.Duration
 	RetryRatio  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 	StopGrace   time.Duration
 	// Memory is what the process may use, in MB; 0 sets no bound.
-	Memory int
+	Memory float64
 }
 
 // GatewayFlags are the flags that LoadGateway reads.
@@ -51,10 +51,10 @@
 		durationFlag("keys-bound", "within what time a key that was taken away is refused", 5*time.Second),
 		durationFlag("config-bound", "within what time a configuration is in force", 2*time.Second),
 		&cli.Float64Flag{Name: "retry-ratio", Usage: "repeats for each request, over all daemons", Value: 0.2, EnvVars: []string{Env("retry-ratio")}},
-		intFlag("retry-slack", "repeats beyond the ratio in each window, over all daemons", 100),
+		&cli.Float64Flag{Name: "retry-slack", Usage: "repeats beyond the ratio in each window, over all daemons", Value: 100, EnvVars: []string{Env("retry-slack")}},
 		durationFlag("retry-window", "window of the budget for repeats", 10*time.Second),
 		durationFlag("stop-grace", "how long a planned stop may take", 8*time.Second),
-		intFlag("memory", "memory that the process may use, in MB; 0 for no bound", 0),
+		&cli.Float64Flag{Name: "memory", Usage: "memory that the process may use, in MB; 0 for no bound", EnvVars: []string{Env("memory")}},
 	}
 }
 
@@ -75,13 +75,16 @@
 		KeysBound:         r.duration("keys-bound", 100*time.Millisecond, time.Hour),
 		ConfigBound:       r.duration("config-bound", 100*time.Millisecond, time.Hour),
 		RetryRatio:        c.Float64("retry-ratio"),
-		RetrySlack:        r.count("retry-slack", 0, 1_000_000),
+		RetrySlack:        c.Float64("retry-slack"),
 		RetryWindow:       r.duration("retry-window", time.Second, time.Hour),
 		StopGrace:         r.duration("stop-grace", 0, time.Hour),
-		Memory:            r.count("memory", 0, 1<<20),
+		Memory:            c.Float64("memory"),
 	}
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		r.fail("retry-ratio", errRatio)
 	}
+	if s.RetrySlack < 0 {
+		r.fail("retry-slack", errNegative)
+	}
 	return s, r.err()
 }
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -132,7 +132,7 @@
 	switch {
 	case n == 0:
 		return c, true
-	case !r.ownsLoads(model, domain, len(ids)) || !r.mayLoad(n):
+	case !r.ownsLoads(model, domain, len(ids), c.loading) || !r.mayLoad(n):
 		return c, false
 	default:
 		return c, !r.Traffic || n == model.Size
@@ -141,11 +141,22 @@
 
 // ownsLoads reports whether weights of the model may be loaded in a domain:
 // in its own, and before traffic in another's if more instances are free
-// there than that needs as spares. Later on, what is free in a domain is what
-// its next group is made of.
-func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int) bool {
+// there than that needs as spares, on those that have no weights yet. Later
+// on, what is free in a domain is what its next group is made of.
+func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int, loading map[models.InstanceID]bool) bool {
 	owner, known := r.Profile.Model(r.domains[domain])
-	return !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 || (!r.Traffic && free < owner.Size && free > maxSpares)
+	if !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 {
+		return true
+	}
+	if r.Traffic || free >= owner.Size || free <= maxSpares {
+		return false
+	}
+	for id := range loading {
+		if isWarm(r.Instances[id], owner.Name) {
+			return false
+		}
+	}
+	return true
 }
 
 // maxSpares is how many instances of a domain are kept as spares of its
--- a/fleet/formation.go
+++ b/fleet/formation.go
@@ -27,7 +27,9 @@
 		if !r.intact(f) || r.Now.After(f.deadline) {
 			delete(r.forming, key)
 			if f.opened {
-				r.end(key, f.members[0], types.GroupCut)
+				// A head that is about to open does not forget it when it is
+				// told to close.
+				r.end(key, f.members[0], types.GroupLeave)
 			} else {
 				r.ending[key] = &ending{key: key, head: f.members[0], closed: true}
 			}
@@ -127,7 +129,7 @@
 		r.ending[key] = &ending{key: key, head: head, kind: kind}
 		return
 	}
-	if kind == types.GroupCut {
+	if kind == types.GroupCut && e.kind == types.GroupFinish {
 		e.kind = kind
 	}
 }
@@ -188,6 +190,8 @@
 			r.end(key, g.Head, types.GroupCut)
 		case verdictFinish:
 			r.end(key, g.Head, types.GroupFinish)
+		case verdictDissolve:
+			r.end(key, g.Head, types.GroupLeave)
 		case verdictLeave:
 			r.leaveAll(g)
 		case verdictFree:
@@ -205,6 +209,9 @@
 	verdictAdopt
 	// verdictCut: it serves and nothing can come of it.
 	verdictCut
+	// verdictDissolve: it does not serve, nothing can come of it, and another
+	// planner may have told it to open.
+	verdictDissolve
 	// verdictFinish: a member is leaving; what runs may end.
 	verdictFinish
 	// verdictLeave: it has no head.
@@ -226,7 +233,10 @@
 		whole = whole && !r.Lost[id]
 		leaving = leaving || r.Instances[id].Draining
 	}
+	serves := g.State == models.MemberOpen || g.State == models.MemberClosing
 	switch {
+	case (!whole || leaving) && !serves:
+		return verdictDissolve
 	case !whole:
 		return verdictCut
 	case leaving:
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -208,7 +208,7 @@
 		f.joined[o.Instance] = true
 	}
 	if e := p.ending[o.Group]; e != nil && o.Instance == e.head && outcome == types.OrderDone &&
-		(o.Kind == types.GroupCut || o.Kind == types.GroupFinish) {
+		o.Kind == e.kind {
 		e.closed = true
 	}
 }
