cluster: tell loads as deltas, let few daemons ask for the lease

Change: a link tells what changed since its last word; where there are many daemons only requests of models with few groups are told at once, and a choice is the best of three; nine daemons with the most processor ask for the lease; fed daemons read entries every 4 s.

--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -34,7 +34,7 @@
 	// how often one does that hears from it.
 	instancesEvery   = 500 * time.Millisecond
 	planEntriesEvery = 250 * time.Millisecond
-	fedEntriesEvery  = 1500 * time.Millisecond
+	fedEntriesEvery  = 4 * time.Second
 	rosterWait       = 20 * time.Second
 )
 
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -33,6 +33,13 @@
 	member := string(n.cfg.ID) + "-" + time.Unix(0, n.started).UTC().Format("150405.000")
 	defer n.leaveLease(ctx, member)
 	for {
+		if !n.View().candidate && term == 0 {
+			// Those that were members before they knew of others lapse.
+			if err := pause(ctx, ttl/renewDiv); err != nil {
+				return err
+			}
+			continue
+		}
 		asked := time.Now()
 		held, next, err := n.renew(ctx, member, ttl, generation)
 		switch {
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -95,14 +95,12 @@
 	// newsDelay is how long changes of loads are gathered before they are
 	// told: short against the time that reading a prompt takes.
 	newsDelay = 4 * time.Millisecond
-	// newsLen is how much news may wait for a slow daemon. What is left out
-	// is made good by the next heartbeat.
+	// newsLen is how much news may wait for a slow daemon.
 	newsLen = 16
 )
 
 // announce tells all other daemons at once when this one's loads change.
 func (n *Node) announce(ctx context.Context) error {
-	seen := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,10 +110,6 @@
 		if err := pause(ctx, newsDelay); err != nil {
 			return err
 		}
-		var loads map[models.InstanceID]Load
-		loads, seen = n.traffic.LoadsSince(seen)
-		if len(loads) > 0 {
-			n.links.send(LoadNews{From: n.cfg.ID, Loads: loads})
-		}
+		n.links.wake()
 	}
 }
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -108,8 +108,8 @@
 	ConfigAge     time.Duration `msgpack:"ca"`
 	// Term is that of the planner that the daemon believes in.
 	Term int64 `msgpack:"t"`
-	// Loads are what the daemon has at instances.
-	Loads map[models.InstanceID]Load `msgpack:"f"`
+	// Power is the part of a core that the daemon may use.
+	Power float64 `msgpack:"p"`
 	// Stalled are heads at which nothing moves.
 	Stalled []StalledHead `msgpack:"s"`
 	// Work is what the daemon's callers ask of each model, in seconds of a
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -30,6 +30,8 @@
 	Peer netip.AddrPort
 	// Store is the address of the platform's store.
 	Store netip.AddrPort
+	// Power is the part of a core that the process may use.
+	Power float64
 	// LeaseMin is the shortest lease that the store grants.
 	LeaseMin time.Duration
 	// InstanceHeartbeat is how often an instance writes its entry.
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"hash/fnv"
 	"maps"
 	"time"
 
@@ -43,9 +44,9 @@
 	at   time.Time
 }
 
-// peerSilence is after how long without a heartbeat another daemon counts as
-// gone: a few heartbeats.
-const peerSilence = 1200 * time.Millisecond
+// silentBeats is after how many heartbeats that did not come another daemon
+// counts as gone.
+const silentBeats = 4
 
 func newOwner(n *Node) *owner {
 	return &owner{
@@ -197,7 +198,7 @@
 		o.n.log.Warn().Dur("for", tick.Paused).Msg("process-paused")
 	}
 	for id, p := range o.peers.seen {
-		if tick.At.Sub(p.at) > peerSilence {
+		if tick.At.Sub(p.at) > silentBeats*beatEvery(len(o.peers.seen)) {
 			delete(o.peers.seen, id)
 			o.n.peerLoads.drop(id)
 			o.n.log.Warn().Str("peer", string(id)).Dur("silent", tick.At.Sub(p.at)).Msg("peer-silent")
@@ -214,19 +215,42 @@
 	v := &View{
 		Routing: o.config.routing, Proven: o.config.proven, Daemons: len(o.peers.seen) + 1,
 		Term:    max(o.peers.term, o.fleet.term()),
-		Planner: o.fleet.planner != nil, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(),
+		Planner: o.fleet.planner != nil, candidate: o.candidate(), All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(),
 	}
 	v.Suspects = o.fleet.suspected(time.Now())
 	v.Groups, v.Services = o.fleet.serving(o.config.routing, time.Now())
 	o.n.view.Store(v)
 }
 
+// candidates is how many daemons ask the store for the planner's lease: enough
+// that some are left after any loss, and few against the store's price.
+const candidates = 9
+
+// candidate reports whether this node is one of those that may plan: those
+// with the most processor, and among equals by a hash of their names.
+func (o *owner) candidate() bool {
+	before := 0
+	power, hash := o.n.cfg.Power, hashOf(o.n.cfg.ID)
+	for id, p := range o.peers.seen {
+		if p.beat.Power > power || (p.beat.Power == power && hashOf(id) < hash) {
+			before++
+		}
+	}
+	return before < candidates
+}
+
+func hashOf(id models.DaemonID) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // heartbeat is what the node tells others now.
 func (n *Node) heartbeat(stalled []StalledHead) Heartbeat {
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Term: v.Term,
-		Loads: n.traffic.Loads(), Work: n.traffic.Work(), Stalled: stalled,
+		Power: n.cfg.Power, Work: n.traffic.Work(), Stalled: stalled,
 	}
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -19,8 +19,11 @@
 
 const (
 	rosterTopic = "daemons"
-	// heartbeatEvery is how often a daemon tells another of itself.
+	// heartbeatEvery is how often a daemon tells another of itself. Where
+	// there are many, all but the one that plans do so less often.
 	heartbeatEvery = 300 * time.Millisecond
+	sparseEvery    = 1200 * time.Millisecond
+	manyDaemons    = 20
 	writeTimeout   = 500 * time.Millisecond
 	readTimeout    = 3 * time.Second
 	redialPause    = 300 * time.Millisecond
@@ -80,10 +83,23 @@
 
 	mu   sync.Mutex
 	news map[models.DaemonID]chan LoadNews
+	// woken has a place for each link that is to tell of loads at once.
+	woken map[models.DaemonID]chan struct{}
+}
+
+// beatEvery is how often a daemon that knows so many others tells of itself.
+func beatEvery(peers int) time.Duration {
+	if peers > manyDaemons {
+		return sparseEvery
+	}
+	return heartbeatEvery
 }
 
 func newLinks(n *Node) *links {
-	return &links{n: n, cancel: map[models.DaemonID]context.CancelFunc{}, addrs: map[models.DaemonID]netip.AddrPort{}, news: map[models.DaemonID]chan LoadNews{}}
+	return &links{
+		n: n, cancel: map[models.DaemonID]context.CancelFunc{}, addrs: map[models.DaemonID]netip.AddrPort{}, news: map[models.DaemonID]chan LoadNews{},
+		woken: map[models.DaemonID]chan struct{}{},
+	}
 }
 
 // send hands news to the link of every other daemon.
@@ -99,13 +115,34 @@
 	}
 }
 
-func (l *links) newsFor(id models.DaemonID) chan LoadNews {
+// wake has every link tell at once what has changed of the loads.
+func (l *links) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, to := range l.woken {
+		select {
+		case to <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// link is what one connection to another daemon is fed by.
+type link struct {
+	id    models.DaemonID
+	addr  netip.AddrPort
+	news  <-chan LoadNews
+	woken <-chan struct{}
+}
+
+func (l *links) linkTo(id models.DaemonID, addr netip.AddrPort) link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.news[id] == nil {
 		l.news[id] = make(chan LoadNews, newsLen)
+		l.woken[id] = make(chan struct{}, 1)
 	}
-	return l.news[id]
+	return link{id: id, addr: addr, news: l.news[id], woken: l.woken[id]}
 }
 
 func (l *links) update(ctx context.Context, records []platform.KeyedRecord) {
@@ -129,10 +166,10 @@
 		if stop := l.cancel[id]; stop != nil {
 			stop()
 		}
-		news := l.newsFor(id)
+		link := l.linkTo(id, addr)
 		linkCtx, cancel := context.WithCancel(ctx)
 		l.cancel[id], l.addrs[id] = cancel, addr
-		l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, id, addr, news) }))
+		l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, link) }))
 	}
 }
 
@@ -145,10 +182,10 @@
 
 // keepLink tells one other daemon of this one, on one connection after the
 // other.
-func (n *Node) keepLink(ctx context.Context, id models.DaemonID, addr netip.AddrPort, news <-chan LoadNews) error {
+func (n *Node) keepLink(ctx context.Context, l link) error {
 	for ctx.Err() == nil {
-		err := n.runLink(ctx, addr, news)
-		n.log.Debug().Str("peer", string(id)).Err(err).Msg("link-ended")
+		err := n.runLink(ctx, l)
+		n.log.Debug().Str("peer", string(l.id)).Err(err).Msg("link-ended")
 		if err := pause(ctx, redialPause); err != nil {
 			return nil
 		}
@@ -156,9 +193,9 @@
 	return nil
 }
 
-func (n *Node) runLink(ctx context.Context, addr netip.AddrPort, news <-chan LoadNews) error {
+func (n *Node) runLink(ctx context.Context, l link) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
+	conn, err := dialer.DialContext(ctx, "tcp4", l.addr.String())
 	if err != nil {
 		return err
 	}
@@ -168,19 +205,45 @@
 	beats := time.NewTicker(heartbeatEvery)
 	defer beats.Stop()
 	told, err := n.beat(conn, 0)
+	beaten := time.Now()
+	if err != nil {
+		return err
+	}
+	seen, err := n.tellLoads(conn, 0)
 	for err == nil {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-beats.C:
-			told, err = n.beat(conn, told)
-		case m := <-news:
+		case now := <-beats.C:
+			if !n.planning.Load() && now.Sub(beaten) < beatEvery(n.View().Daemons) {
+				continue
+			}
+			beaten = now
+			if told, err = n.beat(conn, told); err == nil {
+				seen, err = n.tellLoads(conn, seen)
+			}
+		case <-l.woken:
+			seen, err = n.tellLoads(conn, seen)
+		case m := <-l.news:
 			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameLoads, m))
 		}
 	}
 	return err
 }
 
+// tellLoads tells the loads that have changed since an earlier call; the
+// first one tells all.
+func (n *Node) tellLoads(conn net.Conn, seen uint64) (uint64, error) {
+	loads, last := n.traffic.LoadsSince(seen)
+	if len(loads) == 0 && seen > 0 {
+		return last, nil
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return seen, err
+	}
+	return last, frame.Write(conn, frameLoads, LoadNews{From: n.cfg.ID, All: seen == 0, Loads: loads})
+}
+
 // beat sends a heartbeat, and the configuration if the other daemon may not
 // have it.
 func (n *Node) beat(conn net.Conn, told int64) (int64, error) {
@@ -260,7 +323,6 @@
 		if err := frame.Decode(body, &b); err != nil {
 			return from, err
 		}
-		s.n.peerLoads.take(LoadNews{From: b.From, All: true, Loads: b.Loads})
 		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
 		return b.From, nil
 	case frameLoads:
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -26,8 +26,10 @@
 
 	// config is the routing as the store holds it, stalled what this node
 	// itself found to stand still.
-	config  []byte
-	stalled []StalledHead
+	config []byte
+	// candidate tells that this node asks for the planner's lease.
+	candidate bool
+	stalled   []StalledHead
 }
 
 // Group is a replica group that takes requests.
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -56,7 +56,7 @@
 	set := metrics.NewSet()
 	traffic := gateway.Traffic()
 	node := cluster.New(cluster.Settings{
-		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
+		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, Power: s.Power, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
 	}, traffic, set, log)
 	g := gateway.New(gateway.Settings{
 		Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -32,6 +32,9 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	StopGrace   time.Duration
+	// Power is the part of a core that the process may use; the daemons with
+	// the most of it take the duties.
+	Power float64
 	// Memory is what the process may use, in MB; 0 sets no bound.
 	Memory float64
 }
@@ -54,6 +57,7 @@
 		&cli.Float64Flag{Name: "retry-slack", Usage: "repeats beyond the ratio in each window, over all daemons", Value: 100, EnvVars: []string{Env("retry-slack")}},
 		durationFlag("retry-window", "window of the budget for repeats", 10*time.Second),
 		durationFlag("stop-grace", "how long a planned stop may take", 8*time.Second),
+		&cli.Float64Flag{Name: "power", Usage: "part of a core that the process may use", Value: 1, EnvVars: []string{Env("power")}},
 		&cli.Float64Flag{Name: "memory", Usage: "memory that the process may use, in MB; 0 for no bound", EnvVars: []string{Env("memory")}},
 	}
 }
@@ -78,6 +82,7 @@
 		RetrySlack:        c.Float64("retry-slack"),
 		RetryWindow:       r.duration("retry-window", time.Second, time.Hour),
 		StopGrace:         r.duration("stop-grace", 0, time.Hour),
+		Power:             c.Float64("power"),
 		Memory:            c.Float64("memory"),
 	}
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -96,8 +96,9 @@
 	a.rate, a.at = a.decayed(now)+seconds/workSpan.Seconds(), now
 }
 
-// add changes what the daemon has at an instance.
-func (b *balance) add(id models.InstanceID, requests, unread int) {
+// add changes what the daemon has at an instance. The others are told at once
+// if it is urgent.
+func (b *balance) add(id models.InstanceID, requests, unread int, urgent bool) {
 	b.mu.Lock()
 	load := b.loads[id]
 	load.Requests += requests
@@ -109,6 +110,9 @@
 	b.last++
 	b.stamps[id] = b.last
 	b.mu.Unlock()
+	if !urgent {
+		return
+	}
 	select {
 	case b.changed <- struct{}{}:
 	default:
@@ -165,9 +169,16 @@
 func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	groups := node.View().Groups[model]
+	view := node.View()
+	groups := view.Groups[model]
 	best, requests, least := -1, 0, time.Duration(0)
-	for _, i := range rand.Perm(len(groups)) {
+	order := rand.Perm(len(groups))
+	if !urgent(view, model) {
+		// What is known of the others' requests is old: the best of a few is
+		// then better than the best of all, which everybody would choose.
+		order = order[:min(len(order), fewGroups+len(tried))]
+	}
+	for _, i := range order {
 		g := groups[i]
 		if slices.Contains(tried, g.Head.ID) {
 			continue
@@ -190,6 +201,22 @@
 	return groups[best], requests, true
 }
 
+const (
+	// manyDaemons is how many daemons may tell all others at once of every
+	// change, and someGroups how many groups a model may have for it to be
+	// worth while among more: the fewer, the more often two prompts meet.
+	manyDaemons = 20
+	someGroups  = 24
+	// fewGroups is among how many the best is chosen by old news.
+	fewGroups = 3
+)
+
+// urgent reports whether the others are to be told at once of the model's
+// requests.
+func urgent(v *cluster.View, model models.ModelName) bool {
+	return v.Daemons <= manyDaemons || len(v.Groups[model]) <= someGroups
+}
+
 // fullCost is how long a request waits at a full group for each one that is
 // ahead of it: about the time between two ends.
 const fullCost = 100 * time.Millisecond
--- a/gateway/leg.go
+++ b/gateway/leg.go
@@ -37,6 +37,8 @@
 	events *sse.Reader
 	// unread are the prompt's tokens until the first event.
 	unread int
+	// urgent tells that the other daemons are told at once of the run.
+	urgent bool
 	sent   time.Time
 	// moved is when the last event came.
 	moved time.Time
@@ -51,7 +53,8 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	s.try(group.Head)
-	s.g.balance.add(group.Head.ID, 1, l.unread)
+	l.urgent = urgent(s.g.node.View(), s.head.Model)
+	s.g.balance.add(group.Head.ID, 1, l.unread, l.urgent)
 	return l
 }
 
@@ -64,7 +67,7 @@
 		}
 	}
 	l.cancel()
-	l.s.g.balance.add(l.group.Head.ID, -1, -l.unread)
+	l.s.g.balance.add(l.group.Head.ID, -1, -l.unread, l.urgent)
 	l.unread = 0
 }
 
@@ -116,7 +119,7 @@
 	balance.move(head)
 	now := time.Now()
 	if l.moved.IsZero() {
-		balance.add(head, 0, -l.unread)
+		balance.add(head, 0, -l.unread, l.urgent)
 		l.unread = 0
 	} else {
 		balance.addPause(l.s.head.Model, now.Sub(l.moved), l.pass())
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -61,8 +61,8 @@
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
 	e.try(i)
-	e.g.balance.add(i.ID, 1, 0)
-	defer e.g.balance.add(i.ID, -1, 0)
+	e.g.balance.add(i.ID, 1, 0, true)
+	defer e.g.balance.add(i.ID, -1, 0, true)
 	if e.route.Repeatable() && !last {
 		limited, cancel := context.WithTimeoutCause(ctx, max(slowLeast, time.Duration(slowFactor*float64(e.route.Aim))), errSlow)
 		defer cancel()
