cluster: read the store at once when news of the planner may be missing

Change: news are counted; a gap or a new term ends the pause before the next reading, which is looked at every 125 ms. Also: plan and publish at a bounded rate (a small instance that planned for 162 upstreams was 0.2 s late and took 67 of them for lost), reports of instances of which nothing bad is known wait 0.6 s, a holder with less processor than others hands the lease over; conversions towards the smaller model when it fills.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -29,6 +29,8 @@
 	until     time.Time
 	// heldTerm is the term of the lease.
 	heldTerm int64
+	// planned is when orders were last planned.
+	planned time.Time
 	// suspects are stalled heads, until when.
 	suspects map[models.InstanceID]suspicion
 	traffic  bool
@@ -36,6 +38,8 @@
 	due map[models.InstanceID]time.Time
 	// news is what is to be told to the other daemons.
 	news []InstanceNews
+	// feed counts what was sent of it.
+	feed int64
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
 	demand       map[models.ModelName]float64
@@ -164,7 +168,7 @@
 	// Even without news the others learn that this one still reads.
 	o.spread(o.fleet.changedEntries(records, asked)...)
 	if o.fleet.planner != nil && len(o.fleet.news) == 0 {
-		o.n.links.send(LoadNews{From: o.n.cfg.ID, Term: o.fleet.heldTerm})
+		o.sendFeed()
 	}
 	o.changed = o.changed || len(records) > 0
 }
@@ -225,18 +229,18 @@
 		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
 	}
 	k.UpstreamInstance, k.written = i, time.Now()
-	if !k.lost.IsZero() && k.written.Sub(k.lost) > askAgain {
-		o.ask(k, k.written)
+	if o.fleet.planner != nil && !k.lost.IsZero() && k.written.Sub(k.lost) > askAgain {
+		o.ask(k, k.written, patientReport)
 	}
 }
 
 // ask has an instance asked for a report, unless that was just done.
-func (o *owner) ask(k *knownInstance, now time.Time) {
+func (o *owner) ask(k *knownInstance, now time.Time, timeout time.Duration) {
 	if now.Sub(k.asked) < askAgain {
 		return
 	}
 	k.asked = now
-	o.n.askReport(o.ctx, k.UpstreamInstance)
+	o.n.askReport(o.ctx, k.UpstreamInstance, timeout)
 }
 
 func (o *owner) handleReport(m reportEnded) {
@@ -288,7 +292,7 @@
 	}
 	for _, i := range o.fleet.instances {
 		if i.Group.Key == m.group && i.lost.IsZero() {
-			o.ask(i, now)
+			o.ask(i, now, promptReport)
 		}
 	}
 }
@@ -303,7 +307,7 @@
 	if f.planner != nil && f.heldTerm == m.term {
 		return
 	}
-	f.planner, f.heldTerm, f.busy = fleet.NewPlanner(m.term, time.Now()), m.term, nil
+	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, time.Now()), m.term, nil, 0
 	o.n.planning.Store(true)
 	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
 }
@@ -318,12 +322,17 @@
 	o.n.planning.Store(false)
 }
 
+// planLeast is the least time between two plannings; what comes in between
+// waits for the next tick.
+const planLeast = 20 * time.Millisecond
+
 // planGroups gives the orders that are due, if this node plans.
 func (o *owner) planGroups(now time.Time) {
 	f := &o.fleet
-	if f.planner == nil || o.config.routing == nil {
+	if f.planner == nil || o.config.routing == nil || now.Sub(f.planned) < planLeast {
 		return
 	}
+	f.planned = now
 	if now.After(f.until) && !o.mayOutlast(now) {
 		o.stopPlanning("the lease ended")
 		return
@@ -371,7 +380,7 @@
 		}
 		overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
 		if _, away := o.away[platform.InstancesTopic]; !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
-			o.ask(i, now)
+			o.ask(i, now, patientReport)
 		}
 	}
 	o.n.stats.plans.Inc()
@@ -479,7 +488,7 @@
 		return
 	}
 	if m.outcome == types.OrderUnknown {
-		o.ask(k, m.at)
+		o.ask(k, m.at, patientReport)
 	} else if d, known := o.expected(m.order, k.UpstreamInstance); known {
 		o.fleet.due[k.ID] = m.at.Add(d)
 	}
@@ -547,7 +556,7 @@
 		delete(o.fleet.due, id)
 		if k := o.fleet.instances[id]; k != nil && o.fleet.planner != nil {
 			k.asked = now
-			o.n.askReport(o.ctx, k.UpstreamInstance)
+			o.n.askReport(o.ctx, k.UpstreamInstance, patientReport)
 		}
 	}
 }
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -27,6 +27,9 @@
 	// mostPause, so that a store that is away is not pressed.
 	retryPause = 150 * time.Millisecond
 	mostPause  = 600 * time.Millisecond
+	// pauseStep is how often a pause between two readings is looked at again:
+	// it may have to end sooner.
+	pauseStep = 125 * time.Millisecond
 	// waitSlack is how much earlier than asked the store may end a wait.
 	waitSlack = 50 * time.Millisecond
 	// instancesEvery is how often a daemon reads the entries of instances,
@@ -103,8 +106,8 @@
 			continue
 		}
 		from, failed = next, retryPause
-		if d := f.every(); d > 0 {
-			if err := pause(ctx, d); err != nil {
+		for waited := time.Duration(0); waited < f.every(); waited += pauseStep {
+			if err := pause(ctx, pauseStep); err != nil {
 				return err
 			}
 		}
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -22,6 +22,9 @@
 	// leaseMargin is how much sooner than the store a holder takes its lease
 	// for ended.
 	leaseMargin = 100 * time.Millisecond
+	// meetOthers is how long a daemon waits at its start to hear of others
+	// before it asks for the lease.
+	meetOthers = 350 * time.Millisecond
 	// renewTimeout bounds one renewal.
 	renewTimeout = 400 * time.Millisecond
 )
@@ -32,9 +35,16 @@
 	var generation, term int64
 	member := string(n.cfg.ID) + "-" + time.Unix(0, n.started).UTC().Format("150405.000")
 	defer n.leaveLease(ctx, member)
+	if err := pause(ctx, meetOthers); err != nil {
+		return err
+	}
 	for {
-		if !n.View().candidate && term == 0 {
-			// Those that were members before they knew of others lapse.
+		if !n.View().candidate {
+			if term != 0 {
+				n.tell(ctx, leaseLost{reason: "others have more processor"})
+				n.leaveLease(ctx, member)
+				term, generation = 0, 0
+			}
 			if err := pause(ctx, ttl/renewDiv); err != nil {
 				return err
 			}
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -24,8 +24,10 @@
 	Loads map[models.InstanceID]Load `msgpack:"l"`
 	// Stalled are heads that the daemon just found to stand still.
 	Stalled []StalledHead `msgpack:"s"`
-	// Instances are told by the daemon that plans, in its term.
+	// Instances are told by the daemon that plans, in its term. Feed counts
+	// such news, so that a daemon knows when it missed some.
 	Term      int64          `msgpack:"t"`
+	Feed      int64          `msgpack:"f"`
 	Instances []InstanceNews `msgpack:"n"`
 }
 
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -79,6 +79,7 @@
 // newsSeen: the daemon that plans told of instances.
 type newsSeen struct {
 	term      int64
+	feed      int64
 	instances []InstanceNews
 	at        time.Time
 }
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -37,7 +37,14 @@
 	if len(o.fleet.news) == 0 {
 		return
 	}
-	o.n.links.send(LoadNews{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Instances: o.fleet.news})
+	o.sendFeed()
+}
+
+// sendFeed sends the news that there are, or only the word that this daemon
+// still reads.
+func (o *owner) sendFeed() {
+	o.fleet.feed++
+	o.n.links.send(LoadNews{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Feed: o.fleet.feed, Instances: o.fleet.news})
 	o.fleet.news = nil
 }
 
@@ -46,7 +53,8 @@
 	if m.term < o.peers.term || o.fleet.planner != nil {
 		return
 	}
-	o.peers.term = m.term
+	missed := m.term != o.peers.feedTerm || m.feed != o.peers.feed+1
+	o.peers.term, o.peers.feedTerm, o.peers.feed = m.term, m.term, m.feed
 	now := time.Now()
 	for _, news := range m.instances {
 		at := m.at.Add(-news.Age)
@@ -71,8 +79,13 @@
 			}
 		}
 	}
-	o.n.fed.Store(now.UnixNano())
 	o.changed = true
+	if missed {
+		// What was not told is read from the store, at once.
+		o.n.fed.Store(0)
+		return
+	}
+	o.n.fed.Store(now.UnixNano())
 }
 
 // fedLately reports whether the planner's news came of late.
--- /dev/null
+++ b/cluster/news_test.go
@@ -0,0 +1,39 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// TestMissedNews checks that a daemon that hears from the planner reads the
+// store for itself as soon as it may have missed something: news that were
+// dropped, or a new planner. Hunted days of sbcc-lupinkeel (trouble-1, seeds
+// 1010924599747 and 848935819920) sent requests to an instance over 2 s after
+// it said that it leaves.
+func TestMissedNews(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	news := func(term, feed int64, draining bool) {
+		o.handleNews(newsSeen{term: term, feed: feed, at: time.Now(), instances: []InstanceNews{
+			{Instance: models.UpstreamInstance{ID: "i-1", Draining: draining}},
+		}})
+	}
+	news(1, 1, false)
+	c.Assert(o.n.fedLately(), qt.IsFalse)
+	news(1, 2, false)
+	c.Assert(o.n.fedLately(), qt.IsTrue)
+	news(1, 4, false)
+	c.Assert(o.n.fedLately(), qt.IsFalse)
+	news(1, 5, false)
+	c.Assert(o.n.fedLately(), qt.IsTrue)
+	news(2, 1, true)
+	c.Assert(o.n.fedLately(), qt.IsFalse)
+	c.Assert(o.fleet.instances["i-1"].Draining, qt.IsTrue)
+	news(1, 6, false)
+	c.Assert(o.fleet.instances["i-1"].Draining, qt.IsTrue)
+	c.Assert(o.n.fedLately(), qt.IsFalse)
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -58,8 +58,11 @@
 	// orderTimeout bounds the wait for an order's answer; instances of the
 	// same region answer within some ms.
 	orderTimeout = 500 * time.Millisecond
-	// reportTimeout bounds the wait for an instance's report.
-	reportTimeout = 200 * time.Millisecond
+	// promptReport bounds the wait for the report of an instance whose group
+	// stands still, patientReport for one of which nothing bad is known: a
+	// small instance that plans is itself late at times.
+	promptReport  = 200 * time.Millisecond
+	patientReport = 600 * time.Millisecond
 	// dialTimeout bounds the making of a connection to the store, to
 	// instances for orders, and to other daemons.
 	dialTimeout = 400 * time.Millisecond
@@ -197,11 +200,11 @@
 }
 
 // askReport asks an instance how it is, in the background.
-func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance) {
+func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance, timeout time.Duration) {
 	n.stats.reports.Inc()
 	task.Start(ctx, "report", func(ctx context.Context) error {
 		asked := time.Now()
-		limited, cancel := context.WithTimeout(ctx, reportTimeout)
+		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		told, err := n.instances.Report(limited, i)
 		n.tell(ctx, reportEnded{instance: told, err: err, asked: asked})
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -22,7 +22,8 @@
 	// away holds since when readings of the store fail, by what was read.
 	away map[string]time.Time
 	// changed asks for a new view.
-	changed bool
+	changed   bool
+	published time.Time
 }
 
 // configState is the configuration in force.
@@ -35,8 +36,11 @@
 // peersState is what other daemons tell.
 type peersState struct {
 	seen map[models.DaemonID]seenPeer
-	// term is the newest term that any daemon tells of.
-	term int64
+	// term is the newest term that any daemon tells of, feedTerm and feed
+	// number the news of the planner that came last.
+	term     int64
+	feedTerm int64
+	feed     int64
 }
 
 type seenPeer struct {
@@ -50,7 +54,7 @@
 
 func newOwner(n *Node) *owner {
 	return &owner{
-		n: n, fleet: newFleetState(), peers: peersState{seen: map[models.DaemonID]seenPeer{}}, away: map[string]time.Time{},
+		n: n, fleet: newFleetState(), peers: peersState{seen: map[models.DaemonID]seenPeer{}}, away: map[string]time.Time{}, changed: true,
 	}
 }
 
@@ -68,12 +72,17 @@
 			o.tick(tick)
 		}
 		o.flushNews()
-		if o.changed {
+		if o.changed && time.Since(o.published) >= publishEvery {
 			o.publish()
 		}
 	}
 }
 
+// publishEvery is the least time between two views: one takes a millisecond
+// or so on a small instance with many upstreams, and heartbeats come by the
+// hundred.
+const publishEvery = 15 * time.Millisecond
+
 // handleWaiting handles what has come already, so that one view shows it all.
 func (o *owner) handleWaiting() {
 	for range inboxLen {
@@ -211,7 +220,7 @@
 
 // publish shows the others what the owner believes.
 func (o *owner) publish() {
-	o.changed = false
+	o.changed, o.published = false, time.Now()
 	v := &View{
 		Routing: o.config.routing, Proven: o.config.proven, Daemons: len(o.peers.seen) + 1,
 		Term:    max(o.peers.term, o.fleet.term()),
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -332,7 +332,7 @@
 		}
 		s.n.peerLoads.take(news)
 		if news.Term > 0 {
-			s.n.tell(ctx, newsSeen{term: news.Term, instances: news.Instances, at: time.Now()})
+			s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, at: time.Now()})
 		}
 		for _, head := range news.Stalled {
 			s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -15,6 +15,10 @@
 	// instances of another one, calm the part that the other may use
 	// afterwards. At three quarters an engine's pauses begin to grow.
 	crowded = 0.8
+	// filling is the part at which weights of the smaller model are staged
+	// ahead; those of larger ones always are, since their groups are harder
+	// to replace.
+	filling = 0.6
 	calm    = 0.62
 	// convertEvery is the least time between two conversions, so that the
 	// effect of one is seen before the next.
@@ -149,16 +153,21 @@
 	r.form(candidate)
 }
 
-// stageFlexible stages a crowded or larger model's weights on the hosts of
+// stageFlexible stages a larger or filling model's weights on the hosts of
 // instances that serve another, so that they can be converted within seconds.
 // It is done only while the weight store has nothing better to do.
 func (r *round) stageFlexible() {
-	for _, to := range r.Profile.Models {
-		if to.Size == r.smallest() {
+	byUse := slices.Clone(r.Profile.Models)
+	slices.SortStableFunc(byUse, func(a, b models.ModelProfile) int {
+		return cmp.Compare(r.use(b, r.settled[b.Name]/b.Size), r.use(a, r.settled[a.Name]/a.Size))
+	})
+	for _, to := range byUse {
+		if to.Size == r.smallest() && r.use(to, r.settled[to.Name]/to.Size) < filling {
 			continue
 		}
 		ids := r.flexible(to)
-		want := flexibleGroups*to.Size - r.stagedAhead(to)
+		// Only whole groups are converted, whatever their size.
+		want := max(flexibleGroups*to.Size, r.largest()) - r.stagedAhead(to)
 		for _, id := range ids {
 			if want <= 0 || !r.mayStageAhead() {
 				return
@@ -177,6 +186,14 @@
 	return least
 }
 
+func (r *round) largest() int {
+	most := 0
+	for _, m := range r.Profile.Models {
+		most = max(most, m.Size)
+	}
+	return most
+}
+
 func (r *round) mayStageAhead() bool {
 	if !r.Traffic {
 		return r.loading < r.Profile.LoadsAtOnce+earlyFlexible
