--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -97,6 +97,9 @@
 	// newsDelay is how long changes of loads are gathered before they are
 	// told: short against the time that reading a prompt takes.
 	newsDelay = 4 * time.Millisecond
+	// sparseDelay is the same where there are many daemons, and each change
+	// is a message to all of them.
+	sparseDelay = 15 * time.Millisecond
 	// newsLen is how much news may wait for a slow daemon.
 	newsLen = 16
 )
@@ -109,7 +112,11 @@
 			return ctx.Err()
 		case <-n.traffic.Changed():
 		}
-		if err := pause(ctx, newsDelay); err != nil {
+		delay := newsDelay
+		if n.View().Daemons > manyDaemons {
+			delay = sparseDelay
+		}
+		if err := pause(ctx, delay); err != nil {
 			return err
 		}
 		n.links.wake()
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -144,7 +144,7 @@
 // there than that needs as spares, on those that have no weights yet. Later
 // on, what is free in a domain is what its next group is made of.
 func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int, loading map[models.InstanceID]bool) bool {
-	owner, known := r.Profile.Model(r.domains[domain])
+	owner, known := r.wanted(domain)
 	if !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 {
 		return true
 	}
@@ -233,7 +233,7 @@
 	}
 	var wants []want
 	for domain, ids := range free {
-		model, known := r.Profile.Model(r.domains[domain])
+		model, known := r.wanted(domain)
 		if !known {
 			continue
 		}
--- a/fleet/layout.go
+++ b/fleet/layout.go
@@ -52,6 +52,21 @@
 	return out
 }
 
+// wanted is the model whose weights are loaded in a domain: its own, or one
+// that is crowded while its own is not.
+func (r *round) wanted(domain models.Domain) (models.ModelProfile, bool) {
+	owner, known := r.Profile.Model(r.domains[domain])
+	if !known || !r.Traffic || r.use(owner, r.settled[owner.Name]/owner.Size) > calm {
+		return owner, known
+	}
+	for _, m := range r.Profile.Models {
+		if m.Name != owner.Name && r.use(m, r.settled[m.Name]/m.Size) >= crowded {
+			return m, true
+		}
+	}
+	return owner, true
+}
+
 // need is the part of all instances that the model needs.
 func (r *round) need(m models.ModelProfile) float64 { return max(minDemand, r.Demand[m.Name]) }
 
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -61,8 +61,9 @@
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
 	e.try(i)
-	e.g.balance.add(i.ID, 1, 0, true)
-	defer e.g.balance.add(i.ID, -1, 0, true)
+	urgent := e.g.node.View().Daemons <= manyDaemons
+	e.g.balance.add(i.ID, 1, 0, urgent)
+	defer e.g.balance.add(i.ID, -1, 0, urgent)
 	if e.route.Repeatable() && !last {
 		limited, cancel := context.WithTimeoutCause(ctx, max(slowLeast, time.Duration(slowFactor*float64(e.route.Aim))), errSlow)
 		defer cancel()
