soak: real daemons under random faults against stand-ins of the platform

The soak builds the program, runs three daemons as processes, injects kills, stops, freezes, store faults, lost and leaving instances from a seed, and checks what callers and instances see.

--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/standin/replica"
+	"github.com/lupinkeel/lupinkeel/standin/store"
+)
+
+// profile has the shape of the users' engines with times a tenth as long.
+var profile = replica.Profile{
+	Models: []models.ModelProfile{
+		{Name: "big", Size: 3, Share: 0.5, Pace: 1, Load: 1200 * time.Millisecond, Warm: 200 * time.Millisecond},
+		{Name: "small", Size: 2, Share: 0.5, Pace: 0.6, Load: 900 * time.Millisecond, Warm: 150 * time.Millisecond},
+	},
+	FormTime: 60 * time.Millisecond, Stall: time.Second, EventEvery: 15 * time.Millisecond, Events: 12,
+	Heartbeat: 200 * time.Millisecond, Slots: 8,
+}
+
+const (
+	perDomain = 7
+	daemons   = 3
+	host      = "api.example"
+	// keysBound is the daemons' bound for taken keys; they use eight tenths.
+	keysBound = 3 * time.Second
+)
+
+const configText = `{"Version":%d,"Routes":[
+{"Name":"once","Host":"api.example","PathPrefix":"/once/","RouteType":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"plain","MaxAttempts":2},
+{"Name":"again","Host":"api.example","PathPrefix":"/again/","RouteType":"idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"plain","MaxAttempts":2},
+{"Name":"stream","Host":"api.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":4000,"TargetLatencyMs":400,"Service":"engines","MaxAttempts":2,"StreamResume":true,"gap_aim_ms":300}],
+"Services":[{"Name":"plain","MaxConnections":100},{"Name":"engines","MaxConnections":100,"Engine":{"Slots":8,"step_ms":3,"per_seq_ms":0.1,"read_per_s":40000,"chunk":2048,"stride":5,"loads_per_s":20,"loads_at_once":8,"form_ms":60,
+"Models":[{"Name":"big","size":3,"share":0.5,"pace":1,"load_s":1.2,"WarmS":0.2},{"Name":"small","size":2,"share":0.5,"pace":0.6,"load_s":0.9,"WarmS":0.15}]}}],
+"Limits":{"MaxBodyBytes":100000},"Tenants":[{"Name":"ws","ApiKeys":["k1"]}]}`
+
+// site is a store, instances, and daemons as processes of their own.
+type site struct {
+	t       *testing.T
+	store   *store.Store
+	front   *httptest.Server
+	fabric  *replica.Fabric
+	daemons []*daemon
+	version int
+	logs    string
+}
+
+type daemon struct {
+	name    string
+	flags   []string
+	addr    string
+	process *exec.Cmd
+	log     *os.File
+}
+
+func binary(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "lupinkeel")
+	out, err := exec.Command("go", "build", "-o", path, "..").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return path
+}
+
+func startSite(t *testing.T, bin, logs string) *site {
+	s := &site{t: t, store: store.New(), logs: logs}
+	s.front = httptest.NewServer(s.store)
+	t.Cleanup(s.front.Close)
+	s.fabric = replica.NewFabric(profile, s.store)
+	s.configure()
+	for _, domain := range []models.Domain{"a", "b", "c", "d"} {
+		for range perDomain {
+			s.add("engines", domain)
+		}
+	}
+	s.add("plain", "")
+	s.add("plain", "")
+	t.Cleanup(func() {
+		for _, i := range s.fabric.Instances() {
+			// Whether it ends well is of no interest any more.
+			_ = i.Stop()
+		}
+	})
+	for n := range daemons {
+		d := s.newDaemon(bin, n)
+		s.daemons = append(s.daemons, d)
+		d.start(t)
+		t.Cleanup(d.kill)
+	}
+	return s
+}
+
+func (s *site) configure() {
+	s.version++
+	s.store.Put("op", "config", fmt.Appendf(nil, configText, s.version))
+}
+
+func (s *site) add(service models.ServiceName, domain models.Domain) {
+	_, err := s.fabric.Add(service, models.Zone("z"+string(domain)), domain)
+	qt.Assert(s.t, err, qt.IsNil)
+}
+
+// freeAddr finds an address that nothing listens on.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) newDaemon(bin string, n int) *daemon {
+	d := &daemon{name: fmt.Sprintf("daemon-%d", n+1), addr: freeAddr(s.t)}
+	d.flags = []string{
+		bin, "gateway", "--id", d.name, "--zone", "z", "--listen", d.addr, "--ready", freeAddr(s.t), "--metrics", freeAddr(s.t),
+		"--peer", freeAddr(s.t), "--store", strings.TrimPrefix(s.front.URL, "http://"), "--lease-min", "300ms",
+		"--instance-heartbeat", profile.Heartbeat.String(), "--keys-bound", keysBound.String(), "--config-bound", "1s",
+		"--stop-grace", "3s", "--retry-slack", "1000",
+	}
+	log, err := os.OpenFile(filepath.Join(s.logs, d.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	qt.Assert(s.t, err, qt.IsNil)
+	s.t.Cleanup(func() { log.Close() })
+	d.log = log
+	return d
+}
+
+func (d *daemon) start(t *testing.T) {
+	d.process = exec.Command(d.flags[0], d.flags[1:]...)
+	d.process.Stdout, d.process.Stderr = d.log, d.log
+	qt.Assert(t, d.process.Start(), qt.IsNil)
+}
+
+// signal sends a signal to the daemon's own process.
+func (d *daemon) signal(sig syscall.Signal) {
+	// A process that has ended needs no signal.
+	_ = d.process.Process.Signal(sig)
+}
+
+// kill ends the daemon's process and waits for it.
+func (d *daemon) kill() {
+	d.signal(syscall.SIGCONT)
+	d.signal(syscall.SIGKILL)
+	// It was killed, and says so.
+	_ = d.process.Wait()
+}
+
+// stop asks the daemon to end and waits for it.
+func (d *daemon) stop() error {
+	d.signal(syscall.SIGTERM)
+	err := d.process.Wait()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && !exit.Exited() {
+		return fmt.Errorf("%s was ended by a signal: %w", d.name, err)
+	}
+	return err
+}
+
+// waitServing waits until all models have groups and a daemon serves them.
+func (s *site) waitServing() {
+	client := &http.Client{Timeout: time.Second}
+	for range 300 {
+		time.Sleep(100 * time.Millisecond)
+		if s.fabric.Serving("big") == 0 || s.fabric.Serving("small") == 0 {
+			continue
+		}
+		if r := ask(client, s.daemons[0].addr, newRequest(kindStream, "big")); r.whole {
+			return
+		}
+	}
+	s.t.Fatalf("nothing is served after 30 s; logs are in %s", s.logs)
+}
