--- a/config/file.go
+++ b/config/file.go
@@ -27,10 +27,13 @@
 		return fmt.Errorf("%w: settings file (%s): %w", ErrSetting, FileEnv, err)
 	}
 	defer f.Close()
-	known := map[string]bool{}
+	// open are the flags that the file may set.
+	open := map[string]bool{}
 	for _, flag := range c.Command.Flags {
-		known[flag.Names()[0]] = true
+		name := flag.Names()[0]
+		open[name] = !c.IsSet(name)
 	}
+	seen := map[string]bool{}
 	var errs []error
 	lines := bufio.NewScanner(f)
 	for n := 1; lines.Scan(); n++ {
@@ -44,7 +47,12 @@
 			continue
 		}
 		name = strings.TrimSpace(name)
-		if !known[name] || c.IsSet(name) {
+		if seen[name] {
+			errs = append(errs, fmt.Errorf("%w: %s:%d: %s is set twice", ErrSetting, path, n, name))
+			continue
+		}
+		seen[name] = true
+		if !open[name] {
 			continue
 		}
 		if err := c.Set(name, strings.TrimSpace(value)); err != nil {
--- /dev/null
+++ b/config/gateway_test.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/urfave/cli/v2"
+)
+
+// loadFile loads the settings of a gateway from a settings file.
+func loadFile(t *testing.T, text string, args ...string) (Gateway, error) {
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	t.Setenv(FileEnv, path)
+	var loaded Gateway
+	app := &cli.App{
+		Commands: []*cli.Command{{Name: "gateway", Flags: GatewayFlags(), Action: func(c *cli.Context) error {
+			if err := ReadFile(c); err != nil {
+				return err
+			}
+			var err error
+			loaded, err = LoadGateway(c)
+			return err
+		}}},
+		ExitErrHandler: func(*cli.Context, error) {},
+	}
+	err := app.Run(append([]string{"lupinkeel", "gateway"}, args...))
+	return loaded, err
+}
+
+const goodFile = `# written by the platform
+id=front-1
+zone=z1
+listen=127.0.0.1:7000
+store=127.0.0.1:7100
+retry-slack=81.4
+keys-bound=5000ms
+something-newer=1
+`
+
+func TestSettingsFile(t *testing.T) {
+	c := qt.New(t)
+	s, err := loadFile(t, goodFile)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(s.ID), qt.Equals, "front-1")
+	c.Assert(s.RetrySlack, qt.Equals, 81.4)
+	c.Assert(s.KeysBound, qt.Equals, 5*time.Second)
+	s, err = loadFile(t, goodFile, "--zone", "z2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(s.Zone), qt.Equals, "z2", qt.Commentf("a flag goes before the file"))
+}
+
+// TestBadSettings checks that every setting that can't be used is named.
+func TestBadSettings(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ line, want string }{
+		{"config-bound=soon", "config-bound"},
+		{"keys-bound=1s", "set twice"},
+		{"retry-ratio=7", "--retry-ratio"},
+		{"memory=lots", "memory"},
+		{"metrics=nowhere", "--metrics"},
+		{"no equals sign", "no '='"},
+	} {
+		_, err := loadFile(t, goodFile+test.line+"\n")
+		c.Assert(err, qt.ErrorIs, ErrSetting, qt.Commentf("%s", test.line))
+		c.Assert(strings.Contains(err.Error(), test.want), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
+// TestDeployedSettings checks that the file that the platform fills in names
+// flags and nothing else.
+func TestDeployedSettings(t *testing.T) {
+	c := qt.New(t)
+	known := map[string]bool{}
+	for _, f := range GatewayFlags() {
+		known[f.Names()[0]] = true
+	}
+	data, err := os.ReadFile("../deploy/settings.conf")
+	c.Assert(err, qt.IsNil)
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, found := strings.Cut(line, "=")
+		c.Assert(found, qt.IsTrue, qt.Commentf("%s", line))
+		c.Assert(known[name], qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
