--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -39,9 +39,17 @@
 	if err := errors.Join(err, loadErr, levelErr); err != nil {
 		return err
 	}
-	return runGateway(c, settings, logfmt.New(c.App.Writer, level))
+	out := logfmt.NewBounded(c.App.Writer, logQueue)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(c.Context))
+	writing := task.Start(ctx, "log", out.Run)
+	err = runGateway(c, settings, logfmt.New(out, level))
+	cancel()
+	return errors.Join(err, task.Wait(writing))
 }
 
+// logQueue is how many lines may wait to be written: some seconds' worth.
+const logQueue = 4096
+
 const (
 	// memoryPart is the part of the memory allowed that the collector keeps
 	// the heap within; the rest is for stacks and buffers.
--- /dev/null
+++ b/lib/logfmt/bounded.go
@@ -0,0 +1,69 @@
+package logfmt
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+)
+
+// Bounded hands lines to a writer that may block, without ever blocking those
+// who log. Lines beyond its queue are left out, and it says how many.
+type Bounded struct {
+	to      io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewBounded returns a writer with a queue of so many lines.
+func NewBounded(to io.Writer, queue int) *Bounded {
+	return &Bounded{to: to, lines: make(chan []byte, queue)}
+}
+
+// Write takes a line, or leaves it out if the queue is full.
+func (b *Bounded) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- bytes.Clone(line):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Run hands lines on until the context ends, and then what is left.
+func (b *Bounded) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return b.drain()
+		case line := <-b.lines:
+			if err := b.write(line); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (b *Bounded) drain() error {
+	for {
+		select {
+		case line := <-b.lines:
+			if err := b.write(line); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+func (b *Bounded) write(line []byte) error {
+	if n := b.dropped.Swap(0); n > 0 {
+		notice := New(b.to, zerolog.WarnLevel)
+		notice.Warn().Int64("lines", n).Msg("log-lines-dropped")
+	}
+	_, err := b.to.Write(line)
+	return err
+}
--- /dev/null
+++ b/lib/logfmt/bounded_test.go
@@ -0,0 +1,28 @@
+package logfmt
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestBoundedNeverBlocks fills the queue while nothing is written, and checks
+// that what was left out is told.
+func TestBoundedNeverBlocks(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	b := NewBounded(&out, 10)
+	for n := range 25 {
+		_, err := fmt.Fprintf(b, "line %d\n", n)
+		c.Assert(err, qt.IsNil)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(b.Run(ctx), qt.IsNil)
+	c.Assert(strings.Count(out.String(), "line "), qt.Equals, 10)
+	c.Assert(strings.Contains(out.String(), "event=log-lines-dropped lines=15"), qt.IsTrue)
+}
