--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -27,6 +27,9 @@
 	writeTimeout   = 500 * time.Millisecond
 	readTimeout    = 3 * time.Second
 	redialPause    = 300 * time.Millisecond
+	// mostRedial bounds the pause, which doubles while a daemon does not
+	// answer: those that were replaced at another address never will.
+	mostRedial = 1200 * time.Millisecond
 )
 
 // Kinds of frames between daemons.
@@ -183,12 +186,18 @@
 // keepLink tells one other daemon of this one, on one connection after the
 // other.
 func (n *Node) keepLink(ctx context.Context, l link) error {
+	wait := redialPause
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := n.runLink(ctx, l)
 		n.log.Debug().Str("peer", string(l.id)).Err(err).Msg("link-ended")
-		if err := pause(ctx, redialPause); err != nil {
+		if time.Since(began) > mostRedial {
+			wait = redialPause
+		}
+		if err := pause(ctx, wait); err != nil {
 			return nil
 		}
+		wait = min(mostRedial, 2*wait)
 	}
 	return nil
 }
