cluster: hand the configuration over on demand

Cause: every link pushed each new version to its daemon; on 61 daemons that is 3,600 copies of some 100 KB a change. Change: a daemon that hears of a newer version and does not read it within 0.5 s asks one other.

--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -109,6 +109,9 @@
 	ConfigAge     time.Duration `msgpack:"ca"`
 	// Term is that of the planner that the daemon believes in.
 	Term int64 `msgpack:"t"`
+	// Wants names a daemon that is to hand its configuration over, since it
+	// has a newer one.
+	Wants models.DaemonID `msgpack:"w2"`
 	// Power is the part of a core that the daemon may use.
 	Power float64 `msgpack:"p"`
 	// Stalled are heads at which nothing moves.
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -5,6 +5,8 @@
 	"context"
 	"hash/fnv"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/timer"
@@ -41,6 +43,10 @@
 	term     int64
 	feedTerm int64
 	feed     int64
+	// behind is since when another daemon has a newer configuration, wants
+	// the one that is asked for it.
+	behind time.Time
+	wants  models.DaemonID
 }
 
 type seenPeer struct {
@@ -214,17 +220,50 @@
 			o.changed = true
 		}
 	}
+	o.catchUp(tick.At)
 	o.askDue(tick.At)
 	o.planGroups(tick.At)
 }
 
+// behindFor is how long another daemon may have a newer configuration before
+// it is asked for it: usually this one's own reading of the store comes first.
+const behindFor = 500 * time.Millisecond
+
+// catchUp picks a daemon to be asked for a newer configuration.
+func (o *owner) catchUp(now time.Time) {
+	own := int64(0)
+	if r := o.config.routing; r != nil {
+		own = r.Version
+	}
+	var newer []models.DaemonID
+	for id, p := range o.peers.seen {
+		if p.beat.ConfigVersion > own {
+			newer = append(newer, id)
+		}
+	}
+	switch {
+	case len(newer) == 0:
+		o.peers.behind, o.peers.wants = time.Time{}, ""
+	case o.peers.behind.IsZero():
+		o.peers.behind = now
+	case now.Sub(o.peers.behind) > behindFor && !slices.Contains(newer, o.peers.wants):
+		o.peers.wants = newer[rand.IntN(len(newer))]
+		o.changed = true
+	}
+}
+
 // publish shows the others what the owner believes.
 func (o *owner) publish() {
 	o.changed, o.published = false, time.Now()
 	v := &View{
 		Routing: o.config.routing, Proven: o.config.proven, Daemons: len(o.peers.seen) + 1,
 		Term:    max(o.peers.term, o.fleet.term()),
-		Planner: o.fleet.planner != nil, candidate: o.candidate(), All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(),
+		Planner: o.fleet.planner != nil, candidate: o.candidate(), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{}, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(),
+	}
+	for id, p := range o.peers.seen {
+		if p.beat.Wants == o.n.cfg.ID {
+			v.wantedBy[id] = true
+		}
 	}
 	v.Suspects = o.fleet.suspected(time.Now())
 	v.Groups, v.Services = o.fleet.serving(o.config.routing, time.Now())
@@ -259,7 +298,7 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Term: v.Term,
-		Power: n.cfg.Power, Work: n.traffic.Work(), Stalled: stalled,
+		Power: n.cfg.Power, Wants: v.wants, Work: n.traffic.Work(), Stalled: stalled,
 	}
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -213,7 +213,7 @@
 	defer stop()
 	beats := time.NewTicker(heartbeatEvery)
 	defer beats.Stop()
-	told, err := n.beat(conn, 0)
+	told, err := n.beat(conn, l.id, 0)
 	beaten := time.Now()
 	if err != nil {
 		return err
@@ -228,7 +228,7 @@
 				continue
 			}
 			beaten = now
-			if told, err = n.beat(conn, told); err == nil {
+			if told, err = n.beat(conn, l.id, told); err == nil {
 				seen, err = n.tellLoads(conn, seen)
 			}
 		case <-l.woken:
@@ -253,22 +253,22 @@
 	return last, frame.Write(conn, frameLoads, LoadNews{From: n.cfg.ID, All: seen == 0, Loads: loads})
 }
 
-// beat sends a heartbeat, and the configuration if the other daemon may not
-// have it.
-func (n *Node) beat(conn net.Conn, told int64) (int64, error) {
+// beat sends a heartbeat, and the configuration if the other daemon asks for
+// it.
+func (n *Node) beat(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return told, err
 	}
 	if err := frame.Write(conn, frameHeartbeat, n.heartbeat(n.stalledHeads())); err != nil {
 		return told, err
 	}
-	return n.tellConfig(conn, told)
+	return n.tellConfig(conn, to, told)
 }
 
-// tellConfig hands a newer configuration over than was told before.
-func (n *Node) tellConfig(conn net.Conn, told int64) (int64, error) {
+// tellConfig hands the configuration over to a daemon that asks for it.
+func (n *Node) tellConfig(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
 	v := n.View()
-	if v.Routing == nil || v.Routing.Version <= told {
+	if !v.wantedBy[to] || v.Routing == nil || v.Routing.Version <= told {
 		return told, nil
 	}
 	c := ConfigCopy{Version: v.Routing.Version, Age: time.Since(v.Proven), Data: v.config}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -27,6 +27,10 @@
 	// config is the routing as the store holds it, stalled what this node
 	// itself found to stand still.
 	config []byte
+	// wants is the daemon to be asked for its configuration, wantedBy those
+	// that ask this one.
+	wants    models.DaemonID
+	wantedBy map[models.DaemonID]bool
 	// candidate tells that this node asks for the planner's lease.
 	candidate bool
 	stalled   []StalledHead
