--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -195,7 +195,7 @@
 	if !known || before.beat.Incarnation != m.beat.Incarnation {
 		o.n.log.Info().Str("peer", string(m.beat.From)).Int64("incarnation", m.beat.Incarnation).Msg("peer-seen")
 	}
-	o.peers.seen[m.beat.From] = seenPeer{beat: m.beat, at: m.at}
+	o.peers.seen[m.beat.From] = seenPeer(m)
 	o.peers.term = max(o.peers.term, m.beat.Term)
 	if r := o.config.routing; r != nil && r.Version == m.beat.ConfigVersion {
 		if proven := m.at.Add(-m.beat.ConfigAge); proven.After(o.config.proven) {
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -43,14 +43,14 @@
 	until   time.Time
 }
 
-// places is how many requests the model's groups run at once.
-func (r *round) places(m models.ModelProfile, groups int) float64 {
+// places is how many requests so many groups run at once.
+func (r *round) places(groups int) float64 {
 	return float64(groups * r.Profile.Slots)
 }
 
 // use is the part of its places that the model uses with so many groups.
 func (r *round) use(m models.ModelProfile, groups int) float64 {
-	return r.Busy[m.Name] / max(1, r.places(m, groups))
+	return r.Busy[m.Name] / max(1, r.places(groups))
 }
 
 // convert takes instances from a model with places to spare for one that is
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -194,7 +194,7 @@
 	}
 }
 
-// ErrOtherRequest: the answer belongs to another request.
+// ErrOtherRequest tells that the answer belongs to another request.
 var ErrOtherRequest = errors.New("the answer belongs to another request")
 
 func (c *conn) noteKeepAlive(h http.Header) {
