--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,11 @@
 .PHONY: measure-requests
 measure-requests: build
 	bin/lupinkeel measure requests
+
+# SEEDS seeds from FIRST on; each takes some 14 s.
+SEEDS ?= 10
+FIRST ?= 1
+
+.PHONY: soak
+soak:
+	LUPINKEEL_SOAK_SEEDS=$(SEEDS) LUPINKEEL_SOAK_FIRST=$(FIRST) go test -v -count=1 -timeout 60m ./soak
--- /dev/null
+++ b/gateway/keys_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// TestProofOfKeys checks that a daemon that can't show that its keys are
+// current refuses, truly and with a time to come back, and that it calls no
+// route or key unknown that a newer configuration may hold.
+func TestProofOfKeys(t *testing.T) {
+	c := qt.New(t)
+	routing := &models.Routing{
+		Version: 1, Keyed: true, Keys: map[string]models.KeyHolder{"k1": {Workspace: "ws"}},
+		Hosts: map[string][]models.Route{"api.example": {
+			{Name: "keyed", Host: "api.example", Prefix: "/keyed/", Kind: models.RouteOnce, Attempts: 1, Targets: []models.RouteTarget{{Service: "plain"}}},
+			{Name: "open", Host: "api.example", Prefix: "/open/", Kind: models.RouteOnce, Attempts: 1, Open: true, Targets: []models.RouteTarget{{Service: "plain"}}},
+		}},
+	}
+	for _, test := range []struct {
+		name    string
+		routing *models.Routing
+		age     time.Duration
+		path    string
+		key     string
+		want    int
+	}{
+		{"current, no instance", routing, 0, "/keyed/", "k1", http.StatusServiceUnavailable},
+		{"current, unknown key", routing, 0, "/keyed/", "k2", http.StatusUnauthorized},
+		{"current, unknown route", routing, 0, "/none/", "k1", http.StatusNotFound},
+		{"late proof, unknown key", routing, 3 * time.Second, "/keyed/", "k2", http.StatusServiceUnavailable},
+		{"late proof, unknown route", routing, 3 * time.Second, "/none/", "k1", http.StatusServiceUnavailable},
+		{"stale, known key", routing, 5 * time.Second, "/keyed/", "k1", http.StatusServiceUnavailable},
+		{"no configuration", nil, 0, "/none/", "k1", http.StatusServiceUnavailable},
+	} {
+		view := &cluster.View{Routing: test.routing, Proven: time.Now().Add(-test.age), Daemons: 1}
+		g := New(Settings{KeysBound: 4 * time.Second, ConfigBound: 2 * time.Second, RetryWindow: time.Second},
+			&fixedBeliefs{view: view, clock: timer.New(time.Now())}, newBalance(), metrics.NewSet(), zerolog.Nop())
+		r := httptest.NewRequest(http.MethodPost, test.path, nil)
+		r.Host = "api.example"
+		r.Header.Set("Authorization", "Token "+test.key)
+		w := httptest.NewRecorder()
+		g.serve(w, r)
+		c.Assert(w.Code, qt.Equals, test.want, qt.Commentf("%s", test.name))
+		if w.Code == http.StatusServiceUnavailable {
+			c.Assert(w.Header().Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf("%s", test.name))
+		}
+	}
+}
+
+// TestReady checks that the balancer is told the truth.
+func TestReady(t *testing.T) {
+	c := qt.New(t)
+	view := &cluster.View{Routing: &models.Routing{}, Proven: time.Now()}
+	g := New(Settings{KeysBound: 4 * time.Second, RetryWindow: time.Second}, &fixedBeliefs{view: view, clock: timer.New(time.Now())}, newBalance(), metrics.NewSet(), zerolog.Nop())
+	ready := func() int {
+		w := httptest.NewRecorder()
+		g.serveReady(w, httptest.NewRequest(http.MethodGet, "/-/ready", nil))
+		return w.Code
+	}
+	c.Assert(ready(), qt.Equals, http.StatusOK)
+	view.Proven = time.Now().Add(-5 * time.Second)
+	c.Assert(ready(), qt.Equals, http.StatusServiceUnavailable)
+	view.Proven = time.Now()
+	g.stopping.Store(true)
+	c.Assert(ready(), qt.Equals, http.StatusServiceUnavailable)
+}
