cluster: split fleet.go by matter

One file held the instances' entries and reports, the asking, the planning and the estimates of demand. Each has its own now; only places changed, and the constants stand by what uses them.

--- /dev/null
+++ b/cluster/asks.go
@@ -0,0 +1,114 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/fleet"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	// askAgain is how soon an instance is asked for a report once more.
+	askAgain = 400 * time.Millisecond
+	// reportMargin is how much later than an order should be done the instance
+	// is asked whether it is.
+	reportMargin = 15 * time.Millisecond
+	// askUnderWay is how soon an instance that should have been done is asked
+	// again.
+	askUnderWay = 100 * time.Millisecond
+)
+
+// ask has an instance asked for a report, unless that was just done.
+func (o *owner) ask(k *knownInstance, now time.Time, timeout time.Duration) {
+	if now.Sub(k.asked) < askAgain {
+		return
+	}
+	k.asked = now
+	o.n.askReport(o.ctx, k.UpstreamInstance, timeout)
+}
+
+// handleStalled passes over a head at which nothing moves, and has the
+// members asked if this node plans.
+func (o *owner) handleStalled(m stalled) {
+	k, known := o.fleet.instances[m.head]
+	if !known || k.Group.Key != m.group {
+		return
+	}
+	now := time.Now()
+	if s, suspect := o.fleet.suspects[m.head]; !suspect || now.After(s.until) {
+		o.n.log.Warn().Str("group", string(m.group.Name)).Str("head", string(m.head)).Str("from", string(m.from)).Msg("group-stalled")
+		o.fleet.suspects[m.head] = suspicion{group: m.group, until: now.Add(suspectFor), own: m.from == ""}
+		if m.from == "" {
+			o.n.links.send(LoadNews{From: o.n.cfg.ID, Stalled: []StalledHead{{Group: m.group, Head: m.head}}})
+		}
+		o.changed = true
+	}
+	if o.fleet.planner == nil {
+		return
+	}
+	for _, i := range o.fleet.instances {
+		if i.Group.Key == m.group && i.lost.IsZero() {
+			o.ask(i, now, promptReport)
+		}
+	}
+}
+
+// expected is how long an order that was begun takes, if the end is worth
+// asking for.
+func (o *owner) expected(order types.GroupOrder, i models.UpstreamInstance) (time.Duration, bool) {
+	service, known := o.config.routing.Services[i.Service]
+	if !known || service.Engine == nil {
+		return 0, false
+	}
+	model, known := service.Engine.Model(fleet.ModelOf(order.Group.Name))
+	switch {
+	case !known:
+		return 0, false
+	case order.Kind == types.GroupOpen:
+		return service.Engine.FormTime + reportMargin, true
+	case order.Kind == types.GroupJoin && i.Loaded == model.Name:
+		return fleet.Rejoin + reportMargin, true
+	case order.Kind == types.GroupJoin && slices.Contains(i.Staged, model.Name):
+		return model.Warm + reportMargin, true
+	}
+	return 0, false
+}
+
+// underWay reports whether the instance is still at an order that should be
+// done.
+func (o *owner) underWay(k *knownInstance) bool {
+	if o.fleet.planner == nil {
+		return false
+	}
+	switch o.fleet.planner.Expects(k.ID) {
+	case types.GroupJoin:
+		return k.Group.State == models.MemberJoining && isWarm(k.UpstreamInstance)
+	case types.GroupOpen:
+		return k.Group.State == models.MemberReady
+	default:
+		return false
+	}
+}
+
+// isWarm reports whether the instance had the weights of its group's model
+// when it joined, so that it is done within a second or two.
+func isWarm(i models.UpstreamInstance) bool {
+	model := fleet.ModelOf(i.Group.Key.Name)
+	return i.Loaded == model || slices.Contains(i.Staged, model)
+}
+
+// askDue asks the instances whose orders should be done by now.
+func (o *owner) askDue(now time.Time) {
+	for id, at := range o.fleet.due {
+		if now.Before(at) {
+			continue
+		}
+		delete(o.fleet.due, id)
+		if k := o.fleet.instances[id]; k != nil && o.fleet.planner != nil {
+			k.asked = now
+			o.n.askReport(o.ctx, k.UpstreamInstance, patientReport)
+		}
+	}
+}
--- /dev/null
+++ b/cluster/entries.go
@@ -0,0 +1,130 @@
+package cluster
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+func (o *owner) handleInstances(records []platform.KeyedRecord, asked time.Time, whole bool) {
+	known := o.fleet.instances
+	listed := map[models.InstanceID]bool{}
+	for _, r := range records {
+		id := models.InstanceID(r.Key)
+		if len(r.Value) == 0 {
+			o.dropInstance(id)
+			continue
+		}
+		i, err := platform.DecodeInstance(r.Key, r.Value)
+		if err != nil {
+			o.n.log.Error().Err(err).Msg("instance-unreadable")
+			continue
+		}
+		listed[id] = true
+		o.noteEntry(i, asked)
+	}
+	if whole {
+		for id := range known {
+			if !listed[id] {
+				o.dropInstance(id)
+			}
+		}
+	}
+	// Even without news the others learn that this one still reads.
+	o.spread(o.fleet.changedEntries(records, asked)...)
+	if o.fleet.planner != nil && len(o.fleet.news) == 0 {
+		o.sendFeed()
+	}
+	o.changed = o.changed || len(records) > 0
+}
+
+func (o *owner) noteEntry(i models.UpstreamInstance, asked time.Time) {
+	k, known := o.fleet.instances[i.ID]
+	if !known {
+		k = &knownInstance{}
+		o.fleet.instances[i.ID] = k
+	}
+	if known && (k.Draining != i.Draining || k.Group != i.Group) {
+		o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Str("state", string(i.Group.State)).
+			Bool("draining", i.Draining).Msg("instance-changed")
+	}
+	if known && asked.Before(k.told.Add(entryLag)) && !i.Group.Follows(k.Group) {
+		// What the instance itself told is newer than this entry may be.
+		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
+	}
+	k.UpstreamInstance, k.written = i, time.Now()
+	if o.fleet.planner != nil && !k.lost.IsZero() && k.written.Sub(k.lost) > askAgain {
+		o.ask(k, k.written, patientReport)
+	}
+}
+
+func (o *owner) dropInstance(id models.InstanceID) {
+	if i, known := o.fleet.instances[id]; known {
+		o.n.log.Info().Str("instance", string(id)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
+		delete(o.fleet.instances, id)
+		o.changed = true
+	}
+}
+
+func (o *owner) handleReport(m reportEnded) {
+	k, known := o.fleet.instances[m.instance.ID]
+	if !known {
+		return
+	}
+	if m.err != nil {
+		if k.lost.IsZero() {
+			k.lost = m.asked
+			o.spread(k.news(m.asked))
+			o.n.log.Warn().Str("instance", string(k.ID)).Str("group", string(k.Group.Key.Name)).Err(m.err).Msg("instance-lost")
+		}
+		o.changed = true
+		return
+	}
+	if !k.lost.IsZero() {
+		o.n.log.Info().Str("instance", string(k.ID)).Dur("after", m.asked.Sub(k.lost)).Msg("instance-back")
+	}
+	k.lost, k.told = time.Time{}, m.asked
+	k.Group, k.Loaded, k.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
+	delete(o.fleet.suspects, k.ID)
+	if o.underWay(k) {
+		o.fleet.due[k.ID] = time.Now().Add(askUnderWay)
+	}
+	o.spread(k.news(m.asked))
+	o.changed = true
+	o.planGroups(time.Now())
+}
+
+// changedEntries are the instances of these records of which the others have
+// not been told as they are now.
+func (f *fleetState) changedEntries(records []platform.KeyedRecord, asked time.Time) []InstanceNews {
+	if f.planner == nil {
+		return nil
+	}
+	var out []InstanceNews
+	told := map[models.InstanceID]bool{}
+	for _, r := range records {
+		id := models.InstanceID(r.Key)
+		if told[id] {
+			continue
+		}
+		told[id] = true
+		k, known := f.instances[id]
+		if !known {
+			out = append(out, InstanceNews{Instance: models.UpstreamInstance{ID: id}, Age: time.Since(asked), Gone: true})
+			continue
+		}
+		shown := k.UpstreamInstance
+		shown.Heartbeat = 0
+		if !reflect.DeepEqual(shown, k.spread) {
+			k.spread = shown
+			out = append(out, k.news(asked))
+		}
+	}
+	return out
+}
+
+func (k *knownInstance) news(at time.Time) InstanceNews {
+	return InstanceNews{Instance: k.UpstreamInstance, Age: time.Since(at), Lost: !k.lost.IsZero()}
+}
--- /dev/null
+++ b/cluster/planning.go
@@ -0,0 +1,132 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/fleet"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+const (
+	// planLeast is the least time between two plannings; what comes in between
+	// waits for the next tick.
+	planLeast = 20 * time.Millisecond
+	// overdueFactor is how many heartbeats an instance may miss in the store
+	// before it is asked itself.
+	overdueFactor = 2.2
+)
+
+func (o *owner) handleLease(m leaseHeld) {
+	f := &o.fleet
+	if m.term == o.n.spentTerm.Load() {
+		// The store is asked for another term at the next renewal.
+		return
+	}
+	f.until = m.until
+	if f.planner != nil && f.heldTerm == m.term {
+		return
+	}
+	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, time.Now()), m.term, nil, 0
+	o.n.planning.Store(true)
+	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
+}
+
+func (o *owner) stopPlanning(reason string) {
+	if o.fleet.planner == nil {
+		return
+	}
+	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
+	o.fleet.planner = nil
+	o.n.spentTerm.Store(o.fleet.heldTerm)
+	o.n.planning.Store(false)
+}
+
+// planGroups gives the orders that are due, if this node plans.
+func (o *owner) planGroups(now time.Time) {
+	f := &o.fleet
+	if f.planner == nil || o.config.routing == nil || now.Sub(f.planned) < planLeast {
+		return
+	}
+	f.planned = now
+	if now.After(f.until) && !o.mayOutlast(now) {
+		o.stopPlanning("the lease ended")
+		return
+	}
+	if f.planner.Superseded() {
+		o.stopPlanning("an instance has seen a newer term")
+		return
+	}
+	for name, service := range o.config.routing.Services {
+		if service.Engine != nil {
+			o.planService(name, service.Engine, now)
+		}
+	}
+}
+
+// mayOutlast reports whether the planner goes on although its lease could not
+// be renewed: the store is away for the other daemons as well, so that no
+// other can have begun.
+func (o *owner) mayOutlast(now time.Time) bool {
+	if o.peers.term > o.fleet.heldTerm {
+		return false
+	}
+	for _, p := range o.peers.seen {
+		if p.beat.ConfigAge < now.Sub(o.fleet.until) {
+			return false
+		}
+	}
+	return len(o.peers.seen) > 0
+}
+
+func (o *owner) planService(name models.ServiceName, engine *models.EngineProfile, now time.Time) {
+	f := &o.fleet
+	world := fleet.World{
+		Now: now, Profile: engine, Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
+		Demand: o.demand(engine),
+	}
+	world.Traffic, world.Busy = f.traffic, o.busy(engine, now)
+	for id, i := range f.instances {
+		if i.Service != name {
+			continue
+		}
+		world.Instances[id] = i.UpstreamInstance
+		if !i.lost.IsZero() {
+			world.Lost[id] = true
+		}
+		overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
+		if _, away := o.away[platform.InstancesTopic]; !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
+			o.ask(i, now, patientReport)
+		}
+	}
+	o.n.stats.plans.Inc()
+	o.logSupply(engine, world)
+	for _, order := range f.planner.Step(world) {
+		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
+			Int64("fence", order.Fence).Msg("order-given")
+		o.n.giveOrder(o.ctx, f.instances[order.Instance].Addr, order)
+	}
+}
+
+func (o *owner) handleOrderEnded(m orderEnded) {
+	event := o.n.log.Info()
+	if m.err != nil {
+		event = o.n.log.Warn().Err(m.err)
+	}
+	event.Str("order", string(m.order.Kind)).Str("instance", string(m.order.Instance)).Str("group", string(m.order.Group.Name)).
+		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Msg("order-ended")
+	if p := o.fleet.planner; p != nil && m.order.Fence>>fleet.TermBits == o.fleet.heldTerm {
+		p.Note(m.order, m.outcome, m.at)
+	}
+	k := o.fleet.instances[m.order.Instance]
+	if k == nil {
+		return
+	}
+	if m.outcome == types.OrderUnknown {
+		o.ask(k, m.at, patientReport)
+	} else if d, known := o.expected(m.order, k.UpstreamInstance); known {
+		o.fleet.due[k.ID] = m.at.Add(d)
+	}
+	o.planGroups(m.at)
+}
