cluster: part links, server, roster and wire types

peers.go held four matters, and messages.go both what the owner is told and what goes over the wire. The wire types stand in one file now, so that their tags can be read together; only places changed.

--- /dev/null
+++ b/cluster/link.go
@@ -0,0 +1,137 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/frame"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+const (
+	// heartbeatEvery is how often a daemon tells another of itself. Where
+	// there are many, all but the one that plans do so less often.
+	heartbeatEvery = 300 * time.Millisecond
+	sparseEvery    = 1200 * time.Millisecond
+	manyDaemons    = 20
+	// writeTimeout bounds the sending of one message to another daemon.
+	writeTimeout = 500 * time.Millisecond
+	redialPause  = 300 * time.Millisecond
+	// mostRedial bounds the pause, which doubles while a daemon does not
+	// answer: those that were replaced at another address never will.
+	mostRedial = 1200 * time.Millisecond
+)
+
+// link is what one connection to another daemon is fed by.
+type link struct {
+	id    models.DaemonID
+	addr  netip.AddrPort
+	news  <-chan LoadNews
+	woken <-chan struct{}
+}
+
+// keepLink tells one other daemon of this one, on one connection after the
+// other.
+func (n *Node) keepLink(ctx context.Context, l link) error {
+	wait := redialPause
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := n.runLink(ctx, l)
+		n.log.Debug().Str("peer", string(l.id)).Err(err).Msg("link-ended")
+		if time.Since(began) > mostRedial {
+			wait = redialPause
+		}
+		if err := pause(ctx, wait); err != nil {
+			return nil
+		}
+		wait = min(mostRedial, 2*wait)
+	}
+	return nil
+}
+
+func (n *Node) runLink(ctx context.Context, l link) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp4", l.addr.String())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	beats := time.NewTicker(heartbeatEvery)
+	defer beats.Stop()
+	told, err := n.beat(conn, l.id, 0)
+	beaten := time.Now()
+	if err != nil {
+		return err
+	}
+	seen, err := n.tellLoads(conn, 0)
+	for err == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-beats.C:
+			if !n.planning.Load() && now.Sub(beaten) < beatEvery(n.View().Daemons) {
+				continue
+			}
+			beaten = now
+			if told, err = n.beat(conn, l.id, told); err == nil {
+				seen, err = n.tellLoads(conn, seen)
+			}
+		case <-l.woken:
+			seen, err = n.tellLoads(conn, seen)
+		case m := <-l.news:
+			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameLoads, m))
+		}
+	}
+	return err
+}
+
+// beat sends a heartbeat, and the configuration if the other daemon asks for
+// it.
+func (n *Node) beat(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return told, err
+	}
+	if err := frame.Write(conn, frameHeartbeat, n.heartbeat(n.stalledHeads())); err != nil {
+		return told, err
+	}
+	return n.tellConfig(conn, to, told)
+}
+
+// beatEvery is how often a daemon that knows so many others tells of itself.
+func beatEvery(peers int) time.Duration {
+	if peers > manyDaemons {
+		return sparseEvery
+	}
+	return heartbeatEvery
+}
+
+// tellLoads tells the loads that have changed since an earlier call; the
+// first one tells all.
+func (n *Node) tellLoads(conn net.Conn, seen uint64) (uint64, error) {
+	loads, last := n.traffic.LoadsSince(seen)
+	if len(loads) == 0 && seen > 0 {
+		return last, nil
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return seen, err
+	}
+	return last, frame.Write(conn, frameLoads, LoadNews{From: n.cfg.ID, All: seen == 0, Loads: loads})
+}
+
+// tellConfig hands the configuration over to a daemon that asks for it.
+func (n *Node) tellConfig(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
+	v := n.View()
+	if !v.wantedBy[to] || v.Routing == nil || v.Routing.Version <= told {
+		return told, nil
+	}
+	c := ConfigCopy{Version: v.Routing.Version, Age: time.Since(v.Proven), Data: v.config}
+	return c.Version, frame.Write(conn, frameConfig, c)
+}
+
+// stalledHeads lists the heads that this node itself found stalled.
+func (n *Node) stalledHeads() []StalledHead { return n.View().stalled }
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -8,29 +8,6 @@
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
-// Load is what an instance has to do for one daemon, or for several.
-type Load struct {
-	// Requests counts those under way, Unread the prompt tokens of those
-	// that have had no answer yet.
-	Requests int `msgpack:"r"`
-	Unread   int `msgpack:"u"`
-}
-
-// LoadNews tells the loads that a daemon causes at instances. All tells that
-// it causes none at any other.
-type LoadNews struct {
-	From  models.DaemonID            `msgpack:"id"`
-	All   bool                       `msgpack:"a"`
-	Loads map[models.InstanceID]Load `msgpack:"l"`
-	// Stalled are heads that the daemon just found to stand still.
-	Stalled []StalledHead `msgpack:"s"`
-	// Instances are told by the daemon that plans, in its term. Feed counts
-	// such news, so that a daemon knows when it missed some.
-	Term      int64          `msgpack:"t"`
-	Feed      int64          `msgpack:"f"`
-	Instances []InstanceNews `msgpack:"n"`
-}
-
 // peerLoads sums what other daemons tell of the loads that they cause. It is
 // safe for use by several goroutines.
 type peerLoads struct {
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -1,20 +1,6 @@
 package cluster
 
-import (
-	"time"
-
-	"github.com/lupinkeel/lupinkeel/models"
-)
-
-// InstanceNews is what the daemon that plans has learned of an instance.
-type InstanceNews struct {
-	Instance models.UpstreamInstance `msgpack:"i"`
-	// Age is how long ago it was so.
-	Age time.Duration `msgpack:"a"`
-	// Lost tells that the instance does not answer, Gone that its entry went.
-	Lost bool `msgpack:"l"`
-	Gone bool `msgpack:"g"`
-}
+import "time"
 
 // entryLag is how long an instance's entry may lag behind what the instance
 // itself tells: the store takes some ms, a slow store hundreds.
--- /dev/null
+++ b/cluster/peerserver.go
@@ -0,0 +1,101 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/frame"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// readTimeout is how long a connection may bring nothing: more than two of
+// the rarest heartbeats.
+const readTimeout = 3 * time.Second
+
+// peerServer takes in what other daemons tell.
+type peerServer struct {
+	n        *Node
+	listener net.Listener
+}
+
+func listenPeers(n *Node) (*peerServer, error) {
+	l, err := net.Listen("tcp4", n.cfg.Peer.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for daemons: %w", err)
+	}
+	return &peerServer{n: n, listener: l}, nil
+}
+
+func (s *peerServer) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("accept a daemon: %w", err)
+		}
+		task.Start(ctx, "peer", func(ctx context.Context) error { return s.serve(ctx, conn) })
+	}
+}
+
+func (s *peerServer) serve(ctx context.Context, conn net.Conn) error {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	var from models.DaemonID
+	r := bufio.NewReader(conn)
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+			return err
+		}
+		kind, body, err := frame.Read(r)
+		if err == nil {
+			from, err = s.take(ctx, kind, body, from)
+		}
+		if err != nil {
+			s.n.tell(ctx, peerLost{id: from, err: err})
+			return err
+		}
+	}
+}
+
+func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from models.DaemonID) (models.DaemonID, error) {
+	switch kind {
+	case frameHeartbeat:
+		var b Heartbeat
+		if err := frame.Decode(body, &b); err != nil {
+			return from, err
+		}
+		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
+		return b.From, nil
+	case frameLoads:
+		var news LoadNews
+		if err := frame.Decode(body, &news); err != nil {
+			return from, err
+		}
+		s.n.peerLoads.take(news)
+		if news.Term > 0 {
+			s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, at: time.Now()})
+		}
+		for _, head := range news.Stalled {
+			s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
+		}
+		return from, nil
+	case frameConfig:
+		var c ConfigCopy
+		if err := frame.Decode(body, &c); err != nil {
+			return from, err
+		}
+		s.n.tell(ctx, peerConfig{config: c})
+		return from, nil
+	default:
+		return from, fmt.Errorf("%w: kind %d", frame.ErrFormat, kind)
+	}
+}
--- /dev/null
+++ b/cluster/roster.go
@@ -0,0 +1,51 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/pack"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+// rosterTopic is the store's topic in which each daemon enters itself.
+const rosterTopic = "daemons"
+
+// followRoster writes the node's own entry and keeps a connection to every
+// daemon that has one.
+func (n *Node) followRoster(ctx context.Context) error {
+	if err := n.enroll(ctx); err != nil {
+		return err
+	}
+	read := func(records []platform.KeyedRecord, _ time.Time) message {
+		n.links.update(ctx, records)
+		return rosterRead{records}
+	}
+	f := follower{n: n, topic: rosterTopic, wait: func() time.Duration { return rosterWait }, whole: read, added: read}
+	f.every = func() time.Duration { return 0 }
+	err := f.run(ctx)
+	return errors.Join(err, n.links.wait())
+}
+
+// enroll writes the node's entry until the store has taken it.
+func (n *Node) enroll(ctx context.Context) error {
+	value, err := pack.Marshal(rosterEntry{Zone: n.cfg.Zone, Addr: n.cfg.Peer.String(), Incarnation: n.started})
+	if err != nil {
+		return err
+	}
+	for {
+		n.stats.storeCalls.Inc()
+		limited, cancel := context.WithTimeout(ctx, answerSlack)
+		err := n.store.Put(limited, rosterTopic, string(n.cfg.ID), value)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		n.stats.storeErrors.Inc()
+		n.tell(ctx, storeAway{what: rosterTopic, err: err})
+		if err := pause(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/cluster/wire.go
@@ -0,0 +1,90 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/frame"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// Kinds of frames between daemons.
+const (
+	frameHeartbeat frame.Kind = iota + 1
+	frameConfig
+	frameLoads
+)
+
+// Heartbeat is what a daemon tells every other one.
+type Heartbeat struct {
+	From        models.DaemonID `msgpack:"id"`
+	Incarnation int64           `msgpack:"in"`
+	// ConfigVersion is the version in force, ConfigAge how long ago it was
+	// known to be the newest.
+	ConfigVersion int64         `msgpack:"cv"`
+	ConfigAge     time.Duration `msgpack:"ca"`
+	// Term is that of the planner that the daemon believes in.
+	Term int64 `msgpack:"t"`
+	// Wants names a daemon that is to hand its configuration over, since it
+	// has a newer one.
+	Wants models.DaemonID `msgpack:"w2"`
+	// Power is the part of a core that the daemon may use.
+	Power float64 `msgpack:"p"`
+	// Stalled are heads at which nothing moves.
+	Stalled []StalledHead `msgpack:"s"`
+	// Work is what the daemon's callers ask of each model, in seconds of a
+	// replica group for each second.
+	Work map[models.ModelName]float64 `msgpack:"w"`
+}
+
+// StalledHead names a head at which nothing moves.
+type StalledHead struct {
+	Group models.GroupKey   `msgpack:"g"`
+	Head  models.InstanceID `msgpack:"h"`
+}
+
+// ConfigCopy is a configuration handed from one daemon to another.
+type ConfigCopy struct {
+	Version int64         `msgpack:"v"`
+	Age     time.Duration `msgpack:"a"`
+	Data    []byte        `msgpack:"d"`
+}
+
+// rosterEntry is what a daemon writes of itself into the store.
+type rosterEntry struct {
+	Zone        models.Zone `msgpack:"z"`
+	Addr        string      `msgpack:"a"`
+	Incarnation int64       `msgpack:"i"`
+}
+
+// Load is what an instance has to do for one daemon, or for several.
+type Load struct {
+	// Requests counts those under way, Unread the prompt tokens of those
+	// that have had no answer yet.
+	Requests int `msgpack:"r"`
+	Unread   int `msgpack:"u"`
+}
+
+// LoadNews tells the loads that a daemon causes at instances. All tells that
+// it causes none at any other.
+type LoadNews struct {
+	From  models.DaemonID            `msgpack:"id"`
+	All   bool                       `msgpack:"a"`
+	Loads map[models.InstanceID]Load `msgpack:"l"`
+	// Stalled are heads that the daemon just found to stand still.
+	Stalled []StalledHead `msgpack:"s"`
+	// Instances are told by the daemon that plans, in its term. Feed counts
+	// such news, so that a daemon knows when it missed some.
+	Term      int64          `msgpack:"t"`
+	Feed      int64          `msgpack:"f"`
+	Instances []InstanceNews `msgpack:"n"`
+}
+
+// InstanceNews is what the daemon that plans has learned of an instance.
+type InstanceNews struct {
+	Instance models.UpstreamInstance `msgpack:"i"`
+	// Age is how long ago it was so.
+	Age time.Duration `msgpack:"a"`
+	// Lost tells that the instance does not answer, Gone that its entry went.
+	Lost bool `msgpack:"l"`
+	Gone bool `msgpack:"g"`
+}
