--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// noDeadline bounds a request whose caller and route name no time.
+const noDeadline = time.Minute
+
+// admit finds the route and the workspace and reads the body.
+func (e *exchange) admit() error {
+	v := e.g.node.View()
+	if v.Routing == nil {
+		return errNoConfig
+	}
+	known := false
+	e.route, known = v.Routing.Match(e.r.Host, e.r.URL.EscapedPath())
+	if !known {
+		if !e.g.current(v, e.g.cfg.ConfigBound) {
+			return errStaleKeys
+		}
+		return errNoRoute
+	}
+	if err := e.authorize(v); err != nil {
+		return err
+	}
+	e.until = e.began.Add(noDeadline)
+	if e.route.Timeout > 0 {
+		e.until = e.began.Add(e.route.Timeout)
+	}
+	if d := e.head.Deadline; d > 0 && e.began.Add(d).Before(e.until) {
+		e.until = e.began.Add(d)
+	}
+	h := fnv.New64a()
+	h.Write([]byte(e.head.ID))
+	e.service = pickService(e.route, h.Sum64())
+	return e.readBody(v.Routing.Limits.BodyBytes)
+}
+
+func (e *exchange) authorize(v *cluster.View) error {
+	if !v.Routing.Keyed || e.route.Open {
+		return nil
+	}
+	if !e.g.current(v, e.g.cfg.KeysBound) {
+		return errStaleKeys
+	}
+	holder, known := v.Routing.Keys[e.head.Key]
+	switch {
+	case known:
+		e.holder = holder
+		return nil
+	case e.g.current(v, e.g.cfg.ConfigBound):
+		return errBadKey
+	default:
+		return errStaleKeys
+	}
+}
+
+func (e *exchange) readBody(limit int64) error {
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return errTooLarge
+	case err != nil:
+		return errors.Join(errBody, err)
+	}
+	e.body = body
+	return nil
+}
+
+// pickService picks one of a route's services by weight, the same one for
+// every try of a request.
+func pickService(route models.Route, point uint64) models.ServiceName {
+	total := 0
+	for _, t := range route.Targets {
+		total += max(0, t.Weight)
+	}
+	if total == 0 {
+		return route.Targets[0].Service
+	}
+	at := int(point % uint64(total))
+	for _, t := range route.Targets {
+		if at -= max(0, t.Weight); at < 0 {
+			return t.Service
+		}
+	}
+	return route.Targets[0].Service
+}
--- a/gateway/leg.go
+++ b/gateway/leg.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -152,69 +151,3 @@
 	}
 	return l.s.g.balance.patience(l.s.head.Model, pass)
 }
-
-// rival is a second run that was begun because nothing came from the first.
-// Whichever has the next event first goes on.
-type rival struct {
-	*leg
-	// ended yields nil once the run has its first event, or its error.
-	ended chan error
-	// result holds what ended yielded, if over.
-	result error
-	over   bool
-}
-
-// newRival begins a second run in the background.
-func (s *stream) newRival(group cluster.Group) *rival {
-	r := &rival{leg: s.newLeg(group), ended: make(chan error, 1)}
-	r.patience = func(time.Duration) time.Duration { return rivalStep }
-	go func() {
-		event, err := r.next()
-		if err == nil {
-			r.ahead = &event
-		}
-		r.ended <- err
-	}()
-	return r
-}
-
-// done reports whether the run has its first event or failed.
-func (r *rival) done() bool {
-	if r.over {
-		return true
-	}
-	select {
-	case r.result = <-r.ended:
-		r.over = true
-	default:
-	}
-	return r.over
-}
-
-// wait waits for the run's first event.
-func (r *rival) wait() error {
-	if !r.over {
-		r.result, r.over = <-r.ended, true
-	}
-	return r.result
-}
-
-// abandon ends the run and waits until nothing of it is left.
-func (r *rival) abandon() {
-	r.cancel()
-	// The run is over either way; its error tells nothing new.
-	_ = r.wait()
-	r.close()
-}
-
-// check refuses an event that does not follow the last one.
-func (s *stream) check(event sse.Event) error {
-	if !event.HasID {
-		return nil
-	}
-	if s.begun && event.ID != s.last+1 {
-		return fmt.Errorf("%w: %w: %d follows %d", errMayHaveRun, errGap, event.ID, s.last)
-	}
-	s.last, s.begun = event.ID, true
-	return nil
-}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -204,22 +204,3 @@
 func (g *Gateway) current(v *cluster.View, bound time.Duration) bool {
 	return v.Routing != nil && time.Since(v.Proven) < bound
 }
-
-// pickService picks one of a route's services by weight, the same one for
-// every try of a request.
-func pickService(route models.Route, point uint64) models.ServiceName {
-	total := 0
-	for _, t := range route.Targets {
-		total += max(0, t.Weight)
-	}
-	if total == 0 {
-		return route.Targets[0].Service
-	}
-	at := int(point % uint64(total))
-	for _, t := range route.Targets {
-		if at -= max(0, t.Weight); at < 0 {
-			return t.Service
-		}
-	}
-	return route.Targets[0].Service
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,7 +11,6 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
-	"github.com/lupinkeel/lupinkeel/models"
 )
 
 const (
@@ -184,77 +183,6 @@
 	return s.g.budget.repeat(time.Now(), s.g.node.View().Daemons)
 }
 
-// dropRival ends a rival that the first run has outpaced.
-func (s *stream) dropRival() {
-	if s.rival == nil {
-		return
-	}
-	s.rival.abandon()
-	s.rival = nil
-}
-
-// addWork counts what the request asks of its model.
-func (e *exchange) addWork() {
-	service, known := e.g.node.View().Routing.Services[e.service]
-	if !known || service.Engine == nil {
-		return
-	}
-	profile, known := service.Engine.Model(e.head.Model)
-	if !known {
-		return
-	}
-	e.g.balance.addWork(e.head.Model, groupSeconds(service.Engine, profile, e.head))
-}
-
-// groupSeconds is how long a request occupies a whole group that is half
-// full.
-func groupSeconds(engine *models.EngineProfile, model models.ModelProfile, head models.RequestHead) float64 {
-	read := float64(head.PromptTokens) / max(1, engine.ReadPerSecond)
-	half := max(1, float64(engine.Slots)/2)
-	token := engine.Step.Seconds()/half + engine.PerRequest.Seconds()
-	return (read + float64(head.AnswerTokens)*token) * model.Pace
-}
-
-// look returns the best group that was not tried, if there is one, and
-// whether it has a place.
-func (s *stream) look() (group cluster.Group, found, free bool) {
-	engine := s.g.node.View().Routing.Services[s.service].Engine
-	if engine == nil {
-		return group, false, false
-	}
-	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
-	if found && len(s.tried) == 0 {
-		s.load = load
-	}
-	return group, found, found && load < engine.Slots+overSlots
-}
-
-// pick waits for a group with a place. A stream that has begun takes any, and
-// waits as long as its caller puts up with a pause.
-func (s *stream) pick() (cluster.Group, error) {
-	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
-	if s.answering {
-		until = s.moved.Add(s.route.Pause)
-	}
-	for {
-		group, found, free := s.look()
-		if free || (found && s.answering) {
-			return group, nil
-		}
-		if time.Now().After(until) {
-			if found {
-				return group, errFull
-			}
-			return group, errNoUpstream
-		}
-		select {
-		case <-s.ctx.Done():
-			return group, errors.Join(errNoUpstream, s.ctx.Err())
-		case <-time.After(queueStep):
-		}
-	}
-}
-
 // patience decides how much longer to wait for a run from which nothing came.
 // A rival is begun if the whole group seems to stand still.
 func (s *stream) patience(silence time.Duration) time.Duration {
@@ -296,23 +224,6 @@
 	return rivalStep
 }
 
-// besideRival is patience for a run that has a rival.
-func (s *stream) besideRival() time.Duration {
-	if !s.rival.done() {
-		return rivalStep
-	}
-	if s.rival.result == nil {
-		// Ends this run; goOn changes over.
-		return 0
-	}
-	if errors.Is(s.rival.result, errNotRun) {
-		s.runs--
-	}
-	s.rival.close()
-	s.rival = nil
-	return rivalStep
-}
-
 // pass passes an event on.
 func (s *stream) pass(event sse.Event) error {
 	if !s.answering {
@@ -353,3 +264,15 @@
 	}
 	return nil
 }
+
+// check refuses an event that does not follow the last one.
+func (s *stream) check(event sse.Event) error {
+	if !event.HasID {
+		return nil
+	}
+	if s.begun && event.ID != s.last+1 {
+		return fmt.Errorf("%w: %w: %d follows %d", errMayHaveRun, errGap, event.ID, s.last)
+	}
+	s.last, s.begun = event.ID, true
+	return nil
+}
--- /dev/null
+++ b/gateway/work.go
@@ -0,0 +1,25 @@
+package gateway
+
+import "github.com/lupinkeel/lupinkeel/models"
+
+// addWork counts what the request asks of its model.
+func (e *exchange) addWork() {
+	service, known := e.g.node.View().Routing.Services[e.service]
+	if !known || service.Engine == nil {
+		return
+	}
+	profile, known := service.Engine.Model(e.head.Model)
+	if !known {
+		return
+	}
+	e.g.balance.addWork(e.head.Model, groupSeconds(service.Engine, profile, e.head))
+}
+
+// groupSeconds is how long a request occupies a whole group that is half
+// full.
+func groupSeconds(engine *models.EngineProfile, model models.ModelProfile, head models.RequestHead) float64 {
+	read := float64(head.PromptTokens) / max(1, engine.ReadPerSecond)
+	half := max(1, float64(engine.Slots)/2)
+	token := engine.Step.Seconds()/half + engine.PerRequest.Seconds()
+	return (read + float64(head.AnswerTokens)*token) * model.Pace
+}
