--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"math"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -159,85 +157,3 @@
 	defer b.mu.Unlock()
 	return b.loadAt(node, id)
 }
-
-// requestCost is how much a request that is being answered weighs against
-// prompts that are to be read: each slows a pass a little, and takes a slot.
-const requestCost = 2 * time.Millisecond
-
-// pickGroup returns the group that was not tried and that answers soonest,
-// and how many requests it has.
-func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	view := node.View()
-	groups := view.Groups[model]
-	best, requests, least := -1, 0, time.Duration(0)
-	order := rand.Perm(len(groups))
-	if !urgent(view, model) {
-		// What is known of the others' requests is old: the best of a few is
-		// then better than the best of all, which everybody would choose.
-		order = order[:min(len(order), fewGroups+len(tried))]
-	}
-	for _, i := range order {
-		g := groups[i]
-		if slices.Contains(tried, g.Head.ID) {
-			continue
-		}
-		load := b.loadAt(node, g.Head.ID)
-		cost := time.Duration(load.Requests) * requestCost
-		if engine.ReadPerSecond > 0 {
-			cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
-		}
-		if load.Requests >= engine.Slots {
-			cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
-		}
-		if best < 0 || cost < least {
-			best, requests, least = i, load.Requests, cost
-		}
-	}
-	if best < 0 {
-		return cluster.Group{}, 0, false
-	}
-	return groups[best], requests, true
-}
-
-const (
-	// manyDaemons is how many daemons may tell all others at once of every
-	// change, and someGroups how many groups a model may have for it to be
-	// worth while among more: the fewer, the more often two prompts meet.
-	manyDaemons = 20
-	someGroups  = 24
-	// fewGroups is among how many the best is chosen by old news.
-	fewGroups = 3
-)
-
-// urgent reports whether the others are to be told at once of the model's
-// requests.
-func urgent(v *cluster.View, model models.ModelName) bool {
-	return v.Daemons <= manyDaemons || len(v.Groups[model]) <= someGroups
-}
-
-// fullCost is how long a request waits at a full group for each one that is
-// ahead of it: about the time between two ends.
-const fullCost = 100 * time.Millisecond
-
-// pickInstance returns the instance of a plain service with the fewest
-// requests that was not tried.
-func (b *balance) pickInstance(node Beliefs, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	all := node.View().Services[service]
-	best, least := -1, 0
-	for _, i := range rand.Perm(len(all)) {
-		if slices.Contains(tried, all[i].ID) {
-			continue
-		}
-		if n := b.loadAt(node, all[i].ID).Requests; best < 0 || n < least {
-			best, least = i, n
-		}
-	}
-	if best < 0 {
-		return models.UpstreamInstance{}, false
-	}
-	return all[best], true
-}
--- a/gateway/rival.go
+++ b/gateway/rival.go
@@ -7,6 +7,9 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 )
 
+// rivalStep is how often a run that has a rival looks at it.
+const rivalStep = 8 * time.Millisecond
+
 // rival is a second run that was begun because nothing came from the first.
 // Whichever has the next event first goes on.
 type rival struct {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,11 +14,6 @@
 )
 
 const (
-	// queueStep is how often a waiting request looks for a place.
-	queueStep = 20 * time.Millisecond
-	// queuePart is the part of its aim that a request waits for a place, so
-	// that a refusal comes early enough to be made good elsewhere.
-	queuePart = 0.22
 	// firstPart is the part of its aim within which the first event of a
 	// request is waited for at a head of which nothing else is known.
 	firstPart = 0.75
@@ -26,10 +21,6 @@
 	// often one for which nothing more can be done.
 	firstStep   = 40 * time.Millisecond
 	givenUpStep = 250 * time.Millisecond
-	// rivalStep is how often a run that has a rival looks at it.
-	rivalStep = 8 * time.Millisecond
-	// overSlots is how many requests beyond its slots a group is sent.
-	overSlots = 2
 	// spareSends is how often a request may be sent beyond its attempts to
 	// instances that turn out not to run it.
 	spareSends = 3
