--- /dev/null
+++ b/cluster/config.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
+)
+
+// configState is the configuration in force.
+type configState struct {
+	routing *models.Routing
+	data    []byte
+	proven  time.Time
+}
+
+// behindFor is how long another daemon may have a newer configuration before
+// it is asked for it: usually this one's own reading of the store comes first.
+const behindFor = 500 * time.Millisecond
+
+// handleConfig takes a configuration in, or the proof that what is in force
+// was the newest at a time.
+func (o *owner) handleConfig(data []byte, asked time.Time, from string) {
+	if data == nil || bytes.Equal(data, o.config.data) {
+		if o.config.routing != nil && asked.After(o.config.proven) {
+			o.config.proven = asked
+			o.changed = true
+		}
+		return
+	}
+	routing, err := platform.DecodeRouting(data)
+	if err != nil {
+		o.n.log.Error().Err(err).Str("from", from).Msg("config-refused")
+		return
+	}
+	old := int64(0)
+	if o.config.routing != nil {
+		old = o.config.routing.Version
+	}
+	if routing.Version <= old {
+		o.n.log.Info().Int64("version", routing.Version).Int64("in-force", old).Str("from", from).Msg("config-older")
+		return
+	}
+	o.config = configState{routing: routing, data: data, proven: asked}
+	o.changed = true
+	o.n.log.Info().Int64("version", routing.Version).Int64("was", old).Str("from", from).Int("keys", len(routing.Keys)).
+		Int("hosts", len(routing.Hosts)).Msg("config-in-force")
+}
+
+// catchUp picks a daemon to be asked for a newer configuration.
+func (o *owner) catchUp(now time.Time) {
+	own := int64(0)
+	if r := o.config.routing; r != nil {
+		own = r.Version
+	}
+	var newer []models.DaemonID
+	for id, p := range o.peers.seen {
+		if p.beat.ConfigVersion > own {
+			newer = append(newer, id)
+		}
+	}
+	switch {
+	case len(newer) == 0:
+		o.peers.behind, o.peers.wants = time.Time{}, ""
+	case o.peers.behind.IsZero():
+		o.peers.behind = now
+	case now.Sub(o.peers.behind) > behindFor && !slices.Contains(newer, o.peers.wants):
+		o.peers.wants = newer[rand.IntN(len(newer))]
+		o.changed = true
+	}
+}
