--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -14,11 +14,9 @@
 	plannerPart  = 0
 	// termsTopic gives each planner its term: the offset of its record.
 	termsTopic = "terms"
-	// leaseFactor is how many times the shortest lease a lease lasts, and
-	// renewPart the part of it after which it is renewed.
-	leaseFactor = 1
-	leaseDiv    = 1
-	renewDiv    = 4
+	// renewDiv is how many times a lease is renewed while it lasts. It lasts
+	// as short as the store grants, so that another takes over soon.
+	renewDiv = 4
 	// leaseMargin is how much sooner than the store a holder takes its lease
 	// for ended.
 	leaseMargin = 100 * time.Millisecond
@@ -31,7 +29,7 @@
 
 // holdLease keeps asking the store for the planner's lease.
 func (n *Node) holdLease(ctx context.Context) error {
-	ttl := n.cfg.LeaseMin * leaseFactor / leaseDiv
+	ttl := n.cfg.LeaseMin
 	var generation, term int64
 	member := string(n.cfg.ID) + "-" + time.Unix(0, n.started).UTC().Format("150405.000")
 	defer n.leaveLease(ctx, member)
--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -92,14 +93,7 @@
 	err := i.server.Close()
 	written := i.written
 	time.AfterFunc(time.Until(written.Add(lapse*i.f.profile.Heartbeat)), func() { i.f.store.Put("servers", string(i.ID), nil) })
-	return errJoin(err, task.Wait(i.tasks...))
-}
-
-func errJoin(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
+	return errors.Join(err, task.Wait(i.tasks...))
 }
 
 // GoDark has the instance fall silent: it takes connections and answers
