--- a/fleet/form.go
+++ b/fleet/form.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
-	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
 // candidate is a group that could be formed.
@@ -199,77 +198,3 @@
 	r.take(f)
 	r.advance(f)
 }
-
-// staging is a model that an instance is loading onto its host.
-type staging struct {
-	model models.ModelName
-	until time.Time
-}
-
-// advanceStaging counts the stagings that are under way and forgets those
-// that ended.
-func (r *round) advanceStaging() {
-	for id, s := range r.staging {
-		if !r.usable(id) || slices.Contains(r.Instances[id].Staged, s.model) || r.Now.After(s.until) {
-			delete(r.staging, id)
-			continue
-		}
-		r.loading++
-		if sent := r.sent[id]; sent != nil && sent.order.Kind == types.GroupStage && sent.outcome == types.OrderUnknown && r.due(id, types.GroupStage, models.GroupKey{}) {
-			r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: s.model})
-		}
-	}
-}
-
-// stageAll has weights staged on free instances that have none of their
-// domain's model, first where a load brings the most instances to use. It
-// reports whether nothing was left to be staged.
-func (r *round) stageAll(free map[models.Domain][]models.InstanceID) bool {
-	type want struct {
-		id    models.InstanceID
-		model models.ModelProfile
-		// gain is how many instances are brought to use for each load.
-		gain float64
-	}
-	var wants []want
-	for domain, ids := range free {
-		model, known := r.wanted(domain)
-		if !known {
-			continue
-		}
-		warm := 0
-		var cold []models.InstanceID
-		for _, id := range ids {
-			if _, under := r.staging[id]; under || isWarm(r.Instances[id], model.Name) {
-				warm++
-			} else {
-				cold = append(cold, id)
-			}
-		}
-		for n, id := range cold {
-			missing := model.Size - (warm+n)%model.Size
-			wants = append(wants, want{id, model, float64(model.Size) / float64(missing)})
-		}
-	}
-	slices.SortFunc(wants, func(a, b want) int {
-		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.id, b.id))
-	})
-	for _, w := range wants {
-		if !r.mayLoad(1) {
-			return false
-		}
-		r.stage(w.id, w.model)
-	}
-	return true
-}
-
-// stage has an instance load a model onto its host.
-func (r *round) stage(id models.InstanceID, model models.ModelProfile) {
-	if !r.due(id, types.GroupStage, models.GroupKey{}) {
-		return
-	}
-	r.loading++
-	r.loads = append(r.loads, r.Now)
-	r.staging[id] = staging{model: model.Name, until: r.Now.Add(formFactor*model.Load + formSlack)}
-	r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: model.Name})
-}
--- /dev/null
+++ b/fleet/round.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// round is one call of Step.
+type round struct {
+	*Planner
+	World
+	groups map[models.GroupKey]*Group
+	orders []types.GroupOrder
+	// taken are instances that stay where they are or are going somewhere.
+	taken map[models.InstanceID]bool
+	// settled counts the instances of each model in groups that stand or
+	// are being made.
+	settled map[models.ModelName]int
+	// loading counts instances that are loading weights.
+	loading int
+}
+
+// forget drops what is kept of instances that are gone.
+func (r *round) forget() {
+	for id := range r.sent {
+		if _, there := r.Instances[id]; !there {
+			delete(r.sent, id)
+		}
+	}
+	for id, until := range r.held {
+		if r.Now.After(until) {
+			delete(r.held, id)
+		}
+	}
+	kept := r.loads[:0]
+	for _, at := range r.loads {
+		if r.Now.Sub(at) < loadWindow {
+			kept = append(kept, at)
+		}
+	}
+	r.loads = kept
+}
+
+// due reports whether an order of this kind may be given to the instance
+// now: not while the same one is under way.
+func (r *round) due(id models.InstanceID, kind types.GroupOrderKind, key models.GroupKey) bool {
+	s := r.sent[id]
+	if s == nil {
+		return true
+	}
+	if s.outcome == pending && r.Now.Sub(s.at) < repeatAfter {
+		// Orders that cross on the way could arrive in the wrong order.
+		return false
+	}
+	if s.order.Kind != kind || s.order.Group != key {
+		return true
+	}
+	if s.outcome == types.OrderBegun && kind == types.GroupCut {
+		return r.Now.Sub(s.at) >= repeatClose
+	}
+	if s.outcome == types.OrderBegun && kind == types.GroupFinish {
+		return r.Now.Sub(s.at) >= repeatFinish
+	}
+	return r.Now.Sub(s.at) >= repeatAfter
+}
+
+func (r *round) order(o types.GroupOrder) {
+	o.Fence = r.next()
+	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: pending}
+	r.orders = append(r.orders, o)
+}
