--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,25 +18,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Request is one request as it goes onto the wire.
-type Request struct {
-	Method string
-	// Target is the path and query as the caller wrote them.
-	Target string
-	Host   string
-	Header http.Header
-	Body   []byte
-	// Freshest is the longest time that a connection may have rested to be
-	// used again; 0 asks for a new connection.
-	Freshest time.Duration
-	// Mine, if set, tells an answer's head from that of another request,
-	// which is read to its end and dropped.
-	Mine func(http.Header) bool
-	// Patience, if set, tells how much longer to wait for the next bytes when
-	// none came for so long; 0 ends the request.
-	Patience Patience
-}
-
 // Patience tells how much longer to wait after a silence. Each wait for bytes
 // begins with a silence of 0.
 type Patience func(silence time.Duration) time.Duration
@@ -45,17 +25,6 @@
 // ErrStalled is returned by reads that a Patience ended.
 var ErrStalled = errors.New("the answer stands still")
 
-// Response is the head of an answer. Its body must be closed; one that was
-// read to its end before gives the connection back to the pool.
-type Response struct {
-	Status int
-	Header http.Header
-	Body   *Body
-	// Framed tells that the answer's length is known or marked, so that an
-	// end of the connection can't pass for the end of the body.
-	Framed bool
-}
-
 type conn struct {
 	pool *Pool
 	addr netip.AddrPort
@@ -154,23 +123,6 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: framed}, nil
 }
 
-func (r Request) encode() []byte {
-	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	for name, values := range r.Header {
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
-}
-
 // maxDropped bounds the body of a dropped answer, in bytes.
 const maxDropped = 1 << 20
 
@@ -208,54 +160,3 @@
 		}
 	}
 }
-
-// Body is the body of an answer.
-type Body struct {
-	c        *conn
-	r        io.ReadCloser
-	stop     func() bool
-	reusable bool
-	ended    bool
-	failed   bool
-}
-
-// Read reads from the body; io.EOF is its proper end.
-func (b *Body) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		b.ended = true
-	case err != nil:
-		b.failed = true
-	}
-	return n, err
-}
-
-// SetPatience changes who is asked when nothing comes.
-func (b *Body) SetPatience(p Patience) { b.c.patience = p }
-
-// Buffered tells how many bytes have come that are not read yet.
-func (b *Body) Buffered() int { return b.c.br.Buffered() }
-
-// Discard closes the connection, which tells the upstream to stop.
-func (b *Body) Discard() {
-	b.stop()
-	b.c.close()
-}
-
-// Close gives the connection back to the pool if the body was read to its
-// end and nothing follows it, and closes it otherwise.
-func (b *Body) Close() error {
-	live := b.stop()
-	if !live || !b.ended || b.failed || !b.reusable || b.c.br.Buffered() > 0 {
-		b.c.close()
-		return nil
-	}
-	b.c.patience = nil
-	if err := b.c.nc.SetReadDeadline(time.Time{}); err != nil {
-		b.c.close()
-		return err
-	}
-	b.c.pool.put(b.c)
-	return nil
-}
