cluster, gateway: say what fields hold, drop doubled logic

Whether an instance has a model at hand is told by fleet.IsWarm alone, so the test that called isWarm calls it by that name; a heartbeat reads one view. The Content-Length set on a unary answer's head never went out, since headers of one connection are not passed on. demandKept spoke of ten plannings a second where there are twenty.

--- a/cluster/asks.go
+++ b/cluster/asks.go
@@ -84,7 +84,7 @@
 	}
 	switch o.fleet.planner.Expects(k.ID) {
 	case types.GroupJoin:
-		return k.Group.State == models.MemberJoining && isWarm(k.UpstreamInstance)
+		return k.Group.State == models.MemberJoining && joinedWarm(k.UpstreamInstance)
 	case types.GroupOpen:
 		return k.Group.State == models.MemberReady
 	default:
@@ -92,11 +92,10 @@
 	}
 }
 
-// isWarm reports whether the instance had the weights of its group's model
+// joinedWarm reports whether the instance had the weights of its group's model
 // when it joined, so that it is done within a second or two.
-func isWarm(i models.UpstreamInstance) bool {
-	model := fleet.ModelOf(i.Group.Key.Name)
-	return i.Loaded == model || slices.Contains(i.Staged, model)
+func joinedWarm(i models.UpstreamInstance) bool {
+	return fleet.IsWarm(i, fleet.ModelOf(i.Group.Key.Name))
 }
 
 // askDue asks the instances whose orders should be done by now.
--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -10,7 +10,8 @@
 
 const (
 	// demandKept is the part of the former estimate that is kept at each
-	// planning; at ten a second the estimate follows within two seconds.
+	// planning, twenty times a second: the estimate follows within two
+	// seconds.
 	demandKept = 0.95
 	// leastWork is the work, in groups, below which the shares declared in
 	// the configuration are used.
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -13,15 +13,17 @@
 // fleetState is what is known of the upstream instances.
 type fleetState struct {
 	instances map[models.InstanceID]*knownInstance
-	planner   *fleet.Planner
-	until     time.Time
+	// planner is set while this node plans, which its lease lets it until.
+	planner *fleet.Planner
+	until   time.Time
 	// heldTerm is the term of the lease.
 	heldTerm int64
 	// planned is when orders were last planned.
 	planned time.Time
 	// suspects are stalled heads, until when.
 	suspects map[models.InstanceID]suspicion
-	traffic  bool
+	// traffic tells that requests have come to any daemon.
+	traffic bool
 	// due are instances to be asked for a report, and when.
 	due map[models.InstanceID]time.Time
 	// news is what is to be told to the other daemons.
@@ -30,10 +32,13 @@
 	feed int64
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
-	demand       map[models.ModelName]float64
-	busy         map[models.ModelName]float64
+	// demand is the part of all instances that each model needs, busy how many
+	// requests its groups have, both averaged.
+	demand map[models.ModelName]float64
+	busy   map[models.ModelName]float64
 }
 
+// suspicion is that nothing moves at a group's head.
 type suspicion struct {
 	group models.GroupKey
 	until time.Time
@@ -41,6 +46,7 @@
 	own bool
 }
 
+// knownInstance is an upstream instance and how fresh what is known of it is.
 type knownInstance struct {
 	models.UpstreamInstance
 	// told is when the newest entry or report was asked for.
@@ -48,16 +54,22 @@
 	// written is when a new entry was last seen.
 	written time.Time
 	// lost is since when it does not answer; zero while it does.
-	lost  time.Time
+	lost time.Time
+	// asked is when it was last asked for a report.
 	asked time.Time
 	// spread is what the other daemons were told last.
 	spread models.UpstreamInstance
 }
 
 func newFleetState() fleetState {
-	return fleetState{instances: map[models.InstanceID]*knownInstance{}, suspects: map[models.InstanceID]suspicion{}, due: map[models.InstanceID]time.Time{}}
+	return fleetState{
+		instances: map[models.InstanceID]*knownInstance{},
+		suspects:  map[models.InstanceID]suspicion{},
+		due:       map[models.InstanceID]time.Time{},
+	}
 }
 
+// term is the term in which this node plans, 0 if it does not.
 func (f *fleetState) term() int64 {
 	if f.planner == nil {
 		return 0
@@ -74,10 +86,10 @@
 }
 
 // stalledHeads lists what this node itself found to stand still.
-func (f *fleetState) stalledHeads() []StalledHead {
+func (f *fleetState) stalledHeads(now time.Time) []StalledHead {
 	var out []StalledHead
 	for id, s := range f.suspects {
-		if s.own && time.Now().Before(s.until) {
+		if s.own && now.Before(s.until) {
 			out = append(out, StalledHead{Group: s.group, Head: id})
 		}
 	}
@@ -97,7 +109,8 @@
 
 // serving lists the groups and the plain instances that take requests.
 func (f *fleetState) serving(routing *models.Routing, now time.Time) (map[models.ModelName][]Group, map[models.ServiceName][]models.UpstreamInstance) {
-	groups, services := map[models.ModelName][]Group{}, map[models.ServiceName][]models.UpstreamInstance{}
+	groups := map[models.ModelName][]Group{}
+	services := map[models.ServiceName][]models.UpstreamInstance{}
 	if routing == nil {
 		return groups, services
 	}
@@ -113,7 +126,9 @@
 			sound = sound && f.instances[id].lost.IsZero()
 		}
 		if sound {
-			groups[g.Model] = append(groups[g.Model], Group{Key: g.Key, Model: g.Model, Service: head.Service, Head: head.UpstreamInstance, Members: members})
+			groups[g.Model] = append(groups[g.Model], Group{
+				Key: g.Key, Model: g.Model, Service: head.Service, Head: head.UpstreamInstance, Members: members,
+			})
 		}
 	}
 	for _, i := range f.instances {
@@ -124,6 +139,7 @@
 	return groups, services
 }
 
+// usable reports whether requests may be sent to the instance.
 func (f *fleetState) usable(i *knownInstance, now time.Time) bool {
 	s, suspect := f.suspects[i.ID]
 	return !i.Draining && i.lost.IsZero() && !(suspect && now.Before(s.until))
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -16,10 +16,12 @@
 	// there are many, all but the one that plans do so less often.
 	heartbeatEvery = 300 * time.Millisecond
 	sparseEvery    = 1200 * time.Millisecond
-	manyDaemons    = 20
+	// manyDaemons is beyond how many others news is told less often.
+	manyDaemons = 20
 	// writeTimeout bounds the sending of one message to another daemon.
 	writeTimeout = 500 * time.Millisecond
-	redialPause  = 300 * time.Millisecond
+	// redialPause is the first pause before a connection is made again.
+	redialPause = 300 * time.Millisecond
 	// mostRedial bounds the pause, which doubles while a daemon does not
 	// answer: those that were replaced at another address never will.
 	mostRedial = 1200 * time.Millisecond
@@ -96,7 +98,7 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return told, err
 	}
-	if err := frame.Write(conn, frameHeartbeat, n.heartbeat(n.stalledHeads())); err != nil {
+	if err := frame.Write(conn, frameHeartbeat, n.heartbeat()); err != nil {
 		return told, err
 	}
 	return n.tellConfig(conn, to, told)
@@ -132,6 +134,3 @@
 	c := ConfigCopy{Version: v.Routing.Version, Age: time.Since(v.Proven), Data: v.config}
 	return c.Version, frame.Write(conn, frameConfig, c)
 }
-
-// stalledHeads lists the heads that this node itself found stalled.
-func (n *Node) stalledHeads() []StalledHead { return n.View().stalled }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -135,18 +135,20 @@
 
 // publish shows the others what the owner believes.
 func (o *owner) publish() {
-	o.changed, o.published = false, time.Now()
+	now := time.Now()
+	o.changed, o.published = false, now
 	v := &View{
 		Routing: o.config.routing, Proven: o.config.proven, Daemons: len(o.peers.seen) + 1,
 		Term:    max(o.peers.term, o.fleet.term()),
-		Planner: o.fleet.planner != nil, candidate: o.candidate(), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{}, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(),
+		Planner: o.fleet.planner != nil, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(now),
+		candidate: o.candidate(), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{},
 	}
 	for id, p := range o.peers.seen {
 		if p.beat.Wants == o.n.cfg.ID {
 			v.wantedBy[id] = true
 		}
 	}
-	v.Suspects = o.fleet.suspected(time.Now())
-	v.Groups, v.Services = o.fleet.serving(o.config.routing, time.Now())
+	v.Suspects = o.fleet.suspected(now)
+	v.Groups, v.Services = o.fleet.serving(o.config.routing, now)
 	o.n.view.Store(v)
 }
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -88,11 +88,11 @@
 }
 
 // heartbeat is what the node tells others now.
-func (n *Node) heartbeat(stalled []StalledHead) Heartbeat {
+func (n *Node) heartbeat() Heartbeat {
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Term: v.Term,
-		Power: n.cfg.Power, Wants: v.wants, Work: n.traffic.Work(), Stalled: stalled,
+		Power: n.cfg.Power, Wants: v.wants, Work: n.traffic.Work(), Stalled: v.stalled,
 	}
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -83,10 +83,13 @@
 func (o *owner) planService(name models.ServiceName, engine *models.EngineProfile, now time.Time) {
 	f := &o.fleet
 	world := fleet.World{
-		Now: now, Profile: engine, Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
-		Demand: o.demand(engine),
+		Now: now, Profile: engine, Demand: o.demand(engine),
+		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
 	}
+	// Demand has just noted whether there is traffic.
 	world.Traffic, world.Busy = f.traffic, o.busy(engine, now)
+	_, away := o.away[platform.InstancesTopic]
+	overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
 	for id, i := range f.instances {
 		if i.Service != name {
 			continue
@@ -95,8 +98,7 @@
 		if !i.lost.IsZero() {
 			world.Lost[id] = true
 		}
-		overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
-		if _, away := o.away[platform.InstancesTopic]; !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
+		if !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
 			o.ask(i, now, patientReport)
 		}
 	}
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -74,7 +74,7 @@
 	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
 		c := &conversion{model: to, until: r.Now.Add(convertWithin)}
 		for _, id := range free[domain] {
-			if isWarm(r.Instances[id], to.Name) && len(c.members) < to.Size {
+			if IsWarm(r.Instances[id], to.Name) && len(c.members) < to.Size {
 				c.members = append(c.members, id)
 			}
 		}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -151,7 +151,7 @@
 		return false
 	}
 	for id := range loading {
-		if isWarm(r.Instances[id], owner.Name) {
+		if IsWarm(r.Instances[id], owner.Name) {
 			return false
 		}
 	}
--- a/fleet/layout.go
+++ b/fleet/layout.go
@@ -75,7 +75,7 @@
 func (r *round) bestDomain(model models.ModelProfile, open []models.Domain, zones map[models.Domain]models.Zone) int {
 	warm := map[models.Domain]int{}
 	for _, i := range r.Instances {
-		if isWarm(i, model.Name) {
+		if IsWarm(i, model.Name) {
 			warm[i.Domain]++
 		}
 	}
@@ -94,6 +94,8 @@
 	return best
 }
 
-func isWarm(i models.UpstreamInstance, model models.ModelName) bool {
+// IsWarm reports whether an instance has a model's weights at hand, in use or
+// on its host.
+func IsWarm(i models.UpstreamInstance, model models.ModelName) bool {
 	return i.Loaded == model || slices.Contains(i.Staged, model)
 }
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -112,7 +112,7 @@
 	case "staged":
 		n := 0
 		for _, i := range s.instances {
-			if !i.dead && isWarm(i.UpstreamInstance, models.ModelName(words[1])) {
+			if !i.dead && IsWarm(i.UpstreamInstance, models.ModelName(words[1])) {
 				n++
 			}
 		}
--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -41,7 +41,9 @@
 			continue
 		}
 		r.loading++
-		if sent := r.sent[id]; sent != nil && sent.order.Kind == types.GroupStage && sent.outcome == types.OrderUnknown && r.due(id, types.GroupStage, models.GroupKey{}) {
+		sent := r.sent[id]
+		unheard := sent != nil && sent.order.Kind == types.GroupStage && sent.outcome == types.OrderUnknown
+		if unheard && r.due(id, types.GroupStage, models.GroupKey{}) {
 			r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: s.model})
 		}
 	}
@@ -66,7 +68,7 @@
 		warm := 0
 		var cold []models.InstanceID
 		for _, id := range ids {
-			if _, under := r.staging[id]; under || isWarm(r.Instances[id], model.Name) {
+			if _, under := r.staging[id]; under || IsWarm(r.Instances[id], model.Name) {
 				warm++
 			} else {
 				cold = append(cold, id)
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -145,13 +145,13 @@
 	maps.DeleteFunc(b.stamps, func(id models.InstanceID, _ uint64) bool { return gone(id) })
 }
 
-// loadAt is what an instance has from all daemons.
+// loadAt is what an instance has from all daemons. The balance must be locked.
 func (b *balance) loadAt(node Beliefs, id models.InstanceID) cluster.Load {
 	own, peers := b.loads[id], node.PeersLoad(id)
 	return cluster.Load{Requests: own.Requests + peers.Requests, Unread: own.Unread + peers.Unread}
 }
 
-// loadNow is what an instance has from all daemons.
+// loadNow is loadAt for a balance that is not locked.
 func (b *balance) loadNow(node Beliefs, id models.InstanceID) cluster.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/leg.go
+++ b/gateway/leg.go
@@ -44,7 +44,7 @@
 	// next one, and by the end of this one its prompts count as read.
 	moved    time.Time
 	expected time.Duration
-	// next is an event that was read ahead.
+	// ahead is an event that was read before it was asked for.
 	ahead *sse.Event
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -104,8 +104,10 @@
 		first = e.first.Sub(e.began)
 		e.g.stats.firstByte.Update(first.Seconds())
 	}
-	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("model", string(e.head.Model)).Dur("aim", e.route.Aim).Int64("config", version).Str("workspace", string(e.holder.Workspace)).
+	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("model", string(e.head.Model)).
+		Dur("aim", e.route.Aim).Int64("config", version).Str("workspace", string(e.holder.Workspace)).
 		Str("outcome", string(end)).Int("status", status).Str("instance", string(e.at.ID)).Str("zone", string(e.at.Zone)).
-		Str("group", string(e.group.Name)).Int("sent", len(e.tried)).Int("load", e.load).Dur("first", first).Dur("gap", e.gap).Dur("took", time.Since(e.began)).
+		Str("group", string(e.group.Name)).Int("sent", len(e.tried)).Int("load", e.load).
+		Dur("first", first).Dur("gap", e.gap).Dur("took", time.Since(e.began)).
 		Msg("request-ended")
 }
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -83,9 +83,8 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
-	if _, given := resp.Header["Content-Length"]; !given && e.r.Method != http.MethodHead {
-		resp.Header.Set("Content-Length", strconv.Itoa(len(body)))
-	}
+	// The instance's own length is not passed on, as it concerns its
+	// connection.
 	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.writeHead(resp.Status, resp.Header)
 	_, err = e.w.Write(body)
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -39,9 +39,10 @@
 // Pool keeps idle connections, by address. The zero value is not usable; see
 // NewPool.
 type Pool struct {
-	// DialTimeout bounds how long a connection may take to be made.
+	// dialTimeout bounds how long a connection may take to be made.
 	dialTimeout time.Duration
-	opened      func()
+	// opened is called for each new connection; it may be nil.
+	opened func()
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
