--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -83,30 +83,17 @@
 	}
 )
 
-func (newsSeen) isMessage() {}
-
-func (configRead) isMessage() {}
-
-func (instancesRead) isMessage() {}
-
+func (newsSeen) isMessage()         {}
+func (configRead) isMessage()       {}
+func (instancesRead) isMessage()    {}
 func (instancesChanged) isMessage() {}
-
-func (rosterRead) isMessage() {}
-
-func (storeAway) isMessage() {}
-
-func (leaseHeld) isMessage() {}
-
-func (leaseLost) isMessage() {}
-
-func (heartbeatSeen) isMessage() {}
-
-func (peerConfig) isMessage() {}
-
-func (peerLost) isMessage() {}
-
-func (orderEnded) isMessage() {}
-
-func (reportEnded) isMessage() {}
-
-func (stalled) isMessage() {}
+func (rosterRead) isMessage()       {}
+func (storeAway) isMessage()        {}
+func (leaseHeld) isMessage()        {}
+func (leaseLost) isMessage()        {}
+func (heartbeatSeen) isMessage()    {}
+func (peerConfig) isMessage()       {}
+func (peerLost) isMessage()         {}
+func (orderEnded) isMessage()       {}
+func (reportEnded) isMessage()      {}
+func (stalled) isMessage()          {}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -114,11 +114,9 @@
 // discard takes an answer that is to be lost.
 type discard struct{ header http.Header }
 
-func (d discard) Header() http.Header { return d.header }
-
+func (d discard) Header() http.Header         { return d.header }
 func (d discard) Write(p []byte) (int, error) { return len(p), nil }
-
-func (d discard) WriteHeader(int) {}
+func (d discard) WriteHeader(int)             {}
 
 func where(r *http.Request) (string, int, error) {
 	part, err := strconv.Atoi(r.URL.Query().Get("part"))
