gateway: call a stream's runs and hedges by the usual words

leg and rival were words of our own: the comments already said run, and a second request begun because the first is silent is a hedge everywhere else. Names only; no log event or metric bears them.

--- /dev/null
+++ b/gateway/hedge.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+)
+
+// hedgeStep is how often a run that has a hedge looks at it.
+const hedgeStep = 8 * time.Millisecond
+
+// hedge is a second run that was begun because nothing came from the first.
+// Whichever has the next event first goes on.
+type hedge struct {
+	*run
+	// ended yields nil once the run has its first event, or its error.
+	ended chan error
+	// result holds what ended yielded, if over.
+	result error
+	over   bool
+}
+
+// newHedge begins a second run in the background.
+func (s *stream) newHedge(group cluster.Group) *hedge {
+	h := &hedge{run: s.newRun(group), ended: make(chan error, 1)}
+	h.patience = func(time.Duration) time.Duration { return hedgeStep }
+	go func() {
+		event, err := h.next()
+		if err == nil {
+			h.ahead = &event
+		}
+		h.ended <- err
+	}()
+	return h
+}
+
+// done reports whether the run has its first event or failed.
+func (h *hedge) done() bool {
+	if h.over {
+		return true
+	}
+	select {
+	case h.result = <-h.ended:
+		h.over = true
+	default:
+	}
+	return h.over
+}
+
+// wait waits for the run's first event.
+func (h *hedge) wait() error {
+	if !h.over {
+		h.result, h.over = <-h.ended, true
+	}
+	return h.result
+}
+
+// abandon ends the run and waits until nothing of it is left.
+func (h *hedge) abandon() {
+	h.cancel()
+	// The run is over either way; its error tells nothing new.
+	_ = h.wait()
+	h.close()
+}
+
+// dropHedge ends a hedge that the first run has outpaced.
+func (s *stream) dropHedge() {
+	if s.hedge == nil {
+		return
+	}
+	s.hedge.abandon()
+	s.hedge = nil
+}
+
+// besideHedge is patience for a run that has a hedge.
+func (s *stream) besideHedge() time.Duration {
+	if !s.hedge.done() {
+		return hedgeStep
+	}
+	if s.hedge.result == nil {
+		// Ends this run; goOn changes over.
+		return 0
+	}
+	if errors.Is(s.hedge.result, errNotRun) {
+		s.runs--
+	}
+	s.hedge.close()
+	s.hedge = nil
+	return hedgeStep
+}
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -16,7 +16,7 @@
 	// halved, so that what is learned follows the load within seconds.
 	pausesKept = 3000
 	// rarePause is the part of pauses that may be longer than the patience.
-	// A stream has some 35 of them, and a rival that was begun in vain costs
+	// A stream has some 35 of them, and a hedge that was begun in vain costs
 	// one reading of its prompt.
 	rarePause = 0.003
 	// leastPauses is how many must have been seen to rely on them.
--- a/gateway/leg.go
+++ b/gateway/run.go
@@ -20,8 +20,8 @@
 	errFailure = errors.New("the instance answered with a failure")
 )
 
-// leg is one run of a stream on one group.
-type leg struct {
+// run is one try of a stream on one group.
+type run struct {
 	s      *stream
 	group  cluster.Group
 	ctx    context.Context
@@ -48,106 +48,106 @@
 	ahead *sse.Event
 }
 
-// newLeg prepares a run and counts it at its group. It must be closed.
-func (s *stream) newLeg(group cluster.Group) *leg {
-	l := &leg{
+// newRun prepares a run and counts it at its group. It must be closed.
+func (s *stream) newRun(group cluster.Group) *run {
+	r := &run{
 		s: s, group: group, resume: s.last, resumed: s.begun, unread: s.head.PromptTokens, sent: time.Now(),
 	}
-	l.ctx, l.cancel = context.WithCancel(s.ctx)
+	r.ctx, r.cancel = context.WithCancel(s.ctx)
 	s.try(group.Head)
-	l.urgent = urgent(s.g.node.View(), s.head.Model)
-	s.g.balance.add(group.Head.ID, 1, l.unread, l.urgent)
-	return l
+	r.urgent = urgent(s.g.node.View(), s.head.Model)
+	s.g.balance.add(group.Head.ID, 1, r.unread, r.urgent)
+	return r
 }
 
 // close ends the run if it has not ended.
-func (l *leg) close() {
-	if l.answer != nil {
+func (r *run) close() {
+	if r.answer != nil {
 		// Close keeps the connection only if the answer was read to its end.
-		if err := l.answer.Body.Close(); err != nil {
-			l.s.g.log.Debug().Err(err).Msg("answer-not-closed")
+		if err := r.answer.Body.Close(); err != nil {
+			r.s.g.log.Debug().Err(err).Msg("answer-not-closed")
 		}
 	}
-	l.cancel()
-	l.s.g.balance.add(l.group.Head.ID, -1, -l.unread, l.urgent)
-	l.unread = 0
+	r.cancel()
+	r.s.g.balance.add(r.group.Head.ID, -1, -r.unread, r.urgent)
+	r.unread = 0
 }
 
 // open sends the request and reads the head of the answer.
-func (l *leg) open() error {
-	answer, err := l.s.send(l.ctx, l.group.Head, models.Attempt{Resume: l.resumed, After: l.resume}, l.patience)
+func (r *run) open() error {
+	answer, err := r.s.send(r.ctx, r.group.Head, models.Attempt{Resume: r.resumed, After: r.resume}, r.patience)
 	if err != nil {
 		return err
 	}
-	l.answer = answer
+	r.answer = answer
 	switch {
 	case answer.Status != http.StatusOK:
 		return errFailure
 	case !platform.DecodeAnswer(answer.Status, answer.Header).Signed:
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
-	l.events = sse.NewReader(answer.Body)
+	r.events = sse.NewReader(answer.Body)
 	return nil
 }
 
 // next returns the next event, or io.EOF at the proper end of the stream.
-func (l *leg) next() (sse.Event, error) {
-	if l.ahead != nil {
-		event := *l.ahead
-		l.ahead = nil
+func (r *run) next() (sse.Event, error) {
+	if r.ahead != nil {
+		event := *r.ahead
+		r.ahead = nil
 		return event, nil
 	}
-	if l.answer == nil {
-		if err := l.open(); err != nil {
+	if r.answer == nil {
+		if err := r.open(); err != nil {
 			return sse.Event{}, err
 		}
 	}
-	event, err := l.events.Next()
+	event, err := r.events.Next()
 	switch {
-	case errors.Is(err, io.EOF) && l.moved.IsZero() && !l.answer.Framed:
+	case errors.Is(err, io.EOF) && r.moved.IsZero() && !r.answer.Framed:
 		return event, errors.Join(errMayHaveRun, errCutHead)
 	case errors.Is(err, io.EOF):
 		return event, io.EOF
 	case err != nil:
 		return event, errors.Join(errMayHaveRun, err)
 	}
-	l.note()
+	r.note()
 	return event, nil
 }
 
 // note notes that the group moves and that the prompt has been read.
-func (l *leg) note() {
-	balance, head := l.s.g.balance, l.group.Head.ID
+func (r *run) note() {
+	balance, head := r.s.g.balance, r.group.Head.ID
 	balance.move(head)
 	now := time.Now()
-	if l.moved.IsZero() {
-		balance.add(head, 0, -l.unread, l.urgent)
-		l.unread = 0
+	if r.moved.IsZero() {
+		balance.add(head, 0, -r.unread, r.urgent)
+		r.unread = 0
 	} else {
-		balance.addPause(l.s.head.Model, now.Sub(l.moved), l.expected)
+		balance.addPause(r.s.head.Model, now.Sub(r.moved), r.expected)
 	}
-	l.moved, l.expected = now, l.pass()
+	r.moved, r.expected = now, r.pass()
 }
 
 // pass is how long the group's next pass should take.
-func (l *leg) pass() time.Duration {
-	engine := l.s.g.node.View().Routing.Services[l.s.service].Engine
+func (r *run) pass() time.Duration {
+	engine := r.s.g.node.View().Routing.Services[r.s.service].Engine
 	if engine == nil {
 		return firstPatience
 	}
-	model, known := engine.Model(l.s.head.Model)
+	model, known := engine.Model(r.s.head.Model)
 	if !known {
 		return firstPatience
 	}
-	load := l.s.g.balance.loadNow(l.s.g.node, l.group.Head.ID)
+	load := r.s.g.balance.loadNow(r.s.g.node, r.group.Head.ID)
 	return passTime(engine, model, load)
 }
 
 // longest is how long nothing may come from the group while it works.
-func (l *leg) longest() time.Duration {
-	pass := l.expected
-	if l.moved.IsZero() {
-		pass = l.pass()
+func (r *run) longest() time.Duration {
+	pass := r.expected
+	if r.moved.IsZero() {
+		pass = r.pass()
 	}
-	return l.s.g.balance.patience(l.s.head.Model, pass)
+	return r.s.g.balance.patience(r.s.head.Model, pass)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,10 +39,10 @@
 	// moved is when the last event went out.
 	moved time.Time
 	// runs counts the runs that were begun and not refused unrun.
-	runs  int
-	leg   *leg
-	rival *rival
-	flush func() error
+	runs    int
+	current *run
+	hedge   *hedge
+	flush   func() error
 }
 
 func (e *exchange) stream(ctx context.Context) error {
@@ -64,30 +64,30 @@
 // begin begins a run that takes the place of the former one.
 func (s *stream) begin(group cluster.Group) {
 	s.runs++
-	s.leg = s.newLeg(group)
-	s.leg.patience = s.patience
+	s.current = s.newRun(group)
+	s.current.patience = s.patience
 	s.group = group.Key
 }
 
 func (s *stream) close() {
-	if s.rival != nil {
-		s.rival.abandon()
+	if s.hedge != nil {
+		s.hedge.abandon()
 	}
-	if s.leg != nil {
-		s.leg.close()
+	if s.current != nil {
+		s.current.close()
 	}
 }
 
 // run passes events on until the stream ends.
 func (s *stream) run() error {
 	for {
-		event, err := s.leg.next()
+		event, err := s.current.next()
 		if err == nil {
 			err = s.check(event)
 		}
 		switch {
 		case err == nil:
-			s.dropRival()
+			s.dropHedge()
 			if err := s.pass(event); err != nil {
 				return err
 			}
@@ -115,20 +115,20 @@
 	if errors.Is(cause, errNotRun) {
 		s.runs--
 	}
-	if s.rival != nil {
-		r := s.rival
-		s.rival = nil
-		if err := r.wait(); err == nil {
-			s.switchTo(r.leg, cause)
+	if s.hedge != nil {
+		h := s.hedge
+		s.hedge = nil
+		if err := h.wait(); err == nil {
+			s.switchTo(h.run, cause)
 			return nil
 		}
-		if errors.Is(r.result, errNotRun) {
+		if errors.Is(h.result, errNotRun) {
 			s.runs--
 		}
-		r.close()
+		h.close()
 	}
 	if errors.Is(cause, errFailure) && !s.mayRepeat() {
-		return s.passFailure(s.leg.answer)
+		return s.passFailure(s.current.answer)
 	}
 	if !s.mayRepeat() && !(errors.Is(cause, errNotRun) && s.runs == 0 && s.maySend()) {
 		return cause
@@ -141,24 +141,24 @@
 		return errors.Join(cause, errBudget)
 	}
 	s.logMove(group, cause)
-	s.leg.close()
+	s.current.close()
 	s.begin(group)
 	return nil
 }
 
-// switchTo has a rival's run take the place of the former one.
-func (s *stream) switchTo(l *leg, cause error) {
-	s.logMove(l.group, cause)
-	s.leg.close()
-	s.leg, s.group = l, l.group.Key
-	l.patience = s.patience
-	l.answer.Body.SetPatience(s.patience)
+// switchTo has a hedge's run take the place of the former one.
+func (s *stream) switchTo(r *run, cause error) {
+	s.logMove(r.group, cause)
+	s.current.close()
+	s.current, s.group = r, r.group.Key
+	r.patience = s.patience
+	r.answer.Body.SetPatience(s.patience)
 }
 
 func (s *stream) logMove(to cluster.Group, cause error) {
 	s.g.stats.resumes.Inc()
-	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.leg.group.Key.Name)).Str("to", string(to.Key.Name)).
-		Int64("after", s.last).Bool("begun", s.answering).Dur("pass", s.leg.pass()).Dur("patience", s.leg.longest()).
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(to.Key.Name)).
+		Int64("after", s.last).Bool("begun", s.answering).Dur("pass", s.current.pass()).Dur("patience", s.current.longest()).
 		Err(cause).Msg("stream-moved")
 }
 
@@ -175,33 +175,33 @@
 }
 
 // patience decides how much longer to wait for a run from which nothing came.
-// A rival is begun if the whole group seems to stand still.
+// A hedge is begun if the whole group seems to stand still.
 func (s *stream) patience(silence time.Duration) time.Duration {
-	l := s.leg
-	if s.rival != nil {
-		return s.besideRival()
+	r := s.current
+	if s.hedge != nil {
+		return s.besideHedge()
 	}
-	if l.moved.IsZero() && silence == 0 {
+	if r.moved.IsZero() && silence == 0 {
 		return firstStep
 	}
-	longest := l.longest()
+	longest := r.longest()
 	if silence < longest {
 		return longest - silence
 	}
-	now, head := time.Now(), l.group.Head.ID
+	now, head := time.Now(), r.group.Head.ID
 	suspect := s.g.node.View().Suspects[head]
 	switch {
 	case suspect:
 	case s.g.balance.still(head, now) < longest:
 		// The group moves; only this request waits.
 		return firstStep
-	case l.moved.IsZero() && now.Sub(l.sent) < time.Duration(firstPart*float64(s.route.Aim)):
+	case r.moved.IsZero() && now.Sub(r.sent) < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
 		return firstStep
-	case l.moved.IsZero() && now.Sub(l.sent) < s.route.Aim:
-		// Too little is known to suspect the group; a rival does no harm.
+	case r.moved.IsZero() && now.Sub(r.sent) < s.route.Aim:
+		// Too little is known to suspect the group; a hedge does no harm.
 	default:
-		s.g.node.ReportStalled(l.group.Key, head)
+		s.g.node.ReportStalled(r.group.Key, head)
 	}
 	if !s.mayRepeat() {
 		return givenUpStep
@@ -211,14 +211,14 @@
 		return firstStep
 	}
 	s.runs++
-	s.rival = s.newRival(group)
-	return rivalStep
+	s.hedge = s.newHedge(group)
+	return hedgeStep
 }
 
 // pass passes an event on.
 func (s *stream) pass(event sse.Event) error {
 	if !s.answering {
-		s.writeHead(s.leg.answer.Status, s.leg.answer.Header)
+		s.writeHead(s.current.answer.Status, s.current.answer.Header)
 	}
 	now := time.Now()
 	if !s.moved.IsZero() {
@@ -228,7 +228,7 @@
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return err
 	}
-	if s.leg.events.Pending() {
+	if s.current.events.Pending() {
 		return nil
 	}
 	return s.flush()
@@ -251,7 +251,7 @@
 // finishStream ends the answer as whole.
 func (s *stream) finishStream() error {
 	if !s.answering {
-		s.writeHead(s.leg.answer.Status, s.leg.answer.Header)
+		s.writeHead(s.current.answer.Status, s.current.answer.Header)
 	}
 	return nil
 }
