cluster, fleet, gateway: say what handlers and constants are for

A newcomer had to read each handler's body for its part. The shift of a term in a fence stays within package fleet, which names what it is read for.

--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -8,6 +8,8 @@
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
+// handleInstances takes in entries read from the store: all of them if whole,
+// else those that were written since the last reading.
 func (o *owner) handleInstances(records []platform.KeyedRecord, asked time.Time, whole bool) {
 	known := o.fleet.instances
 	listed := map[models.InstanceID]bool{}
@@ -40,6 +42,7 @@
 	o.changed = o.changed || len(records) > 0
 }
 
+// noteEntry takes in one entry, as it stood in the store when it was asked for.
 func (o *owner) noteEntry(i models.UpstreamInstance, asked time.Time) {
 	k, known := o.fleet.instances[i.ID]
 	if !known {
@@ -60,6 +63,7 @@
 	}
 }
 
+// dropInstance forgets an instance whose entry is gone.
 func (o *owner) dropInstance(id models.InstanceID) {
 	if i, known := o.fleet.instances[id]; known {
 		o.n.log.Info().Str("instance", string(id)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
@@ -68,6 +72,8 @@
 	}
 }
 
+// handleReport takes in what an instance told of itself, or that it did not
+// answer.
 func (o *owner) handleReport(m reportEnded) {
 	k, known := o.fleet.instances[m.instance.ID]
 	if !known {
@@ -125,6 +131,7 @@
 	return out
 }
 
+// news is what the other daemons are told of the instance, as it was at a time.
 func (k *knownInstance) news(at time.Time) InstanceNews {
 	return InstanceNews{Instance: k.UpstreamInstance, Age: time.Since(at), Lost: !k.lost.IsZero()}
 }
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -77,6 +77,7 @@
 	return f.heldTerm
 }
 
+// shown copies the instances for those who do not own the state.
 func (f *fleetState) shown() map[models.InstanceID]models.UpstreamInstance {
 	out := make(map[models.InstanceID]models.UpstreamInstance, len(f.instances))
 	for id, i := range f.instances {
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -77,6 +77,8 @@
 	}
 }
 
+// renew asks for the lease and reports whether this node holds it, and the
+// generation to be named the next time.
 func (n *Node) renew(ctx context.Context, member string, ttl time.Duration, generation int64) (bool, int64, error) {
 	n.stats.storeCalls.Inc()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -54,6 +54,7 @@
 	return nil
 }
 
+// runLink tells on one connection until it fails.
 func (n *Node) runLink(ctx context.Context, l link) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", l.addr.String())
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -31,6 +31,8 @@
 	}
 }
 
+// update begins a link to each daemon that the records name at a new address,
+// in place of the link to its former one.
 func (l *links) update(ctx context.Context, records []platform.KeyedRecord) {
 	for _, r := range records {
 		id := models.DaemonID(r.Key)
@@ -59,6 +61,7 @@
 	}
 }
 
+// linkTo returns a link with the daemon's queues, which outlast its address.
 func (l *links) linkTo(id models.DaemonID, addr netip.AddrPort) link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,6 +97,7 @@
 	}
 }
 
+// wait ends all links and waits for their ends.
 func (l *links) wait() error {
 	for _, cancel := range l.cancel {
 		cancel()
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -20,6 +20,7 @@
 	return &peerLoads{by: map[models.DaemonID]map[models.InstanceID]Load{}, sum: map[models.InstanceID]Load{}}
 }
 
+// take puts what a daemon tells in the place of what it told before.
 func (p *peerLoads) take(news LoadNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -54,6 +54,7 @@
 }
 
 const (
+	// inboxLen is how many messages may wait for the owner.
 	inboxLen = 256
 	// orderTimeout bounds the wait for an order's answer; instances of the
 	// same region answer within some ms.
@@ -66,8 +67,10 @@
 	// dialTimeout bounds the making of a connection to the store, to
 	// instances for orders, and to other daemons.
 	dialTimeout = 400 * time.Millisecond
-	planEvery   = 50 * time.Millisecond
-	sweepEvery  = time.Second
+	// planEvery is how often the owner looks for what is due, sweepEvery how
+	// often connections that have rested for too long are closed.
+	planEvery  = 50 * time.Millisecond
+	sweepEvery = time.Second
 )
 
 // Node is one daemon's part in the cluster.
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -105,6 +105,7 @@
 	}
 }
 
+// handleAway notes since when readings of the store fail.
 func (o *owner) handleAway(m storeAway) {
 	if _, known := o.away[m.what]; known {
 		return
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -22,6 +22,7 @@
 	wants  models.DaemonID
 }
 
+// seenPeer is the last heartbeat of another daemon and when it came.
 type seenPeer struct {
 	beat Heartbeat
 	at   time.Time
@@ -31,6 +32,8 @@
 // counts as gone.
 const silentBeats = 4
 
+// handleHeartbeat takes in what another daemon tells, unless a later run of the
+// same daemon has told already.
 func (o *owner) handleHeartbeat(m heartbeatSeen) {
 	before, known := o.peers.seen[m.beat.From]
 	if known && m.beat.Incarnation < before.beat.Incarnation {
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -66,6 +66,8 @@
 	}
 }
 
+// take hands one frame to the owner and returns the daemon that it came from,
+// as far as that is known.
 func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from models.DaemonID) (models.DaemonID, error) {
 	switch kind {
 	case frameHeartbeat:
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -18,6 +18,7 @@
 	overdueFactor = 2.2
 )
 
+// handleLease has this node plan in a new term, or go on in the one it is in.
 func (o *owner) handleLease(m leaseHeld) {
 	f := &o.fleet
 	if m.term == o.n.spentTerm.Load() {
@@ -33,6 +34,7 @@
 	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
 }
 
+// stopPlanning ends the term for good: its fences are not to be used again.
 func (o *owner) stopPlanning(reason string) {
 	if o.fleet.planner == nil {
 		return
@@ -80,6 +82,7 @@
 	return len(o.peers.seen) > 0
 }
 
+// planService gives the orders that are due for one service's instances.
 func (o *owner) planService(name models.ServiceName, engine *models.EngineProfile, now time.Time) {
 	f := &o.fleet
 	world := fleet.World{
@@ -111,6 +114,8 @@
 	}
 }
 
+// handleOrderEnded takes in what came of an order, and sees to it that the
+// instance is asked where the planner needs to know more.
 func (o *owner) handleOrderEnded(m orderEnded) {
 	event := o.n.log.Info()
 	if m.err != nil {
@@ -118,7 +123,7 @@
 	}
 	event.Str("order", string(m.order.Kind)).Str("instance", string(m.order.Instance)).Str("group", string(m.order.Group.Name)).
 		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Msg("order-ended")
-	if p := o.fleet.planner; p != nil && m.order.Fence>>fleet.TermBits == o.fleet.heldTerm {
+	if p := o.fleet.planner; p != nil && fleet.TermOf(m.order.Fence) == o.fleet.heldTerm {
 		p.Note(m.order, m.outcome, m.at)
 	}
 	k := o.fleet.instances[m.order.Instance]
--- a/fleet/ending.go
+++ b/fleet/ending.go
@@ -27,6 +27,8 @@
 	}
 }
 
+// advanceEnding tells the heads of groups that are to end so, until the members
+// have let go.
 func (r *round) advanceEnding() {
 	for key, e := range r.ending {
 		if _, told := r.groups[key]; !told {
--- a/fleet/examine.go
+++ b/fleet/examine.go
@@ -56,6 +56,8 @@
 	verdictFree
 )
 
+// judge decides what is to become of a group; known tells whether its model is
+// still configured.
 func (r *round) judge(g *Group, profile models.ModelProfile, known bool) verdict {
 	if g.Head == "" || r.Lost[g.Head] {
 		return verdictLeave
--- a/fleet/formation.go
+++ b/fleet/formation.go
@@ -58,6 +58,7 @@
 	return true
 }
 
+// take counts a formation's members as settled.
 func (r *round) take(f *formation) {
 	r.settled[f.model] += len(f.members)
 	for _, id := range f.members {
@@ -75,6 +76,8 @@
 	return m.Key == f.key && m.State != models.MemberJoining && m.State != models.MemberNone
 }
 
+// advance gives the orders to join that are due, and the one to open once all
+// members are ready.
 func (r *round) advance(f *formation) {
 	whole := true
 	for _, id := range f.members {
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// TermBits is how far a term is shifted to make room for the orders
+	// termBits is how far a term is shifted to make room for the orders
 	// given in it. A term of a million orders outlasts any deployment's day.
-	TermBits = 20
+	termBits = 20
 	// repeatAfter is how long an order may go unanswered or unheeded before
 	// it is given again under a newer fence.
 	repeatAfter = 600 * time.Millisecond
@@ -63,6 +63,7 @@
 	Traffic bool
 }
 
+// usable reports whether an instance may be given a part in a group.
 func (w World) usable(id models.InstanceID) bool {
 	i, there := w.Instances[id]
 	return there && !w.Lost[id] && !i.Draining
@@ -121,9 +122,12 @@
 // serves as fence and as epoch.
 func (p *Planner) next() int64 {
 	p.seq++
-	return p.term<<TermBits | p.seq
+	return p.term<<termBits | p.seq
 }
 
+// TermOf returns the term in which an order with this fence was given.
+func TermOf(fence int64) int64 { return fence >> termBits }
+
 // nameGroup makes a group's name, from which ModelOf reads its model.
 func nameGroup(model models.ModelName, epoch int64) models.GroupID {
 	return models.GroupID(string(model) + "." + strconv.FormatInt(epoch, 36))
@@ -203,6 +207,8 @@
 	}
 }
 
+// noteTaken notes that a member joins, or that a head takes no requests any
+// more.
 func (p *Planner) noteTaken(o types.GroupOrder, outcome types.OrderOutcome) {
 	if f := p.forming[o.Group]; f != nil && o.Kind == types.GroupJoin {
 		f.joined[o.Instance] = true
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -64,6 +64,7 @@
 	return r.Now.Sub(s.at) >= repeatAfter
 }
 
+// order gives an order under a new fence.
 func (r *round) order(o types.GroupOrder) {
 	o.Fence = r.next()
 	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: pending}
--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -143,6 +143,8 @@
 	return most
 }
 
+// mayStageAhead reports whether the weight store has a place for a load that
+// nothing waits for.
 func (r *round) mayStageAhead() bool {
 	if !r.Traffic {
 		return r.loading < r.Profile.LoadsAtOnce+earlyFlexible
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -11,6 +11,10 @@
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
+// bodyDefault is the longest body, in bytes, where the configuration names no
+// limit.
+const bodyDefault = 4 << 20
+
 // noDeadline bounds a request whose caller and route name no time.
 const noDeadline = time.Minute
 
@@ -44,6 +48,8 @@
 	return e.readBody(v.Routing.Limits.BodyBytes)
 }
 
+// authorize finds the workspace that the key belongs to. A key that is not
+// known is refused as such only by a configuration that is fresh.
 func (e *exchange) authorize(v *cluster.View) error {
 	if !v.Routing.Keyed || e.route.Open {
 		return nil
@@ -63,9 +69,10 @@
 	}
 }
 
+// readBody reads the body whole, since it may have to be sent again.
 func (e *exchange) readBody(limit int64) error {
 	if limit <= 0 {
-		limit = 4 << 20
+		limit = bodyDefault
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
 	var tooLong *http.MaxBytesError
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -95,6 +95,7 @@
 }
 
 const (
+	// maxPriority is the last rank of the Priority header that instances take.
 	maxPriority = 9
 	// freshRepeatable and freshOnce are how long a connection may have rested
 	// to carry a request that may be sent again, and one that may not: an
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -151,6 +151,8 @@
 	return nil
 }
 
+// stop ends as planned: the balancer is told first, so that requests no longer
+// come when the listener closes.
 func (g *Gateway) stop(ctx context.Context, callers *http.Server) {
 	began := time.Now()
 	g.stopping.Store(true)
@@ -162,6 +164,7 @@
 	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
 }
 
+// sweep drops, once a second, what is kept of instances that are gone.
 func (g *Gateway) sweep(ctx context.Context) error {
 	ticks := g.node.Clock().Subscribe(sweepEvery)
 	for {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -45,6 +45,7 @@
 	flush   func() error
 }
 
+// stream sends a request to a group and passes its events on.
 func (e *exchange) stream(ctx context.Context) error {
 	e.g.budget.request(e.began)
 	e.addWork()
@@ -155,6 +156,7 @@
 	r.answer.Body.SetPatience(s.patience)
 }
 
+// logMove tells that the stream goes on at another group.
 func (s *stream) logMove(to cluster.Group, cause error) {
 	s.g.stats.resumes.Inc()
 	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(to.Key.Name)).
@@ -167,6 +169,7 @@
 	return s.route.Repeatable() && s.runs < s.route.Attempts && s.maySend()
 }
 
+// maySend reports whether one more instance may be sent the request.
 func (s *stream) maySend() bool { return len(s.tried) < s.route.Attempts+spareSends }
 
 // spend takes a repeat from the budget.
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -19,7 +19,8 @@
 	// slowFactor is after how many times its aim a repeatable request is
 	// sent to another instance.
 	slowFactor = 1.5
-	slowLeast  = 150 * time.Millisecond
+	// slowLeast is the least time after which it is.
+	slowLeast = 150 * time.Millisecond
 )
 
 var (
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -39,6 +39,7 @@
 	patience Patience
 }
 
+// readBuffer is a connection's buffer, in bytes: a head fits in.
 const readBuffer = 4 << 10
 
 func newConn(p *Pool, addr netip.AddrPort, nc *net.TCPConn) *conn {
--- a/lib/sse/reader.go
+++ b/lib/sse/reader.go
@@ -37,6 +37,7 @@
 	at int
 }
 
+// firstBuffer is the buffer to begin with, in bytes; it grows with the events.
 const firstBuffer = 2 << 10
 
 // NewReader returns a reader of events.
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -17,10 +17,14 @@
 
 const (
 	partsPerTopic = 24
-	pageLen       = 500
-	maxBody       = 2 << 20
-	maxWait       = 30 * time.Second
-	waitStep      = 5 * time.Millisecond
+	// pageLen is how many keys one answer holds, maxBody how many bytes one
+	// call may bring.
+	pageLen = 500
+	maxBody = 2 << 20
+	// maxWait is how long a reading is held, waitStep how often one that is
+	// held looks for records.
+	maxWait  = 30 * time.Second
+	waitStep = 5 * time.Millisecond
 )
 
 // Faults are how the store misbehaves.
