--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,6 +21,7 @@
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
 )
 
 // Settings are what a gateway needs to know from the start.
@@ -185,14 +186,14 @@
 
 func (g *Gateway) readyRoutes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/ready", g.serveReady)
+	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	return mux
 }
 
 func (g *Gateway) adminRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.set.WritePrometheus(w) })
-	mux.HandleFunc("GET /-/ready", g.serveReady)
+	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	return mux
 }
 
