--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,18 +13,9 @@
 	"github.com/lupinkeel/lupinkeel/lib/sse"
 )
 
-const (
-	// firstPart is the part of its aim within which the first event of a
-	// request is waited for at a head of which nothing else is known.
-	firstPart = 0.75
-	// firstStep is how often a run that waits is looked at, givenUpStep how
-	// often one for which nothing more can be done.
-	firstStep   = 40 * time.Millisecond
-	givenUpStep = 250 * time.Millisecond
-	// spareSends is how often a request may be sent beyond its attempts to
-	// instances that turn out not to run it.
-	spareSends = 3
-)
+// spareSends is how often a request may be sent beyond its attempts to
+// instances that turn out not to run it.
+const spareSends = 3
 
 var errGap = errors.New("an event is missing")
 
@@ -177,47 +168,6 @@
 	return s.g.budget.repeat(time.Now(), s.g.node.View().Daemons)
 }
 
-// patience decides how much longer to wait for a run from which nothing came.
-// A hedge is begun if the whole group seems to stand still.
-func (s *stream) patience(silence time.Duration) time.Duration {
-	r := s.current
-	if s.hedge != nil {
-		return s.besideHedge()
-	}
-	if r.moved.IsZero() && silence == 0 {
-		return firstStep
-	}
-	longest := r.longest()
-	if silence < longest {
-		return longest - silence
-	}
-	now, head := time.Now(), r.group.Head.ID
-	suspect := s.g.node.View().Suspects[head]
-	switch {
-	case suspect:
-	case s.g.balance.still(head, now) < longest:
-		// The group moves; only this request waits.
-		return firstStep
-	case r.moved.IsZero() && now.Sub(r.sent) < time.Duration(firstPart*float64(s.route.Aim)):
-		// Nothing has come yet, and may still be on its way.
-		return firstStep
-	case r.moved.IsZero() && now.Sub(r.sent) < s.route.Aim:
-		// Too little is known to suspect the group; a hedge does no harm.
-	default:
-		s.g.node.ReportStalled(r.group.Key, head)
-	}
-	if !s.mayRepeat() {
-		return givenUpStep
-	}
-	group, _, free := s.look()
-	if !free || !s.spend() {
-		return firstStep
-	}
-	s.runs++
-	s.hedge = s.newHedge(group)
-	return hedgeStep
-}
-
 // pass passes an event on.
 func (s *stream) pass(event sse.Event) error {
 	if !s.answering {
