--- a/fleet/groups.go
+++ b/fleet/groups.go
@@ -1,8 +1,6 @@
 package fleet
 
-import (
-	"github.com/lupinkeel/lupinkeel/models"
-)
+import "github.com/lupinkeel/lupinkeel/models"
 
 // Group is a replica group as its members tell of it.
 type Group struct {
@@ -14,8 +12,6 @@
 	// Head is empty if nobody holds rank 0.
 	Head  models.InstanceID
 	State models.MemberState
-	// Ready counts the members that have their weights.
-	Ready int
 }
 
 // Groups gathers the groups that instances tell of.
@@ -34,9 +30,6 @@
 		if i.Group.Rank == 0 {
 			g.Head, g.State = id, i.Group.State
 		}
-		if i.Group.State != models.MemberJoining {
-			g.Ready++
-		}
 	}
 	return out
 }
