--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// TermBits is how far a term is shifted to make room for the orders
+	// termBits is how far a term is shifted to make room for the orders
 	// given in it. A term of a million orders outlasts any deployment's day.
-	TermBits = 20
+	termBits = 20
 	// repeatAfter is how long an order may go unanswered or unheeded before
 	// it is given again under a newer fence.
 	repeatAfter = 600 * time.Millisecond
@@ -63,6 +63,7 @@
 	Traffic bool
 }
 
+// usable reports whether an instance may be given a part in a group.
 func (w World) usable(id models.InstanceID) bool {
 	i, there := w.Instances[id]
 	return there && !w.Lost[id] && !i.Draining
@@ -121,9 +122,12 @@
 // serves as fence and as epoch.
 func (p *Planner) next() int64 {
 	p.seq++
-	return p.term<<TermBits | p.seq
+	return p.term<<termBits | p.seq
 }
 
+// TermOf returns the term in which an order with this fence was given.
+func TermOf(fence int64) int64 { return fence >> termBits }
+
 // nameGroup makes a group's name, from which ModelOf reads its model.
 func nameGroup(model models.ModelName, epoch int64) models.GroupID {
 	return models.GroupID(string(model) + "." + strconv.FormatInt(epoch, 36))
@@ -203,6 +207,8 @@
 	}
 }
 
+// noteTaken notes that a member joins, or that a head takes no requests any
+// more.
 func (p *Planner) noteTaken(o types.GroupOrder, outcome types.OrderOutcome) {
 	if f := p.forming[o.Group]; f != nil && o.Kind == types.GroupJoin {
 		f.joined[o.Instance] = true
@@ -212,68 +218,3 @@
 		e.closed = true
 	}
 }
-
-// round is one call of Step.
-type round struct {
-	*Planner
-	World
-	groups map[models.GroupKey]*Group
-	orders []types.GroupOrder
-	// taken are instances that stay where they are or are going somewhere.
-	taken map[models.InstanceID]bool
-	// settled counts the instances of each model in groups that stand or
-	// are being made.
-	settled map[models.ModelName]int
-	// loading counts instances that are loading weights.
-	loading int
-}
-
-// forget drops what is kept of instances that are gone.
-func (r *round) forget() {
-	for id := range r.sent {
-		if _, there := r.Instances[id]; !there {
-			delete(r.sent, id)
-		}
-	}
-	for id, until := range r.held {
-		if r.Now.After(until) {
-			delete(r.held, id)
-		}
-	}
-	kept := r.loads[:0]
-	for _, at := range r.loads {
-		if r.Now.Sub(at) < loadWindow {
-			kept = append(kept, at)
-		}
-	}
-	r.loads = kept
-}
-
-// due reports whether an order of this kind may be given to the instance
-// now: not while the same one is under way.
-func (r *round) due(id models.InstanceID, kind types.GroupOrderKind, key models.GroupKey) bool {
-	s := r.sent[id]
-	if s == nil {
-		return true
-	}
-	if s.outcome == pending && r.Now.Sub(s.at) < repeatAfter {
-		// Orders that cross on the way could arrive in the wrong order.
-		return false
-	}
-	if s.order.Kind != kind || s.order.Group != key {
-		return true
-	}
-	if s.outcome == types.OrderBegun && kind == types.GroupCut {
-		return r.Now.Sub(s.at) >= repeatClose
-	}
-	if s.outcome == types.OrderBegun && kind == types.GroupFinish {
-		return r.Now.Sub(s.at) >= repeatFinish
-	}
-	return r.Now.Sub(s.at) >= repeatAfter
-}
-
-func (r *round) order(o types.GroupOrder) {
-	o.Fence = r.next()
-	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: pending}
-	r.orders = append(r.orders, o)
-}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,6 +21,7 @@
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/platform"
 )
 
 // Settings are what a gateway needs to know from the start.
@@ -151,6 +152,8 @@
 	return nil
 }
 
+// stop ends as planned: the balancer is told first, so that requests no longer
+// come when the listener closes.
 func (g *Gateway) stop(ctx context.Context, callers *http.Server) {
 	began := time.Now()
 	g.stopping.Store(true)
@@ -162,6 +165,7 @@
 	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
 }
 
+// sweep drops, once a second, what is kept of instances that are gone.
 func (g *Gateway) sweep(ctx context.Context) error {
 	ticks := g.node.Clock().Subscribe(sweepEvery)
 	for {
@@ -182,14 +186,14 @@
 
 func (g *Gateway) readyRoutes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/ready", g.serveReady)
+	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	return mux
 }
 
 func (g *Gateway) adminRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.set.WritePrometheus(w) })
-	mux.HandleFunc("GET /-/ready", g.serveReady)
+	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	return mux
 }
 
@@ -204,22 +208,3 @@
 func (g *Gateway) current(v *cluster.View, bound time.Duration) bool {
 	return v.Routing != nil && time.Since(v.Proven) < bound
 }
-
-// pickService picks one of a route's services by weight, the same one for
-// every try of a request.
-func pickService(route models.Route, point uint64) models.ServiceName {
-	total := 0
-	for _, t := range route.Targets {
-		total += max(0, t.Weight)
-	}
-	if total == 0 {
-		return route.Targets[0].Service
-	}
-	at := int(point % uint64(total))
-	for _, t := range route.Targets {
-		if at -= max(0, t.Weight); at < 0 {
-			return t.Service
-		}
-	}
-	return route.Targets[0].Service
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,30 +11,11 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
-	"github.com/lupinkeel/lupinkeel/models"
 )
 
-const (
-	// queueStep is how often a waiting request looks for a place.
-	queueStep = 20 * time.Millisecond
-	// queuePart is the part of its aim that a request waits for a place, so
-	// that a refusal comes early enough to be made good elsewhere.
-	queuePart = 0.22
-	// firstPart is the part of its aim within which the first event of a
-	// request is waited for at a head of which nothing else is known.
-	firstPart = 0.75
-	// firstStep is how often a run that waits is looked at, givenUpStep how
-	// often one for which nothing more can be done.
-	firstStep   = 40 * time.Millisecond
-	givenUpStep = 250 * time.Millisecond
-	// rivalStep is how often a run that has a rival looks at it.
-	rivalStep = 8 * time.Millisecond
-	// overSlots is how many requests beyond its slots a group is sent.
-	overSlots = 2
-	// spareSends is how often a request may be sent beyond its attempts to
-	// instances that turn out not to run it.
-	spareSends = 3
-)
+// spareSends is how often a request may be sent beyond its attempts to
+// instances that turn out not to run it.
+const spareSends = 3
 
 var errGap = errors.New("an event is missing")
 
@@ -49,12 +30,13 @@
 	// moved is when the last event went out.
 	moved time.Time
 	// runs counts the runs that were begun and not refused unrun.
-	runs  int
-	leg   *leg
-	rival *rival
-	flush func() error
+	runs    int
+	current *run
+	hedge   *hedge
+	flush   func() error
 }
 
+// stream sends a request to a group and passes its events on.
 func (e *exchange) stream(ctx context.Context) error {
 	e.g.budget.request(e.began)
 	e.addWork()
@@ -74,30 +56,30 @@
 // begin begins a run that takes the place of the former one.
 func (s *stream) begin(group cluster.Group) {
 	s.runs++
-	s.leg = s.newLeg(group)
-	s.leg.patience = s.patience
+	s.current = s.newRun(group)
+	s.current.patience = s.patience
 	s.group = group.Key
 }
 
 func (s *stream) close() {
-	if s.rival != nil {
-		s.rival.abandon()
+	if s.hedge != nil {
+		s.hedge.abandon()
 	}
-	if s.leg != nil {
-		s.leg.close()
+	if s.current != nil {
+		s.current.close()
 	}
 }
 
 // run passes events on until the stream ends.
 func (s *stream) run() error {
 	for {
-		event, err := s.leg.next()
+		event, err := s.current.next()
 		if err == nil {
 			err = s.check(event)
 		}
 		switch {
 		case err == nil:
-			s.dropRival()
+			s.dropHedge()
 			if err := s.pass(event); err != nil {
 				return err
 			}
@@ -125,20 +107,20 @@
 	if errors.Is(cause, errNotRun) {
 		s.runs--
 	}
-	if s.rival != nil {
-		r := s.rival
-		s.rival = nil
-		if err := r.wait(); err == nil {
-			s.switchTo(r.leg, cause)
+	if s.hedge != nil {
+		h := s.hedge
+		s.hedge = nil
+		if err := h.wait(); err == nil {
+			s.switchTo(h.run, cause)
 			return nil
 		}
-		if errors.Is(r.result, errNotRun) {
+		if errors.Is(h.result, errNotRun) {
 			s.runs--
 		}
-		r.close()
+		h.close()
 	}
 	if errors.Is(cause, errFailure) && !s.mayRepeat() {
-		return s.passFailure(s.leg.answer)
+		return s.passFailure(s.current.answer)
 	}
 	if !s.mayRepeat() && !(errors.Is(cause, errNotRun) && s.runs == 0 && s.maySend()) {
 		return cause
@@ -151,24 +133,25 @@
 		return errors.Join(cause, errBudget)
 	}
 	s.logMove(group, cause)
-	s.leg.close()
+	s.current.close()
 	s.begin(group)
 	return nil
 }
 
-// switchTo has a rival's run take the place of the former one.
-func (s *stream) switchTo(l *leg, cause error) {
-	s.logMove(l.group, cause)
-	s.leg.close()
-	s.leg, s.group = l, l.group.Key
-	l.patience = s.patience
-	l.answer.Body.SetPatience(s.patience)
+// switchTo has a hedge's run take the place of the former one.
+func (s *stream) switchTo(r *run, cause error) {
+	s.logMove(r.group, cause)
+	s.current.close()
+	s.current, s.group = r, r.group.Key
+	r.patience = s.patience
+	r.answer.Body.SetPatience(s.patience)
 }
 
+// logMove tells that the stream goes on at another group.
 func (s *stream) logMove(to cluster.Group, cause error) {
 	s.g.stats.resumes.Inc()
-	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.leg.group.Key.Name)).Str("to", string(to.Key.Name)).
-		Int64("after", s.last).Bool("begun", s.answering).Dur("pass", s.leg.pass()).Dur("patience", s.leg.longest()).
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(to.Key.Name)).
+		Int64("after", s.last).Bool("begun", s.answering).Dur("pass", s.current.pass()).Dur("patience", s.current.longest()).
 		Err(cause).Msg("stream-moved")
 }
 
@@ -177,6 +160,7 @@
 	return s.route.Repeatable() && s.runs < s.route.Attempts && s.maySend()
 }
 
+// maySend reports whether one more instance may be sent the request.
 func (s *stream) maySend() bool { return len(s.tried) < s.route.Attempts+spareSends }
 
 // spend takes a repeat from the budget.
@@ -184,139 +168,10 @@
 	return s.g.budget.repeat(time.Now(), s.g.node.View().Daemons)
 }
 
-// dropRival ends a rival that the first run has outpaced.
-func (s *stream) dropRival() {
-	if s.rival == nil {
-		return
-	}
-	s.rival.abandon()
-	s.rival = nil
-}
-
-// addWork counts what the request asks of its model.
-func (e *exchange) addWork() {
-	service, known := e.g.node.View().Routing.Services[e.service]
-	if !known || service.Engine == nil {
-		return
-	}
-	profile, known := service.Engine.Model(e.head.Model)
-	if !known {
-		return
-	}
-	e.g.balance.addWork(e.head.Model, groupSeconds(service.Engine, profile, e.head))
-}
-
-// groupSeconds is how long a request occupies a whole group that is half
-// full.
-func groupSeconds(engine *models.EngineProfile, model models.ModelProfile, head models.RequestHead) float64 {
-	read := float64(head.PromptTokens) / max(1, engine.ReadPerSecond)
-	half := max(1, float64(engine.Slots)/2)
-	token := engine.Step.Seconds()/half + engine.PerRequest.Seconds()
-	return (read + float64(head.AnswerTokens)*token) * model.Pace
-}
-
-// look returns the best group that was not tried, if there is one, and
-// whether it has a place.
-func (s *stream) look() (group cluster.Group, found, free bool) {
-	engine := s.g.node.View().Routing.Services[s.service].Engine
-	if engine == nil {
-		return group, false, false
-	}
-	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
-	if found && len(s.tried) == 0 {
-		s.load = load
-	}
-	return group, found, found && load < engine.Slots+overSlots
-}
-
-// pick waits for a group with a place. A stream that has begun takes any, and
-// waits as long as its caller puts up with a pause.
-func (s *stream) pick() (cluster.Group, error) {
-	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
-	if s.answering {
-		until = s.moved.Add(s.route.Pause)
-	}
-	for {
-		group, found, free := s.look()
-		if free || (found && s.answering) {
-			return group, nil
-		}
-		if time.Now().After(until) {
-			if found {
-				return group, errFull
-			}
-			return group, errNoUpstream
-		}
-		select {
-		case <-s.ctx.Done():
-			return group, errors.Join(errNoUpstream, s.ctx.Err())
-		case <-time.After(queueStep):
-		}
-	}
-}
-
-// patience decides how much longer to wait for a run from which nothing came.
-// A rival is begun if the whole group seems to stand still.
-func (s *stream) patience(silence time.Duration) time.Duration {
-	l := s.leg
-	if s.rival != nil {
-		return s.besideRival()
-	}
-	if l.moved.IsZero() && silence == 0 {
-		return firstStep
-	}
-	longest := l.longest()
-	if silence < longest {
-		return longest - silence
-	}
-	now, head := time.Now(), l.group.Head.ID
-	suspect := s.g.node.View().Suspects[head]
-	switch {
-	case suspect:
-	case s.g.balance.still(head, now) < longest:
-		// The group moves; only this request waits.
-		return firstStep
-	case l.moved.IsZero() && now.Sub(l.sent) < time.Duration(firstPart*float64(s.route.Aim)):
-		// Nothing has come yet, and may still be on its way.
-		return firstStep
-	case l.moved.IsZero() && now.Sub(l.sent) < s.route.Aim:
-		// Too little is known to suspect the group; a rival does no harm.
-	default:
-		s.g.node.ReportStalled(l.group.Key, head)
-	}
-	if !s.mayRepeat() {
-		return givenUpStep
-	}
-	group, _, free := s.look()
-	if !free || !s.spend() {
-		return firstStep
-	}
-	s.runs++
-	s.rival = s.newRival(group)
-	return rivalStep
-}
-
-// besideRival is patience for a run that has a rival.
-func (s *stream) besideRival() time.Duration {
-	if !s.rival.done() {
-		return rivalStep
-	}
-	if s.rival.result == nil {
-		// Ends this run; goOn changes over.
-		return 0
-	}
-	if errors.Is(s.rival.result, errNotRun) {
-		s.runs--
-	}
-	s.rival.close()
-	s.rival = nil
-	return rivalStep
-}
-
 // pass passes an event on.
 func (s *stream) pass(event sse.Event) error {
 	if !s.answering {
-		s.writeHead(s.leg.answer.Status, s.leg.answer.Header)
+		s.writeHead(s.current.answer.Status, s.current.answer.Header)
 	}
 	now := time.Now()
 	if !s.moved.IsZero() {
@@ -326,7 +181,7 @@
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return err
 	}
-	if s.leg.events.Pending() {
+	if s.current.events.Pending() {
 		return nil
 	}
 	return s.flush()
@@ -349,7 +204,19 @@
 // finishStream ends the answer as whole.
 func (s *stream) finishStream() error {
 	if !s.answering {
-		s.writeHead(s.leg.answer.Status, s.leg.answer.Header)
+		s.writeHead(s.current.answer.Status, s.current.answer.Header)
+	}
+	return nil
+}
+
+// check refuses an event that does not follow the last one.
+func (s *stream) check(event sse.Event) error {
+	if !event.HasID {
+		return nil
+	}
+	if s.begun && event.ID != s.last+1 {
+		return fmt.Errorf("%w: %w: %d follows %d", errMayHaveRun, errGap, event.ID, s.last)
 	}
+	s.last, s.begun = event.ID, true
 	return nil
 }
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -19,7 +19,8 @@
 	// slowFactor is after how many times its aim a repeatable request is
 	// sent to another instance.
 	slowFactor = 1.5
-	slowLeast  = 150 * time.Millisecond
+	// slowLeast is the least time after which it is.
+	slowLeast = 150 * time.Millisecond
 )
 
 var (
@@ -83,9 +84,8 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
-	if _, given := resp.Header["Content-Length"]; !given && e.r.Method != http.MethodHead {
-		resp.Header.Set("Content-Length", strconv.Itoa(len(body)))
-	}
+	// The instance's own length is not passed on, as it concerns its
+	// connection.
 	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.writeHead(resp.Status, resp.Header)
 	_, err = e.w.Write(body)
