--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -69,6 +69,10 @@
 	return there && !w.Lost[id] && !i.Draining
 }
 
+// maxOrders is how many fences and epochs there are in a term, less those of
+// one round.
+const maxOrders = 1<<termBits - 1<<12
+
 // Planner gives the orders of one term. Its methods are not safe for use by
 // several goroutines.
 type Planner struct {
@@ -115,8 +119,9 @@
 	}
 }
 
-// Superseded reports whether a planner of a newer term gives orders.
-func (p *Planner) Superseded() bool { return p.superseded }
+// Superseded reports whether a planner of a newer term gives orders, or one
+// has to since this one's numbers are used up.
+func (p *Planner) Superseded() bool { return p.superseded || p.seq >= maxOrders }
 
 // next returns a number that rises with each call and with each term. It
 // serves as fence and as epoch.
@@ -144,7 +149,7 @@
 
 // Step returns the orders that are due.
 func (p *Planner) Step(w World) []types.GroupOrder {
-	if w.Profile == nil {
+	if w.Profile == nil || len(w.Profile.Models) == 0 {
 		return nil
 	}
 	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: map[models.ModelName]int{}}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -111,12 +112,24 @@
 	qt.Assert(s.t, err, qt.IsNil)
 }
 
+// nextPort is the port that freeAddr tries next. It begins at random, below
+// the ports that the system gives to connections, and never goes back: the
+// system's own choice gave the same port twice (seed 119).
+var nextPort = 20000 + rand.IntN(8000)
+
 // freeAddr finds an address that nothing listens on.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	for range 100 {
+		nextPort++
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (s *site) newDaemon(bin string, n int) *daemon {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,9 @@
 )
 
 // regressions are seeds that once failed, with the cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	119, // the soak gave two listeners of one daemon the same port
+}
 
 const (
 	callers = 8
