config: read the settings file again on SIGHUP

The settings are read anew and it is told whether they changed and what is wrong; they take effect with the next start. TestReload; the soak sends the signal too.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -33,6 +33,7 @@
 func (gatewayCommand) Flags() []cli.Flag { return append(config.GatewayFlags(), config.LogFlags()...) }
 
 func (gatewayCommand) Execute(c *cli.Context) error {
+	given := config.Given(c)
 	err := config.ReadFile(c)
 	settings, loadErr := config.LoadGateway(c)
 	level, levelErr := config.LoadLog(c)
@@ -42,7 +43,7 @@
 	out := logfmt.NewBounded(c.App.Writer, logQueue)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(c.Context))
 	writing := task.Start(ctx, "log", out.Run)
-	err = runGateway(c, settings, logfmt.New(out, level))
+	err = runGateway(c.Context, settings, given, logfmt.New(out, level))
 	cancel()
 	return errors.Join(err, task.Wait(writing))
 }
@@ -57,7 +58,7 @@
 	megabyte   = 1 << 20
 )
 
-func runGateway(c *cli.Context, s config.Gateway, log zerolog.Logger) error {
+func runGateway(ctx context.Context, s config.Gateway, given map[string]string, log zerolog.Logger) error {
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * s.Memory * megabyte))
 	}
@@ -72,12 +73,12 @@
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
 		Stringer("store", s.Store).Msg("started")
-	background, cancel := context.WithCancel(context.WithoutCancel(c.Context))
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	running := task.Start(background, "node", node.Run)
-	serving := task.Start(c.Context, "gateway", g.Run)
-	reloading := task.Start(background, "reload", func(ctx context.Context) error { return reload(ctx, c, log) })
-	err := task.WaitAny(c.Context, running, serving)
+	serving := task.Start(ctx, "gateway", g.Run)
+	reloading := task.Start(background, "reload", func(ctx context.Context) error { return reload(ctx, s, given, log) })
+	err := task.WaitAny(ctx, running, serving)
 	if err != nil {
 		cancel()
 	}
@@ -98,7 +99,7 @@
 // reload reads the settings again whenever the platform says that they have
 // changed, and tells what is wrong with them. All of them take effect with
 // the next start.
-func reload(ctx context.Context, c *cli.Context, log zerolog.Logger) error {
+func reload(ctx context.Context, s config.Gateway, given map[string]string, log zerolog.Logger) error {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
@@ -107,8 +108,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-hups:
-			_, err := config.LoadGateway(c)
-			log.Info().Err(err).Msg("settings-read")
+			read, err := config.ReloadGateway(given)
+			log.Info().Err(err).Bool("changed", err == nil && read != s).Msg("settings-read")
 		}
 	}
 }
--- a/config/file.go
+++ b/config/file.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -22,20 +23,20 @@
 	if path == "" {
 		return nil
 	}
-	f, err := os.Open(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return fmt.Errorf("%w: settings file (%s): %w", ErrSetting, FileEnv, err)
 	}
-	defer f.Close()
+	defer file.Close()
 	// open are the flags that the file may set.
 	open := map[string]bool{}
-	for _, flag := range c.Command.Flags {
-		name := flag.Names()[0]
+	for _, f := range c.Command.Flags {
+		name := f.Names()[0]
 		open[name] = !c.IsSet(name)
 	}
 	seen := map[string]bool{}
 	var errs []error
-	lines := bufio.NewScanner(f)
+	lines := bufio.NewScanner(file)
 	for n := 1; lines.Scan(); n++ {
 		line := strings.TrimSpace(lines.Text())
 		if line == "" || strings.HasPrefix(line, "#") {
@@ -61,3 +62,43 @@
 	}
 	return errors.Join(append(errs, lines.Err())...)
 }
+
+// Given are the settings of the command line and the environment, which go
+// before those of the settings file. It must be called before ReadFile.
+func Given(c *cli.Context) map[string]string {
+	given := map[string]string{}
+	for _, f := range c.Command.Flags {
+		if name := f.Names()[0]; c.IsSet(name) {
+			given[name] = fmt.Sprint(c.Value(name))
+		}
+	}
+	return given
+}
+
+// ReloadGateway reads the settings anew: those given at the start, and the
+// settings file, which may have changed.
+func ReloadGateway(given map[string]string) (Gateway, error) {
+	flags := GatewayFlags()
+	set := flag.NewFlagSet("gateway", flag.ContinueOnError)
+	for _, f := range flags {
+		if err := f.Apply(set); err != nil {
+			return Gateway{}, fmt.Errorf("%w: %w", ErrSetting, err)
+		}
+	}
+	c := cli.NewContext(nil, set, nil)
+	c.Command = &cli.Command{Name: "gateway", Flags: flags}
+	for _, f := range flags {
+		name := f.Names()[0]
+		value, known := given[name]
+		if !known {
+			continue
+		}
+		if err := c.Set(name, value); err != nil {
+			return Gateway{}, fmt.Errorf("%w: %s: %w", ErrSetting, name, err)
+		}
+	}
+	if err := ReadFile(c); err != nil {
+		return Gateway{}, err
+	}
+	return LoadGateway(c)
+}
--- a/config/gateway_test.go
+++ b/config/gateway_test.go
@@ -54,6 +54,28 @@
 	c.Assert(string(s.Zone), qt.Equals, "z2", qt.Commentf("a flag goes before the file"))
 }
 
+// TestReload checks that a settings file that has changed is read again, and
+// that the settings given at the start still go before it.
+func TestReload(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	t.Setenv(FileEnv, path)
+	write := func(text string) { c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil) }
+	given := map[string]string{"zone": "z2", "keys-bound": "3s"}
+	write(goodFile)
+	s, err := ReloadGateway(given)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(s.Zone), qt.Equals, "z2")
+	c.Assert(s.KeysBound, qt.Equals, 3*time.Second)
+	write(strings.ReplaceAll(goodFile, "81.4", "12"))
+	s, err = ReloadGateway(given)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.RetrySlack, qt.Equals, 12.0)
+	write(goodFile + "retry-window=never\n")
+	_, err = ReloadGateway(given)
+	c.Assert(err, qt.ErrorIs, ErrSetting)
+}
+
 // TestBadSettings checks that every setting that can't be used is named.
 func TestBadSettings(t *testing.T) {
 	c := qt.New(t)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,7 +95,7 @@
 	instances := s.fabric.Instances()
 	i := instances[r.IntN(len(instances))]
 	engine := i.Service == "engines"
-	switch r.IntN(9) {
+	switch r.IntN(10) {
 	case 0:
 		d.kill()
 		d.start(s.t)
@@ -127,6 +127,9 @@
 		s.configure()
 		return "configuration"
 	case 7:
+		d.signal(syscall.SIGHUP)
+		return "settings " + d.name
+	case 8:
 		if !engine {
 			return "nothing"
 		}
