cluster, fleet: ask an instance in one's own term before using it

Cause: a planner that takes over knew some instances by the news of the last one; instances that are cut off from the store had since joined a group, and their entries could not say so. Change: a new planner asks every instance once and forms or converts with none that it has not asked in its term. Also: router begins with its whole retry budget (three were used up by earlier requests of group_faults.txtar); a refused change waits for the state that names who won (config_agreed.txtar:11 failed beside load: the view was up to 0.1 s behind the fold).

--- a/api/operators.go
+++ b/api/operators.go
@@ -310,7 +310,7 @@
 	case err != nil:
 		return AskAnswer{Change: &ChangeResult{Result: ChangeUnknown, Reason: err.Error() + "; show audit tells whether it took effect"}}, nil
 	case outcome.Refused != nil:
-		return AskAnswer{Change: &ChangeResult{Result: ChangeRefused, Offset: outcome.Offset, Reason: a.explain(outcome)}}, nil
+		return AskAnswer{Change: &ChangeResult{Result: ChangeRefused, Offset: outcome.Offset, Reason: a.explain(ctx, outcome)}}, nil
 	}
 	return AskAnswer{Change: a.inForce(ctx, outcome.Offset)}, nil
 }
@@ -318,14 +318,39 @@
 // retryLog is when to try a change again that met an outage of the log.
 const retryLog = 5 * time.Second
 
+const (
+	// viewWithin bounds the wait for the state to show an offset that the
+	// daemon has folded: views come ten times a second.
+	viewWithin = 500 * time.Millisecond
+	viewStep   = 10 * time.Millisecond
+)
+
+// stateAt returns the state as soon as it shows the offset, or what there is
+// in time.
+func (a asker) stateAt(ctx context.Context, offset models.Offset) *state.State {
+	ctx, cancel := context.WithTimeout(ctx, viewWithin)
+	defer cancel()
+	for {
+		s := a.s.daemon.View().State
+		if s.Applied >= offset {
+			return s
+		}
+		select {
+		case <-ctx.Done():
+			return s
+		case <-time.After(viewStep):
+		}
+	}
+}
+
 // explain tells a loser which change it lost to.
-func (a asker) explain(outcome state.Outcome) string {
+func (a asker) explain(ctx context.Context, outcome state.Outcome) string {
 	reason := outcome.Refused.Error()
 	var conflict *state.Conflict
 	if !errors.As(outcome.Refused, &conflict) {
 		return reason
 	}
-	for _, e := range slices.Backward(a.s.daemon.View().State.Audit) {
+	for _, e := range slices.Backward(a.stateAt(ctx, conflict.Present).Audit) {
 		if e.Offset == conflict.Present {
 			return fmt.Sprintf("%s; revision %d was made by %s through %s: %s", reason, e.Offset, e.Operator, e.Daemon, e.Change)
 		}
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -18,6 +18,8 @@
 	until   time.Time
 	// heldTerm is the term of the lease.
 	heldTerm int64
+	// began is when this node began to plan in the term.
+	began time.Time
 	// planned is when orders were last planned.
 	planned time.Time
 	// suspects are stalled heads, until when.
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -29,7 +29,8 @@
 	if f.planner != nil && f.heldTerm == m.term {
 		return
 	}
-	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, time.Now()), m.term, nil, 0
+	f.began = time.Now()
+	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, f.began), m.term, nil, 0
 	o.n.planning.Store(true)
 	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
 }
@@ -88,6 +89,7 @@
 	world := fleet.World{
 		Now: now, Profile: engine, Demand: o.demand(engine),
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
+		Unproven: map[models.InstanceID]bool{},
 	}
 	// Demand has just noted whether there is traffic.
 	world.Traffic, world.Busy = f.traffic, o.busy(engine, now)
@@ -101,6 +103,12 @@
 		if !i.lost.IsZero() {
 			world.Lost[id] = true
 		}
+		if !i.told.After(f.began) {
+			world.Unproven[id] = true
+			if i.lost.IsZero() {
+				o.ask(i, now, patientReport)
+			}
+		}
 		if !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
 			o.ask(i, now, patientReport)
 		}
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -103,7 +103,7 @@
 // allStaged reports whether the hosts of all members have the model.
 func (r *round) allStaged(g *Group, model models.ModelName) bool {
 	for _, id := range g.Members {
-		if !r.usable(id) || !slices.Contains(r.Instances[id].Staged, model) {
+		if !r.usable(id) || r.Unproven[id] || !slices.Contains(r.Instances[id].Staged, model) {
 			return false
 		}
 	}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -43,7 +43,7 @@
 	out := map[models.Domain][]models.InstanceID{}
 	for _, id := range slices.Sorted(maps.Keys(r.Instances)) {
 		_, held := r.held[id]
-		if !r.usable(id) || r.taken[id] || held || !r.released(id) {
+		if !r.usable(id) || r.Unproven[id] || r.taken[id] || held || !r.released(id) {
 			continue
 		}
 		out[r.Instances[id].Domain] = append(out[r.Instances[id].Domain], id)
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -55,6 +55,10 @@
 	Instances map[models.InstanceID]models.UpstreamInstance
 	// Lost are instances that have an entry and yet do not answer.
 	Lost map[models.InstanceID]bool
+	// Unproven are instances that the planner has not asked in its own term.
+	// What is known of them may be older than the last planner's orders, so
+	// they are not used for new groups.
+	Unproven map[models.InstanceID]bool
 	// Demand is the part of all instances that each model needs.
 	Demand map[models.ModelName]float64
 	// Busy counts the requests that each model's groups have.
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
 // TestNoModels checks that a service of engines without models needs no
@@ -30,3 +31,22 @@
 	qt.Assert(t, p.Superseded(), qt.IsTrue)
 	qt.Assert(t, last < NewPlanner(2, time.Now()).next(), qt.IsTrue)
 }
+
+// TestUnprovenInstances checks that a planner uses no instance for a group of
+// which it may have old news. (Hunted mix day of mtkvari-feed, seed
+// 249562415916: instances that were cut off from the store had joined a group
+// of the last planner, which the new one had not heard of: TWO.)
+func TestUnprovenInstances(t *testing.T) {
+	w := World{Now: time.Now(), Profile: testProfile(), Instances: map[models.InstanceID]models.UpstreamInstance{}, Unproven: map[models.InstanceID]bool{}}
+	for _, id := range []models.InstanceID{"i-1", "i-2", "i-3", "i-4"} {
+		w.Instances[id] = models.UpstreamInstance{ID: id, Domain: "a"}
+		w.Unproven[id] = true
+	}
+	p := NewPlanner(1, w.Now)
+	for _, o := range p.Step(w) {
+		qt.Assert(t, o.Kind, qt.Not(qt.Equals), types.GroupJoin)
+	}
+	clear(w.Unproven)
+	w.Now = w.Now.Add(time.Second)
+	qt.Assert(t, p.Step(w), qt.Not(qt.HasLen), 0)
+}
--- a/router/limit.go
+++ b/router/limit.go
@@ -63,37 +63,35 @@
 }
 
 // The retry budget: each request brings a tenth of a retry, and as many may
-// be saved up as a burst needs. A daemon that has just started has a few, since
-// its first requests may meet a group that has just died.
+// be saved up as a burst needs. A daemon begins with all of them: its first
+// requests may meet a group that has just died.
 const (
 	retriesPerRequest = 0.1
 	maxSavedRetries   = 10
-	firstRetries      = 3
 )
 
 // Budget keeps retries to a tenth of the requests, so that failing upstreams
 // can't make a daemon multiply its load. The zero value is ready to use.
 type Budget struct {
 	mu sync.Mutex
-	// saved are the retries there are beyond firstRetries; it may be less
-	// than zero.
-	saved float64
+	// used are the retries that are missing from the most that are saved.
+	used float64
 }
 
 // Earn notes a request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(maxSavedRetries-firstRetries, b.saved+retriesPerRequest)
+	b.used = max(0, b.used-retriesPerRequest)
 }
 
 // Spend takes one retry, if there is one.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.saved+firstRetries < 1 {
+	if b.used > maxSavedRetries-1 {
 		return false
 	}
-	b.saved--
+	b.used++
 	return true
 }
