router, api: pass over an upstream that refuses to serve

Cause: a group that lost a member refuses each request at once with a proof, so it has the least work and draws half of all requests to itself until the daemon's next question (up to 0.5 s) closes its gate; each costs a retry, and the ten that are saved run out. Change: an upstream that refuses its group, can't be reached or breaks off is passed over for a second while anything else can run the request.

--- a/api/chat.go
+++ b/api/chat.go
@@ -72,8 +72,8 @@
 	defer s.admitted.Leave(chat.Model, e.workspace.Name)
 	prompt := router.Prompt{Prefix: prefixOf(chat)}
 	prompt.Seen = s.prefixes.Seen(prompt.Prefix)
-	e.choose = func(now time.Time) (router.Target, error) {
-		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, prompt, now, s.flights.at, e.tried)
+	e.choose = func(now time.Time, avoid []netip.AddrPort) (router.Target, error) {
+		return s.daemon.View().Table.ChooseGroup(e.workspace, chat.Model, prompt, now, s.flights.at, avoid)
 	}
 	e.call = func(t router.Target) upstream.Call {
 		return upstream.Call{
--- a/api/exchange.go
+++ b/api/exchange.go
@@ -40,8 +40,8 @@
 	claimed bool
 	// entry is what the trail tells of the request.
 	entry models.TrailEntry
-	// choose picks the upstream of the next try.
-	choose func(now time.Time) (router.Target, error)
+	// choose picks the upstream of the next try, none of those to avoid.
+	choose func(now time.Time, avoid []netip.AddrPort) (router.Target, error)
 	// call makes the try at the target.
 	call func(router.Target) upstream.Call
 	// answer passes an upstream's answer on. It returns an error for an
@@ -142,7 +142,7 @@
 func (e *exchange) tryAll(ctx context.Context) error {
 	var last error
 	for e.req.MayRetry() && e.req.Tries() < maxTries && ctx.Err() == nil {
-		target, err := e.choose(time.Now())
+		target, err := e.pick(time.Now())
 		if err != nil {
 			return errors.Join(err, last)
 		}
@@ -162,6 +162,31 @@
 	return fmt.Errorf("%w: %w", ErrUpstream, last)
 }
 
+// pick chooses the upstream of the next try. Suspects are asked only if
+// nothing else is there.
+func (e *exchange) pick(now time.Time) (router.Target, error) {
+	suspects := e.s.suspects.List(now)
+	if len(suspects) == 0 {
+		return e.choose(now, e.tried)
+	}
+	target, err := e.choose(now, append(suspects, e.tried...))
+	if errors.Is(err, router.ErrNoUpstream) {
+		return e.choose(now, e.tried)
+	}
+	return target, err
+}
+
+// judge notes whether the upstream of a try serves.
+func (e *exchange) judge(ctx context.Context, target router.Target, err error) {
+	switch {
+	case err == nil:
+		e.s.suspects.Clear(target.Addr)
+	case errors.Is(err, upstream.ErrNotServing) && ctx.Err() == nil:
+		e.s.suspects.Note(target.Addr, time.Now())
+		e.s.log.Info().Str("request", string(e.req.ID)).Stringer("upstream", target.Addr).Err(err).Msg("upstream-suspected")
+	}
+}
+
 func (e *exchange) try(ctx context.Context, target router.Target) error {
 	e.tried = append(e.tried, target.Addr)
 	e.s.flights.take(target.Addr)
@@ -171,6 +196,7 @@
 	}
 	e.noteTarget(target)
 	answer, err := e.s.upstream.Do(ctx, e.call(target))
+	e.judge(ctx, target, err)
 	if errors.Is(err, upstream.ErrNotRun) {
 		return errors.Join(err, e.req.NotRun())
 	}
--- a/api/server.go
+++ b/api/server.go
@@ -41,6 +41,7 @@
 	admitted *router.Admission
 	prefixes *router.Prefixes
 	budget   router.Budget
+	suspects router.Suspects
 	stopping atomic.Bool
 	stats    *stats
 
--- a/api/service.go
+++ b/api/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -20,8 +21,8 @@
 	defer done()
 	name := models.ServiceName(r.PathValue("service"))
 	e.entry.Wanted = string(name)
-	e.choose = func(now time.Time) (router.Target, error) {
-		return s.daemon.View().Table.ChooseService(e.workspace, name, now, s.flights.at, e.tried)
+	e.choose = func(now time.Time, avoid []netip.AddrPort) (router.Target, error) {
+		return s.daemon.View().Table.ChooseService(e.workspace, name, now, s.flights.at, avoid)
 	}
 	e.call = func(t router.Target) upstream.Call {
 		path := "/" + r.PathValue("path")
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -30,6 +30,7 @@
 //	await DAEMON ROWS TABLE wait until the table has so many rows
 //	chat DAEMON MODEL [stream] [tokens=N] [key=K]
 //	                        send a request and check that its answer is whole
+//	chats N DAEMON MODEL    send N chats at once; all answers must be whole
 //	http DAEMON METHOD PATH [BODY] [HEADER:VALUE ...]
 //	                        call; status, headers and body are on stdout
 //	sigkill | sigstop | sigcont | sigterm | restart NAME
@@ -66,6 +67,7 @@
 	"ask":       cmdAsk,
 	"await":     cmdAwait,
 	"chat":      cmdChat,
+	"chats":     cmdChats,
 	"http":      cmdHTTP,
 	"sigkill":   process(func(b *bench, name string) error { return b.kill(name) }),
 	"sigstop":   process(func(b *bench, name string) error { return b.signal(name, syscall.SIGSTOP) }),
@@ -252,6 +254,32 @@
 	}
 }
 
+// cmdChats sends requests to one daemon, a few at a time.
+func cmdChats(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "chats N DAEMON MODEL")
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	d, err := benchOf(ts).daemon(args[1])
+	ts.Check(err)
+	r := parseChat(ts, args[2:])
+	results := make(chan result, n)
+	const atOnce = 4
+	for worker := range atOnce {
+		go func() {
+			for i := worker; i < n; i += atOnce {
+				asked := r
+				asked.prompt = fmt.Sprintf("%s, number %d", r.prompt, i)
+				results <- asked.send(context.Background(), d.callers)
+			}
+		}()
+	}
+	for range n {
+		if res := <-results; res.end != endWhole {
+			ts.Fatalf("chats %s: %+v", args[1], res)
+		}
+	}
+}
+
 func cmdRequest(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "request NAME")
 	ts.Setenv(args[0], benchOf(ts).lastRequest)
--- a/worker/upstream/upstream.go
+++ b/worker/upstream/upstream.go
@@ -29,6 +29,9 @@
 	ErrNotRun = errors.New("the request was not run")
 	// ErrMayHaveRun: the call may have been run.
 	ErrMayHaveRun = errors.New("the request may have been run")
+	// ErrNotServing comes with either of the above: the upstream can't be
+	// reached, broke off, or refuses to serve its group.
+	ErrNotServing = errors.New("the upstream does not serve")
 	// ErrTooLong: the answer is longer than is accepted.
 	ErrTooLong = errors.New("the answer is too long")
 )
@@ -99,9 +102,9 @@
 	resp, err := client.Do(req)
 	switch {
 	case err != nil && !connected.Load():
-		return nil, errors.Join(ErrNotRun, trace.Wrap(err))
+		return nil, errors.Join(ErrNotRun, ErrNotServing, trace.Wrap(err))
 	case err != nil:
-		return nil, errors.Join(ErrMayHaveRun, trace.Wrap(err))
+		return nil, errors.Join(ErrMayHaveRun, ErrNotServing, trace.Wrap(err))
 	}
 	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}
 	if err := checkHead(call, answer); err != nil {
@@ -136,6 +139,9 @@
 // belongs to another request.
 func checkHead(call Call, answer *Answer) error {
 	if answer.Status >= 400 && answer.Header.Get(engine.HeaderNotRun) == "true" {
+		if answer.Status == http.StatusConflict {
+			return fmt.Errorf("%w: %w: it refused the request with status %d", ErrNotRun, ErrNotServing, answer.Status)
+		}
 		return fmt.Errorf("%w: the upstream refused it with status %d", ErrNotRun, answer.Status)
 	}
 	answered := answer.Header.Get(engine.HeaderRequest)
