cluster, fleet, gateway: larger sites with fewer calls, faster repair, own zone first

- cluster: daemons meet by heartbeats, the roster is not followed any more; where there are more than 20 daemons only those that may plan read the store ahead (TestDaemonIsMet, TestWhoReads).
Tried and reverted: the planner pushes each version to all; in a storm of large configurations its link was full, its questions went unanswered and it cut sound groups.
Spares join a group of their own once, so that they repair in 0.2 s (warm_spare.script); the last model of an instance is remembered (TestLastModelIsRemembered).
- cluster: an answer to an earlier question does not undo a later one, and a planner does not believe an entry that goes back (TestReportsOvertake, seen to fail with either half taken out).
- gateway: moved streams are scattered, own zone first, each hedge is told in the log, a workspace's priority goes before its route's.

Trials that were given up are in docs/design/05-platform.md, "Spares".

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -50,8 +50,8 @@
 		Int("hosts", len(routing.Hosts)).Msg("config-in-force")
 }
 
-// catchUp picks a daemon to be asked for a newer configuration.
-func (o *owner) catchUp(now time.Time) {
+// ahead lists the daemons that tell of a newer configuration.
+func (o *owner) ahead() []models.DaemonID {
 	own := int64(0)
 	if r := o.config.routing; r != nil {
 		own = r.Version
@@ -62,6 +62,12 @@
 			newer = append(newer, id)
 		}
 	}
+	return newer
+}
+
+// catchUp picks a daemon to be asked for a newer configuration.
+func (o *owner) catchUp(now time.Time) {
+	newer := o.ahead()
 	switch {
 	case len(newer) == 0:
 		o.peers.behind, o.peers.wants = time.Time{}, ""
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"reflect"
 	"time"
 
@@ -53,22 +54,24 @@
 		o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Str("state", string(i.Group.State)).
 			Bool("draining", i.Draining).Msg("instance-changed")
 	}
-	if known && asked.Before(k.told.Add(entryLag)) && !i.Group.Follows(k.Group) {
-		// What the instance itself told is newer than this entry may be.
+	back := known && i.Group != k.Group && !i.Group.Follows(k.Group)
+	if back && (o.fleet.planner != nil || asked.Before(k.told.Add(entryLag))) {
+		// What the instance itself told is newer than this entry may be. The
+		// one that plans asks: it would use a member that seems to be free.
 		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
+		defer o.askAsPlanner(k)
 	}
-	k.UpstreamInstance, k.written = i, time.Now()
+	k.takeIn(i)
+	k.written, k.unlisted = time.Now(), false
 	if o.fleet.planner != nil && !k.lost.IsZero() && k.written.Sub(k.lost) > askAgain {
 		o.ask(k, k.written, patientReport)
 	}
 }
 
-// dropInstance forgets an instance whose entry is gone.
-func (o *owner) dropInstance(id models.InstanceID) {
-	if i, known := o.fleet.instances[id]; known {
-		o.n.log.Info().Str("instance", string(id)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
-		delete(o.fleet.instances, id)
-		o.changed = true
+// askAsPlanner asks the instance for a report if this node plans.
+func (o *owner) askAsPlanner(k *knownInstance) {
+	if o.fleet.planner != nil {
+		o.ask(k, time.Now(), patientReport)
 	}
 }
 
@@ -76,13 +79,14 @@
 // answer.
 func (o *owner) handleReport(m reportEnded) {
 	k, known := o.fleet.instances[m.instance.ID]
-	if !known {
+	if !known || m.asked.Before(k.told) {
+		// Answers on different connections overtake each other.
 		return
 	}
 	if m.err != nil {
 		if k.lost.IsZero() {
 			k.lost = m.asked
-			o.spread(k.news(m.asked))
+			o.tellOthers(k, m.asked)
 			o.n.log.Warn().Str("instance", string(k.ID)).Str("group", string(k.Group.Key.Name)).Err(m.err).Msg("instance-lost")
 		}
 		o.changed = true
@@ -92,16 +96,33 @@
 		o.n.log.Info().Str("instance", string(k.ID)).Dur("after", m.asked.Sub(k.lost)).Msg("instance-back")
 	}
 	k.lost, k.told = time.Time{}, m.asked
-	k.Group, k.Loaded, k.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
+	told := k.UpstreamInstance
+	told.Group, told.Loaded, told.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
+	k.takeIn(told)
 	delete(o.fleet.suspects, k.ID)
 	if o.underWay(k) {
 		o.fleet.due[k.ID] = time.Now().Add(askUnderWay)
 	}
-	o.spread(k.news(m.asked))
+	o.tellOthers(k, m.asked)
 	o.changed = true
 	o.planGroups(time.Now())
 }
 
+// takeIn replaces what is known of the instance, but for the model that it ran
+// last: an instance in no group tells none.
+func (k *knownInstance) takeIn(i models.UpstreamInstance) {
+	i.Loaded = cmp.Or(i.Loaded, k.Loaded)
+	k.UpstreamInstance = i
+}
+
+// tellOthers spreads what the instance told at a time. Of one without an entry
+// they know that it is gone.
+func (o *owner) tellOthers(k *knownInstance, at time.Time) {
+	if !k.unlisted {
+		o.spread(k.news(at))
+	}
+}
+
 // changedEntries are the instances of these records of which the others have
 // not been told as they are now.
 func (f *fleetState) changedEntries(records []platform.KeyedRecord, asked time.Time) []InstanceNews {
@@ -117,7 +138,7 @@
 		}
 		told[id] = true
 		k, known := f.instances[id]
-		if !known {
+		if !known || k.unlisted {
 			out = append(out, InstanceNews{Instance: models.UpstreamInstance{ID: id}, Age: time.Since(asked), Gone: true})
 			continue
 		}
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -57,6 +57,8 @@
 	written time.Time
 	// lost is since when it does not answer; zero while it does.
 	lost time.Time
+	// unlisted tells that its entry is gone and its group still serves.
+	unlisted bool
 	// asked is when it was last asked for a report.
 	asked time.Time
 	// spread is what the other daemons were told last.
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -23,10 +23,16 @@
 	proofCheck = 200 * time.Millisecond
 	// answerSlack is added to a wait for the answer to arrive.
 	answerSlack = 1500 * time.Millisecond
+	// lateBound is proofBound for daemons that rely on others: those that
+	// read for all find the store again first, and their word comes within
+	// two of their heartbeats.
+	lateBound = 2600 * time.Millisecond
 	// retryPause is the pause after a reading that failed; it doubles up to
-	// mostPause, so that a store that is away is not pressed.
-	retryPause = 150 * time.Millisecond
-	mostPause  = 600 * time.Millisecond
+	// mostPause, or to sparsePause, so that a store that is away is not
+	// pressed.
+	retryPause  = 150 * time.Millisecond
+	mostPause   = 600 * time.Millisecond
+	sparsePause = 2400 * time.Millisecond
 	// pauseStep is how often a pause between two readings is looked at again:
 	// it may have to end sooner.
 	pauseStep = 125 * time.Millisecond
@@ -34,13 +40,23 @@
 	waitSlack = 50 * time.Millisecond
 	// instancesEvery is how often a daemon reads the entries of instances,
 	// planEntriesEvery how often the one that plans does, and fedEntriesEvery
-	// how often one does that hears from it.
-	instancesEvery   = 500 * time.Millisecond
-	planEntriesEvery = 250 * time.Millisecond
-	fedEntriesEvery  = 4 * time.Second
-	rosterWait       = 20 * time.Second
+	// how often one does that hears from it and knows when it missed something.
+	// sparseEntriesEvery takes the place of instancesEvery for those that rely
+	// on others; it stays well below the time within which an instance that
+	// leaves must get nothing new.
+	instancesEvery     = 500 * time.Millisecond
+	sparseEntriesEvery = 1500 * time.Millisecond
+	planEntriesEvery   = 250 * time.Millisecond
+	fedEntriesEvery    = 20 * time.Second
 )
 
+// relies reports whether the node leaves reading the store to others as long
+// as it hears of them: where there are many daemons, those that may plan read.
+func (n *Node) relies() bool {
+	v := n.View()
+	return v.Daemons > manyDaemons && !v.candidate
+}
+
 // pause waits; it returns the context's error if that ends first.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
@@ -80,6 +96,8 @@
 	guard func(context.Context) (context.Context, context.CancelFunc)
 	// every is the pause between two readings.
 	every func() time.Duration
+	// due, if set, tells whether to read at all now.
+	due   func() bool
 	whole func(records []platform.KeyedRecord, asked time.Time) message
 	added func(records []platform.KeyedRecord, asked time.Time) message
 }
@@ -88,6 +106,12 @@
 	from := int64(-1)
 	failed := retryPause
 	for {
+		if from >= 0 && f.due != nil && !f.due() {
+			if err := pause(ctx, pauseStep); err != nil {
+				return err
+			}
+			continue
+		}
 		next, err := f.readOnce(ctx, from)
 		switch {
 		case ctx.Err() != nil:
@@ -102,7 +126,7 @@
 			if err := pause(ctx, failed); err != nil {
 				return err
 			}
-			failed = min(mostPause, 2*failed)
+			failed = min(f.n.longestPause(), 2*failed)
 			continue
 		}
 		from, failed = next, retryPause
@@ -114,6 +138,14 @@
 	}
 }
 
+// longestPause bounds the pause between readings that fail.
+func (n *Node) longestPause() time.Duration {
+	if n.relies() {
+		return sparsePause
+	}
+	return mostPause
+}
+
 func (f *follower) readOnce(ctx context.Context, from int64) (int64, error) {
 	asked := time.Now()
 	if from < 0 {
@@ -158,11 +190,16 @@
 	}
 	f := follower{n: n, topic: platform.ConfigTopic, whole: read, added: read, guard: n.guardProof}
 	f.wait = func() time.Duration {
-		if n.readsForOthers() {
+		switch {
+		case n.relies():
+			return 0
+		case n.readsForOthers():
 			return configWait
+		default:
+			return idleWait
 		}
-		return idleWait
 	}
+	f.due = func() bool { return !n.relies() || n.readsForOthers() || n.View().behind }
 	f.every = func() time.Duration { return 0 }
 	return f.run(ctx)
 }
@@ -171,7 +208,11 @@
 // that the configuration is current: as the one that plans, and as long as
 // the proof of another is late.
 func (n *Node) readsForOthers() bool {
-	return n.planning.Load() || time.Since(n.View().Proven) > proofBound
+	bound := proofBound
+	if n.relies() {
+		bound = lateBound
+	}
+	return n.planning.Load() || time.Since(n.View().Proven) > bound
 }
 
 // errProofLate ends a long reading because a proof is due.
@@ -209,6 +250,8 @@
 			return planEntriesEvery
 		case n.fedLately():
 			return fedEntriesEvery
+		case n.relies():
+			return sparseEntriesEvery
 		default:
 			return instancesEvery
 		}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -129,9 +129,9 @@
 // tellConfig hands the configuration over to a daemon that asks for it.
 func (n *Node) tellConfig(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
 	v := n.View()
-	if !v.wantedBy[to] || v.Routing == nil || v.Routing.Version <= told {
+	if !v.wantedBy[to] || v.version() <= told {
 		return told, nil
 	}
-	c := ConfigCopy{Version: v.Routing.Version, Age: time.Since(v.Proven), Data: v.config}
+	c := ConfigCopy{Version: v.version(), Age: time.Since(v.Proven), Data: v.config}
 	return c.Version, frame.Write(conn, frameConfig, c)
 }
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -5,80 +5,100 @@
 	"net/netip"
 	"sync"
 
+	"github.com/gravitational/trace"
+
 	"github.com/lupinkeel/lupinkeel/lib/pack"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
-// links are the connections on which a node tells other daemons of itself.
+// links are the connections on which a node tells other daemons of itself. It
+// is safe for use by several goroutines.
 type links struct {
-	n      *Node
-	ended  []task.Task
-	cancel map[models.DaemonID]context.CancelFunc
-	addrs  map[models.DaemonID]netip.AddrPort
+	n *Node
 
-	mu   sync.Mutex
-	news map[models.DaemonID]chan LoadNews
-	// woken has a place for each link that is to tell of loads at once.
-	woken map[models.DaemonID]chan struct{}
+	mu    sync.Mutex
+	ended []task.Task
+	known map[models.DaemonID]*linkEnd
 }
 
-func newLinks(n *Node) *links {
-	return &links{
-		n: n, cancel: map[models.DaemonID]context.CancelFunc{}, addrs: map[models.DaemonID]netip.AddrPort{}, news: map[models.DaemonID]chan LoadNews{},
-		woken: map[models.DaemonID]chan struct{}{},
-	}
+// linkEnd is the other end of a link: the run of a daemon that is known there.
+type linkEnd struct {
+	addr        netip.AddrPort
+	incarnation int64
+	cancel      context.CancelFunc
+	// news and woken outlast a change of address. woken has a place for the
+	// word that loads are to be told at once.
+	news  chan LoadNews
+	woken chan struct{}
 }
 
-// update begins a link to each daemon that the records name at a new address,
-// in place of the link to its former one.
+func newLinks(n *Node) *links { return &links{n: n, known: map[models.DaemonID]*linkEnd{}} }
+
+// update begins a link to each daemon that the records of the roster name.
 func (l *links) update(ctx context.Context, records []platform.KeyedRecord) {
 	for _, r := range records {
-		id := models.DaemonID(r.Key)
-		if id == l.n.cfg.ID {
-			continue
-		}
 		var entry rosterEntry
-		addr, err := netip.AddrPort{}, pack.Unmarshal(r.Value, &entry)
+		err := pack.Unmarshal(r.Value, &entry)
 		if err == nil {
-			addr, err = netip.ParseAddrPort(entry.Addr)
+			err = l.connect(ctx, models.DaemonID(r.Key), entry.Addr, entry.Incarnation)
 		}
 		if err != nil {
 			l.n.log.Error().Err(err).Str("peer", r.Key).Msg("roster-entry-unreadable")
-			continue
 		}
-		if l.addrs[id] == addr {
-			continue
-		}
-		if stop := l.cancel[id]; stop != nil {
-			stop()
-		}
-		link := l.linkTo(id, addr)
-		linkCtx, cancel := context.WithCancel(ctx)
-		l.cancel[id], l.addrs[id] = cancel, addr
-		l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, link) }))
 	}
 }
 
-// linkTo returns a link with the daemon's queues, which outlast its address.
-func (l *links) linkTo(id models.DaemonID, addr netip.AddrPort) link {
+// meet begins a link to a daemon that told of itself: it may have entered
+// itself in the roster since that was read.
+func (l *links) meet(ctx context.Context, b Heartbeat) {
+	if err := l.connect(ctx, b.From, b.Addr, b.Incarnation); err != nil {
+		l.n.log.Error().Err(err).Str("peer", string(b.From)).Msg("heartbeat-unreadable")
+	}
+}
+
+// connect begins a link to a run of a daemon, in the place of one to an
+// earlier run at another address.
+func (l *links) connect(ctx context.Context, id models.DaemonID, at string, incarnation int64) error {
+	if id == l.n.cfg.ID {
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(at)
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.news[id] == nil {
-		l.news[id] = make(chan LoadNews, newsLen)
-		l.woken[id] = make(chan struct{}, 1)
+	end := l.known[id]
+	if end == nil {
+		end = &linkEnd{news: make(chan LoadNews, newsLen), woken: make(chan struct{}, 1)}
+		l.known[id] = end
+	}
+	if incarnation < end.incarnation {
+		return nil
 	}
-	return link{id: id, addr: addr, news: l.news[id], woken: l.woken[id]}
+	end.incarnation = incarnation
+	if end.addr == addr || ctx.Err() != nil {
+		return nil
+	}
+	if end.cancel != nil {
+		end.cancel()
+	}
+	linkCtx, cancel := context.WithCancel(ctx)
+	end.addr, end.cancel = addr, cancel
+	made := link{id: id, addr: addr, news: end.news, woken: end.woken}
+	l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, made) }))
+	return nil
 }
 
 // send hands news to the link of every other daemon.
 func (l *links) send(news LoadNews) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, to := range l.news {
+	for _, end := range l.known {
 		select {
-		case to <- news:
+		case end.news <- news:
 		default:
 			// The link is behind or down; the next heartbeat tells all.
 		}
@@ -89,9 +109,9 @@
 func (l *links) wake() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, to := range l.woken {
+	for _, end := range l.known {
 		select {
-		case to <- struct{}{}:
+		case end.woken <- struct{}{}:
 		default:
 		}
 	}
@@ -99,8 +119,13 @@
 
 // wait ends all links and waits for their ends.
 func (l *links) wait() error {
-	for _, cancel := range l.cancel {
-		cancel()
+	l.mu.Lock()
+	for _, end := range l.known {
+		if end.cancel != nil {
+			end.cancel()
+		}
 	}
-	return task.Wait(l.ended...)
+	ended := l.ended
+	l.mu.Unlock()
+	return task.Wait(ended...)
 }
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -56,8 +56,8 @@
 		case at.Before(k.told):
 		default:
 			draining := k.Draining || news.Instance.Draining
-			k.UpstreamInstance, k.told = news.Instance, at
-			k.Draining = draining
+			k.takeIn(news.Instance)
+			k.Draining, k.told = draining, at
 			k.lost = time.Time{}
 			delete(o.fleet.suspects, id)
 			if news.Lost {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -131,6 +131,7 @@
 	o.dropSilent(tick.At)
 	o.catchUp(tick.At)
 	o.askDue(tick.At)
+	o.watchUnlisted(tick.At)
 	o.planGroups(tick.At)
 }
 
@@ -143,6 +144,7 @@
 		Term:    max(o.peers.term, o.fleet.term()),
 		Planner: o.fleet.planner != nil, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(now),
 		candidate: o.candidate(), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{},
+		behind: len(o.ahead()) > 0,
 	}
 	for id, p := range o.peers.seen {
 		if p.beat.Wants == o.n.cfg.ID {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -42,6 +42,9 @@
 	if !known || before.beat.Incarnation != m.beat.Incarnation {
 		o.n.log.Info().Str("peer", string(m.beat.From)).Int64("incarnation", m.beat.Incarnation).Msg("peer-seen")
 	}
+	if !known || before.beat.Addr != m.beat.Addr {
+		o.n.links.meet(o.ctx, m.beat)
+	}
 	o.peers.seen[m.beat.From] = seenPeer(m)
 	o.peers.term = max(o.peers.term, m.beat.Term)
 	if r := o.config.routing; r != nil && r.Version == m.beat.ConfigVersion {
@@ -94,7 +97,7 @@
 func (n *Node) heartbeat() Heartbeat {
 	v := n.View()
 	b := Heartbeat{
-		From: n.cfg.ID, Incarnation: n.started, Term: v.Term,
+		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Term: v.Term,
 		Power: n.cfg.Power, Wants: v.wants, Work: n.traffic.Work(), Stalled: v.stalled,
 	}
 	if v.Routing != nil {
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -89,7 +89,7 @@
 	world := fleet.World{
 		Now: now, Profile: engine, Demand: o.demand(engine),
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
-		Unproven: map[models.InstanceID]bool{},
+		Unproven: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{},
 	}
 	// Demand has just noted whether there is traffic.
 	world.Traffic, world.Busy = f.traffic, o.busy(engine, now)
@@ -103,6 +103,9 @@
 		if !i.lost.IsZero() {
 			world.Lost[id] = true
 		}
+		if i.unlisted {
+			world.Unlisted[id] = true
+		}
 		if !i.told.After(f.began) {
 			world.Unproven[id] = true
 			if i.lost.IsZero() {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -31,11 +31,21 @@
 	// that ask this one.
 	wants    models.DaemonID
 	wantedBy map[models.DaemonID]bool
+	// behind tells that another daemon has a newer configuration.
+	behind bool
 	// candidate tells that this node asks for the planner's lease.
 	candidate bool
 	stalled   []StalledHead
 }
 
+// version is that of the configuration in force, 0 if there is none.
+func (v *View) version() int64 {
+	if v.Routing == nil {
+		return 0
+	}
+	return v.Routing.Version
+}
+
 // Group is a replica group that takes requests.
 type Group struct {
 	Key     models.GroupKey
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -18,6 +18,9 @@
 type Heartbeat struct {
 	From        models.DaemonID `msgpack:"id"`
 	Incarnation int64           `msgpack:"in"`
+	// Addr is where the daemon listens for others, so that one that hears of
+	// it for the first time can answer.
+	Addr string `msgpack:"ad"`
 	// ConfigVersion is the version in force, ConfigAge how long ago it was
 	// known to be the newest.
 	ConfigVersion int64         `msgpack:"cv"`
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -68,7 +68,7 @@
 		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, Power: s.Power, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
 	}, traffic, set, log)
 	g := gateway.New(gateway.Settings{
-		Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
+		Zone: s.Zone, Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
--- a/fleet/examine.go
+++ b/fleet/examine.go
@@ -9,7 +9,7 @@
 // stands.
 func (r *round) examineGroups() {
 	for key, g := range r.groups {
-		if r.forming[key] != nil || r.ending[key] != nil {
+		if r.forming[key] != nil || r.ending[key] != nil || r.warms(g) {
 			continue
 		}
 		profile, known := r.Profile.Model(g.Model)
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -33,6 +33,7 @@
 			free[domain] = slices.DeleteFunc(ids, func(id models.InstanceID) bool { return slices.Contains(c.members, id) })
 		}
 	}
+	r.warmAll(free)
 	if r.stageAll(free) {
 		r.stageFlexible()
 	}
@@ -147,7 +148,7 @@
 	if !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 {
 		return true
 	}
-	if r.Traffic || free >= owner.Size || free <= maxSpares {
+	if r.Traffic || free >= owner.Size || free <= maxSpares || r.Now.Sub(r.arrived[domain]) < arrivals {
 		return false
 	}
 	for id := range loading {
@@ -177,10 +178,12 @@
 
 // mayLoad reports whether so many loads may begin now.
 func (r *round) mayLoad(n int) bool {
-	most := r.Profile.LoadsAtOnce
 	if !r.Traffic {
-		return r.loading < most+earlyLoads
+		// They don't slow each other yet: on the users' bench 44 at once took
+		// no longer each.
+		return true
 	}
+	most := r.Profile.LoadsAtOnce
 	bound := r.Profile.LoadsPerSecond * loadWindow.Seconds() * loadMargin
 	return (r.loading == 0 || r.loading+n <= most) && float64(len(r.loads)+n) <= bound
 }
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -42,9 +42,10 @@
 	// loadMargin the part of the weight store's rate that is used in it.
 	loadWindow = 5 * time.Second
 	loadMargin = 0.8
-	// earlyLoads is how many loads beyond the weight store's best number are
-	// begun before traffic, so that it is never idle between two groups.
-	earlyLoads = 8
+	// arrivals is how long no instance may have come to a domain, before
+	// traffic, for its remainder to be given to another model: instances
+	// enter themselves over some four seconds.
+	arrivals = 800 * time.Millisecond
 )
 
 // World is what is known at one moment.
@@ -55,6 +56,9 @@
 	Instances map[models.InstanceID]models.UpstreamInstance
 	// Lost are instances that have an entry and yet do not answer.
 	Lost map[models.InstanceID]bool
+	// Unlisted are members of groups that have no entry any more. Their groups
+	// may go on, but nothing new is made of them.
+	Unlisted map[models.InstanceID]bool
 	// Unproven are instances that the planner has not asked in its own term.
 	// What is known of them may be older than the last planner's orders, so
 	// they are not used for new groups.
@@ -70,7 +74,7 @@
 // usable reports whether an instance may be given a part in a group.
 func (w World) usable(id models.InstanceID) bool {
 	i, there := w.Instances[id]
-	return there && !w.Lost[id] && !i.Draining
+	return there && !w.Lost[id] && !w.Unlisted[id] && !i.Draining
 }
 
 // maxOrders is how many fences and epochs there are in a term, less those of
@@ -94,6 +98,12 @@
 	// instances are loading onto their hosts.
 	domains map[models.Domain]models.ModelName
 	staging map[models.InstanceID]staging
+	// arrived is when a domain's newest instance was first seen, seen which
+	// instances were.
+	arrived map[models.Domain]time.Time
+	seen    map[models.InstanceID]bool
+	// warming are spares that get ready to join faster.
+	warming map[models.InstanceID]warming
 	// converting is the conversion under way, converted when the last began.
 	converting *conversion
 	converted  time.Time
@@ -120,6 +130,7 @@
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, held: map[models.InstanceID]time.Time{},
 		domains: map[models.Domain]models.ModelName{}, staging: map[models.InstanceID]staging{}, converted: now,
+		warming: map[models.InstanceID]warming{}, arrived: map[models.Domain]time.Time{}, seen: map[models.InstanceID]bool{},
 	}
 }
 
@@ -157,8 +168,10 @@
 		return nil
 	}
 	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: map[models.ModelName]int{}}
+	r.meet()
 	r.forget()
 	r.advanceForming()
+	r.advanceWarming()
 	r.examineGroups()
 	r.advanceStaging()
 	r.convert()
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -50,3 +50,21 @@
 	w.Now = w.Now.Add(time.Second)
 	qt.Assert(t, p.Step(w), qt.Not(qt.HasLen), 0)
 }
+
+// TestUnlistedMember checks that a group goes on whose member has no entry any
+// more, and that nothing is made of such an instance.
+func TestUnlistedMember(t *testing.T) {
+	key := models.GroupKey{Name: "small.1", Epoch: 1}
+	w := World{Now: time.Now(), Profile: testProfile(), Traffic: true, Unlisted: map[models.InstanceID]bool{"i-2": true}}
+	w.Instances = map[models.InstanceID]models.UpstreamInstance{
+		"i-1": {ID: "i-1", Domain: "a", Loaded: "small", Staged: []models.ModelName{"small"}, Group: models.Membership{Key: key, State: models.MemberOpen}},
+		"i-2": {ID: "i-2", Domain: "a", Loaded: "small", Staged: []models.ModelName{"small"}, Group: models.Membership{Key: key, Rank: 1, State: models.MemberReady}},
+	}
+	p := NewPlanner(1, w.Now)
+	qt.Assert(t, p.Step(w), qt.HasLen, 0)
+	w.Lost = map[models.InstanceID]bool{"i-2": true}
+	orders := p.Step(w)
+	qt.Assert(t, orders, qt.HasLen, 1)
+	qt.Assert(t, orders[0].Kind, qt.Equals, types.GroupCut)
+	qt.Assert(t, orders[0].Instance, qt.Equals, models.InstanceID("i-1"))
+}
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -20,8 +20,23 @@
 	loading int
 }
 
+// meet notes which instances are new.
+func (r *round) meet() {
+	for id, i := range r.Instances {
+		if !r.seen[id] {
+			r.seen[id] = true
+			r.arrived[i.Domain] = r.Now
+		}
+	}
+}
+
 // forget drops what is kept of instances that are gone.
 func (r *round) forget() {
+	for id := range r.seen {
+		if _, there := r.Instances[id]; !there {
+			delete(r.seen, id)
+		}
+	}
 	for id := range r.sent {
 		if _, there := r.Instances[id]; !there {
 			delete(r.sent, id)
--- /dev/null
+++ b/fleet/warming.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// warming is a spare that joins a group of its own, which is never opened, and
+// leaves it again. An instance joins a group of the model that it ran last in
+// Rejoin, where the weights on its host alone would take it Warm: a broken
+// group is whole again by so much sooner.
+type warming struct {
+	key   models.GroupKey
+	model models.ModelName
+	until time.Time
+}
+
+// advanceWarming has spares that are ready leave their own groups.
+func (r *round) advanceWarming() {
+	for id, w := range r.warming {
+		i := r.Instances[id]
+		inside := i.Group.Key == w.key && i.Group.State != models.MemberNone
+		_, held := r.held[id]
+		switch {
+		case !r.usable(id) || held || r.Now.After(w.until), inside && i.Group.State == models.MemberReady:
+			delete(r.warming, id)
+			if inside {
+				r.end(w.key, id, types.GroupLeave)
+			}
+		default:
+			r.taken[id] = true
+			r.joinOwn(id, w)
+		}
+	}
+}
+
+// joinOwn orders a spare to join its own group unless it has taken the order.
+func (r *round) joinOwn(id models.InstanceID, w warming) {
+	s := r.sent[id]
+	taken := s != nil && s.order.Group == w.key && (s.outcome == types.OrderBegun || s.outcome == types.OrderDone)
+	if !taken && r.due(id, types.GroupJoin, w.key) {
+		r.order(types.GroupOrder{Kind: types.GroupJoin, Instance: id, Group: w.key, Model: w.model, Members: []models.InstanceID{id}})
+	}
+}
+
+// warms reports whether the group is a spare's own.
+func (r *round) warms(g *Group) bool {
+	w, under := r.warming[g.Head]
+	return under && w.key == g.Key
+}
+
+// warmAll begins to warm the spares that lie idle with the weights of their
+// domain's model on their hosts.
+func (r *round) warmAll(free map[models.Domain][]models.InstanceID) {
+	for domain, ids := range free {
+		model, known := r.Profile.Model(r.domains[domain])
+		if !known || len(ids) >= model.Size {
+			continue
+		}
+		for _, id := range ids {
+			_, under := r.staging[id]
+			if i := r.Instances[id]; under || i.Loaded == model.Name || !slices.Contains(i.Staged, model.Name) {
+				continue
+			}
+			epoch := r.next()
+			w := warming{
+				key: models.GroupKey{Name: nameGroup(model.Name, epoch), Epoch: epoch}, model: model.Name,
+				until: r.Now.Add(formFactor*model.Warm + formSlack),
+			}
+			r.warming[id] = w
+			r.joinOwn(id, w)
+		}
+	}
+}
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -16,6 +16,9 @@
 // balance counts what the daemon has at each instance and picks where the
 // next request goes. It is safe for use by several goroutines.
 type balance struct {
+	// zone is the daemon's own; it is set before anything is picked.
+	zone models.Zone
+
 	mu    sync.Mutex
 	loads map[models.InstanceID]cluster.Load
 	// stamps number the changes of each instance's load.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -71,7 +71,7 @@
 // goroutines.
 func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, a models.Attempt, patience h1.Patience) (*h1.Response, error) {
 	a.Left, a.Instance, a.Workspace = time.Until(e.until), i.ID, e.holder.Workspace
-	a.Priority = min(maxPriority, e.route.Priority)
+	a.Priority = rank(e.holder.Priority, e.route.Priority)
 	freshest := freshRepeatable
 	if !e.route.Repeatable() {
 		freshest = freshOnce
@@ -97,6 +97,9 @@
 const (
 	// maxPriority is the last rank of the Priority header that instances take.
 	maxPriority = 9
+	// routeRanks is how many of those ranks the routes of one workspace share:
+	// the users' routes have two or three priorities.
+	routeRanks = 3
 	// freshRepeatable and freshOnce are how long a connection may have rested
 	// to carry a request that may be sent again, and one that may not: an
 	// upstream may close a resting connection at any time.
@@ -104,6 +107,13 @@
 	freshOnce       = 300 * time.Millisecond
 )
 
+// rank is how urgent a request is at an instance, 0 first: the workspace's
+// priority goes before the route's.
+func rank(workspace, route int) int {
+	within := min(max(0, route), routeRanks-1)
+	return min(maxPriority, max(0, workspace)*routeRanks+within)
+}
+
 // writeHead passes the head of an answer on.
 func (e *exchange) writeHead(status int, h http.Header) {
 	out := e.w.Header()
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -137,5 +137,8 @@
 	}
 	s.runs++
 	s.hedge = s.newHedge(group)
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(r.group.Key.Name)).Str("to", string(group.Key.Name)).
+		Dur("silence", silence).Dur("longest", longest).Bool("suspect", suspect).Int("load", s.g.balance.loadNow(s.g.node, group.Head.ID).Requests).
+		Msg("stream-hedged")
 	return hedgeStep
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +25,14 @@
 	// fullCost is how long a request waits at a full group for each one that is
 	// ahead of it: about the time between two ends.
 	fullCost = 100 * time.Millisecond
+	// zoneCost is what a group in another zone is set back by: the way there
+	// and back, some 3 ms on the users' sites, and the price of bytes between
+	// zones.
+	zoneCost = 5 * time.Millisecond
+	// spreadCost scatters requests that are sent again: when a group stands
+	// still, all daemons move its streams within a few ms, before they hear of
+	// each other's choices. It is about what one prompt more costs a group.
+	spreadCost = 40 * time.Millisecond
 )
 
 // look returns the best group that was not tried, if there is one, and
@@ -89,7 +98,7 @@
 	defer b.mu.Unlock()
 	view := node.View()
 	groups := view.Groups[model]
-	best, requests, least := -1, 0, time.Duration(0)
+	best, requests, least := -1, 0, math.Inf(1)
 	order := rand.Perm(len(groups))
 	if !urgent(view, model) {
 		// What is known of the others' requests is old: the best of a few is
@@ -102,14 +111,14 @@
 			continue
 		}
 		load := b.loadAt(node, g.Head.ID)
-		cost := time.Duration(load.Requests) * requestCost
-		if engine.ReadPerSecond > 0 {
-			cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+		cost := groupCost(engine, load).Seconds()
+		if g.Head.Zone != b.zone {
+			cost += zoneCost.Seconds()
 		}
-		if load.Requests >= engine.Slots {
-			cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
+		if len(tried) > 0 {
+			cost += rand.ExpFloat64() * spreadCost.Seconds()
 		}
-		if best < 0 || cost < least {
+		if cost < least {
 			best, requests, least = i, load.Requests, cost
 		}
 	}
@@ -119,8 +128,21 @@
 	return groups[best], requests, true
 }
 
+// groupCost is how much later than at an idle group a request is answered at
+// one with this load.
+func groupCost(engine *models.EngineProfile, load cluster.Load) time.Duration {
+	cost := time.Duration(load.Requests) * requestCost
+	if engine.ReadPerSecond > 0 {
+		cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+	}
+	if load.Requests >= engine.Slots {
+		cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
+	}
+	return cost
+}
+
 // pickInstance returns the instance of a plain service with the fewest
-// requests that was not tried.
+// requests that was not tried, of equals one in this daemon's zone.
 func (b *balance) pickInstance(node Beliefs, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -130,7 +152,9 @@
 		if slices.Contains(tried, all[i].ID) {
 			continue
 		}
-		if n := b.loadAt(node, all[i].ID).Requests; best < 0 || n < least {
+		n := b.loadAt(node, all[i].ID).Requests
+		nearer := best >= 0 && n == least && all[i].Zone == b.zone && all[best].Zone != b.zone
+		if best < 0 || n < least || nearer {
 			best, least = i, n
 		}
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -26,6 +26,7 @@
 
 // Settings are what a gateway needs to know from the start.
 type Settings struct {
+	Zone models.Zone
 	// Listen is where callers come, Ready where the balancer asks, Admin
 	// where metrics are served; Admin may be invalid.
 	Listen netip.AddrPort
@@ -112,6 +113,7 @@
 		cfg: cfg, log: log, node: node, balance: traffic.(*balance), stats: newStats(set), set: set,
 		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 	}
+	g.balance.zone = cfg.Zone
 	g.conns = h1.NewPool(dialTimeout, func() { g.stats.opened.Inc() })
 	return g
 }
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -12,8 +12,9 @@
 	Domain   Domain
 	Slots    int
 	Draining bool
-	// Loaded is the model whose weights are in use, Staged those that lie on
-	// the instance's host.
+	// Loaded is the model that the instance runs or, as far as is known, ran
+	// last since its start; it joins a group of that model fastest. Staged are
+	// those that lie on its host.
 	Loaded ModelName
 	Staged []ModelName
 	Group  Membership
