cluster: tell other zones of loads through one relay each

Cause: where there are many daemons each change of a load went to each of the 60 others, two thirds of them in other zones. Change: the own zone and one relay (most processor, then a hash) in each other zone, which passes it on; changes are numbered by incarnation and count, since a relayed one may be overtaken.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	seen, err := n.tellLoads(conn, 0)
+	seen, err := n.tellLoads(conn, 0, false)
 	for err == nil {
 		select {
 		case <-ctx.Done():
@@ -82,10 +82,10 @@
 			}
 			beaten = now
 			if told, err = n.beat(conn, l.id, told); err == nil {
-				seen, err = n.tellLoads(conn, seen)
+				seen, err = n.tellLoads(conn, seen, false)
 			}
 		case <-l.woken:
-			seen, err = n.tellLoads(conn, seen)
+			seen, err = n.tellLoads(conn, seen, n.View().relays[l.id])
 		case m := <-l.news:
 			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameLoads, m))
 		}
@@ -114,8 +114,8 @@
 }
 
 // tellLoads tells the loads that have changed since an earlier call; the
-// first one tells all.
-func (n *Node) tellLoads(conn net.Conn, seen uint64) (uint64, error) {
+// first one tells all. The other daemon is asked to relay them if wanted.
+func (n *Node) tellLoads(conn net.Conn, seen uint64, relay bool) (uint64, error) {
 	loads, last := n.traffic.LoadsSince(seen)
 	if len(loads) == 0 && seen > 0 {
 		return last, nil
@@ -123,7 +123,8 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return seen, err
 	}
-	return last, frame.Write(conn, frameLoads, LoadNews{From: n.cfg.ID, All: seen == 0, Loads: loads})
+	news := LoadNews{From: n.cfg.ID, Incarnation: n.started, Change: last, Relay: relay, All: seen == 0, Loads: loads}
+	return last, frame.Write(conn, frameLoads, news)
 }
 
 // tellConfig hands the configuration over to a daemon that asks for it.
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -26,6 +26,7 @@
 // linkEnd is the other end of a link: the run of a daemon that is known there.
 type linkEnd struct {
 	addr        netip.AddrPort
+	zone        models.Zone
 	incarnation int64
 	cancel      context.CancelFunc
 	// news and woken outlast a change of address. woken has a place for the
@@ -42,7 +43,7 @@
 		var entry rosterEntry
 		err := pack.Unmarshal(r.Value, &entry)
 		if err == nil {
-			err = l.connect(ctx, models.DaemonID(r.Key), entry.Addr, entry.Incarnation)
+			err = l.connect(ctx, models.DaemonID(r.Key), entry)
 		}
 		if err != nil {
 			l.n.log.Error().Err(err).Str("peer", r.Key).Msg("roster-entry-unreadable")
@@ -53,18 +54,18 @@
 // meet begins a link to a daemon that told of itself: it may have entered
 // itself in the roster since that was read.
 func (l *links) meet(ctx context.Context, b Heartbeat) {
-	if err := l.connect(ctx, b.From, b.Addr, b.Incarnation); err != nil {
+	if err := l.connect(ctx, b.From, rosterEntry{Zone: b.Zone, Addr: b.Addr, Incarnation: b.Incarnation}); err != nil {
 		l.n.log.Error().Err(err).Str("peer", string(b.From)).Msg("heartbeat-unreadable")
 	}
 }
 
 // connect begins a link to a run of a daemon, in the place of one to an
 // earlier run at another address.
-func (l *links) connect(ctx context.Context, id models.DaemonID, at string, incarnation int64) error {
+func (l *links) connect(ctx context.Context, id models.DaemonID, entry rosterEntry) error {
 	if id == l.n.cfg.ID {
 		return nil
 	}
-	addr, err := netip.ParseAddrPort(at)
+	addr, err := netip.ParseAddrPort(entry.Addr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -75,10 +76,10 @@
 		end = &linkEnd{news: make(chan LoadNews, newsLen), woken: make(chan struct{}, 1)}
 		l.known[id] = end
 	}
-	if incarnation < end.incarnation {
+	if entry.Incarnation < end.incarnation {
 		return nil
 	}
-	end.incarnation = incarnation
+	end.incarnation, end.zone = entry.Incarnation, entry.Zone
 	if end.addr == addr || ctx.Err() != nil {
 		return nil
 	}
@@ -105,11 +106,15 @@
 	}
 }
 
-// wake has every link tell at once what has changed of the loads.
-func (l *links) wake() {
+// wake has the links tell at once what has changed of the loads: all of them,
+// or those in the daemon's own zone and to one relay in each other zone.
+func (l *links) wake(relays map[models.DaemonID]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, end := range l.known {
+	for id, end := range l.known {
+		if relays != nil && end.zone != l.n.cfg.Zone && !relays[id] {
+			continue
+		}
 		select {
 		case end.woken <- struct{}{}:
 		default:
@@ -117,6 +122,23 @@
 	}
 }
 
+// relay passes another daemon's loads on within this one's zone.
+func (l *links) relay(news LoadNews) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	passed := LoadNews{From: news.From, Incarnation: news.Incarnation, Change: news.Change, Loads: news.Loads}
+	for id, end := range l.known {
+		if id == news.From || end.zone != l.n.cfg.Zone {
+			continue
+		}
+		select {
+		case end.news <- passed:
+		default:
+			// The daemon itself tells all its loads with its next heartbeat.
+		}
+	}
+}
+
 // wait ends all links and waits for their ends.
 func (l *links) wait() error {
 	l.mu.Lock()
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -14,16 +14,49 @@
 	mu  sync.Mutex
 	by  map[models.DaemonID]map[models.InstanceID]Load
 	sum map[models.InstanceID]Load
+	// newest numbers what each daemon told last, heard is when that came.
+	newest map[models.DaemonID]loadChange
+	heard  map[models.DaemonID]time.Time
+}
+
+// loadChange numbers a state of a daemon's loads.
+type loadChange struct {
+	incarnation int64
+	change      uint64
+}
+
+func (c loadChange) before(o loadChange) bool {
+	if c.incarnation != o.incarnation {
+		return c.incarnation < o.incarnation
+	}
+	return c.change < o.change
 }
 
 func newPeerLoads() *peerLoads {
-	return &peerLoads{by: map[models.DaemonID]map[models.InstanceID]Load{}, sum: map[models.InstanceID]Load{}}
+	return &peerLoads{
+		by: map[models.DaemonID]map[models.InstanceID]Load{}, sum: map[models.InstanceID]Load{}, newest: map[models.DaemonID]loadChange{},
+		heard: map[models.DaemonID]time.Time{},
+	}
 }
 
-// take puts what a daemon tells in the place of what it told before.
+// take puts what a daemon tells in the place of what it told before, unless
+// that was newer.
 func (p *peerLoads) take(news LoadNews) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(news.Loads) == 0 && !news.All {
+		return
+	}
+	change := loadChange{news.Incarnation, news.Change}
+	if change.before(p.newest[news.From]) {
+		return
+	}
+	p.newest[news.From], p.heard[news.From] = change, time.Now()
+	p.put(news)
+}
+
+// put takes news in. The loads must be locked.
+func (p *peerLoads) put(news LoadNews) {
 	known := p.by[news.From]
 	if known == nil {
 		known = map[models.InstanceID]Load{}
@@ -56,10 +89,33 @@
 
 // drop forgets what a daemon that is gone told.
 func (p *peerLoads) drop(id models.DaemonID) {
-	p.take(LoadNews{From: id, All: true})
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forget(id)
+}
+
+// forget is drop for loads that are locked.
+func (p *peerLoads) forget(id models.DaemonID) {
+	p.put(LoadNews{From: id, All: true})
 	delete(p.by, id)
+	delete(p.newest, id)
+	delete(p.heard, id)
+}
+
+// relayedLate is how long a daemon that is not known may have told nothing
+// before it is forgotten: what it told last may come by way of a relay after it
+// was dropped.
+const relayedLate = 5 * time.Second
+
+// prune forgets the daemons that are not known and tell nothing any more.
+func (p *peerLoads) prune(known map[models.DaemonID]seenPeer, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, at := range p.heard {
+		if _, there := known[id]; !there && now.Sub(at) > relayedLate {
+			p.forget(id)
+		}
+	}
 }
 
 func (p *peerLoads) at(id models.InstanceID) Load {
@@ -97,6 +153,6 @@
 		if err := pause(ctx, delay); err != nil {
 			return err
 		}
-		n.links.wake()
+		n.links.wake(n.View().relays)
 	}
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -144,7 +144,7 @@
 		Term:    max(o.peers.term, o.fleet.term()),
 		Planner: o.fleet.planner != nil, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(now),
 		candidate: o.candidate(), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{},
-		behind: len(o.ahead()) > 0,
+		behind: len(o.ahead()) > 0, relays: o.relays(),
 	}
 	for id, p := range o.peers.seen {
 		if p.beat.Wants == o.n.cfg.ID {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -68,6 +68,7 @@
 			o.changed = true
 		}
 	}
+	o.n.peerLoads.prune(o.peers.seen, now)
 }
 
 // candidates is how many daemons ask the store for the planner's lease: enough
@@ -97,7 +98,7 @@
 func (n *Node) heartbeat() Heartbeat {
 	v := n.View()
 	b := Heartbeat{
-		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Term: v.Term,
+		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		Power: n.cfg.Power, Wants: v.wants, Work: n.traffic.Work(), Stalled: v.stalled,
 	}
 	if v.Routing != nil {
@@ -106,6 +107,30 @@
 	return b
 }
 
+// relays picks one daemon of each other zone, where there are many daemons:
+// the one with the most processor, and among equals by a hash of their names.
+// It passes on what is to be known at once, so that each change crosses to a
+// zone once.
+func (o *owner) relays() map[models.DaemonID]bool {
+	if len(o.peers.seen) < manyDaemons {
+		return nil
+	}
+	best := map[models.Zone]Heartbeat{}
+	for id, p := range o.peers.seen {
+		b, there := best[p.beat.Zone]
+		if !there || p.beat.Power > b.Power || (p.beat.Power == b.Power && hashOf(id) < hashOf(b.From)) {
+			best[p.beat.Zone] = p.beat
+		}
+	}
+	out := map[models.DaemonID]bool{}
+	for zone, b := range best {
+		if zone != o.n.cfg.Zone {
+			out[b.From] = true
+		}
+	}
+	return out
+}
+
 // work sums what the callers of all daemons ask of each model.
 func (o *owner) work() map[models.ModelName]float64 {
 	sum := maps.Clone(o.n.traffic.Work())
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -83,6 +83,9 @@
 			return from, err
 		}
 		s.n.peerLoads.take(news)
+		if news.Relay {
+			s.n.links.relay(news)
+		}
 		if news.Term > 0 {
 			s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, at: time.Now()})
 		}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -31,6 +31,9 @@
 	// that ask this one.
 	wants    models.DaemonID
 	wantedBy map[models.DaemonID]bool
+	// relays are daemons of other zones that pass loads on there; nil where
+	// there are few daemons, and each is told by itself.
+	relays map[models.DaemonID]bool
 	// behind tells that another daemon has a newer configuration.
 	behind bool
 	// candidate tells that this node asks for the planner's lease.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -20,7 +20,8 @@
 	Incarnation int64           `msgpack:"in"`
 	// Addr is where the daemon listens for others, so that one that hears of
 	// it for the first time can answer.
-	Addr string `msgpack:"ad"`
+	Addr string      `msgpack:"ad"`
+	Zone models.Zone `msgpack:"z"`
 	// ConfigVersion is the version in force, ConfigAge how long ago it was
 	// known to be the newest.
 	ConfigVersion int64         `msgpack:"cv"`
@@ -70,7 +71,13 @@
 // LoadNews tells the loads that a daemon causes at instances. All tells that
 // it causes none at any other.
 type LoadNews struct {
-	From  models.DaemonID            `msgpack:"id"`
+	From models.DaemonID `msgpack:"id"`
+	// Incarnation and Change number the state of the loads that is told: what
+	// comes by way of another daemon may come after something newer.
+	Incarnation int64  `msgpack:"in"`
+	Change      uint64 `msgpack:"c"`
+	// Relay asks the receiver to pass the loads on within its zone.
+	Relay bool                       `msgpack:"re"`
 	All   bool                       `msgpack:"a"`
 	Loads map[models.InstanceID]Load `msgpack:"l"`
 	// Stalled are heads that the daemon just found to stand still.
