--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
@@ -56,6 +57,10 @@
 	// the heap within; the rest is for stacks and buffers.
 	memoryPart = 0.6
 	megabyte   = 1 << 20
+	// settle is how long a daemon keeps to itself that groups seem to stand
+	// still: by then it has heard of the others' requests and has seen a few
+	// hundred pauses.
+	settle = 2 * time.Second
 )
 
 func runGateway(ctx context.Context, s config.Gateway, given map[string]string, log zerolog.Logger) error {
@@ -69,7 +74,7 @@
 	}, traffic, set, log)
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
-		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
+		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace, Settle: settle,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
 		Stringer("store", s.Store).Msg("started")
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -123,7 +123,7 @@
 	case r.moved.IsZero() && now.Sub(r.sent) < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
 		return firstStep
-	case r.moved.IsZero() && now.Sub(r.sent) < s.route.Aim:
+	case now.Before(s.g.settled), r.moved.IsZero() && now.Sub(r.sent) < s.route.Aim:
 		// Too little is known to suspect the group; a hedge does no harm.
 	default:
 		s.g.node.ReportStalled(r.group.Key, head)
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -100,7 +100,7 @@
 	var instances []*instance
 	for _, f := range archive.Files {
 		parts[f.Name] = string(f.Data)
-		if f.Name == "config" || f.Name == "ask" || f.Name == "want" {
+		if f.Name == "config" || f.Name == "settle" || f.Name == "ask" || f.Name == "want" {
 			continue
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -111,6 +111,10 @@
 	}
 	beliefs := beliefsFor(c, parts["config"], instances)
 	cfg := Settings{KeysBound: time.Minute, ConfigBound: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	if settle, given := parts["settle"]; given {
+		cfg.Settle, err = time.ParseDuration(lines(settle)[0])
+		c.Assert(err, qt.IsNil)
+	}
 	g := New(cfg, beliefs, newBalance(), metrics.NewSet(), zerolog.Nop())
 	front := httptest.NewServer(http.HandlerFunc(g.serve))
 	defer front.Close()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -42,6 +42,10 @@
 	RetryWindow time.Duration
 	// StopGrace is how long a planned stop may take.
 	StopGrace time.Duration
+	// Settle is how long after its start a gateway keeps to itself that a
+	// group seems to stand still: it does not know yet what the other daemons
+	// have there.
+	Settle time.Duration
 }
 
 const (
@@ -71,11 +75,13 @@
 
 // Gateway serves one daemon's callers.
 type Gateway struct {
-	cfg      Settings
-	log      zerolog.Logger
-	node     Beliefs
-	balance  *balance
-	budget   *budget
+	cfg     Settings
+	log     zerolog.Logger
+	node    Beliefs
+	balance *balance
+	budget  *budget
+	// settled is when what it sees of groups may be relied on.
+	settled  time.Time
 	conns    *h1.Pool
 	stats    *stats
 	set      *metrics.Set
@@ -114,6 +120,7 @@
 		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 	}
 	g.balance.zone = cfg.Zone
+	g.settled = time.Now().Add(cfg.Settle)
 	g.conns = h1.NewPool(dialTimeout, func() { g.stats.opened.Inc() })
 	return g
 }
