--- a/doc/doc_test.go
+++ b/doc/doc_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	eventInCode   = regexp.MustCompile(`\.Msg\("([a-z-]+)"\)`)
+	eventInCode   = regexp.MustCompile(`\bMsg\("([a-z-]+)"\)`)
 	metricPattern = regexp.MustCompile(`lupinkeel_[a-z_]+`)
 	firstColumn   = regexp.MustCompile(`(?m)^\| ([a-z][^|]*) \|`)
 	word          = regexp.MustCompile(`[a-z][a-z-]+`)
