--- /dev/null
+++ b/cluster/reports.go
@@ -0,0 +1,81 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// askAsPlanner asks the instance for a report if this node plans.
+func (o *owner) askAsPlanner(k *knownInstance, now time.Time) {
+	if o.fleet.planner != nil {
+		o.ask(k, now, patientReport)
+	}
+}
+
+// handleReport takes in what an instance told of itself, or that it did not
+// answer.
+func (o *owner) handleReport(m reportEnded) {
+	k, known := o.fleet.instances[m.instance.ID]
+	switch {
+	case !known || m.asked.Before(k.told):
+		// Answers on different connections overtake each other.
+	case m.err != nil:
+		o.noteSilence(k, m)
+	default:
+		o.noteReport(k, m)
+	}
+}
+
+// noteSilence takes in that an instance did not answer.
+func (o *owner) noteSilence(k *knownInstance, m reportEnded) {
+	if !o.provesLoss(k, m.asked) {
+		k.failed = m.asked
+		o.fleet.due[k.ID] = time.Now().Add(askFailed)
+		return
+	}
+	if k.lost.IsZero() {
+		k.lost = m.asked
+		o.tellOthers(k, m.asked)
+		o.n.log.Warn().Str("instance", string(k.ID)).Str("group", string(k.Group.Key.Name)).Err(m.err).Msg("instance-lost")
+	}
+	o.changed = true
+}
+
+// provesLoss reports whether a question that an instance did not answer proves
+// that it is lost: where streams found its group to stand still, or if it is
+// the second in a row. One alone may be lost on the way or be late.
+func (o *owner) provesLoss(k *knownInstance, asked time.Time) bool {
+	for _, s := range o.fleet.suspects {
+		if s.group == k.Group.Key && k.Group.State != models.MemberNone && asked.Before(s.until) {
+			return true
+		}
+	}
+	return !k.failed.IsZero()
+}
+
+// noteReport takes in what an instance told of itself.
+func (o *owner) noteReport(k *knownInstance, m reportEnded) {
+	if !k.lost.IsZero() {
+		o.n.log.Info().Str("instance", string(k.ID)).Dur("after", m.asked.Sub(k.lost)).Msg("instance-back")
+	}
+	k.lost, k.told, k.failed = time.Time{}, m.asked, time.Time{}
+	told := k.UpstreamInstance
+	told.Group, told.Loaded, told.Staged = m.instance.Group, m.instance.Loaded, m.instance.Staged
+	k.takeIn(told)
+	delete(o.fleet.suspects, k.ID)
+	if o.underWay(k) {
+		o.fleet.due[k.ID] = time.Now().Add(askUnderWay)
+	}
+	o.tellOthers(k, m.asked)
+	o.changed = true
+	o.planGroups(time.Now())
+}
+
+// tellOthers spreads what the instance told at a time. Of one without an entry
+// they know that it is gone.
+func (o *owner) tellOthers(k *knownInstance, at time.Time) {
+	if !k.unlisted {
+		o.spread(k.news(at))
+	}
+}
