cluster: split planService into asking, the planner's world and its orders

It had grown over a screen, and asked instances while it described them. The questions go out on their own now, before the world is described: they are answered later and change nothing in it.

--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -90,45 +90,64 @@
 // planService gives the orders that are due for one service's instances.
 func (o *owner) planService(name models.ServiceName, engine *models.EngineProfile, now time.Time) {
 	f := &o.fleet
-	world := fleet.World{
-		Now: now, Profile: engine, Demand: o.demand(engine),
+	o.askDoubtful(name, now)
+	world := o.world(name, engine, now)
+	o.n.stats.plans.Inc()
+	o.logSupply(engine, world)
+	for _, order := range f.planner.Step(world) {
+		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
+			Int64("fence", order.Fence).Msg("order-given")
+		o.n.giveOrder(o.ctx, f.instances[order.Instance].Addr, order)
+	}
+}
+
+// askDoubtful asks the service's instances that were not heard in this term,
+// and those that write no more although the store can be read.
+func (o *owner) askDoubtful(name models.ServiceName, now time.Time) {
+	_, away := o.away[platform.InstancesTopic]
+	overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
+	for _, i := range o.fleet.instances {
+		if i.Service != name || !i.lost.IsZero() {
+			continue
+		}
+		silent := !away && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue
+		if silent || o.fleet.unproven(i) {
+			o.ask(i, now, patientReport)
+		}
+	}
+}
+
+// world is what the planner is told of one service's instances.
+func (o *owner) world(name models.ServiceName, engine *models.EngineProfile, now time.Time) fleet.World {
+	w := fleet.World{
+		Now: now, Profile: engine, Demand: o.demand(engine), Busy: o.busy(engine, now),
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
 		Unproven: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{},
 	}
 	// Demand has just noted whether there is traffic.
-	world.Traffic, world.Busy = f.traffic, o.busy(engine, now)
-	_, away := o.away[platform.InstancesTopic]
-	overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
-	for id, i := range f.instances {
+	w.Traffic = o.fleet.traffic
+	for id, i := range o.fleet.instances {
 		if i.Service != name {
 			continue
 		}
-		world.Instances[id] = i.UpstreamInstance
+		w.Instances[id] = i.UpstreamInstance
 		if !i.lost.IsZero() {
-			world.Lost[id] = true
+			w.Lost[id] = true
 		}
 		if i.unlisted {
-			world.Unlisted[id] = true
-		}
-		if !i.told.After(f.began) {
-			world.Unproven[id] = true
-			if i.lost.IsZero() {
-				o.ask(i, now, patientReport)
-			}
+			w.Unlisted[id] = true
 		}
-		if !away && i.lost.IsZero() && now.Sub(i.written) > overdue && now.Sub(i.told) > overdue {
-			o.ask(i, now, patientReport)
+		if o.fleet.unproven(i) {
+			w.Unproven[id] = true
 		}
 	}
-	o.n.stats.plans.Inc()
-	o.logSupply(engine, world)
-	for _, order := range f.planner.Step(world) {
-		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
-			Int64("fence", order.Fence).Msg("order-given")
-		o.n.giveOrder(o.ctx, f.instances[order.Instance].Addr, order)
-	}
+	return w
 }
 
+// unproven reports whether the instance was not heard since this node began to
+// plan.
+func (f *fleetState) unproven(i *knownInstance) bool { return !i.told.After(f.began) }
+
 // handleOrderEnded takes in what came of an order, and sees to it that the
 // instance is asked where the planner needs to know more.
 func (o *owner) handleOrderEnded(m orderEnded) {
