cluster: hold the choice of planners and relays together

Who may plan and who relays loads were found by the same order of daemons, written twice among what peers tell.

--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"hash/fnv"
 	"maps"
 	"time"
 
@@ -71,29 +70,6 @@
 	o.n.peerLoads.prune(o.peers.seen, now)
 }
 
-// candidates is how many daemons ask the store for the planner's lease: enough
-// that some are left after any loss, and few against the store's price.
-const candidates = 9
-
-// candidate reports whether this node is one of those that may plan: those
-// with the most processor, and among equals by a hash of their names.
-func (o *owner) candidate() bool {
-	before := 0
-	power, hash := o.n.cfg.Power, hashOf(o.n.cfg.ID)
-	for id, p := range o.peers.seen {
-		if p.beat.Power > power || (p.beat.Power == power && hashOf(id) < hash) {
-			before++
-		}
-	}
-	return before < candidates
-}
-
-func hashOf(id models.DaemonID) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return h.Sum64()
-}
-
 // heartbeat is what the node tells others now.
 func (n *Node) heartbeat() Heartbeat {
 	v := n.View()
@@ -107,30 +83,6 @@
 	return b
 }
 
-// relays picks one daemon of each other zone, where there are many daemons:
-// the one with the most processor, and among equals by a hash of their names.
-// It passes on what is to be known at once, so that each change crosses to a
-// zone once.
-func (o *owner) relays() map[models.DaemonID]bool {
-	if len(o.peers.seen) < manyDaemons {
-		return nil
-	}
-	best := map[models.Zone]Heartbeat{}
-	for id, p := range o.peers.seen {
-		b, there := best[p.beat.Zone]
-		if !there || p.beat.Power > b.Power || (p.beat.Power == b.Power && hashOf(id) < hashOf(b.From)) {
-			best[p.beat.Zone] = p.beat
-		}
-	}
-	out := map[models.DaemonID]bool{}
-	for zone, b := range best {
-		if zone != o.n.cfg.Zone {
-			out[b.From] = true
-		}
-	}
-	return out
-}
-
 // work sums what the callers of all daemons ask of each model.
 func (o *owner) work() map[models.ModelName]float64 {
 	sum := maps.Clone(o.n.traffic.Work())
