cluster: keep what a daemon told of its loads in one record

Three maps by daemon held the loads, the newest change and when it came, and had to be kept in step; forgetting a daemon was written as news of no loads.

--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -12,11 +12,16 @@
 // safe for use by several goroutines.
 type peerLoads struct {
 	mu  sync.Mutex
-	by  map[models.DaemonID]map[models.InstanceID]Load
+	by  map[models.DaemonID]*toldLoads
 	sum map[models.InstanceID]Load
-	// newest numbers what each daemon told last, heard is when that came.
-	newest map[models.DaemonID]loadChange
-	heard  map[models.DaemonID]time.Time
+}
+
+// toldLoads is what one daemon told of its loads.
+type toldLoads struct {
+	loads map[models.InstanceID]Load
+	// newest numbers what it told last, heard is when that came.
+	newest loadChange
+	heard  time.Time
 }
 
 // loadChange numbers a state of a daemon's loads.
@@ -33,54 +38,48 @@
 }
 
 func newPeerLoads() *peerLoads {
-	return &peerLoads{
-		by: map[models.DaemonID]map[models.InstanceID]Load{}, sum: map[models.InstanceID]Load{}, newest: map[models.DaemonID]loadChange{},
-		heard: map[models.DaemonID]time.Time{},
-	}
+	return &peerLoads{by: map[models.DaemonID]*toldLoads{}, sum: map[models.InstanceID]Load{}}
 }
 
-// take puts what a daemon tells in the place of what it told before, unless
-// that was newer.
+// take takes in what a daemon tells of its loads, unless it told something
+// newer before.
 func (p *peerLoads) take(news LoadNews) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if len(news.Loads) == 0 && !news.All {
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := p.by[news.From]
+	if told == nil {
+		told = &toldLoads{loads: map[models.InstanceID]Load{}}
+		p.by[news.From] = told
+	}
 	change := loadChange{news.Incarnation, news.Change}
-	if change.before(p.newest[news.From]) {
+	if change.before(told.newest) {
 		return
 	}
-	p.newest[news.From], p.heard[news.From] = change, time.Now()
-	p.put(news)
-}
-
-// put takes news in. The loads must be locked.
-func (p *peerLoads) put(news LoadNews) {
-	known := p.by[news.From]
-	if known == nil {
-		known = map[models.InstanceID]Load{}
-		p.by[news.From] = known
-	}
+	told.newest, told.heard = change, time.Now()
 	if news.All {
-		for id := range known {
-			if _, told := news.Loads[id]; !told {
-				p.set(known, id, Load{})
+		for id := range told.loads {
+			if _, still := news.Loads[id]; !still {
+				p.set(told, id, Load{})
 			}
 		}
 	}
 	for id, load := range news.Loads {
-		p.set(known, id, load)
+		p.set(told, id, load)
 	}
 }
 
-func (p *peerLoads) set(known map[models.InstanceID]Load, id models.InstanceID, load Load) {
-	sum, before := p.sum[id], known[id]
+// set puts one load in the place of what the daemon told before. The loads
+// must be locked.
+func (p *peerLoads) set(told *toldLoads, id models.InstanceID, load Load) {
+	sum, before := p.sum[id], told.loads[id]
 	sum.Requests += load.Requests - before.Requests
 	sum.Unread += load.Unread - before.Unread
-	p.sum[id], known[id] = sum, load
+	p.sum[id], told.loads[id] = sum, load
 	if load == (Load{}) {
-		delete(known, id)
+		delete(told.loads, id)
 	}
 	if sum == (Load{}) {
 		delete(p.sum, id)
@@ -96,10 +95,14 @@
 
 // forget is drop for loads that are locked.
 func (p *peerLoads) forget(id models.DaemonID) {
-	p.put(LoadNews{From: id, All: true})
+	told := p.by[id]
+	if told == nil {
+		return
+	}
+	for instance := range told.loads {
+		p.set(told, instance, Load{})
+	}
 	delete(p.by, id)
-	delete(p.newest, id)
-	delete(p.heard, id)
 }
 
 // relayedLate is how long a daemon that is not known may have told nothing
@@ -111,8 +114,8 @@
 func (p *peerLoads) prune(known map[models.DaemonID]seenPeer, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, at := range p.heard {
-		if _, there := known[id]; !there && now.Sub(at) > relayedLate {
+	for id, told := range p.by {
+		if _, there := known[id]; !there && now.Sub(told.heard) > relayedLate {
 			p.forget(id)
 		}
 	}
