cluster: hand news to a link in one place

The same select stood in send and in relay, each with a comment that promised that a heartbeat tells all loads: it tells those that changed.

--- a/cluster/links.go
+++ b/cluster/links.go
@@ -35,6 +35,16 @@
 	woken chan struct{}
 }
 
+// offer hands news to the link unless that is behind or down. What is left out
+// comes otherwise: a daemon tells its own loads and stalled heads with its
+// heartbeats, and one that missed news of instances reads the store.
+func (e *linkEnd) offer(news LoadNews) {
+	select {
+	case e.news <- news:
+	default:
+	}
+}
+
 func newLinks(n *Node) *links { return &links{n: n, known: map[models.DaemonID]*linkEnd{}} }
 
 // update begins a link to each daemon that the records of the roster name.
@@ -98,11 +108,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, end := range l.known {
-		select {
-		case end.news <- news:
-		default:
-			// The link is behind or down; the next heartbeat tells all.
-		}
+		end.offer(news)
 	}
 }
 
@@ -128,13 +134,8 @@
 	defer l.mu.Unlock()
 	passed := LoadNews{From: news.From, Incarnation: news.Incarnation, Change: news.Change, Loads: news.Loads}
 	for id, end := range l.known {
-		if id == news.From || end.zone != l.n.cfg.Zone {
-			continue
-		}
-		select {
-		case end.news <- passed:
-		default:
-			// The daemon itself tells all its loads with its next heartbeat.
+		if id != news.From && end.zone == l.n.cfg.Zone {
+			end.offer(passed)
 		}
 	}
 }
