--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"reflect"
 	"time"
 
@@ -9,10 +10,42 @@
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
-// aliveWrites is after how many writes of its entry an instance that was found
-// lost counts as alive again at a daemon that does not ask for itself: the
-// first may have been on its way when it was lost.
-const aliveWrites = 2
+const (
+	// instancesEvery is how often a daemon reads the entries of instances,
+	// planEntriesEvery how often the one that plans does, and fedEntriesEvery
+	// how often one does that hears from it and knows when it missed something.
+	// sparseEntriesEvery takes the place of instancesEvery for those that rely
+	// on others; it stays well below the time within which an instance that
+	// leaves must get nothing new.
+	instancesEvery     = 500 * time.Millisecond
+	sparseEntriesEvery = 1500 * time.Millisecond
+	planEntriesEvery   = 250 * time.Millisecond
+	fedEntriesEvery    = 20 * time.Second
+	// aliveWrites is after how many writes of its entry an instance that was found
+	// lost counts as alive again at a daemon that does not ask for itself: the
+	// first may have been on its way when it was lost.
+	aliveWrites = 2
+)
+
+// followInstances reads the entries of instances from the store.
+func (n *Node) followInstances(ctx context.Context) error {
+	f := follower{n: n, topic: platform.InstancesTopic, wait: func() time.Duration { return 0 }}
+	f.whole = func(records []platform.KeyedRecord, asked time.Time) message { return instancesRead{records, asked} }
+	f.added = func(records []platform.KeyedRecord, asked time.Time) message { return instancesChanged{records, asked} }
+	f.every = func() time.Duration {
+		switch {
+		case n.planning.Load():
+			return planEntriesEvery
+		case n.fedLately():
+			return fedEntriesEvery
+		case n.relies():
+			return sparseEntriesEvery
+		default:
+			return instancesEvery
+		}
+	}
+	return f.run(ctx)
+}
 
 // handleInstances takes in entries read from the store: all of them if whole,
 // else those that were written since the last reading.
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -5,28 +5,12 @@
 	"errors"
 	"time"
 
-	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
 const (
-	// configWait is how long the store holds a reading of the configuration
-	// that finds nothing new. Each answer proves that what is in force is
-	// current, so it must stay well below the time within which taken keys
-	// must be refused.
-	configWait = 1200 * time.Millisecond
-	// idleWait is how long it holds the reading of a daemon that has the
-	// proof from another one. If that fails to come for proofBound, the
-	// daemon breaks the reading off and reads for itself.
-	idleWait   = 20 * time.Second
-	proofBound = 1800 * time.Millisecond
-	proofCheck = 200 * time.Millisecond
 	// answerSlack is added to a wait for the answer to arrive.
 	answerSlack = 1500 * time.Millisecond
-	// lateBound is proofBound for daemons that rely on others: those that
-	// read for all find the store again first, and their word comes within
-	// two of their heartbeats.
-	lateBound = 2600 * time.Millisecond
 	// retryPause is the pause after a reading that failed; it doubles up to
 	// mostPause, or to sparsePause, so that a store that is away is not
 	// pressed.
@@ -38,25 +22,8 @@
 	pauseStep = 125 * time.Millisecond
 	// waitSlack is how much earlier than asked the store may end a wait.
 	waitSlack = 50 * time.Millisecond
-	// instancesEvery is how often a daemon reads the entries of instances,
-	// planEntriesEvery how often the one that plans does, and fedEntriesEvery
-	// how often one does that hears from it and knows when it missed something.
-	// sparseEntriesEvery takes the place of instancesEvery for those that rely
-	// on others; it stays well below the time within which an instance that
-	// leaves must get nothing new.
-	instancesEvery     = 500 * time.Millisecond
-	sparseEntriesEvery = 1500 * time.Millisecond
-	planEntriesEvery   = 250 * time.Millisecond
-	fedEntriesEvery    = 20 * time.Second
 )
 
-// relies reports whether the node leaves reading the store to others as long
-// as it hears of them: where there are many daemons, those that may plan read.
-func (n *Node) relies() bool {
-	v := n.View()
-	return v.Daemons > manyDaemons && !v.candidate
-}
-
 // pause waits; it returns the context's error if that ends first.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
@@ -177,84 +144,3 @@
 	f.n.tell(ctx, f.added(records, asked))
 	return next, nil
 }
-
-func (n *Node) followConfig(ctx context.Context) error {
-	read := func(records []platform.KeyedRecord, asked time.Time) message {
-		m := configRead{asked: asked}
-		for _, r := range records {
-			if r.Key == platform.ConfigKey {
-				m.data = r.Value
-			}
-		}
-		return m
-	}
-	f := follower{n: n, topic: platform.ConfigTopic, whole: read, added: read, guard: n.guardProof}
-	f.wait = func() time.Duration {
-		switch {
-		case n.relies():
-			return 0
-		case n.readsForOthers():
-			return configWait
-		default:
-			return idleWait
-		}
-	}
-	f.due = func() bool { return !n.relies() || n.readsForOthers() || n.View().behind }
-	f.every = func() time.Duration { return 0 }
-	return f.run(ctx)
-}
-
-// readsForOthers reports whether the node proves to itself, and so to others,
-// that the configuration is current: as the one that plans, and as long as
-// the proof of another is late.
-func (n *Node) readsForOthers() bool {
-	bound := proofBound
-	if n.relies() {
-		bound = lateBound
-	}
-	return n.planning.Load() || time.Since(n.View().Proven) > bound
-}
-
-// errProofLate ends a long reading because a proof is due.
-var errProofLate = errors.New("the proof of another daemon is late")
-
-// guardProof returns a context that ends once a reading that may take long
-// has to make way for a short one.
-func (n *Node) guardProof(ctx context.Context) (context.Context, context.CancelFunc) {
-	if n.readsForOthers() {
-		return context.WithCancel(ctx)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	watch := task.Start(ctx, "proof", func(ctx context.Context) error {
-		for !n.readsForOthers() {
-			if err := pause(ctx, proofCheck); err != nil {
-				return err
-			}
-		}
-		cancel(errProofLate)
-		return nil
-	})
-	return ctx, func() {
-		cancel(context.Canceled)
-		<-watch.Done
-	}
-}
-
-func (n *Node) followInstances(ctx context.Context) error {
-	f := follower{n: n, topic: platform.InstancesTopic, wait: func() time.Duration { return 0 }}
-	f.whole = func(records []platform.KeyedRecord, asked time.Time) message { return instancesRead{records, asked} }
-	f.added = func(records []platform.KeyedRecord, asked time.Time) message { return instancesChanged{records, asked} }
-	f.every = func() time.Duration {
-		switch {
-		case n.planning.Load():
-			return planEntriesEvery
-		case n.fedLately():
-			return fedEntriesEvery
-		case n.relies():
-			return sparseEntriesEvery
-		default:
-			return instancesEvery
-		}
-	}
-	return f.run(ctx)
-}
