fleet: give arrivals a type, name new groups and deadlines in one place

The planner held two maps for what one question asks, whether instances still come to a domain, and its constant had the name of the thing. The key of a new group was made in two places and the time after which something is given up in four. The switch in advanceWarming joined its cases by || and a comma.

--- a/fleet/form.go
+++ b/fleet/form.go
@@ -140,15 +140,15 @@
 }
 
 // ownsLoads reports whether weights of the model may be loaded in a domain:
-// in its own, and before traffic in another's if more instances are free
-// there than that needs as spares, on those that have no weights yet. Later
-// on, what is free in a domain is what its next group is made of.
+// in its own, and before traffic in another's if no more instances come there
+// and more are free than that needs as spares, on those that have no weights
+// yet. Later on, what is free in a domain is what its next group is made of.
 func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int, loading map[models.InstanceID]bool) bool {
 	owner, known := r.wanted(domain)
 	if !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 {
 		return true
 	}
-	if r.Traffic || free >= owner.Size || free <= maxSpares || r.Now.Sub(r.arrived[domain]) < arrivals {
+	if r.Traffic || free >= owner.Size || free <= maxSpares || r.arrivals.goOn(domain, r.Now) {
 		return false
 	}
 	for id := range loading {
@@ -189,10 +189,9 @@
 }
 
 func (r *round) form(c candidate) {
-	epoch := r.next()
 	f := &formation{
-		key: models.GroupKey{Name: nameGroup(c.model.Name, epoch), Epoch: epoch}, model: c.model.Name, members: c.members,
-		joined: map[models.InstanceID]bool{}, loading: c.loading, deadline: r.Now.Add(formFactor*c.ready + formSlack),
+		key: r.newKey(c.model.Name), model: c.model.Name, members: c.members,
+		joined: map[models.InstanceID]bool{}, loading: c.loading, deadline: r.givenUp(c.ready),
 	}
 	for range c.loading {
 		r.loads = append(r.loads, r.Now)
--- a/fleet/formation.go
+++ b/fleet/formation.go
@@ -104,7 +104,7 @@
 func (r *round) adopt(g *Group, profile models.ModelProfile) {
 	f := &formation{
 		key: g.Key, model: g.Model, opened: true, joined: map[models.InstanceID]bool{}, loading: map[models.InstanceID]bool{},
-		deadline: r.Now.Add(formFactor*profile.Load + formSlack),
+		deadline: r.givenUp(profile.Load),
 	}
 	for rank := range profile.Size {
 		id := g.Members[rank]
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -25,8 +25,9 @@
 	repeatAfter = 600 * time.Millisecond
 	// holdUnfit is how long an instance that refused an order is left alone.
 	holdUnfit = 2 * time.Second
-	// formSlack is added to the expected time of a formation before it is
-	// given up; formFactor allows for loads slowed by others.
+	// formSlack is added to the expected time of a formation, staging or
+	// warming before it is given up; formFactor allows for loads slowed by
+	// others.
 	formSlack  = 3 * time.Second
 	formFactor = 2
 	// Rejoin is how long an instance takes to join a group of the model that
@@ -42,10 +43,6 @@
 	// loadMargin the part of the weight store's rate that is used in it.
 	loadWindow = 5 * time.Second
 	loadMargin = 0.8
-	// arrivals is how long no instance may have come to a domain, before
-	// traffic, for its remainder to be given to another model: instances
-	// enter themselves over some four seconds.
-	arrivals = 800 * time.Millisecond
 )
 
 // World is what is known at one moment.
@@ -98,12 +95,9 @@
 	// instances are loading onto their hosts.
 	domains map[models.Domain]models.ModelName
 	staging map[models.InstanceID]staging
-	// arrived is when a domain's newest instance was first seen, seen which
-	// instances were.
-	arrived map[models.Domain]time.Time
-	seen    map[models.InstanceID]bool
 	// warming are spares that get ready to join faster.
-	warming map[models.InstanceID]warming
+	warming  map[models.InstanceID]warming
+	arrivals arrivals
 	// converting is the conversion under way, converted when the last began.
 	converting *conversion
 	converted  time.Time
@@ -130,7 +124,7 @@
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, held: map[models.InstanceID]time.Time{},
 		domains: map[models.Domain]models.ModelName{}, staging: map[models.InstanceID]staging{}, converted: now,
-		warming: map[models.InstanceID]warming{}, arrived: map[models.Domain]time.Time{}, seen: map[models.InstanceID]bool{},
+		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(),
 	}
 }
 
@@ -148,6 +142,12 @@
 // TermOf returns the term in which an order with this fence was given.
 func TermOf(fence int64) int64 { return fence >> termBits }
 
+// newKey names a group of the model that was never before.
+func (p *Planner) newKey(model models.ModelName) models.GroupKey {
+	epoch := p.next()
+	return models.GroupKey{Name: nameGroup(model, epoch), Epoch: epoch}
+}
+
 // nameGroup makes a group's name, from which ModelOf reads its model.
 func nameGroup(model models.ModelName, epoch int64) models.GroupID {
 	return models.GroupID(string(model) + "." + strconv.FormatInt(epoch, 36))
@@ -168,7 +168,7 @@
 		return nil
 	}
 	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: map[models.ModelName]int{}}
-	r.meet()
+	r.arrivals.note(w.Instances, w.Now)
 	r.forget()
 	r.advanceForming()
 	r.advanceWarming()
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
@@ -20,23 +22,8 @@
 	loading int
 }
 
-// meet notes which instances are new.
-func (r *round) meet() {
-	for id, i := range r.Instances {
-		if !r.seen[id] {
-			r.seen[id] = true
-			r.arrived[i.Domain] = r.Now
-		}
-	}
-}
-
 // forget drops what is kept of instances that are gone.
 func (r *round) forget() {
-	for id := range r.seen {
-		if _, there := r.Instances[id]; !there {
-			delete(r.seen, id)
-		}
-	}
 	for id := range r.sent {
 		if _, there := r.Instances[id]; !there {
 			delete(r.sent, id)
@@ -56,6 +43,12 @@
 	r.loads = kept
 }
 
+// givenUp is when something that begins now and should take so long is given
+// up.
+func (r *round) givenUp(takes time.Duration) time.Time {
+	return r.Now.Add(formFactor*takes + formSlack)
+}
+
 // due reports whether an order of this kind may be given to the instance
 // now: not while the same one is under way.
 func (r *round) due(id models.InstanceID, kind types.GroupOrderKind, key models.GroupKey) bool {
--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -98,7 +98,7 @@
 	}
 	r.loading++
 	r.loads = append(r.loads, r.Now)
-	r.staging[id] = staging{model: model.Name, until: r.Now.Add(formFactor*model.Load + formSlack)}
+	r.staging[id] = staging{model: model.Name, until: r.givenUp(model.Load)}
 	r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: model.Name})
 }
 
--- a/fleet/warming.go
+++ b/fleet/warming.go
@@ -18,21 +18,22 @@
 	until time.Time
 }
 
-// advanceWarming has spares that are ready leave their own groups.
+// advanceWarming has spares that are ready, or won't be, leave their own
+// groups.
 func (r *round) advanceWarming() {
 	for id, w := range r.warming {
 		i := r.Instances[id]
 		inside := i.Group.Key == w.key && i.Group.State != models.MemberNone
-		_, held := r.held[id]
-		switch {
-		case !r.usable(id) || held || r.Now.After(w.until), inside && i.Group.State == models.MemberReady:
-			delete(r.warming, id)
-			if inside {
-				r.end(w.key, id, types.GroupLeave)
-			}
-		default:
+		ready := inside && i.Group.State == models.MemberReady
+		_, refused := r.held[id]
+		if !ready && !refused && r.usable(id) && !r.Now.After(w.until) {
 			r.taken[id] = true
 			r.joinOwn(id, w)
+			continue
+		}
+		delete(r.warming, id)
+		if inside {
+			r.end(w.key, id, types.GroupLeave)
 		}
 	}
 }
@@ -65,11 +66,7 @@
 			if i := r.Instances[id]; under || i.Loaded == model.Name || !slices.Contains(i.Staged, model.Name) {
 				continue
 			}
-			epoch := r.next()
-			w := warming{
-				key: models.GroupKey{Name: nameGroup(model.Name, epoch), Epoch: epoch}, model: model.Name,
-				until: r.Now.Add(formFactor*model.Warm + formSlack),
-			}
+			w := warming{key: r.newKey(model.Name), model: model.Name, until: r.givenUp(model.Warm)}
 			r.warming[id] = w
 			r.joinOwn(id, w)
 		}
