--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -113,20 +113,9 @@
 	if silence < longest {
 		return longest - silence
 	}
-	now, head := time.Now(), r.group.Head.ID
-	suspect := s.g.node.View().Suspects[head]
-	switch {
-	case suspect:
-	case s.g.balance.still(head, now) < longest:
-		// The group moves; only this request waits.
-		return firstStep
-	case r.moved.IsZero() && now.Sub(r.sent) < time.Duration(firstPart*float64(s.route.Aim)):
-		// Nothing has come yet, and may still be on its way.
+	suspect := s.g.node.View().Suspects[r.group.Head.ID]
+	if !suspect && !s.standsStill(r, longest) {
 		return firstStep
-	case r.moved.IsZero() && now.Sub(r.sent) < s.route.Aim:
-		// Too little is known to suspect the group; a hedge does no harm.
-	default:
-		s.g.node.ReportStalled(r.group.Key, head)
 	}
 	if !s.mayRepeat() {
 		return givenUpStep
@@ -138,7 +127,28 @@
 	s.runs++
 	s.hedge = s.newHedge(group)
 	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(r.group.Key.Name)).Str("to", string(group.Key.Name)).
-		Dur("silence", silence).Dur("longest", longest).Bool("suspect", suspect).Int("load", s.g.balance.loadNow(s.g.node, group.Head.ID).Requests).
-		Msg("stream-hedged")
+		Dur("silence", silence).Dur("longest", longest).Bool("suspect", suspect).
+		Int("load", s.g.balance.loadNow(s.g.node, group.Head.ID).Requests).Msg("stream-hedged")
 	return hedgeStep
 }
+
+// standsStill reports whether so little has come from the run's group that a
+// hedge is due. It tells the other daemons of a group that surely stands still.
+func (s *stream) standsStill(r *run, longest time.Duration) bool {
+	now, head := time.Now(), r.group.Head.ID
+	waited := now.Sub(r.sent)
+	switch {
+	case s.g.balance.still(head, now) < longest:
+		// The group moves; only this request waits.
+		return false
+	case r.moved.IsZero() && waited < time.Duration(firstPart*float64(s.route.Aim)):
+		// Nothing has come yet, and may still be on its way.
+		return false
+	case r.moved.IsZero() && waited < s.route.Aim:
+		// Too little is known to suspect the group; a hedge does no harm.
+		return true
+	default:
+		s.g.node.ReportStalled(r.group.Key, head)
+		return true
+	}
+}
