--- a/api/exchange.go
+++ b/api/exchange.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/lupinkeel/lupinkeel/daemon"
-	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/router"
 	"github.com/lupinkeel/lupinkeel/worker/upstream"
@@ -95,48 +93,6 @@
 	e.s.daemon.Note(e.entry)
 }
 
-// claimWithin bounds how long a request waits for its key to be recorded.
-const claimWithin = 3 * time.Second
-
-// claim records the request's key on the log before anything is sent. Only
-// the request whose claim is the first on the log goes on.
-func (e *exchange) claim(ctx context.Context) error {
-	if e.key == "" {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimWithin)
-	defer cancel()
-	holder, err := e.s.daemon.Claim(ctx, e.key, e.req.ID)
-	switch {
-	case errors.Is(err, daemon.ErrOutcomeUnknown):
-		// Nothing was sent, but the key may stay claimed for nothing.
-		e.claimed = true
-		return fmt.Errorf("%w: %w", ErrNoClaim, err)
-	case err != nil:
-		return fmt.Errorf("%w: %w", ErrNoClaim, err)
-	case holder != e.req.ID:
-		return errors.Join(ErrKeyInUse, e.req.HeldElsewhere())
-	}
-	e.claimed = true
-	return nil
-}
-
-const releaseWithin = 10 * time.Second
-
-// release gives a key up in the background, so that the caller may try again
-// with it. If that fails the key stays claimed, which is safe.
-func (s *Server) release(key string, id models.RequestID) {
-	task.Start(context.Background(), "release", func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, releaseWithin)
-		defer cancel()
-		err := s.daemon.Release(ctx, key, id)
-		if err != nil {
-			s.log.Warn().Err(err).Str("request", string(id)).Msg("release-failed")
-		}
-		return err
-	})
-}
-
 // tryAll makes one try after another while that is allowed, and returns the
 // error of the last.
 func (e *exchange) tryAll(ctx context.Context) error {
@@ -187,6 +143,7 @@
 	}
 }
 
+// try sends the request to one upstream and passes its answer on.
 func (e *exchange) try(ctx context.Context, target router.Target) error {
 	e.tried = append(e.tried, target.Addr)
 	e.s.flights.take(target.Addr)
