--- a/cluster/news.go
+++ b/cluster/news.go
@@ -43,27 +43,7 @@
 	o.peers.term, o.peers.feedTerm, o.peers.feed = m.term, m.term, m.feed
 	now := time.Now()
 	for _, news := range m.instances {
-		at := m.at.Add(-news.Age)
-		id := news.Instance.ID
-		k, known := o.fleet.instances[id]
-		switch {
-		case news.Gone:
-			if known && at.After(k.written) {
-				o.dropInstance(id)
-			}
-		case !known:
-			o.fleet.instances[id] = &knownInstance{UpstreamInstance: news.Instance, told: at, written: at}
-		case at.Before(k.told):
-		default:
-			draining := k.Draining || news.Instance.Draining
-			k.takeIn(news.Instance)
-			k.Draining, k.told = draining, at
-			k.lost = time.Time{}
-			delete(o.fleet.suspects, id)
-			if news.Lost {
-				k.lost = now
-			}
-		}
+		o.noteNews(news, m.at.Add(-news.Age), now)
 	}
 	o.changed = true
 	if missed {
@@ -74,6 +54,31 @@
 	o.n.fed.Store(now.UnixNano())
 }
 
+// noteNews takes in what the daemon that plans tells of one instance, as it was
+// at a time.
+func (o *owner) noteNews(news InstanceNews, at, now time.Time) {
+	id := news.Instance.ID
+	k, known := o.fleet.instances[id]
+	switch {
+	case news.Gone:
+		if known && at.After(k.written) {
+			o.dropInstance(id)
+		}
+	case !known:
+		o.fleet.instances[id] = &knownInstance{UpstreamInstance: news.Instance, told: at, written: at}
+	case at.Before(k.told):
+	default:
+		draining := k.Draining || news.Instance.Draining
+		k.takeIn(news.Instance)
+		k.Draining, k.told = draining, at
+		k.lost = time.Time{}
+		delete(o.fleet.suspects, id)
+		if news.Lost {
+			k.lost = now
+		}
+	}
+}
+
 // fedLately reports whether the planner's news came of late.
 func (n *Node) fedLately() bool {
 	return time.Since(time.Unix(0, n.fed.Load())) < feedFresh
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -82,16 +82,7 @@
 		if err := frame.Decode(body, &news); err != nil {
 			return from, err
 		}
-		s.n.peerLoads.take(news)
-		if news.Relay {
-			s.n.links.relay(news)
-		}
-		if news.Term > 0 {
-			s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, at: time.Now()})
-		}
-		for _, head := range news.Stalled {
-			s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
-		}
+		s.takeNews(ctx, news)
 		return from, nil
 	case frameConfig:
 		var c ConfigCopy
@@ -104,3 +95,18 @@
 		return from, fmt.Errorf("%w: kind %d", frame.ErrFormat, kind)
 	}
 }
+
+// takeNews hands news on: loads to those who pick groups and, as their relay,
+// to other daemons, the rest to the owner.
+func (s *peerServer) takeNews(ctx context.Context, news LoadNews) {
+	s.n.peerLoads.take(news)
+	if news.Relay {
+		s.n.links.relay(news)
+	}
+	if news.Term > 0 {
+		s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, at: time.Now()})
+	}
+	for _, head := range news.Stalled {
+		s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
+	}
+}
--- a/cluster/unlisted.go
+++ b/cluster/unlisted.go
@@ -31,12 +31,12 @@
 // watchUnlisted asks the instances that are kept without an entry, and forgets
 // those that hold up no group any more.
 func (o *owner) watchUnlisted(now time.Time) {
-	for id, i := range o.fleet.instances {
+	for _, i := range o.fleet.instances {
 		switch {
 		case !i.unlisted:
 		case !o.fleet.holdsUp(i):
 			o.forgetInstance(i)
-		case o.fleet.planner != nil && now.Sub(o.fleet.instances[id].asked) >= unlistedEvery:
+		case o.fleet.planner != nil && now.Sub(i.asked) >= unlistedEvery:
 			o.ask(i, now, patientReport)
 		}
 	}
