--- a/cluster/link.go
+++ b/cluster/link.go
@@ -82,7 +82,7 @@
 			}
 			beaten = now
 			if told, err = n.beat(conn, l.id, told); err == nil {
-				seen, err = n.tellLoads(conn, seen, false)
+				seen, err = n.tellLoads(conn, seen, n.View().relays[l.id])
 			}
 		case <-l.woken:
 			seen, err = n.tellLoads(conn, seen, n.View().relays[l.id])
@@ -105,9 +105,9 @@
 	return n.tellConfig(conn, to, told)
 }
 
-// beatEvery is how often a daemon that knows so many others tells of itself.
-func beatEvery(peers int) time.Duration {
-	if peers > manyDaemons {
+// beatEvery is how often a daemon that is one of so many tells of itself.
+func beatEvery(daemons int) time.Duration {
+	if daemons > manyDaemons {
 		return sparseEvery
 	}
 	return heartbeatEvery
