--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -29,24 +29,35 @@
 
 // followInstances reads the entries of instances from the store.
 func (n *Node) followInstances(ctx context.Context) error {
-	f := follower{n: n, topic: platform.InstancesTopic, wait: func() time.Duration { return 0 }}
+	f := follower{n: n, topic: platform.InstancesTopic, every: n.entriesEvery}
+	f.wait = func() time.Duration {
+		// What is missed from here on needs another reading; one that fails
+		// is repeated.
+		n.missedNews.Store(false)
+		return 0
+	}
 	f.whole = func(records []platform.KeyedRecord, asked time.Time) message { return instancesRead{records, asked} }
 	f.added = func(records []platform.KeyedRecord, asked time.Time) message { return instancesChanged{records, asked} }
-	f.every = func() time.Duration {
-		switch {
-		case n.planning.Load():
-			return planEntriesEvery
-		case n.fedLately():
-			return fedEntriesEvery
-		case n.relies():
-			return sparseEntriesEvery
-		default:
-			return instancesEvery
-		}
-	}
 	return f.run(ctx)
 }
 
+// entriesEvery is the pause between two readings of entries. Missed news are
+// read at once: those that come next do not bring them.
+func (n *Node) entriesEvery() time.Duration {
+	switch {
+	case n.missedNews.Load():
+		return 0
+	case n.planning.Load():
+		return planEntriesEvery
+	case n.fedLately():
+		return fedEntriesEvery
+	case n.relies():
+		return sparseEntriesEvery
+	default:
+		return instancesEvery
+	}
+}
+
 // handleInstances takes in entries read from the store: all of them if whole,
 // else those that were written since the last reading.
 func (o *owner) handleInstances(records []platform.KeyedRecord, asked time.Time, whole bool) {
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -49,6 +49,7 @@
 	if missed {
 		// What was not told is read from the store, at once.
 		o.n.fed.Store(0)
+		o.n.missedNews.Store(true)
 		return
 	}
 	o.n.fed.Store(now.UnixNano())
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -94,6 +94,8 @@
 	spentTerm atomic.Int64
 	// fed is when news of the planner came last, in Unix nanoseconds.
 	fed atomic.Int64
+	// missedNews tells that some were missed since entries were last read.
+	missedNews atomic.Bool
 }
 
 type stats struct {
