--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -38,7 +38,7 @@
 
 // newest reads a topic whole.
 func (n *Node) newest(ctx context.Context, topic string) ([]platform.KeyedRecord, int64, error) {
-	n.stats.storeCalls.Inc()
+	n.stats.storeCalls(topic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, answerSlack)
 	defer cancel()
 	return n.store.Newest(ctx, topic)
@@ -46,7 +46,7 @@
 
 // since reads what came since an offset.
 func (n *Node) since(ctx context.Context, topic string, from int64, wait time.Duration) ([]platform.KeyedRecord, int64, error) {
-	n.stats.storeCalls.Inc()
+	n.stats.storeCalls(topic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	return n.store.Read(ctx, topic, from, wait)
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -80,7 +80,7 @@
 // renew asks for the lease and reports whether this node holds it, and the
 // generation to be named the next time.
 func (n *Node) renew(ctx context.Context, member string, ttl time.Duration, generation int64) (bool, int64, error) {
-	n.stats.storeCalls.Inc()
+	n.stats.storeCalls(plannerGroup).Inc()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	lease, err := n.store.Renew(ctx, plannerGroup, member, plannerTopic, ttl, generation)
@@ -98,7 +98,7 @@
 // beginTerm returns a term newer than all before; 0 if the store gave none,
 // so that it is asked again at the next renewal.
 func (n *Node) beginTerm(ctx context.Context) int64 {
-	n.stats.storeCalls.Inc()
+	n.stats.storeCalls(termsTopic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	offset, err := n.store.Append(ctx, termsTopic, binary.BigEndian.AppendUint64(nil, uint64(n.started)))
@@ -111,6 +111,7 @@
 
 // leaveLease lets another take over at once.
 func (n *Node) leaveLease(ctx context.Context, member string) {
+	n.stats.storeCalls(plannerGroup).Inc()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewTimeout)
 	defer cancel()
 	if err := n.store.Leave(ctx, plannerGroup, member); err != nil {
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -99,13 +100,18 @@
 }
 
 type stats struct {
-	storeCalls  *metrics.Counter
+	set         *metrics.Set
 	storeErrors *metrics.Counter
 	orders      *metrics.Counter
 	reports     *metrics.Counter
 	plans       *metrics.Counter
 }
 
+// storeCalls counts the calls to the store about one topic or group.
+func (s *stats) storeCalls(about string) *metrics.Counter {
+	return s.set.GetOrCreateCounter(fmt.Sprintf("lupinkeel_store_calls_total{about=%q}", about))
+}
+
 // New returns a node that is not running yet.
 func New(cfg Settings, traffic Traffic, set *metrics.Set, log zerolog.Logger) *Node {
 	now := time.Now()
@@ -113,7 +119,7 @@
 		cfg: cfg, log: log, clock: timer.New(now), traffic: traffic, inbox: make(chan message, inboxLen),
 		started: now.UnixNano(), peerLoads: newPeerLoads(),
 		stats: &stats{
-			storeCalls:  set.NewCounter("lupinkeel_store_calls_total"),
+			set:         set,
 			storeErrors: set.NewCounter("lupinkeel_store_errors_total"),
 			orders:      set.NewCounter("lupinkeel_group_orders_total"),
 			reports:     set.NewCounter("lupinkeel_instance_reports_total"),
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	for {
-		n.stats.storeCalls.Inc()
+		n.stats.storeCalls(rosterTopic).Inc()
 		limited, cancel := context.WithTimeout(ctx, answerSlack)
 		err := n.store.Put(limited, rosterTopic, string(n.cfg.ID), value)
 		cancel()
