gateway: do not hedge requests that queue at a full group

A request that waits there for a place hears nothing; after three quarters of its aim it was run a second time elsewhere, and after the whole aim its group was told to all daemons as one that stands still. Up to 36 in 100 of the groups were passed over at a time, which filled the others.

Ruled out: lost members (two in that time), the planner (it had changed, but nothing was to be repaired).

Change: a request that had nothing yet is neither hedged nor evidence while its group may be full; the streams that are being answered there tell.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -13,6 +13,10 @@
 	// firstPart is the part of its aim within which the first event of a
 	// request is waited for at a head of which nothing else is known.
 	firstPart = 0.75
+	// fullPart is the part of a group's slots from which on a request may be
+	// waiting there for a place: what is known of other daemons' requests is
+	// up to a second old.
+	fullPart = 0.9
 	// firstStep is how often a run that waits is looked at, givenUpStep how
 	// often one for which nothing more can be done.
 	firstStep   = 40 * time.Millisecond
@@ -132,6 +136,16 @@
 	return hedgeStep
 }
 
+// mayQueue reports whether a request may be waiting for a place at the group.
+func (s *stream) mayQueue(group cluster.Group) bool {
+	engine := s.g.node.View().Routing.Services[s.service].Engine
+	if engine == nil {
+		return false
+	}
+	load := s.g.balance.loadNow(s.g.node, group.Head.ID)
+	return float64(load.Requests) >= fullPart*float64(engine.Slots)
+}
+
 // standsStill reports whether so little has come from the run's group that a
 // hedge is due. It tells the other daemons of a group that surely stands still.
 func (s *stream) standsStill(r *run, longest time.Duration) bool {
@@ -144,6 +158,10 @@
 	case r.moved.IsZero() && waited < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
 		return false
+	case r.moved.IsZero() && s.mayQueue(r.group):
+		// A second run would only make the queues longer; whether the group
+		// stands still is seen by those that it is answering.
+		return false
 	case now.Before(s.g.settled), r.moved.IsZero() && waited < s.route.Aim:
 		// Too little is known to suspect the group; a hedge does no harm.
 		return true
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -41,7 +41,8 @@
 //	close, reset    ends the connection; the next step takes a new one
 //
 // Instances whose names begin with "g" are heads of groups of model "big",
-// the others are of the plain service. "ask" holds requests, each a line:
+// the others are of the plain service. "busy" holds lines of an instance and
+// how many requests other daemons have there. "ask" holds requests, each a line:
 //
 //	METHOD PATH [NAME=VALUE...]
 //
@@ -59,6 +60,8 @@
 type fixedBeliefs struct {
 	view  *cluster.View
 	clock *timer.Service
+	// busy holds how many requests other daemons have at instances.
+	busy map[models.InstanceID]int
 
 	mu      sync.Mutex
 	stalled []models.InstanceID
@@ -73,7 +76,7 @@
 func (f *fixedBeliefs) PeersLoad(id models.InstanceID) cluster.Load {
 	const tokens = 1_000_000
 	nth := int(id[len(id)-1] - '1')
-	return cluster.Load{Requests: nth, Unread: nth * tokens}
+	return cluster.Load{Requests: nth + f.busy[id], Unread: nth * tokens}
 }
 
 func (f *fixedBeliefs) ReportStalled(_ models.GroupKey, h models.InstanceID) {
@@ -100,7 +103,7 @@
 	var instances []*instance
 	for _, f := range archive.Files {
 		parts[f.Name] = string(f.Data)
-		if f.Name == "config" || f.Name == "settle" || f.Name == "ask" || f.Name == "want" {
+		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "ask" || f.Name == "want" {
 			continue
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -110,6 +113,14 @@
 		instances = append(instances, i)
 	}
 	beliefs := beliefsFor(c, parts["config"], instances)
+	beliefs.busy = map[models.InstanceID]int{}
+	for _, line := range lines(parts["busy"]) {
+		var id models.InstanceID
+		var requests int
+		_, err := fmt.Sscan(line, &id, &requests)
+		c.Assert(err, qt.IsNil)
+		beliefs.busy[id] = requests
+	}
 	cfg := Settings{KeysBound: time.Minute, ConfigBound: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
 	if settle, given := parts["settle"]; given {
 		cfg.Settle, err = time.ParseDuration(lines(settle)[0])
