gateway: scatter moved streams by how late each group would become

Ruled out: hearing of each other's choices (two hops take longer than the choice), a wider random share (it sends too many to busy groups as well).

Change: each daemon knows how many requests the silent group has. Groups are picked as often as it takes to make all equally late if that many prompts are moved at once.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,10 +29,6 @@
 	// and back, some 3 ms on the users' sites, and the price of bytes between
 	// zones.
 	zoneCost = 5 * time.Millisecond
-	// spreadCost scatters requests that are sent again: when a group stands
-	// still, all daemons move its streams within a few ms, before they hear of
-	// each other's choices. It is about what one prompt more costs a group.
-	spreadCost = 40 * time.Millisecond
 )
 
 // look returns the best group that was not tried, if there is one, and
@@ -42,7 +38,7 @@
 	if engine == nil {
 		return group, false, false
 	}
-	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head.Model, s.tried)
+	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head, s.tried)
 	if found && len(s.tried) == 0 {
 		s.load = load
 	}
@@ -91,41 +87,78 @@
 	return v.Daemons <= manyDaemons || len(v.Groups[model]) <= someGroups
 }
 
-// pickGroup returns the group that was not tried and that answers soonest,
-// and how many requests it has.
-func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, model models.ModelName, tried []models.InstanceID) (cluster.Group, int, bool) {
+// choice is a group that a request may go to.
+type choice struct {
+	group    cluster.Group
+	requests int
+	cost     time.Duration
+}
+
+// pickGroup returns a group that was not tried and that answers soon, and how
+// many requests it has.
+func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, head models.RequestHead, tried []models.InstanceID) (cluster.Group, int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	view := node.View()
-	groups := view.Groups[model]
-	best, requests, least := -1, 0, math.Inf(1)
-	order := rand.Perm(len(groups))
-	if !urgent(view, model) {
+	groups := slices.DeleteFunc(slices.Clone(view.Groups[head.Model]), func(g cluster.Group) bool {
+		return slices.Contains(tried, g.Head.ID)
+	})
+	if len(groups) == 0 {
+		return cluster.Group{}, 0, false
+	}
+	rand.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
+	if len(tried) == 0 && !urgent(view, head.Model) {
 		// What is known of the others' requests is old: the best of a few is
 		// then better than the best of all, which everybody would choose.
-		order = order[:min(len(order), fewGroups+len(tried))]
+		groups = groups[:min(len(groups), fewGroups)]
 	}
-	for _, i := range order {
-		g := groups[i]
-		if slices.Contains(tried, g.Head.ID) {
-			continue
-		}
+	choices := make([]choice, 0, len(groups))
+	for _, g := range groups {
 		load := b.loadAt(node, g.Head.ID)
-		cost := groupCost(engine, load).Seconds()
+		cost := groupCost(engine, load)
 		if g.Head.Zone != b.zone {
-			cost += zoneCost.Seconds()
-		}
-		if len(tried) > 0 {
-			cost += rand.ExpFloat64() * spreadCost.Seconds()
+			cost += zoneCost
 		}
-		if cost < least {
-			best, requests, least = i, load.Requests, cost
+		choices = append(choices, choice{g, load.Requests, cost})
+	}
+	moving := 0
+	for _, id := range tried {
+		moving = max(moving, b.loadAt(node, id).Requests)
+	}
+	picked := leastCost(choices)
+	if moving > 1 {
+		picked = scatter(choices, moving, groupCost(engine, cluster.Load{Requests: 1, Unread: head.PromptTokens}))
+	}
+	return picked.group, picked.requests, true
+}
+
+func leastCost(choices []choice) choice {
+	return slices.MinFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+}
+
+// scatter picks a group for one of several requests that are moved at the same
+// moment, each of which costs a group as much as the others: when a group
+// stands still, all daemons move its streams within a few ms, before they hear
+// of each other's choices. Groups are picked as often as it takes to make all
+// equally late.
+func scatter(choices []choice, moving int, each time.Duration) choice {
+	slices.SortFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	level, sum := time.Duration(0), time.Duration(moving)*each
+	for i, c := range choices {
+		if i > 0 && c.cost >= level {
+			choices = choices[:i]
+			break
 		}
+		sum += c.cost
+		level = sum / time.Duration(i+1)
 	}
-	if best < 0 {
-		return cluster.Group{}, 0, false
+	at := rand.Int64N(max(1, int64(moving)*int64(each)))
+	for _, c := range choices {
+		if at -= int64(level - c.cost); at < 0 {
+			return c
+		}
 	}
-	return groups[best], requests, true
+	return choices[0]
 }
 
 // groupCost is how much later than at an idle group a request is answered at
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -37,7 +37,7 @@
 	beliefs := pickBeliefs()
 	engine := &models.EngineProfile{Slots: 17, ReadPerSecond: 45900}
 	group := func(tried ...models.InstanceID) models.InstanceID {
-		g, _, found := b.pickGroup(beliefs, engine, "m", tried)
+		g, _, found := b.pickGroup(beliefs, engine, models.RequestHead{Model: "m"}, tried)
 		c.Assert(found, qt.IsTrue)
 		return g.Head.ID
 	}
@@ -65,14 +65,35 @@
 	b := newBalance()
 	b.add("b", 1, 0, false)
 	b.add("c", 2, 0, false)
+	b.add("lost", 9, 0, false)
 	engine := &models.EngineProfile{Slots: 17, ReadPerSecond: 45900}
-	picked := map[models.InstanceID]int{}
-	for range 300 {
-		g, _, _ := b.pickGroup(pickBeliefs(), engine, "m", []models.InstanceID{"lost"})
-		picked[g.Head.ID]++
+	head := models.RequestHead{Model: "m", PromptTokens: 1400}
+	pick := func(tried ...models.InstanceID) map[models.InstanceID]int {
+		picked := map[models.InstanceID]int{}
+		for range 300 {
+			g, _, _ := b.pickGroup(pickBeliefs(), engine, head, tried)
+			picked[g.Head.ID]++
+		}
+		return picked
 	}
+	picked := pick("lost")
 	for id, n := range picked {
 		c.Check(n > 50 && n < 200, qt.IsTrue, qt.Commentf("%s was picked %d times", id, n))
 	}
 	c.Assert(picked, qt.HasLen, 3)
+
+	// Nine prompts of 30 ms: two groups have one to read already. In a play
+	// half of the streams met at the third.
+	b.add("b", 0, 1400, false)
+	b.add("c", 0, 1400, false)
+	picked = pick("lost")
+	c.Check(picked["a"] > 90 && picked["a"] < 160, qt.IsTrue, qt.Commentf("%v", picked))
+	c.Check(picked["b"] > 50 && picked["c"] > 50, qt.IsTrue, qt.Commentf("%v", picked))
+
+	// A group that is later than all others will be takes none, and a request
+	// that is moved alone goes where it is answered first.
+	b.add("c", 0, 40000, false)
+	c.Check(pick("lost")["c"], qt.Equals, 0)
+	b.add("lost", -8, 0, false)
+	c.Check(pick("lost"), qt.DeepEquals, map[models.InstanceID]int{"a": 300})
 }
