gateway: wait as long as a stream may still go on elsewhere in time

Change: a run is not hedged, nor its group told of, before the pause comes near what the caller puts up with, less the time to go on elsewhere.

--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -32,6 +32,9 @@
 	// netSlack is put on top for the way from the group and through the
 	// daemon.
 	netSlack = 10 * time.Millisecond
+	// movedPrompts is how many prompts may have to be read before a stream that
+	// is moved goes on: others are moved to the same group.
+	movedPrompts = 3
 )
 
 // passTime is how long a pass of a group takes with this load: the steps of
@@ -46,6 +49,15 @@
 	return time.Duration(model.Pace * float64(steps+read))
 }
 
+// sparePause is how long nothing may come from a group and a stream still go on
+// at another one within the pause that its caller puts up with. It is not worth
+// while to begin a second run before that: of the passes that take longer than
+// expected most read prompts of which this daemon does not know yet.
+func sparePause(engine *models.EngineProfile, model models.ModelProfile, prompt int, pause time.Duration) time.Duration {
+	elsewhere := cluster.Load{Requests: engine.Slots / 2, Unread: movedPrompts * prompt}
+	return pause - passTime(engine, model, elsewhere) - 2*netSlack
+}
+
 // pauses counts the pauses between the events of a model's streams, each as
 // a part of the pass that was expected.
 type pauses struct {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -129,13 +129,19 @@
 	r.moved, r.expected = now, r.pass()
 }
 
-// pass is how long the group's next pass should take.
-func (r *run) pass() time.Duration {
+// profile describes the engine and the model, if they are known.
+func (r *run) profile() (*models.EngineProfile, models.ModelProfile, bool) {
 	engine := r.s.g.node.View().Routing.Services[r.s.service].Engine
 	if engine == nil {
-		return firstPatience
+		return nil, models.ModelProfile{}, false
 	}
 	model, known := engine.Model(r.s.head.Model)
+	return engine, model, known
+}
+
+// pass is how long the group's next pass should take.
+func (r *run) pass() time.Duration {
+	engine, model, known := r.profile()
 	if !known {
 		return firstPatience
 	}
@@ -145,9 +151,12 @@
 
 // longest is how long nothing may come from the group while it works.
 func (r *run) longest() time.Duration {
-	pass := r.expected
 	if r.moved.IsZero() {
-		pass = r.pass()
+		return r.s.g.balance.patience(r.s.head.Model, r.pass())
+	}
+	longest := r.s.g.balance.patience(r.s.head.Model, r.expected)
+	if engine, model, known := r.profile(); known {
+		longest = max(longest, sparePause(engine, model, r.s.head.PromptTokens, r.s.route.Pause))
 	}
-	return r.s.g.balance.patience(r.s.head.Model, pass)
+	return longest
 }
