cluster: three daemons stand by to plan, the others while none is heard

Each daemon asked for the lease 0.35 s after its start, before it had heard of those that come first, and the store deals a lease anew whenever a member comes or goes. After all had been killed the lease went to a small daemon, which took ten instances for lost when it fell behind with its own questions.

Change: while a planner is heard, three daemons ask for the lease, those with the most processor; one that starts waits until it knows its standing. If none is heard for 0.9 s the nine first ask as before. A daemon that is heard anew is dialled at once.

--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -49,7 +49,7 @@
 		return 0
 	case n.planning.Load():
 		return planEntriesEvery
-	case n.fedLately():
+	case n.fedLately(), n.relies() && n.fedWithin(feedPatience):
 		return fedEntriesEvery
 	case n.relies():
 		return sparseEntriesEvery
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -39,15 +39,18 @@
 	for {
 		if !n.View().candidate {
 			if term != 0 {
-				n.tell(ctx, leaseLost{reason: "others have more processor"})
+				n.tell(ctx, leaseLost{reason: "others come before this one"})
+			}
+			if n.leasing.Load() {
 				n.leaveLease(ctx, member)
-				term, generation = 0, 0
 			}
+			term, generation = 0, 0
 			if err := pause(ctx, ttl/renewDiv); err != nil {
 				return err
 			}
 			continue
 		}
+		n.leasing.Store(true)
 		asked := time.Now()
 		held, next, err := n.renew(ctx, member, ttl, generation)
 		switch {
@@ -111,6 +114,7 @@
 
 // leaveLease lets another take over at once.
 func (n *Node) leaveLease(ctx context.Context, member string) {
+	n.leasing.Store(false)
 	n.stats.storeCalls(plannerGroup).Inc()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewTimeout)
 	defer cancel()
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -33,6 +33,7 @@
 	addr  netip.AddrPort
 	news  <-chan LoadNews
 	woken <-chan struct{}
+	back  <-chan struct{}
 }
 
 // keepLink tells one other daemon of this one, on one connection after the
@@ -46,10 +47,14 @@
 		if time.Since(began) > mostRedial {
 			wait = redialPause
 		}
-		if err := pause(ctx, wait); err != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-l.back:
+			wait = redialPause
+		case <-time.After(wait):
+			wait = min(mostRedial, 2*wait)
 		}
-		wait = min(mostRedial, 2*wait)
 	}
 	return nil
 }
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -29,10 +29,12 @@
 	zone        models.Zone
 	incarnation int64
 	cancel      context.CancelFunc
-	// news and woken outlast a change of address. woken has a place for the
-	// word that loads are to be told at once.
+	// news, woken and back outlast a change of address. woken has a place for
+	// the word that loads are to be told at once, back for the word that the
+	// daemon was heard of anew.
 	news  chan LoadNews
 	woken chan struct{}
+	back  chan struct{}
 }
 
 // offer hands news to the link unless that is behind or down. What is left out
@@ -45,6 +47,14 @@
 	}
 }
 
+// signal leaves a word in a channel that has a place for one.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func newLinks(n *Node) *links { return &links{n: n, known: map[models.DaemonID]*linkEnd{}} }
 
 // update begins a link to each daemon that the records of the roster name.
@@ -83,12 +93,15 @@
 	defer l.mu.Unlock()
 	end := l.known[id]
 	if end == nil {
-		end = &linkEnd{news: make(chan LoadNews, newsLen), woken: make(chan struct{}, 1)}
+		end = &linkEnd{news: make(chan LoadNews, newsLen), woken: make(chan struct{}, 1), back: make(chan struct{}, 1)}
 		l.known[id] = end
 	}
 	if entry.Incarnation < end.incarnation {
 		return nil
 	}
+	if entry.Incarnation > end.incarnation {
+		signal(end.back)
+	}
 	end.incarnation, end.zone = entry.Incarnation, entry.Zone
 	if end.addr == addr || ctx.Err() != nil {
 		return nil
@@ -98,7 +111,7 @@
 	}
 	linkCtx, cancel := context.WithCancel(ctx)
 	end.addr, end.cancel = addr, cancel
-	made := link{id: id, addr: addr, news: end.news, woken: end.woken}
+	made := link{id: id, addr: addr, news: end.news, woken: end.woken, back: end.back}
 	l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, made) }))
 	return nil
 }
@@ -121,10 +134,7 @@
 		if relays != nil && end.zone != l.n.cfg.Zone && !relays[id] {
 			continue
 		}
-		select {
-		case end.woken <- struct{}{}:
-		default:
-		}
+		signal(end.woken)
 	}
 }
 
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -6,9 +6,16 @@
 // itself tells: the store takes some ms, a slow store hundreds.
 const entryLag = time.Second
 
-// feedFresh is how recent the planner's news must be for a daemon to spare
-// itself reading entries often.
-const feedFresh = 900 * time.Millisecond
+const (
+	// feedFresh is how recent the planner's news must be for a daemon to spare
+	// itself reading entries often.
+	feedFresh = 900 * time.Millisecond
+	// feedPatience takes its place where there are many daemons: until another
+	// plans none should read that need not. It stays well below the time within
+	// which an instance that leaves must get nothing new, 3 s where the users
+	// have many daemons.
+	feedPatience = 1600 * time.Millisecond
+)
 
 // spread tells all other daemons what this one, which plans, has learned.
 func (o *owner) spread(news ...InstanceNews) {
@@ -85,6 +92,8 @@
 }
 
 // fedLately reports whether the planner's news came of late.
-func (n *Node) fedLately() bool {
-	return time.Since(time.Unix(0, n.fed.Load())) < feedFresh
+func (n *Node) fedLately() bool { return n.fedWithin(feedFresh) }
+
+func (n *Node) fedWithin(d time.Duration) bool {
+	return time.Since(time.Unix(0, n.fed.Load())) < d
 }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -90,6 +90,9 @@
 	started   int64
 	peerLoads *peerLoads
 	links     *links
+	// leasing tells that this node is among those that the store deals the
+	// planner's lease to.
+	leasing atomic.Bool
 	// spentTerm is the last term in which this node planned and stopped: its
 	// fences and epochs must not be given a second time.
 	spentTerm atomic.Int64
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -129,6 +129,9 @@
 		o.n.log.Warn().Dur("for", tick.Paused).Msg("process-paused")
 	}
 	o.dropSilent(tick.At)
+	if o.candidate(tick.At) != o.n.View().candidate {
+		o.changed = true
+	}
 	o.catchUp(tick.At)
 	o.askDue(tick.At)
 	o.watchUnlisted(tick.At)
@@ -143,7 +146,7 @@
 		Routing: o.config.routing, Proven: o.config.proven, Daemons: len(o.peers.seen) + 1,
 		Term:    max(o.peers.term, o.fleet.term()),
 		Planner: o.fleet.planner != nil, All: o.fleet.shown(), config: o.config.data, stalled: o.fleet.stalledHeads(now),
-		candidate: o.candidate(), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{},
+		mayPlan: o.mayPlan(), candidate: o.candidate(now), wants: o.peers.wants, wantedBy: map[models.DaemonID]bool{},
 		behind: len(o.ahead()) > 0, relays: o.relays(),
 	}
 	for id, p := range o.peers.seen {
--- a/cluster/standing.go
+++ b/cluster/standing.go
@@ -2,13 +2,28 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
-// candidates is how many daemons ask the store for the planner's lease: enough
-// that some are left after any loss, and few against the store's price.
-const candidates = 9
+const (
+	// candidates is how many daemons may ask the store for the planner's lease
+	// if no planner is heard of: enough that some are left after any loss, and
+	// few against the store's price.
+	candidates = 9
+	// standbys is how many do while one is: the store deals the lease anew
+	// whenever one comes or goes, and a planner that has just begun knows
+	// nothing of what its predecessor had under way.
+	standbys = 3
+	// plannerWord is how long a daemon that starts waits for word of the
+	// planner if others tell of one: links to a daemon that was away are tried
+	// again within mostRedial.
+	plannerWord = mostRedial + 100*time.Millisecond
+	// allHeard is when a daemon that starts has heard of all others, and so
+	// knows its standing.
+	allHeard = 2 * sparseEvery
+)
 
 // standing orders daemons for a part that only some of them take: those with
 // the most processor first, and equals by a hash of their names. All daemons
@@ -32,16 +47,45 @@
 	return h.Sum64()
 }
 
-// candidate reports whether this node is one of those that may plan.
-func (o *owner) candidate() bool {
-	before := 0
+// mayPlan reports whether this node is one of those that may plan.
+func (o *owner) mayPlan() bool {
+	before, _ := o.rank()
+	return before < candidates
+}
+
+// candidate reports whether this node should ask the store for the planner's
+// lease, or go on holding its part of it.
+func (o *owner) candidate(now time.Time) bool {
+	before, stronger := o.rank()
+	heard := o.fleet.planner != nil || o.n.fedLately()
+	since := now.Sub(time.Unix(0, o.n.started))
+	switch {
+	case o.peers.term > 0 && since < plannerWord, heard && since < allHeard:
+		return o.n.leasing.Load()
+	case !heard:
+		return before < candidates
+	case stronger >= standbys:
+		return false
+	case o.n.leasing.Load():
+		return before < candidates
+	default:
+		return before < standbys
+	}
+}
+
+// rank counts the daemons that come before this one, and those of them that
+// have more processor.
+func (o *owner) rank() (before, stronger int) {
 	own := standing{o.n.cfg.Power, o.n.cfg.ID}
 	for id, p := range o.peers.seen {
 		if (standing{p.beat.Power, id}).before(own) {
 			before++
 		}
+		if p.beat.Power > own.power {
+			stronger++
+		}
 	}
-	return before < candidates
+	return before, stronger
 }
 
 // relays picks one daemon of each other zone, where there are many daemons. It
--- a/cluster/standing_test.go
+++ b/cluster/standing_test.go
@@ -51,3 +51,62 @@
 	}
 	c.Assert(passed, qt.Equals, 10)
 }
+
+// TestStandbys checks which daemons ask for the planner's lease. With 61 daemons
+// that were restarted one after the other each asked for it at its start, the
+// store dealt it anew, and the planner changed seven times in 34 s.
+func TestStandbys(t *testing.T) {
+	c := qt.New(t)
+	var o *owner
+	begin := func(power float64, running time.Duration) {
+		o = newTestOwner(t)
+		o.n.cfg.Power, o.n.started = power, time.Now().Add(-running).UnixNano()
+	}
+	hear := func(term int64, powers ...float64) {
+		for i, p := range powers {
+			id := models.DaemonID(fmt.Sprintf("d-%d", i))
+			o.peers.seen[id] = seenPeer{beat: Heartbeat{From: id, Power: p}, at: time.Now()}
+		}
+		o.peers.term = term
+	}
+	fed := func() { o.n.fed.Store(time.Now().UnixNano()) }
+	asks := func() bool { return o.candidate(time.Now()) }
+
+	begin(0.4, 0)
+	hear(0, 0.2, 0.2)
+	c.Assert(asks(), qt.IsTrue, qt.Commentf("all have just started, none plans"))
+
+	begin(0.4, 0)
+	hear(5, 0.2, 0.2)
+	c.Assert(asks(), qt.IsFalse, qt.Commentf("one plans"))
+	begin(0.4, plannerWord)
+	hear(5, 0.2, 0.2)
+	c.Assert(asks(), qt.IsTrue, qt.Commentf("one planned and is not heard"))
+	fed()
+	c.Assert(asks(), qt.IsFalse, qt.Commentf("one plans, the standing is not known yet"))
+
+	begin(0.4, time.Minute)
+	hear(5, 0.2, 0.2)
+	fed()
+	c.Assert(asks(), qt.IsTrue, qt.Commentf("the first in standing stands by"))
+	begin(0.4, time.Minute)
+	hear(5, 0.8, 0.8, 0.8)
+	c.Assert(asks(), qt.IsTrue, qt.Commentf("none is heard to plan"))
+	fed()
+	c.Assert(asks(), qt.IsFalse, qt.Commentf("the others are enough"))
+	o.n.leasing.Store(true)
+	c.Assert(asks(), qt.IsFalse, qt.Commentf("those with more processor come first"))
+
+	begin(0, time.Minute)
+	o.n.cfg.ID = "d-7"
+	hear(5, 0, 0, 0, 0, 0, 0)
+	fed()
+	before, _ := o.rank()
+	c.Assert(before >= standbys, qt.IsTrue)
+	c.Assert(asks(), qt.IsFalse)
+	o.n.leasing.Store(true)
+	c.Assert(asks(), qt.IsTrue, qt.Commentf("one of equals that has joined stays"))
+	hear(5, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1)
+	o.n.fed.Store(0)
+	c.Assert(asks(), qt.IsFalse, qt.Commentf("nine come before it"))
+}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -36,7 +36,9 @@
 	relays map[models.DaemonID]bool
 	// behind tells that another daemon has a newer configuration.
 	behind bool
-	// candidate tells that this node asks for the planner's lease.
+	// mayPlan tells that this node is one of those that may plan, candidate
+	// that it is to ask for the planner's lease.
+	mayPlan   bool
 	candidate bool
 	stalled   []StalledHead
 }
