gateway: leave a silent start to the streams that the group is answering

A daemon of 61 has no other stream at the group that would show it moving. Each hedge was one prompt more to read elsewhere and up to 18 of 20 slots were taken.

Ruled out: lost groups (told by running streams within 0.1 to 0.2 s), slow prompts of the requests' own.

Change: at a group with four requests or more a request waits one and a half times its aim for the first event, unless others find that the group stands still. Not measured yet.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -17,6 +17,12 @@
 	// waiting there for a place: what is known of other daemons' requests is
 	// up to a second old.
 	fullPart = 0.9
+	// watchers is how many requests a group must have for those that it is
+	// answering to tell, before anything else does, that it stands still.
+	watchers = 4
+	// longWait is how often its aim a request waits for its first event at a
+	// group that is watched. It is late by then, and may still be answered.
+	longWait = 1.5
 	// firstStep is how often a run that waits is looked at, givenUpStep how
 	// often one for which nothing more can be done.
 	firstStep   = 40 * time.Millisecond
@@ -136,14 +142,17 @@
 	return hedgeStep
 }
 
-// mayQueue reports whether a request may be waiting for a place at the group.
-func (s *stream) mayQueue(group cluster.Group) bool {
+// isWatched reports whether a request that waits for its first event leaves it
+// to others to find that the group stands still: it may be waiting for a place,
+// or for the prompts before its own.
+func (s *stream) isWatched(group cluster.Group, waited time.Duration) bool {
 	engine := s.g.node.View().Routing.Services[s.service].Engine
 	if engine == nil {
 		return false
 	}
 	load := s.g.balance.loadNow(s.g.node, group.Head.ID)
-	return float64(load.Requests) >= fullPart*float64(engine.Slots)
+	full := float64(load.Requests) >= fullPart*float64(engine.Slots)
+	return full || (load.Requests >= watchers && waited < time.Duration(longWait*float64(s.route.Aim)))
 }
 
 // standsStill reports whether so little has come from the run's group that a
@@ -158,9 +167,8 @@
 	case r.moved.IsZero() && waited < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
 		return false
-	case r.moved.IsZero() && s.mayQueue(r.group):
-		// A second run would only make the queues longer; whether the group
-		// stands still is seen by those that it is answering.
+	case r.moved.IsZero() && s.isWatched(r.group, waited):
+		// A second run would only be one prompt more to read elsewhere.
 		return false
 	case now.Before(s.g.settled), r.moved.IsZero() && waited < s.route.Aim:
 		// Too little is known to suspect the group; a hedge does no harm.
