gateway: pass a stream's failure on, and refuse only what did not run

Such a failure was passed on, but then the stream went on to read events from the answer, which has none: the handler panicked, net/http closed the connection, and its word about it went to standard error.

Found beside it: a body that was closed twice closed a connection that the pool might have given to another request by then (the panic's way out did so); and a request that one instance may have run was refused with 503 if the next one said that it had not run it, although 503 promises that none did.

Change: a failure ends the stream; Close does nothing the second time; only requests that nothing may have run are refused, others get 502; what the HTTP server has to say goes into the log as server-error. The scripts stream_failure (no answer before) and no_promise (503 before) failed first.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -26,6 +26,9 @@
 	until   time.Time
 	// tried are the instances that the request was sent to.
 	tried []models.InstanceID
+	// ran tells that an instance may have run the request, so that it must not
+	// be refused any more.
+	ran bool
 	// answering tells that the head of the answer has gone out.
 	answering bool
 	// at is where the request was sent last.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
@@ -101,9 +100,7 @@
 		// Ends this run; goOn changes over.
 		return 0
 	}
-	if errors.Is(s.hedge.result, errNotRun) {
-		s.runs--
-	}
+	s.noteEnd(s.hedge.result)
 	s.hedge.close()
 	s.hedge = nil
 	return hedgeStep
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -77,7 +77,7 @@
 		// begun is not whole.
 		e.note(outcomeBroken, 0, err)
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream):
+	case !e.ran && (errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream)):
 		e.refuse(err)
 	case ctx.Err() != nil:
 		e.note(outcomeLate, http.StatusGatewayTimeout, err)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -4,9 +4,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -128,10 +130,11 @@
 // Run serves until the context ends and then stops as planned: the balancer
 // is told first, requests in flight end, and then the connections close.
 func (g *Gateway) Run(ctx context.Context) error {
-	callers := &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader}
-	servers := map[netip.AddrPort]*http.Server{g.cfg.Listen: callers, g.cfg.Ready: {Handler: g.readyRoutes()}}
+	callers := g.newServer(http.HandlerFunc(g.serve))
+	callers.ReadHeaderTimeout, callers.MaxHeaderBytes = readHeaderTimeout, maxHeader
+	servers := map[netip.AddrPort]*http.Server{g.cfg.Listen: callers, g.cfg.Ready: g.newServer(g.readyRoutes())}
 	if g.cfg.Admin.IsValid() {
-		servers[g.cfg.Admin] = &http.Server{Handler: g.adminRoutes()}
+		servers[g.cfg.Admin] = g.newServer(g.adminRoutes())
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -154,6 +157,20 @@
 	return errors.Join(err, task.Wait(tasks...))
 }
 
+// newServer returns a server that tells in the log what goes wrong in it.
+func (g *Gateway) newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ErrorLog: log.New(serverErrors{g.log}, "", 0)}
+}
+
+// serverErrors writes what a server has to say into the log, panics of handlers
+// among it.
+type serverErrors struct{ log zerolog.Logger }
+
+func (s serverErrors) Write(text []byte) (int, error) {
+	s.log.Error().Str("text", string(bytes.TrimSpace(text))).Msg("server-error")
+	return len(text), nil
+}
+
 func serveOn(server *http.Server, l net.Listener) error {
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,7 +88,11 @@
 		case s.ctx.Err() != nil:
 			return err
 		default:
-			if err := s.goOn(err); err != nil {
+			err = s.goOn(err)
+			if errors.Is(err, errFailure) {
+				return s.passFailure(s.current.answer)
+			}
+			if err != nil {
 				return err
 			}
 		}
@@ -104,9 +108,7 @@
 			return err
 		}
 	}
-	if errors.Is(cause, errNotRun) {
-		s.runs--
-	}
+	s.noteEnd(cause)
 	if s.hedge != nil {
 		h := s.hedge
 		s.hedge = nil
@@ -114,14 +116,9 @@
 			s.switchTo(h.run, cause)
 			return nil
 		}
-		if errors.Is(h.result, errNotRun) {
-			s.runs--
-		}
+		s.noteEnd(h.result)
 		h.close()
 	}
-	if errors.Is(cause, errFailure) && !s.mayRepeat() {
-		return s.passFailure(s.current.answer)
-	}
 	if !s.mayRepeat() && !(errors.Is(cause, errNotRun) && s.runs == 0 && s.maySend()) {
 		return cause
 	}
@@ -138,6 +135,15 @@
 	return nil
 }
 
+// noteEnd counts a run that ended with an error.
+func (s *stream) noteEnd(err error) {
+	if errors.Is(err, errNotRun) {
+		s.runs--
+		return
+	}
+	s.ran = true
+}
+
 // switchTo has a hedge's run take the place of the former one.
 func (s *stream) switchTo(r *run, cause error) {
 	s.logMove(r.group, cause)
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -33,13 +33,15 @@
 // answer on once it is whole.
 func (e *exchange) unary(ctx context.Context) error {
 	e.g.budget.request(e.began)
+	var err error
 	for {
 		i, found := e.g.balance.pickInstance(e.g.node, e.service, e.tried)
 		if !found {
-			return e.noMore(errNoUpstream)
+			return errors.Join(err, errNoUpstream)
 		}
 		last := len(e.tried)+1 >= e.route.Attempts
-		err := e.tryUnary(ctx, i, last)
+		err = e.tryUnary(ctx, i, last)
+		e.ran = e.ran || (err != nil && !errors.Is(err, errNotRun))
 		if err == nil || last || ctx.Err() != nil || !(e.route.Repeatable() || errors.Is(err, errNotRun)) {
 			return err
 		}
@@ -50,14 +52,6 @@
 	}
 }
 
-// noMore tells why a request ends for which nothing is left to be tried.
-func (e *exchange) noMore(err error) error {
-	if len(e.tried) > 0 {
-		return errors.Join(errMayHaveRun, err)
-	}
-	return err
-}
-
 // tryUnary makes one try. A failure that the instance gave is passed on only
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -26,6 +26,7 @@
 	reusable bool
 	ended    bool
 	failed   bool
+	closed   bool
 }
 
 // Read reads from the body; io.EOF is its proper end.
@@ -48,13 +49,22 @@
 
 // Discard closes the connection, which tells the upstream to stop.
 func (b *Body) Discard() {
+	if b.closed {
+		return
+	}
+	b.closed = true
 	b.stop()
 	b.c.close()
 }
 
 // Close gives the connection back to the pool if the body was read to its
-// end and nothing follows it, and closes it otherwise.
+// end and nothing follows it, and closes it otherwise. Closing it once more
+// does nothing: by then the connection may be another request's.
 func (b *Body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
 	live := b.stop()
 	if !live || !b.ended || b.failed || !b.reusable || b.c.br.Buffered() > 0 {
 		b.c.close()
