gateway: have refused callers come back when a place may be free

Callers were asked to come back after 120 ms and were refused a second time; most come back once.

Ruled out: a faster first configuration (its 200 KB take 80 ms at 20 Mbit/s).

Change: Retry-After is the time that a start takes where no configuration is known, and 0.3 to 0.8 s, spread, where no place is free.

--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -54,15 +55,31 @@
 		end = outcomeGone
 		status = http.StatusBadRequest
 	default:
-		platform.SetRetryAfter(e.w.Header(), retryAfter)
+		platform.SetRetryAfter(e.w.Header(), comeBack(err))
 	}
 	e.note(end, status, err)
 	e.w.WriteHeader(status)
 }
 
-// retryAfter is when a caller is asked to come back: about the time in which
-// a place comes free.
-const retryAfter = 120 * time.Millisecond
+const (
+	// startTime is about how long a daemon of the users' platform takes from
+	// its start to its first configuration, a large one at 20 Mbit/s.
+	startTime = 400 * time.Millisecond
+	// refusedLeast and refusedSpread are when a caller is asked to come back
+	// where no place is free: a group ends a request every 50 ms, but whatever
+	// filled all of them takes longer to pass, and most callers come back only
+	// once. They are spread so that they do not come all at the same time.
+	refusedLeast  = 300 * time.Millisecond
+	refusedSpread = 500 * time.Millisecond
+)
+
+// comeBack is when a caller that was refused for this reason should come back.
+func comeBack(reason error) time.Duration {
+	if errors.Is(reason, errNoConfig) {
+		return startTime
+	}
+	return refusedLeast + rand.N(refusedSpread)
+}
 
 // finish gives a request its end if no instance did.
 func (e *exchange) finish(ctx context.Context, err error) {
