--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -46,6 +46,8 @@
 //
 //	METHOD PATH [NAME=VALUE...]
 //
+// The answer to HEAD is told with its length.
+//
 // and "want" what came of each, and then what the instances saw.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
@@ -217,6 +219,9 @@
 	if err != nil {
 		text += " cut"
 	}
+	if words[0] == http.MethodHead {
+		text += fmt.Sprintf(" length=%d", resp.ContentLength)
+	}
 	return strings.TrimSpace(text)
 }
 
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -78,9 +78,15 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
-	// The instance's own length is not passed on, as it concerns its
-	// connection.
-	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// The instance's own length concerns its connection, but in an answer to
+	// HEAD it is that of the body which is left out.
+	length := strconv.Itoa(len(body))
+	if e.r.Method == http.MethodHead {
+		length = resp.Header.Get("Content-Length")
+	}
+	if length != "" {
+		e.w.Header().Set("Content-Length", length)
+	}
 	e.writeHead(resp.Status, resp.Header)
 	_, err = e.w.Write(body)
 	return err
