gateway: bound resting connections by what an instance takes

Ruled out: connections in use (6 slots and 24 places in the queue).

Change: a daemon keeps its share of half of what the instance takes, one at least, and those that rested for the shortest time.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -188,7 +188,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case tick := <-ticks:
-			n.conns.Sweep(tick.At, func(netip.AddrPort) bool { return true })
+			n.conns.Sweep(tick.At)
 		}
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -199,17 +199,35 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case tick := <-ticks:
-			known := g.node.View().All
-			addrs := make(map[netip.AddrPort]bool, len(known))
-			for _, i := range known {
-				addrs[i.Addr] = true
-			}
-			g.conns.Sweep(tick.At, func(a netip.AddrPort) bool { return addrs[a] })
-			g.balance.forget(known)
+			v := g.node.View()
+			g.conns.Allow(restingConns(v))
+			g.conns.Sweep(tick.At)
+			g.balance.forget(v.All)
 		}
 	}
 }
 
+// restingPart is the part of the connections that an instance takes from all
+// daemons which may rest there, so that there is room for those in use.
+const restingPart = 0.5
+
+// restingConns is how many connections to each instance may rest: this daemon's
+// share of what the instance takes, but one at least.
+func restingConns(v *cluster.View) map[netip.AddrPort]int {
+	most := make(map[netip.AddrPort]int, len(v.All))
+	for _, i := range v.All {
+		most[i.Addr] = h1.MaxIdle
+		if v.Routing == nil {
+			continue
+		}
+		if takes := v.Routing.Services[i.Service].MaxConnections; takes > 0 {
+			share := int(restingPart * float64(takes) / float64(max(1, v.Daemons)))
+			most[i.Addr] = min(h1.MaxIdle, max(1, share))
+		}
+	}
+	return most
+}
+
 func (g *Gateway) readyRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -32,8 +32,8 @@
 	// idleMargin is how much sooner than the upstream the pool gives up a
 	// resting connection, so that a request does not cross its close.
 	idleMargin = 300 * time.Millisecond
-	// maxIdle is how many connections to one address rest in the pool.
-	maxIdle = 64
+	// MaxIdle is how many connections to one address rest in the pool at most.
+	MaxIdle = 64
 )
 
 // Pool keeps idle connections, by address. The zero value is not usable; see
@@ -46,6 +46,8 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// most is how many may rest to each address, if known.
+	most map[netip.AddrPort]int
 }
 
 // NewPool returns an empty pool. The function opened is called for each new
@@ -86,22 +88,40 @@
 	c.rested = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= maxIdle {
+	most, known := p.most[c.addr]
+	if !known {
+		most = MaxIdle
+	}
+	if len(p.idle[c.addr]) >= most {
 		c.close()
 		return
 	}
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
-// Sweep closes connections that have rested for too long, and all those to
-// addresses that keep does not want.
-func (p *Pool) Sweep(now time.Time, keep func(netip.AddrPort) bool) {
+// Allow sets how many connections may rest to each address; the next Sweep
+// closes those to others. Before the first call, and to an address that has come
+// since the last one, MaxIdle may rest.
+func (p *Pool) Allow(most map[netip.AddrPort]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
+// Sweep closes connections that have rested for too long, and those that may
+// not rest.
+func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, conns := range p.idle {
+		most := MaxIdle
+		if p.most != nil {
+			most = p.most[addr]
+		}
 		kept := conns[:0]
-		for _, c := range conns {
-			if keep(addr) && now.Before(c.rested.Add(c.idleFor)) {
+		for i, c := range conns {
+			// The last ones have rested for the shortest time.
+			if len(conns)-i <= most && now.Before(c.rested.Add(c.idleFor)) {
 				kept = append(kept, c)
 				continue
 			}
--- /dev/null
+++ b/lib/h1/pool_test.go
@@ -0,0 +1,50 @@
+package h1
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRestingConnections checks that no more connections rest than are allowed,
+// and that those are kept which have rested for the shortest time.
+func TestRestingConnections(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	pool := NewPool(time.Second, nil)
+	var conns []*conn
+	for range 4 {
+		made, err := pool.dial(t.Context(), addr)
+		c.Assert(err, qt.IsNil)
+		defer made.close()
+		conns = append(conns, made)
+	}
+	open := func() (out []int) {
+		for i, made := range conns {
+			if !made.closed.Load() {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+
+	pool.Allow(map[netip.AddrPort]int{addr: 3})
+	for _, made := range conns {
+		pool.put(made)
+	}
+	c.Assert(open(), qt.DeepEquals, []int{0, 1, 2})
+	pool.Sweep(time.Now())
+	c.Assert(open(), qt.DeepEquals, []int{0, 1, 2})
+	pool.Allow(map[netip.AddrPort]int{addr: 1})
+	pool.Sweep(time.Now())
+	c.Assert(open(), qt.DeepEquals, []int{2})
+	pool.Allow(map[netip.AddrPort]int{})
+	pool.Sweep(time.Now())
+	c.Assert(open(), qt.HasLen, 0)
+}
