--- /dev/null
+++ b/gateway/cost.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+const (
+	// requestCost is how much a request that is being answered weighs against
+	// prompts that are to be read: each slows a pass a little, and takes a slot.
+	requestCost = 2 * time.Millisecond
+	// fullCost is how long a request waits at a full group for each one that is
+	// ahead of it: about the time between two ends.
+	fullCost = 100 * time.Millisecond
+	// zoneCost is what a group in another zone is set back by: the way there
+	// and back, some 3 ms on the users' sites, and the price of bytes between
+	// zones.
+	zoneCost = 5 * time.Millisecond
+)
+
+// choice is a group that a request may go to.
+type choice struct {
+	group    cluster.Group
+	requests int
+	cost     time.Duration
+}
+
+// choices are the groups with what each would cost a request. The balance must
+// be locked.
+func (b *balance) choices(node Beliefs, engine *models.EngineProfile, groups []cluster.Group) []choice {
+	choices := make([]choice, 0, len(groups))
+	for _, g := range groups {
+		load := b.loadAt(node, g.Head.ID)
+		cost := groupCost(engine, load)
+		if g.Head.Zone != b.zone {
+			cost += zoneCost
+		}
+		choices = append(choices, choice{g, load.Requests, cost})
+	}
+	return choices
+}
+
+// groupCost is how much later than at an idle group a request is answered at
+// one with this load.
+func groupCost(engine *models.EngineProfile, load cluster.Load) time.Duration {
+	cost := time.Duration(load.Requests) * requestCost
+	if engine.ReadPerSecond > 0 {
+		cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+	}
+	if load.Requests >= engine.Slots {
+		cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
+	}
+	return cost
+}
+
+func byCost(a, b choice) int { return cmp.Compare(a.cost, b.cost) }
+
+// scatter picks a group at random for one of several requests that are sent at
+// the same moment, each of which costs a group as much as the others: when a
+// group stands still, all daemons move its streams within a few ms, before they
+// hear of each other's choices. Groups are picked as often as it takes to make
+// all equally late.
+func scatter(choices []choice, atOnce int, each time.Duration) choice {
+	slices.SortFunc(choices, byCost)
+	level, sum := time.Duration(0), time.Duration(atOnce)*each
+	for i, c := range choices {
+		if i > 0 && c.cost >= level {
+			choices = choices[:i]
+			break
+		}
+		sum += c.cost
+		level = sum / time.Duration(i+1)
+	}
+	at := rand.Int64N(max(1, int64(atOnce)*int64(each)))
+	for _, c := range choices {
+		if at -= int64(level - c.cost); at < 0 {
+			return c
+		}
+	}
+	return choices[0]
+}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -19,16 +18,6 @@
 	queuePart = 0.22
 	// overSlots is how many requests beyond its slots a group is sent.
 	overSlots = 2
-	// requestCost is how much a request that is being answered weighs against
-	// prompts that are to be read: each slows a pass a little, and takes a slot.
-	requestCost = 2 * time.Millisecond
-	// fullCost is how long a request waits at a full group for each one that is
-	// ahead of it: about the time between two ends.
-	fullCost = 100 * time.Millisecond
-	// zoneCost is what a group in another zone is set back by: the way there
-	// and back, some 3 ms on the users' sites, and the price of bytes between
-	// zones.
-	zoneCost = 5 * time.Millisecond
 )
 
 // look returns the best group that was not tried, if there is one, and
@@ -77,11 +66,11 @@
 	// worth while among more: the fewer, the more often two prompts meet.
 	manyDaemons = 20
 	someGroups  = 24
-	// unseen is for how many requests at once a group is picked among many
-	// daemons: another one may be on its way from a daemon that has not been
+	// leastAtOnce is for how many requests at once, at least, a group is picked
+	// among many daemons: another one may be on its way from a daemon that has not been
 	// heard of. News take 10 to 50 ms there, and a request for a model with few
 	// groups comes every 15 ms on the users' sites.
-	unseen = 2
+	leastAtOnce = 2
 	// fewGroups is among how many the best is chosen by old news.
 	fewGroups = 3
 )
@@ -92,94 +81,51 @@
 	return v.Daemons <= manyDaemons || len(v.Groups[model]) <= someGroups
 }
 
-// choice is a group that a request may go to.
-type choice struct {
-	group    cluster.Group
-	requests int
-	cost     time.Duration
-}
-
 // pickGroup returns a group that was not tried and that answers soon, and how
 // many requests it has.
 func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, head models.RequestHead, tried []models.InstanceID) (cluster.Group, int, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	view := node.View()
-	groups := slices.DeleteFunc(slices.Clone(view.Groups[head.Model]), func(g cluster.Group) bool {
-		return slices.Contains(tried, g.Head.ID)
-	})
+	groups := untried(view.Groups[head.Model], tried)
 	if len(groups) == 0 {
 		return cluster.Group{}, 0, false
 	}
+	// Of equals each daemon is to pick another one.
 	rand.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
 	if len(tried) == 0 && !urgent(view, head.Model) {
 		// What is known of the others' requests is old: the best of a few is
 		// then better than the best of all, which everybody would choose.
 		groups = groups[:min(len(groups), fewGroups)]
 	}
-	choices := make([]choice, 0, len(groups))
-	for _, g := range groups {
-		load := b.loadAt(node, g.Head.ID)
-		cost := groupCost(engine, load)
-		if g.Head.Zone != b.zone {
-			cost += zoneCost
-		}
-		choices = append(choices, choice{g, load.Requests, cost})
-	}
-	moving := 1
-	if view.Daemons > manyDaemons {
-		moving = unseen
-	}
-	for _, id := range tried {
-		moving = max(moving, b.loadAt(node, id).Requests)
-	}
-	picked := leastCost(choices)
-	if moving > 1 {
-		picked = scatter(choices, moving, groupCost(engine, cluster.Load{Requests: 1, Unread: head.PromptTokens}))
+	choices := b.choices(node, engine, groups)
+	var picked choice
+	if atOnce := b.atOnce(node, view, tried); atOnce > 1 {
+		picked = scatter(choices, atOnce, groupCost(engine, cluster.Load{Requests: 1, Unread: head.PromptTokens}))
+	} else {
+		picked = slices.MinFunc(choices, byCost)
 	}
 	return picked.group, picked.requests, true
 }
 
-func leastCost(choices []choice) choice {
-	return slices.MinFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
-}
-
-// scatter picks a group for one of several requests that are moved at the same
-// moment, each of which costs a group as much as the others: when a group
-// stands still, all daemons move its streams within a few ms, before they hear
-// of each other's choices. Groups are picked as often as it takes to make all
-// equally late.
-func scatter(choices []choice, moving int, each time.Duration) choice {
-	slices.SortFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
-	level, sum := time.Duration(0), time.Duration(moving)*each
-	for i, c := range choices {
-		if i > 0 && c.cost >= level {
-			choices = choices[:i]
-			break
-		}
-		sum += c.cost
-		level = sum / time.Duration(i+1)
-	}
-	at := rand.Int64N(max(1, int64(moving)*int64(each)))
-	for _, c := range choices {
-		if at -= int64(level - c.cost); at < 0 {
-			return c
-		}
-	}
-	return choices[0]
+func untried(groups []cluster.Group, tried []models.InstanceID) []cluster.Group {
+	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
+		return slices.Contains(tried, g.Head.ID)
+	})
 }
 
-// groupCost is how much later than at an idle group a request is answered at
-// one with this load.
-func groupCost(engine *models.EngineProfile, load cluster.Load) time.Duration {
-	cost := time.Duration(load.Requests) * requestCost
-	if engine.ReadPerSecond > 0 {
-		cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+// atOnce is how many requests may be sent at the same moment as one that was
+// tried at these heads: all that are there move as well. The balance must be
+// locked.
+func (b *balance) atOnce(node Beliefs, view *cluster.View, tried []models.InstanceID) int {
+	n := 1
+	if view.Daemons > manyDaemons {
+		n = leastAtOnce
 	}
-	if load.Requests >= engine.Slots {
-		cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
+	for _, id := range tried {
+		n = max(n, b.loadAt(node, id).Requests)
 	}
-	return cost
+	return n
 }
 
 // pickInstance returns the instance of a plain service with the fewest
