--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -133,17 +133,22 @@
 	}
 	s.runs++
 	s.hedge = s.newHedge(group)
-	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(r.group.Key.Name)).Str("to", string(group.Key.Name)).
-		Dur("silence", silence).Dur("longest", longest).Bool("suspect", suspect).
-		Int("load", s.g.balance.loadNow(s.g.node, group.Head.ID).Requests).Msg("stream-hedged")
+	s.logHedge(group, silence, longest, suspect)
 	return hedgeStep
 }
 
+// logHedge tells why a second run was begun.
+func (s *stream) logHedge(to cluster.Group, silence, longest time.Duration, suspect bool) {
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(to.Key.Name)).
+		Dur("silence", silence).Dur("longest", longest).Bool("suspect", suspect).
+		Int("load", s.g.balance.loadNow(s.g.node, to.Head.ID).Requests).Msg("stream-hedged")
+}
+
 // isWatched reports whether a request that waits for its first event leaves it
 // to others to find that the group stands still: it may be waiting for a place,
 // or for the prompts before its own.
 func (s *stream) isWatched(group cluster.Group, waited time.Duration) bool {
-	engine := s.g.node.View().Routing.Services[s.service].Engine
+	engine := s.engine()
 	if engine == nil {
 		return false
 	}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -23,7 +23,7 @@
 // look returns the best group that was not tried, if there is one, and
 // whether it has a place.
 func (s *stream) look() (group cluster.Group, found, free bool) {
-	engine := s.g.node.View().Routing.Services[s.service].Engine
+	engine := s.engine()
 	if engine == nil {
 		return group, false, false
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -131,7 +131,7 @@
 
 // profile describes the engine and the model, if they are known.
 func (r *run) profile() (*models.EngineProfile, models.ModelProfile, bool) {
-	engine := r.s.g.node.View().Routing.Services[r.s.service].Engine
+	engine := r.s.engine()
 	if engine == nil {
 		return nil, models.ModelProfile{}, false
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/models"
 )
 
 // spareSends is how often a request may be sent beyond its attempts to
@@ -109,17 +110,12 @@
 		}
 	}
 	s.noteEnd(cause)
-	if s.hedge != nil {
-		h := s.hedge
-		s.hedge = nil
-		if err := h.wait(); err == nil {
-			s.switchTo(h.run, cause)
-			return nil
-		}
-		s.noteEnd(h.result)
-		h.close()
+	if s.hedge != nil && s.takeHedge(cause) {
+		return nil
 	}
-	if !s.mayRepeat() && !(errors.Is(cause, errNotRun) && s.runs == 0 && s.maySend()) {
+	// What no instance has run may be sent again, whatever the route.
+	unrun := errors.Is(cause, errNotRun) && s.runs == 0 && s.maySend()
+	if !s.mayRepeat() && !unrun {
 		return cause
 	}
 	group, err := s.pick()
@@ -135,7 +131,22 @@
 	return nil
 }
 
-// noteEnd counts a run that ended with an error.
+// takeHedge has the hedge, once it has its first event, take the place of a run
+// that failed with the error. It returns false if the hedge failed too.
+func (s *stream) takeHedge(cause error) bool {
+	h := s.hedge
+	s.hedge = nil
+	if err := h.wait(); err != nil {
+		s.noteEnd(err)
+		h.close()
+		return false
+	}
+	s.switchTo(h.run, cause)
+	return true
+}
+
+// noteEnd notes that a run ended with an error: one that the instance did not
+// run does not count against the route's attempts.
 func (s *stream) noteEnd(err error) {
 	if errors.Is(err, errNotRun) {
 		s.runs--
@@ -161,6 +172,11 @@
 		Err(cause).Msg("stream-moved")
 }
 
+// engine describes the engine of the stream's service; it may be nil.
+func (s *stream) engine() *models.EngineProfile {
+	return s.g.node.View().Routing.Services[s.service].Engine
+}
+
 // mayRepeat reports whether the request may be run once more.
 func (s *stream) mayRepeat() bool {
 	return s.route.Repeatable() && s.runs < s.route.Attempts && s.maySend()
