gateway: part the gateway from the servers that it runs

server.go began with settings, beliefs and metrics, and came to serving after half of it. Comment of restingPart: who rests where could be read in two ways.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -1,6 +1,3 @@
-// Package gateway takes callers' requests over HTTP and passes each to an
-// upstream instance, raw: method, path, query, body and headers go through
-// as they came, both ways.
 package gateway
 
 import (
@@ -12,48 +9,17 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
-	"github.com/lupinkeel/lupinkeel/lib/timer"
-	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
-// Settings are what a gateway needs to know from the start.
-type Settings struct {
-	Zone models.Zone
-	// Listen is where callers come, Ready where the balancer asks, Admin
-	// where metrics are served; Admin may be invalid.
-	Listen netip.AddrPort
-	Ready  netip.AddrPort
-	Admin  netip.AddrPort
-	// KeysBound is how old the proof that the keys are current may be.
-	KeysBound time.Duration
-	// ConfigBound is how old it may be for a route or key that is not known
-	// to be refused as unknown.
-	ConfigBound time.Duration
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
-	// StopGrace is how long a planned stop may take.
-	StopGrace time.Duration
-	// Settle is how long after its start a gateway keeps to itself that a
-	// group seems to stand still: it does not know yet what the other daemons
-	// have there.
-	Settle time.Duration
-}
-
 const (
-	// dialTimeout bounds the making of a connection to an upstream: two
-	// round trips between zones, far less than a lost packet's repeat.
-	dialTimeout = 250 * time.Millisecond
 	// maxHeader bounds a request's head where the configuration does not.
 	maxHeader         = 64 << 10
 	readHeaderTimeout = 10 * time.Second
@@ -65,68 +31,6 @@
 	stopMargin = 400 * time.Millisecond
 )
 
-// Beliefs are what the gateway is told of the world, as a cluster.Node does.
-type Beliefs interface {
-	View() *cluster.View
-	// PeersLoad is what other daemons have at an instance.
-	PeersLoad(id models.InstanceID) cluster.Load
-	// ReportStalled tells that nothing moves at a group's head.
-	ReportStalled(group models.GroupKey, head models.InstanceID)
-	Clock() *timer.Service
-}
-
-// Gateway serves one daemon's callers.
-type Gateway struct {
-	cfg     Settings
-	log     zerolog.Logger
-	node    Beliefs
-	balance *balance
-	budget  *budget
-	// settled is when what it sees of groups may be relied on.
-	settled  time.Time
-	conns    *h1.Pool
-	stats    *stats
-	set      *metrics.Set
-	stopping atomic.Bool
-}
-
-type stats struct {
-	ends      map[outcome]*metrics.Counter
-	repeats   *metrics.Counter
-	resumes   *metrics.Counter
-	opened    *metrics.Counter
-	firstByte *metrics.Histogram
-	inFlight  atomic.Int64
-}
-
-func newStats(set *metrics.Set) *stats {
-	s := &stats{
-		ends: map[outcome]*metrics.Counter{}, repeats: set.NewCounter("lupinkeel_request_repeats_total"),
-		resumes: set.NewCounter("lupinkeel_stream_resumes_total"), opened: set.NewCounter("lupinkeel_upstream_connections_total"),
-		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
-	}
-	set.NewGauge("lupinkeel_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
-	for _, o := range outcomes {
-		s.ends[o] = set.NewCounter(fmt.Sprintf("lupinkeel_requests_total{outcome=%q}", string(o)))
-	}
-	return s
-}
-
-// Traffic is what a node reads of a gateway that is yet to be made.
-func Traffic() cluster.Traffic { return newBalance() }
-
-// New returns a gateway. The traffic must come from Traffic.
-func New(cfg Settings, node Beliefs, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
-	g := &Gateway{
-		cfg: cfg, log: log, node: node, balance: traffic.(*balance), stats: newStats(set), set: set,
-		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
-	}
-	g.balance.zone = cfg.Zone
-	g.settled = time.Now().Add(cfg.Settle)
-	g.conns = h1.NewPool(dialTimeout, func() { g.stats.opened.Inc() })
-	return g
-}
-
 // Run serves until the context ends and then stops as planned: the balancer
 // is told first, requests in flight end, and then the connections close.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -207,8 +111,8 @@
 	}
 }
 
-// restingPart is the part of the connections that an instance takes from all
-// daemons which may rest there, so that there is room for those in use.
+// restingPart is the part of the connections that an instance takes which may
+// rest, those of all daemons together, so that there is room for those in use.
 const restingPart = 0.5
 
 // restingConns is how many connections to each instance may rest: this daemon's
