--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -55,7 +55,7 @@
 		end = outcomeGone
 		status = http.StatusBadRequest
 	default:
-		platform.SetRetryAfter(e.w.Header(), comeBack(err))
+		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
 	e.note(end, status, err)
 	e.w.WriteHeader(status)
@@ -65,20 +65,20 @@
 	// startTime is about how long a daemon of the users' platform takes from
 	// its start to its first configuration, a large one at 20 Mbit/s.
 	startTime = 400 * time.Millisecond
-	// refusedLeast and refusedSpread are when a caller is asked to come back
-	// where no place is free: a group ends a request every 50 ms, but whatever
+	// retryLeast and retrySpread are when a caller is asked to retry where no
+	// place is free: a group ends a request every 50 ms, but whatever
 	// filled all of them takes longer to pass, and most callers come back only
 	// once. They are spread so that they do not come all at the same time.
-	refusedLeast  = 300 * time.Millisecond
-	refusedSpread = 500 * time.Millisecond
+	retryLeast  = 300 * time.Millisecond
+	retrySpread = 500 * time.Millisecond
 )
 
-// comeBack is when a caller that was refused for this reason should come back.
-func comeBack(reason error) time.Duration {
+// retryAfter is when a caller that was refused for this reason should retry.
+func retryAfter(reason error) time.Duration {
 	if errors.Is(reason, errNoConfig) {
 		return startTime
 	}
-	return refusedLeast + rand.N(refusedSpread)
+	return retryLeast + rand.N(retrySpread)
 }
 
 // finish gives a request its end if no instance did.
