--- a/cluster/standing.go
+++ b/cluster/standing.go
@@ -18,8 +18,8 @@
 	standbys = 3
 	// strongSilence is for how long no planner must be heard until others than
 	// the standbys ask, weakSilence until those do which have less processor
-	// than the standbys: one that plans and hears of better ones gives up again,
-	// and each change costs half a second without a planner.
+	// than the standbys: one of those that plans and hears of daemons with more
+	// gives up again, and each change costs half a second without a planner.
 	strongSilence = 900 * time.Millisecond
 	weakSilence   = 2500 * time.Millisecond
 	// plannerWord is how long a daemon that starts waits for word of the
@@ -62,28 +62,44 @@
 // candidate reports whether this node should ask the store for the planner's
 // lease, or go on holding its part of it.
 func (o *owner) candidate(now time.Time) bool {
+	leasing, silence := o.n.leasing.Load(), o.silence(now)
+	if o.isTooNew(now, silence) {
+		return leasing
+	}
 	before, stronger := o.rank()
-	running, silence := now.Sub(time.Unix(0, o.n.started)), o.silence(now)
-	oneBegan := o.peers.term > 0
 	switch {
-	case oneBegan && running < plannerWord, oneBegan && silence < strongSilence && running < allHeard:
-		return o.n.leasing.Load()
 	case stronger >= standbys:
 		return silence >= weakSilence && before < candidates
-	case o.n.leasing.Load(), silence >= strongSilence:
+	case leasing, silence >= strongSilence:
 		return before < candidates
 	default:
 		return before < standbys
 	}
 }
 
+// isTooNew reports whether this node runs for too short a time to ask where
+// others told of a planner: it may not have heard of that one yet, or hears of
+// it and does not know its own standing.
+func (o *owner) isTooNew(now time.Time, silence time.Duration) bool {
+	if o.peers.term == 0 {
+		return false
+	}
+	running := o.running(now)
+	return running < plannerWord || (running < allHeard && silence < strongSilence)
+}
+
+// running is for how long this node has run.
+func (o *owner) running(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, o.n.started))
+}
+
 // silence is for how long no daemon was heard to plan.
 func (o *owner) silence(now time.Time) time.Duration {
 	switch {
 	case o.fleet.planner != nil:
 		return 0
 	case o.peers.planned.IsZero():
-		return now.Sub(time.Unix(0, o.n.started))
+		return o.running(now)
 	default:
 		return now.Sub(o.peers.planned)
 	}
