--- a/cluster/asks.go
+++ b/cluster/asks.go
@@ -43,7 +43,7 @@
 		o.n.log.Warn().Str("group", string(m.group.Name)).Str("head", string(m.head)).Str("from", string(m.from)).Msg("group-stalled")
 		o.fleet.suspects[m.head] = suspicion{group: m.group, until: now.Add(suspectFor), own: m.from == ""}
 		if m.from == "" {
-			o.n.links.send(LoadNews{From: o.n.cfg.ID, Stalled: []StalledHead{{Group: m.group, Head: m.head}}})
+			o.n.links.send(News{From: o.n.cfg.ID, Stalled: []StalledHead{{Group: m.group, Head: m.head}}})
 		}
 		o.changed = true
 	}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -31,7 +31,7 @@
 type link struct {
 	id    models.DaemonID
 	addr  netip.AddrPort
-	news  <-chan LoadNews
+	news  <-chan News
 	woken <-chan struct{}
 	back  <-chan struct{}
 }
@@ -92,7 +92,7 @@
 		case <-l.woken:
 			seen, err = n.tellLoads(conn, seen, n.View().relays[l.id])
 		case m := <-l.news:
-			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameLoads, m))
+			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameNews, m))
 		}
 	}
 	return err
@@ -128,8 +128,8 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return seen, err
 	}
-	news := LoadNews{From: n.cfg.ID, Incarnation: n.started, Change: last, Relay: relay, All: seen == 0, Loads: loads}
-	return last, frame.Write(conn, frameLoads, news)
+	news := News{From: n.cfg.ID, Incarnation: n.started, Change: last, Relay: relay, All: seen == 0, Loads: loads}
+	return last, frame.Write(conn, frameNews, news)
 }
 
 // tellConfig hands the configuration over to a daemon that asks for it.
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -32,7 +32,7 @@
 	// news, woken and back outlast a change of address. woken has a place for
 	// the word that loads are to be told at once, back for the word that the
 	// daemon was heard of anew.
-	news  chan LoadNews
+	news  chan News
 	woken chan struct{}
 	back  chan struct{}
 }
@@ -40,7 +40,7 @@
 // offer hands news to the link unless that is behind or down. What is left out
 // comes otherwise: a daemon tells its own loads and stalled heads with its
 // heartbeats, and one that missed news of instances reads the store.
-func (e *linkEnd) offer(news LoadNews) {
+func (e *linkEnd) offer(news News) {
 	select {
 	case e.news <- news:
 	default:
@@ -93,7 +93,7 @@
 	defer l.mu.Unlock()
 	end := l.known[id]
 	if end == nil {
-		end = &linkEnd{news: make(chan LoadNews, newsLen), woken: make(chan struct{}, 1), back: make(chan struct{}, 1)}
+		end = &linkEnd{news: make(chan News, newsLen), woken: make(chan struct{}, 1), back: make(chan struct{}, 1)}
 		l.known[id] = end
 	}
 	if entry.Incarnation < end.incarnation {
@@ -117,7 +117,7 @@
 }
 
 // send hands news to the link of every other daemon.
-func (l *links) send(news LoadNews) {
+func (l *links) send(news News) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, end := range l.known {
@@ -139,10 +139,10 @@
 }
 
 // relay passes another daemon's loads on within this one's zone.
-func (l *links) relay(news LoadNews) {
+func (l *links) relay(news News) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	passed := LoadNews{From: news.From, Incarnation: news.Incarnation, Change: news.Change, Loads: news.Loads}
+	passed := News{From: news.From, Incarnation: news.Incarnation, Change: news.Change, Loads: news.Loads}
 	for id, end := range l.known {
 		if id != news.From && end.zone == l.n.cfg.Zone {
 			end.offer(passed)
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -33,7 +33,7 @@
 
 // take takes in what a daemon tells of its loads, unless it told something
 // newer before.
-func (p *peerLoads) take(news LoadNews) {
+func (p *peerLoads) take(news News) {
 	if len(news.Loads) == 0 && !news.All {
 		return
 	}
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -42,7 +42,7 @@
 func (o *owner) sendFeed() {
 	o.fleet.feed++
 	o.fleet.fed = time.Now()
-	o.n.links.send(LoadNews{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Feed: o.fleet.feed, Instances: o.fleet.news})
+	o.n.links.send(News{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Feed: o.fleet.feed, Instances: o.fleet.news})
 	o.fleet.news = nil
 }
 
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -77,8 +77,8 @@
 		}
 		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
 		return b.From, nil
-	case frameLoads:
-		var news LoadNews
+	case frameNews:
+		var news News
 		if err := frame.Decode(body, &news); err != nil {
 			return from, err
 		}
@@ -98,7 +98,7 @@
 
 // takeNews hands news on: loads to those who pick groups and, as their relay,
 // to other daemons, the rest to the owner.
-func (s *peerServer) takeNews(ctx context.Context, news LoadNews) {
+func (s *peerServer) takeNews(ctx context.Context, news News) {
 	s.n.peerLoads.take(news)
 	if news.Relay {
 		s.n.links.relay(news)
--- a/cluster/standing_test.go
+++ b/cluster/standing_test.go
@@ -44,7 +44,7 @@
 	c.Assert(o.n.View().relays, qt.DeepEquals, map[models.DaemonID]bool{"d-28": true, "d-29": true})
 	c.Assert(woken(), qt.Equals, 10+2)
 
-	o.n.links.relay(LoadNews{From: "d-28", Loads: map[models.InstanceID]Load{"i-1": {Requests: 1}}})
+	o.n.links.relay(News{From: "d-28", Loads: map[models.InstanceID]Load{"i-1": {Requests: 1}}})
 	passed := 0
 	for _, end := range o.n.links.known {
 		passed += len(end.news)
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -11,7 +11,7 @@
 const (
 	frameHeartbeat frame.Kind = iota + 1
 	frameConfig
-	frameLoads
+	frameNews
 )
 
 // Heartbeat is what a daemon tells every other one.
@@ -68,16 +68,18 @@
 	Unread   int `msgpack:"u"`
 }
 
-// LoadNews tells the loads that a daemon causes at instances. All tells that
-// it causes none at any other.
-type LoadNews struct {
+// News is what a daemon tells others at once, between its heartbeats: its
+// loads, the heads that stand still, and of instances if it plans. Each message
+// holds one of the three.
+type News struct {
 	From models.DaemonID `msgpack:"id"`
 	// Incarnation and Change number the state of the loads that is told: what
 	// comes by way of another daemon may come after something newer.
 	Incarnation int64  `msgpack:"in"`
 	Change      uint64 `msgpack:"c"`
 	// Relay asks the receiver to pass the loads on within its zone.
-	Relay bool                       `msgpack:"re"`
+	Relay bool `msgpack:"re"`
+	// All tells that the daemon causes no loads but these.
 	All   bool                       `msgpack:"a"`
 	Loads map[models.InstanceID]Load `msgpack:"l"`
 	// Stalled are heads that the daemon just found to stand still.
