--- a/cluster/link.go
+++ b/cluster/link.go
@@ -16,8 +16,9 @@
 	// there are many, all but the one that plans do so less often.
 	heartbeatEvery = 300 * time.Millisecond
 	sparseEvery    = 1200 * time.Millisecond
-	// manyDaemons is beyond how many others news is told less often.
-	manyDaemons = 20
+	// ManyDaemons is beyond how many daemons they tell each other less often:
+	// each change is a message from one to all, and all have changes to tell.
+	ManyDaemons = 20
 	// writeTimeout bounds the sending of one message to another daemon.
 	writeTimeout = 500 * time.Millisecond
 	// redialPause is the first pause before a connection is made again.
@@ -112,7 +113,7 @@
 
 // beatEvery is how often a daemon that is one of so many tells of itself.
 func beatEvery(daemons int) time.Duration {
-	if daemons > manyDaemons {
+	if daemons > ManyDaemons {
 		return sparseEvery
 	}
 	return heartbeatEvery
--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -151,7 +151,7 @@
 		case <-n.traffic.Changed():
 		}
 		delay := newsDelay
-		if n.View().Daemons > manyDaemons {
+		if n.View().Daemons > ManyDaemons {
 			delay = sparseDelay
 		}
 		if err := pause(ctx, delay); err != nil {
--- a/cluster/peers_test.go
+++ b/cluster/peers_test.go
@@ -11,7 +11,7 @@
 // they are many are not dropped in between, whatever their number: with just
 // one more than few, the two ends once disagreed.
 func TestSparseBeats(t *testing.T) {
-	for _, others := range []int{manyDaemons - 1, manyDaemons, manyDaemons + 1} {
+	for _, others := range []int{ManyDaemons - 1, ManyDaemons, ManyDaemons + 1} {
 		c := qt.New(t)
 		o := newTestOwner(t)
 		crowd(o, others, 7)
--- a/cluster/proof.go
+++ b/cluster/proof.go
@@ -40,7 +40,7 @@
 // as it hears of them: where there are many daemons, those that may plan read.
 func (n *Node) relies() bool {
 	v := n.View()
-	return v.Daemons > manyDaemons && !v.mayPlan
+	return v.Daemons > ManyDaemons && !v.mayPlan
 }
 
 // followConfig reads the configuration from the store.
--- a/cluster/proof_test.go
+++ b/cluster/proof_test.go
@@ -33,7 +33,7 @@
 	o.publish()
 	c.Assert(o.n.relies(), qt.IsFalse, qt.Commentf("few daemons"))
 
-	crowd(o, manyDaemons+1, 7)
+	crowd(o, ManyDaemons+1, 7)
 	c.Assert(o.n.relies(), qt.IsTrue)
 	c.Assert(o.n.readsForOthers(), qt.IsFalse)
 	c.Assert(o.n.View().behind, qt.IsFalse)
--- a/cluster/standing.go
+++ b/cluster/standing.go
@@ -124,7 +124,7 @@
 // passes on what is to be known at once, so that each change crosses to a zone
 // once.
 func (o *owner) relays() map[models.DaemonID]bool {
-	if len(o.peers.seen) < manyDaemons {
+	if len(o.peers.seen) < ManyDaemons {
 		return nil
 	}
 	first := map[models.Zone]standing{}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -61,11 +61,10 @@
 }
 
 const (
-	// manyDaemons is how many daemons may tell all others at once of every
-	// change, and someGroups how many groups a model may have for it to be
-	// worth while among more: the fewer, the more often two prompts meet.
-	manyDaemons = 20
-	someGroups  = 24
+	// someGroups is how many groups a model may have for it to be worth while,
+	// among many daemons, to tell all others at once of every change: the fewer,
+	// the more often two prompts meet.
+	someGroups = 24
 	// leastAtOnce is for how many requests at once, at least, a group is picked
 	// among many daemons: another one may be on its way from a daemon that has not been
 	// heard of. News take 10 to 50 ms there, and a request for a model with few
@@ -78,7 +77,7 @@
 // urgent reports whether the others are to be told at once of the model's
 // requests.
 func urgent(v *cluster.View, model models.ModelName) bool {
-	return v.Daemons <= manyDaemons || len(v.Groups[model]) <= someGroups
+	return v.Daemons <= cluster.ManyDaemons || len(v.Groups[model]) <= someGroups
 }
 
 // pickGroup returns a group that was not tried and that answers soon, and how
@@ -119,7 +118,7 @@
 // locked.
 func (b *balance) atOnce(node Beliefs, view *cluster.View, tried []models.InstanceID) int {
 	n := 1
-	if view.Daemons > manyDaemons {
+	if view.Daemons > cluster.ManyDaemons {
 		n = leastAtOnce
 	}
 	for _, id := range tried {
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -93,7 +93,7 @@
 	// Among many daemons a request that comes at the same moment elsewhere is
 	// reckoned with: in a play 12,000 tokens met at one of eight groups.
 	many := pickBeliefs()
-	many.view.Daemons = manyDaemons + 1
+	many.view.Daemons = cluster.ManyDaemons + 1
 	b.add("b", 0, -1400, false)
 	picked = map[models.InstanceID]int{}
 	for range 300 {
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -56,7 +57,7 @@
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
 	e.try(i)
-	urgent := e.g.node.View().Daemons <= manyDaemons
+	urgent := e.g.node.View().Daemons <= cluster.ManyDaemons
 	e.g.balance.add(i.ID, 1, 0, urgent)
 	defer e.g.balance.add(i.ID, -1, 0, urgent)
 	if e.route.Repeatable() && !last {
