cluster: tell the news that were sent from those that came

Two fields named fed held the one and the other; that zero means missed news stood nowhere. News go out with heartbeats as well as between them.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -27,9 +27,9 @@
 	due map[models.InstanceID]time.Time
 	// news is what is to be told to the other daemons.
 	news []InstanceNews
-	// feed counts what was sent of it, fed is when that was last.
-	feed int64
-	fed  time.Time
+	// feed counts what was sent of it, fedOthers is when that was last.
+	feed      int64
+	fedOthers time.Time
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
 	// demand is the part of all instances that each model needs, busy how many
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -31,17 +31,17 @@
 
 // flushNews sends what spread has gathered, unless some was sent just before.
 func (o *owner) flushNews(now time.Time) {
-	if len(o.fleet.news) == 0 || now.Sub(o.fleet.fed) < newsEvery {
+	if len(o.fleet.news) == 0 || now.Sub(o.fleet.fedOthers) < newsEvery {
 		return
 	}
 	o.sendFeed()
 }
 
-// sendFeed sends the news that there are, or only the word that this daemon
-// still reads.
+// sendFeed sends the news that there are. Without any it tells the others that
+// this daemon still reads entries, so that they need not.
 func (o *owner) sendFeed() {
 	o.fleet.feed++
-	o.fleet.fed = time.Now()
+	o.fleet.fedOthers = time.Now()
 	o.n.links.send(News{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Feed: o.fleet.feed, Instances: o.fleet.news})
 	o.fleet.news = nil
 }
@@ -61,11 +61,11 @@
 	o.changed = o.changed || len(m.instances) > 0
 	if missed {
 		// What was not told is read from the store, at once.
-		o.n.fed.Store(0)
+		o.n.fedByPlanner.Store(0)
 		o.n.missedNews.Store(true)
 		return
 	}
-	o.n.fed.Store(now.UnixNano())
+	o.n.fedByPlanner.Store(now.UnixNano())
 }
 
 // noteNews takes in what the daemon that plans tells of one instance, as it was
@@ -97,9 +97,9 @@
 	}
 }
 
-// fedLately reports whether the planner's news came of late.
+// fedLately reports whether the planner's news came of late and without a gap.
 func (n *Node) fedLately() bool { return n.fedWithin(feedFresh) }
 
 func (n *Node) fedWithin(d time.Duration) bool {
-	return time.Since(time.Unix(0, n.fed.Load())) < d
+	return time.Since(time.Unix(0, n.fedByPlanner.Load())) < d
 }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -96,8 +96,9 @@
 	// spentTerm is the last term in which this node planned and stopped: its
 	// fences and epochs must not be given a second time.
 	spentTerm atomic.Int64
-	// fed is when news of the planner came last, in Unix nanoseconds.
-	fed atomic.Int64
+	// fedByPlanner is when news of the planner came last, in Unix nanoseconds;
+	// zero once some were missed.
+	fedByPlanner atomic.Int64
 	// missedNews tells that some were missed since entries were last read.
 	missedNews atomic.Bool
 }
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -68,9 +68,9 @@
 	Unread   int `msgpack:"u"`
 }
 
-// News is what a daemon tells others at once, between its heartbeats: its
-// loads, the heads that stand still, and of instances if it plans. Each message
-// holds one of the three.
+// News is what a daemon tells others besides its heartbeats: its loads, the
+// heads that stand still, and of instances if it plans. Each message holds one
+// of the three.
 type News struct {
 	From models.DaemonID `msgpack:"id"`
 	// Incarnation and Change number the state of the loads that is told: what
