--- a/cluster/asks.go
+++ b/cluster/asks.go
@@ -45,7 +45,7 @@
 		if m.from == "" {
 			o.n.links.send(News{From: o.n.cfg.ID, Stalled: []StalledHead{{Group: m.group, Head: m.head}}})
 		}
-		o.changed = true
+		o.fleetStale = true
 	}
 	if o.fleet.planner == nil {
 		return
--- a/cluster/config.go
+++ b/cluster/config.go
@@ -27,7 +27,7 @@
 	if data == nil || bytes.Equal(data, o.config.data) {
 		if o.config.routing != nil && asked.After(o.config.proven) {
 			o.config.proven = asked
-			o.touched = true
+			o.viewStale = true
 		}
 		return
 	}
@@ -45,7 +45,7 @@
 		return
 	}
 	o.config = configState{routing: routing, data: data, proven: asked}
-	o.changed = true
+	o.fleetStale = true
 	o.n.log.Info().Int64("version", routing.Version).Int64("was", old).Str("from", from).Int("keys", len(routing.Keys)).
 		Int("hosts", len(routing.Hosts)).Msg("config-in-force")
 }
@@ -75,6 +75,6 @@
 		o.peers.behind = now
 	case now.Sub(o.peers.behind) > behindFor && !slices.Contains(newer, o.peers.wants):
 		o.peers.wants = newer[rand.IntN(len(newer))]
-		o.touched = true
+		o.viewStale = true
 	}
 }
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -88,7 +88,7 @@
 	if o.fleet.planner != nil && len(o.fleet.news) == 0 {
 		o.sendFeed()
 	}
-	o.changed = o.changed || len(records) > 0
+	o.fleetStale = o.fleetStale || len(records) > 0
 }
 
 // noteEntry takes in one entry, as it stood in the store when it was asked for.
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -58,7 +58,7 @@
 	for _, news := range m.instances {
 		o.noteNews(news, m.at.Add(-news.Age), now)
 	}
-	o.changed = o.changed || len(m.instances) > 0
+	o.fleetStale = o.fleetStale || len(m.instances) > 0
 	if missed {
 		// What was not told is read from the store, at once.
 		o.n.fedByPlanner.Store(0)
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -18,17 +18,17 @@
 	peers  peersState
 	// away holds since when readings of the store fail, by what was read.
 	away map[string]time.Time
-	// changed asks for a new view, touched for one in which the instances are
-	// as before: to show them all takes many times as long, and heartbeats come
-	// by the hundred.
-	changed   bool
-	touched   bool
-	published time.Time
+	// viewStale asks for a new view, fleetStale for one that shows the instances
+	// anew as well: that takes many times as long, and heartbeats come by the
+	// hundred.
+	viewStale  bool
+	fleetStale bool
+	published  time.Time
 }
 
 func newOwner(n *Node) *owner {
 	return &owner{
-		n: n, fleet: newFleetState(), peers: peersState{seen: map[models.DaemonID]seenPeer{}}, away: map[string]time.Time{}, changed: true,
+		n: n, fleet: newFleetState(), peers: peersState{seen: map[models.DaemonID]seenPeer{}}, away: map[string]time.Time{}, fleetStale: true,
 	}
 }
 
@@ -46,7 +46,7 @@
 			o.tick(tick)
 		}
 		o.flushNews(time.Now())
-		if (o.changed || o.touched) && time.Since(o.published) >= publishEvery {
+		if (o.viewStale || o.fleetStale) && time.Since(o.published) >= publishEvery {
 			o.publish()
 		}
 	}
@@ -132,10 +132,10 @@
 	}
 	o.dropSilent(tick.At)
 	if o.candidate(tick.At) != o.n.View().candidate {
-		o.touched = true
+		o.viewStale = true
 	}
 	if o.fleet.endSuspicions(tick.At) {
-		o.changed = true
+		o.fleetStale = true
 	}
 	o.catchUp(tick.At)
 	o.askDue(tick.At)
@@ -143,15 +143,16 @@
 	o.planGroups(tick.At)
 }
 
-// publish shows the others what the owner believes.
+// publish shows what the owner believes as a new view. It keeps the instances of
+// the one before unless they are out of date.
 func (o *owner) publish() {
 	now := time.Now()
 	v := *o.n.View()
-	if o.changed {
+	if o.fleetStale {
 		o.showFleet(&v, now)
 	}
 	o.showPeers(&v, now)
-	o.changed, o.touched, o.published = false, false, now
+	o.viewStale, o.fleetStale, o.published = false, false, now
 	o.n.view.Store(&v)
 }
 
@@ -166,7 +167,8 @@
 	v.Groups, v.Services = trusted(groups, v.Suspects), o.fleet.plain(o.config.routing)
 }
 
-// showPeers shows the configuration and the other daemons.
+// showPeers shows the configuration, the other daemons, and this one's part in
+// planning.
 func (o *owner) showPeers(v *View, now time.Time) {
 	v.Routing, v.Proven, v.config = o.config.routing, o.config.proven, o.config.data
 	v.Daemons = len(o.peers.seen) + 1
--- a/cluster/owner_test.go
+++ b/cluster/owner_test.go
@@ -22,13 +22,13 @@
 	now := time.Now()
 	key := models.GroupKey{Name: "m.1", Epoch: 1}
 	o.noteEntry(models.UpstreamInstance{ID: "head", Group: models.Membership{Key: key, State: models.MemberOpen}}, now)
-	o.changed = true
+	o.fleetStale = true
 	o.publish()
 	shown := func() uintptr { return reflect.ValueOf(o.n.View().All).Pointer() }
 	before := shown()
 
 	o.handleHeartbeat(heartbeatSeen{beat: Heartbeat{From: "d2", Addr: "127.0.0.1:9"}, at: now})
-	c.Assert(o.touched, qt.IsTrue)
+	c.Assert(o.viewStale, qt.IsTrue)
 	o.publish()
 	c.Assert(o.n.View().Daemons, qt.Equals, 2)
 	c.Assert(shown(), qt.Equals, before)
@@ -37,7 +37,7 @@
 	o.publish()
 	c.Assert(o.n.View().Suspects, qt.HasLen, 1)
 	o.tick(timer.Tick{At: now.Add(2 * suspectFor)})
-	c.Assert(o.changed, qt.IsTrue, qt.Commentf("the suspicion has ended"))
+	c.Assert(o.fleetStale, qt.IsTrue, qt.Commentf("the suspicion has ended"))
 	o.publish()
 	c.Assert(o.n.View().Suspects, qt.HasLen, 0)
 }
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -56,7 +56,7 @@
 	for _, s := range m.beat.Stalled {
 		o.handleStalled(stalled{group: s.Group, head: s.Head, from: m.beat.From})
 	}
-	o.touched = true
+	o.viewStale = true
 }
 
 // dropSilent forgets the daemons whose heartbeats no longer come.
@@ -66,7 +66,7 @@
 			delete(o.peers.seen, id)
 			o.n.peerLoads.drop(id)
 			o.n.log.Warn().Str("peer", string(id)).Dur("silent", now.Sub(p.at)).Msg("peer-silent")
-			o.touched = true
+			o.viewStale = true
 		}
 	}
 	o.n.peerLoads.prune(o.peers.seen, now)
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -36,7 +36,7 @@
 		i.lost, i.failed = time.Time{}, time.Time{}
 	}
 	o.n.planning.Store(true)
-	o.touched = true
+	o.viewStale = true
 	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
 }
 
@@ -47,7 +47,7 @@
 	}
 	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
 	o.fleet.planner = nil
-	o.touched = true
+	o.viewStale = true
 	o.n.spentTerm.Store(o.fleet.heldTerm)
 	o.n.planning.Store(false)
 }
--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -41,7 +41,7 @@
 		o.tellOthers(k, m.asked)
 		o.n.log.Warn().Str("instance", string(k.ID)).Str("group", string(k.Group.Key.Name)).Err(m.err).Msg("instance-lost")
 	}
-	o.changed = true
+	o.fleetStale = true
 }
 
 // provesLoss reports whether a question that an instance did not answer proves
@@ -70,7 +70,7 @@
 		o.fleet.due[k.ID] = time.Now().Add(askUnderWay)
 	}
 	o.tellOthers(k, m.asked)
-	o.changed = true
+	o.fleetStale = true
 	o.planGroups(time.Now())
 }
 
--- a/cluster/unlisted.go
+++ b/cluster/unlisted.go
@@ -49,7 +49,7 @@
 	case !known || i.unlisted:
 	case o.fleet.holdsUp(i):
 		o.n.log.Info().Str("instance", string(id)).Str("group", string(i.Group.Key.Name)).Msg("instance-unlisted")
-		i.unlisted, o.changed = true, true
+		i.unlisted, o.fleetStale = true, true
 	default:
 		o.forgetInstance(i)
 	}
@@ -59,5 +59,5 @@
 func (o *owner) forgetInstance(i *knownInstance) {
 	o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
 	delete(o.fleet.instances, i.ID)
-	o.changed = true
+	o.fleetStale = true
 }
