--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -46,8 +46,8 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
-	// most is how many may rest to each address, if known.
-	most map[netip.AddrPort]int
+	// allowed is how many may rest to each address; nil before the first Allow.
+	allowed map[netip.AddrPort]int
 }
 
 // NewPool returns an empty pool. The function opened is called for each new
@@ -88,8 +88,9 @@
 	c.rested = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most, known := p.most[c.addr]
+	most, known := p.allowed[c.addr]
 	if !known {
+		// The address may have come since the last Allow.
 		most = MaxIdle
 	}
 	if len(p.idle[c.addr]) >= most {
@@ -102,10 +103,10 @@
 // Allow sets how many connections may rest to each address; the next Sweep
 // closes those to others. Before the first call, and to an address that has come
 // since the last one, MaxIdle may rest.
-func (p *Pool) Allow(most map[netip.AddrPort]int) {
+func (p *Pool) Allow(allowed map[netip.AddrPort]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.most = most
+	p.allowed = allowed
 }
 
 // Sweep closes connections that have rested for too long, and those that may
@@ -115,18 +116,10 @@
 	defer p.mu.Unlock()
 	for addr, conns := range p.idle {
 		most := MaxIdle
-		if p.most != nil {
-			most = p.most[addr]
-		}
-		kept := conns[:0]
-		for i, c := range conns {
-			// The last ones have rested for the shortest time.
-			if len(conns)-i <= most && now.Before(c.rested.Add(c.idleFor)) {
-				kept = append(kept, c)
-				continue
-			}
-			c.close()
+		if p.allowed != nil {
+			most = p.allowed[addr]
 		}
+		kept := closeStale(conns, most, now)
 		if len(kept) == 0 {
 			delete(p.idle, addr)
 			continue
@@ -135,6 +128,21 @@
 	}
 }
 
+// closeStale closes, in place, what has rested for too long of the connections
+// to one address and what is beyond the most that may rest. It returns the rest.
+func closeStale(conns []*conn, most int, now time.Time) []*conn {
+	kept := conns[:0]
+	for i, c := range conns {
+		// The last ones have rested for the shortest time.
+		if len(conns)-i <= most && now.Before(c.rested.Add(c.idleFor)) {
+			kept = append(kept, c)
+			continue
+		}
+		c.close()
+	}
+	return kept
+}
+
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
 	nc, err := dialer.DialContext(ctx, "tcp4", addr.String())
