--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -17,7 +17,8 @@
 	// up to a second old.
 	fullPart = 0.9
 	// watchers is how many requests a group must have for those that it is
-	// answering to tell, before anything else does, that it stands still.
+	// answering to tell that it stands still, sooner than one that waits for its
+	// first event could.
 	watchers = 4
 	// longWait is how often its aim a request waits for its first event at a
 	// group that is watched. It is late by then, and may still be answered.
@@ -160,19 +161,19 @@
 // standsStill reports whether so little has come from the run's group that a
 // hedge is due. It tells the other daemons of a group that surely stands still.
 func (s *stream) standsStill(r *run, longest time.Duration) bool {
-	now, head := time.Now(), r.group.Head.ID
+	now, head, unbegun := time.Now(), r.group.Head.ID, r.moved.IsZero()
 	waited := now.Sub(r.sent)
 	switch {
 	case s.g.balance.still(head, now) < longest:
 		// The group moves; only this request waits.
 		return false
-	case r.moved.IsZero() && waited < time.Duration(firstPart*float64(s.route.Aim)):
+	case unbegun && waited < time.Duration(firstPart*float64(s.route.Aim)):
 		// Nothing has come yet, and may still be on its way.
 		return false
-	case r.moved.IsZero() && s.isWatched(r.group, waited):
+	case unbegun && s.isWatched(r.group, waited):
 		// A second run would only be one prompt more to read elsewhere.
 		return false
-	case now.Before(s.g.settled), r.moved.IsZero() && waited < s.route.Aim:
+	case now.Before(s.g.settled), unbegun && waited < s.route.Aim:
 		// Too little is known to suspect the group; a hedge does no harm.
 		return true
 	default:
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -49,10 +49,10 @@
 	return time.Duration(model.Pace * float64(steps+read))
 }
 
-// sparePause is how long nothing may come from a group and a stream still go on
-// at another one within the pause that its caller puts up with. It is not worth
-// while to begin a second run before that: of the passes that take longer than
-// expected most read prompts of which this daemon does not know yet.
+// sparePause is how long nothing may come from a group if the stream is then to
+// go on at another one within the pause that its caller puts up with. It is not
+// worth while to begin a second run before that: of the passes that take longer
+// than expected most read prompts of which this daemon does not know yet.
 func sparePause(engine *models.EngineProfile, model models.ModelProfile, prompt int, pause time.Duration) time.Duration {
 	elsewhere := cluster.Load{Requests: engine.Slots / 2, Unread: movedPrompts * prompt}
 	return pause - passTime(engine, model, elsewhere) - 2*netSlack
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -149,7 +149,8 @@
 	return passTime(engine, model, load)
 }
 
-// longest is how long nothing may come from the group while it works.
+// longest is how long nothing may come from the group while it works. Once events
+// have come it is sparePause at least.
 func (r *run) longest() time.Duration {
 	if r.moved.IsZero() {
 		return r.s.g.balance.patience(r.s.head.Model, r.pass())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,6 +91,8 @@
 		default:
 			err = s.goOn(err)
 			if errors.Is(err, errFailure) {
+				// No other group takes the stream: the caller gets what the
+				// instance said.
 				return s.passFailure(s.current.answer)
 			}
 			if err != nil {
