--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -48,10 +48,7 @@
 // groupCost is how much later than at an idle group a request is answered at
 // one with this load.
 func groupCost(engine *models.EngineProfile, load cluster.Load) time.Duration {
-	cost := time.Duration(load.Requests) * requestCost
-	if engine.ReadPerSecond > 0 {
-		cost += time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
-	}
+	cost := time.Duration(load.Requests)*requestCost + readTime(engine, load.Unread)
 	if load.Requests >= engine.Slots {
 		cost += fullCost * time.Duration(load.Requests-engine.Slots+1)
 	}
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -42,11 +42,16 @@
 func passTime(engine *models.EngineProfile, model models.ModelProfile, load cluster.Load) time.Duration {
 	running := time.Duration(min(load.Requests, engine.Slots))
 	steps := time.Duration(max(1, engine.Stride)) * (engine.Step + running*engine.PerRequest)
-	read := time.Duration(0)
-	if engine.ReadPerSecond > 0 {
-		read = time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+	return time.Duration(model.Pace * float64(steps+readTime(engine, load.Unread)))
+}
+
+// readTime is how long a group takes to read prompts of so many tokens, 0 if
+// that is not described.
+func readTime(engine *models.EngineProfile, tokens int) time.Duration {
+	if engine.ReadPerSecond <= 0 {
+		return 0
 	}
-	return time.Duration(model.Pace * float64(steps+read))
+	return time.Duration(float64(tokens) / engine.ReadPerSecond * float64(time.Second))
 }
 
 // sparePause is how long nothing may come from a group if the stream is then to
