--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -79,8 +79,16 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
-	// The instance's own length concerns its connection, but in an answer to
-	// HEAD it is that of the body which is left out.
+	e.setLength(resp, body)
+	e.writeHead(resp.Status, resp.Header)
+	_, err = e.w.Write(body)
+	return err
+}
+
+// setLength tells the caller the length of the body. The instance's own length
+// concerns its connection, but in an answer to HEAD it is that of the body which
+// is left out.
+func (e *exchange) setLength(resp *h1.Response, body []byte) {
 	length := strconv.Itoa(len(body))
 	if e.r.Method == http.MethodHead {
 		length = resp.Header.Get("Content-Length")
@@ -88,9 +96,6 @@
 	if length != "" {
 		e.w.Header().Set("Content-Length", length)
 	}
-	e.writeHead(resp.Status, resp.Header)
-	_, err = e.w.Write(body)
-	return err
 }
 
 // readWhole reads an answer's body to its end.
