--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -27,59 +27,84 @@
 	renewTimeout = 400 * time.Millisecond
 )
 
-// holdLease keeps asking the store for the planner's lease.
+// holdLease keeps asking the store for the planner's lease while this node is a
+// candidate for it.
 func (n *Node) holdLease(ctx context.Context) error {
-	ttl := n.cfg.LeaseMin
-	var generation, term int64
-	member := string(n.cfg.ID) + "-" + time.Unix(0, n.started).UTC().Format("150405.000")
-	defer n.leaveLease(ctx, member)
+	h := leaseHolder{n: n, member: string(n.cfg.ID) + "-" + time.Unix(0, n.started).UTC().Format("150405.000")}
+	defer n.leaveLease(ctx, h.member)
 	if err := pause(ctx, meetOthers); err != nil {
 		return err
 	}
 	for {
-		if !n.View().candidate {
-			if term != 0 {
-				n.tell(ctx, leaseLost{reason: "others come before this one"})
-			}
-			if n.leasing.Load() {
-				n.leaveLease(ctx, member)
-			}
-			term, generation = 0, 0
-			if err := pause(ctx, ttl/renewDiv); err != nil {
+		if n.View().candidate {
+			if err := h.ask(ctx); err != nil {
 				return err
 			}
-			continue
-		}
-		n.leasing.Store(true)
-		asked := time.Now()
-		held, next, err := n.renew(ctx, member, ttl, generation)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case err != nil:
-			n.stats.storeErrors.Inc()
-			n.tell(ctx, storeAway{what: plannerGroup, err: err})
-		case !held:
-			generation = next
-			if term != 0 {
-				n.tell(ctx, leaseLost{reason: "dealt to another"})
-			}
-			term = 0
-		default:
-			generation = next
-			if term == 0 || term == n.spentTerm.Load() {
-				term = n.beginTerm(ctx)
-			}
-			if term != 0 {
-				n.tell(ctx, leaseHeld{term: term, until: asked.Add(ttl - leaseMargin)})
-			}
+		} else {
+			h.standAside(ctx)
 		}
-		if err := pause(ctx, ttl/renewDiv); err != nil {
+		if err := pause(ctx, n.cfg.LeaseMin/renewDiv); err != nil {
 			return err
 		}
 	}
 }
 
+// leaseHolder is a node as a member of the store's group of planners.
+type leaseHolder struct {
+	n      *Node
+	member string
+	// generation is what the store named last, term the one in which the node
+	// holds the lease, 0 if it does not.
+	generation int64
+	term       int64
+}
+
+// ask asks for the lease, or for more of it, and tells the owner what came of
+// that. It fails only if the context ended.
+func (h *leaseHolder) ask(ctx context.Context) error {
+	n, ttl := h.n, h.n.cfg.LeaseMin
+	n.leasing.Store(true)
+	asked := time.Now()
+	held, generation, err := n.renew(ctx, h.member, ttl, h.generation)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case err != nil:
+		n.stats.storeErrors.Inc()
+		n.tell(ctx, storeAway{what: plannerGroup, err: err})
+		return nil
+	}
+	h.generation = generation
+	if !held {
+		h.endTerm(ctx, "dealt to another")
+		return nil
+	}
+	if h.term == 0 || h.term == n.spentTerm.Load() {
+		h.term = n.beginTerm(ctx)
+	}
+	if h.term != 0 {
+		n.tell(ctx, leaseHeld{term: h.term, until: asked.Add(ttl - leaseMargin)})
+	}
+	return nil
+}
+
+// standAside leaves the lease to other candidates.
+func (h *leaseHolder) standAside(ctx context.Context) {
+	h.endTerm(ctx, "others come before this one")
+	if h.n.leasing.Load() {
+		h.n.leaveLease(ctx, h.member)
+	}
+	h.generation = 0
+}
+
+// endTerm tells the owner, if the node held the lease, that it does no more.
+func (h *leaseHolder) endTerm(ctx context.Context, reason string) {
+	if h.term != 0 {
+		h.n.tell(ctx, leaseLost{reason: reason})
+	}
+	h.term = 0
+}
+
 // renew asks for the lease and reports whether this node holds it, and the
 // generation to be named the next time.
 func (n *Node) renew(ctx context.Context, member string, ttl time.Duration, generation int64) (bool, int64, error) {
