--- a/cluster/link.go
+++ b/cluster/link.go
@@ -16,8 +16,9 @@
 	// there are many, all but the one that plans do so less often.
 	heartbeatEvery = 300 * time.Millisecond
 	sparseEvery    = 1200 * time.Millisecond
-	// manyDaemons is beyond how many others news is told less often.
-	manyDaemons = 20
+	// ManyDaemons is beyond how many daemons they tell each other less often:
+	// each change is a message from one to all, and all have changes to tell.
+	ManyDaemons = 20
 	// writeTimeout bounds the sending of one message to another daemon.
 	writeTimeout = 500 * time.Millisecond
 	// redialPause is the first pause before a connection is made again.
@@ -31,7 +32,7 @@
 type link struct {
 	id    models.DaemonID
 	addr  netip.AddrPort
-	news  <-chan LoadNews
+	news  <-chan News
 	woken <-chan struct{}
 	back  <-chan struct{}
 }
@@ -92,7 +93,7 @@
 		case <-l.woken:
 			seen, err = n.tellLoads(conn, seen, n.View().relays[l.id])
 		case m := <-l.news:
-			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameLoads, m))
+			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameNews, m))
 		}
 	}
 	return err
@@ -112,7 +113,7 @@
 
 // beatEvery is how often a daemon that is one of so many tells of itself.
 func beatEvery(daemons int) time.Duration {
-	if daemons > manyDaemons {
+	if daemons > ManyDaemons {
 		return sparseEvery
 	}
 	return heartbeatEvery
@@ -128,8 +129,8 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return seen, err
 	}
-	news := LoadNews{From: n.cfg.ID, Incarnation: n.started, Change: last, Relay: relay, All: seen == 0, Loads: loads}
-	return last, frame.Write(conn, frameLoads, news)
+	news := News{From: n.cfg.ID, Incarnation: n.started, Change: last, Relay: relay, All: seen == 0, Loads: loads}
+	return last, frame.Write(conn, frameNews, news)
 }
 
 // tellConfig hands the configuration over to a daemon that asks for it.
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -42,17 +42,22 @@
 func passTime(engine *models.EngineProfile, model models.ModelProfile, load cluster.Load) time.Duration {
 	running := time.Duration(min(load.Requests, engine.Slots))
 	steps := time.Duration(max(1, engine.Stride)) * (engine.Step + running*engine.PerRequest)
-	read := time.Duration(0)
-	if engine.ReadPerSecond > 0 {
-		read = time.Duration(float64(load.Unread) / engine.ReadPerSecond * float64(time.Second))
+	return time.Duration(model.Pace * float64(steps+readTime(engine, load.Unread)))
+}
+
+// readTime is how long a group takes to read prompts of so many tokens, 0 if
+// that is not described.
+func readTime(engine *models.EngineProfile, tokens int) time.Duration {
+	if engine.ReadPerSecond <= 0 {
+		return 0
 	}
-	return time.Duration(model.Pace * float64(steps+read))
+	return time.Duration(float64(tokens) / engine.ReadPerSecond * float64(time.Second))
 }
 
-// sparePause is how long nothing may come from a group and a stream still go on
-// at another one within the pause that its caller puts up with. It is not worth
-// while to begin a second run before that: of the passes that take longer than
-// expected most read prompts of which this daemon does not know yet.
+// sparePause is how long nothing may come from a group if the stream is then to
+// go on at another one within the pause that its caller puts up with. It is not
+// worth while to begin a second run before that: of the passes that take longer
+// than expected most read prompts of which this daemon does not know yet.
 func sparePause(engine *models.EngineProfile, model models.ModelProfile, prompt int, pause time.Duration) time.Duration {
 	elsewhere := cluster.Load{Requests: engine.Slots / 2, Unread: movedPrompts * prompt}
 	return pause - passTime(engine, model, elsewhere) - 2*netSlack
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -131,7 +131,7 @@
 
 // profile describes the engine and the model, if they are known.
 func (r *run) profile() (*models.EngineProfile, models.ModelProfile, bool) {
-	engine := r.s.g.node.View().Routing.Services[r.s.service].Engine
+	engine := r.s.engine()
 	if engine == nil {
 		return nil, models.ModelProfile{}, false
 	}
@@ -149,7 +149,8 @@
 	return passTime(engine, model, load)
 }
 
-// longest is how long nothing may come from the group while it works.
+// longest is how long nothing may come from the group while it works. Once events
+// have come it is sparePause at least.
 func (r *run) longest() time.Duration {
 	if r.moved.IsZero() {
 		return r.s.g.balance.patience(r.s.head.Model, r.pass())
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -56,7 +57,7 @@
 // in the last one.
 func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
 	e.try(i)
-	urgent := e.g.node.View().Daemons <= manyDaemons
+	urgent := e.g.node.View().Daemons <= cluster.ManyDaemons
 	e.g.balance.add(i.ID, 1, 0, urgent)
 	defer e.g.balance.add(i.ID, -1, 0, urgent)
 	if e.route.Repeatable() && !last {
@@ -78,8 +79,16 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeAnswer(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
-	// The instance's own length concerns its connection, but in an answer to
-	// HEAD it is that of the body which is left out.
+	e.setLength(resp, body)
+	e.writeHead(resp.Status, resp.Header)
+	_, err = e.w.Write(body)
+	return err
+}
+
+// setLength tells the caller the length of the body. The instance's own length
+// concerns its connection, but in an answer to HEAD it is that of the body which
+// is left out.
+func (e *exchange) setLength(resp *h1.Response, body []byte) {
 	length := strconv.Itoa(len(body))
 	if e.r.Method == http.MethodHead {
 		length = resp.Header.Get("Content-Length")
@@ -87,9 +96,6 @@
 	if length != "" {
 		e.w.Header().Set("Content-Length", length)
 	}
-	e.writeHead(resp.Status, resp.Header)
-	_, err = e.w.Write(body)
-	return err
 }
 
 // readWhole reads an answer's body to its end.
