--- a/e2e/bench_test.go
+++ b/e2e/bench_test.go
@@ -214,6 +214,25 @@
 	return nil
 }
 
+// awaitEngines waits until every daemon sees every engine alive. Groups are formed
+// of the first engines that are known, and scripts name members: one that
+// started late is in no group.
+func (b *bench) awaitEngines() error {
+	for _, d := range b.daemons {
+		err := within(awaitFor, func() error {
+			answer, err := b.ask(d.name, "show instances where state = alive")
+			if err == nil && len(answer.Rows) != len(b.engines) {
+				err = fmt.Errorf("%s sees %d of %d engines", d.name, len(answer.Rows), len(b.engines))
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // plan gives every process its addresses and returns the proxy's links.
 func (b *bench) plan(spec siteSpec) ([]string, error) {
 	var links []string
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -25,7 +25,7 @@
 
 // scriptCommands are what scripts may call beside testscript's own:
 //
-//	site [flags]            start a site; see parseSite
+//	site [flags]            start a site and wait for its engines; see cmdSite
 //	ask DAEMON COMMAND      ask as the operator; the answer is on stdout
 //	await DAEMON ROWS TABLE wait until the table has so many rows
 //	chat DAEMON MODEL [stream] [tokens=N] [key=K]
@@ -161,6 +161,7 @@
 		}
 	}
 	ts.Check(benchOf(ts).startSite(spec))
+	ts.Check(benchOf(ts).awaitEngines())
 }
 
 func (b *bench) ask(daemon, text string) (api.AskAnswer, error) {
