gateway: accept known keys through an outage where keys are not strict

Cause: 4 s after the store went away every request with a key was refused with 'the keys may have changed', also where the deployment says that taking a key away need not be strict; the setting was never read. Ruled out: a longer bound for strict deployments (they stay exactly as they were). An empty value in the settings file leaves the default. Tests: config TestKeysProof; soak TestKeysInOutage plays an outage with and without a key taken away, strict, lenient, and lenient past its bound. Who is served better: all callers while the store is away.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -73,11 +73,11 @@
 		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, Power: s.Power, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
 	}, traffic, set, log)
 	g := gateway.New(gateway.Settings{
-		Zone: s.Zone, Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysBound * keysPart / keysWhole, ConfigBound: s.ConfigBound,
+		Zone: s.Zone, Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysProof(), ConfigBound: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace, Settle: settle,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
-		Stringer("store", s.Store).Msg("started")
+		Stringer("store", s.Store).Bool("strict-keys", s.StrictKeys).Dur("keys-proof", s.KeysProof()).Msg("started")
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	running := task.Start(background, "node", node.Run)
@@ -94,13 +94,6 @@
 	return err
 }
 
-// keysPart of keysWhole is the part of the bound for taken keys within which
-// their newest state must be proved: the rest is for requests under way.
-const (
-	keysPart  = 8
-	keysWhole = 10
-)
-
 // reload reads the settings again whenever the platform says that they have
 // changed, and tells what is wrong with them. All of them take effect with
 // the next start.
--- a/config/file.go
+++ b/config/file.go
@@ -17,7 +17,9 @@
 // ReadFile sets the flags that the command line and the environment leave
 // open from the settings file, if there is one. Each line holds NAME=VALUE,
 // with the flag's name; empty lines and those that begin with # are passed
-// over, and so are names of no flag, since a newer platform may add some.
+// over, and so are names of no flag, since a newer platform may add some. A name
+// without a value stays at its default: the platform fills in nothing where it
+// has no such field.
 func ReadFile(c *cli.Context) error {
 	path := os.Getenv(FileEnv)
 	if path == "" {
@@ -53,10 +55,11 @@
 			continue
 		}
 		seen[name] = true
-		if !open[name] {
+		value = strings.TrimSpace(value)
+		if !open[name] || value == "" {
 			continue
 		}
-		if err := c.Set(name, strings.TrimSpace(value)); err != nil {
+		if err := c.Set(name, value); err != nil {
 			errs = append(errs, fmt.Errorf("%w: %s:%d: %s: %w", ErrSetting, path, n, name, err))
 		}
 	}
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -28,6 +28,11 @@
 	// ConfigBound within what a configuration is in force.
 	KeysBound   time.Duration
 	ConfigBound time.Duration
+	// StrictKeys tells that no key may be accepted later than KeysBound after it
+	// was taken away. Otherwise a daemon that can't show that its keys are
+	// current accepts those it knows for up to StaleKeys.
+	StrictKeys  bool
+	StaleKeys   time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
@@ -39,6 +44,26 @@
 	Memory float64
 }
 
+// defaultStaleKeys is how long regions lose each other at the size planned for,
+// now and then.
+const defaultStaleKeys = time.Hour
+
+// keysPart of keysWhole is the part of the bound for taken keys within which
+// their newest state must be proved: the rest is for requests under way.
+const (
+	keysPart  = 8
+	keysWhole = 10
+)
+
+// KeysProof is how old the proof that no key was taken away may be for a key to
+// be accepted.
+func (s Gateway) KeysProof() time.Duration {
+	if s.StrictKeys {
+		return s.KeysBound * keysPart / keysWhole
+	}
+	return s.StaleKeys
+}
+
 // GatewayFlags are the flags that LoadGateway reads.
 func GatewayFlags() []cli.Flag {
 	return []cli.Flag{
@@ -53,6 +78,8 @@
 		durationFlag("instance-heartbeat", "how often instances write their entries", 1200*time.Millisecond),
 		durationFlag("keys-bound", "within what time a key that was taken away is refused", 5*time.Second),
 		durationFlag("config-bound", "within what time a configuration is in force", 2*time.Second),
+		&cli.BoolFlag{Name: "strict-keys", Usage: "refuse all keys while it can't be shown that none was taken away", Value: true, EnvVars: []string{Env("strict-keys")}},
+		durationFlag("stale-keys", "without strict-keys, how long known keys are accepted without that proof", defaultStaleKeys),
 		&cli.Float64Flag{Name: "retry-ratio", Usage: "repeats for each request, over all daemons", Value: 0.2, EnvVars: []string{Env("retry-ratio")}},
 		&cli.Float64Flag{Name: "retry-slack", Usage: "repeats beyond the ratio in each window, over all daemons", Value: 100, EnvVars: []string{Env("retry-slack")}},
 		durationFlag("retry-window", "window of the budget for repeats", 10*time.Second),
@@ -78,6 +105,8 @@
 		InstanceHeartbeat: r.duration("instance-heartbeat", 10*time.Millisecond, time.Minute),
 		KeysBound:         r.duration("keys-bound", 100*time.Millisecond, time.Hour),
 		ConfigBound:       r.duration("config-bound", 100*time.Millisecond, time.Hour),
+		StrictKeys:        c.Bool("strict-keys"),
+		StaleKeys:         r.duration("stale-keys", time.Second, 24*time.Hour),
 		RetryRatio:        c.Float64("retry-ratio"),
 		RetrySlack:        c.Float64("retry-slack"),
 		RetryWindow:       r.duration("retry-window", time.Second, time.Hour),
--- a/config/gateway_test.go
+++ b/config/gateway_test.go
@@ -86,6 +86,8 @@
 		{"memory=lots", "memory"},
 		{"metrics=nowhere", "--metrics"},
 		{"no equals sign", "no '='"},
+		{"strict-keys=mostly", "strict-keys"},
+		{"stale-keys=1ms", "--stale-keys"},
 	} {
 		_, err := loadFile(t, goodFile+test.line+"\n")
 		c.Assert(err, qt.ErrorIs, ErrSetting, qt.Commentf("%s", test.line))
@@ -93,6 +95,26 @@
 	}
 }
 
+// TestKeysProof checks that keys count for less than their bound where they are
+// strict, which is so unless the platform says otherwise, and else for longer.
+func TestKeysProof(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		line string
+		want time.Duration
+	}{
+		{"", 4 * time.Second},
+		{"strict-keys=", 4 * time.Second},
+		{"strict-keys=true", 4 * time.Second},
+		{"strict-keys=false", time.Hour},
+		{"strict-keys=false\nstale-keys=90s", 90 * time.Second},
+	} {
+		s, err := loadFile(t, goodFile+test.line+"\n")
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", test.line))
+		c.Assert(s.KeysProof(), qt.Equals, test.want, qt.Commentf("%s", test.line))
+	}
+}
+
 // TestDeployedSettings checks that the file that the platform fills in names
 // flags and nothing else.
 func TestDeployedSettings(t *testing.T) {
--- /dev/null
+++ b/soak/outage_test.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/standin/store"
+)
+
+// TestKeysInOutage plays an outage of the store that lasts longer than the bound
+// for taken keys, in the course of which the operator takes a key away. Strict
+// daemons refuse every key once the bound is over. The others go on serving, the
+// caller of the key that was taken away as well, until the store is back or the
+// proof is older than they may bear.
+func TestKeysInOutage(t *testing.T) {
+	bin := binary(t)
+	const (
+		long = keysBound + time.Second
+		// heldReading is how long the store may still answer a reading that it
+		// held when the outage began.
+		heldReading = 2500 * time.Millisecond
+	)
+	for _, test := range []struct {
+		name  string
+		flags []string
+		taken bool
+		// during and after are the answers to a known key in the outage and
+		// once the store is back.
+		during, after int
+	}{
+		{"strict", []string{"--strict-keys=true"}, false, http.StatusServiceUnavailable, http.StatusOK},
+		{"strict_taken", []string{"--strict-keys=true"}, true, http.StatusServiceUnavailable, http.StatusUnauthorized},
+		{"lenient", []string{"--strict-keys=false"}, false, http.StatusOK, http.StatusOK},
+		{"lenient_taken", []string{"--strict-keys=false"}, true, http.StatusOK, http.StatusUnauthorized},
+		{"lenient_over", []string{"--strict-keys=false", "--stale-keys=2s"}, true, http.StatusServiceUnavailable, http.StatusUnauthorized},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startSite(t, bin, t.TempDir(), test.flags...)
+			s.waitServing()
+			s.store.Misbehave(store.Faults{Busy: true})
+			time.Sleep(heldReading)
+			if test.taken {
+				s.configureKeys("k2")
+			}
+			time.Sleep(long - heldReading)
+			s.expect("during the outage", test.during)
+			s.store.Misbehave(store.Faults{})
+			time.Sleep(2 * time.Second)
+			s.expect("after it", test.after)
+		})
+	}
+}
+
+// expect asks every daemon with the key that the site begins with.
+func (s *site) expect(when string, status int) {
+	client := &http.Client{Timeout: 2 * time.Second}
+	for _, d := range s.daemons {
+		r := ask(client, d.addr, newRequest(kindAgain, ""))
+		qt.Check(s.t, r.status, qt.Equals, status, qt.Commentf("%s: %s", d.name, when))
+	}
+}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -38,6 +38,8 @@
 	host      = "api.example"
 	// keysBound is the daemons' bound for taken keys; they use eight tenths.
 	keysBound = 3 * time.Second
+	// firstKey is the key that the callers have.
+	firstKey = "k1"
 )
 
 const configText = `{"Version":%d,"Routes":[
@@ -46,7 +48,7 @@
 {"Name":"stream","Host":"api.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":4000,"TargetLatencyMs":400,"Service":"engines","MaxAttempts":2,"StreamResume":true,"gap_aim_ms":300}],
 "Services":[{"Name":"plain","MaxConnections":100},{"Name":"engines","MaxConnections":100,"Engine":{"Slots":8,"step_ms":3,"per_seq_ms":0.1,"read_per_s":40000,"chunk":2048,"stride":5,"loads_per_s":20,"loads_at_once":8,"form_ms":60,
 "Models":[{"Name":"big","size":3,"share":0.5,"pace":1,"load_s":1.2,"WarmS":0.2},{"Name":"small","size":2,"share":0.5,"pace":0.6,"load_s":0.9,"WarmS":0.15}]}}],
-"Limits":{"MaxBodyBytes":100000},"Tenants":[{"Name":"ws","ApiKeys":["k1"]}]}`
+"Limits":{"MaxBodyBytes":100000},"Tenants":[{"Name":"ws","ApiKeys":[%q]}]}`
 
 // site is a store, instances, and daemons as processes of their own.
 type site struct {
@@ -74,7 +76,7 @@
 	return path
 }
 
-func startSite(t *testing.T, bin, logs string) *site {
+func startSite(t *testing.T, bin, logs string, flags ...string) *site {
 	s := &site{t: t, store: store.New(), logs: logs}
 	s.front = httptest.NewServer(s.store)
 	t.Cleanup(s.front.Close)
@@ -95,6 +97,7 @@
 	})
 	for n := range daemons {
 		d := s.newDaemon(bin, n)
+		d.flags = append(d.flags, flags...)
 		s.daemons = append(s.daemons, d)
 		d.start(t)
 		t.Cleanup(d.kill)
@@ -102,9 +105,12 @@
 	return s
 }
 
-func (s *site) configure() {
+func (s *site) configure() { s.configureKeys(firstKey) }
+
+// configureKeys has the operator leave the workspace with just this key.
+func (s *site) configureKeys(key string) {
 	s.version++
-	s.store.Put("op", "config", fmt.Appendf(nil, configText, s.version))
+	s.store.Put("op", "config", fmt.Appendf(nil, configText, s.version, key))
 }
 
 func (s *site) add(service models.ServiceName, domain models.Domain) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -199,7 +199,7 @@
 	req.Host = host
 	req.Header.Set("X-Lupinkeel-Request-Id", r.id)
 	req.Header.Set("X-Lupinkeel-Deadline-Ms", "3000")
-	req.Header.Set("Authorization", "Token k1")
+	req.Header.Set("Authorization", "Token "+firstKey)
 	if r.model != "" {
 		req.Header.Set("X-Lupinkeel-Model", r.model)
 		req.Header.Set("X-Lupinkeel-Token-Count", "100,60")
