cluster: send nothing to instances whose entry is gone

It keeps a member without an entry as long as its group serves, and showed it as a head as soon as it told that it leads another group. Ruled out: a reading of several pages (51 entries fit one). Change: an instance without an entry is never usable as a head (test TestHeadWithoutEntry). Beside it, word that an instance is gone was passed over by a daemon that first heard of the instance from the planner after the planner had asked the store; it would have kept it for 20 s (test TestGoneAfterReport). Both tests failed before.

--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -125,4 +125,4 @@
 }
 
 // usable reports whether requests may be sent to the instance.
-func (i *knownInstance) usable() bool { return !i.Draining && i.lost.IsZero() }
+func (i *knownInstance) usable() bool { return !i.Draining && !i.unlisted && i.lost.IsZero() }
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -79,7 +79,8 @@
 			o.dropInstance(id)
 		}
 	case !known:
-		k = &knownInstance{UpstreamInstance: news.Instance, told: at, written: at}
+		// No entry of it was seen: word that it is gone holds, whenever it was read.
+		k = &knownInstance{UpstreamInstance: news.Instance, told: at}
 		if news.Lost {
 			k.lost = now
 		}
--- a/cluster/news_test.go
+++ b/cluster/news_test.go
@@ -58,3 +58,19 @@
 	c.Assert(o.fleet.feed, qt.Equals, int64(2))
 	c.Assert(o.fleet.news, qt.HasLen, 0)
 }
+
+// TestGoneAfterReport checks that an instance of which a daemon first hears by
+// what it told the planner is dropped when the planner reads that its entry is
+// gone, also if it asked the store just before it asked the instance: kept, it
+// would get requests until the daemon reads all entries again.
+func TestGoneAfterReport(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	now := time.Now()
+	news := InstanceNews{Instance: models.UpstreamInstance{ID: "i-1"}}
+	o.noteNews(news, now, now)
+	c.Assert(o.fleet.instances["i-1"], qt.IsNotNil)
+	news.Gone = true
+	o.noteNews(news, now.Add(-10*time.Millisecond), now)
+	c.Assert(o.fleet.instances["i-1"], qt.IsNil)
+}
--- a/cluster/unlisted_test.go
+++ b/cluster/unlisted_test.go
@@ -63,3 +63,23 @@
 	c.Assert(known("second"), qt.IsFalse)
 	c.Assert(serving(), qt.Equals, 0)
 }
+
+// TestHeadWithoutEntry checks that no request goes to an instance whose entry is
+// gone, not even until it is next looked at: a member that was kept may tell
+// that it has become the head of a group, by an order that was carried out late.
+func TestHeadWithoutEntry(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	o.config.routing = &models.Routing{}
+	now := time.Now()
+	key, late := models.GroupKey{Name: "m.1", Epoch: 1}, models.GroupKey{Name: "m.2", Epoch: 2}
+	o.noteEntry(models.UpstreamInstance{ID: "head", Group: models.Membership{Key: key, State: models.MemberOpen}}, now)
+	o.noteEntry(models.UpstreamInstance{ID: "second", Group: models.Membership{Key: key, Rank: 1, State: models.MemberReady}}, now)
+	o.handleInstances([]platform.KeyedRecord{{Key: "second"}}, now, false)
+	o.handleReport(reportEnded{asked: now, instance: models.UpstreamInstance{
+		ID: "second", Group: models.Membership{Key: late, State: models.MemberOpen},
+	}})
+	for _, g := range o.fleet.serving(now)["m"] {
+		c.Assert(string(g.Head.ID), qt.Equals, "head")
+	}
+}
