cluster: leave out of frames what is zero or known

A change of one load took 121 bytes, 80 of them zeros, the daemon's own name and its incarnation. Ruled out: the codec's own way to leave out zeros.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/models"
 )
@@ -30,8 +32,10 @@
 
 // link is what one connection to another daemon is fed by.
 type link struct {
-	id    models.DaemonID
-	addr  netip.AddrPort
+	id   models.DaemonID
+	addr netip.AddrPort
+	// zone says in the metrics whether the other daemon is in this one's zone.
+	zone  string
 	news  <-chan News
 	woken <-chan struct{}
 	back  <-chan struct{}
@@ -63,10 +67,11 @@
 // runLink tells on one connection until it fails.
 func (n *Node) runLink(ctx context.Context, l link) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", l.addr.String())
+	dialed, err := dialer.DialContext(ctx, "tcp4", l.addr.String())
 	if err != nil {
 		return err
 	}
+	conn := n.framed(dialed, l.zone)
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
@@ -93,19 +98,45 @@
 		case <-l.woken:
 			seen, err = n.tellLoads(conn, seen, n.View().relays[l.id])
 		case m := <-l.news:
-			err = errors.Join(conn.SetWriteDeadline(time.Now().Add(writeTimeout)), frame.Write(conn, frameNews, m))
+			kind := frameNews
+			if len(m.Loads) > 0 {
+				kind = frameLoads
+			}
+			err = conn.send(kind, m)
 		}
 	}
 	return err
 }
 
+// framedConn is a connection to another daemon that counts what is sent on it
+// by the kind of frame.
+type framedConn struct {
+	net.Conn
+	sent map[frame.Kind]*metrics.Counter
+}
+
+func (n *Node) framed(conn net.Conn, zone string) framedConn {
+	c := framedConn{Conn: conn, sent: map[frame.Kind]*metrics.Counter{}}
+	for kind, about := range frameNames {
+		c.sent[kind] = n.stats.set.GetOrCreateCounter(fmt.Sprintf("lupinkeel_peer_bytes_total{about=%q,zone=%q}", about, zone))
+	}
+	return c
+}
+
+// send sends one frame.
+func (c framedConn) send(kind frame.Kind, value any) error {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	n, err := frame.Write(c, kind, value)
+	c.sent[kind].Add(n)
+	return err
+}
+
 // beat sends a heartbeat, and the configuration if the other daemon asks for
 // it.
-func (n *Node) beat(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return told, err
-	}
-	if err := frame.Write(conn, frameHeartbeat, n.heartbeat()); err != nil {
+func (n *Node) beat(conn framedConn, to models.DaemonID, told int64) (int64, error) {
+	if err := conn.send(frameHeartbeat, n.heartbeat()); err != nil {
 		return told, err
 	}
 	return n.tellConfig(conn, to, told)
@@ -121,24 +152,21 @@
 
 // tellLoads tells the loads that have changed since an earlier call; the
 // first one tells all. The other daemon is asked to relay them if wanted.
-func (n *Node) tellLoads(conn net.Conn, seen uint64, relay bool) (uint64, error) {
+func (n *Node) tellLoads(conn framedConn, seen uint64, relay bool) (uint64, error) {
 	loads, last := n.traffic.LoadsSince(seen)
 	if len(loads) == 0 && seen > 0 {
 		return last, nil
 	}
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return seen, err
-	}
-	news := News{From: n.cfg.ID, Incarnation: n.started, Change: last, Relay: relay, All: seen == 0, Loads: loads}
-	return last, frame.Write(conn, frameNews, news)
+	news := News{Change: last, Relay: relay, All: seen == 0, Loads: loads}
+	return last, conn.send(frameLoads, news)
 }
 
 // tellConfig hands the configuration over to a daemon that asks for it.
-func (n *Node) tellConfig(conn net.Conn, to models.DaemonID, told int64) (int64, error) {
+func (n *Node) tellConfig(conn framedConn, to models.DaemonID, told int64) (int64, error) {
 	v := n.View()
 	if !v.wantedBy[to] || v.version() <= told {
 		return told, nil
 	}
 	c := ConfigCopy{Version: v.version(), Age: time.Since(v.Proven), Data: v.config}
-	return c.Version, frame.Write(conn, frameConfig, c)
+	return c.Version, conn.send(frameConfig, c)
 }
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -111,7 +111,10 @@
 	}
 	linkCtx, cancel := context.WithCancel(ctx)
 	end.addr, end.cancel = addr, cancel
-	made := link{id: id, addr: addr, news: end.news, woken: end.woken, back: end.back}
+	made := link{id: id, addr: addr, zone: "other", news: end.news, woken: end.woken, back: end.back}
+	if entry.Zone == l.n.cfg.Zone {
+		made.zone = "own"
+	}
 	l.ended = append(l.ended, task.Start(linkCtx, "link", func(ctx context.Context) error { return l.n.keepLink(ctx, made) }))
 	return nil
 }
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -49,7 +49,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	var from models.DaemonID
+	var from sender
 	r := bufio.NewReader(conn)
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
@@ -60,15 +60,22 @@
 			from, err = s.take(ctx, kind, body, from)
 		}
 		if err != nil {
-			s.n.tell(ctx, peerLost{id: from, err: err})
+			s.n.tell(ctx, peerLost{id: from.id, err: err})
 			return err
 		}
 	}
 }
 
+// sender is the run of a daemon at the other end of a connection, as the first
+// heartbeat on it told.
+type sender struct {
+	id          models.DaemonID
+	incarnation int64
+}
+
 // take hands one frame to the owner and returns the daemon that it came from,
 // as far as that is known.
-func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from models.DaemonID) (models.DaemonID, error) {
+func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from sender) (sender, error) {
 	switch kind {
 	case frameHeartbeat:
 		var b Heartbeat
@@ -76,12 +83,15 @@
 			return from, err
 		}
 		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
-		return b.From, nil
-	case frameNews:
+		return sender{b.From, b.Incarnation}, nil
+	case frameNews, frameLoads:
 		var news News
 		if err := frame.Decode(body, &news); err != nil {
 			return from, err
 		}
+		if news.From == "" {
+			news.From, news.Incarnation = from.id, from.incarnation
+		}
 		s.takeNews(ctx, news)
 		return from, nil
 	case frameConfig:
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -12,8 +12,15 @@
 	frameHeartbeat frame.Kind = iota + 1
 	frameConfig
 	frameNews
+	// frameLoads holds news of nothing but loads.
+	frameLoads
 )
 
+// frameNames name the kinds of frames in the metrics.
+var frameNames = map[frame.Kind]string{
+	frameHeartbeat: "heartbeats", frameConfig: "configurations", frameNews: "instances", frameLoads: "loads",
+}
+
 // Heartbeat is what a daemon tells every other one.
 type Heartbeat struct {
 	From        models.DaemonID `msgpack:"id"`
@@ -64,39 +71,41 @@
 type Load struct {
 	// Requests counts those under way, Unread the prompt tokens of those
 	// that have had no answer yet.
-	Requests int `msgpack:"r"`
-	Unread   int `msgpack:"u"`
+	Requests int `msgpack:"r,omitempty"`
+	Unread   int `msgpack:"u,omitempty"`
 }
 
 // News is what a daemon tells others besides its heartbeats: its loads, the
 // heads that stand still, and of instances if it plans. Each message holds one
 // of the three.
 type News struct {
-	From models.DaemonID `msgpack:"id"`
+	// From may be empty: then it is the daemon, and its incarnation, that the
+	// heartbeats on the connection tell.
+	From models.DaemonID `msgpack:"id,omitempty"`
 	// Incarnation and Change number the state of the loads that is told: what
 	// comes by way of another daemon may come after something newer.
-	Incarnation int64  `msgpack:"in"`
-	Change      uint64 `msgpack:"c"`
+	Incarnation int64  `msgpack:"in,omitempty"`
+	Change      uint64 `msgpack:"c,omitempty"`
 	// Relay asks the receiver to pass the loads on within its zone.
-	Relay bool `msgpack:"re"`
+	Relay bool `msgpack:"re,omitempty"`
 	// All tells that the daemon causes no loads but these.
-	All   bool                       `msgpack:"a"`
-	Loads map[models.InstanceID]Load `msgpack:"l"`
+	All   bool                       `msgpack:"a,omitempty"`
+	Loads map[models.InstanceID]Load `msgpack:"l,omitempty"`
 	// Stalled are heads that the daemon just found to stand still.
-	Stalled []StalledHead `msgpack:"s"`
+	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Instances are told by the daemon that plans, in its term. Feed counts
 	// such news, so that a daemon knows when it missed some.
-	Term      int64          `msgpack:"t"`
-	Feed      int64          `msgpack:"f"`
-	Instances []InstanceNews `msgpack:"n"`
+	Term      int64          `msgpack:"t,omitempty"`
+	Feed      int64          `msgpack:"f,omitempty"`
+	Instances []InstanceNews `msgpack:"n,omitempty"`
 }
 
 // InstanceNews is what the daemon that plans has learned of an instance.
 type InstanceNews struct {
 	Instance models.UpstreamInstance `msgpack:"i"`
 	// Age is how long ago it was so.
-	Age time.Duration `msgpack:"a"`
+	Age time.Duration `msgpack:"a,omitempty"`
 	// Lost tells that the instance does not answer, Gone that its entry went.
-	Lost bool `msgpack:"l"`
-	Gone bool `msgpack:"g"`
+	Lost bool `msgpack:"l,omitempty"`
+	Gone bool `msgpack:"g,omitempty"`
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,9 @@
 	opened    *metrics.Counter
 	firstByte *metrics.Histogram
 	inFlight  atomic.Int64
+	// ownZone and otherZone count the bytes of connections to upstreams.
+	ownZone   meter
+	otherZone meter
 }
 
 func newStats(set *metrics.Set) *stats {
@@ -85,6 +88,7 @@
 		ends: map[outcome]*metrics.Counter{}, repeats: set.NewCounter("lupinkeel_request_repeats_total"),
 		resumes: set.NewCounter("lupinkeel_stream_resumes_total"), opened: set.NewCounter("lupinkeel_upstream_connections_total"),
 		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
+		ownZone:   newMeter(set, "own"), otherZone: newMeter(set, "other"),
 	}
 	set.NewGauge("lupinkeel_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
 	for _, o := range outcomes {
@@ -93,6 +97,34 @@
 	return s
 }
 
+// opened counts a new connection to an upstream, and its bytes by whether they
+// stay in the daemon's availability zone.
+func (g *Gateway) opened(addr netip.AddrPort) h1.Meter {
+	g.stats.opened.Inc()
+	for _, i := range g.node.View().All {
+		if i.Addr == addr && i.Zone == g.cfg.Zone {
+			return g.stats.ownZone
+		}
+	}
+	return g.stats.otherZone
+}
+
+// meter counts the bytes of connections to upstreams.
+type meter struct{ sent, received *metrics.Counter }
+
+func newMeter(set *metrics.Set, zone string) meter {
+	counter := func(way string) *metrics.Counter {
+		return set.NewCounter(fmt.Sprintf("lupinkeel_upstream_bytes_total{zone=%q,way=%q}", zone, way))
+	}
+	return meter{counter("sent"), counter("received")}
+}
+
+// Sent counts bytes of requests.
+func (m meter) Sent(n int) { m.sent.Add(n) }
+
+// Received counts bytes of answers.
+func (m meter) Received(n int) { m.received.Add(n) }
+
 // Traffic is what a node reads of a gateway that is yet to be made.
 func Traffic() cluster.Traffic { return newBalance() }
 
@@ -104,6 +136,6 @@
 	}
 	g.balance.zone = cfg.Zone
 	g.settled = time.Now().Add(cfg.Settle)
-	g.conns = h1.NewPool(dialTimeout, func() { g.stats.opened.Inc() })
+	g.conns = h1.NewPool(dialTimeout, g.opened)
 	return g
 }
--- a/lib/frame/frame.go
+++ b/lib/frame/frame.go
@@ -25,20 +25,20 @@
 // Kind tells the reader which type a frame holds.
 type Kind uint8
 
-// Write encodes the value and writes it as one frame.
-func Write(w io.Writer, kind Kind, value any) error {
+// Write encodes the value and writes it as one frame. It returns how many bytes
+// were written.
+func Write(w io.Writer, kind Kind, value any) (int, error) {
 	body, err := pack.Marshal(value)
 	if err != nil {
-		return fmt.Errorf("encode frame: %w", err)
+		return 0, fmt.Errorf("encode frame: %w", err)
 	}
 	if len(body) > MaxLen {
-		return fmt.Errorf("%w: %d bytes", ErrTooLong, len(body))
+		return 0, fmt.Errorf("%w: %d bytes", ErrTooLong, len(body))
 	}
 	buf := make([]byte, headLen, headLen+len(body))
 	binary.BigEndian.PutUint32(buf, uint32(len(body)))
 	buf[4] = byte(kind)
-	_, err = w.Write(append(buf, body...))
-	return err
+	return w.Write(append(buf, body...))
 }
 
 // Read reads one frame and returns its kind and its encoded value. It
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -37,6 +37,8 @@
 	closed  atomic.Bool
 	// patience is that of the request under way.
 	patience Patience
+	// meter counts the connection's bytes; it may be nil.
+	meter Meter
 }
 
 // readBuffer is a connection's buffer, in bytes: a head fits in.
@@ -51,6 +53,22 @@
 // Read reads from the connection and asks the request's patience how long to
 // wait.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.readPatiently(p)
+	if c.meter != nil {
+		c.meter.Received(n)
+	}
+	return n, err
+}
+
+func (c *conn) write(p []byte) (int, error) {
+	n, err := c.nc.Write(p)
+	if c.meter != nil {
+		c.meter.Sent(n)
+	}
+	return n, err
+}
+
+func (c *conn) readPatiently(p []byte) (int, error) {
 	if c.patience == nil {
 		return c.nc.Read(p)
 	}
@@ -103,7 +121,7 @@
 	}
 	c.patience = r.Patience
 	stop := context.AfterFunc(ctx, c.close)
-	n, err := c.nc.Write(r.encode())
+	n, err := c.write(r.encode())
 	if err != nil {
 		stop()
 		c.close()
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -41,8 +41,9 @@
 type Pool struct {
 	// dialTimeout bounds how long a connection may take to be made.
 	dialTimeout time.Duration
-	// opened is called for each new connection; it may be nil.
-	opened func()
+	// opened is called for each new connection and may return what counts its
+	// bytes; it may be nil.
+	opened func(netip.AddrPort) Meter
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -50,9 +51,16 @@
 	allowed map[netip.AddrPort]int
 }
 
+// Meter counts the bytes that go over connections. It must be safe for use by
+// several goroutines.
+type Meter interface {
+	Sent(n int)
+	Received(n int)
+}
+
 // NewPool returns an empty pool. The function opened is called for each new
-// connection; it may be nil.
-func NewPool(dialTimeout time.Duration, opened func()) *Pool {
+// connection and may return what counts its bytes; it may be nil.
+func NewPool(dialTimeout time.Duration, opened func(netip.AddrPort) Meter) *Pool {
 	return &Pool{dialTimeout: dialTimeout, opened: opened, idle: map[netip.AddrPort][]*conn{}}
 }
 
@@ -149,10 +157,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	c := newConn(p, addr, nc.(*net.TCPConn))
 	if p.opened != nil {
-		p.opened()
+		c.meter = p.opened(addr)
 	}
-	return newConn(p, addr, nc.(*net.TCPConn)), nil
+	return c, nil
 }
 
 // userTimeout is after how long without an acknowledgement the kernel gives
--- a/lib/h1/script_test.go
+++ b/lib/h1/script_test.go
@@ -54,7 +54,7 @@
 	go func() { served <- serveSteps(l, steps(parts["serve"])) }()
 	addr := netip.MustParseAddrPort(l.Addr().String())
 	opened := 0
-	pool := NewPool(time.Second, func() { opened++ })
+	pool := NewPool(time.Second, func(netip.AddrPort) Meter { opened++; return nil })
 	var got []string
 	for _, step := range steps(parts["ask"]) {
 		if line := ask(pool, addr, step); line != "" {
--- a/lib/pack/pack.go
+++ b/lib/pack/pack.go
@@ -3,6 +3,7 @@
 package pack
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 
@@ -12,8 +13,18 @@
 // ErrMalformed is returned for bytes that do not hold the value wanted.
 var ErrMalformed = errors.New("malformed value")
 
-// Marshal encodes a value.
-func Marshal(value any) ([]byte, error) { return msgpack.Marshal(value) }
+// Marshal encodes a value, with each number in as few bytes as it takes. Fields
+// that are often zero are left out by their tags; the codec's own way to leave
+// out zeros takes any type without exported fields for zero, such as netip's.
+func Marshal(value any) ([]byte, error) {
+	e := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(e)
+	var buf bytes.Buffer
+	e.Reset(&buf)
+	e.UseCompactInts(true)
+	err := e.Encode(value)
+	return buf.Bytes(), err
+}
 
 // Unmarshal decodes bytes into out. The codec panics on some malformed
 // bytes, such as a nil where a time should be; that is an error here like
--- a/worker/peer/client.go
+++ b/worker/peer/client.go
@@ -86,7 +86,7 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return Answer{}, err
 	}
-	if err := frame.Write(conn, kindHeartbeat, beat); err != nil {
+	if _, err := frame.Write(conn, kindHeartbeat, beat); err != nil {
 		return Answer{}, err
 	}
 	kind, body, err := frame.Read(conn)
--- a/worker/peer/server.go
+++ b/worker/peer/server.go
@@ -90,5 +90,6 @@
 	if err := frame.Decode(body, &beat); err != nil {
 		return err
 	}
-	return frame.Write(conn, kindStatus, s.Source.Answer(beat))
+	_, err = frame.Write(conn, kindStatus, s.Source.Answer(beat))
+	return err
 }
