fleet: spread large groups, and convert by how badly models are supplied

Conversions never came: they needed a whole group's hosts staged while all loads went to repairs. Change: where large groups leave spares in their domain, each domain is given to one model as before; else large ones are spread and small ones fill the room, with the large model's weights on their hosts. A broken group is made whole with members of small ones if all models together are then less congested (need squared by supply) and the giver bears it; shifts need 12 in 100 and four seconds of calm. Empty instances load what brings most instances to use. Who is served better: callers of the larger model while instances are lost.

--- a/fleet/arrivals.go
+++ b/fleet/arrivals.go
@@ -6,9 +6,13 @@
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
-// arrivalGap is how long no instance may have come to a domain for it to count
-// as filled: instances enter themselves over some four seconds.
-const arrivalGap = 800 * time.Millisecond
+const (
+	// arrivalGap is how long no instance may have come for all to count as there:
+	// they enter themselves over some four seconds.
+	arrivalGap = 800 * time.Millisecond
+	// arrivalsMost bounds the wait for them.
+	arrivalsMost = 6 * time.Second
+)
 
 // arrivals tell whether instances still come to a fabric domain.
 type arrivals struct {
@@ -36,7 +40,12 @@
 	}
 }
 
-// goOn reports whether an instance came to the domain of late.
-func (a arrivals) goOn(domain models.Domain, now time.Time) bool {
-	return now.Sub(a.newest[domain]) < arrivalGap
+// goOn reports whether an instance came to any domain of late.
+func (a arrivals) goOn(now time.Time) bool {
+	for _, newest := range a.newest {
+		if now.Sub(newest) < arrivalGap {
+			return true
+		}
+	}
+	return false
 }
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -11,103 +11,209 @@
 )
 
 const (
-	// crowded is the part of its places that a model uses when it is given
-	// instances of another one, calm the part that the other may use
-	// afterwards. At three quarters an engine's pauses begin to grow.
-	crowded = 0.8
-	calm    = 0.62
-	// convertEvery is the least time between two conversions, so that the
-	// effect of one is seen before the next.
-	convertEvery = 4 * time.Second
+	// repairGain is the part by which a conversion must make the models less
+	// congested if half of the group or more is left of a broken one: closing a
+	// group and forming another takes some three seconds. shiftGain is the same if
+	// it mainly takes groups apart: their domain then has nothing to repair the next
+	// loss with. Estimates.
+	repairGain = 0.02
+	shiftGain  = 0.12
+	// calm is the part of its places up to which a model may always give instances:
+	// its streams are as fast as ever by then.
+	calm = 0.35
+	// shiftEvery is the least time from a planner's beginning, and from its last
+	// conversion, until it shifts groups from one model to another: until then it
+	// does not know the demand well, or what the last one brought.
+	shiftEvery = 4 * time.Second
+	// convertEvery is the least time between two conversions, so that what the
+	// last one left over has formed groups.
+	convertEvery = time.Second
 	// convertWithin bounds one conversion.
 	convertWithin = 6 * time.Second
 )
 
-// conversion takes instances from groups of one model for a group of another.
+// conversion takes instances from groups of other models for a group of one.
 type conversion struct {
 	model   models.ModelProfile
 	members []models.InstanceID
 	until   time.Time
+	// free counts the members that are in no group.
+	free int
+	// change is what models gain and lose by it, in instances.
+	change supply
 }
 
-// places is how many requests so many groups run at once.
-func (r *round) places(groups int) float64 {
-	return float64(groups * r.Profile.Slots)
+// leastGain is the part by which the conversion must make the models less
+// congested.
+func (c *conversion) leastGain() float64 {
+	if c.shifts() {
+		return shiftGain
+	}
+	return repairGain
 }
 
-// use is the part of its places that the model uses with so many groups.
-func (r *round) use(m models.ModelProfile, groups int) float64 {
-	return r.Busy[m.Name] / max(1, r.places(groups))
-}
+// shifts reports whether the conversion mainly takes groups apart, rather than to
+// make use of what is left of a broken one.
+func (c *conversion) shifts() bool { return 2*c.free < c.model.Size }
 
-// convert takes instances from a model with places to spare for one that is
-// crowded, where their hosts have its weights.
+// convert forms a group of a model, where a fabric domain has too few free
+// instances for it, with members of other models' groups whose hosts have its
+// weights, if all models together are better supplied by that.
 func (r *round) convert() {
-	r.advanceConversion()
 	if r.converting != nil || !r.Traffic || r.Now.Sub(r.converted) < convertEvery {
 		return
 	}
+	free := r.free()
+	now := r.congestion(r.settled)
+	var best *conversion
+	least := 0.0
 	for _, to := range r.Profile.Models {
-		if r.use(to, r.settled[to.Name]/to.Size) < crowded {
-			continue
+		for _, domain := range r.allDomains() {
+			c := r.conversionIn(domain, to, free[domain])
+			if c == nil || r.releasing(domain, to.Name) {
+				continue
+			}
+			after := maps.Clone(r.settled)
+			for name, n := range c.change {
+				after[name] += n
+			}
+			if c.shifts() && (r.Now.Sub(r.converted) < shiftEvery || r.repairs(to.Name)) {
+				continue
+			}
+			congestion := r.congestion(after)
+			gains := congestion < now*(1-c.leastGain()) && r.bearable(to, after)
+			if !gains && !r.relieves(to, after) {
+				continue
+			}
+			if best == nil || congestion < least {
+				best, least = c, congestion
+			}
 		}
-		if c := r.findConversion(to); c != nil {
-			r.converting, r.converted = c, r.Now
-			r.advanceConversion()
-			return
+	}
+	if best != nil {
+		r.converting, r.converted = best, r.Now
+		r.advanceConversion()
+	}
+}
+
+// relieves reports whether a model that is crowded gets instances of others with
+// places to spare, whatever the models need on average.
+func (r *round) relieves(to models.ModelProfile, after supply) bool {
+	return r.use(to, r.settled[to.Name]) >= crowded && r.usedMost(after) <= lowUse
+}
+
+// bearable reports whether the models that give instances still use less of their
+// places afterwards than the one that takes them does now, or few of them.
+func (r *round) bearable(to models.ModelProfile, after supply) bool {
+	return r.usedMost(after) <= max(calm, r.use(to, r.settled[to.Name]))
+}
+
+// usedMost is the greatest part of its places that a model which has lost instances
+// uses.
+func (r *round) usedMost(after supply) float64 {
+	most := 0.0
+	for _, m := range r.Profile.Models {
+		if after[m.Name] < r.settled[m.Name] {
+			most = max(most, r.use(m, after[m.Name]))
 		}
 	}
+	return most
 }
 
-// findConversion picks the members for a group of the model from one domain:
-// free ones that are warm, and those of whole groups of other models.
-func (r *round) findConversion(to models.ModelProfile) *conversion {
-	byDomain := map[models.Domain][]*Group{}
-	for _, g := range r.groups {
-		if from, known := r.Profile.Model(g.Model); known && g.Model != to.Name && g.Serving() && r.forming[g.Key] == nil &&
-			r.ending[g.Key] == nil && r.allStaged(g, to.Name) && len(g.Members) == from.Size {
-			domain := r.Instances[g.Head].Domain
-			byDomain[domain] = append(byDomain[domain], g)
+// repairs reports whether a broken group of the model may soon be whole again
+// somewhere.
+func (r *round) repairs(model models.ModelName) bool {
+	return slices.ContainsFunc(r.allDomains(), func(d models.Domain) bool { return r.releasing(d, model) })
+}
+
+// releasing reports whether a member of a broken group of the model is about to
+// come free in the domain.
+func (r *round) releasing(domain models.Domain, model models.ModelName) bool {
+	for id, i := range r.Instances {
+		member := i.Group.State != models.MemberNone && ModelOf(i.Group.Key.Name) == model
+		if member && i.Domain == domain && r.usable(id) && !r.taken[id] && !r.released(id) {
+			return true
 		}
 	}
-	free := r.free()
-	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		c := &conversion{model: to, until: r.Now.Add(convertWithin)}
-		for _, id := range free[domain] {
-			if IsWarm(r.Instances[id], to.Name) && len(c.members) < to.Size {
-				c.members = append(c.members, id)
-			}
+	return false
+}
+
+// conversionIn picks the members for a group of the model in one domain: free
+// ones first, and then those of the groups that give the most members, the
+// smallest first.
+func (r *round) conversionIn(domain models.Domain, to models.ModelProfile, free []models.InstanceID) *conversion {
+	c := &conversion{model: to, until: r.Now.Add(convertWithin), change: supply{to.Name: to.Size}}
+	left := supply{}
+	for _, id := range free {
+		i := r.Instances[id]
+		if _, under := r.staging[id]; !under && IsWarm(i, to.Name) && len(c.members) < to.Size {
+			c.members = append(c.members, id)
+		} else if i.Loaded != "" {
+			left[i.Loaded]++
 		}
-		taken := map[models.ModelName]int{}
-		groups := byDomain[domain]
-		slices.SortFunc(groups, func(a, b *Group) int { return cmp.Compare(a.Key.Epoch, b.Key.Epoch) })
-		for _, g := range groups {
-			from, _ := r.Profile.Model(g.Model)
-			left := r.settled[from.Name]/from.Size - taken[from.Name] - 1
-			if len(c.members) >= to.Size || left < 1 || r.use(from, left) > calm {
-				continue
-			}
-			taken[from.Name]++
-			for rank := range from.Size {
-				c.members = append(c.members, g.Members[rank])
+	}
+	if len(c.members) == to.Size {
+		return nil
+	}
+	c.free = len(c.members)
+	for _, d := range r.donors(domain, to.Name) {
+		if len(c.members) == to.Size {
+			break
+		}
+		took := 0
+		for _, id := range d.able {
+			if len(c.members) < to.Size {
+				c.members = append(c.members, id)
+				took++
 			}
 		}
-		if len(c.members) >= to.Size {
-			c.members = c.members[:to.Size]
-			return c
+		c.change[d.group.Model] -= len(d.group.Members)
+		left[d.group.Model] += len(d.group.Members) - took
+	}
+	if len(c.members) < to.Size {
+		return nil
+	}
+	for name, n := range left {
+		// What is left over forms groups again.
+		if from, known := r.Profile.Model(name); known && name != to.Name {
+			c.change[name] += n / from.Size * from.Size
 		}
 	}
-	return nil
+	return c
+}
+
+// donor is a group that serves, with the members whose hosts have the weights of
+// another model.
+type donor struct {
+	group *Group
+	able  []models.InstanceID
 }
 
-// allStaged reports whether the hosts of all members have the model.
-func (r *round) allStaged(g *Group, model models.ModelName) bool {
-	for _, id := range g.Members {
-		if !r.usable(id) || r.Unproven[id] || !slices.Contains(r.Instances[id].Staged, model) {
-			return false
+// donors lists the groups of a domain that could give members for a group of the
+// model.
+func (r *round) donors(domain models.Domain, to models.ModelName) []donor {
+	var out []donor
+	for _, g := range r.groups {
+		stands := g.Serving() && r.forming[g.Key] == nil && r.ending[g.Key] == nil
+		if g.Model == to || g.Head == "" || r.Instances[g.Head].Domain != domain || !stands {
+			continue
+		}
+		d := donor{group: g}
+		for rank := range len(g.Members) {
+			id, there := g.Members[rank]
+			if there && r.usable(id) && !r.Unproven[id] && slices.Contains(r.Instances[id].Staged, to) {
+				d.able = append(d.able, id)
+			}
+		}
+		if len(d.able) > 0 {
+			out = append(out, d)
 		}
 	}
-	return true
+	slices.SortFunc(out, func(a, b donor) int {
+		return cmp.Or(cmp.Compare(len(a.group.Members)-len(a.able), len(b.group.Members)-len(b.able)),
+			cmp.Compare(len(a.group.Members), len(b.group.Members)), cmp.Compare(a.group.Key.Epoch, b.group.Key.Epoch))
+	})
+	return out
 }
 
 // advanceConversion closes the groups that the members are in and forms the
--- a/fleet/ending.go
+++ b/fleet/ending.go
@@ -15,6 +15,19 @@
 	closed bool
 }
 
+// took notes that the head has carried out an order. One that has closed is told
+// to leave the group as well: an order to open that got no answer may be carried
+// out seconds later, and finds no group to open then. Where instances don't check
+// fences, members were taken for others while such a head was open again.
+func (e *ending) took(kind types.GroupOrderKind) {
+	switch kind {
+	case types.GroupLeave:
+		e.closed = true
+	case e.kind:
+		e.kind = types.GroupLeave
+	}
+}
+
 // end begins to take a group apart, or hastens it.
 func (r *round) end(key models.GroupKey, head models.InstanceID, kind types.GroupOrderKind) {
 	e := r.ending[key]
--- a/fleet/examine.go
+++ b/fleet/examine.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
@@ -16,10 +19,7 @@
 		verdict := r.judge(g, profile, known)
 		switch verdict {
 		case verdictStands:
-			r.settled[g.Model] += len(g.Members)
-			for _, id := range g.Members {
-				r.taken[id] = true
-			}
+			r.settle(g.Model, slices.Collect(maps.Values(g.Members)))
 		case verdictAdopt:
 			r.adopt(g, profile)
 		case verdictCut:
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -18,25 +18,22 @@
 	ready time.Duration
 }
 
-// formAll forms groups of free instances, the model that lacks most first,
-// and has weights staged on those that are left.
+// formAll forms groups of free instances, the model that lacks most first.
 func (r *round) formAll() {
-	r.layout()
+	if !r.Traffic {
+		r.planLayout()
+	}
 	free := r.free()
 	for {
 		c, found := r.best(free)
 		if !found {
-			break
+			return
 		}
 		r.form(c)
 		for domain, ids := range free {
 			free[domain] = slices.DeleteFunc(ids, func(id models.InstanceID) bool { return slices.Contains(c.members, id) })
 		}
 	}
-	r.warmAll(free)
-	if r.stageAll(free) {
-		r.stageFlexible()
-	}
 }
 
 // free lists the instances that may be used, by fabric domain.
@@ -100,14 +97,10 @@
 	return out
 }
 
-// minDemand stands for the part of instances that a model needs of which
-// nothing is known.
-const minDemand = 0.02
-
-// candidate is the group of the model that is ready soonest in the domain.
-// Weights are loaded only for groups in the model's own domains, and once
-// there is traffic only if no member has to wait for another's load: until
-// then such members serve better as spares.
+// candidate is the group of the model that is ready soonest in the domain. Once
+// there is traffic it has only members with the weights at hand: an empty
+// instance loads them first, and may be of more use to another model by then.
+// Before, loads are cheap, and the layout tells what is formed by them.
 func (r *round) candidate(model models.ModelProfile, domain models.Domain, ids []models.InstanceID) (candidate, bool) {
 	if len(ids) < model.Size {
 		return candidate{}, false
@@ -128,41 +121,13 @@
 			c.loading[id] = true
 		}
 	}
-	n := len(c.loading)
-	switch {
-	case n == 0:
+	if len(c.loading) == 0 {
 		return c, true
-	case !r.ownsLoads(model, domain, len(ids), c.loading) || !r.mayLoad(n):
-		return c, false
-	default:
-		return c, !r.Traffic || n == model.Size
-	}
-}
-
-// ownsLoads reports whether weights of the model may be loaded in a domain:
-// in its own, and before traffic in another's if no more instances come there
-// and more are free than that needs as spares, on those that have no weights
-// yet. Later on, what is free in a domain is what its next group is made of.
-func (r *round) ownsLoads(model models.ModelProfile, domain models.Domain, free int, loading map[models.InstanceID]bool) bool {
-	owner, known := r.wanted(domain)
-	if !known || owner.Name == model.Name || r.domainsOf()[model.Name] == 0 {
-		return true
-	}
-	if r.Traffic || free >= owner.Size || free <= maxSpares || r.arrivals.goOn(domain, r.Now) {
-		return false
 	}
-	for id := range loading {
-		if IsWarm(r.Instances[id], owner.Name) {
-			return false
-		}
-	}
-	return true
+	wanted := r.layout[domain][model.Name] * model.Size
+	return c, !r.Traffic && r.settledIn[domain][model.Name] < wanted && r.mayLoad(len(c.loading))
 }
 
-// maxSpares is how many instances of a domain are kept as spares of its
-// model rather than used for another.
-const maxSpares = 2
-
 // joinTime is how long the instance takes to join a group of the model.
 func (r *round) joinTime(id models.InstanceID, model models.ModelProfile) time.Duration {
 	i := r.Instances[id]
--- a/fleet/formation.go
+++ b/fleet/formation.go
@@ -61,9 +61,8 @@
 
 // take counts a formation's members as settled.
 func (r *round) take(f *formation) {
-	r.settled[f.model] += len(f.members)
+	r.settle(f.model, f.members)
 	for _, id := range f.members {
-		r.taken[id] = true
 		if f.loading[id] && !r.ready(f, id) {
 			r.loading++
 		}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -91,9 +91,11 @@
 	sent map[models.InstanceID]*sentOrder
 	// held are instances that refused an order, until when.
 	held map[models.InstanceID]time.Time
-	// domains are the models that fabric domains are given to, staging what
-	// instances are loading onto their hosts.
-	domains map[models.Domain]models.ModelName
+	// layout is what to form before there is traffic, laidFor what it was made
+	// for.
+	layout  layout
+	laidFor layoutInput
+	// staging is what instances are loading onto their hosts.
 	staging map[models.InstanceID]staging
 	// warming are spares that get ready to join faster.
 	warming  map[models.InstanceID]warming
@@ -101,6 +103,8 @@
 	// converting is the conversion under way, converted when the last began.
 	converting *conversion
 	converted  time.Time
+	// began is when the term began.
+	began time.Time
 	// loads are when loads were begun of late.
 	loads []time.Time
 	// superseded tells that an instance has seen a newer term.
@@ -123,7 +127,7 @@
 	return &Planner{
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, held: map[models.InstanceID]time.Time{},
-		domains: map[models.Domain]models.ModelName{}, staging: map[models.InstanceID]staging{}, converted: now,
+		staging: map[models.InstanceID]staging{}, began: now, converted: now,
 		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(),
 	}
 }
@@ -167,16 +171,18 @@
 	if w.Profile == nil || len(w.Profile.Models) == 0 {
 		return nil
 	}
-	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: map[models.ModelName]int{}}
+	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, settledIn: map[models.Domain]supply{}}
 	r.arrivals.note(w.Instances, w.Now)
 	r.forget()
 	r.advanceForming()
 	r.advanceWarming()
 	r.examineGroups()
 	r.advanceStaging()
-	r.convert()
+	r.advanceConversion()
 	r.advanceEnding()
 	r.formAll()
+	r.convert()
+	r.prepareSpares()
 	p.counts = Counts{Forming: len(p.forming), Ending: len(p.ending), Staging: len(p.staging), Loading: r.loading}
 	for _, ids := range r.free() {
 		p.counts.Free += len(ids)
@@ -235,8 +241,7 @@
 	if f := p.forming[o.Group]; f != nil && o.Kind == types.GroupJoin {
 		f.joined[o.Instance] = true
 	}
-	if e := p.ending[o.Group]; e != nil && o.Instance == e.head && outcome == types.OrderDone &&
-		o.Kind == e.kind {
-		e.closed = true
+	if e := p.ending[o.Group]; e != nil && o.Instance == e.head && outcome == types.OrderDone {
+		e.took(o.Kind)
 	}
 }
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -21,6 +21,13 @@
 	qt.Assert(t, orders, qt.HasLen, 0)
 }
 
+// TestNoInstances checks that a planner bears a service without instances, as each
+// is when the system starts.
+func TestNoInstances(t *testing.T) {
+	p := NewPlanner(1, time.Now())
+	qt.Assert(t, p.Step(World{Now: time.Now(), Profile: testProfile()}), qt.HasLen, 0)
+}
+
 // TestTermEnds checks that a planner gives up its term before its numbers run
 // into those of the next.
 func TestTermEnds(t *testing.T) {
@@ -57,7 +64,7 @@
 	key := models.GroupKey{Name: "small.1", Epoch: 1}
 	w := World{Now: time.Now(), Profile: testProfile(), Traffic: true, Unlisted: map[models.InstanceID]bool{"i-2": true}}
 	w.Instances = map[models.InstanceID]models.UpstreamInstance{
-		"i-1": {ID: "i-1", Domain: "a", Loaded: "small", Staged: []models.ModelName{"small"}, Group: models.Membership{Key: key, State: models.MemberOpen}},
+		"i-1": {ID: "i-1", Domain: "a", Loaded: "small", Staged: []models.ModelName{"small", "big"}, Group: models.Membership{Key: key, State: models.MemberOpen}},
 		"i-2": {ID: "i-2", Domain: "a", Loaded: "small", Staged: []models.ModelName{"small"}, Group: models.Membership{Key: key, Rank: 1, State: models.MemberReady}},
 	}
 	p := NewPlanner(1, w.Now)
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -28,6 +28,7 @@
 			s.add(s.freshID("b"), "b", "z2")
 		}
 		s.latePart = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "late")
+		s.unfenced = rapid.Bool().Draw(t, "unfenced")
 		s.newPlanner(1)
 		s.run(20 * time.Second)
 		s.traffic = true
@@ -56,7 +57,7 @@
 func (s *sim) trouble(t *rapid.T, term int64) int64 {
 	ids := slices.Sorted(maps.Keys(s.instances))
 	i := s.instances[rapid.SampledFrom(ids).Draw(t, "instance")]
-	switch rapid.SampledFrom([]string{"kill", "cut", "heal", "suspect", "drain", "add", "planner", "busy"}).Draw(t, "trouble") {
+	switch rapid.SampledFrom([]string{"kill", "cut", "heal", "suspect", "drain", "add", "planner", "busy", "shift"}).Draw(t, "trouble") {
 	case "kill":
 		i.dead = true
 	case "cut":
@@ -75,6 +76,9 @@
 		s.planners = append(s.planners[max(0, len(s.planners)-1):], NewPlanner(term, s.now))
 	case "busy":
 		s.busy["big"] = float64(rapid.IntRange(0, 80).Draw(t, "busy"))
+	case "shift":
+		s.demand["big"] = rapid.Float64Range(0, 1).Draw(t, "need")
+		s.demand["small"] = 1 - s.demand["big"]
 	}
 	return term
 }
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -17,11 +19,36 @@
 	taken map[models.InstanceID]bool
 	// settled counts the instances of each model in groups that stand or
 	// are being made.
-	settled map[models.ModelName]int
+	settled supply
+	// settledIn counts the same in each fabric domain.
+	settledIn map[models.Domain]supply
 	// loading counts instances that are loading weights.
 	loading int
 }
 
+// settle counts instances of a group that stands or is being made, and leaves
+// them where they are.
+func (r *round) settle(model models.ModelName, ids []models.InstanceID) {
+	for _, id := range ids {
+		r.taken[id] = true
+		r.settled[model]++
+		domain := r.Instances[id].Domain
+		if r.settledIn[domain] == nil {
+			r.settledIn[domain] = supply{}
+		}
+		r.settledIn[domain][model]++
+	}
+}
+
+// allDomains lists the fabric domains.
+func (r *round) allDomains() []models.Domain {
+	domains := map[models.Domain]bool{}
+	for _, i := range r.Instances {
+		domains[i.Domain] = true
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
 // forget drops what is kept of instances that are gone.
 func (r *round) forget() {
 	for id := range r.sent {
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -55,6 +55,10 @@
 	latePart float64
 	rand     *rand.Rand
 	broken   []string
+	// unfenced has instances carry out orders with any fence.
+	unfenced bool
+	// cheapLoads has loads take a tenth of the time until there is traffic.
+	cheapLoads bool
 	// suspected are instances that planners take for lost.
 	suspected map[models.InstanceID]bool
 }
@@ -181,10 +185,10 @@
 }
 
 func (s *sim) carryOut(i *simInstance, o types.GroupOrder) types.OrderOutcome {
-	if o.Fence < i.fence {
+	if o.Fence < i.fence && !s.unfenced {
 		return types.OrderFenced
 	}
-	i.fence = o.Fence
+	i.fence = max(i.fence, o.Fence)
 	if o.Kind == types.GroupStage {
 		return s.carryStage(i, o)
 	}
@@ -220,7 +224,7 @@
 		return types.OrderDone
 	}
 	s.load()
-	i.staging, i.stagedAt = o.Model, s.now.Add(model.Load)
+	i.staging, i.stagedAt = o.Model, s.now.Add(s.loadTime(model))
 	return types.OrderBegun
 }
 
@@ -245,6 +249,14 @@
 	}
 }
 
+// loadTime is how long a load takes now.
+func (s *sim) loadTime(model models.ModelProfile) time.Duration {
+	if s.cheapLoads && !s.traffic {
+		return model.Load / 10
+	}
+	return model.Load
+}
+
 func (s *sim) load() {
 	if s.traffic {
 		s.loads = append(s.loads, s.now)
@@ -274,7 +286,7 @@
 		i.readyAt = s.now.Add(model.Warm)
 	default:
 		s.load()
-		i.readyAt = s.now.Add(model.Load)
+		i.readyAt = s.now.Add(s.loadTime(model))
 	}
 	return types.OrderBegun
 }
--- a/fleet/warming.go
+++ b/fleet/warming.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -53,22 +52,31 @@
 	return under && w.key == g.Key
 }
 
-// warmAll begins to warm the spares that lie idle with the weights of their
-// domain's model on their hosts.
+// warmAll begins to warm the spares that have run no model since their start,
+// where too few have the weights of the one on their hosts to form a group.
 func (r *round) warmAll(free map[models.Domain][]models.InstanceID) {
-	for domain, ids := range free {
-		model, known := r.Profile.Model(r.domains[domain])
-		if !known || len(ids) >= model.Size {
-			continue
-		}
-		for _, id := range ids {
-			_, under := r.staging[id]
-			if i := r.Instances[id]; under || i.Loaded == model.Name || !slices.Contains(i.Staged, model.Name) {
+	for _, ids := range free {
+		for _, m := range r.Profile.Models {
+			var cold []models.InstanceID
+			warm := 0
+			for _, id := range ids {
+				i := r.Instances[id]
+				if _, under := r.staging[id]; under || !IsWarm(i, m.Name) {
+					continue
+				}
+				warm++
+				if i.Loaded == "" {
+					cold = append(cold, id)
+				}
+			}
+			if warm >= m.Size {
 				continue
 			}
-			w := warming{key: r.newKey(model.Name), model: model.Name, until: r.givenUp(model.Warm)}
-			r.warming[id] = w
-			r.joinOwn(id, w)
+			for _, id := range cold {
+				w := warming{key: r.newKey(m.Name), model: m.Name, until: r.givenUp(m.Warm)}
+				r.warming[id] = w
+				r.joinOwn(id, w)
+			}
 		}
 	}
 }
