gateway: leave the zone only for a fifth of the aim

Cause: a group in another zone was set back by 5 ms, so that two thirds of all requests crossed zones; a request that is answered 40 ms later in its own zone is in time all the same. Change: a group elsewhere must save a fifth of the route's aim. A stream that is moved goes where it goes on soonest, as before. Test TestNearestOfEquals.

--- a/gateway/cost.go
+++ b/gateway/cost.go
@@ -17,12 +17,17 @@
 	// fullCost is how long a request waits at a full group for each one that is
 	// ahead of it: about the time between two ends.
 	fullCost = 100 * time.Millisecond
-	// zoneCost is what a group in another zone is set back by: the way there
-	// and back, some 3 ms on the users' sites, and the price of bytes between
-	// zones.
-	zoneCost = 5 * time.Millisecond
+	// zonePart is the part of the route's aim that a group in another zone must
+	// save to be chosen: within it the request is answered in time all the same,
+	// and the bytes stay in the zone. 60 ms, a fifth of the shortest aim on the
+	// users' smallest site, kept half of all bytes between zones within them, and
+	// as many answers were in time as with 5 ms (fifteen plays each).
+	zonePart = 0.2
 )
 
+// zoneCost is what a group in another zone is set back by for a route.
+func zoneCost(aim time.Duration) time.Duration { return time.Duration(zonePart * float64(aim)) }
+
 // choice is a group that a request may go to.
 type choice struct {
 	group    cluster.Group
@@ -30,15 +35,15 @@
 	cost     time.Duration
 }
 
-// choices are the groups with what each would cost a request. The balance must
-// be locked.
-func (b *balance) choices(node Beliefs, engine *models.EngineProfile, groups []cluster.Group) []choice {
+// choices are the groups with what each would cost a request with this aim. The
+// balance must be locked.
+func (b *balance) choices(node Beliefs, engine *models.EngineProfile, groups []cluster.Group, aim time.Duration) []choice {
 	choices := make([]choice, 0, len(groups))
 	for _, g := range groups {
 		load := b.loadAt(node, g.Head.ID)
 		cost := groupCost(engine, load)
 		if g.Head.Zone != b.zone {
-			cost += zoneCost
+			cost += zoneCost(aim)
 		}
 		choices = append(choices, choice{g, load.Requests, cost})
 	}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -27,7 +27,7 @@
 	if engine == nil {
 		return group, false, false
 	}
-	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.head, s.tried)
+	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.wants())
 	if found && len(s.tried) == 0 {
 		s.load = load
 	}
@@ -81,9 +81,28 @@
 	return v.Daemons <= cluster.ManyDaemons || len(v.Groups[model]) <= someGroups
 }
 
+// wanted is what a request asks of the group that is picked for it.
+type wanted struct {
+	head models.RequestHead
+	// aim is the time in which its first event should come, 0 if every ms counts.
+	aim   time.Duration
+	tried []models.InstanceID
+}
+
+// wants tells what the stream asks of its next group. One that is moved is late
+// already, wherever it goes on.
+func (s *stream) wants() wanted {
+	w := wanted{s.head, s.route.Aim, s.tried}
+	if len(s.tried) > 0 {
+		w.aim = 0
+	}
+	return w
+}
+
 // pickGroup returns a group that was not tried and that answers soon, and how
 // many requests it has.
-func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, head models.RequestHead, tried []models.InstanceID) (cluster.Group, int, bool) {
+func (b *balance) pickGroup(node Beliefs, engine *models.EngineProfile, w wanted) (cluster.Group, int, bool) {
+	head, tried := w.head, w.tried
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	view := node.View()
@@ -98,7 +117,7 @@
 		// then better than the best of all, which everybody would choose.
 		groups = groups[:min(len(groups), fewGroups)]
 	}
-	choices := b.choices(node, engine, groups)
+	choices := b.choices(node, engine, groups, w.aim)
 	var picked choice
 	if atOnce := b.atOnce(node, view, tried); atOnce > 1 {
 		picked = scatter(choices, atOnce, groupCost(engine, cluster.Load{Requests: 1, Unread: head.PromptTokens}))
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -29,15 +29,16 @@
 }
 
 // TestNearestOfEquals checks that of equal groups and instances one in the
-// daemon's own zone is picked, and a less busy one elsewhere before that.
+// daemon's own zone is picked, a less busy instance elsewhere before that, and a
+// group elsewhere if it answers sooner by a fifth of the aim.
 func TestNearestOfEquals(t *testing.T) {
 	c := qt.New(t)
 	b := newBalance()
 	b.zone = "b"
 	beliefs := pickBeliefs()
 	engine := &models.EngineProfile{Slots: 17, ReadPerSecond: 45900}
-	group := func(tried ...models.InstanceID) models.InstanceID {
-		g, _, found := b.pickGroup(beliefs, engine, models.RequestHead{Model: "m"}, tried)
+	group := func(aim time.Duration) models.InstanceID {
+		g, _, found := b.pickGroup(beliefs, engine, wanted{head: models.RequestHead{Model: "m"}, aim: aim})
 		c.Assert(found, qt.IsTrue)
 		return g.Head.ID
 	}
@@ -47,12 +48,15 @@
 		return i.ID
 	}
 	for range 20 {
-		c.Assert(group(), qt.Equals, models.InstanceID("b"))
+		c.Assert(group(200*time.Millisecond), qt.Equals, models.InstanceID("b"))
 		c.Assert(instance(), qt.Equals, models.InstanceID("b"))
 	}
+	// 52 ms later than the others.
 	b.add("b", 4, 2000, false)
 	for range 20 {
-		c.Assert(group(), qt.Not(qt.Equals), models.InstanceID("b"))
+		c.Assert(group(200*time.Millisecond), qt.Not(qt.Equals), models.InstanceID("b"))
+		c.Assert(group(0), qt.Not(qt.Equals), models.InstanceID("b"))
+		c.Assert(group(300*time.Millisecond), qt.Equals, models.InstanceID("b"), qt.Commentf("a fifth of the aim is more"))
 		c.Assert(instance(), qt.Not(qt.Equals), models.InstanceID("b"))
 	}
 }
@@ -71,7 +75,7 @@
 	pick := func(tried ...models.InstanceID) map[models.InstanceID]int {
 		picked := map[models.InstanceID]int{}
 		for range 300 {
-			g, _, _ := b.pickGroup(pickBeliefs(), engine, head, tried)
+			g, _, _ := b.pickGroup(pickBeliefs(), engine, wanted{head: head, tried: tried})
 			picked[g.Head.ID]++
 		}
 		return picked
@@ -97,7 +101,7 @@
 	b.add("b", 0, -1400, false)
 	picked = map[models.InstanceID]int{}
 	for range 300 {
-		g, _, _ := b.pickGroup(many, engine, head, nil)
+		g, _, _ := b.pickGroup(many, engine, wanted{head: head})
 		picked[g.Head.ID]++
 	}
 	c.Check(picked["a"] > 100 && picked["b"] > 100, qt.IsTrue, qt.Commentf("%v", picked))
