standin: end held readings when the store goes away

Change: a store that refuses every call refuses those that it holds as well; the test waits 0.5 s in place of 2.5 s.

--- a/soak/outage_test.go
+++ b/soak/outage_test.go
@@ -19,9 +19,9 @@
 	bin := binary(t)
 	const (
 		long = keysBound + time.Second
-		// heldReading is how long the store may still answer a reading that it
-		// held when the outage began.
-		heldReading = 2500 * time.Millisecond
+		// underWay is how long an answer of the store may be under way when the
+		// outage begins.
+		underWay = 500 * time.Millisecond
 	)
 	for _, test := range []struct {
 		name  string
@@ -41,11 +41,11 @@
 			s := startSite(t, bin, t.TempDir(), test.flags...)
 			s.waitServing()
 			s.store.Misbehave(store.Faults{Busy: true})
-			time.Sleep(heldReading)
+			time.Sleep(underWay)
 			if test.taken {
 				s.configureKeys("k2")
 			}
-			time.Sleep(long - heldReading)
+			time.Sleep(long - underWay)
 			s.expect("during the outage", test.during)
 			s.store.Misbehave(store.Faults{})
 			time.Sleep(2 * time.Second)
--- a/standin/store/records.go
+++ b/standin/store/records.go
@@ -100,6 +100,11 @@
 		wait = min(maxWait, time.Duration(ms)*time.Millisecond)
 	}
 	for until := s.now().Add(wait); ; time.Sleep(waitStep) {
+		if s.busy() {
+			// A store that goes away does not answer the readings that it held.
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return nil
+		}
 		data, gone := s.read(topic, part, from)
 		if gone {
 			w.WriteHeader(http.StatusGone)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -59,6 +59,13 @@
 	s.faults = f
 }
 
+// busy reports whether every call is refused now.
+func (s *Store) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Busy
+}
+
 // Forget drops all records of a topic, as when their time is over. The newest
 // of each key stay.
 func (s *Store) Forget(topic string) {
