cluster: tell in later heartbeats only what changes

Cause: where there are many daemons heartbeats go from each to all, 125 bytes each, more than half of it what never changes while a daemon runs; and of three groups that are looked at for a request often none is in its own zone. Change: the first heartbeat on a connection tells all, later ones 51 bytes. Among many daemons as many groups of the own zone are looked at as of others. Tests TestShortHeartbeats, TestSenderOfNews.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -78,6 +78,7 @@
 	beats := time.NewTicker(heartbeatEvery)
 	defer beats.Stop()
 	told, err := n.beat(conn, l.id, 0)
+	conn.met = true
 	beaten := time.Now()
 	if err != nil {
 		return err
@@ -112,6 +113,8 @@
 // by the kind of frame.
 type framedConn struct {
 	net.Conn
+	// met tells that the first heartbeat was sent.
+	met  bool
 	sent map[frame.Kind]*metrics.Counter
 }
 
@@ -136,7 +139,11 @@
 // beat sends a heartbeat, and the configuration if the other daemon asks for
 // it.
 func (n *Node) beat(conn framedConn, to models.DaemonID, told int64) (int64, error) {
-	if err := conn.send(frameHeartbeat, n.heartbeat()); err != nil {
+	beat := n.heartbeat()
+	if conn.met {
+		beat = beat.short()
+	}
+	if err := conn.send(frameHeartbeat, beat); err != nil {
 		return told, err
 	}
 	return n.tellConfig(conn, to, told)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -77,7 +77,10 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
-		Power: n.cfg.Power, Wants: v.wants, Work: n.traffic.Work(), Stalled: v.stalled,
+		Power: n.cfg.Power, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
+	}
+	for model, work := range n.traffic.Work() {
+		b.Work[model] = float32(work)
 	}
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
@@ -93,7 +96,7 @@
 	}
 	for _, p := range o.peers.seen {
 		for model, w := range p.beat.Work {
-			sum[model] += w
+			sum[model] += float64(w)
 		}
 	}
 	return sum
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -9,7 +9,6 @@
 
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/task"
-	"github.com/lupinkeel/lupinkeel/models"
 )
 
 // readTimeout is how long a connection may bring nothing: more than two of
@@ -49,7 +48,8 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	var from sender
+	// from is the daemon at the other end, as its first heartbeat told.
+	var from Heartbeat
 	r := bufio.NewReader(conn)
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
@@ -60,37 +60,31 @@
 			from, err = s.take(ctx, kind, body, from)
 		}
 		if err != nil {
-			s.n.tell(ctx, peerLost{id: from.id, err: err})
+			s.n.tell(ctx, peerLost{id: from.From, err: err})
 			return err
 		}
 	}
 }
 
-// sender is the run of a daemon at the other end of a connection, as the first
-// heartbeat on it told.
-type sender struct {
-	id          models.DaemonID
-	incarnation int64
-}
-
-// take hands one frame to the owner and returns the daemon that it came from,
-// as far as that is known.
-func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from sender) (sender, error) {
+// take hands one frame to the owner and returns the last heartbeat of the daemon
+// that it came from.
+func (s *peerServer) take(ctx context.Context, kind frame.Kind, body []byte, from Heartbeat) (Heartbeat, error) {
 	switch kind {
 	case frameHeartbeat:
 		var b Heartbeat
 		if err := frame.Decode(body, &b); err != nil {
 			return from, err
 		}
+		b = b.completed(from)
 		s.n.tell(ctx, heartbeatSeen{beat: b, at: time.Now()})
-		return sender{b.From, b.Incarnation}, nil
+		return b, nil
 	case frameNews, frameLoads:
 		var news News
 		if err := frame.Decode(body, &news); err != nil {
 			return from, err
 		}
 		if news.From == "" {
-			news.From, news.Incarnation = from.id, from.incarnation
+			news.From, news.Incarnation = from.From, from.Incarnation
 		}
 		s.takeNews(ctx, news)
 		return from, nil
--- a/cluster/peerserver_test.go
+++ b/cluster/peerserver_test.go
@@ -27,9 +27,10 @@
 		c.Assert(err, qt.IsNil)
 		return body
 	}
-	from, err := s.take(context.Background(), frameHeartbeat, frameOf(Heartbeat{From: "d-2", Incarnation: 7}), sender{})
+	from, err := s.take(context.Background(), frameHeartbeat, frameOf(Heartbeat{From: "d-2", Incarnation: 7}), Heartbeat{})
 	c.Assert(err, qt.IsNil)
-	c.Assert(from, qt.Equals, sender{"d-2", 7})
+	c.Assert(from.From, qt.Equals, models.DaemonID("d-2"))
+	c.Assert(from.Incarnation, qt.Equals, int64(7))
 	own := frameOf(News{Change: 12, Loads: map[models.InstanceID]Load{"i-1e5e60a8b1": {Requests: 3, Unread: 640}}})
 	c.Assert(len(own) <= 32, qt.IsTrue, qt.Commentf("%d bytes", len(own)))
 	for _, body := range [][]byte{own, frameOf(News{From: "d-3", Incarnation: 1, Change: 1, Loads: map[models.InstanceID]Load{"i-2": {Requests: 1}}})} {
@@ -57,3 +58,28 @@
 	c.Assert(pack.Unmarshal(body, &got), qt.IsNil)
 	c.Assert(got, qt.CmpEquals(cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })), news)
 }
+
+// TestShortHeartbeats checks that nothing is lost by what later heartbeats leave
+// out. They are the most of what daemons tell where there are many of them: one has
+// 51 bytes rather than 125.
+func TestShortHeartbeats(t *testing.T) {
+	c := qt.New(t)
+	n := newTestOwner(t).n
+	s := &peerServer{n: n}
+	full := Heartbeat{
+		From: "front-plovdiv-a-1", Incarnation: 1_780_000_000_000_000_000, Addr: "10.1.0.40:7340", Zone: "plovdiv-a", Power: 0.19,
+		ConfigVersion: 17, ConfigAge: 400 * time.Millisecond, Term: 4, Work: map[models.ModelName]float32{"sexa3699b5": 1.5, "yeti827f2c": 0.5},
+	}
+	var from Heartbeat
+	for at, beat := range []Heartbeat{full, full.short()} {
+		body, err := pack.Marshal(beat)
+		c.Assert(err, qt.IsNil)
+		if at > 0 {
+			c.Assert(len(body) <= 64, qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+		}
+		from, err = s.take(context.Background(), frameHeartbeat, body, from)
+		c.Assert(err, qt.IsNil)
+		seen := (<-n.inbox).(heartbeatSeen).beat
+		c.Assert(seen, qt.DeepEquals, full)
+	}
+}
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -21,30 +21,45 @@
 	frameHeartbeat: "heartbeats", frameConfig: "configurations", frameNews: "instances", frameLoads: "loads",
 }
 
-// Heartbeat is what a daemon tells every other one.
+// Heartbeat is what a daemon tells every other one. The first on a connection
+// tells all; later ones leave out what does not change while a daemon runs.
 type Heartbeat struct {
-	From        models.DaemonID `msgpack:"id"`
-	Incarnation int64           `msgpack:"in"`
+	From        models.DaemonID `msgpack:"id,omitempty"`
+	Incarnation int64           `msgpack:"in,omitempty"`
 	// Addr is where the daemon listens for others, so that one that hears of
 	// it for the first time can answer.
-	Addr string      `msgpack:"ad"`
-	Zone models.Zone `msgpack:"z"`
+	Addr string      `msgpack:"ad,omitempty"`
+	Zone models.Zone `msgpack:"z,omitempty"`
+	// Power is the part of a core that the daemon may use.
+	Power float64 `msgpack:"p,omitempty"`
 	// ConfigVersion is the version in force, ConfigAge how long ago it was
 	// known to be the newest.
-	ConfigVersion int64         `msgpack:"cv"`
-	ConfigAge     time.Duration `msgpack:"ca"`
+	ConfigVersion int64         `msgpack:"cv,omitempty"`
+	ConfigAge     time.Duration `msgpack:"ca,omitempty"`
 	// Term is that of the planner that the daemon believes in.
-	Term int64 `msgpack:"t"`
+	Term int64 `msgpack:"t,omitempty"`
 	// Wants names a daemon that is to hand its configuration over, since it
 	// has a newer one.
-	Wants models.DaemonID `msgpack:"w2"`
-	// Power is the part of a core that the daemon may use.
-	Power float64 `msgpack:"p"`
+	Wants models.DaemonID `msgpack:"w2,omitempty"`
 	// Stalled are heads at which nothing moves.
-	Stalled []StalledHead `msgpack:"s"`
+	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Work is what the daemon's callers ask of each model, in seconds of a
 	// replica group for each second.
-	Work map[models.ModelName]float64 `msgpack:"w"`
+	Work map[models.ModelName]float32 `msgpack:"w,omitempty"`
+}
+
+// short leaves out what the first heartbeat on a connection told for good.
+func (b Heartbeat) short() Heartbeat {
+	b.From, b.Incarnation, b.Addr, b.Zone, b.Power = "", 0, "", "", 0
+	return b
+}
+
+// completed is the heartbeat with what the first one on its connection told.
+func (b Heartbeat) completed(first Heartbeat) Heartbeat {
+	if b.From == "" {
+		b.From, b.Incarnation, b.Addr, b.Zone, b.Power = first.From, first.Incarnation, first.Addr, first.Zone, first.Power
+	}
+	return b
 }
 
 // StalledHead names a head at which nothing moves.
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -115,7 +115,7 @@
 	if len(tried) == 0 && !urgent(view, head.Model) {
 		// What is known of the others' requests is old: the best of a few is
 		// then better than the best of all, which everybody would choose.
-		groups = groups[:min(len(groups), fewGroups)]
+		groups = b.few(groups)
 	}
 	choices := b.choices(node, engine, groups, w.aim)
 	var picked choice
@@ -127,6 +127,20 @@
 	return picked.group, picked.requests, true
 }
 
+// few picks some of the groups, as many in the daemon's own zone as in others.
+func (b *balance) few(groups []cluster.Group) []cluster.Group {
+	var own, others []cluster.Group
+	for _, g := range groups {
+		switch {
+		case g.Head.Zone == b.zone && len(own) < fewGroups:
+			own = append(own, g)
+		case g.Head.Zone != b.zone && len(others) < fewGroups:
+			others = append(others, g)
+		}
+	}
+	return append(own, others...)
+}
+
 func untried(groups []cluster.Group, tried []models.InstanceID) []cluster.Group {
 	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
 		return slices.Contains(tried, g.Head.ID)
