--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -48,7 +48,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	// from is the daemon at the other end, as its first heartbeat told.
+	// from is the last heartbeat of the daemon at the other end.
 	var from Heartbeat
 	r := bufio.NewReader(conn)
 	for {
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -32,7 +32,9 @@
 	convertWithin = 6 * time.Second
 )
 
-// conversion takes instances from groups of other models for a group of one.
+// conversion forms a group of a model, where a fabric domain has too few free
+// instances for it, with members of other models' groups whose hosts have its
+// weights.
 type conversion struct {
 	model   models.ModelProfile
 	members []models.InstanceID
@@ -56,44 +58,55 @@
 // make use of what is left of a broken one.
 func (c *conversion) shifts() bool { return 2*c.free < c.model.Size }
 
-// convert forms a group of a model, where a fabric domain has too few free
-// instances for it, with members of other models' groups whose hosts have its
-// weights, if all models together are better supplied by that.
+// convert begins the conversion that leaves all models together least congested,
+// if one is worth while.
 func (r *round) convert() {
 	if r.converting != nil || !r.Traffic || r.Now.Sub(r.converted) < convertEvery {
 		return
 	}
 	free := r.free()
-	now := r.congestion(r.settled)
 	var best *conversion
 	least := 0.0
 	for _, to := range r.Profile.Models {
 		for _, domain := range r.allDomains() {
 			c := r.conversionIn(domain, to, free[domain])
-			if c == nil || r.releasing(domain, to.Name) {
-				continue
-			}
-			after := maps.Clone(r.settled)
-			for name, n := range c.change {
-				after[name] += n
-			}
-			if c.shifts() && (r.Now.Sub(r.converted) < shiftEvery || r.repairs(to.Name)) {
-				continue
-			}
-			congestion := r.congestion(after)
-			gains := congestion < now*(1-c.leastGain()) && r.bearable(to, after)
-			if !gains && !r.relieves(to, after) {
+			if c == nil || !r.worthwhile(c, domain) {
 				continue
 			}
-			if best == nil || congestion < least {
+			if congestion := r.congestion(r.after(c)); best == nil || congestion < least {
 				best, least = c, congestion
 			}
 		}
 	}
-	if best != nil {
-		r.converting, r.converted = best, r.Now
-		r.advanceConversion()
+	if best == nil {
+		return
+	}
+	r.converting, r.converted = best, r.Now
+	r.advanceConversion()
+}
+
+// after is what models are supplied with once the conversion is done.
+func (r *round) after(c *conversion) supply {
+	out := maps.Clone(r.settled)
+	for name, n := range c.change {
+		out[name] += n
+	}
+	return out
+}
+
+// worthwhile reports whether a conversion in the domain may begin: what it is made
+// of will not serve otherwise in a moment, and it leaves the models less congested
+// without harm to the givers, or relieves one that is crowded.
+func (r *round) worthwhile(c *conversion, domain models.Domain) bool {
+	if r.releasing(domain, c.model.Name) {
+		return false
+	}
+	if c.shifts() && (r.Now.Sub(r.converted) < shiftEvery || r.repairs(c.model.Name)) {
+		return false
 	}
+	after := r.after(c)
+	gains := r.congestion(after) < r.congestion(r.settled)*(1-c.leastGain())
+	return gains && r.bearable(c.model, after) || r.relieves(c.model, after)
 }
 
 // relieves reports whether a model that is crowded gets instances of others with
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -144,8 +144,7 @@
 // mayLoad reports whether so many loads may begin now.
 func (r *round) mayLoad(n int) bool {
 	if !r.Traffic {
-		// They don't slow each other yet: on the users' bench 44 at once took
-		// no longer each.
+		// They don't slow each other yet: 44 at once took no longer each.
 		return true
 	}
 	most := r.Profile.LoadsAtOnce
--- a/fleet/layout.go
+++ b/fleet/layout.go
@@ -190,13 +190,13 @@
 
 // roomiest is the domain with the most room for groups of the model, among equals
 // one in the zone that has the fewest of them.
-func (in layoutInput) roomiest(room map[models.Domain]int, out layout, m models.ModelProfile) models.Domain {
+func (i layoutInput) roomiest(room map[models.Domain]int, out layout, m models.ModelProfile) models.Domain {
 	there := map[models.Zone]int{}
 	for domain, groups := range out {
-		there[in.zones[domain]] += groups[m.Name]
+		there[i.zones[domain]] += groups[m.Name]
 	}
 	domains := slices.Sorted(maps.Keys(room))
 	return slices.MinFunc(domains, func(a, b models.Domain) int {
-		return cmp.Or(cmp.Compare(room[b], room[a]), cmp.Compare(there[in.zones[a]], there[in.zones[b]]))
+		return cmp.Or(cmp.Compare(room[b], room[a]), cmp.Compare(there[i.zones[a]], there[i.zones[b]]))
 	})
 }
