cluster: have relays tell what a daemon missed, in place of the store

Ruled out: rarer readings alone (most calls are those of the start).

Change: a daemon that relies on relays waits for its relay, which tells all that it knows as of a number of the planner's news, encoded once for all that ask; the store is read only if that does not come within a second. The first configuration comes from the relay too. A relay that missed news itself tells nothing. Relays, and not the nine that may plan, read the store. TestMissedNews says that its daemon has read the roster; it checks the same.

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -83,7 +83,7 @@
 	}
 	// Where others read the store for this daemon there is nothing to wait for.
 	patience := behindFor
-	if !o.peers.arranged.Mesh && !o.mayPlan() {
+	if !o.peers.arranged.Mesh && !o.peers.arranged.Relay {
 		patience = 0
 	}
 	if now.Sub(o.peers.behind) >= patience && !slices.Contains(newer, o.peers.wants) {
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -30,12 +30,10 @@
 // followInstances reads the entries of instances from the store.
 func (n *Node) followInstances(ctx context.Context) error {
 	f := follower{n: n, topic: platform.InstancesTopic, every: n.entriesEvery}
-	f.wait = func() time.Duration {
-		// What is missed from here on needs another reading; one that fails
-		// is repeated.
-		n.missedNews.Store(false)
-		return 0
-	}
+	f.due = func() bool { return !n.awaitsRelay() }
+	// What is missed from here on needs another reading; one that fails is repeated.
+	f.begin = func() { n.missedNews.Store(false) }
+	f.wait = func() time.Duration { return 0 }
 	f.whole = func(records []platform.KeyedRecord, asked time.Time) message { return instancesRead{records, asked} }
 	f.added = func(records []platform.KeyedRecord, asked time.Time) message { return instancesChanged{records, asked} }
 	return f.run(ctx)
@@ -45,7 +43,7 @@
 // read at once: those that come next do not bring them.
 func (n *Node) entriesEvery() time.Duration {
 	switch {
-	case n.missedNews.Load():
+	case n.missedNews.Load() && !n.awaitsRelay():
 		return 0
 	case n.planning.Load():
 		return planEntriesEvery
@@ -58,6 +56,33 @@
 	}
 }
 
+const (
+	// relayPatience is how long a daemon waits for its relay to tell what it missed
+	// before it reads the store. Where all daemons start at the same moment it takes
+	// 0.5 s until one plans and 0.3 s until the relays hear from it.
+	relayPatience = time.Second
+	// startPatience is how long a daemon that starts waits to learn its part: the
+	// roster is read within some ms, and a store that is away tells nothing else
+	// either.
+	startPatience = 300 * time.Millisecond
+)
+
+// awaitsRelay reports whether what this daemon does not know of instances is to
+// come from its relay rather than from the store. 295 daemons that all read 766
+// entries at their start made 900 calls and moved 0.1 GB.
+func (n *Node) awaitsRelay() bool {
+	waited := time.Since(time.Unix(0, n.askedRelay.Load()))
+	if !n.rosterRead.Load() {
+		return waited < startPatience
+	}
+	return n.relies() && (!n.missedNews.Load() || waited < relayPatience) && n.fedOrAsking(waited)
+}
+
+// fedOrAsking reports whether news come, or are just being asked for.
+func (n *Node) fedOrAsking(waited time.Duration) bool {
+	return waited < relayPatience || n.fedWithin(feedPatience)
+}
+
 // handleInstances takes in entries read from the store: all of them if whole,
 // else those that were written since the last reading.
 func (o *owner) handleInstances(records []platform.KeyedRecord, asked time.Time, whole bool) {
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -57,6 +57,8 @@
 type follower struct {
 	n     *Node
 	topic string
+	// begin, if set, is called before each reading.
+	begin func()
 	// wait is how long the store may hold a reading.
 	wait func() time.Duration
 	// guard, if set, bounds the context of a reading.
@@ -73,7 +75,7 @@
 	from := int64(-1)
 	failed := retryPause
 	for {
-		if from >= 0 && f.due != nil && !f.due() {
+		if f.due != nil && !f.due() {
 			if err := pause(ctx, pauseStep); err != nil {
 				return err
 			}
@@ -115,6 +117,9 @@
 
 func (f *follower) readOnce(ctx context.Context, from int64) (int64, error) {
 	asked := time.Now()
+	if f.begin != nil {
+		f.begin()
+	}
 	if from < 0 {
 		records, next, err := f.n.newest(ctx, f.topic)
 		if err != nil {
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -19,8 +19,9 @@
 	// it, sparseEvery how often it tells one on which it relies.
 	heartbeatEvery = 300 * time.Millisecond
 	sparseEvery    = 1200 * time.Millisecond
-	// writeTimeout bounds the sending of one message to another daemon.
-	writeTimeout = 500 * time.Millisecond
+	// writeTimeout bounds the sending of one message to another daemon: news of 766
+	// instances to 58 daemons take a relay with 200 Mbit/s 0.3 s.
+	writeTimeout = 1500 * time.Millisecond
 	// redialPause is the first pause before a connection is made again.
 	redialPause = 300 * time.Millisecond
 	// mostRedial bounds the pause, which doubles while a daemon does not
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -230,6 +230,14 @@
 	return members, relays
 }
 
+// tell hands a frame to the link to one daemon, and reports whether it did.
+func (l *links) tell(to models.DaemonID, f frame.Frame) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := l.known[to]
+	return end != nil && end.offer(f)
+}
+
 // unsync notes that a link begins anew, and drops what waited for it.
 func (l *links) unsync(end *linkEnd) {
 	l.mu.Lock()
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -54,11 +54,13 @@
 		id  models.DaemonID
 		err error
 	}
-	// newsSeen: the daemon that plans told of instances, or that it does no more.
+	// newsSeen: the daemon that plans told of instances, or that it does no more;
+	// or a relay told of all instances.
 	newsSeen struct {
 		term      int64
 		feed      int64
 		instances []InstanceNews
+		whole     bool
 		ended     bool
 		at        time.Time
 	}
--- a/cluster/news_test.go
+++ b/cluster/news_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lupinkeel/lupinkeel/membership"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -17,6 +18,7 @@
 func TestMissedNews(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
+	o.n.rosterRead.Store(true)
 	news := func(term, feed int64, draining bool) {
 		o.handleNews(newsSeen{term: term, feed: feed, at: time.Now(), instances: []InstanceNews{
 			{Instance: models.UpstreamInstance{ID: "i-1", Draining: draining}},
@@ -74,3 +76,76 @@
 	o.noteNews(news, now.Add(-10*time.Millisecond), now)
 	c.Assert(o.fleet.instances["i-1"], qt.IsNil)
 }
+
+// TestMissedIsTold checks that a daemon which leaves reading the store to relays
+// gets what it missed from its relay: as soon as that knows all itself, without
+// what the relay does not know either, and without going back behind what it heard
+// meanwhile. It reads the store only if the relay does not answer.
+func TestMissedIsTold(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	t.Cleanup(func() { c.Check(o.n.links.wait(), qt.IsNil) })
+	o.n.rosterRead.Store(true)
+	crowd(o, few+1, 7)
+	c.Assert(o.n.relies(), qt.IsTrue)
+	c.Assert(o.n.awaitsRelay(), qt.IsTrue, qt.Commentf("it has just started"))
+	now := time.Now()
+	instance := func(id models.InstanceID, draining bool, age time.Duration) InstanceNews {
+		return InstanceNews{Instance: models.UpstreamInstance{ID: id, Draining: draining}, Age: age}
+	}
+	tell := func(feed int64, whole bool, news ...InstanceNews) {
+		o.handleNews(newsSeen{term: 1, feed: feed, whole: whole, instances: news, at: now})
+	}
+	missed := func() bool { return o.n.missedNews.Load() }
+
+	tell(4, true, instance("i-1", false, 0), instance("i-2", false, 0))
+	c.Assert(missed(), qt.IsFalse)
+	c.Assert(o.fleet.instances, qt.HasLen, 2)
+	tell(5, false)
+	c.Assert(missed(), qt.IsFalse)
+	tell(8, false, instance("i-2", true, 0))
+	c.Assert(missed(), qt.IsTrue)
+	c.Assert(o.n.heartbeat(membership.Link{RelaysFirst: true}).Missed, qt.IsTrue)
+	tell(6, true, instance("i-2", false, time.Second))
+	c.Assert(missed(), qt.IsTrue, qt.Commentf("the relay does not know the seventh either"))
+	tell(7, true, instance("i-2", false, time.Second))
+	c.Assert(missed(), qt.IsFalse)
+	c.Assert(o.fleet.instances["i-2"].Draining, qt.IsTrue, qt.Commentf("the relay told something older"))
+
+	tell(10, false)
+	c.Assert(o.n.entriesEvery(), qt.Not(qt.Equals), time.Duration(0))
+	o.n.askedRelay.Store(now.Add(-relayPatience).UnixNano())
+	c.Assert(o.n.awaitsRelay(), qt.IsFalse)
+	c.Assert(o.n.entriesEvery(), qt.Equals, time.Duration(0), qt.Commentf("the relay did not answer"))
+}
+
+// TestRelayAnswers checks that a relay tells those that missed news all it knows,
+// each once, but only as long as it misses nothing itself.
+func TestRelayAnswers(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	o.n.rosterRead.Store(true)
+	t.Cleanup(func() { c.Check(o.n.links.wait(), qt.IsNil) })
+	crowd(o, 2, 7)
+	beat := Heartbeat{From: "peer-0", Addr: "127.0.0.1:9", Missed: true, RelaysFirst: true}
+	o.handleHeartbeat(heartbeatSeen{beat: beat, at: time.Now()})
+	told := func() int {
+		end := o.n.links.known["peer-0"]
+		n := len(end.frames)
+		for len(end.frames) > 0 {
+			<-end.frames
+		}
+		return n
+	}
+	o.answerMissed(time.Now())
+	c.Assert(told(), qt.Equals, 0, qt.Commentf("it has heard nothing of a planner"))
+	for feed := range int64(2) {
+		o.handleNews(newsSeen{term: 1, feed: feed + 1, at: time.Now()})
+	}
+	o.answerMissed(time.Now())
+	o.answerMissed(time.Now())
+	c.Assert(told(), qt.Equals, 1)
+	o.handleHeartbeat(heartbeatSeen{beat: beat, at: time.Now()})
+	o.answerMissed(time.Now())
+	c.Assert(told(), qt.Equals, 1, qt.Commentf("it asks again"))
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -101,8 +101,13 @@
 	// fedByPlanner is when news of the planner came last, in Unix nanoseconds;
 	// zero once some were missed.
 	fedByPlanner atomic.Int64
-	// missedNews tells that some were missed since entries were last read.
+	// missedNews tells that some were missed, or none heard yet, since entries
+	// were last read; askedRelay is since when, in Unix nanoseconds, a relay is
+	// asked for them.
 	missedNews atomic.Bool
+	askedRelay atomic.Int64
+	// rosterRead tells that the roster was read: this node knows its part.
+	rosterRead atomic.Bool
 }
 
 type stats struct {
@@ -137,6 +142,8 @@
 	n.instances = platform.NewInstances(n.conns)
 	n.links = newLinks(n)
 	n.view.Store(&View{})
+	n.missedNews.Store(true)
+	n.askedRelay.Store(n.started)
 	return n
 }
 
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -30,6 +30,10 @@
 	term     int64
 	feedTerm int64
 	feed     int64
+	// missedTo is the number of the newest that was missed, whole what others were
+	// told last of all instances.
+	missedTo int64
+	whole    wholeNews
 	// planned is when any news of a planner came last.
 	planned time.Time
 	// behind is since when another daemon has a newer configuration, wants
@@ -49,6 +53,8 @@
 type seenPeer struct {
 	beat Heartbeat
 	at   time.Time
+	// answered tells that it was told what it missed.
+	answered bool
 }
 
 // arrangeEvery is how often a daemon looks, without news, whether others fell
@@ -65,6 +71,12 @@
 
 // handleRoster takes in entries of the roster.
 func (o *owner) handleRoster(records []platform.KeyedRecord) {
+	if !o.n.rosterRead.Swap(true) {
+		defer func() {
+			o.arrange(time.Now())
+			o.publish()
+		}()
+	}
 	for _, r := range records {
 		var entry rosterEntry
 		err := pack.Unmarshal(r.Value, &entry)
@@ -110,7 +122,7 @@
 		}
 	}
 	o.peers.stale = o.peers.roster.Hear(b.membership(), m.at) || o.peers.stale
-	o.peers.seen[b.From] = seenPeer(m)
+	o.peers.seen[b.From] = seenPeer{beat: b, at: m.at}
 	o.peers.term = max(o.peers.term, b.Term)
 	o.proveBy(m)
 	for _, s := range b.Stalled {
@@ -188,6 +200,7 @@
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		Power: n.cfg.Power, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
 		Relies: l.Relies, RelaysFirst: l.RelaysFirst, Size: v.Daemons,
+		Missed: l.RelaysFirst && n.missedNews.Load(),
 	}
 	if every := n.beatEvery(l); every != heartbeatEvery {
 		b.Every = every
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -104,11 +104,11 @@
 // the owner and to the daemons that rely on this one.
 func (s *peerServer) takeNews(ctx context.Context, news News, from Heartbeat) {
 	s.n.peerLoads.take(news, from.Zone, s.n.traffic.Loads)
-	if news.Term > 0 || len(news.Stalled) > 0 {
+	if (news.Term > 0 && !news.Whole) || len(news.Stalled) > 0 {
 		s.n.links.passOn(from.From, from.Zone, news)
 	}
 	if news.Term > 0 {
-		s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, ended: news.Ended, at: time.Now()})
+		s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, whole: news.Whole, ended: news.Ended, at: time.Now()})
 	}
 	for _, head := range news.Stalled {
 		s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
--- a/cluster/proof.go
+++ b/cluster/proof.go
@@ -37,10 +37,10 @@
 )
 
 // relies reports whether the node leaves reading the store to others as long
-// as it hears of them: where there are many daemons, those that may plan read.
+// as it hears of them: where there are many daemons, the relays read.
 func (n *Node) relies() bool {
 	v := n.View()
-	return !v.mesh() && !v.mayPlan
+	return !v.mesh() && !v.Arranged.Relay
 }
 
 // followConfig reads the configuration from the store.
@@ -65,7 +65,7 @@
 			return idleWait
 		}
 	}
-	f.due = func() bool { return !n.relies() || n.readsForOthers() || n.View().behind }
+	f.due = n.configDue
 	f.every = func() time.Duration {
 		if n.relies() {
 			return behindEvery
@@ -75,6 +75,15 @@
 	return f.run(ctx)
 }
 
+// configDue reports whether to read the configuration now.
+func (n *Node) configDue() bool {
+	if !n.rosterRead.Load() && time.Since(time.Unix(0, n.started)) < startPatience {
+		// This daemon does not know yet whether it relies on others.
+		return false
+	}
+	return !n.relies() || n.readsForOthers() || n.View().behind
+}
+
 // readsForOthers reports whether the node proves to itself, and so to others,
 // that the configuration is current: as the one that plans, and as long as
 // the proof of another is late.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -50,6 +50,9 @@
 	RelaysFirst bool `msgpack:"rf,omitempty"`
 	// Size is how many daemons the sender knows of, itself among them.
 	Size int `msgpack:"sz,omitempty"`
+	// Missed tells that the sender missed news of the planner, and wants the
+	// receiver, its relay, to tell all that it knows of instances.
+	Missed bool `msgpack:"ms,omitempty"`
 	// Stalled are heads at which nothing moves.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Work is what the daemon's callers ask of each model, in seconds of a
@@ -141,6 +144,9 @@
 	Term      int64          `msgpack:"t,omitempty"`
 	Feed      int64          `msgpack:"f,omitempty"`
 	Instances []InstanceNews `msgpack:"n,omitempty"`
+	// Whole tells that there are no instances but these. A relay tells so what it
+	// knows, as of the planner's news with this number.
+	Whole bool `msgpack:"wh,omitempty"`
 	// Ended tells that the daemon plans no more.
 	Ended bool `msgpack:"e,omitempty"`
 }
