gateway: tell all daemons of heads that serve no group

Change: such an answer is reported as a group that stands still: all daemons pass it over until there is news of it, and the planner asks its members. The status and the member at fault are in the log. The script stream_misdirected failed first.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -96,11 +97,16 @@
 	case err != nil:
 		return nil, errors.Join(errMayHaveRun, err)
 	}
-	if platform.DecodeAnswer(resp.Status, resp.Header).NotRun {
-		resp.Body.Discard()
-		return nil, errNotRun
+	told := platform.DecodeAnswer(resp.Status, resp.Header)
+	if !told.NotRun {
+		return resp, nil
 	}
-	return resp, nil
+	resp.Body.Discard()
+	err = fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
+	if resp.Status == http.StatusMisdirectedRequest || told.Fault != "" {
+		err = errors.Join(err, errNotServing)
+	}
+	return nil, err
 }
 
 const (
