--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -57,10 +57,6 @@
 	// the heap within; the rest is for stacks and buffers.
 	memoryPart = 0.6
 	megabyte   = 1 << 20
-	// gcPercent lets the heap grow to three times what lives before it is collected:
-	// that is 5 to 10 MB in a daemon that knows 766 instances, where each view of
-	// them is 0.2 MB of garbage.
-	gcPercent = 200
 	// settle is how long a daemon keeps to itself that groups seem to stand
 	// still: by then it has heard of the others' requests and has seen a few
 	// hundred pauses.
@@ -71,7 +67,6 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * s.Memory * megabyte))
 	}
-	debug.SetGCPercent(gcPercent)
 	set := metrics.NewSet()
 	traffic := gateway.Traffic()
 	node := cluster.New(cluster.Settings{
