cluster: stop only links that were begun

A link that was asked for while the process stops has no end to cancel; dropping it then would have panicked (read in the code, not seen).

--- a/cluster/links.go
+++ b/cluster/links.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// stop ends the link, if one was begun.
+func (e *linkEnd) stop() {
+	if e.cancel != nil {
+		e.cancel()
+	}
+}
+
 // signal leaves a word in a channel that has a place for one.
 func signal(c chan<- struct{}) {
 	select {
@@ -83,7 +90,7 @@
 	l.relay, l.first, l.mesh = a.Relay, a.First == l.n.cfg.ID, a.Mesh
 	for id, end := range l.known {
 		if _, wanted := targets[id]; !wanted {
-			end.cancel()
+			end.stop()
 			delete(l.known, id)
 		}
 	}
@@ -131,9 +138,7 @@
 	if before.addr == t.addr || ctx.Err() != nil {
 		return
 	}
-	if end.cancel != nil {
-		end.cancel()
-	}
+	end.stop()
 	linkCtx, cancel := context.WithCancel(ctx)
 	end.cancel = cancel
 	made := link{id: id, addr: t.addr, zone: "other", end: end}
@@ -252,9 +257,7 @@
 func (l *links) wait() error {
 	l.mu.Lock()
 	for _, end := range l.known {
-		if end.cancel != nil {
-			end.cancel()
-		}
+		end.stop()
 	}
 	ended := l.ended
 	l.ended = nil
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -16,8 +16,12 @@
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
-// step is how far the time of a script moves at once.
-const step = 50 * time.Millisecond
+const (
+	// step is how far the time of a script moves at once.
+	step = 50 * time.Millisecond
+	// arrangeEvery is how often a daemon is arranged anew without news.
+	arrangeEvery = 300 * time.Millisecond
+)
 
 // daemon is one daemon of a script.
 type daemon struct {
@@ -25,6 +29,10 @@
 	roster   *membership.Roster
 	arranged *membership.Arrangement
 	up       bool
+	// arrangedAt is when it was arranged last, stale tells that it heard something
+	// since that may change it.
+	arrangedAt time.Time
+	stale      bool
 	// beaten is when each other daemon was last told.
 	beaten map[models.DaemonID]time.Time
 }
@@ -135,7 +143,7 @@
 		for _, other := range s.daemons[:i] {
 			d.roster.Enter(other.Daemon)
 		}
-		d.arranged = d.roster.Arrange(s.now)
+		d.arranged, d.arrangedAt = d.roster.Arrange(s.now), s.now
 	}
 }
 
@@ -178,19 +186,28 @@
 				continue
 			}
 			d.beaten[id] = s.now
-			to.roster.Hear(membership.Beat{
+			news := to.roster.Hear(membership.Beat{
 				Daemon: d.Daemon, Every: every, Relies: link.Relies, RelaysFirst: link.RelaysFirst, Size: d.arranged.Size,
 			}, s.now)
+			to.stale = to.stale || news
 		}
 	}
 	for _, d := range s.daemons {
 		if d.up {
-			d.roster.Notice(s.now)
-			d.arranged = d.roster.Arrange(s.now)
+			d.lookAround(s.now)
 		}
 	}
 }
 
+// lookAround arranges the daemon anew if it has reason to, and every now and then.
+func (d *daemon) lookAround(now time.Time) {
+	silent := d.roster.Notice(now)
+	if len(silent) == 0 && !d.stale && now.Sub(d.arrangedAt) < arrangeEvery {
+		return
+	}
+	d.arranged, d.arrangedAt, d.stale = d.roster.Arrange(now), now, false
+}
+
 func (d *daemon) links() map[models.DaemonID]membership.Link {
 	if !d.up {
 		return nil
