gateway: do not tell all daemons of heads that serve no group

It saves no tries; and each report has the planner ask the group's members, of which one that answers late counts as lost.

The status of such an answer and the member at fault stay in the log.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -102,11 +102,7 @@
 		return resp, nil
 	}
 	resp.Body.Discard()
-	err = fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
-	if resp.Status == http.StatusMisdirectedRequest || told.Fault != "" {
-		err = errors.Join(err, errNotServing)
-	}
-	return nil, err
+	return nil, fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
 }
 
 const (
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -37,9 +37,6 @@
 	errNoUpstream = errors.New("no instance takes this request now")
 	errFull       = errors.New("all instances are full")
 	errNotRun     = errors.New("the instance did not run the request")
-	// errNotServing comes with errNotRun: the instance serves no group, or its group
-	// stands still.
-	errNotServing = errors.New("the instance's group does not serve")
 	errMayHaveRun = errors.New("the request may have been run")
 	errBudget     = errors.New("too many requests are being repeated")
 )
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -73,11 +73,6 @@
 // open sends the request and reads the head of the answer.
 func (r *run) open() error {
 	answer, err := r.s.send(r.ctx, r.group.Head, models.Attempt{Resume: r.resumed, After: r.resume}, r.patience)
-	if errors.Is(err, errNotServing) {
-		// All daemons pass the group over until there is news of it, and the planner
-		// asks its members: each request that is sent there costs its caller a try.
-		r.s.g.node.ReportStalled(r.group.Key, r.group.Head.ID)
-	}
 	if err != nil {
 		return err
 	}
