--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -83,6 +83,7 @@
 	running := task.Start(background, "node", node.Run)
 	defer context.AfterFunc(ctx, node.StandAside)()
 	serving := task.Start(ctx, "gateway", g.Run)
+	sizing := task.Start(background, "heap", func(ctx context.Context) error { return sizeHeap(ctx, node) })
 	reloading := task.Start(background, "reload", func(ctx context.Context) error { return reload(ctx, s, given, log) })
 	err := task.WaitAny(ctx, running, serving)
 	if err != nil {
@@ -90,7 +91,7 @@
 	}
 	err = errors.Join(err, task.Wait(serving))
 	cancel()
-	err = errors.Join(err, task.Wait(running, reloading))
+	err = errors.Join(err, task.Wait(running, sizing, reloading))
 	log.Info().Err(err).Msg("stopped")
 	return err
 }
