cluster, fleet: tell the lives of an instance apart by its birth

Cause: an instance may start again under its id, and an entry may come from another writer. Beliefs, orders, proofs of loss and failures were about ids alone: a head that started again within one heartbeat would have stayed the head of its old group, its late entries would have replaced new ones, and a load that it had been ordered in its earlier life was waited for half a minute. An entry without a zone, or in an unknown state, named an instance.

Change: the adapter reads born; an earlier birth never replaces a later one in entries and news; the instance's own answer to a later question is believed whatever its birth says (a clock set back); a member that started again is lost to its group at once at every daemon; outcomes of orders to an earlier life are void; streams at a head of an earlier life move at once; failures count for the life that failed. Entries that lack a field or tell an unknown state name no instance; members of services that the configuration does not name make no group.

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -46,7 +46,7 @@
 		return
 	}
 	o.config = configState{routing: routing, data: data, proven: asked}
-	o.fleetStale = true
+	o.fleet.services, o.fleetStale = routing.Services, true
 	if o.peers.arranged.Relay {
 		// Those who rely on this daemon are to ask for it at once.
 		o.publish()
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"hash/maphash"
+	"maps"
 	"reflect"
 	"time"
 
@@ -101,14 +103,19 @@
 	for _, r := range records {
 		id := models.InstanceID(r.Key)
 		if len(r.Value) == 0 {
+			delete(o.fleet.unreadable, id)
 			o.dropInstance(id)
 			continue
 		}
 		i, err := platform.DecodeInstance(r.Key, r.Value)
 		if err != nil {
-			o.n.log.Error().Err(err).Msg("instance-unreadable")
+			// Another writer's: it names no instance, also where one was named before.
+			o.noteUnreadable(id, r.Value, err)
+			o.dropInstance(id)
+			listed[id] = true
 			continue
 		}
+		delete(o.fleet.unreadable, id)
 		listed[id] = true
 		o.noteEntry(i, asked)
 	}
@@ -118,6 +125,7 @@
 				o.dropInstance(id)
 			}
 		}
+		maps.DeleteFunc(o.fleet.unreadable, func(id models.InstanceID, _ uint64) bool { return !listed[id] })
 	}
 	o.fleet.read = asked
 	// Even without news the others learn that this one still reads.
@@ -128,6 +136,20 @@
 	o.fleetStale = o.fleetStale || len(records) > 0
 }
 
+// noteUnreadable tells of an entry that can't be read, once for each change of it.
+func (o *owner) noteUnreadable(id models.InstanceID, value []byte, err error) {
+	sum := maphash.Bytes(entrySeed, value)
+	if before, known := o.fleet.unreadable[id]; known && before == sum {
+		return
+	}
+	o.fleet.unreadable[id] = sum
+	o.n.stats.foreign.Inc()
+	o.n.log.Error().Err(err).Msg("instance-unreadable")
+}
+
+// entrySeed is that of the sums by which changes of unreadable entries are told.
+var entrySeed = maphash.MakeSeed()
+
 // noteEntry takes in one entry, as it stood in the store when it was asked for.
 func (o *owner) noteEntry(i models.UpstreamInstance, asked time.Time) {
 	now := time.Now()
@@ -136,6 +158,10 @@
 		k = &knownInstance{}
 		o.fleet.instances[i.ID], o.fleet.listed = k, true
 	}
+	if !o.noteLife(k, i.Born, asked) {
+		o.askAsPlanner(k, now)
+		return
+	}
 	if known && (k.Draining != i.Draining || k.Group != i.Group) {
 		o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Str("state", string(i.Group.State)).
 			Bool("draining", i.Draining).Msg("instance-changed")
@@ -170,10 +196,13 @@
 	return o.fleet.planner != nil || asked.Before(k.told.Add(entryLag))
 }
 
-// takeIn replaces what is known of the instance, but for the model that it ran
-// last: an instance in no group tells none.
+// takeIn replaces what is known of the instance in this life, but for the model that
+// it ran last: an instance in no group tells none.
 func (k *knownInstance) takeIn(i models.UpstreamInstance) {
 	i.Loaded = cmp.Or(i.Loaded, k.Loaded)
+	if i.Born.IsZero() {
+		i.Born = k.Born
+	}
 	k.UpstreamInstance = i
 }
 
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -12,6 +12,13 @@
 	instances map[models.InstanceID]*knownInstance
 	// read is when entries that were read were asked for.
 	read time.Time
+	// services are those of the configuration, nil until there is one.
+	services map[models.ServiceName]models.UpstreamService
+	// restarted are the members of groups that started again since: such a group
+	// stands still.
+	restarted map[models.GroupKey][]models.InstanceID
+	// unreadable holds a sum of each entry that can't be read.
+	unreadable map[models.InstanceID]uint64
 	// listed tells that instances came or went since the last view.
 	listed bool
 	// planner is set while this node plans, which its lease lets it until.
@@ -45,6 +52,8 @@
 // knownInstance is an upstream instance and how fresh what is known of it is.
 type knownInstance struct {
 	models.UpstreamInstance
+	// bornKnown is when that was asked for which told its birth.
+	bornKnown time.Time
 	// told is when the newest entry or report was asked for.
 	told time.Time
 	// written is when a new entry was last seen.
@@ -64,9 +73,11 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		instances: map[models.InstanceID]*knownInstance{},
-		suspects:  map[models.InstanceID]suspicion{},
-		due:       map[models.InstanceID]time.Time{},
+		instances:  map[models.InstanceID]*knownInstance{},
+		restarted:  map[models.GroupKey][]models.InstanceID{},
+		unreadable: map[models.InstanceID]uint64{},
+		suspects:   map[models.InstanceID]suspicion{},
+		due:        map[models.InstanceID]time.Time{},
 	}
 }
 
@@ -87,9 +98,13 @@
 	return out
 }
 
-// memberships yields each instance and what it tells of its group.
+// memberships yields each instance and what it tells of its group. The word of one
+// of a service that the configuration does not name counts for nothing.
 func (f *fleetState) memberships(yield func(models.InstanceID, models.Membership) bool) {
 	for id, i := range f.instances {
+		if _, named := f.services[i.Service]; !named && f.services != nil {
+			continue
+		}
 		if !yield(id, i.Group) {
 			return
 		}
@@ -102,8 +117,8 @@
 	return trusted(groups, f.suspected(groups, now))
 }
 
-// sound lists the groups that serve and of which no member is known to be lost,
-// by model.
+// sound lists the groups that serve and of which no member is known to be lost or to
+// have started again, by model.
 func (f *fleetState) sound() map[models.ModelName][]Group {
 	groups := map[models.ModelName][]Group{}
 	for _, g := range fleet.GroupsOf(f.memberships) {
@@ -112,7 +127,7 @@
 			continue
 		}
 		members := make([]models.InstanceID, 0, len(g.Members))
-		sound := true
+		sound := !f.lacksRestarted(g.Key)
 		for _, id := range g.Members {
 			members = append(members, id)
 			sound = sound && f.instances[id].lost.IsZero()
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -96,12 +96,12 @@
 		}
 	case !known:
 		// No entry of it was seen: word that it is gone holds, whenever it was read.
-		k = &knownInstance{UpstreamInstance: news.Instance, told: at}
+		k = &knownInstance{UpstreamInstance: news.Instance, told: at, bornKnown: at}
 		if news.Lost {
 			k.lost = now
 		}
 		o.fleet.instances[id], o.fleet.listed = k, true
-	case at.Before(k.told):
+	case !o.noteLife(k, news.Instance.Born, at) || at.Before(k.told):
 	default:
 		draining := k.Draining || news.Instance.Draining
 		k.takeIn(news.Instance)
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -118,6 +118,10 @@
 	orders      *metrics.Counter
 	reports     *metrics.Counter
 	plans       *metrics.Counter
+	// reborn counts instances that started again under their ids, foreign entries
+	// that name no instance.
+	reborn  *metrics.Counter
+	foreign *metrics.Counter
 }
 
 // showAges shows in the metrics how old what others tell is: news of the planner,
@@ -164,6 +168,8 @@
 			orders:      set.NewCounter("lupinkeel_group_orders_total"),
 			reports:     set.NewCounter("lupinkeel_instance_reports_total"),
 			plans:       set.NewCounter("lupinkeel_plans_total"),
+			reborn:      set.NewCounter("lupinkeel_instance_restarts_total"),
+			foreign:     set.NewCounter("lupinkeel_unreadable_entries_total"),
 		},
 	}
 	n.conns = h1.NewPool(dialTimeout, nil)
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -144,6 +144,7 @@
 	o.catchUp(tick.At)
 	o.askDue(tick.At)
 	o.watchUnlisted(tick.At)
+	o.fleet.forgetRestarted()
 	o.planGroups(tick.At)
 }
 
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -168,7 +168,8 @@
 		p.Note(m.order, m.outcome, m.at)
 	}
 	k := o.fleet.instances[m.order.Instance]
-	if k == nil {
+	if k == nil || k.LifeOf(m.order.Born) != models.SameLife {
+		// An earlier life's order is void.
 		return
 	}
 	if m.outcome == types.OrderUnknown {
--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -20,8 +20,11 @@
 	switch {
 	case !known || m.asked.Before(k.told):
 		// Answers on different connections overtake each other.
+	case m.err != nil && m.asked.Before(k.bornKnown) && k.LifeOf(m.instance.Born) != models.SameLife:
+		// An earlier life did not answer.
 	case m.err != nil:
 		o.noteSilence(k, m)
+	case !o.noteReportedLife(k, m.instance.Born, m.asked):
 	default:
 		o.noteReport(k, m)
 	}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -91,6 +91,8 @@
 	unheardOpens map[models.GroupKey]time.Time
 	// sent holds the last order to each instance.
 	sent map[models.InstanceID]*sentOrder
+	// born is the birth of each instance's life that the planner knows.
+	born map[models.InstanceID]time.Time
 	// held are instances that refused an order, until when.
 	held map[models.InstanceID]time.Time
 	// layout is what to form before there is traffic, laidFor what it was made
@@ -128,7 +130,7 @@
 func NewPlanner(term int64, now time.Time) *Planner {
 	return &Planner{
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
-		sent: map[models.InstanceID]*sentOrder{}, unheardOpens: map[models.GroupKey]time.Time{}, held: map[models.InstanceID]time.Time{},
+		sent: map[models.InstanceID]*sentOrder{}, born: map[models.InstanceID]time.Time{}, unheardOpens: map[models.GroupKey]time.Time{}, held: map[models.InstanceID]time.Time{},
 		staging: map[models.InstanceID]staging{}, began: now, converted: now,
 		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(),
 	}
@@ -175,6 +177,7 @@
 	}
 	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, settledIn: map[models.Domain]supply{}}
 	r.arrivals.note(w.Instances, w.Now)
+	r.noteLives()
 	r.forget()
 	r.advanceForming()
 	r.advanceWarming()
@@ -213,6 +216,10 @@
 
 // Note takes in what came of an order.
 func (p *Planner) Note(o types.GroupOrder, outcome types.OrderOutcome, now time.Time) {
+	if (models.UpstreamInstance{Born: p.born[o.Instance]}).LifeOf(o.Born) != models.SameLife {
+		// It was given to another life.
+		return
+	}
 	if s := p.sent[o.Instance]; s != nil && s.order.Fence == o.Fence {
 		s.outcome = outcome
 	}
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -102,7 +102,7 @@
 
 // order gives an order under a new fence.
 func (r *round) order(o types.GroupOrder) {
-	o.Fence = r.next()
+	o.Fence, o.Born = r.next(), r.Instances[o.Instance].Born
 	r.sent[o.Instance] = &sentOrder{order: o, at: r.Now, outcome: pending}
 	r.orders = append(r.orders, o)
 }
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -39,10 +41,15 @@
 //	kill ID...              the instances are gone without a word
 //	gone ID...              and so are their entries
 //	drain ID...             the instances are leaving
+//	restart ID...           the instances start again under their ids
+//	restart-heads MODEL N   so do heads of N groups that serve, restart-members
+//	                        the same with another member of each
 //	suspect ID...           planners take the instances for lost
 //	trust ID...             and not any more
 //	serving MODEL OP N      checks how many whole groups serve
 //	staged MODEL OP N       checks on how many hosts a model lies
+//	idle OP N               checks how many instances are in no whole group that serves
+//	cold OP N               checks how many have no model's weights
 //	loads OP N              checks how many loads began within 5 s at most
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.script")
@@ -101,6 +108,10 @@
 		for _, id := range ids {
 			delete(s.instances, id)
 		}
+	case "restart":
+		return each(s.restart)
+	case "restart-heads", "restart-members":
+		return s.restartIn(models.ModelName(words[1]), words[0] == "restart-heads", words[2])
 	case "drain":
 		return each(func(i *simInstance) { i.Draining = true })
 	case "suspect":
@@ -109,6 +120,20 @@
 		return each(func(i *simInstance) { delete(s.suspected, i.ID) })
 	case "serving":
 		return compare(s.serving(models.ModelName(words[1])), words[2], words[3])
+	case "idle":
+		idle := len(s.instances)
+		for _, m := range s.profile.Models {
+			idle -= s.serving(m.Name) * m.Size
+		}
+		return compare(idle, words[1], words[2])
+	case "cold":
+		n := 0
+		for _, i := range s.instances {
+			if i.Loaded == "" && len(i.Staged) == 0 {
+				n++
+			}
+		}
+		return compare(n, words[1], words[2])
 	case "staged":
 		n := 0
 		for _, i := range s.instances {
@@ -125,6 +150,29 @@
 	return nil
 }
 
+// restartIn has a member of some groups that serve start again.
+func (s *sim) restartIn(model models.ModelName, heads bool, text string) error {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return err
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.instances)) {
+		head := s.instances[id]
+		if n == 0 || head.Group.State != models.MemberOpen || ModelOf(head.Group.Key.Name) != model {
+			continue
+		}
+		if !heads {
+			head = s.instances[head.members[1]]
+		}
+		s.restart(head)
+		n--
+	}
+	if n > 0 {
+		return fmt.Errorf("%d groups too few", n)
+	}
+	return nil
+}
+
 // set carries out the commands that take numbers.
 func (s *sim) set(words []string) error {
 	last := words[len(words)-1]
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -26,6 +26,14 @@
 	staging                             models.ModelName
 }
 
+// restart has the instance start again under its id: it knows nothing of before, and
+// its host keeps the weights.
+func (s *sim) restart(i *simInstance) {
+	*i = simInstance{UpstreamInstance: models.UpstreamInstance{
+		ID: i.ID, Born: s.now, Service: i.Service, Domain: i.Domain, Zone: i.Zone, Staged: i.Staged,
+	}}
+}
+
 // delivery is an order on its way to an instance.
 type delivery struct {
 	at      time.Time
@@ -73,7 +81,7 @@
 }
 
 func (s *sim) add(id models.InstanceID, domain models.Domain, zone models.Zone) {
-	s.instances[id] = &simInstance{UpstreamInstance: models.UpstreamInstance{ID: id, Domain: domain, Zone: zone, Service: "engines"}}
+	s.instances[id] = &simInstance{UpstreamInstance: models.UpstreamInstance{ID: id, Born: s.now, Domain: domain, Zone: zone, Service: "engines"}}
 }
 
 func (s *sim) newPlanner(term int64) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -89,7 +89,7 @@
 	case err == nil:
 		e.g.balance.answer(i.ID)
 	case ctx.Err() == nil && !errors.Is(err, h1.ErrStalled):
-		e.g.balance.fail(i.ID)
+		e.g.balance.fail(i)
 	}
 	switch {
 	case errors.Is(err, h1.ErrNotSent):
--- a/gateway/failures.go
+++ b/gateway/failures.go
@@ -23,6 +23,8 @@
 // connection has no requests, so that it would seem the least busy of all: 761
 // requests of one day with such heads were answered with 502.
 type failures struct {
+	// born is the life of the instance that failed them.
+	born  time.Time
 	count float64
 	at    time.Time
 }
@@ -32,11 +34,11 @@
 }
 
 // fail notes that an instance failed a request without an answer.
-func (b *balance) fail(id models.InstanceID) {
+func (b *balance) fail(i models.UpstreamInstance) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.failed[id] = failures{min(failuresMost, b.failed[id].decayed(now)+1), now}
+	b.failed[i.ID] = failures{i.Born, min(failuresMost, b.failing(i)+1), now}
 }
 
 // answer notes that an instance answered a request.
@@ -45,15 +47,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if f, known := b.failed[id]; known {
-		b.failed[id] = failures{f.decayed(now) / 2, now}
+		b.failed[id] = failures{f.born, f.decayed(now) / 2, now}
 	}
 }
 
-// failing is how many requests an instance failed of late. The balance must be
-// locked.
-func (b *balance) failing(id models.InstanceID) float64 {
-	f, known := b.failed[id]
-	if !known {
+// failing is how many requests an instance failed of late, in this life. The balance
+// must be locked.
+func (b *balance) failing(i models.UpstreamInstance) float64 {
+	f, known := b.failed[i.ID]
+	if !known || i.LifeOf(f.born) == models.EarlierLife {
 		return 0
 	}
 	return f.decayed(time.Now())
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/models"
 )
 
 const (
@@ -117,6 +118,10 @@
 	if s.hedge != nil {
 		return s.besideHedge()
 	}
+	if s.g.restarted(r.group.Head) {
+		// Nothing comes from an earlier life; goOn looks for another group.
+		return 0
+	}
 	if r.moved.IsZero() && silence == 0 {
 		return firstStep
 	}
@@ -141,6 +146,13 @@
 	return hedgeStep
 }
 
+// restarted reports whether an instance is known to have started again since it was
+// picked.
+func (g *Gateway) restarted(i models.UpstreamInstance) bool {
+	now, there := g.node.View().All[i.ID]
+	return there && i.LifeOf(now.Born) == models.LaterLife
+}
+
 // logHedge tells why a second run was begun.
 func (s *stream) logHedge(to cluster.Group, silence, longest time.Duration, suspect bool) {
 	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(to.Key.Name)).
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -107,7 +107,7 @@
 func (b *balance) candidate(node Beliefs, g cluster.Group) placement.Candidate {
 	load := b.loadAt(node, g.Head.ID)
 	return placement.Candidate{
-		Requests: load.Requests, Unread: load.Unread, Near: g.Head.Zone == b.zone, Failures: b.failing(g.Head.ID),
+		Requests: load.Requests, Unread: load.Unread, Near: g.Head.Zone == b.zone, Failures: b.failing(g.Head),
 	}
 }
 
@@ -129,7 +129,7 @@
 		if slices.Contains(tried, all[i].ID) {
 			continue
 		}
-		n := float64(b.loadAt(node, all[i].ID).Requests) + failureRequests*b.failing(all[i].ID)
+		n := float64(b.loadAt(node, all[i].ID).Requests) + failureRequests*b.failing(all[i])
 		nearer := best >= 0 && n == least && all[i].Zone == b.zone && all[best].Zone != b.zone
 		if best < 0 || n < least || nearer {
 			best, least = i, n
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -134,7 +134,7 @@
 	b.add("a", 3, 0)
 	b.add("c", 3, 0)
 	for range 2 {
-		b.fail("b")
+		b.fail(models.UpstreamInstance{ID: "b"})
 	}
 	group, instance := picks()
 	c.Assert(group, qt.Not(qt.Equals), models.InstanceID("b"))
@@ -144,14 +144,14 @@
 	c.Assert(instance, qt.Equals, models.InstanceID("b"))
 
 	for range 20 {
-		b.fail("b")
+		b.fail(models.UpstreamInstance{ID: "b"})
 	}
-	b.failed["b"] = failures{b.failed["b"].count, time.Now().Add(-6 * time.Second)}
+	b.failed["b"] = failures{time.Time{}, b.failed["b"].count, time.Now().Add(-6 * time.Second)}
 	group, instance = picks()
 	c.Assert(group, qt.Equals, models.InstanceID("b"))
 	c.Assert(instance, qt.Equals, models.InstanceID("b"))
 
-	b.fail("b")
+	b.fail(models.UpstreamInstance{ID: "b"})
 	for range 3 {
 		b.answer("b")
 	}
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -42,7 +42,8 @@
 //
 // Instances whose names begin with "g" are heads of groups of model "big",
 // the others are of the plain service. "busy" holds lines of an instance and
-// how many requests other daemons have there. "ask" holds requests, each a line:
+// how many requests other daemons have there. "restarted" names instances that are
+// known to have started again since their groups were shown. "ask" holds requests, each a line:
 //
 //	METHOD PATH [NAME=VALUE...]
 //
@@ -105,7 +106,7 @@
 	var instances []*instance
 	for _, f := range archive.Files {
 		parts[f.Name] = string(f.Data)
-		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "ask" || f.Name == "want" {
+		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "restarted" || f.Name == "ask" || f.Name == "want" {
 			continue
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -123,6 +124,11 @@
 		c.Assert(err, qt.IsNil)
 		beliefs.busy[id] = requests
 	}
+	for _, line := range lines(parts["restarted"]) {
+		u := beliefs.view.All[models.InstanceID(line)]
+		u.Born = u.Born.Add(time.Second)
+		beliefs.view.All[u.ID] = u
+	}
 	cfg := Settings{KeysBound: time.Minute, ConfigBound: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
 	if settle, given := parts["settle"]; given {
 		cfg.Settle, err = time.ParseDuration(lines(settle)[0])
@@ -157,7 +163,9 @@
 		All: map[models.InstanceID]models.UpstreamInstance{},
 	}
 	for _, i := range instances {
-		u := models.UpstreamInstance{ID: models.InstanceID(i.name), Addr: netip.MustParseAddrPort(i.l.Addr().String()), Service: "plain"}
+		u := models.UpstreamInstance{
+			ID: models.InstanceID(i.name), Born: time.Unix(1, 0), Addr: netip.MustParseAddrPort(i.l.Addr().String()), Service: "plain",
+		}
 		v.All[u.ID] = u
 		if !strings.HasPrefix(i.name, "g") {
 			v.Services["plain"] = append(v.Services["plain"], u)
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -1,11 +1,17 @@
 package models
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // UpstreamInstance is one instance behind the daemons, as its own entry in
 // the platform's store describes it.
 type UpstreamInstance struct {
-	ID       InstanceID
+	ID InstanceID
+	// Born is when the instance started, by its own clock. One that starts again
+	// under its id knows nothing of before. It is zero where that is not told.
+	Born     time.Time `msgpack:",omitempty"`
 	Service  ServiceName
 	Addr     netip.AddrPort
 	Zone     Zone
@@ -22,6 +28,30 @@
 	Heartbeat int64
 }
 
+// Life tells how what was told of an instance stands to what is known of it.
+type Life int
+
+// The lives of an instance.
+const (
+	// SameLife is also taken where one of the two does not tell its birth.
+	SameLife Life = iota
+	EarlierLife
+	LaterLife
+)
+
+// LifeOf tells of which life of the instance something was told, by the birth that
+// came with it.
+func (i UpstreamInstance) LifeOf(born time.Time) Life {
+	switch {
+	case born.IsZero() || i.Born.IsZero() || born.Equal(i.Born):
+		return SameLife
+	case born.Before(i.Born):
+		return EarlierLife
+	default:
+		return LaterLife
+	}
+}
+
 // Membership is what an instance tells of the group that it is in. A zero
 // Key stands for no group.
 type Membership struct {
@@ -53,6 +83,16 @@
 	MemberBroken  MemberState = "broken"
 )
 
+// Known reports whether there is such a state.
+func (s MemberState) Known() bool {
+	switch s {
+	case MemberNone, MemberJoining, MemberReady, MemberOpen, MemberClosing, MemberBroken:
+		return true
+	default:
+		return false
+	}
+}
+
 // rank orders the states that a member of one group goes through.
 func (s MemberState) rank() int {
 	switch s {
--- a/worker/types/grouporders.go
+++ b/worker/types/grouporders.go
@@ -1,6 +1,10 @@
 package types
 
-import "github.com/lupinkeel/lupinkeel/models"
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
 
 // GroupOrderKind tells what a group order asks an instance for.
 type GroupOrderKind string
@@ -24,7 +28,10 @@
 type GroupOrder struct {
 	Kind     GroupOrderKind
 	Instance models.InstanceID
-	Group    models.GroupKey
+	// Born is the birth of the life of the instance that the order is meant for,
+	// zero if it is not known. What comes of it says nothing of another life.
+	Born  time.Time
+	Group models.GroupKey
 	// Fence rises with every order: an instance refuses an order whose fence
 	// is older than one that it has seen.
 	Fence int64
