fleet: plan groups by what callers feel

Models were compared by instances against work; whatever free instances had weights for was formed; a model had the weights of the other on few hosts, so that little could be converted; each domain belonged to one model.

Change: one figure, the part of each model's requests that would be late with so many groups (places, prompts, aims, losses of late), decides what is formed, converted, staged and laid out. Conversions go on in several domains at once, are reckoned with all that they free, and come before free instances are used otherwise.

--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -30,7 +30,8 @@
 		return
 	}
 	f.began = time.Now()
-	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, f.began), m.term, nil, 0
+	f.planner, f.heldTerm, f.feed = fleet.NewPlanner(m.term, f.began), m.term, 0
+	clear(f.asked)
 	for _, i := range f.instances {
 		// What others told may be old; each is asked now.
 		i.lost, i.failed = time.Time{}, time.Time{}
@@ -127,11 +128,11 @@
 // world is what the planner is told of one service's instances.
 func (o *owner) world(name models.ServiceName, engine *models.EngineProfile, now time.Time) fleet.World {
 	w := fleet.World{
-		Now: now, Profile: engine, Demand: o.demand(engine), Busy: o.busy(engine, now),
+		Now: now, Profile: engine, Load: o.noteLoads(engine, now),
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
 		Unproven: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{},
 	}
-	// Demand has just noted whether there is traffic.
+	// That has just noted whether there is traffic.
 	w.Traffic = o.fleet.traffic
 	for id, i := range o.fleet.instances {
 		if i.Service != name {
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -11,132 +10,125 @@
 )
 
 const (
-	// repairGain is the part by which a conversion must make the models less
-	// congested if half of the group or more is left of a broken one: closing a
-	// group and forming another takes some three seconds. shiftGain is the same if
-	// it mainly takes groups apart: their domain then has nothing to repair the next
-	// loss with. Estimates.
-	repairGain = 0.02
-	shiftGain  = 0.12
-	// calm is the part of its places up to which a model may always give instances:
-	// its streams are as fast as ever by then.
-	calm = 0.35
-	// shiftEvery is the least time from a planner's beginning, and from its last
-	// conversion, until it shifts groups from one model to another: until then it
-	// does not know the demand well, or what the last one brought.
-	shiftEvery = 4 * time.Second
-	// convertEvery is the least time between two conversions, so that what the
-	// last one left over has formed groups.
+	// convertFor is for how long what a conversion brings is reckoned to last.
+	convertFor = 6 * time.Second
+	// closeTime is how long a group takes to let its requests end: 2.0 to 2.7 s, as
+	// logged where streams last one.
+	closeTime = 2 * time.Second
+	// leastRelief is by how much less strain there must be after a conversion: without
+	// it models with like strain would give groups to and fro. At 0.03 the part of
+	// requests that are late is less by 3 in 100.
+	leastRelief = 0.03
+	// convertEvery is the least time between two conversions of a domain, so that what
+	// the last one left over has formed groups.
 	convertEvery = time.Second
 	// convertWithin bounds one conversion.
 	convertWithin = 6 * time.Second
+	// knowLoads is how long after its beginning a planner moves no instances from one
+	// model to another: until then it does not know the loads well.
+	knowLoads = 4 * time.Second
 )
 
 // conversion forms a group of a model, where a fabric domain has too few free
 // instances for it, with members of other models' groups whose hosts have its
-// weights.
+// weights. What is left over forms more groups.
 type conversion struct {
 	model   models.ModelProfile
 	members []models.InstanceID
 	until   time.Time
-	// free counts the members that are in no group.
-	free int
-	// change is what models gain and lose by it, in instances.
-	change supply
+	// closes are the groups that are closed for it.
+	closes []*Group
+	// forms is what is formed of all that comes free, lost what is closed, in
+	// instances.
+	forms, lost supply
+	// takes is how long it is until the groups serve.
+	takes time.Duration
+	// shifts tells that it mainly takes groups apart, rather than to make use of what
+	// is left of a broken one.
+	shifts bool
 }
 
-// leastGain is the part by which the conversion must make the models less
-// congested.
-func (c *conversion) leastGain() float64 {
-	if c.shifts() {
-		return shiftGain
-	}
-	return repairGain
-}
-
-// shifts reports whether the conversion mainly takes groups apart, rather than to
-// make use of what is left of a broken one.
-func (c *conversion) shifts() bool { return 2*c.free < c.model.Size }
-
-// convert begins the conversion that leaves all models together least congested,
-// if one is worth while.
+// convert begins the conversions, one in a domain, that leave callers with least
+// strain, if there are any that are worth while.
 func (r *round) convert() {
-	if r.converting != nil || !r.Traffic || r.Now.Sub(r.converted) < convertEvery {
+	if !r.Traffic && r.layout == nil {
 		return
 	}
 	free := r.free()
-	var best *conversion
-	least := 0.0
-	for _, to := range r.Profile.Models {
-		for _, domain := range r.allDomains() {
-			c := r.conversionIn(domain, to, free[domain])
-			if c == nil || !r.worthwhile(c, domain) {
-				continue
-			}
-			if congestion := r.congestion(r.after(c)); best == nil || congestion < least {
-				best, least = c, congestion
-			}
+	for {
+		best, domain := r.bestConversion(free)
+		if best == nil {
+			return
 		}
+		r.converting[domain], r.converted[domain] = best, r.Now
+		for _, id := range best.members {
+			r.taken[id] = true
+		}
+		free[domain] = nil
+		r.settled = r.settled.less(best.lost).plus(best.forms)
+		r.advanceConversion(domain)
 	}
-	if best == nil {
-		return
-	}
-	r.converting, r.converted = best, r.Now
-	r.advanceConversion()
 }
 
-// after is what models are supplied with once the conversion is done.
-func (r *round) after(c *conversion) supply {
-	out := maps.Clone(r.settled)
-	for name, n := range c.change {
-		out[name] += n
+// bestConversion is the conversion that brings most, of those that bring enough.
+func (r *round) bestConversion(free map[models.Domain][]models.InstanceID) (best *conversion, in models.Domain) {
+	most := 0.0
+	for _, domain := range r.allDomains() {
+		if r.converting[domain] != nil || r.Now.Sub(r.converted[domain]) < convertEvery {
+			continue
+		}
+		donors := r.donors(domain)
+		if len(donors) == 0 {
+			continue
+		}
+		elsewhere := r.formedElsewhere(domain, free)
+		for _, to := range r.Profile.Models {
+			c := r.conversionIn(to, free[domain], donors, elsewhere)
+			if c == nil || r.tooEarly(c) || r.releasing(domain, to.Name) {
+				continue
+			}
+			if gain := r.gain(c, elsewhere, r.pack(free[domain], elsewhere)); gain > most {
+				best, in, most = c, domain, gain
+			}
+		}
 	}
-	return out
+	return best, in
 }
 
-// worthwhile reports whether a conversion in the domain may begin: what it is made
-// of will not serve otherwise in a moment, and it leaves the models less congested
-// without harm to the givers, or relieves one that is crowded.
-func (r *round) worthwhile(c *conversion, domain models.Domain) bool {
-	if r.releasing(domain, c.model.Name) {
-		return false
+// tooEarly reports whether too little is known yet for a conversion. Before there is
+// traffic only a model without any group is given one.
+func (r *round) tooEarly(c *conversion) bool {
+	if !r.Traffic {
+		return r.settled[c.model.Name] > 0
 	}
-	if c.shifts() && (r.Now.Sub(r.converted) < shiftEvery || r.repairs(c.model.Name)) {
-		return false
-	}
-	after := r.after(c)
-	gains := r.congestion(after) < r.congestion(r.settled)*(1-c.leastGain())
-	return gains && r.bearable(c.model, after) || r.relieves(c.model, after)
-}
-
-// relieves reports whether a model that is crowded gets instances of others with
-// places to spare, whatever the models need on average.
-func (r *round) relieves(to models.ModelProfile, after supply) bool {
-	return r.use(to, r.settled[to.Name]) >= crowded && r.usedMost(after) <= lowUse
-}
-
-// bearable reports whether the models that give instances still use less of their
-// places afterwards than the one that takes them does now, or few of them.
-func (r *round) bearable(to models.ModelProfile, after supply) bool {
-	return r.usedMost(after) <= max(calm, r.use(to, r.settled[to.Name]))
+	return c.shifts && r.Now.Sub(r.began) < knowLoads
 }
 
-// usedMost is the greatest part of its places that a model which has lost instances
-// uses.
-func (r *round) usedMost(after supply) float64 {
-	most := 0.0
-	for _, m := range r.Profile.Models {
-		if after[m.Name] < r.settled[m.Name] {
-			most = max(most, r.use(m, after[m.Name]))
+// formedElsewhere is what there will be with the groups that are formed, without
+// conversions, of free instances of other domains.
+func (r *round) formedElsewhere(domain models.Domain, free map[models.Domain][]models.InstanceID) supply {
+	have := r.settled
+	for _, other := range r.allDomains() {
+		if other != domain {
+			have = have.plus(r.pack(free[other], have))
 		}
 	}
-	return most
+	return have
 }
 
-// repairs reports whether a broken group of the model may soon be whole again
-// somewhere.
-func (r *round) repairs(model models.ModelName) bool {
-	return slices.ContainsFunc(r.allDomains(), func(d models.Domain) bool { return r.releasing(d, model) })
+// gain is by how much less strain there is with a conversion than with what is formed
+// without it, less what it costs meanwhile; 0 if it is not worth while.
+func (r *round) gain(c *conversion, have, without supply) float64 {
+	if c.shifts {
+		have = have.plus(r.mending)
+	}
+	now, during := r.strain(have.plus(without)), have.less(c.lost)
+	relief := now - r.strain(during.plus(c.forms))
+	if relief < leastRelief {
+		return 0
+	}
+	cost := (r.strain(during) - now) * c.takes.Seconds() / convertFor.Seconds()
+	return max(0, relief-cost)
 }
 
 // releasing reports whether a member of a broken group of the model is about to
@@ -151,95 +143,141 @@
 	return false
 }
 
-// conversionIn picks the members for a group of the model in one domain: free
-// ones first, and then those of the groups that give the most members, the
-// smallest first.
-func (r *round) conversionIn(domain models.Domain, to models.ModelProfile, free []models.InstanceID) *conversion {
-	c := &conversion{model: to, until: r.Now.Add(convertWithin), change: supply{to.Name: to.Size}}
-	left := supply{}
-	for _, id := range free {
-		i := r.Instances[id]
-		if _, under := r.staging[id]; !under && IsWarm(i, to.Name) && len(c.members) < to.Size {
-			c.members = append(c.members, id)
-		} else if i.Loaded != "" {
-			left[i.Loaded]++
+// conversionIn picks the members for a group of the model: free ones first, and then
+// those of as few groups of other models as it takes, the smallest first.
+func (r *round) conversionIn(to models.ModelProfile, free []models.InstanceID, donors []*Group, have supply) *conversion {
+	c := &conversion{model: to, until: r.Now.Add(convertWithin), lost: supply{}}
+	pool := slices.Clone(free)
+	able := r.count(pool, to.Name)
+	if able >= to.Size {
+		return nil
+	}
+	c.shifts = 2*able < to.Size
+	for _, d := range donors {
+		if able >= to.Size {
+			break
+		}
+		gives := r.count(r.usableOf(d), to.Name)
+		if d.Model == to.Name || gives == 0 {
+			continue
 		}
+		c.closes = append(c.closes, d)
+		c.lost[d.Model] += len(d.Members)
+		pool = append(pool, r.usableOf(d)...)
+		able += gives
 	}
-	if len(c.members) == to.Size {
+	if able < to.Size || len(c.closes) == 0 {
 		return nil
 	}
-	c.free = len(c.members)
-	for _, d := range r.donors(domain, to.Name) {
-		if len(c.members) == to.Size {
+	slices.SortStableFunc(pool, func(a, b models.InstanceID) int { return cmp.Compare(r.joinTime(a, to), r.joinTime(b, to)) })
+	c.members = slices.Clone(pool[:to.Size])
+	c.takes = closeTime + r.joinTime(c.members[to.Size-1], to) + r.Profile.FormTime
+	own := supply{to.Name: to.Size}
+	c.forms = own.plus(r.pack(pool[to.Size:], have.less(c.lost).plus(own)))
+	return c
+}
+
+// pack tells what a pool of instances would form, beside what there is: of the model
+// that relieves most, one group after another.
+func (r *round) pack(pool []models.InstanceID, have supply) supply {
+	forms := supply{}
+	for {
+		formed := false
+		for _, m := range r.byRelief(have.plus(forms)) {
+			if r.count(pool, m.Name) < m.Size {
+				continue
+			}
+			pool = r.without(pool, m)
+			forms[m.Name] += m.Size
+			formed = true
 			break
 		}
-		took := 0
-		for _, id := range d.able {
-			if len(c.members) < to.Size {
-				c.members = append(c.members, id)
-				took++
-			}
+		if !formed {
+			return forms
 		}
-		c.change[d.group.Model] -= len(d.group.Members)
-		left[d.group.Model] += len(d.group.Members) - took
 	}
-	if len(c.members) < to.Size {
-		return nil
+}
+
+// without leaves out the members of a group of the model, first those that could join
+// no other.
+func (r *round) without(pool []models.InstanceID, m models.ModelProfile) []models.InstanceID {
+	others := func(id models.InstanceID) int {
+		n := 0
+		for _, o := range r.Profile.Models {
+			if o.Name != m.Name && IsWarm(r.Instances[id], o.Name) {
+				n++
+			}
+		}
+		return n
 	}
-	for name, n := range left {
-		// What is left over forms groups again.
-		if from, known := r.Profile.Model(name); known && name != to.Name {
-			c.change[name] += n / from.Size * from.Size
+	sorted := slices.Clone(pool)
+	slices.SortStableFunc(sorted, func(a, b models.InstanceID) int { return others(a) - others(b) })
+	taken := 0
+	return slices.DeleteFunc(sorted, func(id models.InstanceID) bool {
+		take := taken < m.Size && IsWarm(r.Instances[id], m.Name)
+		if take {
+			taken++
+		}
+		return take
+	})
+}
+
+// count is how many of the instances have a model's weights.
+func (r *round) count(ids []models.InstanceID, model models.ModelName) int {
+	n := 0
+	for _, id := range ids {
+		if IsWarm(r.Instances[id], model) {
+			n++
 		}
 	}
-	return c
+	return n
 }
 
-// donor is a group that serves, with the members whose hosts have the weights of
-// another model.
-type donor struct {
-	group *Group
-	able  []models.InstanceID
+// usableOf lists the members of a group that may be used.
+func (r *round) usableOf(g *Group) []models.InstanceID {
+	var out []models.InstanceID
+	for rank := range len(g.Members) {
+		if id, there := g.Members[rank]; there && r.usable(id) && !r.Unproven[id] {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
-// donors lists the groups of a domain that could give members for a group of the
-// model.
-func (r *round) donors(domain models.Domain, to models.ModelName) []donor {
-	var out []donor
+// donors lists the groups of a domain that serve and could be closed, the smallest and
+// oldest first.
+func (r *round) donors(domain models.Domain) []*Group {
+	var out []*Group
 	for _, g := range r.groups {
 		stands := g.Serving() && r.forming[g.Key] == nil && r.ending[g.Key] == nil
-		if g.Model == to || g.Head == "" || r.Instances[g.Head].Domain != domain || !stands {
-			continue
-		}
-		d := donor{group: g}
-		for rank := range len(g.Members) {
-			id, there := g.Members[rank]
-			if there && r.usable(id) && !r.Unproven[id] && slices.Contains(r.Instances[id].Staged, to) {
-				d.able = append(d.able, id)
-			}
-		}
-		if len(d.able) > 0 {
-			out = append(out, d)
+		if stands && g.Head != "" && r.Instances[g.Head].Domain == domain {
+			out = append(out, g)
 		}
 	}
-	slices.SortFunc(out, func(a, b donor) int {
-		return cmp.Or(cmp.Compare(len(a.group.Members)-len(a.able), len(b.group.Members)-len(b.able)),
-			cmp.Compare(len(a.group.Members), len(b.group.Members)), cmp.Compare(a.group.Key.Epoch, b.group.Key.Epoch))
+	slices.SortFunc(out, func(a, b *Group) int {
+		return cmp.Or(cmp.Compare(len(a.Members), len(b.Members)), cmp.Compare(a.Key.Epoch, b.Key.Epoch))
 	})
 	return out
 }
 
-// advanceConversion closes the groups that the members are in and forms the
-// new one once all are free.
-func (r *round) advanceConversion() {
-	c := r.converting
-	if c == nil {
-		return
+// advanceConversions goes on with the conversions under way.
+func (r *round) advanceConversions() {
+	for domain, c := range r.converting {
+		r.advanceConversion(domain)
+		if r.converting[domain] == c {
+			r.settled = r.settled.plus(c.forms)
+		}
 	}
+}
+
+// advanceConversion closes the groups that are to be closed and forms the new one once
+// all its members are free.
+func (r *round) advanceConversion(domain models.Domain) {
+	c := r.converting[domain]
 	free := true
 	for _, id := range c.members {
 		if !r.usable(id) || r.Now.After(c.until) {
-			r.converting = nil
+			delete(r.converting, domain)
 			return
 		}
 		if r.released(id) {
@@ -247,14 +285,15 @@
 			continue
 		}
 		free = false
-		if g := r.groups[r.Instances[id].Group.Key]; g != nil {
+	}
+	for _, g := range c.closes {
+		if now := r.groups[g.Key]; now != nil && now.Serving() {
 			r.end(g.Key, g.Head, types.GroupFinish)
 		}
 	}
 	if !free {
 		return
 	}
-	r.converting = nil
-	candidate := candidate{model: c.model, members: c.members, loading: map[models.InstanceID]bool{}, ready: c.model.Warm}
-	r.form(candidate)
+	delete(r.converting, domain)
+	r.form(candidate{model: c.model, members: c.members, loading: map[models.InstanceID]bool{}, ready: c.model.Warm})
 }
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -18,7 +18,7 @@
 	ready time.Duration
 }
 
-// formAll forms groups of free instances, the model that lacks most first.
+// formAll forms groups of free instances, first of the model whose callers gain most.
 func (r *round) formAll() {
 	if !r.Traffic {
 		r.planLayout()
@@ -59,23 +59,25 @@
 	return e != nil && e.closed
 }
 
-// best picks the group to form next: of the model that lacks most, where it
-// is ready soonest.
+// best picks the group to form next: the one that relieves most, for each instance,
+// until convertFor from now.
 func (r *round) best(free map[models.Domain][]models.InstanceID) (candidate, bool) {
-	for _, model := range r.byNeed() {
-		var best candidate
-		found := false
+	var best candidate
+	most, found := 0.0, false
+	for _, model := range r.byRelief(r.settled) {
+		relief := r.relief(model, r.settled)
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := r.candidate(model, domain, free[domain])
-			if ok && (!found || c.better(best)) {
-				best, found = c, true
+			if !ok || r.keepsSpares(c, domain, free[domain]) {
+				continue
+			}
+			worth := relief * max(0, (convertFor-c.ready).Seconds())
+			if !found || worth > most || (worth == most && c.better(best)) {
+				best, most, found = c, worth, true
 			}
-		}
-		if found {
-			return best, true
 		}
 	}
-	return candidate{}, false
+	return best, found
 }
 
 func (c candidate) better(o candidate) bool {
@@ -85,18 +87,6 @@
 	return len(c.loading) < len(o.loading)
 }
 
-// byNeed lists the models, the one that lacks the greatest part of what it
-// needs first.
-func (r *round) byNeed() []models.ModelProfile {
-	out := slices.Clone(r.Profile.Models)
-	supply := func(m models.ModelProfile) float64 {
-		// Half a group more, so that a model without any comes first.
-		return (float64(r.settled[m.Name]) + float64(m.Size)/2) / r.need(m)
-	}
-	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(supply(a), supply(b)) })
-	return out
-}
-
 // candidate is the group of the model that is ready soonest in the domain. Once
 // there is traffic it has only members with the weights at hand: an empty
 // instance loads them first, and may be of more use to another model by then.
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -60,10 +60,11 @@
 	// What is known of them may be older than the last planner's orders, so
 	// they are not used for new groups.
 	Unproven map[models.InstanceID]bool
-	// Demand is the part of all instances that each model needs.
-	Demand map[models.ModelName]float64
-	// Busy counts the requests that each model's groups have.
-	Busy map[models.ModelName]float64
+	// Load is what callers ask of each model.
+	Load map[models.ModelName]Load
+	// LossRate is how likely a member of a group is to be lost in a second. The planner
+	// sets it by what it sees.
+	LossRate float64
 	// Traffic tells that requests have come. Until then loads are cheap.
 	Traffic bool
 }
@@ -104,13 +105,16 @@
 	// warming are spares that get ready to join faster.
 	warming  map[models.InstanceID]warming
 	arrivals arrivals
-	// converting is the conversion under way, converted when the last began.
-	converting *conversion
-	converted  time.Time
+	// converting are the conversions under way, converted when the last of each
+	// fabric domain began.
+	converting map[models.Domain]*conversion
+	converted  map[models.Domain]time.Time
 	// began is when the term began.
 	began time.Time
 	// loads are when loads were begun of late.
 	loads []time.Time
+	// losses are when groups lost members of late.
+	losses []time.Time
 	// superseded tells that an instance has seen a newer term.
 	superseded bool
 	counts     Counts
@@ -131,7 +135,8 @@
 	return &Planner{
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, born: map[models.InstanceID]time.Time{}, unheardOpens: map[models.GroupKey]time.Time{}, held: map[models.InstanceID]time.Time{},
-		staging: map[models.InstanceID]staging{}, began: now, converted: now,
+		staging: map[models.InstanceID]staging{}, began: now,
+		converting: map[models.Domain]*conversion{}, converted: map[models.Domain]time.Time{},
 		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(),
 	}
 }
@@ -175,7 +180,8 @@
 	if w.Profile == nil || len(w.Profile.Models) == 0 {
 		return nil
 	}
-	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, settledIn: map[models.Domain]supply{}}
+	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, mending: supply{}, settledIn: map[models.Domain]supply{}}
+	r.LossRate = r.lossRate()
 	r.arrivals.note(w.Instances, w.Now)
 	r.noteLives()
 	r.forget()
@@ -183,10 +189,12 @@
 	r.advanceWarming()
 	r.examineGroups()
 	r.advanceStaging()
-	r.advanceConversion()
+	r.advanceConversions()
 	r.advanceEnding()
-	r.formAll()
+	// Before what is left of a broken group is used for others: a member that is
+	// converted may make it whole.
 	r.convert()
+	r.formAll()
 	r.prepareSpares()
 	p.counts = Counts{Forming: len(p.forming), Ending: len(p.ending), Staging: len(p.staging), Loading: r.loading}
 	for _, ids := range r.free() {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -98,7 +98,7 @@
 		// All that are there move as well.
 		r.Moved = max(r.Moved, b.loadAt(node, id).Requests)
 	}
-	news := placement.News{Age: view.LoadsAge(), Sharers: view.Sharers(), Rate: b.arrivals[head.Model].decayed(time.Now())}
+	news := placement.News{Age: view.LoadsAge(), Sharers: view.Sharers(), Rate: float64(b.work[head.Model].decayed(time.Now()).Requests)}
 	at := b.policy.Pick(engine, candidates, r, news, b.random)
 	return groups[at], candidates[at].Requests, true
 }
