--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -18,10 +18,10 @@
 	// closeTime is how long a group takes to let its requests end: 2.0 to 2.7 s, as
 	// logged where streams last one.
 	closeTime = 2 * time.Second
-	// leastRelief is by how much less strain there must be after a conversion: without
-	// it models with like strain would give groups to and fro. At 0.03 the part of
-	// requests that are late is less by 3 in 100.
-	leastRelief = 0.03
+	// leastBenefit is by how much a conversion must lower the cost, less what it costs
+	// meanwhile: without it models that are supplied alike would give groups to and fro.
+	// At 0.03 three in 100 requests of a kind fewer are late.
+	leastBenefit = 0.03
 	// convertEvery is the least time between two conversions of a domain, so that what
 	// the last one left over has formed groups.
 	convertEvery = time.Second
@@ -51,8 +51,8 @@
 	shifts bool
 }
 
-// convert begins the conversions, one in a domain, that leave callers with least
-// strain, if there are any that are worth while.
+// convert begins the conversions that are worth while, one in a domain at a time, the
+// most useful first.
 func (r *round) convert() {
 	if !r.Traffic && r.layout == nil {
 		return
@@ -124,19 +124,19 @@
 	return have
 }
 
-// gain is by how much less strain there is with a conversion than with what is formed
-// without it, less what it costs meanwhile; 0 if it is not worth while.
+// gain is by how much a conversion lowers the cost, against what is formed without it
+// and less what it costs meanwhile; 0 if it is not worth while.
 func (r *round) gain(c *conversion, have, without supply) float64 {
 	if c.shifts {
 		have = have.plus(r.mending)
 	}
-	now, during := r.strain(have.plus(without)), have.less(c.lost)
-	relief := now - r.strain(during.plus(c.forms))
-	cost := (r.strain(during) - now) * c.takes.Seconds() / convertFor.Seconds()
-	if relief-cost < leastRelief {
+	now, during := r.cost(have.plus(without)), have.less(c.lost)
+	meanwhile := (r.cost(during) - now) * c.takes.Seconds() / convertFor.Seconds()
+	benefit := now - r.cost(during.plus(c.forms)) - meanwhile
+	if benefit < leastBenefit {
 		return 0
 	}
-	return relief - cost
+	return benefit
 }
 
 // releasing reports whether a member of a broken group of the model is about to
@@ -186,12 +186,12 @@
 }
 
 // pack tells what a pool of instances would form, beside what there is: of the model
-// that relieves most, one group after another.
+// with the greatest benefit, one group after another.
 func (r *round) pack(pool []models.InstanceID, have supply) supply {
 	forms := supply{}
 	for {
 		formed := false
-		for _, m := range r.byRelief(have.plus(forms)) {
+		for _, m := range r.byBenefit(have.plus(forms)) {
 			if r.count(pool, m.Name) < m.Size {
 				continue
 			}
--- a/fleet/strain_test.go
+++ b/fleet/cost_test.go
@@ -22,11 +22,11 @@
 	r := replay{large: 16, small: 4, rateLarge: 40, rateSmall: 423}
 	w := World{Profile: r.profile(), Traffic: true, Load: r.loadAt(0)}
 	m := w.Profile.Models[0]
-	one := w.strainOf(m, 3)
+	one := w.costOf(m, 3)
 	l := w.Load["big"]
 	l.Kinds = 2
 	w.Load["big"] = l
-	c.Assert(w.strainOf(m, 3), qt.Equals, 2*one)
+	c.Assert(w.costOf(m, 3), qt.Equals, 2*one)
 }
 
 // emulated is a group that works in passes: each gives every request that runs a few
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -59,19 +59,19 @@
 	return e != nil && e.closed
 }
 
-// best picks the group to form next: the one that relieves most, for each instance,
+// best picks the group to form next: that with the greatest benefit for each instance,
 // until convertFor from now.
 func (r *round) best(free map[models.Domain][]models.InstanceID) (candidate, bool) {
 	var best candidate
 	most, found := 0.0, false
-	for _, model := range r.byRelief(r.settled) {
-		relief := r.relief(model, r.settled)
+	for _, model := range r.byBenefit(r.settled) {
+		benefit := r.benefit(model, r.settled)
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := r.candidate(model, domain, free[domain])
 			if !ok || r.keepsSpares(c, domain, free[domain]) {
 				continue
 			}
-			worth := relief * max(0, (convertFor-c.ready).Seconds())
+			worth := benefit * max(0, (convertFor-c.ready).Seconds())
 			if !found || worth > most || (worth == most && c.better(best)) {
 				best, most, found = c, worth, true
 			}
--- a/fleet/layout.go
+++ b/fleet/layout.go
@@ -83,7 +83,7 @@
 	return out
 }
 
-// bestFill finds how many groups of each model give callers the least strain. It begins
+// bestFill finds how many groups of each model cost least. It begins
 // with as many as the models' loads ask for and goes on one group at a time.
 func (w World) bestFill(in layoutInput) layout {
 	total, whole := 0, 0.0
@@ -105,8 +105,8 @@
 			for _, step := range []int{-1, 1} {
 				tried := maps.Clone(counts)
 				tried[m.Name] = max(0, tried[m.Name]+step)
-				if l, strain := w.fill(in, tried); strain < least {
-					best, least, counts, improved = l, strain, tried, true
+				if l, cost := w.fill(in, tried); cost < least {
+					best, least, counts, improved = l, cost, tried, true
 				}
 			}
 		}
@@ -126,7 +126,7 @@
 }
 
 // fill lays out so many groups of each model, those of the smallest as many as
-// fit, and tells what strain that is.
+// fit, and tells what that costs.
 func (w World) fill(in layoutInput, counts map[models.ModelName]int) (layout, float64) {
 	room, out, have := maps.Clone(in.sizes), layout{}, supply{}
 	for domain := range room {
@@ -145,7 +145,7 @@
 			have[m.Name] += m.Size
 		}
 	}
-	return out, w.strain(have)
+	return out, w.cost(have)
 }
 
 // roomiest is the domain with the most room for groups of the model, among equals
--- a/fleet/spares.go
+++ b/fleet/spares.go
@@ -34,7 +34,7 @@
 // last spare of larger groups of the domain: these lose more, all in all, while one of
 // them waits for a member than there is to be gained.
 func (r *round) keepsSpares(c candidate, domain models.Domain, free []models.InstanceID) bool {
-	gain := r.relief(c.model, r.settled) * float64(c.model.Size)
+	gain := r.benefit(c.model, r.settled) * float64(c.model.Size)
 	for _, m := range r.Profile.Models {
 		here := r.settledIn[domain][m.Name]
 		if m.Size <= c.model.Size || here == 0 || !r.Traffic {
@@ -45,7 +45,7 @@
 			continue
 		}
 		groups := r.settled.groups(m)
-		harm := r.spareRisk() * float64(here) * spareSaves * (r.strainOf(m, groups-1) - r.strainOf(m, groups))
+		harm := r.spareRisk() * float64(here) * spareSaves * (r.costOf(m, groups-1) - r.costOf(m, groups))
 		if harm > gain {
 			return true
 		}
--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -113,7 +113,7 @@
 			if IsWarm(r.Instances[id], m.Name) {
 				continue
 			}
-			gain := r.loadGain(m, domain, ready[m.Name], len(may)-at) * r.relief(m, r.settled) / m.Load.Seconds()
+			gain := r.loadGain(m, domain, ready[m.Name], len(may)-at) * r.benefit(m, r.settled) / m.Load.Seconds()
 			if best.id == "" || gain > best.gain {
 				best = want{id, m, gain}
 			}
@@ -169,7 +169,7 @@
 // lose least by it, whole groups one after another. It is done only while the weight
 // store has nothing better to do.
 func (r *round) stageAhead() {
-	models := r.byRelief(r.settled)
+	models := r.byBenefit(r.settled)
 	for at := range models {
 		from := models[len(models)-1-at]
 		to := models[0]
--- a/fleet/supply.go
+++ b/fleet/supply.go
@@ -14,10 +14,10 @@
 	return out
 }
 
-// byRelief lists the models, that first whose callers gain most by an instance.
-func (w World) byRelief(s supply) []models.ModelProfile {
+// byBenefit lists the models, that first whose callers gain most by an instance.
+func (w World) byBenefit(s supply) []models.ModelProfile {
 	out := slices.Clone(w.Profile.Models)
-	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(w.relief(b, s), w.relief(a, s)) })
+	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(w.benefit(b, s), w.benefit(a, s)) })
 	return out
 }
 
