fleet: take it that requests come where groups serve as a term begins

Cause, found in reading: where all daemons start again at once, the one that plans has heard of no requests and took loads for cheap, as before the first one: it had every host load another model's weights at once (TestLoadsAfterRestart: 20 loads where 7 are allowed, failed first). Ruled out: that the bound on loads would catch it; it holds once there is traffic only.

--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -109,6 +109,8 @@
 	// fabric domain began.
 	converting map[models.Domain]*conversion
 	converted  map[models.Domain]time.Time
+	// served tells that groups of an earlier term served when this one began.
+	served bool
 	// looked is when all domains were last looked at for conversions, freeThen how many
 	// instances were free in each when it was.
 	looked   time.Time
@@ -189,6 +191,7 @@
 	}
 	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, mending: supply{}, settledIn: map[models.Domain]supply{}}
 	r.LossRate = r.lossRate()
+	r.noteServing()
 	r.arrivals.note(w.Instances, w.Now)
 	r.noteLives()
 	r.forget()
@@ -210,6 +213,17 @@
 	return r.orders
 }
 
+// noteServing takes it that requests come if groups of an earlier term serve: where all
+// daemons started again at once none has heard of any yet.
+func (r *round) noteServing() {
+	if r.Now.Sub(r.began) < knowLoads {
+		for key, g := range r.groups {
+			r.served = r.served || (g.Serving() && TermOf(key.Epoch) != r.term)
+		}
+	}
+	r.Traffic = r.Traffic || r.served
+}
+
 // Expects is the kind of the last order that the instance began, empty if it
 // is at none.
 func (p *Planner) Expects(id models.InstanceID) types.GroupOrderKind {
