--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// earlyLoads is by how many more than the weight store gives at once stagings ahead
+	// of need may be under way before traffic, when loads are cheap. An estimate.
+	earlyLoads = 20
 	// aheadPart is the part of the weight store's places that stagings ahead of need
 	// take, of those that are not needed otherwise as a rule. An estimate.
 	aheadPart = 0.5
@@ -180,12 +183,13 @@
 			to = models[1]
 		}
 		for _, id := range r.running(from) {
+			if !r.takesAhead(id, from, to) {
+				continue
+			}
 			if !r.mayStageAhead() {
 				return
 			}
-			if r.takesAhead(id, from, to) {
-				r.stage(id, to, true)
-			}
+			r.stage(id, to, true)
 		}
 	}
 }
@@ -194,7 +198,7 @@
 // nothing waits for.
 func (r *round) mayStageAhead() bool {
 	if !r.Traffic {
-		return r.mayLoad(1)
+		return r.loading < r.Profile.LoadsAtOnce+earlyLoads
 	}
 	ahead := 0
 	for _, s := range r.staging {
