--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -240,13 +240,10 @@
 	return out
 }
 
-// shown is what the other daemons need to know of the instance. Which weights it has
-// concerns only the one that plans, and the next one asks each instance itself: told to
-// all as well, it filled the links of 300 daemons where 3,000 hosts loaded weights ahead
-// of need, and word of an instance that was leaving took 3.9 s rather than 2.0.
+// shown is what the other daemons are told of the instance.
 func (k *knownInstance) shown() models.UpstreamInstance {
 	shown := k.UpstreamInstance
-	shown.Heartbeat, shown.Staged, shown.Loaded = 0, nil, ""
+	shown.Heartbeat = 0
 	return shown
 }
 
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -43,8 +43,10 @@
 	fedOthers time.Time
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
-	// asked is what is known of each model's callers.
-	asked map[models.ModelName]*asked
+	// demand is the part of all instances that each model needs, busy how many
+	// requests its groups have, both averaged.
+	demand map[models.ModelName]float64
+	busy   map[models.ModelName]float64
 }
 
 // knownInstance is an upstream instance and how fresh what is known of it is.
@@ -72,7 +74,6 @@
 func newFleetState() fleetState {
 	return fleetState{
 		instances:  map[models.InstanceID]*knownInstance{},
-		asked:      map[models.ModelName]*asked{},
 		restarted:  map[models.GroupKey][]models.InstanceID{},
 		unreadable: map[models.InstanceID]uint64{},
 		suspects:   map[models.InstanceID]suspicion{},
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -49,10 +49,9 @@
 	LoadsSince(seen uint64) (map[models.InstanceID]Load, uint64)
 	// Changed yields after loads have changed.
 	Changed() <-chan struct{}
-	// Work is what the daemon's callers ask of each model.
-	Work() map[models.ModelName]Work
-	// Kinds is how many routes' callers asked for each model of late.
-	Kinds() map[models.ModelName]int
+	// Work is the load of each model, in seconds of a replica group for each
+	// second.
+	Work() map[models.ModelName]float64
 }
 
 const (
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -120,7 +120,7 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
-		Power: n.cfg.Power, Wants: v.wants, Asked: n.traffic.Work(), Stalled: v.stalled,
+		Power: n.cfg.Power, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
 		Relies: l.Relies, RelaysFirst: l.RelaysFirst, Size: v.Daemons,
 		Missed: l.RelaysFirst && n.missedNews.Load(),
 	}
@@ -128,9 +128,11 @@
 		b.Every = every
 	}
 	if l.Across {
-		b.ZoneWork, b.ZoneAsked = seconds(v.zoneWork), v.zoneWork
+		b.ZoneWork = v.zoneWork
+	}
+	for model, work := range n.traffic.Work() {
+		b.Work[model] = float32(work)
 	}
-	b.Work = seconds(b.Asked)
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
 	}
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -30,8 +30,7 @@
 		return
 	}
 	f.began = time.Now()
-	f.planner, f.heldTerm, f.feed = fleet.NewPlanner(m.term, f.began), m.term, 0
-	clear(f.asked)
+	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, f.began), m.term, nil, 0
 	for _, i := range f.instances {
 		// What others told may be old; each is asked now.
 		i.lost, i.failed = time.Time{}, time.Time{}
@@ -128,11 +127,11 @@
 // world is what the planner is told of one service's instances.
 func (o *owner) world(name models.ServiceName, engine *models.EngineProfile, now time.Time) fleet.World {
 	w := fleet.World{
-		Now: now, Profile: engine, Load: o.noteLoads(engine, now),
+		Now: now, Profile: engine, Demand: o.demand(engine), Busy: o.busy(engine, now),
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
 		Unproven: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{},
 	}
-	// That has just noted whether there is traffic.
+	// Demand has just noted whether there is traffic.
 	w.Traffic = o.fleet.traffic
 	for id, i := range o.fleet.instances {
 		if i.Service != name {
--- a/cluster/reports_test.go
+++ b/cluster/reports_test.go
@@ -94,25 +94,3 @@
 	o.handleLease(leaseHeld{term: 6, until: time.Now().Add(time.Minute)})
 	c.Assert(told(), qt.Equals, 1, qt.Commentf("another term begins"))
 }
-
-// TestWeightsAreNoNews checks that the others are not told which weights an instance
-// has: only the daemon that plans uses that, and the next one asks.
-func TestWeightsAreNoNews(t *testing.T) {
-	c := qt.New(t)
-	o := newTestOwner(t)
-	o.handleLease(leaseHeld{term: 5, until: time.Now().Add(time.Minute)})
-	i := models.UpstreamInstance{ID: "i-1", Loaded: "m0", Staged: []models.ModelName{"m0"}}
-	o.noteEntry(i, time.Now())
-	told := func() int {
-		o.handleReport(reportEnded{instance: i, asked: time.Now()})
-		n := len(o.fleet.news)
-		o.fleet.news = nil
-		return n
-	}
-	c.Assert(told(), qt.Equals, 1)
-	i.Staged = []models.ModelName{"m1"}
-	c.Assert(told(), qt.Equals, 0)
-	c.Assert(o.fleet.instances["i-1"].Staged, qt.DeepEquals, i.Staged)
-	i.Group = models.Membership{Key: models.GroupKey{Name: "m.1", Epoch: 1}, State: models.MemberJoining}
-	c.Assert(told(), qt.Equals, 1)
-}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -38,7 +38,7 @@
 	wantedBy map[models.DaemonID]bool
 	// zoneWork is what this node tells other zones of the work of its own, if it is
 	// a relay.
-	zoneWork map[models.ModelName]Work
+	zoneWork map[models.ModelName]float32
 	// hears tells that the heartbeats of another daemon come.
 	hears bool
 	// behind tells that another daemon has had a newer configuration for long.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -56,13 +56,11 @@
 	// Stalled are heads at which nothing moves.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Work is what the daemon's callers ask of each model, in seconds of a
-	// replica group for each second; older processes know no more. Asked is all of it.
-	Work  map[models.ModelName]float32 `msgpack:"w,omitempty"`
-	Asked map[models.ModelName]Work    `msgpack:"as,omitempty"`
-	// ZoneWork and ZoneAsked are the same of all daemons of the sender's zone. Relays
-	// tell it those of other zones.
-	ZoneWork  map[models.ModelName]float32 `msgpack:"zw,omitempty"`
-	ZoneAsked map[models.ModelName]Work    `msgpack:"za,omitempty"`
+	// replica group for each second.
+	Work map[models.ModelName]float32 `msgpack:"w,omitempty"`
+	// ZoneWork is the same of all daemons of the sender's zone. Relays tell it
+	// those of other zones.
+	ZoneWork map[models.ModelName]float32 `msgpack:"zw,omitempty"`
 }
 
 // short leaves out what the first heartbeat on a connection told for good.
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,312 +11,235 @@
 )
 
 const (
-	// convertFor is for how long what a conversion or a new group brings is reckoned to
-	// last: where two of 60 instances are lost each 3 s the next one undoes it as often as
-	// not. With 6, 3 and 2 s callers of such a site were served 0.733, 0.737 and 0.707 of
-	// what they asked, by worth (three days, one play each).
-	convertFor = 3 * time.Second
-	// closeTime is how long a group takes to let its requests end: 2.0 to 2.7 s, as
-	// logged where streams last one.
-	closeTime = 2 * time.Second
-	// leastBenefit is by how much a conversion must lower the cost, less what it costs
-	// meanwhile: without it models that are supplied alike would give groups to and fro.
-	// At 0.03 three in 100 requests of a kind fewer are late.
-	leastBenefit = 0.03
-	// convertEvery is the least time between two conversions of a domain, so that what
-	// the last one left over has formed groups.
+	// repairGain is the part by which a conversion must make the models less
+	// congested if half of the group or more is left of a broken one: closing a
+	// group and forming another takes some three seconds. shiftGain is the same if
+	// it mainly takes groups apart: their domain then has nothing to repair the next
+	// loss with. Estimates.
+	repairGain = 0.02
+	shiftGain  = 0.12
+	// calm is the part of its places up to which a model may always give instances:
+	// its streams are as fast as ever by then.
+	calm = 0.35
+	// shiftEvery is the least time from a planner's beginning, and from its last
+	// conversion, until it shifts groups from one model to another: until then it
+	// does not know the demand well, or what the last one brought.
+	shiftEvery = 4 * time.Second
+	// convertEvery is the least time between two conversions, so that what the
+	// last one left over has formed groups.
 	convertEvery = time.Second
 	// convertWithin bounds one conversion.
 	convertWithin = 6 * time.Second
-	// lookEvery is how often all domains are looked at for conversions. With 3,000
-	// instances a round of the planner took 82 ms with each look (BenchmarkStep).
-	lookEvery = 200 * time.Millisecond
-	// knowLoads is how long after its beginning a planner moves no instances from one
-	// model to another: until then it does not know the loads well.
-	knowLoads = 4 * time.Second
 )
 
 // conversion forms a group of a model, where a fabric domain has too few free
 // instances for it, with members of other models' groups whose hosts have its
-// weights. What is left over forms more groups.
+// weights.
 type conversion struct {
 	model   models.ModelProfile
 	members []models.InstanceID
 	until   time.Time
-	// closes are the groups that are closed for it.
-	closes []*Group
-	// forms is what is formed of all that comes free, lost what is closed, in
-	// instances.
-	forms, lost supply
-	// takes is how long it is until the groups serve.
-	takes time.Duration
-	// shifts tells that it mainly takes groups apart, rather than to make use of what
-	// is left of a broken one.
-	shifts bool
+	// free counts the members that are in no group.
+	free int
+	// change is what models gain and lose by it, in instances.
+	change supply
 }
 
-// convert begins the conversions that are worth while, one in a domain at a time, the
-// most useful first.
+// leastGain is the part by which the conversion must make the models less
+// congested.
+func (c *conversion) leastGain() float64 {
+	if c.shifts() {
+		return shiftGain
+	}
+	return repairGain
+}
+
+// shifts reports whether the conversion mainly takes groups apart, rather than to
+// make use of what is left of a broken one.
+func (c *conversion) shifts() bool { return 2*c.free < c.model.Size }
+
+// convert begins the conversion that leaves all models together least congested,
+// if one is worth while.
 func (r *round) convert() {
-	if !r.Traffic && r.layout == nil {
+	if r.converting != nil || !r.Traffic || r.Now.Sub(r.converted) < convertEvery {
 		return
 	}
 	free := r.free()
-	looked := r.domainsToLookAt(free)
-	if len(looked) == 0 {
-		return
-	}
-	for {
-		best, domain := r.bestConversion(free, looked)
-		if best == nil {
-			return
-		}
-		r.converting[domain], r.converted[domain] = best, r.Now
-		for _, id := range best.members {
-			r.taken[id] = true
-		}
-		free[domain] = nil
-		for name := range best.lost {
-			r.gave[name] = r.Now
+	var best *conversion
+	least := 0.0
+	for _, to := range r.Profile.Models {
+		for _, domain := range r.allDomains() {
+			c := r.conversionIn(domain, to, free[domain])
+			if c == nil || !r.worthwhile(c, domain) {
+				continue
+			}
+			if congestion := r.congestion(r.after(c)); best == nil || congestion < least {
+				best, least = c, congestion
+			}
 		}
-		r.settled = r.settled.less(best.lost).plus(best.forms)
-		r.advanceConversion(domain)
 	}
+	if best == nil {
+		return
+	}
+	r.converting, r.converted = best, r.Now
+	r.advanceConversion()
 }
 
-// domainsToLookAt lists the domains in which a conversion may have become worth while:
-// those where instances came free, and all of them every now and then.
-func (r *round) domainsToLookAt(free map[models.Domain][]models.InstanceID) []models.Domain {
-	all := r.Now.Sub(r.looked) >= lookEvery
-	if all {
-		r.looked = r.Now
-	}
-	var out []models.Domain
-	for _, domain := range r.allDomains() {
-		if all || len(free[domain]) > r.freeThen[domain] {
-			out = append(out, domain)
-		}
-		r.freeThen[domain] = len(free[domain])
+// after is what models are supplied with once the conversion is done.
+func (r *round) after(c *conversion) supply {
+	out := maps.Clone(r.settled)
+	for name, n := range c.change {
+		out[name] += n
 	}
 	return out
 }
 
-// bestConversion is the conversion that brings most, of those that bring enough.
-func (r *round) bestConversion(free map[models.Domain][]models.InstanceID, domains []models.Domain) (best *conversion, in models.Domain) {
-	most := 0.0
-	packs, have := r.packAll(free)
-	donors, releasing := r.donors(), r.releasing()
-	for _, domain := range domains {
-		if r.converting[domain] != nil || r.Now.Sub(r.converted[domain]) < convertEvery {
-			continue
-		}
-		elsewhere := have.less(packs[domain])
-		for _, to := range r.Profile.Models {
-			c := r.conversionIn(to, free[domain], donors[domain], elsewhere)
-			if c == nil || r.tooEarly(c) || releasing[domain][to.Name] > 0 {
-				continue
-			}
-			if gain := r.gain(c, elsewhere, packs[domain]); gain > most {
-				best, in, most = c, domain, gain
-			}
-		}
+// worthwhile reports whether a conversion in the domain may begin: what it is made
+// of will not serve otherwise in a moment, and it leaves the models less congested
+// without harm to the givers, or relieves one that is crowded.
+func (r *round) worthwhile(c *conversion, domain models.Domain) bool {
+	if r.releasing(domain, c.model.Name) {
+		return false
+	}
+	if c.shifts() && (r.Now.Sub(r.converted) < shiftEvery || r.repairs(c.model.Name)) {
+		return false
 	}
-	return best, in
+	after := r.after(c)
+	gains := r.congestion(after) < r.congestion(r.settled)*(1-c.leastGain())
+	return gains && r.bearable(c.model, after) || r.relieves(c.model, after)
 }
 
-// tooEarly reports whether too little is known yet for a conversion, or the model has
-// just given groups away. Before there is traffic only a model without any group is
-// given one.
-func (r *round) tooEarly(c *conversion) bool {
-	if !r.Traffic {
-		return r.settled[c.model.Name] > 0
-	}
-	gave, ever := r.gave[c.model.Name]
-	return c.shifts && (r.Now.Sub(r.began) < knowLoads || ever && r.Now.Sub(gave) < convertFor)
+// relieves reports whether a model that is crowded gets instances of others with
+// places to spare, whatever the models need on average.
+func (r *round) relieves(to models.ModelProfile, after supply) bool {
+	return r.use(to, r.settled[to.Name]) >= crowded && r.usedMost(after) <= lowUse
 }
 
-// packAll tells what is formed of the free instances of each domain without
-// conversions, and what there will be with all of that.
-func (r *round) packAll(free map[models.Domain][]models.InstanceID) (packs map[models.Domain]supply, have supply) {
-	packs, have = map[models.Domain]supply{}, r.settled
-	for _, domain := range r.allDomains() {
-		packs[domain] = r.pack(free[domain], have)
-		have = have.plus(packs[domain])
-	}
-	return packs, have
+// bearable reports whether the models that give instances still use less of their
+// places afterwards than the one that takes them does now, or few of them.
+func (r *round) bearable(to models.ModelProfile, after supply) bool {
+	return r.usedMost(after) <= max(calm, r.use(to, r.settled[to.Name]))
 }
 
-// gain is by how much a conversion lowers the cost, against what is formed without it
-// and less what it costs meanwhile; 0 if it is not worth while.
-func (r *round) gain(c *conversion, have, without supply) float64 {
-	if c.shifts {
-		have = have.plus(r.mending)
-	}
-	now, during := r.cost(have.plus(without)), have.less(c.lost)
-	meanwhile := (r.cost(during) - now) * c.takes.Seconds() / convertFor.Seconds()
-	benefit := now - r.cost(during.plus(c.forms)) - meanwhile
-	if benefit < leastBenefit {
-		return 0
+// usedMost is the greatest part of its places that a model which has lost instances
+// uses.
+func (r *round) usedMost(after supply) float64 {
+	most := 0.0
+	for _, m := range r.Profile.Models {
+		if after[m.Name] < r.settled[m.Name] {
+			most = max(most, r.use(m, after[m.Name]))
+		}
 	}
-	return benefit
+	return most
+}
+
+// repairs reports whether a broken group of the model may soon be whole again
+// somewhere.
+func (r *round) repairs(model models.ModelName) bool {
+	return slices.ContainsFunc(r.allDomains(), func(d models.Domain) bool { return r.releasing(d, model) })
 }
 
-// releasing counts the members of broken groups of each model that are about to come
-// free, by domain.
-func (r *round) releasing() map[models.Domain]supply {
-	out := map[models.Domain]supply{}
+// releasing reports whether a member of a broken group of the model is about to
+// come free in the domain.
+func (r *round) releasing(domain models.Domain, model models.ModelName) bool {
 	for id, i := range r.Instances {
-		if i.Group.State == models.MemberNone || !r.usable(id) || r.taken[id] || r.released(id) {
-			continue
-		}
-		if out[i.Domain] == nil {
-			out[i.Domain] = supply{}
+		member := i.Group.State != models.MemberNone && ModelOf(i.Group.Key.Name) == model
+		if member && i.Domain == domain && r.usable(id) && !r.taken[id] && !r.released(id) {
+			return true
 		}
-		out[i.Domain][ModelOf(i.Group.Key.Name)]++
 	}
-	return out
+	return false
 }
 
-// conversionIn picks the members for a group of the model: free ones first, and then
-// those of as few groups of other models as it takes, the smallest first.
-func (r *round) conversionIn(to models.ModelProfile, free []models.InstanceID, donors []*Group, have supply) *conversion {
-	c := &conversion{model: to, until: r.Now.Add(convertWithin), lost: supply{}}
-	pool := slices.Clone(free)
-	able := r.count(pool, to.Name)
-	if able >= to.Size {
-		return nil
-	}
-	c.shifts = 2*able < to.Size
-	for _, d := range donors {
-		if able >= to.Size {
-			break
+// conversionIn picks the members for a group of the model in one domain: free
+// ones first, and then those of the groups that give the most members, the
+// smallest first.
+func (r *round) conversionIn(domain models.Domain, to models.ModelProfile, free []models.InstanceID) *conversion {
+	c := &conversion{model: to, until: r.Now.Add(convertWithin), change: supply{to.Name: to.Size}}
+	left := supply{}
+	for _, id := range free {
+		i := r.Instances[id]
+		if _, under := r.staging[id]; !under && IsWarm(i, to.Name) && len(c.members) < to.Size {
+			c.members = append(c.members, id)
+		} else if i.Loaded != "" {
+			left[i.Loaded]++
 		}
-		gives := r.count(r.usableOf(d), to.Name)
-		if d.Model == to.Name || gives == 0 {
-			continue
-		}
-		c.closes = append(c.closes, d)
-		c.lost[d.Model] += len(d.Members)
-		pool = append(pool, r.usableOf(d)...)
-		able += gives
 	}
-	if able < to.Size || len(c.closes) == 0 {
+	if len(c.members) == to.Size {
 		return nil
 	}
-	slices.SortStableFunc(pool, func(a, b models.InstanceID) int { return cmp.Compare(r.joinTime(a, to), r.joinTime(b, to)) })
-	c.members = slices.Clone(pool[:to.Size])
-	c.takes = closeTime + r.joinTime(c.members[to.Size-1], to) + r.Profile.FormTime
-	own := supply{to.Name: to.Size}
-	c.forms = own.plus(r.pack(pool[to.Size:], have.less(c.lost).plus(own)))
-	return c
-}
-
-// pack tells what a pool of instances would form, beside what there is: of the model
-// with the greatest benefit, one group after another.
-func (r *round) pack(pool []models.InstanceID, have supply) supply {
-	forms := supply{}
-	if len(pool) < r.smallest().Size {
-		return forms
-	}
-	for {
-		formed := false
-		for _, m := range r.byBenefit(have.plus(forms)) {
-			if r.count(pool, m.Name) < m.Size {
-				continue
-			}
-			pool = r.without(pool, m)
-			forms[m.Name] += m.Size
-			formed = true
+	c.free = len(c.members)
+	for _, d := range r.donors(domain, to.Name) {
+		if len(c.members) == to.Size {
 			break
 		}
-		if !formed {
-			return forms
-		}
-	}
-}
-
-// without leaves out the members of a group of the model, first those that could join
-// no other.
-func (r *round) without(pool []models.InstanceID, m models.ModelProfile) []models.InstanceID {
-	others := func(id models.InstanceID) int {
-		n := 0
-		for _, o := range r.Profile.Models {
-			if o.Name != m.Name && IsWarm(r.Instances[id], o.Name) {
-				n++
+		took := 0
+		for _, id := range d.able {
+			if len(c.members) < to.Size {
+				c.members = append(c.members, id)
+				took++
 			}
 		}
-		return n
+		c.change[d.group.Model] -= len(d.group.Members)
+		left[d.group.Model] += len(d.group.Members) - took
 	}
-	sorted := slices.Clone(pool)
-	slices.SortStableFunc(sorted, func(a, b models.InstanceID) int { return others(a) - others(b) })
-	taken := 0
-	return slices.DeleteFunc(sorted, func(id models.InstanceID) bool {
-		take := taken < m.Size && IsWarm(r.Instances[id], m.Name)
-		if take {
-			taken++
-		}
-		return take
-	})
-}
-
-// count is how many of the instances have a model's weights.
-func (r *round) count(ids []models.InstanceID, model models.ModelName) int {
-	n := 0
-	for _, id := range ids {
-		if IsWarm(r.Instances[id], model) {
-			n++
+	if len(c.members) < to.Size {
+		return nil
+	}
+	for name, n := range left {
+		// What is left over forms groups again.
+		if from, known := r.Profile.Model(name); known && name != to.Name {
+			c.change[name] += n / from.Size * from.Size
 		}
 	}
-	return n
+	return c
 }
 
-// usableOf lists the members of a group that may be used.
-func (r *round) usableOf(g *Group) []models.InstanceID {
-	var out []models.InstanceID
-	for rank := range len(g.Members) {
-		if id, there := g.Members[rank]; there && r.usable(id) && !r.Unproven[id] {
-			out = append(out, id)
-		}
-	}
-	return out
+// donor is a group that serves, with the members whose hosts have the weights of
+// another model.
+type donor struct {
+	group *Group
+	able  []models.InstanceID
 }
 
-// donors lists the groups of each domain that serve and could be closed, the smallest
-// and oldest first.
-func (r *round) donors() map[models.Domain][]*Group {
-	out := map[models.Domain][]*Group{}
+// donors lists the groups of a domain that could give members for a group of the
+// model.
+func (r *round) donors(domain models.Domain, to models.ModelName) []donor {
+	var out []donor
 	for _, g := range r.groups {
-		if g.Serving() && g.Head != "" && r.forming[g.Key] == nil && r.ending[g.Key] == nil {
-			domain := r.Instances[g.Head].Domain
-			out[domain] = append(out[domain], g)
+		stands := g.Serving() && r.forming[g.Key] == nil && r.ending[g.Key] == nil
+		if g.Model == to || g.Head == "" || r.Instances[g.Head].Domain != domain || !stands {
+			continue
+		}
+		d := donor{group: g}
+		for rank := range len(g.Members) {
+			id, there := g.Members[rank]
+			if there && r.usable(id) && !r.Unproven[id] && slices.Contains(r.Instances[id].Staged, to) {
+				d.able = append(d.able, id)
+			}
+		}
+		if len(d.able) > 0 {
+			out = append(out, d)
 		}
 	}
-	for _, groups := range out {
-		slices.SortFunc(groups, func(a, b *Group) int {
-			return cmp.Or(cmp.Compare(len(a.Members), len(b.Members)), cmp.Compare(a.Key.Epoch, b.Key.Epoch))
-		})
-	}
+	slices.SortFunc(out, func(a, b donor) int {
+		return cmp.Or(cmp.Compare(len(a.group.Members)-len(a.able), len(b.group.Members)-len(b.able)),
+			cmp.Compare(len(a.group.Members), len(b.group.Members)), cmp.Compare(a.group.Key.Epoch, b.group.Key.Epoch))
+	})
 	return out
 }
 
-// advanceConversions goes on with the conversions under way.
-func (r *round) advanceConversions() {
-	for domain, c := range r.converting {
-		r.advanceConversion(domain)
-		if r.converting[domain] == c {
-			r.settled = r.settled.plus(c.forms)
-		}
+// advanceConversion closes the groups that the members are in and forms the
+// new one once all are free.
+func (r *round) advanceConversion() {
+	c := r.converting
+	if c == nil {
+		return
 	}
-}
-
-// advanceConversion closes the groups that are to be closed and forms the new one once
-// all its members are free.
-func (r *round) advanceConversion(domain models.Domain) {
-	c := r.converting[domain]
 	free := true
 	for _, id := range c.members {
 		if !r.usable(id) || r.Now.After(c.until) {
-			delete(r.converting, domain)
+			r.converting = nil
 			return
 		}
 		if r.released(id) {
@@ -323,15 +247,14 @@
 			continue
 		}
 		free = false
-	}
-	for _, g := range c.closes {
-		if now := r.groups[g.Key]; now != nil && now.Serving() {
+		if g := r.groups[r.Instances[id].Group.Key]; g != nil {
 			r.end(g.Key, g.Head, types.GroupFinish)
 		}
 	}
 	if !free {
 		return
 	}
-	delete(r.converting, domain)
-	r.form(candidate{model: c.model, members: c.members, loading: map[models.InstanceID]bool{}, ready: c.model.Warm})
+	r.converting = nil
+	candidate := candidate{model: c.model, members: c.members, loading: map[models.InstanceID]bool{}, ready: c.model.Warm}
+	r.form(candidate)
 }
--- a/fleet/ending.go
+++ b/fleet/ending.go
@@ -15,8 +15,6 @@
 	// closed tells that the head takes no requests any more and will not
 	// open again, so that its members may be used elsewhere.
 	closed bool
-	// broken tells that it lost a member.
-	broken bool
 }
 
 // lateOrders is for how long an order without an answer may still be carried out.
@@ -65,9 +63,6 @@
 		if e.closed {
 			continue
 		}
-		if e.broken {
-			r.mending[ModelOf(key.Name)] += len(r.usableOf(r.groups[key]))
-		}
 		if !r.usableHead(e.head, key) {
 			r.leaveAll(r.groups[key])
 			continue
--- a/fleet/examine.go
+++ b/fleet/examine.go
@@ -24,8 +24,6 @@
 			r.adopt(g, profile)
 		case verdictCut:
 			r.end(key, g.Head, types.GroupCut)
-			r.ending[key].broken = true
-			r.losses = append(r.losses, r.Now)
 		case verdictFinish:
 			r.end(key, g.Head, types.GroupFinish)
 		case verdictDissolve:
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -18,7 +18,7 @@
 	ready time.Duration
 }
 
-// formAll forms groups of free instances, first of the model whose callers gain most.
+// formAll forms groups of free instances, the model that lacks most first.
 func (r *round) formAll() {
 	if !r.Traffic {
 		r.planLayout()
@@ -59,25 +59,23 @@
 	return e != nil && e.closed
 }
 
-// best picks the group to form next: that with the greatest benefit for each instance,
-// until convertFor from now.
+// best picks the group to form next: of the model that lacks most, where it
+// is ready soonest.
 func (r *round) best(free map[models.Domain][]models.InstanceID) (candidate, bool) {
-	var best candidate
-	most, found := 0.0, false
-	for _, model := range r.byBenefit(r.settled) {
-		benefit := r.benefit(model, r.settled)
+	for _, model := range r.byNeed() {
+		var best candidate
+		found := false
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := r.candidate(model, domain, free[domain])
-			if !ok || r.keepsSpares(c, domain, free[domain]) {
-				continue
-			}
-			worth := benefit * max(0, (convertFor-c.ready).Seconds())
-			if !found || worth > most || (worth == most && c.better(best)) {
-				best, most, found = c, worth, true
+			if ok && (!found || c.better(best)) {
+				best, found = c, true
 			}
 		}
+		if found {
+			return best, true
+		}
 	}
-	return best, found
+	return candidate{}, false
 }
 
 func (c candidate) better(o candidate) bool {
@@ -87,6 +85,18 @@
 	return len(c.loading) < len(o.loading)
 }
 
+// byNeed lists the models, the one that lacks the greatest part of what it
+// needs first.
+func (r *round) byNeed() []models.ModelProfile {
+	out := slices.Clone(r.Profile.Models)
+	supply := func(m models.ModelProfile) float64 {
+		// Half a group more, so that a model without any comes first.
+		return (float64(r.settled[m.Name]) + float64(m.Size)/2) / r.need(m)
+	}
+	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(supply(a), supply(b)) })
+	return out
+}
+
 // candidate is the group of the model that is ready soonest in the domain. Once
 // there is traffic it has only members with the weights at hand: an empty
 // instance loads them first, and may be of more use to another model by then.
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -60,11 +60,10 @@
 	// What is known of them may be older than the last planner's orders, so
 	// they are not used for new groups.
 	Unproven map[models.InstanceID]bool
-	// Load is what callers ask of each model.
-	Load map[models.ModelName]Load
-	// LossRate is how likely a member of a group is to be lost in a second. The planner
-	// sets it by what it sees.
-	LossRate float64
+	// Demand is the part of all instances that each model needs.
+	Demand map[models.ModelName]float64
+	// Busy counts the requests that each model's groups have.
+	Busy map[models.ModelName]float64
 	// Traffic tells that requests have come. Until then loads are cheap.
 	Traffic bool
 }
@@ -105,25 +104,13 @@
 	// warming are spares that get ready to join faster.
 	warming  map[models.InstanceID]warming
 	arrivals arrivals
-	// converting are the conversions under way, converted when the last of each
-	// fabric domain began.
-	converting map[models.Domain]*conversion
-	converted  map[models.Domain]time.Time
-	// served tells that groups of an earlier term served when this one began.
-	served bool
-	// looked is when all domains were last looked at for conversions, freeThen how many
-	// instances were free in each when it was.
-	looked   time.Time
-	freeThen map[models.Domain]int
-	// gave is when each model last gave groups for a conversion.
-	gave map[models.ModelName]time.Time
+	// converting is the conversion under way, converted when the last began.
+	converting *conversion
+	converted  time.Time
 	// began is when the term began.
 	began time.Time
-	// loads are when loads were begun of late, needed when those were that something
-	// waited for.
-	loads, needed []time.Time
-	// losses are when groups lost members of late.
-	losses []time.Time
+	// loads are when loads were begun of late.
+	loads []time.Time
 	// superseded tells that an instance has seen a newer term.
 	superseded bool
 	counts     Counts
@@ -144,8 +131,7 @@
 	return &Planner{
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, born: map[models.InstanceID]time.Time{}, unheardOpens: map[models.GroupKey]time.Time{}, held: map[models.InstanceID]time.Time{},
-		staging: map[models.InstanceID]staging{}, began: now,
-		converting: map[models.Domain]*conversion{}, converted: map[models.Domain]time.Time{}, gave: map[models.ModelName]time.Time{}, freeThen: map[models.Domain]int{},
+		staging: map[models.InstanceID]staging{}, began: now, converted: now,
 		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(),
 	}
 }
@@ -189,9 +175,7 @@
 	if w.Profile == nil || len(w.Profile.Models) == 0 {
 		return nil
 	}
-	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, mending: supply{}, settledIn: map[models.Domain]supply{}}
-	r.LossRate = r.lossRate()
-	r.noteServing()
+	r := &round{Planner: p, World: w, groups: Groups(w.Instances), taken: map[models.InstanceID]bool{}, settled: supply{}, settledIn: map[models.Domain]supply{}}
 	r.arrivals.note(w.Instances, w.Now)
 	r.noteLives()
 	r.forget()
@@ -199,12 +183,10 @@
 	r.advanceWarming()
 	r.examineGroups()
 	r.advanceStaging()
-	r.advanceConversions()
+	r.advanceConversion()
 	r.advanceEnding()
-	// Before what is left of a broken group is used for others: a member that is
-	// converted may make it whole.
-	r.convert()
 	r.formAll()
+	r.convert()
 	r.prepareSpares()
 	p.counts = Counts{Forming: len(p.forming), Ending: len(p.ending), Staging: len(p.staging), Loading: r.loading}
 	for _, ids := range r.free() {
@@ -213,17 +195,6 @@
 	return r.orders
 }
 
-// noteServing takes it that requests come if groups of an earlier term serve: where all
-// daemons started again at once none has heard of any yet.
-func (r *round) noteServing() {
-	if r.Now.Sub(r.began) < knowLoads {
-		for key, g := range r.groups {
-			r.served = r.served || (g.Serving() && TermOf(key.Epoch) != r.term)
-		}
-	}
-	r.Traffic = r.Traffic || r.served
-}
-
 // Expects is the kind of the last order that the instance began, empty if it
 // is at none.
 func (p *Planner) Expects(id models.InstanceID) types.GroupOrderKind {
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -77,34 +76,6 @@
 	qt.Assert(t, orders[0].Instance, qt.Equals, models.InstanceID("i-1"))
 }
 
-// TestLoadsAfterRestart checks that a planner which finds groups that serve takes it that
-// requests come, also if it has heard of none: all daemons may have started again at
-// once, and loads are dear then. It had all 20 hosts load another model's weights at once.
-func TestLoadsAfterRestart(t *testing.T) {
-	w := World{Now: time.Now(), Profile: testProfile(), Instances: map[models.InstanceID]models.UpstreamInstance{}}
-	for n := range 10 {
-		key := models.GroupKey{Name: nameGroup("small", int64(n+1)), Epoch: int64(n + 1)}
-		for rank, state := range []models.MemberState{models.MemberOpen, models.MemberReady} {
-			id := models.InstanceID(fmt.Sprintf("i-%d-%d", n, rank))
-			w.Instances[id] = models.UpstreamInstance{
-				ID: id, Domain: "a", Loaded: "small", Staged: []models.ModelName{"small"}, Group: models.Membership{Key: key, Rank: rank, State: state},
-			}
-		}
-	}
-	p := NewPlanner(2, w.Now)
-	staged := 0
-	for range 10 {
-		w.Now = w.Now.Add(time.Second)
-		for _, o := range p.Step(w) {
-			if o.Kind == types.GroupStage {
-				staged++
-			}
-			p.Note(o, types.OrderBegun, w.Now)
-		}
-	}
-	qt.Assert(t, staged <= w.Profile.LoadsAtOnce, qt.IsTrue, qt.Commentf("%d loads", staged))
-}
-
 // TestAdoptedGroupMayOpen checks that a group of the last planner which is given
 // up is dissolved at its head before its members are used: the last planner may
 // have told it to open. (Grown mtkvari, trouble-3: TWO 4 s before traffic, just
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -20,9 +20,6 @@
 	// settled counts the instances of each model in groups that stand or
 	// are being made.
 	settled supply
-	// mending counts those that are left of broken groups and about to come free: as a
-	// rule they are of that model again within two seconds.
-	mending supply
 	// settledIn counts the same in each fabric domain.
 	settledIn map[models.Domain]supply
 	// loading counts instances that are loading weights.
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -17,11 +17,9 @@
 type simInstance struct {
 	models.UpstreamInstance
 	dead, cut bool
-	// silentSince is since when it does not answer.
-	silentSince time.Time
-	fence       int64
-	epoch       int64
-	members     []models.InstanceID
+	fence     int64
+	epoch     int64
+	members   []models.InstanceID
 	// readyAt is when a join is done, openAt when the head opens, closedAt
 	// when it has closed, stagedAt when a staging is done.
 	readyAt, openAt, closedAt, stagedAt time.Time
@@ -69,14 +67,6 @@
 	unfenced bool
 	// cheapLoads has loads take a tenth of the time until there is traffic.
 	cheapLoads bool
-	// closing is how long a head takes to let its requests end.
-	closing time.Duration
-	// notices is how long it takes until planners know that an instance is silent.
-	notices time.Duration
-	// callers tells what callers ask now; without it loadOf does.
-	callers func() map[models.ModelName]Load
-	// due are entries that go and instances that come.
-	due []dueInstance
 	// suspected are instances that planners take for lost.
 	suspected map[models.InstanceID]bool
 }
@@ -86,7 +76,7 @@
 		now: time.Unix(0, 0), profile: profile, instances: map[models.InstanceID]*simInstance{},
 		everReady: map[models.GroupKey]map[models.InstanceID]bool{}, lists: map[models.GroupKey][]models.InstanceID{},
 		demand: map[models.ModelName]float64{}, busy: map[models.ModelName]float64{},
-		closing: time.Second, rand: rand.New(rand.NewPCG(seed, 1)), suspected: map[models.InstanceID]bool{},
+		rand: rand.New(rand.NewPCG(seed, 1)), suspected: map[models.InstanceID]bool{},
 	}
 }
 
@@ -121,46 +111,17 @@
 func (s *sim) world() World {
 	w := World{
 		Now: s.now, Profile: s.profile, Instances: map[models.InstanceID]models.UpstreamInstance{},
-		Lost: map[models.InstanceID]bool{}, Load: map[models.ModelName]Load{}, Traffic: s.traffic,
-	}
-	for _, m := range s.profile.Models {
-		w.Load[m.Name] = s.loadOf(m)
-	}
-	if s.callers != nil {
-		w.Load = s.callers()
+		Lost: map[models.InstanceID]bool{}, Demand: s.demand, Busy: s.busy, Traffic: s.traffic,
 	}
 	for id, i := range s.instances {
 		w.Instances[id] = i.UpstreamInstance
-		if i.dead || i.cut {
-			if i.silentSince.IsZero() {
-				i.silentSince = s.now
-			}
-		} else {
-			i.silentSince = time.Time{}
-		}
-		silent := !i.silentSince.IsZero() && s.now.Sub(i.silentSince) >= s.notices
-		if silent || s.suspected[id] {
+		if i.dead || i.cut || s.suspected[id] {
 			w.Lost[id] = true
 		}
 	}
 	return w
 }
 
-// loadOf is what callers ask of a model: as many requests as its groups have, if the
-// script tells how many, or else its part of a site that is well filled.
-func (s *sim) loadOf(m models.ModelProfile) Load {
-	if len(s.busy) == 0 {
-		return Load{Groups: assumedFill * s.demand[m.Name] * float64(len(s.instances)) / float64(m.Size), Shared: assumedShared}
-	}
-	groups := 0
-	for _, i := range s.instances {
-		if !i.dead && i.Group.State == models.MemberOpen && ModelOf(i.Group.Key.Name) == m.Name {
-			groups++
-		}
-	}
-	return LoadOf(s.busy[m.Name], float64(groups), s.profile.Slots, assumedShared)
-}
-
 func (s *sim) send(p *Planner, o types.GroupOrder) {
 	d := delivery{at: s.now, order: o, planner: p}
 	if s.rand.Float64() < s.latePart {
@@ -280,7 +241,7 @@
 	case models.MemberOpen:
 		i.Group.State, i.closedAt = models.MemberClosing, s.now.Add(simStep)
 		if o.Kind == types.GroupFinish {
-			i.closedAt = s.now.Add(s.closing)
+			i.closedAt = s.now.Add(time.Second)
 		}
 		return types.OrderBegun
 	case models.MemberClosing:
--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -10,20 +10,29 @@
 )
 
 const (
-	// earlyLoads is by how many more than the weight store gives at once stagings ahead
-	// of need may be under way before traffic, when loads are cheap. An estimate.
+	// earlyLoads is how many loads are begun at once before traffic when all
+	// groups are under way.
 	earlyLoads = 20
-	// aheadPart is the part of the weight store's places that stagings ahead of need
-	// take, of those that are not needed otherwise as a rule. An estimate.
-	aheadPart = 0.5
+	// aheadGroups is for how many groups of a larger model weights are staged in
+	// domains that have none.
+	aheadGroups = 2
+	// crowded is the part of its places from which on a model is short of
+	// instances: at three quarters an engine's pauses begin to grow. lowUse is the
+	// part up to which another may do without new ones.
+	crowded = 0.8
+	lowUse  = 0.62
+	// filling is the part of its places from which on a smaller model's weights are
+	// staged on hosts of larger groups, which are harder to replace.
+	filling = 0.6
+	// keptLoads is how many of the weight store's places are left to repairs
+	// by stagings ahead of need.
+	keptLoads = 2
 )
 
 // staging is a model that an instance is loading onto its host.
 type staging struct {
 	model models.ModelName
 	until time.Time
-	// ahead tells that nothing waits for it.
-	ahead bool
 }
 
 // advanceStaging counts the stagings that are under way and forgets those
@@ -73,174 +82,231 @@
 		return cmp.Or(cmp.Compare(b.gain, a.gain), cmp.Compare(a.id, b.id))
 	})
 	for _, w := range wants {
-		// One that could join a group already waits for the others.
-		ahead := r.hasAny(w.id)
-		switch {
-		case ahead && !r.mayStageAhead():
-		case !r.mayLoad(1):
+		if !r.mayLoad(1) {
 			return false
-		default:
-			r.stage(w.id, w.model, ahead)
 		}
+		r.stage(w.id, w.model)
 	}
 	return true
 }
 
-// hasAny reports whether the instance has any model's weights.
-func (r *round) hasAny(id models.InstanceID) bool {
-	i := r.Instances[id]
-	return i.Loaded != "" || len(i.Staged) > 0
-}
-
-// wants picks a model for each of a domain's free instances that have no weights, and
-// then another one for those that have only those that they ran last.
+// wants picks a model for each of a domain's free instances that have no weights.
 func (r *round) wants(domain models.Domain, ids []models.InstanceID) []want {
 	ready := supply{}
-	var may []models.InstanceID
+	var cold []models.InstanceID
 	for _, id := range ids {
 		s, under := r.staging[id]
-		if !under && len(r.otherStaged(id)) == 0 {
-			may = append(may, id)
+		i := r.Instances[id]
+		if !under && i.Loaded == "" && len(i.Staged) == 0 {
+			cold = append(cold, id)
 		}
 		for _, m := range r.Profile.Models {
-			if IsWarm(r.Instances[id], m.Name) || (under && s.model == m.Name) {
+			if IsWarm(i, m.Name) || (under && s.model == m.Name) {
 				ready[m.Name]++
 			}
 		}
 	}
-	slices.SortStableFunc(may, func(a, b models.InstanceID) int { return cmp.Compare(r.Instances[a].Loaded, r.Instances[b].Loaded) })
 	var out []want
-	for at, id := range may {
+	owner := r.owner(domain)
+	for at, id := range cold {
 		var best want
 		for _, m := range r.Profile.Models {
-			if IsWarm(r.Instances[id], m.Name) {
+			if owner != "" && m.Name != owner {
 				continue
 			}
-			gain := r.loadGain(m, domain, ready[m.Name], len(may)-at) * r.benefit(m, r.settled) / m.Load.Seconds()
+			gain := r.loadGain(m, domain, ready[m.Name], len(cold)-at) * r.weight(m, r.settled) / m.Load.Seconds()
 			if best.id == "" || gain > best.gain {
 				best = want{id, m, gain}
 			}
 		}
-		if best.gain > 0 {
-			ready[best.model.Name]++
-			out = append(out, best)
-		}
+		ready[best.model.Name]++
+		out = append(out, best)
 	}
 	return out
 }
 
-// otherStaged lists the models on an instance's host besides the one that it ran last.
-func (r *round) otherStaged(id models.InstanceID) []models.ModelName {
-	i := r.Instances[id]
-	return slices.DeleteFunc(slices.Clone(i.Staged), func(name models.ModelName) bool { return name == i.Loaded })
+// ownPart is the part of a domain's instances with weights from which on the
+// domain counts as one model's.
+const ownPart = 0.75
+
+// owner is the model that the domain's instances run, if it is nearly all of them
+// that do: what is left of its broken groups makes new ones only together. Empty
+// instances get its weights too, unless it has places to spare and another model
+// is crowded.
+func (r *round) owner(domain models.Domain) models.ModelName {
+	if groups := r.layout[domain]; !r.Traffic && len(groups) == 1 {
+		for name := range groups {
+			return name
+		}
+	}
+	count, all := supply{}, 0
+	for id, i := range r.Instances {
+		if i.Domain != domain || !r.usable(id) {
+			continue
+		}
+		runs := i.Loaded
+		if runs == "" && len(i.Staged) > 0 {
+			runs = i.Staged[0]
+		}
+		if runs != "" {
+			count[runs]++
+			all++
+		}
+	}
+	for _, m := range r.Profile.Models {
+		if all > 0 && float64(count[m.Name]) >= ownPart*float64(all) && !r.givesWay(m) {
+			return m.Name
+		}
+	}
+	return ""
 }
 
+// givesWay reports whether the model has places to spare while another one is
+// crowded.
+func (r *round) givesWay(m models.ModelProfile) bool {
+	if !r.Traffic || r.use(m, r.settled[m.Name]) > lowUse {
+		return false
+	}
+	return slices.ContainsFunc(r.Profile.Models, func(o models.ModelProfile) bool {
+		return o.Name != m.Name && r.use(o, r.settled[o.Name]) >= crowded
+	})
+}
+
+// spareRisk is how many members each group loses, for each of them, in the time
+// that a spare waits. An estimate: 16 of 48 instances in half a minute.
+const spareRisk = 0.15
+
 // loadGain is how many instances come to use by the model's weights on one of so
-// many instances of a domain, where some have them already: in the next group, if
-// there are enough for that, or as the first spare of a group.
-func (r *round) loadGain(m models.ModelProfile, domain models.Domain, ready, may int) float64 {
+// many empty instances of a domain, where some have them already: in the next
+// group, if there are enough for that, or in place of a member that is lost.
+func (r *round) loadGain(m models.ModelProfile, domain models.Domain, ready, empty int) float64 {
 	size := float64(m.Size)
 	missing := m.Size - ready%m.Size
 	gain := 0.0
-	if missing <= may {
+	if missing <= empty {
 		gain = size / float64(missing)
 	}
-	if ready < r.settledIn[domain][m.Name]/m.Size {
-		gain = max(gain, size*size*r.spareRisk())
-	}
-	return gain
+	losses := spareRisk * float64(r.settledIn[domain][m.Name])
+	return max(gain, size*losses/float64(1+ready))
 }
 
 // stage has an instance load a model onto its host.
-func (r *round) stage(id models.InstanceID, model models.ModelProfile, ahead bool) {
+func (r *round) stage(id models.InstanceID, model models.ModelProfile) {
 	if !r.due(id, types.GroupStage, models.GroupKey{}) {
 		return
 	}
 	r.loading++
 	r.loads = append(r.loads, r.Now)
-	if !ahead {
-		r.needed = append(r.needed, r.Now)
-	}
-	r.staging[id] = staging{model: model.Name, until: r.givenUp(model.Load), ahead: ahead}
+	r.staging[id] = staging{model: model.Name, until: r.givenUp(model.Load)}
 	r.order(types.GroupOrder{Kind: types.GroupStage, Instance: id, Model: model.Name})
 }
 
-// stageAhead stages the weights of another model on every host besides the one that
-// its instance runs, so that each instance can join a group of either within two
-// seconds: a model that gets crowded, or loses a domain, can be given groups of others
-// at once. The model whose callers gain most comes first, on the hosts of those who
-// lose least by it, whole groups one after another. It is done only while the weight
-// store has nothing better to do.
+// stageAhead stages weights on the hosts of instances that run another model, so
+// that they can be converted within seconds. It is done only while the weight store
+// has nothing better to do.
 func (r *round) stageAhead() {
-	if !r.mayStageAhead() {
-		return
+	bySize := r.bySize()
+	for _, to := range bySize {
+		if to.Size > bySize[len(bySize)-1].Size {
+			r.stageLarger(to)
+		}
 	}
-	models := r.byBenefit(r.settled)
-	for at := range models {
-		from := models[len(models)-1-at]
-		to := models[0]
-		if from.Name == to.Name && len(models) > 1 {
-			to = models[1]
+	for _, to := range bySize {
+		if r.use(to, r.settled[to.Name]) >= filling {
+			r.stageSmaller(to)
 		}
-		for _, id := range r.running(from) {
-			if !r.takesAhead(id, from, to) {
-				continue
-			}
-			if !r.mayStageAhead() {
-				return
-			}
-			r.stage(id, to, true)
+	}
+}
+
+// stageLarger stages a model's weights on the hosts of smaller groups: in the
+// domains of its own groups on all of them, and then in others on enough for some
+// groups.
+func (r *round) stageLarger(to models.ModelProfile) {
+	elsewhere := aheadGroups*to.Size - r.stagedElsewhere(to)
+	for _, id := range r.runOther(to, func(from models.ModelProfile) bool { return from.Size < to.Size }) {
+		near := r.settledIn[r.Instances[id].Domain][to.Name] > 0
+		if !near && elsewhere <= 0 || !r.mayStageAhead() {
+			return
+		}
+		if !near {
+			elsewhere--
 		}
+		r.stage(id, to)
 	}
 }
 
-// mayStageAhead reports whether the weight store has a place for a load that
-// nothing waits for.
-func (r *round) mayStageAhead() bool {
-	if !r.Traffic {
-		return r.loading < r.Profile.LoadsAtOnce+earlyLoads
+// stageSmaller stages the weights of a model that fills up on the hosts of larger
+// groups, a whole group at least.
+func (r *round) stageSmaller(to models.ModelProfile) {
+	want := max(aheadGroups*to.Size, r.bySize()[0].Size) - r.stagedAhead(to)
+	for _, id := range r.runOther(to, func(from models.ModelProfile) bool { return from.Size > to.Size }) {
+		if want <= 0 || !r.mayStageAhead() {
+			return
+		}
+		want--
+		r.stage(id, to)
 	}
-	ahead := 0
-	for _, s := range r.staging {
-		if s.ahead {
-			ahead++
+}
+
+// stagedElsewhere counts the instances in domains without groups of the model
+// whose hosts have its weights, or are getting them.
+func (r *round) stagedElsewhere(to models.ModelProfile) int {
+	return r.stagedWhere(to, func(i models.UpstreamInstance) bool { return r.settledIn[i.Domain][to.Name] == 0 })
+}
+
+// stagedAhead counts those that run another model.
+func (r *round) stagedAhead(to models.ModelProfile) int {
+	return r.stagedWhere(to, func(i models.UpstreamInstance) bool { return i.Loaded != to.Name })
+}
+
+func (r *round) stagedWhere(to models.ModelProfile, counts func(models.UpstreamInstance) bool) int {
+	n := 0
+	for id, i := range r.Instances {
+		s, under := r.staging[id]
+		staged := slices.Contains(i.Staged, to.Name) || (under && s.model == to.Name)
+		if staged && r.usable(id) && counts(i) {
+			n++
 		}
 	}
-	return ahead < r.aheadPlaces() && r.mayLoad(1)
+	return n
 }
 
-// aheadPlaces is how many of the weight store's places stagings ahead of need may take:
-// what instances without weights leave, which come one after another, and each of which
-// is of no use until it has been loaded.
-func (r *round) aheadPlaces() int {
-	r.needed = slices.DeleteFunc(r.needed, func(at time.Time) bool { return r.Now.Sub(at) > lossWindow })
-	longest := 0.0
-	for _, m := range r.Profile.Models {
-		longest = max(longest, m.Load.Seconds())
+// mayStageAhead reports whether the weight store has a place for a load that
+// nothing waits for.
+func (r *round) mayStageAhead() bool {
+	if !r.Traffic {
+		return r.loading < r.Profile.LoadsAtOnce+earlyLoads
 	}
-	busy := float64(len(r.needed)) / lossWindow.Seconds() * longest
-	return int(aheadPart * (float64(r.Profile.LoadsAtOnce) - busy))
+	return r.loading < r.Profile.LoadsAtOnce-keptLoads && r.mayLoad(1)
 }
 
-// running lists the instances in groups of the model that serve, and those in none
-// that ran it last.
-func (r *round) running(from models.ModelProfile) []models.InstanceID {
+// runOther lists the instances in groups of such models whose hosts could get the
+// model's weights, first those in domains with groups of the model, and then whole
+// groups of the domains that have its weights already.
+func (r *round) runOther(to models.ModelProfile, such func(from models.ModelProfile) bool) []models.InstanceID {
 	var groups []*Group
+	staged := map[models.Domain]int{}
+	for id, i := range r.Instances {
+		if s, under := r.staging[id]; slices.Contains(i.Staged, to.Name) || (under && s.model == to.Name) {
+			staged[i.Domain]++
+		}
+	}
 	for _, g := range r.groups {
-		if g.Model == from.Name && g.Serving() {
+		if from, known := r.Profile.Model(g.Model); known && such(from) && g.Serving() {
 			groups = append(groups, g)
 		}
 	}
 	slices.SortFunc(groups, func(a, b *Group) int {
-		return cmp.Or(cmp.Compare(r.Instances[a.Head].Domain, r.Instances[b.Head].Domain), cmp.Compare(a.Key.Epoch, b.Key.Epoch))
+		da, db := r.Instances[a.Head].Domain, r.Instances[b.Head].Domain
+		return cmp.Or(cmp.Compare(min(1, r.settledIn[db][to.Name]), min(1, r.settledIn[da][to.Name])),
+			cmp.Compare(staged[db], staged[da]), cmp.Compare(da, db), cmp.Compare(a.Key.Epoch, b.Key.Epoch))
 	})
 	var out []models.InstanceID
 	for _, g := range groups {
-		out = append(out, r.usableOf(g)...)
-	}
-	for _, ids := range r.free() {
-		for _, id := range ids {
-			if r.Instances[id].Loaded == from.Name {
+		from, _ := r.Profile.Model(g.Model)
+		for rank := range from.Size {
+			id, there := g.Members[rank]
+			if there && r.usable(id) && r.takesAhead(id, from, to) {
 				out = append(out, id)
 			}
 		}
@@ -249,10 +315,16 @@
 }
 
 // takesAhead reports whether an instance's host may get the weights of another
-// model than it runs: it has none but those.
+// model than it runs: it has them not yet, nor those of one with larger groups.
 func (r *round) takesAhead(id models.InstanceID, runs, to models.ModelProfile) bool {
-	if _, under := r.staging[id]; under || to.Name == runs.Name {
+	if _, under := r.staging[id]; under {
 		return false
 	}
-	return !slices.ContainsFunc(r.Instances[id].Staged, func(name models.ModelName) bool { return name != runs.Name })
+	for _, name := range r.Instances[id].Staged {
+		m, known := r.Profile.Model(name)
+		if name == to.Name || (known && m.Size > runs.Size) {
+			return false
+		}
+	}
+	return true
 }
--- a/fleet/supply.go
+++ b/fleet/supply.go
@@ -1,28 +1,58 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
-// bySize lists the models, those with the largest groups first.
-func (w World) bySize() []models.ModelProfile {
-	out := slices.Clone(w.Profile.Models)
-	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return b.Size - a.Size })
-	return out
+// minDemand stands for the part of instances that a model needs of which
+// nothing is known.
+const minDemand = 0.02
+
+// supply counts, by model, the instances that serve or soon will.
+type supply map[models.ModelName]int
+
+// need is the part of all instances that the model needs.
+func (w World) need(m models.ModelProfile) float64 { return max(minDemand, w.Demand[m.Name]) }
+
+// weight tells how much a model gains by one more instance: how much less its
+// requests wait, times how many they are.
+func (w World) weight(m models.ModelProfile, s supply) float64 {
+	lack := w.need(m) / instances(m, s)
+	return lack * lack
 }
 
-// smallest is the model with the smallest groups.
-func (w World) smallest() models.ModelProfile {
-	return slices.MinFunc(w.Profile.Models, func(a, b models.ModelProfile) int { return a.Size - b.Size })
+// congestion tells how badly all models together are supplied. The requests of a
+// model wait the longer the more of them there are for each of its instances, so
+// that a model counts with its need by its need over its supply.
+func (w World) congestion(s supply) float64 {
+	sum := 0.0
+	for _, m := range w.Profile.Models {
+		sum += w.need(m) * w.need(m) / instances(m, s)
+	}
+	return sum
 }
 
-// byBenefit lists the models, that first whose callers gain most by an instance.
-func (w World) byBenefit(s supply) []models.ModelProfile {
+// noGroup is the part of a group that stands for none: a model without any serves
+// nobody, which is far worse than any crowd.
+const noGroup = 0.1
+
+// instances is what a model is supplied with.
+func instances(m models.ModelProfile, s supply) float64 {
+	return max(float64(s[m.Name]), noGroup*float64(m.Size))
+}
+
+// use is the part of its places that the model uses if so many instances are in
+// its groups.
+func (w World) use(m models.ModelProfile, instances int) float64 {
+	return w.Busy[m.Name] / max(1, float64(instances/m.Size*w.Profile.Slots))
+}
+
+// bySize lists the models, those with the largest groups first.
+func (w World) bySize() []models.ModelProfile {
 	out := slices.Clone(w.Profile.Models)
-	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(w.benefit(b, s), w.benefit(a, s)) })
+	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return b.Size - a.Size })
 	return out
 }
 
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -30,10 +30,9 @@
 	// stamps number the changes of each instance's load.
 	stamps map[models.InstanceID]uint64
 	last   uint64
-	// work is what callers ask of each model.
-	work map[models.ModelName]*workRate
-	// asked is when the callers of each route last asked for a model.
-	asked map[models.ModelName]map[string]time.Time
+	work   map[models.ModelName]*average
+	// arrivals are how many requests of each model come in a second.
+	arrivals map[models.ModelName]*average
 	// moved is when something last came from a group's head.
 	moved map[models.InstanceID]time.Time
 	// failed is what instances failed of late.
@@ -42,25 +41,25 @@
 	changed chan struct{}
 }
 
-// workRate is what callers ask in a second, which it forgets exponentially.
-type workRate struct {
-	rate cluster.Work
+// average is a rate that forgets exponentially.
+type average struct {
+	rate float64
 	at   time.Time
 }
 
 // decayed is the rate now. It may be asked of nil.
-func (a *workRate) decayed(now time.Time) cluster.Work {
+func (a *average) decayed(now time.Time) float64 {
 	if a == nil {
-		return cluster.Work{}
+		return 0
 	}
-	return a.rate.Times(math.Exp(-now.Sub(a.at).Seconds() / workSpan.Seconds()))
+	return a.rate * math.Exp(-now.Sub(a.at).Seconds()/workSpan.Seconds())
 }
 
 func newBalance() *balance {
 	return &balance{
 		policy: placement.DefaultPolicy(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		loads: map[models.InstanceID]cluster.Load{}, stamps: map[models.InstanceID]uint64{},
-		work: map[models.ModelName]*workRate{}, asked: map[models.ModelName]map[string]time.Time{}, moved: map[models.InstanceID]time.Time{}, failed: map[models.InstanceID]failures{},
+		work: map[models.ModelName]*average{}, arrivals: map[models.ModelName]*average{}, moved: map[models.InstanceID]time.Time{}, failed: map[models.InstanceID]failures{},
 		pauses: map[models.ModelName]*pauses{}, changed: make(chan struct{}, 1),
 	}
 }
@@ -88,49 +87,35 @@
 // Changed yields after loads have changed.
 func (b *balance) Changed() <-chan struct{} { return b.changed }
 
-// Work tells what callers ask of each model.
-func (b *balance) Work() map[models.ModelName]cluster.Work {
+// Work tells the load of each model, in seconds of a replica group for each
+// second.
+func (b *balance) Work() map[models.ModelName]float64 {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[models.ModelName]cluster.Work, len(b.work))
+	out := make(map[models.ModelName]float64, len(b.work))
 	for model, a := range b.work {
 		out[model] = a.decayed(now)
 	}
 	return out
 }
 
-// kindsSpan is how long a kind of request counts that was not asked for again.
-const kindsSpan = 30 * time.Second
-
-// Kinds is how many routes' callers asked for each model of late.
-func (b *balance) Kinds() map[models.ModelName]int {
+func (b *balance) addWork(model models.ModelName, seconds float64) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[models.ModelName]int, len(b.asked))
-	for model, routes := range b.asked {
-		maps.DeleteFunc(routes, func(_ string, at time.Time) bool { return now.Sub(at) > kindsSpan })
-		out[model] = len(routes)
-	}
-	return out
+	addTo(b.work, model, seconds, now)
+	addTo(b.arrivals, model, 1, now)
 }
 
-// addWork counts a request's work.
-func (b *balance) addWork(model models.ModelName, route string, work cluster.Work) {
-	now := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.asked[model] == nil {
-		b.asked[model] = map[string]time.Time{}
-	}
-	b.asked[model][route] = now
-	a := b.work[model]
+// addTo adds an amount to the average rate of a model.
+func addTo(averages map[models.ModelName]*average, model models.ModelName, amount float64, now time.Time) {
+	a := averages[model]
 	if a == nil {
-		a = &workRate{}
-		b.work[model] = a
+		a = &average{at: now}
+		averages[model] = a
 	}
-	a.rate, a.at = a.decayed(now).Plus(work.Times(1/workSpan.Seconds())), now
+	a.rate, a.at = a.decayed(now)+amount/workSpan.Seconds(), now
 }
 
 // add changes what the daemon has at an instance, and has the others told.
