gateway: have the scripts of an instance that starts again fail without the change

Cause, found on a second reading: stream_restarted passed with the look at the head's birth taken out, as a hedge gave the same answer later; that failures count for one life had no test.

TestFailuresAreOfOneLife. Nothing but tests changed.

--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -158,3 +158,15 @@
 	group, _ = picks()
 	c.Assert(group, qt.Equals, models.InstanceID("b"))
 }
+
+// TestFailuresAreOfOneLife checks that what an instance failed before it started again
+// is not held against it.
+func TestFailuresAreOfOneLife(t *testing.T) {
+	c := qt.New(t)
+	b := newBalance()
+	before := models.UpstreamInstance{ID: "i-1", Born: time.Unix(1, 0)}
+	after := models.UpstreamInstance{ID: "i-1", Born: time.Unix(2, 0)}
+	b.fail(before)
+	c.Assert(b.failing(before) > 0.9, qt.IsTrue)
+	c.Assert(b.failing(after), qt.Equals, 0.0)
+}
