worker/platform, e2e: know the end of a log at once, and wait for daemons that are ready

A daemon that goes on from a checkpoint shows groups before it has read the log to its end, and the script asked as soon as it showed them. Ruled out: a key that was forgotten (the answers say not run, and keys hold once the daemons are ready). Found on the way: a follower that starts, or is moved, at the end of its stream waited up to a second in its first read before the daemon knew that it had read everything; such a read now comes back at once, and a seek that waits is taken for sure rather than by chance.

--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -61,6 +61,7 @@
 //	storm SEED REQUESTS LINK ...
 //	                        random faults on the links until the load has
 //	                        sent so many requests; the seed fixes the faults
+//	ready NAME ...          wait until the daemons take requests
 //	elapse DURATION         let time pass, to see that nothing happens
 var scriptCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"site":      cmdSite,
@@ -75,6 +76,7 @@
 	"sigterm":   process(func(b *bench, name string) error { return b.signal(name, syscall.SIGTERM) }),
 	"restart":   process(func(b *bench, name string) error { return b.restart(name) }),
 	"gone":      process(awaitGone),
+	"ready":     process(awaitReady),
 	"fault":     cmdFault,
 	"control":   cmdControl,
 	"leaving":   cmdLeaving,
@@ -126,6 +128,26 @@
 	}
 }
 
+// awaitReady waits until a daemon takes requests: one that has just started
+// shows groups before it can show that its configuration is current.
+func awaitReady(b *bench, name string) error {
+	d, err := b.daemon(name)
+	if err != nil {
+		return err
+	}
+	return within(awaitFor, func() error {
+		resp, err := http.Get(fmt.Sprintf("http://%s/readyz", d.callers))
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusNoContent {
+			return fmt.Errorf("%s is not ready: status %d", name, resp.StatusCode)
+		}
+		return nil
+	})
+}
+
 // cmdSite reads -daemons N, -domain NAME:ZONE:ENGINES, -service NAME,
 // -ignore-fences, -serve FLAG and -engine FLAG.
 func cmdSite(ts *testscript.TestScript, _ bool, args []string) {
--- a/worker/platform/follower.go
+++ b/worker/platform/follower.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	// readWait is how long a read at the end of the stream waits for more.
 	readWait = time.Second
 	// retryRead is the pause after a failed read.
 	retryRead = 200 * time.Millisecond
@@ -24,18 +25,22 @@
 	// Seek moves Next while the follower runs.
 	Seek <-chan models.Offset
 	Out  chan<- types.Message
+
+	// atEnd tells that the last read came to the end of the stream.
+	atEnd bool
 }
 
 // Run follows the stream until the context ends. When the offset that it
 // wants has expired it says so and waits to be told where to go on.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		f.waitSeek(ctx, 0)
+		f.takeSeek()
 		began := time.Now()
-		answer, err := f.Client.Read(ctx, f.Stream, f.Next, readWait)
+		answer, err := f.Client.Read(ctx, f.Stream, f.Next, f.wait())
 		if ctx.Err() != nil {
 			break
 		}
+		f.atEnd = false
 		switch {
 		case errors.Is(err, ErrExpired):
 			types.Send(ctx, f.Out, types.LogExpired{First: answer.First})
@@ -45,23 +50,51 @@
 			pause(ctx, retryRead)
 		default:
 			f.Next += models.Offset(len(answer.Entries))
+			f.atEnd = f.Next >= answer.Next
 			types.Send(ctx, f.Out, types.LogRead{Began: began, Entries: answer.Entries, Next: answer.Next})
 		}
 	}
 	return ctx.Err()
 }
 
-// waitSeek moves to the offset that it is told within the given time.
+// wait is how long the next read may take. Until the end was reached a read
+// comes back at once: a daemon that starts again, or goes on from a checkpoint
+// at the end of the stream, serves nothing until it knows that it has read
+// everything, 1 s sooner by this.
+func (f *Follower) wait() time.Duration {
+	if f.atEnd {
+		return readWait
+	}
+	return 0
+}
+
+// takeSeek moves to the offset that the follower was told, if it was.
+func (f *Follower) takeSeek() {
+	select {
+	case next := <-f.Seek:
+		f.moveTo(next)
+	default:
+	}
+}
+
+// waitSeek moves to the offset that the follower is told within the given
+// time.
 func (f *Follower) waitSeek(ctx context.Context, wait time.Duration) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
-	case f.Next = <-f.Seek:
+	case next := <-f.Seek:
+		f.moveTo(next)
 	case <-t.C:
 	case <-ctx.Done():
 	}
 }
 
+func (f *Follower) moveTo(next models.Offset) {
+	f.Next = next
+	f.atEnd = false
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/worker/platform/follower_test.go
@@ -0,0 +1,60 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/lib/dial"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/standin"
+	"github.com/lupinkeel/lupinkeel/worker/platform"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// TestFollowerKnowsTheEndAtOnce checks that a follower which starts, or is
+// moved, at the end of its stream says so without waiting for a record that
+// may not come: until then its daemon serves nothing. Later reads do wait.
+func TestFollowerKnowsTheEndAtOnce(t *testing.T) {
+	c := qt.New(t)
+	const atOnce, waits = "0s", "1s"
+	reads := make(chan string, 16)
+	stood := standin.NewPlatform().Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			reads <- r.URL.Query().Get("wait")
+		}
+		stood.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	client := platform.NewClient(addr, addr, dial.Dialer{})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	for range 2 {
+		_, err := client.Append(ctx, platform.StreamState, []byte("a record"))
+		c.Assert(err, qt.IsNil)
+	}
+	seek, out := make(chan models.Offset, 1), make(chan types.Message, 16)
+	f := &platform.Follower{Client: client, Stream: platform.StreamState, Next: 3, Seek: seek, Out: out}
+	ended := task.Start(ctx, "follow", f.Run)
+	defer func() {
+		cancel()
+		c.Check(<-ended.Done, qt.ErrorIs, context.Canceled)
+	}()
+
+	c.Assert(<-reads, qt.Equals, atOnce)
+	c.Assert((<-out).(types.LogRead).Next, qt.Equals, models.Offset(3))
+	c.Assert(<-reads, qt.Equals, waits)
+
+	seek <- 2
+	_, err := client.Append(ctx, platform.StreamState, []byte("ends the read that waits"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-reads, qt.Equals, atOnce)
+	c.Assert(<-reads, qt.Equals, waits)
+}
