cluster, lib/frame: compress what is told of instances and loads

Ruled out: processor time of the relay (0.22 of 0.8 cores), the host's load, the planner by lateness, births. Change: frames for several links are compressed (DEFLATE level 2: 640 KB in 3 ms to 86 KB; level 1 is slower and larger, level 6 takes three times as long for a tenth). A daemon tells in its roster entry and first heartbeat that it reads them; older programs get them as before. What unpacks to more than a frame may hold is refused.

--- a/cluster/arrange.go
+++ b/cluster/arrange.go
@@ -56,7 +56,7 @@
 	if id == o.n.cfg.ID || entry.Incarnation < o.peers.entries[id].incarnation {
 		return nil
 	}
-	o.peers.entries[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation}
+	o.peers.entries[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation, unpacks: entry.Unpacks}
 	o.peers.roster.Enter(membership.Daemon{ID: id, Zone: entry.Zone, Power: entry.Power})
 	o.peers.stale = true
 	return nil
@@ -90,7 +90,7 @@
 		if !known {
 			continue
 		}
-		targets[id] = target{addr: e.addr, zone: e.zone, incarnation: e.incarnation, link: link}
+		targets[id] = target{peerAddr: e, link: link}
 	}
 	o.n.links.arrange(o.ctx, a, targets)
 }
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -112,7 +112,7 @@
 		case <-end.woken:
 			err = t.tellLoads()
 		case f := <-end.frames:
-			err = t.sendFrame(f)
+			err = t.sendFrame(f.forEnd(end))
 		}
 	}
 	return err
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -27,10 +26,8 @@
 
 // target is the run of a daemon that is to be told of this one.
 type target struct {
-	addr        netip.AddrPort
-	zone        models.Zone
-	incarnation int64
-	link        membership.Link
+	peerAddr
+	link membership.Link
 }
 
 // linkEnd is the other end of a link.
@@ -39,10 +36,12 @@
 	cancel context.CancelFunc
 	// attrs is what the link's goroutine reads of the target's link.
 	attrs atomic.Pointer[membership.Link]
+	// unpacks tells the link's goroutine that the target reads compressed frames.
+	unpacks atomic.Bool
 	// frames, woken, beat and back outlast a change of address. woken has a place
 	// for the word that loads are to be told at once, beat for the word that a
 	// heartbeat is, back for the word that the daemon was heard of anew.
-	frames chan frame.Frame
+	frames chan sharedFrame
 	woken  chan struct{}
 	beat   chan struct{}
 	back   chan struct{}
@@ -55,7 +54,7 @@
 // whether it did. What is left out comes otherwise: a daemon tells its own loads
 // and stalled heads with its heartbeats, one that missed news of instances reads
 // the store, and loads of several daemons are told whole again.
-func (e *linkEnd) offer(f frame.Frame) bool {
+func (e *linkEnd) offer(f sharedFrame) bool {
 	select {
 	case e.frames <- f:
 		return true
@@ -119,12 +118,13 @@
 	end := l.known[id]
 	if end == nil {
 		end = &linkEnd{
-			frames: make(chan frame.Frame, newsLen), woken: make(chan struct{}, 1), beat: make(chan struct{}, 1), back: make(chan struct{}, 1),
+			frames: make(chan sharedFrame, newsLen), woken: make(chan struct{}, 1), beat: make(chan struct{}, 1), back: make(chan struct{}, 1),
 		}
 		l.known[id] = end
 	}
 	before := end.target
 	end.target = t
+	end.unpacks.Store(t.unpacks)
 	if before.link != t.link || end.attrs.Load() == nil {
 		link := t.link
 		end.attrs.Store(&link)
@@ -187,13 +187,32 @@
 	}
 }
 
-// encode makes a frame for several links.
-func (l *links) encode(kind frame.Kind, value any) (frame.Frame, bool) {
+// sharedFrame is a frame for several links, of which those take the compressed
+// form whose other end reads it.
+type sharedFrame struct {
+	plain, packed frame.Frame
+}
+
+// forEnd is the form that the other end of a link reads.
+func (f sharedFrame) forEnd(e *linkEnd) frame.Frame {
+	if e.unpacks.Load() {
+		return f.packed
+	}
+	return f.plain
+}
+
+// encode makes a frame for several links. All that is told of instances and loads
+// is compressed: news of 3,000 instances, which 97 daemons ask a relay for at once
+// when they start, take 86 KB rather than 640. Uncompressed they filled 200 Mbit/s
+// for 2.5 s, so that the daemons took their relay for dead, asked the next one, and
+// came back with the same question.
+func (l *links) encode(kind frame.Kind, value any) (sharedFrame, bool) {
 	f, err := frame.Encode(kind, value)
 	if err != nil {
 		l.n.log.Error().Err(err).Msg("news-not-encoded")
+		return sharedFrame{}, false
 	}
-	return f, err == nil
+	return sharedFrame{plain: f, packed: f.Packed()}, true
 }
 
 // wake has the daemons that are told of this one's loads told at once.
@@ -236,7 +255,7 @@
 }
 
 // tell hands a frame to the link to one daemon, and reports whether it did.
-func (l *links) tell(to models.DaemonID, f frame.Frame) bool {
+func (l *links) tell(to models.DaemonID, f sharedFrame) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	end := l.known[to]
--- a/cluster/links_test.go
+++ b/cluster/links_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
+	"math/rand"
 	"net"
 	"net/netip"
 	"testing"
@@ -66,3 +69,65 @@
 	hear(1, old)
 	c.Assert(o.n.links.known["d2"].addr.String(), qt.Equals, moved.Addr().String(), qt.Commentf("an earlier run tells late"))
 }
+
+// TestStartOfManyDaemons replays how 97 daemons of a zone start and ask their relay
+// for what it knows of 3,000 instances. The answers must fit well within the time
+// after which a relay that is not heard counts as silent, on 200 Mbit/s. They take
+// 0.33 s; uncompressed they took 2.5 s, the daemons asked the next relay, and so on
+// without an end. An older program, which reads no compressed frames, gets none.
+func TestStartOfManyDaemons(t *testing.T) {
+	c := qt.New(t)
+	const (
+		members      = 97
+		bytesASecond = 200e6 / 8
+		bound        = 500 * time.Millisecond
+	)
+	o := newTestOwner(t)
+	t.Cleanup(func() { c.Check(o.n.links.wait(), qt.IsNil) })
+	news := News{From: "d1", Term: 1, Feed: 7, Whole: true, Instances: manyNews(3000)}
+	f, ok := o.n.links.encode(frameNews, news)
+	c.Assert(ok, qt.IsTrue)
+	for id, test := range map[models.DaemonID]struct {
+		unpacks bool
+		most    time.Duration
+	}{
+		"older": {unpacks: false, most: 3 * time.Second},
+		"d2":    {unpacks: true, most: bound},
+	} {
+		l := listen(t)
+		c.Assert(o.enter(id, rosterEntry{Addr: l.Addr().String(), Incarnation: 1, Unpacks: test.unpacks}), qt.IsNil)
+		o.arrange(time.Now())
+		sent := f.forEnd(o.n.links.known[id])
+		took := time.Duration(float64(members*len(sent.Bytes)) / bytesASecond * float64(time.Second))
+		c.Assert(took < test.most, qt.IsTrue, qt.Commentf("%s: %v", id, took))
+
+		kind, body, err := frame.Read(bytes.NewReader(sent.Bytes))
+		c.Assert(err, qt.IsNil)
+		c.Assert(kind, qt.Equals, frameNews)
+		var got News
+		c.Assert(frame.Decode(body, &got), qt.IsNil)
+		c.Assert(got.Instances, qt.HasLen, len(news.Instances))
+		c.Assert(got.Instances[2999].Instance.ID, qt.Equals, news.Instances[2999].Instance.ID)
+	}
+}
+
+// manyNews are news of instances in groups of four.
+func manyNews(n int) []InstanceNews {
+	r := rand.New(rand.NewSource(int64(n)))
+	news := make([]InstanceNews, 0, n)
+	for i := range n {
+		group := i / 4
+		news = append(news, InstanceNews{Age: time.Duration(r.Int63n(1e9)), Instance: models.UpstreamInstance{
+			ID: models.InstanceID(fmt.Sprintf("i-%010x", r.Int63n(1<<40))), Service: "engines", Slots: 30,
+			Zone:   models.Zone(fmt.Sprintf("zone-%d", i%3)),
+			Addr:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(r.Intn(256)), byte(r.Intn(256))}), uint16(8000+r.Intn(500))),
+			Domain: models.Domain(fmt.Sprintf("fabric-%d", i/37)), Loaded: "small-model", Staged: []models.ModelName{"small-model", "large-model"},
+			Heartbeat: r.Int63n(30),
+			Group: models.Membership{
+				Key:  models.GroupKey{Name: models.GroupID(fmt.Sprintf("small-model.m%03x", group)), Epoch: int64(group)},
+				Rank: i % 4, State: models.MemberReady,
+			},
+		}})
+	}
+	return news
+}
--- a/cluster/missed.go
+++ b/cluster/missed.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -114,5 +113,5 @@
 type wholeNews struct {
 	term, feed int64
 	at         time.Time
-	frame      frame.Frame
+	frame      sharedFrame
 }
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -41,6 +41,8 @@
 	addr        netip.AddrPort
 	zone        models.Zone
 	incarnation int64
+	// unpacks tells that it reads compressed frames.
+	unpacks bool
 }
 
 // seenPeer is the last heartbeat of another daemon and when it came.
@@ -71,7 +73,7 @@
 		o.n.log.Info().Str("peer", string(b.From)).Int64("incarnation", b.Incarnation).Msg("peer-seen")
 	}
 	if !known || before.beat.Addr != b.Addr || before.beat.Incarnation != b.Incarnation {
-		err := o.enter(b.From, rosterEntry{Zone: b.Zone, Addr: b.Addr, Incarnation: b.Incarnation, Power: b.Power})
+		err := o.enter(b.From, rosterEntry{Zone: b.Zone, Addr: b.Addr, Incarnation: b.Incarnation, Power: b.Power, Unpacks: b.Unpacks})
 		if err != nil {
 			o.n.log.Error().Err(err).Str("peer", string(b.From)).Msg("heartbeat-unreadable")
 		}
@@ -120,7 +122,7 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
-		Power: n.cfg.Power, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
+		Power: n.cfg.Power, Unpacks: true, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
 		Relies: l.Relies, RelaysFirst: l.RelaysFirst, Size: v.Daemons,
 		Missed: l.RelaysFirst && n.missedNews.Load(),
 	}
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -43,7 +43,9 @@
 
 // enroll writes the node's entry until the store has taken it.
 func (n *Node) enroll(ctx context.Context) error {
-	value, err := pack.Marshal(rosterEntry{Zone: n.cfg.Zone, Addr: n.cfg.Peer.String(), Incarnation: n.started, Power: n.cfg.Power})
+	value, err := pack.Marshal(rosterEntry{
+		Zone: n.cfg.Zone, Addr: n.cfg.Peer.String(), Incarnation: n.started, Power: n.cfg.Power, Unpacks: true,
+	})
 	if err != nil {
 		return err
 	}
--- a/cluster/totals.go
+++ b/cluster/totals.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -93,10 +92,10 @@
 
 // once encodes news when they are first asked for. There are none where nothing
 // has changed.
-func (t *totals) once(news News) func() (frame.Frame, bool) {
-	return sync.OnceValues(func() (frame.Frame, bool) {
+func (t *totals) once(news News) func() (sharedFrame, bool) {
+	return sync.OnceValues(func() (sharedFrame, bool) {
 		if len(news.Loads) == 0 && !news.All {
-			return frame.Frame{}, false
+			return sharedFrame{}, false
 		}
 		return t.n.links.encode(frameLoads, news)
 	})
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -32,6 +32,8 @@
 	Zone models.Zone `msgpack:"z,omitempty"`
 	// Power is the part of a core that the daemon may use.
 	Power float64 `msgpack:"p,omitempty"`
+	// Unpacks tells that the daemon reads compressed frames.
+	Unpacks bool `msgpack:"up,omitempty"`
 	// ConfigVersion is the version in force, ConfigAge how long ago it was
 	// known to be the newest.
 	ConfigVersion int64         `msgpack:"cv,omitempty"`
@@ -65,14 +67,15 @@
 
 // short leaves out what the first heartbeat on a connection told for good.
 func (b Heartbeat) short() Heartbeat {
-	b.From, b.Incarnation, b.Addr, b.Zone, b.Power = "", 0, "", "", 0
+	b.From, b.Incarnation, b.Addr, b.Zone, b.Power, b.Unpacks = "", 0, "", "", 0, false
 	return b
 }
 
 // completed is the heartbeat with what the first one on its connection told.
 func (b Heartbeat) completed(first Heartbeat) Heartbeat {
 	if b.From == "" {
-		b.From, b.Incarnation, b.Addr, b.Zone, b.Power = first.From, first.Incarnation, first.Addr, first.Zone, first.Power
+		b.From, b.Incarnation, b.Addr, b.Zone = first.From, first.Incarnation, first.Addr, first.Zone
+		b.Power, b.Unpacks = first.Power, first.Unpacks
 	}
 	return b
 }
@@ -97,6 +100,8 @@
 	Incarnation int64       `msgpack:"i"`
 	// Power is the part of a core that the daemon may use.
 	Power float64 `msgpack:"p"`
+	// Unpacks tells that the daemon reads compressed frames.
+	Unpacks bool `msgpack:"up,omitempty"`
 }
 
 // loadsOf tells whose loads a message holds.
--- a/lib/frame/frame.go
+++ b/lib/frame/frame.go
@@ -1,5 +1,6 @@
 // Package frame carries msgpack values over a byte stream: each frame is a
-// four-byte big-endian length, one kind byte and the encoded value.
+// four-byte big-endian length, one kind byte and the encoded value. The kind's
+// highest bit tells that the value is compressed.
 package frame
 
 import (
@@ -72,7 +73,12 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrFormat, io.ErrUnexpectedEOF)
 	}
-	return Kind(head[4]), body, nil
+	kind := Kind(head[4])
+	if kind&packed == 0 {
+		return kind, body, nil
+	}
+	body, err := unpack(body)
+	return kind &^ packed, body, err
 }
 
 // Decode reads the encoded value of a frame into out.
--- /dev/null
+++ b/lib/frame/packed.go
@@ -0,0 +1,72 @@
+package frame
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"sync"
+)
+
+const (
+	// packed marks the kind of a frame whose body is compressed (DEFLATE).
+	packed Kind = 0x80
+	// packFrom is the shortest body that is compressed, in bytes. Shorter ones
+	// come out about as long.
+	packFrom = 512
+	// packLevel is the fastest level but one: 640 KB in 3 ms to 86 KB, where the
+	// fastest takes 4 ms to 89 KB and level 6 takes 10 ms to 77 KB.
+	packLevel = 2
+)
+
+var (
+	deflaters = sync.Pool{New: func() any {
+		// The level is one that the package knows.
+		w, _ := flate.NewWriter(io.Discard, packLevel)
+		return w
+	}}
+	inflaters = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+)
+
+// Packed is the frame compressed, for those who read that, or the frame itself
+// if that is no longer.
+func (f Frame) Packed() Frame {
+	body := f.Bytes[headLen:]
+	if len(body) < packFrom {
+		return f
+	}
+	var buf bytes.Buffer
+	buf.Write(make([]byte, headLen))
+	w := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(w)
+	w.Reset(&buf)
+	// A buffer takes everything.
+	_, _ = w.Write(body)
+	_ = w.Close()
+	if buf.Len() >= len(f.Bytes) {
+		return f
+	}
+	out := buf.Bytes()
+	binary.BigEndian.PutUint32(out, uint32(len(out)-headLen))
+	out[4] = byte(f.Kind | packed)
+	return Frame{Kind: f.Kind, Bytes: out}
+}
+
+// unpack is the body of a compressed frame as it was.
+func unpack(body []byte) ([]byte, error) {
+	r := inflaters.Get().(io.ReadCloser)
+	defer inflaters.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(body), nil); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
+	}
+	var out bytes.Buffer
+	n, err := out.ReadFrom(io.LimitReader(r, MaxLen+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
+	case n > MaxLen:
+		return nil, fmt.Errorf("%w: more than %d bytes when unpacked", ErrTooLong, MaxLen)
+	}
+	return out.Bytes(), nil
+}
