gateway, placement: have requests wait for a daemon that has just started

Change: how long a request waits is a pure decision (placement/waiting.go): while nothing is known and the daemon started less than 1.2 s ago it waits until then, a third of its caller's time at most; otherwise 0.22 of its aim as before.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -11,13 +12,8 @@
 	"github.com/lupinkeel/lupinkeel/placement"
 )
 
-const (
-	// queueStep is how often a waiting request looks for a place.
-	queueStep = 20 * time.Millisecond
-	// queuePart is the part of its aim that a request waits for a place, so
-	// that a refusal comes early enough to be made good elsewhere.
-	queuePart = 0.22
-)
+// queueStep is how often a waiting request looks for a place.
+const queueStep = 20 * time.Millisecond
 
 // look returns the best group that was not tried, if there is one, and
 // whether it has a place.
@@ -36,29 +32,47 @@
 // pick waits for a group with a place. A stream that has begun takes any, and
 // waits as long as its caller puts up with a pause.
 func (s *stream) pick() (cluster.Group, error) {
-	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
+	since := s.began
 	if s.answering {
-		until = s.moved.Add(s.route.Pause)
+		since = s.moved
 	}
 	for {
 		group, found, free := s.look()
 		if free || (found && s.answering) {
 			return group, nil
 		}
-		if time.Now().After(until) {
+		unknown := len(s.g.node.View().Groups[s.head.Model]) == 0
+		if time.Since(since) > s.patienceFor(s.answering, unknown) {
 			if found {
 				return group, errFull
 			}
 			return group, errNoUpstream
 		}
-		select {
-		case <-s.ctx.Done():
-			return group, errors.Join(errNoUpstream, s.ctx.Err())
-		case <-time.After(queueStep):
+		if err := queue(s.ctx); err != nil {
+			return group, errors.Join(errNoUpstream, err)
 		}
 	}
 }
 
+// patienceFor is how long the request waits for a place, or until it is known where it
+// could go.
+func (e *exchange) patienceFor(begun, unknown bool) time.Duration {
+	return e.g.balance.policy.Patience(placement.Wait{
+		Aim: e.route.Aim, Left: e.until.Sub(e.began), Pause: e.route.Pause,
+		Begun: begun, Unknown: unknown, Running: e.began.Sub(e.g.started),
+	})
+}
+
+// queue waits until it is time to look for a place again.
+func queue(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(queueStep):
+		return nil
+	}
+}
+
 // wanted is what a request asks of the group that is picked for it.
 type wanted struct {
 	head models.RequestHead
