--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"hash/fnv"
 	"io"
@@ -21,7 +20,7 @@
 
 // admit finds the route and the workspace and reads the body.
 func (e *exchange) admit() error {
-	v := e.awaitConfig()
+	v := e.g.node.View()
 	if v.Routing == nil {
 		return errNoConfig
 	}
@@ -49,17 +48,6 @@
 	return e.readBody(v.Routing.Limits.BodyBytes)
 }
 
-// awaitConfig waits for the first configuration of a daemon that has just started.
-func (e *exchange) awaitConfig() *cluster.View {
-	e.until = e.began.Add(cmp.Or(e.head.Deadline, noDeadline))
-	for {
-		v := e.g.node.View()
-		if v.Routing != nil || time.Since(e.began) > e.patienceFor(false, true) || queue(e.r.Context()) != nil {
-			return v
-		}
-	}
-}
-
 // authorize finds the workspace that the key belongs to. A key that is not
 // known is refused as such only by a configuration that is fresh.
 func (e *exchange) authorize(v *cluster.View) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,8 +63,6 @@
 	node    Beliefs
 	balance *balance
 	budget  *budget
-	// started is when the daemon began to serve.
-	started time.Time
 	// settled is when what it sees of groups may be relied on.
 	settled  time.Time
 	conns    *h1.Pool
@@ -137,8 +135,7 @@
 		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 	}
 	g.balance.zone = cfg.Zone
-	g.started = time.Now()
-	g.settled = g.started.Add(cfg.Settle)
+	g.settled = time.Now().Add(cfg.Settle)
 	g.conns = h1.NewPool(dialTimeout, g.opened)
 	return g
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -12,8 +11,13 @@
 	"github.com/lupinkeel/lupinkeel/placement"
 )
 
-// queueStep is how often a waiting request looks for a place.
-const queueStep = 20 * time.Millisecond
+const (
+	// queueStep is how often a waiting request looks for a place.
+	queueStep = 20 * time.Millisecond
+	// queuePart is the part of its aim that a request waits for a place, so
+	// that a refusal comes early enough to be made good elsewhere.
+	queuePart = 0.22
+)
 
 // look returns the best group that was not tried, if there is one, and
 // whether it has a place.
@@ -32,47 +36,29 @@
 // pick waits for a group with a place. A stream that has begun takes any, and
 // waits as long as its caller puts up with a pause.
 func (s *stream) pick() (cluster.Group, error) {
-	since := s.began
+	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
 	if s.answering {
-		since = s.moved
+		until = s.moved.Add(s.route.Pause)
 	}
 	for {
 		group, found, free := s.look()
 		if free || (found && s.answering) {
 			return group, nil
 		}
-		unknown := len(s.g.node.View().Groups[s.head.Model]) == 0
-		if time.Since(since) > s.patienceFor(s.answering, unknown) {
+		if time.Now().After(until) {
 			if found {
 				return group, errFull
 			}
 			return group, errNoUpstream
 		}
-		if err := queue(s.ctx); err != nil {
-			return group, errors.Join(errNoUpstream, err)
+		select {
+		case <-s.ctx.Done():
+			return group, errors.Join(errNoUpstream, s.ctx.Err())
+		case <-time.After(queueStep):
 		}
 	}
 }
 
-// patienceFor is how long the request waits for a place, or until it is known where it
-// could go.
-func (e *exchange) patienceFor(begun, unknown bool) time.Duration {
-	return e.g.balance.policy.Patience(placement.Wait{
-		Aim: e.route.Aim, Left: e.until.Sub(e.began), Pause: e.route.Pause,
-		Begun: begun, Unknown: unknown, Running: e.began.Sub(e.g.started),
-	})
-}
-
-// queue waits until it is time to look for a place again.
-func queue(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(queueStep):
-		return nil
-	}
-}
-
 // wanted is what a request asks of the group that is picked for it.
 type wanted struct {
 	head models.RequestHead
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -36,11 +36,7 @@
 	var err error
 	for {
 		i, found := e.g.balance.pickInstance(e.g.node, e.service, e.tried)
-		unknown := len(e.g.node.View().Services[e.service]) == 0
-		switch {
-		case !found && unknown && time.Since(e.began) < e.patienceFor(false, unknown) && queue(ctx) == nil:
-			continue
-		case !found:
+		if !found {
 			return errors.Join(err, errNoUpstream)
 		}
 		last := len(e.tried)+1 >= e.route.Attempts
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,13 +35,6 @@
 	Spread float64
 	// OverSlots is how many requests beyond its slots a group is sent.
 	OverSlots int
-	// QueuePart is the part of its aim that a request waits for a place.
-	QueuePart float64
-	// StartTime is how long a daemon may take from its start until it knows where
-	// requests can go, LeftPart the part of its caller's time that a request waits for
-	// that at most.
-	StartTime time.Duration
-	LeftPart  float64
 }
 
 // DefaultPolicy returns the limits in use.
@@ -71,13 +64,6 @@
 		// The engine queues some itself; what waits there gets the first free place. An
 		// estimate.
 		OverSlots: 2,
-		// So that a refusal comes early enough to be made good elsewhere.
-		QueuePart: 0.22,
-		// Daemons knew their configuration 0.05 to 0.3 s after their start, and served
-		// 0.3 to 1.1 s after it, where 71 started at the same moment.
-		StartTime: 1200 * time.Millisecond,
-		// The caller can come back once more with what is left.
-		LeftPart: 1.0 / 3,
 	}
 }
 
