cluster, platform: tell how old what a daemon knows of entries is

Cause: of the three hypotheses of the incident, logs and metrics could not tell which daemon knew what, when: news of a leaving instance and a relay's answer logged nothing, and lupinkeel_planner_news_age_seconds showed 0.016 on daemons that knew nothing of a record written 1.4 s before. Change: readings of the store carry places of records (with the era that Store-Era tells); the planner's news and a relay's answer tell which records they hold and how long ago the store held no others. Each daemon keeps as of when it knows all entries: lupinkeel_entries_age_seconds, and entries-age in news-missed, told-by-relay and told-all (new lines); instance-leaving is logged where news tell of it. No decision changes, but that a reading from a place of an earlier era is made anew from the start.

--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -39,8 +39,8 @@
 	// What is missed from here on needs another reading; one that fails is repeated.
 	f.begin = func() { n.missedNews.Store(false) }
 	f.wait = func() time.Duration { return 0 }
-	f.whole = func(records []platform.KeyedRecord, asked time.Time) message { return instancesRead{records, asked} }
-	f.added = func(records []platform.KeyedRecord, asked time.Time) message { return instancesChanged{records, asked} }
+	f.whole = func(r reading) message { return instancesRead{r} }
+	f.added = func(r reading) message { return instancesChanged{r} }
 	return f.run(ctx)
 }
 
@@ -98,9 +98,9 @@
 
 // handleInstances takes in entries read from the store: all of them if whole,
 // else those that were written since the last reading.
-func (o *owner) handleInstances(records []platform.KeyedRecord, asked time.Time, whole bool) {
+func (o *owner) handleInstances(read reading, whole bool) {
 	listed := map[models.InstanceID]bool{}
-	for _, r := range records {
+	for _, r := range read.records {
 		id := models.InstanceID(r.Key)
 		if len(r.Value) == 0 {
 			delete(o.fleet.unreadable, id)
@@ -117,7 +117,7 @@
 		}
 		delete(o.fleet.unreadable, id)
 		listed[id] = true
-		o.noteEntry(i, asked)
+		o.noteEntry(i, read.asked)
 	}
 	if whole {
 		for id := range o.fleet.instances {
@@ -127,13 +127,14 @@
 		}
 		maps.DeleteFunc(o.fleet.unreadable, func(id models.InstanceID, _ uint64) bool { return !listed[id] })
 	}
-	o.fleet.read = asked
+	o.fleet.read = read.asked
+	o.reachEntries(read.end, read.asked)
 	// Even without news the others learn that this one still reads.
-	o.spread(o.fleet.changedEntries(records, asked)...)
+	o.spread(o.fleet.changedEntries(read.records, read.asked)...)
 	if o.fleet.planner != nil && len(o.fleet.news) == 0 {
 		o.sendFeed()
 	}
-	o.fleetStale = o.fleetStale || len(records) > 0
+	o.fleetStale = o.fleetStale || len(read.records) > 0
 }
 
 // noteUnreadable tells of an entry that can't be read, once for each change of it.
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -12,6 +12,9 @@
 	instances map[models.InstanceID]*knownInstance
 	// read is when entries that were read were asked for.
 	read time.Time
+	// entries is how far they are known, toldTo how far the others were told of them.
+	entries entriesKnown
+	toldTo  models.Position
 	// services are those of the configuration, nil until there is one.
 	services map[models.ServiceName]models.UpstreamService
 	// restarted are the members of groups that started again since: such a group
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
@@ -37,21 +38,29 @@
 }
 
 // newest reads a topic whole.
-func (n *Node) newest(ctx context.Context, topic string) ([]platform.KeyedRecord, int64, error) {
+func (n *Node) newest(ctx context.Context, topic string) ([]platform.KeyedRecord, models.Position, error) {
 	n.stats.storeCalls(topic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, answerSlack)
 	defer cancel()
 	return n.store.Newest(ctx, topic)
 }
 
-// since reads what came since an offset.
-func (n *Node) since(ctx context.Context, topic string, from int64, wait time.Duration) ([]platform.KeyedRecord, int64, error) {
+// since reads what came since an earlier reading.
+func (n *Node) since(ctx context.Context, topic string, from models.Position, wait time.Duration) ([]platform.KeyedRecord, models.Position, error) {
 	n.stats.storeCalls(topic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	return n.store.Read(ctx, topic, from, wait)
 }
 
+// reading is what the store answered. All records before its end are known by it and
+// those before, and the store held no others when it was asked.
+type reading struct {
+	records []platform.KeyedRecord
+	end     models.Position
+	asked   time.Time
+}
+
 // follower keeps reading one topic: whole at first and whenever the records
 // in between are gone, then what is new.
 type follower struct {
@@ -67,12 +76,15 @@
 	every func() time.Duration
 	// due, if set, tells whether to read at all now.
 	due   func() bool
-	whole func(records []platform.KeyedRecord, asked time.Time) message
-	added func(records []platform.KeyedRecord, asked time.Time) message
+	whole func(reading) message
+	added func(reading) message
+
+	// from is where the next reading goes on, unless it is to be of everything.
+	from  models.Position
+	began bool
 }
 
 func (f *follower) run(ctx context.Context) error {
-	from := int64(-1)
 	failed := retryPause
 	for {
 		if f.due != nil && !f.due() {
@@ -81,13 +93,13 @@
 			}
 			continue
 		}
-		next, err := f.readOnce(ctx, from)
+		err := f.readOnce(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, platform.ErrExpired):
-			f.n.log.Info().Str("topic", f.topic).Int64("from", from).Msg("records-expired")
-			from = -1
+			f.n.log.Info().Str("topic", f.topic).Int64("era", f.from.Era).Int64("from", f.from.Offset).Err(err).Msg("records-expired")
+			f.began = false
 			continue
 		case err != nil:
 			f.n.stats.storeErrors.Inc()
@@ -98,7 +110,7 @@
 			failed = min(f.n.longestPause(), 2*failed)
 			continue
 		}
-		from, failed = next, retryPause
+		failed = retryPause
 		for waited := time.Duration(0); waited < f.every(); waited += pauseStep {
 			if err := pause(ctx, pauseStep); err != nil {
 				return err
@@ -115,18 +127,20 @@
 	return mostPause
 }
 
-func (f *follower) readOnce(ctx context.Context, from int64) (int64, error) {
+// readOnce reads everything, or what is new, and tells the owner.
+func (f *follower) readOnce(ctx context.Context) error {
 	asked := time.Now()
 	if f.begin != nil {
 		f.begin()
 	}
-	if from < 0 {
+	if !f.began {
 		records, next, err := f.n.newest(ctx, f.topic)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		f.n.tell(ctx, f.whole(records, asked))
-		return next, nil
+		f.from, f.began = next, true
+		f.n.tell(ctx, f.whole(reading{records: records, end: next, asked: asked}))
+		return nil
 	}
 	limited := ctx
 	if f.guard != nil {
@@ -135,17 +149,18 @@
 		limited = guarded
 	}
 	wait := f.wait()
-	records, next, err := f.n.since(limited, f.topic, from, wait)
+	records, next, err := f.n.since(limited, f.topic, f.from, wait)
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(limited), errProofLate) {
-		return from, nil
+		return nil
 	}
 	if err != nil {
-		return 0, err
+		return err
 	}
 	if len(records) == 0 && wait > waitSlack {
 		// The store held the call and looked once more at the end of the wait.
 		asked = asked.Add(wait - waitSlack)
 	}
-	f.n.tell(ctx, f.added(records, asked))
-	return next, nil
+	f.from = next
+	f.n.tell(ctx, f.added(reading{records: records, end: next, asked: asked}))
+	return nil
 }
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -19,15 +19,9 @@
 		asked time.Time
 	}
 	// instancesRead: all entries of instances were read.
-	instancesRead struct {
-		records []platform.KeyedRecord
-		asked   time.Time
-	}
+	instancesRead struct{ reading }
 	// instancesChanged: these entries were written since the last reading.
-	instancesChanged struct {
-		records []platform.KeyedRecord
-		asked   time.Time
-	}
+	instancesChanged struct{ reading }
 	// rosterRead: these entries of daemons are the newest.
 	rosterRead struct{ records []platform.KeyedRecord }
 	// storeAway: a reading of the store failed.
@@ -61,9 +55,11 @@
 		term      int64
 		feed      int64
 		instances []InstanceNews
-		whole     bool
-		ended     bool
-		at        time.Time
+		// entries is nil if an older program told.
+		entries *EntriesTold
+		whole   bool
+		ended   bool
+		at      time.Time
 	}
 	// orderEnded: an order was answered, or was not.
 	orderEnded struct {
--- a/cluster/missed.go
+++ b/cluster/missed.go
@@ -13,6 +13,8 @@
 // relay that this daemon relies on.
 func (o *owner) noteMissed(now time.Time) {
 	o.n.stats.missed.Inc()
+	o.n.log.Info().Int64("term", o.peers.feedTerm).Int64("feed", o.peers.feed).Str("relay", string(o.peers.arranged.First)).
+		Dur("entries-age", o.n.entriesAge()).Msg("news-missed")
 	o.n.fedByPlanner.Store(0)
 	o.n.missedNews.Store(true)
 	if o.n.relies() {
@@ -45,6 +47,11 @@
 		}
 	}
 	o.noteAll(m, now)
+	if m.entries != nil {
+		o.reachEntries(m.entries.End, m.at.Add(-m.entries.Age))
+	}
+	o.n.log.Info().Int64("term", m.term).Int64("feed", m.feed).Int("instances", len(m.instances)).
+		Dur("entries-age", o.n.entriesAge()).Msg("told-by-relay")
 	switch {
 	case m.term != p.feedTerm:
 		p.term, p.feedTerm, p.feed, p.planned = m.term, m.term, m.feed, now
@@ -54,7 +61,6 @@
 	p.feed = max(p.feed, m.feed)
 	o.n.missedNews.Store(false)
 	o.n.fedByPlanner.Store(now.UnixNano())
-	o.n.log.Debug().Int64("term", m.term).Int64("feed", m.feed).Int("instances", len(m.instances)).Msg("told-by-relay")
 }
 
 // answerMissed tells those who rely on this daemon and missed news what it knows.
@@ -79,7 +85,9 @@
 	}
 	w := &o.peers.whole
 	if w.term != term || w.feed != feed || now.Sub(w.at) > wholeFresh {
-		news := News{From: o.n.cfg.ID, Term: term, Feed: feed, Whole: true}
+		news := News{
+			From: o.n.cfg.ID, Term: term, Feed: feed, Whole: true, Entries: o.fleet.entries.told(models.Position{}, now),
+		}
 		for _, k := range o.fleet.instances {
 			if !k.unlisted {
 				news.Instances = append(news.Instances, k.news(k.knownAt()))
@@ -91,7 +99,10 @@
 		}
 		*w = wholeNews{term: term, feed: feed, at: now, frame: f}
 	}
-	return o.n.links.tell(to, w.frame)
+	told := o.n.links.tell(to, w.frame)
+	o.n.log.Info().Str("peer", string(to)).Int64("term", term).Int64("feed", feed).Dur("entries-age", o.n.entriesAge()).
+		Bool("sent", told).Msg("told-all")
+	return told
 }
 
 // knownAt is when what is known of the instance was so.
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -40,10 +40,14 @@
 // sendFeed sends the news that there are. Without any it tells the others that
 // this daemon still reads entries, so that they need not.
 func (o *owner) sendFeed() {
-	o.fleet.feed++
-	o.fleet.fedOthers = time.Now()
-	o.n.links.send(News{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Feed: o.fleet.feed, Instances: o.fleet.news})
-	o.fleet.news = nil
+	f, now := &o.fleet, time.Now()
+	f.feed++
+	f.fedOthers = now
+	o.n.links.send(News{
+		From: o.n.cfg.ID, Term: f.heldTerm, Feed: f.feed, Instances: f.news,
+		Entries: f.entries.told(f.toldTo, now),
+	})
+	f.news, f.toldTo = nil, f.entries.end
 }
 
 // handleNews takes in what the daemon that plans tells.
@@ -68,6 +72,9 @@
 	now := time.Now()
 	p.planned = now
 	o.noteAll(m, now)
+	if m.entries != nil && m.entries.joinsOn(o.fleet.entries) {
+		o.reachEntries(m.entries.End, m.at.Add(-m.entries.Age))
+	}
 	if missed {
 		p.missedTo = m.feed - 1
 		o.noteMissed(now)
@@ -104,6 +111,9 @@
 	case !o.noteLife(k, news.Instance.Born, at) || at.Before(k.told):
 	default:
 		draining := k.Draining || news.Instance.Draining
+		if draining && !k.Draining {
+			o.n.log.Info().Str("instance", string(id)).Dur("age", now.Sub(at)).Msg("instance-leaving")
+		}
 		k.takeIn(news.Instance)
 		k.Draining, k.told = draining, at
 		k.lost = time.Time{}
--- a/cluster/news_test.go
+++ b/cluster/news_test.go
@@ -141,7 +141,7 @@
 	t.Cleanup(func() { c.Check(relay.n.links.wait(), qt.IsNil) })
 	crowd(relay, 2, 7)
 	c.Assert(relay.tellWhole("peer-0", now), qt.IsFalse, qt.Commentf("it knows of no planner and has read nothing"))
-	relay.handleInstances(nil, now, true)
+	relay.handleInstances(reading{asked: now}, true)
 	c.Assert(relay.tellWhole("peer-0", now), qt.IsTrue)
 }
 
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -108,6 +108,9 @@
 	// asked for them.
 	missedNews atomic.Bool
 	askedRelay atomic.Int64
+	// entriesAt is as of when all entries of instances are known, in Unix nanoseconds;
+	// zero while they are not.
+	entriesAt atomic.Int64
 	// partKnown is closed once the roster was read: this node knows its part among
 	// the daemons.
 	partKnown chan struct{}
@@ -137,6 +140,7 @@
 		}
 		return since(max(n.started, n.fedByPlanner.Load()))
 	})
+	n.stats.set.NewGauge("lupinkeel_entries_age_seconds", func() float64 { return n.entriesAge().Seconds() })
 	n.stats.set.NewGauge("lupinkeel_load_sums_age_seconds", func() float64 {
 		if n.View().mesh() {
 			return 0
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -75,10 +75,10 @@
 		o.handleConfig(m.data, m.asked, "store")
 	case instancesRead:
 		o.back(platform.InstancesTopic)
-		o.handleInstances(m.records, m.asked, true)
+		o.handleInstances(m.reading, true)
 	case instancesChanged:
 		o.back(platform.InstancesTopic)
-		o.handleInstances(m.records, m.asked, false)
+		o.handleInstances(m.reading, false)
 	case rosterRead:
 		o.back(rosterTopic)
 		o.handleRoster(m.records)
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -108,7 +108,10 @@
 		s.n.links.passOn(from.From, from.Zone, news)
 	}
 	if news.Term > 0 {
-		s.n.tell(ctx, newsSeen{term: news.Term, feed: news.Feed, instances: news.Instances, whole: news.Whole, ended: news.Ended, at: time.Now()})
+		s.n.tell(ctx, newsSeen{
+			term: news.Term, feed: news.Feed, instances: news.Instances, entries: news.Entries,
+			whole: news.Whole, ended: news.Ended, at: time.Now(),
+		})
 	}
 	for _, head := range news.Stalled {
 		s.n.tell(ctx, stalled{group: head.Group, head: head.Head, from: news.From})
--- a/cluster/proof.go
+++ b/cluster/proof.go
@@ -48,11 +48,11 @@
 	if err := n.awaitPart(ctx); err != nil {
 		return err
 	}
-	read := func(records []platform.KeyedRecord, asked time.Time) message {
-		m := configRead{asked: asked}
-		for _, r := range records {
-			if r.Key == platform.ConfigKey {
-				m.data = r.Value
+	read := func(r reading) message {
+		m := configRead{asked: r.asked}
+		for _, record := range r.records {
+			if record.Key == platform.ConfigKey {
+				m.data = record.Value
 			}
 		}
 		return m
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/pack"
-	"github.com/lupinkeel/lupinkeel/platform"
 )
 
 // rosterTopic is the store's topic in which each daemon enters itself.
@@ -27,9 +26,7 @@
 	if err := n.enroll(ctx); err != nil {
 		return err
 	}
-	read := func(records []platform.KeyedRecord, _ time.Time) message {
-		return rosterRead{records}
-	}
+	read := func(r reading) message { return rosterRead{r.records} }
 	f := follower{n: n, topic: rosterTopic, wait: func() time.Duration { return 0 }, whole: read, added: read}
 	f.every = func() time.Duration {
 		if n.relies() {
--- a/cluster/unlisted_test.go
+++ b/cluster/unlisted_test.go
@@ -28,7 +28,7 @@
 		o.noteEntry(member("second", 1, models.MemberReady), now)
 	}
 	gone := func(id string) {
-		o.handleInstances([]platform.KeyedRecord{{Key: id}}, now, false)
+		o.handleInstances(reading{records: []platform.KeyedRecord{{Key: id}}, asked: now}, false)
 	}
 	serving := func() int {
 		return len(o.fleet.serving(now)["m"])
@@ -75,7 +75,7 @@
 	key, late := models.GroupKey{Name: "m.1", Epoch: 1}, models.GroupKey{Name: "m.2", Epoch: 2}
 	o.noteEntry(models.UpstreamInstance{ID: "head", Group: models.Membership{Key: key, State: models.MemberOpen}}, now)
 	o.noteEntry(models.UpstreamInstance{ID: "second", Group: models.Membership{Key: key, Rank: 1, State: models.MemberReady}}, now)
-	o.handleInstances([]platform.KeyedRecord{{Key: "second"}}, now, false)
+	o.handleInstances(reading{records: []platform.KeyedRecord{{Key: "second"}}, asked: now}, false)
 	o.handleReport(reportEnded{asked: now, instance: models.UpstreamInstance{
 		ID: "second", Group: models.Membership{Key: late, State: models.MemberOpen},
 	}})
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -149,6 +149,9 @@
 	Term      int64          `msgpack:"t,omitempty"`
 	Feed      int64          `msgpack:"f,omitempty"`
 	Instances []InstanceNews `msgpack:"n,omitempty"`
+	// Entries tells which of the store's records of instances are told by now. An older
+	// program leaves it out.
+	Entries *EntriesTold `msgpack:"en,omitempty"`
 	// Whole tells that there are no instances but these. A relay tells so what it
 	// knows, as of the planner's news with this number.
 	Whole bool `msgpack:"wh,omitempty"`
@@ -156,6 +159,15 @@
 	Ended bool `msgpack:"e,omitempty"`
 }
 
+// EntriesTold tells that all changes by the store's records of instances between two
+// places are told.
+type EntriesTold struct {
+	Since models.Position `msgpack:"s"`
+	End   models.Position `msgpack:"e"`
+	// Age is how long ago the store held no records behind End.
+	Age time.Duration `msgpack:"a,omitempty"`
+}
+
 // InstanceNews is what the daemon that plans has learned of an instance.
 type InstanceNews struct {
 	Instance models.UpstreamInstance `msgpack:"i"`
