cluster, platform, standin: outlast a store that comes back from a copy

Cause: read from the code, and shown by tests with the stand-in of the store, which learned to come back: a place read on from named other records; a configuration older than the one in force proved nothing, so that good keys were refused once the bound was over; a daemon that started took the copy's configuration, with keys that had been taken away; instances that the copy lacks were dropped, and those it still lists used again; terms were given a second time; daemons were missing in the roster.

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -15,6 +15,8 @@
 	routing *models.Routing
 	data    []byte
 	proven  time.Time
+	// held is one that waits for the word of other daemons.
+	held *heldConfig
 }
 
 // behindFor is how long another daemon may have a newer configuration before
@@ -42,6 +44,10 @@
 		old = o.config.routing.Version
 	}
 	if routing.Version <= old {
+		if from == "store" && asked.After(o.config.proven) {
+			// The store came back from a copy: it held nothing newer than what is in force.
+			o.config.proven, o.viewStale = asked, true
+		}
 		o.n.log.Info().Int64("version", routing.Version).Int64("in-force", old).Str("from", from).Msg("config-older")
 		return
 	}
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -105,6 +105,7 @@
 // handleInstances takes in entries read from the store: all of them if whole,
 // else those that were written since the last reading.
 func (o *owner) handleInstances(read reading, whole bool) {
+	o.beginEra(read.end.Era, time.Now())
 	if read.end.Era < o.fleet.entries.end.Era {
 		// The store has forgotten since what it answered then.
 		return
@@ -114,11 +115,16 @@
 		listed[models.InstanceID(r.Key)] = len(r.Value) > 0
 		o.handleRecord(r, read.asked)
 	}
-	if whole && read.end.Compare(o.fleet.entries.end) >= 0 {
+	switch before := o.fleet.entries.end; {
+	case !whole || read.end.Compare(before) < 0:
+	case read.end.Era > before.Era:
+		o.keepUnlisted(listed, time.Now())
+	default:
 		o.dropUnlisted(listed, read.asked)
 	}
 	o.fleet.entries.reach(read.end, read.asked)
 	o.showEntriesAge()
+	o.noteKnownAnew(time.Now())
 	// Even without news the others learn that this one still reads.
 	o.spread(o.fleet.changedEntries(read.records, read.asked)...)
 	if o.fleet.planner != nil && len(o.fleet.news) == 0 {
@@ -160,15 +166,19 @@
 	for id := range o.fleet.instances {
 		if !listed[id] {
 			o.dropInstance(id)
-			o.spread(goneNews(id, asked))
+			o.spread(o.fleet.goneNews(id, asked))
 		}
 	}
 	maps.DeleteFunc(o.fleet.unreadable, func(id models.InstanceID, _ uint64) bool { return !listed[id] })
 }
 
-// goneNews tells that an instance's entry was gone at a time.
-func goneNews(id models.InstanceID, at time.Time) InstanceNews {
-	return InstanceNews{Instance: models.UpstreamInstance{ID: id}, Age: time.Since(at), Gone: true}
+// goneNews tells that an instance's entry was gone at a time, and what its last one was.
+func (f *fleetState) goneNews(id models.InstanceID, at time.Time) InstanceNews {
+	last := models.UpstreamInstance{ID: id}
+	if e, ended := f.ended[id]; ended {
+		last.Born, last.Heartbeat = e.born, e.heartbeat
+	}
+	return InstanceNews{Instance: last, Age: time.Since(at), Gone: true}
 }
 
 // noteUnreadable tells of an entry that can't be read, once for each change of it.
@@ -189,6 +199,9 @@
 func (o *owner) noteEntry(i models.UpstreamInstance, asked time.Time) {
 	now := time.Now()
 	k, known := o.fleet.instances[i.ID]
+	if !known && o.fleet.hasEnded(i) {
+		return
+	}
 	if !known {
 		k = &knownInstance{}
 		o.fleet.instances[i.ID], o.fleet.listed = k, true
@@ -217,7 +230,7 @@
 	} else {
 		k.takeInLost(i)
 	}
-	k.written, k.unlisted = now, false
+	k.written, k.unlisted, k.missing = now, false, time.Time{}
 	if stale || (!k.lost.IsZero() && now.Sub(k.lost) > askAgain) {
 		o.askAsPlanner(k, now)
 	}
@@ -267,7 +280,7 @@
 		told[id] = true
 		k, known := f.instances[id]
 		if !known || k.unlisted {
-			out = append(out, goneNews(id, asked))
+			out = append(out, f.goneNews(id, asked))
 			continue
 		}
 		if k.differs() {
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -18,6 +18,10 @@
 	// restarted are the members of groups that started again since: such a group
 	// stands still.
 	restarted map[models.GroupKey][]models.InstanceID
+	// ended are instances whose entries went, and not long ago.
+	ended map[models.InstanceID]endedLife
+	// restored is when the store came back, if not all is known since.
+	restored time.Time
 	// unreadable holds a sum of each entry that can't be read.
 	unreadable map[models.InstanceID]uint64
 	// listed tells that instances came or went since the last view.
@@ -66,6 +70,8 @@
 	failed time.Time
 	// unlisted tells that its entry is gone and its group still serves.
 	unlisted bool
+	// missing is since when a store that came back from a copy lacks its entry.
+	missing time.Time
 	// asked is when it was last asked for a report.
 	asked time.Time
 	// spread is what the other daemons were told last.
@@ -76,6 +82,7 @@
 	return fleetState{
 		instances:  map[models.InstanceID]*knownInstance{},
 		restarted:  map[models.GroupKey][]models.InstanceID{},
+		ended:      map[models.InstanceID]endedLife{},
 		unreadable: map[models.InstanceID]uint64{},
 		suspects:   map[models.InstanceID]suspicion{},
 		due:        map[models.InstanceID]time.Time{},
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -115,7 +115,7 @@
 		if f.done != nil {
 			f.done()
 		}
-		for waited := time.Duration(0); waited < f.every(); waited += pauseStep {
+		for waited := time.Duration(0); waited < f.every() && (waited == 0 || f.from.Era >= f.n.era.Load()); waited += pauseStep {
 			if err := pause(ctx, pauseStep); err != nil {
 				return err
 			}
--- a/cluster/known_test.go
+++ b/cluster/known_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/lupinkeel/lupinkeel/lib/frame"
+	"github.com/lupinkeel/lupinkeel/membership"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
@@ -34,7 +37,9 @@
 //
 //	daemons NAME...           these hear each other's news
 //	put ID ready|leaving      an instance writes its entry
-//	read DAEMON               it reads what is new in the store
+//	gone ID                   its entry goes
+//	copy, restore             the store is copied, and comes back from the copy
+//	read DAEMON               it reads what is new in the store, or all in a new era
 //	reread DAEMON N           a reading up to the record N comes late
 //	plan DAEMON TERM          it plans from now on
 //	stop DAEMON               it plans no more
@@ -45,6 +50,9 @@
 //	hold DAEMON               news reach it only from its release on
 //	release DAEMON
 //	wait DURATION
+//	beat DAEMON OTHER         it tells another one of itself
+//	tick DAEMON               it looks for what is due
+//	known DAEMON ID BOOL      checks whether it knows the instance
 //	usable DAEMON ID BOOL     checks whether requests may go to the instance
 //	complete DAEMON BOOL      checks whether it knows all entries as of late
 func TestKnownEntries(t *testing.T) {
@@ -64,8 +72,8 @@
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
 	s := &knownScript{
-		c: c, t: t, owners: map[models.DaemonID]*owner{}, read: map[models.DaemonID]int{},
-		lost: map[models.DaemonID]bool{}, held: map[models.DaemonID][]sharedFrame{},
+		c: c, t: t, owners: map[models.DaemonID]*owner{}, read: map[models.DaemonID]models.Position{},
+		lost: map[models.DaemonID]bool{}, held: map[models.DaemonID][]sharedFrame{}, writes: map[string]int{},
 	}
 	lines := bufio.NewScanner(f)
 	for n := 1; lines.Scan(); n++ {
@@ -85,29 +93,38 @@
 	t       *testing.T
 	comment qt.Comment
 	owners  map[models.DaemonID]*owner
-	// log is the store's topic of entries, read how much of it each daemon has read.
-	log  []platform.KeyedRecord
-	read map[models.DaemonID]int
-	lost map[models.DaemonID]bool
-	held map[models.DaemonID][]sharedFrame
+	// log is the store's topic of entries in an era, saved a copy of it, read how much of
+	// it each daemon has read.
+	log, saved []platform.KeyedRecord
+	era        int64
+	read       map[models.DaemonID]models.Position
+	lost       map[models.DaemonID]bool
+	held       map[models.DaemonID][]sharedFrame
+	// writes counts the writes of each instance.
+	writes map[string]int
 }
 
 func (s *knownScript) do(words []string) {
-	verb, words := words[0], words[1:]
+	verb, words := words[0], append(words[1:], "")
 	name := models.DaemonID(words[0])
 	o, now := s.owners[name], time.Now()
 	switch verb {
 	case "daemons":
-		s.start(words)
+		s.start(words[:len(words)-1])
 	case "put":
 		s.put(words[0], words[1])
+	case "gone":
+		s.append(words[0], nil)
+	case "copy":
+		s.saved = slices.Clone(s.log)
+	case "restore":
+		s.log, s.era = slices.Clone(s.saved), s.era+1
 	case "read":
-		s.handle(o, s.read[name], len(s.log))
-		s.read[name] = len(s.log)
+		s.readNew(o)
 	case "reread":
 		var end int
 		s.scan(words[1], &end)
-		s.handle(o, 0, end)
+		s.handle(o, s.log[:end], s.position(end), false)
 	case "plan":
 		var term int64
 		s.scan(words[1], &term)
@@ -123,6 +140,11 @@
 	case "ask":
 		o.noteMissed(now)
 		s.owners[models.DaemonID(words[1])].tellWhole(name, now)
+	case "beat":
+		to := s.owners[models.DaemonID(words[1])]
+		to.handleHeartbeat(heartbeatSeen{beat: o.n.heartbeat(membership.Link{}), at: now})
+	case "tick":
+		o.dropMissing(now)
 	case "lose":
 		s.lost[name] = true
 	case "hold":
@@ -137,6 +159,9 @@
 		d, err := time.ParseDuration(words[0])
 		s.c.Assert(err, qt.IsNil, s.comment)
 		time.Sleep(d)
+	case "known":
+		_, known := o.fleet.instances[models.InstanceID(words[1])]
+		s.c.Assert(fmt.Sprint(known), qt.Equals, words[2], s.comment)
 	case "usable":
 		k := o.fleet.instances[models.InstanceID(words[1])]
 		s.c.Assert(fmt.Sprint(k != nil && k.usable()), qt.Equals, words[2], s.comment)
@@ -197,13 +222,40 @@
 
 // put has an instance write its entry.
 func (s *knownScript) put(id, state string) {
+	s.writes[id]++
 	word := map[string]string{"ready": "ready", "leaving": "draining"}[state]
-	value := fmt.Sprintf(`{"Service":"plain","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":%q,"Sequence":%d}`, word, len(s.log)+1)
-	s.log = append(s.log, platform.KeyedRecord{Key: id, Value: []byte(value), At: models.Position{Offset: int64(len(s.log))}})
+	value := fmt.Sprintf(`{"Service":"plain","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":%q,"Sequence":%d}`, word, s.writes[id])
+	s.append(id, []byte(value))
 }
 
-// handle has a daemon take in the records of the store between two offsets.
-func (s *knownScript) handle(o *owner, from, end int) {
+func (s *knownScript) append(id string, value []byte) {
+	s.log = append(s.log, platform.KeyedRecord{Key: id, Value: value, At: s.position(len(s.log))})
+}
+
+func (s *knownScript) position(offset int) models.Position {
+	return models.Position{Era: s.era, Offset: int64(offset)}
+}
+
+// readNew has a daemon read what it has not read in this era: the newest record of each
+// key if it has read nothing.
+func (s *knownScript) readNew(o *owner) {
+	from, end := s.read[o.n.cfg.ID], s.position(len(s.log))
+	s.read[o.n.cfg.ID] = end
+	if from.Era == s.era {
+		s.handle(o, s.log[from.Offset:], end, false)
+		return
+	}
+	newest := map[string]platform.KeyedRecord{}
+	for at, r := range s.log {
+		r.At = s.position(at)
+		newest[r.Key] = r
+	}
+	maps.DeleteFunc(newest, func(_ string, r platform.KeyedRecord) bool { return r.Value == nil })
+	s.handle(o, slices.Collect(maps.Values(newest)), end, true)
+}
+
+// handle has a daemon take in records of the store.
+func (s *knownScript) handle(o *owner, records []platform.KeyedRecord, end models.Position, whole bool) {
+	o.handleInstances(reading{records: records, end: end, asked: time.Now()}, whole)
 	o.n.missed.makeGood(o.n.missed.noted.Load())
-	o.handleInstances(reading{records: s.log[from:end], end: models.Position{Offset: int64(end)}, asked: time.Now()}, false)
 }
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
+
+	"github.com/lupinkeel/lupinkeel/platform"
 )
 
 const (
@@ -12,8 +15,12 @@
 	plannerGroup = "lupinkeel-planner"
 	plannerTopic = "planner"
 	plannerPart  = 0
-	// termsTopic gives each planner its term: the offset of its record.
+	// termsTopic gives each planner its term: the place of its record.
 	termsTopic = "terms"
+	// termEraBits is how far an era of the store is shifted in a term: it has room for a
+	// million terms, and for 8,000 eras until a fence leaves the whole numbers that JSON
+	// carries exactly.
+	termEraBits = 20
 	// renewDiv is how many times a lease is renewed while it lasts. It lasts
 	// as short as the store grants, so that another takes over soon.
 	renewDiv = 4
@@ -59,6 +66,8 @@
 	// holds the lease, 0 if it does not.
 	generation int64
 	term       int64
+	// era is the store's in which the term began.
+	era int64
 	// told is the term that the owner was told last.
 	told int64
 }
@@ -69,7 +78,7 @@
 	n, ttl := h.n, h.n.cfg.LeaseMin
 	n.leasing.Store(true)
 	asked := time.Now()
-	held, generation, err := n.renew(ctx, h.member, ttl, h.generation)
+	held, lease, err := n.renew(ctx, h.member, ttl, h.generation)
 	switch {
 	case ctx.Err() != nil:
 		return ctx.Err()
@@ -78,13 +87,16 @@
 		n.tell(ctx, storeAway{what: plannerGroup, err: err})
 		return nil
 	}
-	h.generation = generation
+	h.generation = lease.Generation
+	era := lease.Era
 	if !held {
 		h.endTerm(ctx, "dealt to another")
 		return nil
 	}
-	if h.term == 0 || h.term == n.spentTerm.Load() {
-		h.term = n.beginTerm(ctx)
+	if h.term == 0 || h.term == n.spentTerm.Load() || h.era < era {
+		// The store forgets terms that were begun shortly before it came back from a copy;
+		// one that it has forgotten may be another's now.
+		h.term, h.era = n.beginTerm(ctx)
 	}
 	if h.term != 0 {
 		h.tellHeld(ctx, leaseHeld{term: h.term, until: asked.Add(ttl - leaseMargin)})
@@ -120,36 +132,31 @@
 	h.term = 0
 }
 
-// renew asks for the lease and reports whether this node holds it, and the
-// generation to be named the next time.
-func (n *Node) renew(ctx context.Context, member string, ttl time.Duration, generation int64) (bool, int64, error) {
+// renew asks for the lease and reports whether this node holds it, with what the store
+// answered.
+func (n *Node) renew(ctx context.Context, member string, ttl time.Duration, generation int64) (bool, platform.Lease, error) {
 	n.stats.storeCalls(plannerGroup).Inc()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	lease, err := n.store.Renew(ctx, plannerGroup, member, plannerTopic, ttl, generation)
 	if err != nil {
-		return false, generation, err
-	}
-	for _, part := range lease.Parts {
-		if part == plannerPart {
-			return true, lease.Generation, nil
-		}
+		return false, lease, err
 	}
-	return false, lease.Generation, nil
+	return slices.Contains(lease.Parts, plannerPart), lease, nil
 }
 
-// beginTerm returns a term newer than all before; 0 if the store gave none,
-// so that it is asked again at the next renewal.
-func (n *Node) beginTerm(ctx context.Context) int64 {
+// beginTerm returns a term newer than all before, and its era; 0 if the store gave
+// none, so that it is asked again at the next renewal.
+func (n *Node) beginTerm(ctx context.Context) (term, era int64) {
 	n.stats.storeCalls(termsTopic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	offset, err := n.store.Append(ctx, termsTopic, binary.BigEndian.AppendUint64(nil, uint64(n.started)))
+	at, err := n.store.Append(ctx, termsTopic, binary.BigEndian.AppendUint64(nil, uint64(n.started)))
 	if err != nil {
 		n.log.Warn().Err(err).Msg("term-not-begun")
-		return 0
+		return 0, 0
 	}
-	return offset + 1
+	return at.Era<<termEraBits + at.Offset + 1, at.Era
 }
 
 // leaveLease lets another take over at once.
--- a/cluster/lives.go
+++ b/cluster/lives.go
@@ -89,3 +89,38 @@
 	}
 	maps.DeleteFunc(f.restarted, func(key models.GroupKey, _ []models.InstanceID) bool { return !told[key] })
 }
+
+// endedKept is for how long it is remembered that an instance's entry went: longer than
+// a copy of the store is old.
+const endedKept = time.Minute
+
+// endedLife is what is remembered of an instance whose entry went.
+type endedLife struct {
+	born time.Time
+	// heartbeat counts the writes of its entry, zero if nobody told.
+	heartbeat int64
+	at        time.Time
+}
+
+// hasEnded reports whether an entry or news are of a life that has ended: the instance
+// has written nothing since. Requests went to one that had left, when a store that came
+// back from a copy listed it again.
+func (f *fleetState) hasEnded(i models.UpstreamInstance) bool {
+	e, ended := f.ended[i.ID]
+	if !ended || e.heartbeat == 0 || i.Heartbeat > e.heartbeat {
+		return false
+	}
+	was := models.UpstreamInstance{Born: e.born}
+	return was.LifeOf(i.Born) != models.LaterLife
+}
+
+// noteEnded takes in how often an instance that is gone had written its entry.
+func (f *fleetState) noteEnded(i models.UpstreamInstance, now time.Time) {
+	e := f.ended[i.ID]
+	f.ended[i.ID] = endedLife{born: i.Born, heartbeat: max(e.heartbeat, i.Heartbeat), at: now}
+}
+
+// forgetEnded forgets those that ended long ago.
+func (f *fleetState) forgetEnded(now time.Time) {
+	maps.DeleteFunc(f.ended, func(_ models.InstanceID, e endedLife) bool { return now.Sub(e.at) > endedKept })
+}
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
-	"github.com/lupinkeel/lupinkeel/platform"
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
@@ -17,13 +16,15 @@
 	configRead struct {
 		data  []byte
 		asked time.Time
+		// era is the store's.
+		era int64
 	}
 	// instancesRead: all entries of instances were read.
 	instancesRead struct{ reading }
 	// instancesChanged: these entries were written since the last reading.
 	instancesChanged struct{ reading }
 	// rosterRead: these entries of daemons are the newest.
-	rosterRead struct{ records []platform.KeyedRecord }
+	rosterRead struct{ reading }
 	// storeAway: a reading of the store failed.
 	storeAway struct {
 		what string
--- a/cluster/missed.go
+++ b/cluster/missed.go
@@ -70,9 +70,10 @@
 	}
 	p.feed = max(p.feed, m.feed)
 	entries := &o.fleet.entries
-	if m.entries == nil || entries.ahead != nil || now.Sub(entries.at) > feedPatience {
+	if m.entries == nil || entries.ahead != nil || entries.end.Era < o.n.era.Load() || now.Sub(entries.at) > feedPatience {
 		return
 	}
+	o.noteKnownAnew(now)
 	o.n.missed.makeGood(o.n.missed.noted.Load())
 	o.n.fedByPlanner.Store(entries.at.UnixNano())
 }
@@ -115,7 +116,7 @@
 // since, or does not know what was written of late: who asks would take itself for
 // complete, and go on sending to instances that leave. It reports whether it did.
 func (o *owner) tellWhole(to models.DaemonID, now time.Time) bool {
-	if now.Sub(o.fleet.entries.at) > feedFresh {
+	if now.Sub(o.fleet.entries.at) > feedFresh || o.fleet.entries.end.Era < o.n.era.Load() {
 		return false
 	}
 	term, feed := o.peers.feedTerm, o.peers.feed
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -105,6 +105,10 @@
 		if known && at.After(k.written) {
 			o.dropInstance(id)
 		}
+		if _, kept := o.fleet.instances[id]; !kept && news.Instance.Heartbeat > 0 {
+			o.fleet.noteEnded(news.Instance, now)
+		}
+	case !known && o.fleet.hasEnded(news.Instance):
 	case !known:
 		// No entry of it was seen: word that it is gone holds, whenever it was read.
 		k = &knownInstance{UpstreamInstance: news.Instance, told: at, bornKnown: at}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -111,6 +111,8 @@
 	// entriesAt is as of when all entries of instances are known, in Unix nanoseconds;
 	// zero while they are not.
 	entriesAt atomic.Int64
+	// era is the highest of the store that this node or another one saw.
+	era atomic.Int64
 	// partKnown is closed once the roster was read: this node knows its part among
 	// the daemons.
 	partKnown chan struct{}
@@ -127,6 +129,8 @@
 	// that name no instance.
 	reborn  *metrics.Counter
 	foreign *metrics.Counter
+	// restores counts how often the store came back from a copy.
+	restores *metrics.Counter
 }
 
 // showAges shows in the metrics how old what others tell is: news of the planner,
@@ -176,6 +180,7 @@
 			plans:       set.NewCounter("lupinkeel_plans_total"),
 			reborn:      set.NewCounter("lupinkeel_instance_restarts_total"),
 			foreign:     set.NewCounter("lupinkeel_unreadable_entries_total"),
+			restores:    set.NewCounter("lupinkeel_store_restores_total"),
 		},
 	}
 	n.conns = h1.NewPool(dialTimeout, nil)
@@ -223,6 +228,7 @@
 		"config":    n.followConfig,
 		"instances": n.followInstances,
 		"roster":    n.followRoster,
+		"enroll":    n.keepEnrolled,
 		"lease":     n.holdLease,
 		"peers":     peers.run,
 		"sweep":     n.sweep,
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -72,7 +72,7 @@
 	switch m := m.(type) {
 	case configRead:
 		o.back(platform.ConfigTopic)
-		o.handleConfig(m.data, m.asked, "store")
+		o.takeConfig(m, time.Now())
 	case instancesRead:
 		o.back(platform.InstancesTopic)
 		o.handleInstances(m.reading, true)
@@ -81,6 +81,7 @@
 		o.handleInstances(m.reading, false)
 	case rosterRead:
 		o.back(rosterTopic)
+		o.noteEra(m.end.Era, time.Now())
 		o.handleRoster(m.records)
 	case storeAway:
 		o.handleAway(m)
@@ -144,6 +145,9 @@
 	o.catchUp(tick.At)
 	o.askDue(tick.At)
 	o.watchUnlisted(tick.At)
+	o.dropMissing(tick.At)
+	o.releaseConfig(tick.At)
+	o.fleet.forgetEnded(tick.At)
 	o.fleet.forgetRestarted()
 	o.planGroups(tick.At)
 }
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -81,6 +81,7 @@
 	o.peers.stale = o.peers.roster.Hear(b.membership(), m.at) || o.peers.stale
 	o.peers.seen[b.From] = seenPeer{beat: b, at: m.at}
 	o.peers.term = max(o.peers.term, b.Term)
+	o.noteEra(b.Era, m.at)
 	o.proveBy(m)
 	for _, s := range b.Stalled {
 		o.handleStalled(stalled{group: s.Group, head: s.Head, from: b.From})
@@ -124,7 +125,7 @@
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		Power: n.cfg.Power, Unpacks: true, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
 		Relies: l.Relies, RelaysFirst: l.RelaysFirst, Size: v.Daemons,
-		Missed: l.RelaysFirst && n.missed.pending(), EntriesAge: n.entriesAge(),
+		Missed: l.RelaysFirst && n.missed.pending(), EntriesAge: n.entriesAge(), Era: n.era.Load(),
 	}
 	if every := n.beatEvery(l); every != heartbeatEvery {
 		b.Every = every
--- a/cluster/proof.go
+++ b/cluster/proof.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	read := func(r reading) message {
-		m := configRead{asked: r.asked}
+		m := configRead{asked: r.asked, era: r.end.Era}
 		for _, record := range r.records {
 			if record.Key == platform.ConfigKey {
 				m.data = record.Value
--- /dev/null
+++ b/cluster/restored_test.go
@@ -0,0 +1,141 @@
+package cluster
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/standin/store"
+)
+
+// restorableNode is a node on a stand-in of the store.
+func restorableNode(t *testing.T) (*Node, *store.Store) {
+	backend := store.New()
+	server := httptest.NewServer(backend)
+	t.Cleanup(server.Close)
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	n := New(Settings{ID: "d1", Store: addr, LeaseMin: time.Second}, noTraffic{}, metrics.NewSet(), zerolog.Nop())
+	return n, backend
+}
+
+// TestTermsAfterRestore checks that no term is given twice, and none lower than one
+// before, though the store gives out offsets again: instances refuse orders of an earlier
+// term, and would take those of two planners in the same.
+func TestTermsAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	n, backend := restorableNode(t)
+	begin := func() int64 {
+		term, _ := n.beginTerm(t.Context())
+		return term
+	}
+	copied := backend.Copy()
+	last := int64(0)
+	for range 2 {
+		for range 3 {
+			term := begin()
+			c.Assert(term > last, qt.IsTrue, qt.Commentf("%d after %d", term, last))
+			last = term
+		}
+		backend.Restore(copied)
+	}
+	c.Assert(begin() > last, qt.IsTrue)
+}
+
+// TestTermEndsWithEra checks that a planner begins another term when the store has come
+// back, though it still holds the lease.
+func TestTermEndsWithEra(t *testing.T) {
+	c := qt.New(t)
+	n, backend := restorableNode(t)
+	h := leaseHolder{n: n, member: "m"}
+	c.Assert(h.ask(t.Context()), qt.IsNil)
+	first := h.term
+	c.Assert(first > 0, qt.IsTrue)
+	copied := backend.Copy()
+	c.Assert(h.ask(t.Context()), qt.IsNil)
+	c.Assert(h.term, qt.Equals, first)
+	backend.Restore(copied)
+	c.Assert(h.ask(t.Context()), qt.IsNil)
+	c.Assert(h.term > first, qt.IsTrue)
+	c.Assert(n.lease.Load().term, qt.Equals, h.term)
+}
+
+// TestEnrolledAnew checks that a daemon enters itself again when the store came back
+// without its entry: a daemon that starts would not find it.
+func TestEnrolledAnew(t *testing.T) {
+	c := qt.New(t)
+	n, backend := restorableNode(t)
+	empty := backend.Copy()
+	c.Assert(n.enroll(t.Context()), qt.IsNil)
+	entered := func() int {
+		records, _, err := n.store.Newest(t.Context(), rosterTopic)
+		c.Assert(err, qt.IsNil)
+		return len(records)
+	}
+	c.Assert(entered(), qt.Equals, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- n.keepEnrolled(ctx) }()
+	backend.Restore(empty)
+	c.Assert(entered(), qt.Equals, 0)
+	n.era.Store(n.store.Era())
+	for end := time.Now().Add(3 * enrollCheck); entered() == 0 && time.Now().Before(end); {
+		time.Sleep(enrollCheck / 10)
+	}
+	c.Assert(entered(), qt.Equals, 1)
+	cancel()
+	c.Assert(<-ended, qt.ErrorIs, context.Canceled)
+}
+
+// TestConfigAfterRestore checks that a configuration never goes back with the store: not
+// where one is in force, which the copy proves to be the newest, and not at a daemon that
+// starts, as long as another one has a newer one. A key that was taken away would be
+// good again.
+func TestConfigAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	config := func(version string) []byte { return []byte(`{"Version":` + version + `}`) }
+	o := newTestOwner(t)
+	t.Cleanup(func() { c.Check(o.n.links.wait(), qt.IsNil) })
+	now := time.Now()
+	inForce := func(o *owner) int64 {
+		if o.config.routing == nil {
+			return 0
+		}
+		return o.config.routing.Version
+	}
+
+	o.takeConfig(configRead{data: config("7"), asked: now}, now)
+	later := now.Add(time.Second)
+	o.takeConfig(configRead{data: config("5"), asked: later, era: 1}, later)
+	c.Assert(inForce(o), qt.Equals, int64(7))
+	c.Assert(o.config.proven, qt.Equals, later, qt.Commentf("good keys would be refused"))
+
+	starts := newTestOwner(t)
+	t.Cleanup(func() { c.Check(starts.n.links.wait(), qt.IsNil) })
+	starts.takeConfig(configRead{data: config("5"), asked: now, era: 1}, now)
+	c.Assert(inForce(starts), qt.Equals, int64(0), qt.Commentf("nobody was heard yet"))
+	starts.handleHeartbeat(heartbeatSeen{beat: Heartbeat{From: "d9", Addr: "127.0.0.1:9", ConfigVersion: 7}, at: now})
+	starts.releaseConfig(now.Add(plannerWord))
+	c.Assert(inForce(starts), qt.Equals, int64(0), qt.Commentf("another one has a newer one"))
+	starts.handleConfig(config("7"), now, "peer")
+	starts.releaseConfig(now.Add(plannerWord))
+	c.Assert(inForce(starts), qt.Equals, int64(7))
+
+	alone := newTestOwner(t)
+	began := time.Now()
+	alone.takeConfig(configRead{data: config("5"), asked: began, era: 1}, began)
+	c.Assert(inForce(alone), qt.Equals, int64(0))
+	alone.releaseConfig(began.Add(plannerWord))
+	c.Assert(inForce(alone), qt.Equals, int64(5), qt.Commentf("all were killed: nobody knows a newer one"))
+
+	first := newTestOwner(t)
+	first.takeConfig(configRead{data: config("5"), asked: now}, now)
+	c.Assert(inForce(first), qt.Equals, int64(5), qt.Commentf("the store never came back from a copy"))
+}
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -26,7 +26,7 @@
 	if err := n.enroll(ctx); err != nil {
 		return err
 	}
-	read := func(r reading) message { return rosterRead{r.records} }
+	read := func(r reading) message { return rosterRead{r} }
 	f := follower{n: n, topic: rosterTopic, wait: func() time.Duration { return 0 }, whole: read, added: read}
 	f.every = func() time.Duration {
 		if n.relies() {
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -58,6 +58,8 @@
 	// EntriesAge is how long ago the sender knew all entries of instances; an older
 	// program leaves it out.
 	EntriesAge time.Duration `msgpack:"ea,omitempty"`
+	// Era is the highest of the store that the sender knows of.
+	Era int64 `msgpack:"er,omitempty"`
 	// Stalled are heads at which nothing moves.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Work is what the daemon's callers ask of each model, in seconds of a
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -188,7 +188,12 @@
 	wrong string
 }
 
+// ask sends a request with the key that the site begins with.
 func ask(client *http.Client, addr string, r request) reply {
+	return askWith(client, addr, r, firstKey)
+}
+
+func askWith(client *http.Client, addr string, r request, key string) reply {
 	out := reply{request: r}
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+string(r.kind)+"/x", strings.NewReader("body"))
 	if err != nil {
@@ -199,7 +204,7 @@
 	req.Host = host
 	req.Header.Set("X-Lupinkeel-Request-Id", r.id)
 	req.Header.Set("X-Lupinkeel-Deadline-Ms", "3000")
-	req.Header.Set("Authorization", "Token "+firstKey)
+	req.Header.Set("Authorization", "Token "+key)
 	if r.model != "" {
 		req.Header.Set("X-Lupinkeel-Model", r.model)
 		req.Header.Set("X-Lupinkeel-Token-Count", "100,60")
--- a/standin/store/records.go
+++ b/standin/store/records.go
@@ -99,8 +99,9 @@
 		}
 		wait = min(maxWait, time.Duration(ms)*time.Millisecond)
 	}
+	era := w.Header().Get("Store-Era")
 	for until := s.now().Add(wait); ; time.Sleep(waitStep) {
-		if s.busy() {
+		if s.busy() || s.isPast(era) {
 			// A store that goes away does not answer the readings that it held.
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return nil
@@ -124,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
-	if from < p.first {
+	if from < p.first || from > p.end() {
 		return nil, true
 	}
 	out := binary.BigEndian.AppendUint64(nil, uint64(p.end()))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -44,7 +44,9 @@
 	parts  map[string]*partition
 	groups map[string]*group
 	faults Faults
-	now    func() time.Time
+	// era counts how often the store came back from a copy.
+	era int64
+	now func() time.Time
 }
 
 // New returns an empty store.
@@ -66,6 +68,13 @@
 	return s.faults.Busy
 }
 
+// isPast reports whether another era has begun since an answer's header was written.
+func (s *Store) isPast(era string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return era != strconv.FormatInt(s.era, 10)
+}
+
 // Forget drops all records of a topic, as when their time is over. The newest
 // of each key stay.
 func (s *Store) Forget(topic string) {
@@ -91,6 +100,9 @@
 	f := s.faults
 	s.mu.Unlock()
 	time.Sleep(f.Delay)
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	s.mu.Unlock()
 	if f.Busy {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
