--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -123,6 +123,10 @@
 		o.dropUnlisted(listed, read.asked)
 	}
 	o.fleet.entries.reach(read.end, read.asked)
+	if whole {
+		// What came and went between is in no whole reading, and can't be told.
+		o.fleet.toldTo = o.fleet.entries.end
+	}
 	o.showEntriesAge()
 	o.noteKnownAnew(time.Now())
 	// Even without news the others learn that this one still reads.
@@ -133,31 +137,29 @@
 	o.fleetStale = o.fleetStale || len(read.records) > 0
 }
 
-// handleRecord takes in one record. One that was told by the planner before, and was
-// outlived by a later one, neither brings an instance back nor takes it away.
+// handleRecord takes in one record, unless what it tells is known already, by others'
+// word, with all that followed: a reading that was overtaken would bring back an instance
+// that is gone.
 func (o *owner) handleRecord(r platform.KeyedRecord, asked time.Time) {
+	if r.At.Compare(o.fleet.entries.end) < 0 {
+		return
+	}
 	id := models.InstanceID(r.Key)
-	_, known := o.fleet.instances[id]
-	behind := o.fleet.entries.end.Compare(r.At) <= 0
 	if len(r.Value) == 0 {
-		if behind {
-			delete(o.fleet.unreadable, id)
-			o.dropInstance(id)
-		}
+		delete(o.fleet.unreadable, id)
+		o.dropInstance(id)
 		return
 	}
 	i, err := platform.DecodeInstance(r.Key, r.Value)
-	switch {
-	case err != nil && behind:
+	if err != nil {
 		// Another writer's: it names no instance, also where one was named before.
 		o.noteUnreadable(id, r.Value, err)
 		o.dropInstance(id)
-	case err != nil:
-		o.noteUnreadable(id, r.Value, err)
-	case known || behind:
-		delete(o.fleet.unreadable, id)
-		o.noteEntry(i, asked)
+		return
 	}
+	delete(o.fleet.unreadable, id)
+	o.noteEntry(i, asked)
+	o.fleet.noteListed(id, models.Position{Era: r.At.Era, Offset: r.At.Offset + 1}, time.Time{})
 }
 
 // dropUnlisted drops the instances that a whole reading does not list, and tells the
@@ -230,7 +232,7 @@
 	} else {
 		k.takeInLost(i)
 	}
-	k.written, k.unlisted, k.missing = now, false, time.Time{}
+	k.written, k.unlisted = now, false
 	if stale || (!k.lost.IsZero() && now.Sub(k.lost) > askAgain) {
 		o.askAsPlanner(k, now)
 	}
@@ -303,5 +305,7 @@
 
 // news is what the other daemons are told of the instance, as it was at a time.
 func (k *knownInstance) news(at time.Time) InstanceNews {
-	return InstanceNews{Instance: k.UpstreamInstance, Age: time.Since(at), Lost: !k.lost.IsZero()}
+	return InstanceNews{
+		Instance: k.UpstreamInstance, Age: time.Since(at), Lost: !k.lost.IsZero(), Missing: k.missingFor(time.Now()),
+	}
 }
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -70,6 +70,9 @@
 	failed time.Time
 	// unlisted tells that its entry is gone and its group still serves.
 	unlisted bool
+	// listed is how far who told of the instance last knew the store's records of entries,
+	// this one's among them.
+	listed models.Position
 	// missing is since when a store that came back from a copy lacks its entry.
 	missing time.Time
 	// asked is when it was last asked for a report.
--- a/cluster/known.go
+++ b/cluster/known.go
@@ -74,6 +74,48 @@
 	return recordsTold{since: t.Since, end: t.End, at: came.Add(-t.Age)}
 }
 
+// olderThan reports whether this daemon knows more of the store's records than who told
+// these news.
+func (m newsSeen) olderThan(known entriesKnown) bool {
+	return m.entries != nil && m.entries.End.Compare(known.end) < 0
+}
+
+// stillKnown are older news of instances, less those that this daemon does not know: they
+// may be gone. Whether the store lacks an entry it knows better too.
+func (f *fleetState) stillKnown(told []InstanceNews, now time.Time) []InstanceNews {
+	var out []InstanceNews
+	for _, news := range told {
+		k, known := f.instances[news.Instance.ID]
+		if !known {
+			continue
+		}
+		news.Missing = k.missingFor(now)
+		out = append(out, news)
+	}
+	return out
+}
+
+// noteListed notes that an instance is among those of the store's records before a place,
+// or since when a store that came back from a copy lacks it.
+func (f *fleetState) noteListed(id models.InstanceID, end models.Position, missing time.Time) {
+	k, known := f.instances[id]
+	if !known {
+		return
+	}
+	k.missing = missing
+	if k.listed.Compare(end) < 0 {
+		k.listed = end
+	}
+}
+
+// missingFor is for how long the store lacks the instance's entry, zero if it has one.
+func (k *knownInstance) missingFor(now time.Time) time.Duration {
+	if k.missing.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(k.missing))
+}
+
 // showEntriesAge shows to other goroutines how old what this daemon knows is.
 func (o *owner) showEntriesAge() {
 	if at := o.fleet.entries.at; !at.IsZero() {
--- a/cluster/known_test.go
+++ b/cluster/known_test.go
@@ -71,10 +71,7 @@
 	f, err := os.Open(file)
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
-	s := &knownScript{
-		c: c, t: t, owners: map[models.DaemonID]*owner{}, read: map[models.DaemonID]models.Position{},
-		lost: map[models.DaemonID]bool{}, held: map[models.DaemonID][]sharedFrame{}, writes: map[string]int{},
-	}
+	s := newKnownScript(c, t)
 	lines := bufio.NewScanner(f)
 	for n := 1; lines.Scan(); n++ {
 		line, _, _ := strings.Cut(lines.Text(), "#")
@@ -96,14 +93,23 @@
 	// log is the store's topic of entries in an era, saved a copy of it, read how much of
 	// it each daemon has read.
 	log, saved []platform.KeyedRecord
-	era        int64
-	read       map[models.DaemonID]models.Position
-	lost       map[models.DaemonID]bool
-	held       map[models.DaemonID][]sharedFrame
+	// wrote is when each record of the log was written.
+	wrote []time.Time
+	era   int64
+	read  map[models.DaemonID]models.Position
+	lost  map[models.DaemonID]bool
+	held  map[models.DaemonID][]sharedFrame
 	// writes counts the writes of each instance.
 	writes map[string]int
 }
 
+func newKnownScript(c *qt.C, t *testing.T) *knownScript {
+	return &knownScript{
+		c: c, t: t, owners: map[models.DaemonID]*owner{}, read: map[models.DaemonID]models.Position{},
+		lost: map[models.DaemonID]bool{}, held: map[models.DaemonID][]sharedFrame{}, writes: map[string]int{},
+	}
+}
+
 func (s *knownScript) do(words []string) {
 	verb, words := words[0], append(words[1:], "")
 	name := models.DaemonID(words[0])
@@ -119,12 +125,22 @@
 		s.saved = slices.Clone(s.log)
 	case "restore":
 		s.log, s.era = slices.Clone(s.saved), s.era+1
+		s.wrote = s.wrote[:len(s.log)]
 	case "read":
 		s.readNew(o)
 	case "reread":
+		if s.read[name].Era != s.era {
+			// The first reading in an era is of everything.
+			s.readNew(o)
+			return
+		}
 		var end int
 		s.scan(words[1], &end)
-		s.handle(o, s.log[:end], s.position(end), false)
+		asked := time.Now()
+		if end < len(s.log) {
+			asked = s.wrote[end]
+		}
+		s.handle(o, s.log[:end], s.position(end), asked, false)
 	case "plan":
 		var term int64
 		s.scan(words[1], &term)
@@ -230,6 +246,7 @@
 
 func (s *knownScript) append(id string, value []byte) {
 	s.log = append(s.log, platform.KeyedRecord{Key: id, Value: value, At: s.position(len(s.log))})
+	s.wrote = append(s.wrote, time.Now())
 }
 
 func (s *knownScript) position(offset int) models.Position {
@@ -242,7 +259,7 @@
 	from, end := s.read[o.n.cfg.ID], s.position(len(s.log))
 	s.read[o.n.cfg.ID] = end
 	if from.Era == s.era {
-		s.handle(o, s.log[from.Offset:], end, false)
+		s.handle(o, s.log[from.Offset:], end, time.Now(), false)
 		return
 	}
 	newest := map[string]platform.KeyedRecord{}
@@ -251,11 +268,11 @@
 		newest[r.Key] = r
 	}
 	maps.DeleteFunc(newest, func(_ string, r platform.KeyedRecord) bool { return r.Value == nil })
-	s.handle(o, slices.Collect(maps.Values(newest)), end, true)
+	s.handle(o, slices.Collect(maps.Values(newest)), end, time.Now(), true)
 }
 
 // handle has a daemon take in records of the store.
-func (s *knownScript) handle(o *owner, records []platform.KeyedRecord, end models.Position, whole bool) {
-	o.handleInstances(reading{records: records, end: end, asked: time.Now()}, whole)
+func (s *knownScript) handle(o *owner, records []platform.KeyedRecord, end models.Position, asked time.Time, whole bool) {
+	o.handleInstances(reading{records: records, end: end, asked: asked}, whole)
 	o.n.missed.makeGood(o.n.missed.noted.Load())
 }
--- a/cluster/missed.go
+++ b/cluster/missed.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -50,11 +49,7 @@
 // what was missed if the relay had heard it, and knows what was written of late.
 func (o *owner) handleWhole(m newsSeen) {
 	p, now := &o.peers, time.Now()
-	if m.entries != nil && m.entries.End.Compare(o.fleet.entries.end) < 0 {
-		m.instances = o.fleet.onlyKnown(m.instances)
-	} else {
-		o.dropUntold(m)
-	}
+	o.dropUntold(m)
 	o.noteAll(m, now)
 	if m.entries != nil {
 		o.fleet.entries.reach(m.entries.End, m.at.Add(-m.entries.Age))
@@ -78,15 +73,6 @@
 	o.n.fedByPlanner.Store(entries.at.UnixNano())
 }
 
-// onlyKnown leaves out the instances that this daemon does not know. It was told more of
-// the store's records than who lists them: those may be gone.
-func (f *fleetState) onlyKnown(told []InstanceNews) []InstanceNews {
-	return slices.DeleteFunc(told, func(news InstanceNews) bool {
-		_, known := f.instances[news.Instance.ID]
-		return !known
-	})
-}
-
 // dropUntold drops the instances that a relay does not list, unless something newer is
 // known of them.
 func (o *owner) dropUntold(m newsSeen) {
@@ -95,12 +81,21 @@
 		listed[news.Instance.ID] = true
 	}
 	for id, k := range o.fleet.instances {
-		if !listed[id] && k.told.Before(m.at.Add(-entryLag)) {
+		if !listed[id] && k.outdatedBy(m) {
 			o.dropInstance(id)
 		}
 	}
 }
 
+// outdatedBy reports whether a relay knows at least as much of the store's records as who
+// told of the instance last. An older program does not say.
+func (k *knownInstance) outdatedBy(m newsSeen) bool {
+	if m.entries == nil {
+		return k.told.Before(m.at.Add(-entryLag))
+	}
+	return k.listed.Compare(m.entries.End) <= 0
+}
+
 // answerMissed tells those who rely on this daemon and missed news what it knows.
 func (o *owner) answerMissed(now time.Time) {
 	for id, p := range o.peers.seen {
@@ -127,9 +122,9 @@
 	}
 	w := &o.peers.whole
 	if w.term != term || w.feed != feed || now.Sub(w.at) > wholeFresh {
-		news := News{
-			From: o.n.cfg.ID, Term: term, Feed: feed, Whole: true, Entries: o.fleet.entries.told(models.Position{}, now),
-		}
+		// By the time that it is sent last it is older by wholeFresh.
+		entries := o.fleet.entries.told(models.Position{}, now.Add(wholeFresh))
+		news := News{From: o.n.cfg.ID, Term: term, Feed: feed, Whole: true, Entries: entries}
 		for _, k := range o.fleet.instances {
 			if !k.unlisted {
 				news.Instances = append(news.Instances, k.news(k.knownAt()))
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -89,8 +89,18 @@
 
 // noteAll takes in what news tell of instances.
 func (o *owner) noteAll(m newsSeen, now time.Time) {
+	if m.olderThan(o.fleet.entries) {
+		m.instances = o.fleet.stillKnown(m.instances, now)
+	}
 	for _, news := range m.instances {
+		if news.Gone {
+			o.noteGone(news, m, now)
+			continue
+		}
 		o.noteNews(news, m.at.Add(-news.Age), now)
+		if m.entries != nil {
+			o.fleet.noteListed(news.Instance.ID, m.entries.End, news.missingSince(now))
+		}
 	}
 	o.fleetStale = o.fleetStale || len(m.instances) > 0
 }
@@ -101,13 +111,6 @@
 	id := news.Instance.ID
 	k, known := o.fleet.instances[id]
 	switch {
-	case news.Gone:
-		if known && at.After(k.written) {
-			o.dropInstance(id)
-		}
-		if _, kept := o.fleet.instances[id]; !kept && news.Instance.Heartbeat > 0 {
-			o.fleet.noteEnded(news.Instance, now)
-		}
 	case !known && o.fleet.hasEnded(news.Instance):
 	case !known:
 		// No entry of it was seen: word that it is gone holds, whenever it was read.
@@ -134,6 +137,28 @@
 	}
 }
 
+// noteGone takes in that an instance's entry went, unless it was written again since.
+func (o *owner) noteGone(news InstanceNews, m newsSeen, now time.Time) {
+	id := news.Instance.ID
+	k, known := o.fleet.instances[id]
+	switch {
+	case !known:
+	case m.entries != nil && k.listed.Compare(m.entries.End) <= 0, m.entries == nil && m.at.Add(-news.Age).After(k.written):
+		o.dropInstance(id)
+	}
+	if _, kept := o.fleet.instances[id]; !kept && news.Instance.Heartbeat > 0 {
+		o.fleet.noteEnded(news.Instance, now)
+	}
+}
+
+// missingSince is since when the store lacks the instance's entry.
+func (news InstanceNews) missingSince(now time.Time) time.Time {
+	if news.Missing == 0 {
+		return time.Time{}
+	}
+	return now.Add(-news.Missing)
+}
+
 // noteLeaving takes in whether others know that an instance leaves. Who does, does not
 // come back in this life.
 func (o *owner) noteLeaving(k *knownInstance, leaving bool, age time.Duration) {
--- a/cluster/news_test.go
+++ b/cluster/news_test.go
@@ -78,7 +78,7 @@
 	o.noteNews(news, now, now)
 	c.Assert(o.fleet.instances["i-1"], qt.IsNotNil)
 	news.Gone = true
-	o.noteNews(news, now.Add(-10*time.Millisecond), now)
+	o.noteAll(newsSeen{instances: []InstanceNews{news}, at: now.Add(-10 * time.Millisecond)}, now)
 	c.Assert(o.fleet.instances["i-1"], qt.IsNil)
 }
 
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -31,7 +31,8 @@
 	}
 	f.began = time.Now()
 	f.planner, f.heldTerm, f.busy, f.feed = fleet.NewPlanner(m.term, f.began), m.term, nil, 0
-	f.toldTo = f.entries.end
+	// What was to be told in an earlier term is outdated.
+	f.news, f.toldTo = nil, f.entries.end
 	for _, i := range f.instances {
 		// What others told may be old; each is asked now.
 		i.lost, i.failed = time.Time{}, time.Time{}
--- a/cluster/restored.go
+++ b/cluster/restored.go
@@ -67,6 +67,7 @@
 	for id, k := range o.fleet.instances {
 		if !listed[id] && k.missing.IsZero() {
 			k.missing = now
+			o.tellOthers(k, k.knownAt())
 		}
 	}
 }
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -181,4 +181,7 @@
 	// Lost tells that the instance does not answer, Gone that its entry went.
 	Lost bool `msgpack:"l,omitempty"`
 	Gone bool `msgpack:"g,omitempty"`
+	// Missing is for how long a store that came back from a copy lacks its entry, zero if
+	// it has one.
+	Missing time.Duration `msgpack:"m,omitempty"`
 }
