--- a/cluster/news_test.go
+++ b/cluster/news_test.go
@@ -207,3 +207,56 @@
 	c.Assert(o.n.awaitPart(t.Context()), qt.IsNil)
 	c.Assert(time.Since(began) < startPatience/2, qt.IsTrue)
 }
+
+// TestWhichRelayIsAsked checks that a daemon asks the relay whose word it uses, another
+// one if that does not know itself what was written of late, and none if neither does: it
+// reads the store at once then, and otherwise once what it knows is too old to wait.
+func TestWhichRelayIsAsked(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	t.Cleanup(func() { c.Check(o.n.links.wait(), qt.IsNil) })
+	crowd(o, few+1, 7)
+	c.Assert(o.n.relies(), qt.IsTrue)
+	first := o.peers.arranged.First
+	var second models.DaemonID
+	for id, link := range o.peers.arranged.Links {
+		if link.Relies && id != first {
+			second = id
+		}
+	}
+	c.Assert(second, qt.Not(qt.Equals), models.DaemonID(""))
+	now := time.Now()
+	behind := func(id models.DaemonID, age time.Duration) {
+		p := o.peers.seen[id]
+		p.beat.EntriesAge, p.at = age, now
+		o.peers.seen[id] = p
+	}
+	known := func(age time.Duration) {
+		o.fleet.entries.at = now.Add(-age)
+		o.showEntriesAge()
+	}
+	asks := func(id models.DaemonID) bool { return o.n.heartbeat(id, o.peers.arranged.Links[id]).Missed }
+
+	known(time.Second)
+	o.noteMissed(now)
+	c.Assert(asks(first), qt.IsTrue)
+	c.Assert(asks(second), qt.IsFalse)
+	c.Assert(o.n.awaitsRelay(), qt.IsTrue)
+	c.Assert(o.n.entriesEvery(), qt.Not(qt.Equals), time.Duration(0))
+	known(relayBound)
+	c.Assert(o.n.awaitsRelay(), qt.IsFalse, qt.Commentf("what it knows is too old to wait"))
+	c.Assert(o.n.entriesEvery(), qt.Equals, time.Duration(0))
+
+	known(time.Second)
+	behind(first, 2*feedPatience)
+	o.askUnfed(now)
+	c.Assert(asks(first), qt.IsFalse)
+	c.Assert(asks(second), qt.IsTrue)
+	c.Assert(o.n.awaitsRelay(), qt.IsTrue)
+
+	behind(second, 2*feedPatience)
+	o.askUnfed(now)
+	c.Assert(asks(second), qt.IsFalse)
+	c.Assert(o.n.awaitsRelay(), qt.IsFalse, qt.Commentf("no relay could tell"))
+	c.Assert(o.n.entriesEvery(), qt.Equals, time.Duration(0))
+}
