--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -126,7 +126,7 @@
 	switch before := o.fleet.entries.end; {
 	case !whole || read.end.Compare(before) < 0:
 	case read.end.Era > before.Era:
-		o.keepUnlisted(listed, time.Now())
+		o.markMissing(listed, time.Now())
 	default:
 		o.dropUnlisted(listed, read.asked)
 	}
--- a/cluster/restored.go
+++ b/cluster/restored.go
@@ -62,8 +62,9 @@
 	o.fleet.restored = time.Time{}
 }
 
-// keepUnlisted keeps the instances that a store lacks which has come back, for a while.
-func (o *owner) keepUnlisted(listed map[models.InstanceID]bool, now time.Time) {
+// markMissing notes which instances a store lacks that has come back. They are kept for a
+// while.
+func (o *owner) markMissing(listed map[models.InstanceID]bool, now time.Time) {
 	for id, k := range o.fleet.instances {
 		if !listed[id] && k.missing.IsZero() {
 			k.missing = now
@@ -113,7 +114,7 @@
 	o.noteEra(m.era, now)
 	if o.config.routing == nil && m.data != nil && m.era > 0 {
 		routing, err := platform.DecodeRouting(m.data)
-		if err == nil && !o.heardAll(routing.Version, now) {
+		if err == nil && !o.knowsNewest(routing.Version, now) {
 			o.config.held = &heldConfig{configRead: m, version: routing.Version}
 			return
 		}
@@ -124,16 +125,16 @@
 // releaseConfig puts a configuration in force that was held, once no other daemon can
 // have a newer one.
 func (o *owner) releaseConfig(now time.Time) {
-	if h := o.config.held; h != nil && o.heardAll(h.version, now) {
+	if h := o.config.held; h != nil && o.knowsNewest(h.version, now) {
 		o.config.held = nil
 		o.handleConfig(h.data, h.asked, "store")
 	}
 }
 
-// heardAll reports whether the daemons that this one hears of have no newer
-// configuration. Those that do not answer are waited for as long as for word of the
-// planner.
-func (o *owner) heardAll(version int64, now time.Time) bool {
+// knowsNewest reports whether no daemon that this one is linked to has a newer
+// configuration than a version. Those that say nothing are waited for as long as for word
+// of the planner.
+func (o *owner) knowsNewest(version int64, now time.Time) bool {
 	for _, p := range o.peers.seen {
 		if p.beat.ConfigVersion > version {
 			return false
