--- a/cluster/entries_test.go
+++ b/cluster/entries_test.go
@@ -35,9 +35,8 @@
 
 // TestLostIsNotForGood checks that a daemon which missed the word that an
 // instance is back learns it from the instance's own writes, and that one that
-// begins to plan asks rather than believes. (Grown mtkvari, scale-2: a daemon
-// that had been cut off took 46 of 165 instances for lost when it began to plan
-// and closed all groups of eight.)
+// begins to plan asks rather than believes. A daemon that had been cut off took 46
+// of 165 instances for lost when it began to plan, and closed all groups of eight.
 func TestLostIsNotForGood(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/cluster/lease_test.go
+++ b/cluster/lease_test.go
@@ -28,8 +28,7 @@
 
 // TestTermIsUsedOnce checks that a planner that stopped is not followed by
 // another one in the same term: it would give fences and epochs a second time.
-// A hunted day (trouble-2 of mtkvari-feed, seed 1001669554722) joined an
-// instance to a group of that epoch while its own group was open.
+// An instance was joined to a group of that epoch while its own group was open.
 func TestTermIsUsedOnce(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/cluster/news_test.go
+++ b/cluster/news_test.go
@@ -12,9 +12,8 @@
 
 // TestMissedNews checks that a daemon that hears from the planner reads the
 // store for itself as soon as it may have missed something: news that were
-// dropped, or a new planner. Hunted days of sbcc-lupinkeel (trouble-1, seeds
-// 1010924599747 and 848935819920) sent requests to an instance over 2 s after
-// it said that it leaves.
+// dropped, or a new planner. Requests were sent to an instance over 2 s after it
+// said that it leaves.
 func TestMissedNews(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
@@ -49,8 +48,8 @@
 }
 
 // TestNewsInOne checks that what the planner learns within some ms is told at
-// once: in a play of grown sbcc all 89 others missed news ten times in 20 s, as
-// each of a dozen reports was told by itself, and read the store.
+// once: all 89 others missed news ten times in 20 s, as each of a dozen reports was
+// told by itself, and read the store.
 func TestNewsInOne(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/cluster/reports_test.go
+++ b/cluster/reports_test.go
@@ -12,10 +12,9 @@
 
 // TestReportsOvertake checks that an answer to an earlier question does not
 // undo what a later one told, and that an entry does not either while this node
-// plans. (mtkvari-feed, trouble-2, with slow instances: a member of an open
-// group seemed to be in none, and was joined to another one: TWO. The day did
-// not repeat it in 22 plays with logs; that answers overtake each other is what
-// the reading of the code left.)
+// plans. Where instances were slow a member of an open group seemed to be in none,
+// and was joined to another one. It was seen once; that answers overtake each other
+// is what the reading of the code left.
 func TestReportsOvertake(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/cluster/suspicions_test.go
+++ b/cluster/suspicions_test.go
@@ -11,10 +11,10 @@
 )
 
 // TestMassSuspicion checks that groups which seem to stand still are passed
-// over, and that all are used if too many of one model seem to. (Grown mtkvari,
-// trouble-1: after all daemons had been started anew a fifth of the requests was
-// refused for fourteen seconds. That groups were passed over by turns is inferred
-// from inc-a25b, where it was seen for half a second.)
+// over, and that all are used if too many of one model seem to. After all daemons
+// had been started anew a fifth of the requests was refused for fourteen seconds;
+// that groups were passed over by turns then is inferred from another case, where it
+// was seen for half a second.
 func TestMassSuspicion(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/cluster/unlisted_test.go
+++ b/cluster/unlisted_test.go
@@ -11,9 +11,8 @@
 )
 
 // TestMemberWithoutEntry checks that a group goes on when a member that is not
-// its head loses its entry, as one that is cut off from the store does. A play
-// of the grown mtkvari cut off 18 of 162 instances: within four seconds all
-// eight groups of eight were closed.
+// its head loses its entry, as one that is cut off from the store does. When 18 of
+// 162 instances were, all eight groups of eight were closed within four seconds.
 func TestMemberWithoutEntry(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -40,9 +40,9 @@
 }
 
 // TestUnprovenInstances checks that a planner uses no instance for a group of
-// which it may have old news. (Hunted mix day of mtkvari-feed, seed
-// 249562415916: instances that were cut off from the store had joined a group
-// of the last planner, which the new one had not heard of: TWO.)
+// which it may have old news. Instances that were cut off from the store had joined
+// a group of the last planner of which the new one had not heard, and were joined to
+// another one.
 func TestUnprovenInstances(t *testing.T) {
 	w := World{Now: time.Now(), Profile: testProfile(), Instances: map[models.InstanceID]models.UpstreamInstance{}, Unproven: map[models.InstanceID]bool{}}
 	for _, id := range []models.InstanceID{"i-1", "i-2", "i-3", "i-4"} {
@@ -78,8 +78,8 @@
 
 // TestAdoptedGroupMayOpen checks that a group of the last planner which is given
 // up is dissolved at its head before its members are used: the last planner may
-// have told it to open. (Grown mtkvari, trouble-3: TWO 4 s before traffic, just
-// after another daemon had begun to plan.)
+// have told it to open. An instance was in two groups just after another daemon had
+// begun to plan.
 func TestAdoptedGroupMayOpen(t *testing.T) {
 	key := models.GroupKey{Name: "small.1", Epoch: 1}
 	w := World{Now: time.Now(), Profile: testProfile(), Traffic: true, Lost: map[models.InstanceID]bool{}}
--- a/gateway/pauses_test.go
+++ b/gateway/pauses_test.go
@@ -65,9 +65,8 @@
 
 // TestSparePause checks that a stream waits for its group as long as it may go
 // on elsewhere in time, and that this is the shorter the longer its prompt is.
-// In a play of the grown mtkvari daemons that did not know of each other's
-// prompts took seventeen sound groups for stalled within two seconds, at 56 ms
-// where the caller allows 200.
+// Daemons that did not know of each other's prompts took seventeen sound groups
+// for stalled within two seconds, at 56 ms where the caller allows 200.
 func TestSparePause(t *testing.T) {
 	c := qt.New(t)
 	engine := &models.EngineProfile{Slots: 20, Step: 8 * time.Millisecond, PerRequest: 100 * time.Microsecond, ReadPerSecond: 46000, Stride: 6}
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -12,8 +12,8 @@
 )
 
 // TestRestingConns checks that the connections which all daemons keep to an
-// instance leave room below the number that it takes. In a play of grown sbcc,
-// 90 daemons and 120 connections, instances reset 259 that were beyond it.
+// instance leave room below the number that it takes. With 90 daemons and 120
+// connections instances reset 259 that were beyond it.
 func TestRestingConns(t *testing.T) {
 	c := qt.New(t)
 	addr := netip.MustParseAddrPort("10.0.0.1:80")
