--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -132,6 +132,7 @@
 	}
 	complete := read.asked
 	if read.more {
+		// What stands behind the part that was read is not known.
 		complete = o.fleet.entries.at
 	}
 	o.fleet.entries.reach(read.end, complete)
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -108,6 +108,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, platform.ErrExpired):
+			// What others know of the topic stands at places that the store has lost, too.
 			f.n.log.Info().Str("topic", f.topic).Int64("era", f.from.Era).Int64("from", f.from.Offset).Err(err).Msg("records-expired")
 			f.began, f.anew = false, true
 			continue
@@ -122,11 +123,13 @@
 		}
 		failed = retryPause
 		if f.more {
+			// The rest is read at once: until then nothing is known as of now.
 			continue
 		}
 		if f.done != nil {
 			f.done()
 		}
+		// A store that came back from a copy is read again at the next step.
 		for waited := time.Duration(0); waited < f.every() && (waited == 0 || f.from.Era >= f.n.era.Load()); waited += pauseStep {
 			if err := pause(ctx, pauseStep); err != nil {
 				return err
