gateway, quarantine: tell which instances crash, and what each was running

What was missing: callers saw 'unexpected EOF', and neither a log line nor a metric told that the instance had ended, what else it had been running, or that a request was the same as an earlier one.

Change, of what is seen and not of what is decided: an instance that cut off a request is asked at once whether it still takes connections. Not counted: silences, instances that were about to leave, ones that still take connections.

Scripts of the gateway: a connection that ends without a byte only asks, and takes no step; no script asked for such a connection to be told.

--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -232,6 +232,7 @@
 	// Who leaves does not come back in this life: a reading that was overtaken by the
 	// word of it would have it get requests again.
 	i.Draining = i.Draining || k.Draining
+	o.fleet.listed = o.fleet.listed || i.Draining != k.Draining
 	stale := known && o.goesBack(k, i, asked)
 	if stale {
 		i.Group, i.Loaded, i.Staged = k.Group, k.Loaded, k.Staged
--- a/cluster/news.go
+++ b/cluster/news.go
@@ -167,6 +167,7 @@
 	}
 	o.n.log.Info().Str("instance", string(k.ID)).Dur("age", age).Msg("instance-leaving")
 	k.Draining = true
+	o.fleet.listed = true
 }
 
 // fedLately reports whether all instances were told as of late, and none missed since.
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -23,8 +23,8 @@
 	Term    int64
 	// Planner tells that this node plans the groups.
 	Planner bool
-	// All are the instances, as they were when the last one came or went: where
-	// they are and what they are of does not change.
+	// All are the instances, as they were when the last one came, went or was about
+	// to leave: where they are and what they are of does not change.
 	All map[models.InstanceID]models.UpstreamInstance
 	// Arranged is whom this node tells what.
 	Arranged *membership.Arrangement
--- /dev/null
+++ b/gateway/crashes_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/quarantine"
+)
+
+// An instance that cut off a request crashed if its address refuses connections, or if
+// it is born anew; not if it takes connections, if it was about to leave, or if it is
+// not listed any more.
+func TestCrashNeedsEvidence(t *testing.T) {
+	for _, test := range []struct {
+		name                                       string
+		listens, draining, unlisted, bornAnewLater bool
+		want                                       evidence
+	}{
+		{name: "gone", want: evidenceRefused},
+		{name: "closed_a_connection", listens: true},
+		{name: "born_anew", listens: true, bornAnewLater: true, want: evidenceRestarted},
+		{name: "leaving", draining: true},
+		{name: "unlisted", unlisted: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer l.Close()
+			i := models.UpstreamInstance{ID: "i", Born: time.Unix(1, 0), Addr: netip.MustParseAddrPort(l.Addr().String()), Draining: test.draining}
+			if !test.listens {
+				l.Close()
+			}
+			beliefs := &fixedBeliefs{view: &cluster.View{All: map[models.InstanceID]models.UpstreamInstance{}}}
+			if !test.unlisted {
+				beliefs.view.All[i.ID] = i
+			}
+			w := newCrashWatch(beliefs, metrics.NewSet(), zerolog.Nop())
+			asked := w.cut(context.Background(), i, quarantine.Request{Target: "/x"}.Digest())
+			if test.draining || test.unlisted {
+				c.Assert(asked, qt.IsNil)
+				return
+			}
+			<-asked
+			if test.bornAnewLater {
+				later := i
+				later.Born = i.Born.Add(time.Second)
+				beliefs.view.All[i.ID] = later
+			}
+			w.sweep(time.Now())
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			c.Assert(w.cuts[i.ID].evidence, qt.Equals, test.want)
+		})
+	}
+}
+
+// Only an end of the connection before the answer was whole may be a crash: neither a
+// silence, nor a request that was not sent, nor an answer that makes no sense.
+func TestCutsAreEndsOfConnections(t *testing.T) {
+	c := qt.New(t)
+	mayHaveRun := func(err error) error { return errors.Join(errMayHaveRun, fmt.Errorf("%w: %w", h1.ErrNoAnswer, err)) }
+	for _, cut := range []error{mayHaveRun(io.ErrUnexpectedEOF), mayHaveRun(syscall.ECONNRESET), errors.Join(errMayHaveRun, sse.ErrCut), errors.Join(errMayHaveRun, errCutHead)} {
+		c.Check(isCut(cut), qt.IsTrue, qt.Commentf("%v", cut))
+	}
+	for _, other := range []error{
+		nil, io.EOF, errFailure, mayHaveRun(h1.ErrStalled), mayHaveRun(net.ErrClosed), mayHaveRun(h1.ErrOtherRequest),
+		errors.Join(errNotRun, fmt.Errorf("%w: %w", h1.ErrNotSent, syscall.ECONNRESET)), errors.Join(errMayHaveRun, errGap),
+	} {
+		c.Check(isCut(other), qt.IsFalse, qt.Commentf("%v", other))
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
+	"github.com/lupinkeel/lupinkeel/quarantine"
 )
 
 // exchange is one request on its way.
@@ -41,6 +44,10 @@
 	// when it was chosen.
 	gap  time.Duration
 	load int
+	// digest stands for what the caller asks. It may be called by several goroutines.
+	digest func() quarantine.Digest
+	// digested tells that the digest was asked for.
+	digested atomic.Bool
 }
 
 // serve handles one request.
@@ -48,6 +55,7 @@
 	g.stats.inFlight.Add(1)
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, began: time.Now(), head: platform.DecodeRequest(r.Header)}
+	e.digest = sync.OnceValue(e.newDigest)
 	err := e.admit()
 	if err != nil {
 		e.refuse(err)
@@ -63,6 +71,15 @@
 	e.finish(ctx, err)
 }
 
+// newDigest is the digest of what the caller asks.
+func (e *exchange) newDigest() quarantine.Digest {
+	e.digested.Store(true)
+	asked := quarantine.Request{
+		Workspace: e.holder.Workspace, Method: e.r.Method, Host: e.r.Host, Target: e.r.RequestURI, Body: e.body,
+	}
+	return asked.Digest()
+}
+
 // try notes that the request is about to be sent to an instance.
 func (e *exchange) try(i models.UpstreamInstance) {
 	e.at = i
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	node    Beliefs
 	balance *balance
 	budget  *budget
+	crashes *crashWatch
 	// settled is when what it sees of groups may be relied on.
 	settled  time.Time
 	conns    *h1.Pool
@@ -132,7 +133,7 @@
 func New(cfg Settings, node Beliefs, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, balance: traffic.(*balance), stats: newStats(set), set: set,
-		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+		budget: newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashWatch(node, set, log),
 	}
 	g.balance.zone = cfg.Zone
 	g.settled = time.Now().Add(cfg.Settle)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -122,6 +122,9 @@
 		first = e.first.Sub(e.began)
 		e.g.stats.firstByte.Update(first.Seconds())
 	}
+	if e.digested.Load() {
+		event.Stringer("digest", e.digest())
+	}
 	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("model", string(e.head.Model)).
 		Dur("aim", e.route.Aim).Int64("config", version).Str("workspace", string(e.holder.Workspace)).
 		Str("outcome", string(end)).Int("status", status).Str("instance", string(e.at.ID)).Str("zone", string(e.at.Zone)).
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -89,6 +89,15 @@
 
 // next returns the next event, or io.EOF at the proper end of the stream.
 func (r *run) next() (sse.Event, error) {
+	event, err := r.read()
+	if err != nil {
+		r.s.noteCut(r.ctx, r.group.Head, err)
+	}
+	return event, err
+}
+
+// read is next without a look at what a failure tells of the instance.
+func (r *run) read() (sse.Event, error) {
 	if r.ahead != nil {
 		event := *r.ahead
 		r.ahead = nil
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -32,7 +32,8 @@
 // configuration as the platform's store does. A file named as an instance
 // holds what that instance does with its connections, step by step:
 //
-//	read            reads a request, and notes what came of it
+//	read            reads a request, and notes what came of it; a connection that ends
+//	                without a byte only asks whether the instance is there
 //	send TEXT       sends a text; \r, \n and \t stand for themselves
 //	head STATUS     sends the head of an answer to the last request, signed
 //	event N         sends the event with this number, as a chunk
@@ -244,7 +245,7 @@
 	var r *bufio.Reader
 	id := ""
 	for _, step := range i.steps {
-		if conn == nil {
+		for conn == nil {
 			accepted, err := i.l.Accept()
 			if err != nil {
 				return nil
@@ -252,6 +253,9 @@
 			conn = accepted.(*net.TCPConn)
 			defer conn.Close()
 			r = bufio.NewReader(conn)
+			if _, err := r.Peek(1); step == "read" && errors.Is(err, io.EOF) {
+				conn = nil
+			}
 		}
 		verb, text, _ := strings.Cut(step, " ")
 		text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", `\t`, "\t").Replace(text)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -107,6 +107,7 @@
 			g.conns.Allow(restingConns(v))
 			g.conns.Sweep(tick.At)
 			g.balance.forget(v.All)
+			g.crashes.sweep(tick.At)
 		}
 	}
 }
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -41,6 +41,7 @@
 		}
 		last := len(e.tried)+1 >= e.route.Attempts
 		err = e.tryUnary(ctx, i, last)
+		e.noteCut(ctx, i, err)
 		e.ran = e.ran || (err != nil && !errors.Is(err, errNotRun))
 		if err == nil || last || ctx.Err() != nil || !(e.route.Repeatable() || errors.Is(err, errNotRun)) {
 			return err
