soak, standin, KNOWN-RED: test a request that ends its instances, failing

The stand-ins get a body that crashes what runs it, with another instance in its place 2 s later; the soak a caller who comes back with it every 0.3 s at another daemon. Each request of the soak's other callers now has a body of its own: they all asked the same, which a daemon that tells requests apart may not take for different ones. The bounds are the users': three times more at the most, 3 s after the third; six instances in all.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -165,6 +165,7 @@
 	id    string
 	kind  kind
 	model string
+	body  string
 }
 
 var (
@@ -176,7 +177,8 @@
 	idsLock.Lock()
 	defer idsLock.Unlock()
 	ids++
-	return request{id: fmt.Sprintf("%016x", ids), kind: k, model: model}
+	id := fmt.Sprintf("%016x", ids)
+	return request{id: id, kind: k, model: model, body: "body of " + id}
 }
 
 // reply is what came of a request.
@@ -195,7 +197,7 @@
 
 func askWith(client *http.Client, addr string, r request, key string) reply {
 	out := reply{request: r}
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+string(r.kind)+"/x", strings.NewReader("body"))
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+string(r.kind)+"/x", strings.NewReader(r.body))
 	if err != nil {
 		out.wrong = err.Error()
 		return out
@@ -337,12 +339,17 @@
 	return out
 }
 
-func (c *load) summary() string {
-	whole := 0
+// whole is how many requests were answered whole, of how many.
+func (c *load) whole() (whole, all int) {
 	for _, r := range c.replies {
 		if r.whole {
 			whole++
 		}
 	}
-	return fmt.Sprintf("%d of %d whole", whole, len(c.replies))
+	return whole, len(c.replies)
+}
+
+func (c *load) summary() string {
+	whole, all := c.whole()
+	return fmt.Sprintf("%d of %d whole", whole, all)
 }
--- a/standin/replica/fabric.go
+++ b/standin/replica/fabric.go
@@ -49,6 +49,8 @@
 	// runs counts how often each request was run.
 	runs   map[models.RequestID]int
 	broken []string
+	// poison holds the bodies that crash the instances that run them.
+	poison map[string]*Poison
 }
 
 // NewFabric returns a fabric without instances, whose entries go into the
@@ -57,6 +59,7 @@
 	return &Fabric{
 		profile: profile, store: s, instances: map[models.InstanceID]*Instance{},
 		everReady: map[models.GroupKey]map[models.InstanceID]bool{}, runs: map[models.RequestID]int{},
+		poison: map[string]*Poison{},
 	}
 }
 
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -49,13 +49,17 @@
 func (i *Instance) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := models.RequestID(r.Header.Get(headerID))
 	w.Header().Set(headerID, string(id))
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 	if i.Domain == "" {
 		i.f.mu.Lock()
 		i.f.runs[id]++
 		i.f.mu.Unlock()
+		if i.crashOn(r, body) {
+			return
+		}
 		time.Sleep(plainWork)
 		w.Header().Set(headerStamp, string(i.ID))
 		// The caller may be gone.
@@ -70,6 +74,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if i.crashOn(r, body) {
+		return
+	}
 	i.stream(w, r, id)
 }
 
