cluster: keep in the store which requests crash instances

What callers saw: after all daemons were killed at once the request that had ended three instances ended three more, each time: 11 instances and 7 sends more than 3 s after the third, where all daemons were killed twice within 9 s.

Cause: what daemons tell each other is gone once none of them is left.

Change: the few daemons that found any of the crashes of a refused request write it into the store, under its digest; a daemon that starts reads these records, or is told by its relay. What is merely suspected is not kept. One call a daemon at its start where there are no relays, and up to three for each request that is found.

Why it holds: the record holds the crashes themselves, which join with what others know in any order; the store keeps the newest record of a key for good. Ruled out: to take the sum of crashes from the entries of instances, which do not tell what an instance was running when it went.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -229,17 +229,18 @@
 	}
 	o := newOwner(n)
 	parts := map[string]func(context.Context) error{
-		"owner":     o.run,
-		"clock":     n.clock.Run,
-		"config":    n.followConfig,
-		"instances": n.followInstances,
-		"roster":    n.followRoster,
-		"enroll":    n.keepEnrolled,
-		"lease":     n.holdLease,
-		"peers":     peers.run,
-		"sweep":     n.sweep,
-		"announce":  n.announce,
-		"totals":    n.tellTotals,
+		"owner":      o.run,
+		"clock":      n.clock.Run,
+		"config":     n.followConfig,
+		"instances":  n.followInstances,
+		"roster":     n.followRoster,
+		"enroll":     n.keepEnrolled,
+		"lease":      n.holdLease,
+		"peers":      peers.run,
+		"sweep":      n.sweep,
+		"announce":   n.announce,
+		"totals":     n.tellTotals,
+		"quarantine": n.keepQuarantine,
 	}
 	var tasks []task.Task
 	for name, run := range parts {
--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -20,6 +20,8 @@
 	known atomic.Bool
 	// found is called when this daemon found something that others are to be told.
 	found func()
+	// changed yields requests whose record in the store is to be written anew.
+	changed chan quarantine.Digest
 
 	mu   sync.Mutex
 	list quarantine.List
@@ -30,7 +32,9 @@
 // NewQuarantine returns an empty quarantine. The function is called when there is
 // something to tell other daemons.
 func NewQuarantine(found func(), set *metrics.Set, log zerolog.Logger) *Quarantine {
-	q := &Quarantine{log: log, found: found, refused: map[quarantine.Digest]quarantine.Standing{}}
+	q := &Quarantine{
+		log: log, found: found, changed: make(chan quarantine.Digest, recordsLen), refused: map[quarantine.Digest]quarantine.Standing{},
+	}
 	set.NewGauge("lupinkeel_quarantined_requests", func() float64 {
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -98,19 +102,22 @@
 	q.note(now)
 }
 
-// note tells in the log which requests are refused from now on and which no longer. The
-// quarantine must be locked.
+// note tells in the log which requests are refused from now on and which no longer, and
+// has that written into the store if this daemon found any of the crashes. The quarantine
+// must be locked.
 func (q *Quarantine) note(now time.Time) {
 	q.known.Store(!q.list.Empty())
 	refused := q.list.Quarantined()
 	for d, s := range refused {
 		if _, before := q.refused[d]; !before {
 			q.log.Warn().Stringer("digest", d).Int("crashes", s.Crashes).Dur("age", now.Sub(s.Last)).Msg("request-quarantined")
+			q.recordOwn(d)
 		}
 	}
 	for d := range q.refused {
 		if _, still := refused[d]; !still {
 			q.log.Info().Stringer("digest", d).Msg("request-released")
+			q.recordOwn(d)
 		}
 	}
 	q.refused = refused
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -164,6 +164,24 @@
 	return out, l.changes
 }
 
+// Against returns the crashes that a request is held to have caused, with that request
+// alone.
+func (l *List) Against(d Digest) []Crash {
+	var out []Crash
+	for _, c := range l.suspects[d] {
+		out = append(out, Crash{Instance: c.instance.ID, Born: c.instance.Born, At: c.at, Requests: map[Digest]bool{d: false}})
+	}
+	return out
+}
+
+// Own reports whether this daemon itself found anything about a request.
+func (l *List) Own(d Digest) bool {
+	return slices.ContainsFunc(l.crashes, func(c *crash) bool {
+		i, there := c.requests[d]
+		return there && i.from == ""
+	})
+}
+
 // Empty reports whether no crash is known.
 func (l *List) Empty() bool { return len(l.crashes) == 0 }
 
