gateway: keep a request that may crash instances from the last one

What callers saw: of a service with two instances both ended under one request within its first exchange, and nobody was served until another came: of the others' requests 486 of 634 whole.

Cause: a cut-off request is repeated at once, before it is known whether the instance crashed, and wherever one is left.

Change: a repeat waits for the answer to the question whether the instance is still there (a way there and back, 20 ms at the most). A request that was on an instance which crashed within 10 s is not sent to the only one left; it is refused as not run, with a Retry-After.

Weighed: to hold it back from the first crash on, or from the second: from the second the first exchange still ends both.

--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,20 @@
 	return q.list.Standing(d)
 }
 
+// HasCrashed reports whether this life of an instance is known to have crashed.
+func (q *Quarantine) HasCrashed(i models.UpstreamInstance) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.HasCrashed(i)
+}
+
+// Refused lists the requests that must not be sent.
+func (q *Quarantine) Refused() map[quarantine.Digest]quarantine.Standing {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return maps.Clone(q.refused)
+}
+
 // Place tells which of some places a request that is on trial goes to.
 func (q *Quarantine) Place(d quarantine.Digest, places int) int {
 	q.mu.Lock()
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -74,9 +74,16 @@
 	}
 }
 
+// closed is what there is nothing to wait for.
+var closed = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // cut notes that an instance cut off a request that it may have been running, and has
 // it asked at once whether it is still there. The channel is closed when that is known.
-// An instance that was about to leave ends as planned.
+// An instance that was about to leave ends as planned: it is not asked.
 func (w *crashWatch) cut(ctx context.Context, i models.UpstreamInstance, d quarantine.Digest) <-chan struct{} {
 	known, there := w.node.View().All[i.ID]
 	w.mu.Lock()
@@ -84,7 +91,7 @@
 	c := w.cuts[i.ID]
 	if c == nil || c.instance.LifeOf(i.Born) == models.LaterLife {
 		if !there || known.Draining {
-			return nil
+			return closed
 		}
 		c = &cutOff{instance: i, at: time.Now(), requests: map[quarantine.Digest]struct{}{}, asked: make(chan struct{})}
 		w.cuts[i.ID] = c
@@ -197,6 +204,7 @@
 // request off. It is safe for use by several goroutines.
 func (e *exchange) noteCut(ctx context.Context, i models.UpstreamInstance, err error) {
 	if ctx.Err() == nil && isCut(err) {
-		e.g.crashes.cut(ctx, i, e.digest())
+		asked := e.g.crashes.cut(ctx, i, e.digest())
+		e.cut.Store(&asked)
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -48,6 +48,9 @@
 	digest func() quarantine.Digest
 	// digested tells that the digest was asked for.
 	digested atomic.Bool
+	// cut is closed once it is known whether the instance that cut the request off last
+	// has crashed; nil if none did.
+	cut atomic.Pointer[<-chan struct{}]
 }
 
 // serve handles one request.
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -41,6 +41,8 @@
 	errBudget     = errors.New("too many requests are being repeated")
 	// errQuarantined: instances crashed each time that they ran the request.
 	errQuarantined = errors.New("the request crashes the instances that run it")
+	// errLastSpared: an instance crashed with the request, and only one is left.
+	errLastSpared = errors.New("an instance crashed with the request, and the last one is spared")
 )
 
 // refuse answers a request that was sent nowhere.
@@ -101,7 +103,7 @@
 		// begun is not whole.
 		e.note(outcomeBroken, 0, err)
 		panic(http.ErrAbortHandler)
-	case !e.ran && (errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream) || errors.Is(err, errQuarantined)):
+	case !e.ran && (errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream) || errors.Is(err, errQuarantined) || errors.Is(err, errLastSpared)):
 		e.refuse(err)
 	case ctx.Err() != nil:
 		e.note(outcomeLate, http.StatusGatewayTimeout, err)
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/quarantine"
+)
+
+const quarantineConfig = `{"Version":1,"Routes":[
+{"Name":"again","Host":"api.example","PathPrefix":"/again/","RouteType":"idempotent","TimeoutMs":1000,"TargetLatencyMs":150,"Service":"plain","MaxAttempts":2}],
+"Services":[{"Name":"plain","MaxConnections":10}],"Limits":{"MaxBodyBytes":1000},
+"Tenants":[{"Name":"ws","ApiKeys":["k1","k2"]},{"Name":"other","ApiKeys":["k3"]}]}`
+
+// A request that is held to have crashed three instances is refused at once, without a send
+// and without a word of when to come back, whatever key of its workspace it comes with.
+// Others with the same body, and its workspace with another one, are served. An operator
+// finds it by the digest in the log, and has it sent again.
+func TestQuarantinedIsRefused(t *testing.T) {
+	c := qt.New(t)
+	runs := 0
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs++
+		w.Header().Set("X-Lupinkeel-Request-Id", r.Header.Get("X-Lupinkeel-Request-Id"))
+		w.Header().Set("X-Lupinkeel-Response-Stamp", "s")
+	}))
+	defer upstream.Close()
+	l := upstream.Listener.(*net.TCPListener)
+	beliefs := beliefsFor(c, quarantineConfig, []*instance{{name: "p1", l: l}})
+	g := New(Settings{KeysBound: time.Minute, ConfigBound: time.Minute, RetryWindow: time.Second}, beliefs, newBalance(), metrics.NewSet(), zerolog.Nop())
+	front, admin := httptest.NewServer(http.HandlerFunc(g.serve)), httptest.NewServer(g.adminRoutes())
+	defer front.Close()
+	defer admin.Close()
+	ask := func(key, body string) *http.Response {
+		r, err := http.NewRequest(http.MethodPost, front.URL+"/again/x?page=1", strings.NewReader(body))
+		c.Assert(err, qt.IsNil)
+		r.Host = "api.example"
+		r.Header.Set("Authorization", "Token "+key)
+		r.Header.Set("X-Lupinkeel-Request-Id", key+body)
+		resp, err := http.DefaultClient.Do(r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
+		return resp
+	}
+	d := quarantine.Request{Workspace: "ws", Method: http.MethodPost, Host: "api.example", Target: "/again/x?page=1", Body: []byte("crashes")}.Digest()
+	for _, id := range []models.InstanceID{"i1", "i2", "i3"} {
+		beliefs.quarantine.Crashed(quarantine.Crash{Instance: id, At: time.Now(), Requests: map[quarantine.Digest]bool{d: false}})
+	}
+	for _, key := range []string{"k1", "k2"} {
+		refused := ask(key, "crashes")
+		c.Assert(refused.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(refused.Header.Get("Retry-After"), qt.Equals, "")
+	}
+	c.Assert(runs, qt.Equals, 0)
+	c.Assert(ask("k3", "crashes").StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(ask("k1", "does not").StatusCode, qt.Equals, http.StatusOK)
+
+	list, err := http.Get(admin.URL + "/quarantine")
+	c.Assert(err, qt.IsNil)
+	defer list.Body.Close()
+	text, err := io.ReadAll(list.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Contains, "digest="+d.String())
+	for _, want := range []int{http.StatusNoContent, http.StatusNotFound} {
+		r, err := http.NewRequest(http.MethodDelete, admin.URL+"/quarantine/"+d.String(), nil)
+		c.Assert(err, qt.IsNil)
+		resp, err := http.DefaultClient.Do(r)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, want)
+	}
+	c.Assert(ask("k1", "crashes").StatusCode, qt.Equals, http.StatusOK)
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -145,6 +145,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.set.WritePrometheus(w) })
 	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
+	mux.HandleFunc("GET /quarantine", g.listQuarantine)
+	mux.HandleFunc("DELETE /quarantine/{digest}", g.releaseQuarantine)
 	return mux
 }
 
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -182,6 +182,11 @@
 	})
 }
 
+// HasCrashed reports whether this life of an instance is known to have crashed.
+func (l *List) HasCrashed(i models.UpstreamInstance) bool {
+	return l.find(Crash{Instance: i.ID, Born: i.Born}) != nil
+}
+
 // Empty reports whether no crash is known.
 func (l *List) Empty() bool { return len(l.crashes) == 0 }
 
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -28,6 +28,8 @@
 	backAfter = 2 * time.Second
 	// allKilled is the case in which others' requests are lost with the daemons.
 	allKilled = "all_daemons_killed_twice"
+	// fewLeft is the case of a service that has two instances.
+	fewLeft = "plain_of_two_instances"
 	// morePlain is how many plain instances there are beside those of other soaks.
 	morePlain = 6
 )
@@ -53,13 +55,16 @@
 		{"stream", []kind{kindStream}, nil},
 		{"plain", []kind{kindAgain}, nil},
 		{"once", []kind{kindOnce}, nil},
+		{fewLeft, []kind{kindAgain}, nil},
 		{"two_at_once_beside_other_crashes", []kind{kindStream, kindStream}, (*site).crashOthers},
 		{allKilled, []kind{kindStream}, (*site).killAllTwice},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := startSite(t, bin, t.TempDir())
 			for range morePlain {
-				s.add("plain", "")
+				if test.name != fewLeft {
+					s.add("plain", "")
+				}
 			}
 			s.waitServing()
 			c := startCallers(s)
