fleet: find out once what each domain could form

Change: what a domain could form is kept until a group is formed there. The groups are the same ones: scripts and properties pass unchanged.

--- a/fleet/form.go
+++ b/fleet/form.go
@@ -23,19 +23,57 @@
 	if !r.Traffic {
 		r.planLayout()
 	}
-	free := r.free()
+	choices := newChoices(r.free())
 	for {
-		c, found := r.best(free)
+		domain, c, found := r.best(choices)
 		if !found {
 			return
 		}
 		r.form(c)
-		for domain, ids := range free {
-			free[domain] = slices.DeleteFunc(ids, func(id models.InstanceID) bool { return slices.Contains(c.members, id) })
-		}
+		choices.use(domain, c.members)
 	}
 }
 
+// choices are the groups that could be formed next. What a domain could form changes only
+// when one is formed there, so it is found out once until then: found out anew for each
+// group that was formed, 900 groups of 3,000 free instances took 0.4 s of a core, in which
+// the planner was not heard.
+type choices struct {
+	domains []models.Domain
+	free    map[models.Domain][]models.InstanceID
+	known   map[models.Domain]map[models.ModelName]choice
+}
+
+// choice is the group that a domain could form of a model, if it can form one.
+type choice struct {
+	candidate
+	possible bool
+}
+
+func newChoices(free map[models.Domain][]models.InstanceID) *choices {
+	return &choices{domains: slices.Sorted(maps.Keys(free)), free: free, known: map[models.Domain]map[models.ModelName]choice{}}
+}
+
+// of is what a domain could form of a model.
+func (c *choices) of(r *round, model models.ModelProfile, domain models.Domain) choice {
+	known, there := c.known[domain][model.Name]
+	if there {
+		return known
+	}
+	if c.known[domain] == nil {
+		c.known[domain] = map[models.ModelName]choice{}
+	}
+	known.candidate, known.possible = r.candidate(model, domain, c.free[domain])
+	c.known[domain][model.Name] = known
+	return known
+}
+
+// use takes members of a group that is formed from the free instances of their domain.
+func (c *choices) use(domain models.Domain, members []models.InstanceID) {
+	c.free[domain] = slices.DeleteFunc(c.free[domain], func(id models.InstanceID) bool { return slices.Contains(members, id) })
+	delete(c.known, domain)
+}
+
 // free lists the instances that may be used, by fabric domain.
 func (r *round) free() map[models.Domain][]models.InstanceID {
 	out := map[models.Domain][]models.InstanceID{}
@@ -59,23 +97,23 @@
 	return e != nil && e.closed
 }
 
-// best picks the group to form next: of the model that lacks most, where it
+// best picks the group to form next, and where: of the model that lacks most, where it
 // is ready soonest.
-func (r *round) best(free map[models.Domain][]models.InstanceID) (candidate, bool) {
+func (r *round) best(c *choices) (models.Domain, candidate, bool) {
 	for _, model := range r.byNeed() {
-		var best candidate
-		found := false
-		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			c, ok := r.candidate(model, domain, free[domain])
-			if ok && (!found || c.better(best)) {
-				best, found = c, true
+		var best choice
+		var at models.Domain
+		for _, domain := range c.domains {
+			next := c.of(r, model, domain)
+			if next.possible && (!best.possible || next.better(best.candidate)) {
+				best, at = next, domain
 			}
 		}
-		if found {
-			return best, true
+		if best.possible {
+			return at, best.candidate, true
 		}
 	}
-	return candidate{}, false
+	return "", candidate{}, false
 }
 
 func (c candidate) better(o candidate) bool {
