cluster: be heard while giving thousands of orders, and await the start of many

Cause, on a site of our own of that kind (start only, logs of all): eight planners followed one another in 15 s, three of them before traffic. The first two lost the lease after 0.3 s to others that had not met them yet: the store takes the entries of 300 daemons one after the other, and each took itself for the first of those that it knew.

Ruled out: a longer silence until others ask (0.9 s): it would be paid for each planner that is lost.

--- a/cluster/arrange.go
+++ b/cluster/arrange.go
@@ -56,6 +56,9 @@
 	if id == o.n.cfg.ID || entry.Incarnation < o.peers.entries[id].incarnation {
 		return nil
 	}
+	if _, known := o.peers.entries[id]; !known {
+		o.peers.metAt = time.Now()
+	}
 	o.peers.entries[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation, unpacks: entry.Unpacks}
 	o.peers.roster.Enter(membership.Daemon{ID: id, Zone: entry.Zone, Power: entry.Power})
 	o.peers.stale = true
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -5,6 +5,7 @@
 
 	"github.com/lupinkeel/lupinkeel/fleet"
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
 // fleetState is what is known of the upstream instances.
@@ -33,6 +34,10 @@
 	heldTerm int64
 	// began is when this node began to plan in the term.
 	began time.Time
+	// orders are those that are due and not given yet, underWay counts those that were
+	// given and not answered.
+	orders   []types.GroupOrder
+	underWay int
 	// planned is when orders were last planned.
 	planned spacing
 	// suspects are stalled heads, until when.
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -28,8 +28,10 @@
 	// told last of all instances.
 	missedTo int64
 	whole    wholeNews
-	// planned is when any news of a planner came last.
+	// planned is when a planner was heard of last.
 	planned time.Time
+	// metAt is when a daemon was heard of for the first time, the last one that was.
+	metAt time.Time
 	// behind is since when another daemon has a newer configuration, wants
 	// the one that is asked for it.
 	behind time.Time
@@ -80,6 +82,9 @@
 	}
 	o.peers.stale = o.peers.roster.Hear(b.membership(), m.at) || o.peers.stale
 	o.peers.seen[b.From] = seenPeer{beat: b, at: m.at}
+	if b.Plans && b.Term >= o.peers.term && m.at.After(o.peers.planned) {
+		o.peers.planned = m.at
+	}
 	o.peers.term = max(o.peers.term, b.Term)
 	o.noteEra(b.Era, m.at)
 	o.proveBy(m)
@@ -123,6 +128,7 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
+		Plans: n.planning.Load(),
 		Power: n.cfg.Power, Unpacks: true, Wants: v.wants, Work: map[models.ModelName]float32{}, Stalled: v.stalled,
 		Relies: l.Relies, RelaysFirst: l.RelaysFirst, Size: v.Daemons,
 		Missed: n.missed.pending() && n.asks(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -16,6 +16,9 @@
 	// overdueFactor is how many heartbeats an instance may miss in the store
 	// before it is asked itself.
 	overdueFactor = 2.2
+	// ordersAtOnce is how many orders may be under way: each takes a fifth of a ms of a
+	// core, and news are to go out between them.
+	ordersAtOnce = 128
 )
 
 // handleLease has this node plan in a new term, or go on in the one it is in.
@@ -51,7 +54,7 @@
 	}
 	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
 	o.n.links.send(News{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Ended: true})
-	o.fleet.planner = nil
+	o.fleet.planner, o.fleet.orders = nil, nil
 	// Whoever took the lease is heard of in a moment.
 	o.peers.planned = time.Now()
 	o.viewStale = true
@@ -62,7 +65,7 @@
 // planGroups gives the orders that are due, if this node plans.
 func (o *owner) planGroups(now time.Time) {
 	f := &o.fleet
-	if f.planner == nil || o.config.routing == nil || !f.planned.due(now, planLeast) {
+	if f.planner == nil || o.config.routing == nil || len(f.orders) > 0 || !f.planned.due(now, planLeast) {
 		return
 	}
 	started := time.Now()
@@ -116,10 +119,27 @@
 	world := o.world(name, engine, now)
 	o.n.stats.plans.Inc()
 	o.logSupply(engine, world)
-	for _, order := range f.planner.Step(world) {
+	f.orders = append(f.orders, f.planner.Step(world)...)
+	o.giveOrders()
+}
+
+// giveOrders gives the orders that are due, as many at a time as leave the node time for
+// others: while it gave 3,000 at once other daemons heard nothing of it, and another one
+// began to plan.
+func (o *owner) giveOrders() {
+	f := &o.fleet
+	for len(f.orders) > 0 && f.underWay < ordersAtOnce {
+		order := f.orders[0]
+		f.orders = f.orders[1:]
+		k := f.instances[order.Instance]
+		if k == nil {
+			// Its entry went meanwhile; the next round knows.
+			continue
+		}
+		f.underWay++
 		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
 			Int64("fence", order.Fence).Msg("order-given")
-		o.n.giveOrder(o.ctx, f.instances[order.Instance].Addr, order)
+		o.n.giveOrder(o.ctx, k.Addr, order)
 	}
 }
 
@@ -179,6 +199,8 @@
 	}
 	event.Str("order", string(m.order.Kind)).Str("instance", string(m.order.Instance)).Str("group", string(m.order.Group.Name)).
 		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Msg("order-ended")
+	o.fleet.underWay--
+	o.giveOrders()
 	if p := o.fleet.planner; p != nil && fleet.TermOf(m.order.Fence) == o.fleet.heldTerm {
 		p.Note(m.order, m.outcome, m.at)
 	}
--- a/cluster/standing.go
+++ b/cluster/standing.go
@@ -63,12 +63,23 @@
 		return silence >= weakSilence+time.Duration(before)*askStep
 	case o.peers.planned.IsZero() && o.peers.term == 0:
 		// The whole system has just started.
-		return silence >= meetOthers+time.Duration(before)*askStep
+		return o.quiet(now) >= meetOthers+time.Duration(before)*askStep
 	default:
 		return silence >= strongSilence+time.Duration(before)*askStep
 	}
 }
 
+// quiet is for how long this node has heard of no planner at the start of the whole
+// system, and of no further daemon where there are many: the store takes the entries of
+// hundreds one after the other, and as long as they come each daemon takes another one
+// for the first in standing, so that three of them planned one after the other.
+func (o *owner) quiet(now time.Time) time.Duration {
+	if o.peers.arranged.Mesh {
+		return o.silence(now)
+	}
+	return min(o.silence(now), now.Sub(o.peers.metAt))
+}
+
 // isTooNew reports whether this node runs for too short a time to ask where
 // others told of a planner: it may not have heard of that one yet, or hears of
 // it and does not know its own standing.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -40,6 +40,9 @@
 	ConfigAge     time.Duration `msgpack:"ca,omitempty"`
 	// Term is that of the planner that the daemon believes in.
 	Term int64 `msgpack:"t,omitempty"`
+	// Plans tells that the sender plans: a sign of life for those who would take over,
+	// also while what it does keeps it from telling news.
+	Plans bool `msgpack:"pl,omitempty"`
 	// Wants names a daemon that is to hand its configuration over, since it
 	// has a newer one.
 	Wants models.DaemonID `msgpack:"w2,omitempty"`
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -36,8 +36,8 @@
 
 // choices are the groups that could be formed next. What a domain could form changes only
 // when one is formed there, so it is found out once until then: found out anew for each
-// group that was formed, 900 groups of 3,000 free instances took 0.4 s of a core, in which
-// the planner was not heard.
+// group, it kept a planner with thousands of free instances from being heard until another
+// one took over.
 type choices struct {
 	domains []models.Domain
 	free    map[models.Domain][]models.InstanceID
