lib/timer, cluster, gateway: count the time in which the machine is suspended

What callers would see: a machine is suspended for longer than a key that was taken away may be used, wakes, and serves the key until it hears of the change; a planner that wakes gives orders beside the one that took over.

Cause: ages are counted by the steady clock, which stands still meanwhile.

Change: the timer service compares it with CLOCK_BOOTTIME whenever something is about to be done that is valid for a time only: keys and configuration, the proof told to others, the planner's lease, also before an order that waited. Subscribers are told of a suspension as of a freeze.

Tests with a handed-in clock, written with the change, each fails with the steady clock alone: TestKeysAfterSuspension, TestPlannerAfterSuspension (the two ages taken out one by one), TestSuspension.

--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	if len(page.Records) == 0 && wait > waitSlack {
+	if len(page.Records) == 0 && wait > waitSlack && f.n.clock.Suspended(asked) == 0 {
 		// The store held the call and looked once more at the end of the wait.
 		asked = asked.Add(wait - waitSlack)
 	}
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -143,7 +143,7 @@
 		b.Work[model] = float32(work)
 	}
 	if v.Routing != nil {
-		b.ConfigVersion, b.ConfigAge = v.Routing.Version, time.Since(v.Proven)
+		b.ConfigVersion, b.ConfigAge = v.Routing.Version, n.clock.Since(v.Proven)
 	}
 	return b
 }
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -73,7 +73,7 @@
 	if l := o.n.lease.Load(); l != nil && l.term == f.heldTerm {
 		f.until = l.until
 	}
-	if now.After(f.until) && !o.mayOutlast(now) {
+	if o.leaseEnded(now) {
 		o.stopPlanning("the lease ended")
 		return
 	}
@@ -89,6 +89,17 @@
 	f.planned.took = time.Since(started)
 }
 
+// leaseEnded reports whether another daemon may plan by now. Time in which the machine was
+// suspended counts: a planner that wakes would give orders beside the one that took over.
+func (o *owner) leaseEnded(now time.Time) bool {
+	renewed := o.fleet.until.Add(leaseMargin - o.n.cfg.LeaseMin)
+	suspended := o.n.clock.Suspended(renewed)
+	if suspended > o.n.cfg.LeaseMin {
+		return true
+	}
+	return now.Add(suspended).After(o.fleet.until) && !o.mayOutlast(now)
+}
+
 // mayOutlast reports whether the planner goes on although its lease could not
 // be renewed: the store is away for the other daemons as well, so that no
 // other can have begun.
@@ -128,6 +139,9 @@
 // began to plan.
 func (o *owner) giveOrders() {
 	f := &o.fleet
+	if f.planner != nil && o.leaseEnded(time.Now()) {
+		o.stopPlanning("the lease ended")
+	}
 	for len(f.orders) > 0 && f.underWay < ordersAtOnce {
 		order := f.orders[0]
 		f.orders = f.orders[1:]
--- a/cluster/planning_test.go
+++ b/cluster/planning_test.go
@@ -88,3 +88,27 @@
 		c.Check(o.candidate(now.Add(meetOthers)), qt.IsTrue, qt.Commentf("%d daemons", test.daemons))
 	}
 }
+
+// A planner's machine is suspended until its lease is over and another daemon plans. By the
+// steady clock the lease would go on for as long as it had left. The planner gives no order
+// when it wakes, not even one that waited, and tells others no young proof.
+func TestPlannerAfterSuspension(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	start := time.Now()
+	var suspended time.Duration
+	c.Assert(o.n.clock.CountSuspensions(func() (time.Duration, error) { return time.Since(start) + suspended, nil }), qt.IsNil)
+	o.config = configState{routing: &models.Routing{Version: 1}, proven: time.Now()}
+	o.handleLease(leaseHeld{term: 1, until: time.Now().Add(o.n.cfg.LeaseMin - leaseMargin)})
+	o.publish()
+	o.noteEntry(models.UpstreamInstance{ID: "i1"}, time.Now())
+	o.planGroups(time.Now())
+	c.Assert(o.fleet.planner, qt.IsNotNil)
+
+	suspended = 5 * time.Second
+	o.fleet.orders = []types.GroupOrder{{Kind: types.GroupLeave, Instance: "i1"}}
+	o.giveOrders()
+	c.Assert(o.fleet.underWay, qt.Equals, 0)
+	c.Assert(o.fleet.planner, qt.IsNil)
+	c.Assert(o.n.heartbeat("other", membership.Link{}).ConfigAge >= suspended, qt.IsTrue)
+}
--- a/cluster/proof.go
+++ b/cluster/proof.go
@@ -100,7 +100,7 @@
 			return false
 		}
 	}
-	return n.planning.Load() || time.Since(v.Proven) > bound
+	return n.planning.Load() || n.clock.Since(v.Proven) > bound
 }
 
 // errProofLate ends a long reading because a proof is due.
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/lupinkeel/lupinkeel/gateway"
 	"github.com/lupinkeel/lupinkeel/lib/logfmt"
 	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 )
 
 func init() { register(gatewayCommand{}) }
@@ -72,6 +73,9 @@
 	node := cluster.New(cluster.Settings{
 		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, Power: s.Power, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
 	}, traffic, set, log)
+	if err := node.Clock().CountSuspensions(timer.BootTime); err != nil {
+		log.Warn().Err(err).Msg("suspensions-not-counted")
+	}
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, KeysBound: s.KeysProof(), ConfigBound: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace, Settle: settle,
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -75,3 +75,19 @@
 	g.stopping.Store(true)
 	c.Assert(ready(), qt.Equals, http.StatusServiceUnavailable)
 }
+
+// A machine is suspended for longer than a key that was taken away may be used. The steady
+// clock does not count that time: the proof that the keys are current seems to be as young as
+// before. No request runs by it, and the balancer is told to send none.
+func TestKeysAfterSuspension(t *testing.T) {
+	c := qt.New(t)
+	start := time.Now()
+	var suspended time.Duration
+	clock := timer.New(start)
+	c.Assert(clock.CountSuspensions(func() (time.Duration, error) { return time.Since(start) + suspended, nil }), qt.IsNil)
+	view := &cluster.View{Routing: &models.Routing{}, Proven: time.Now()}
+	g := New(Settings{KeysBound: 4 * time.Second, RetryWindow: time.Second}, &fixedBeliefs{view: view, clock: clock}, newBalance(), metrics.NewSet(), zerolog.Nop())
+	c.Assert(g.current(view, g.cfg.KeysBound), qt.IsTrue)
+	suspended = 5 * time.Second
+	c.Assert(g.current(view, g.cfg.KeysBound), qt.IsFalse)
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -159,5 +159,5 @@
 
 // current reports whether the configuration was the newest within the bound.
 func (g *Gateway) current(v *cluster.View, bound time.Duration) bool {
-	return v.Routing != nil && time.Since(v.Proven) < bound
+	return v.Routing != nil && g.node.Clock().Since(v.Proven) < bound
 }
--- a/lib/timer/timer.go
+++ b/lib/timer/timer.go
@@ -20,8 +20,8 @@
 type Tick struct {
 	// At carries a monotonic reading.
 	At time.Time
-	// Paused is how long the process stood still before this tick, 0 if it
-	// did not.
+	// Paused is how long the process stood still before this tick, while the
+	// machine was suspended as well; 0 if it did not.
 	Paused time.Duration
 }
 
@@ -31,6 +31,10 @@
 	mu   sync.Mutex
 	subs []*subscription
 	last time.Time
+	// suspended is when the machine was suspended, unread what subscribers were not told
+	// of it yet.
+	suspended suspensions
+	unread    time.Duration
 }
 
 type subscription struct {
@@ -64,6 +68,8 @@
 	if late := now.Sub(s.last); late > PauseBound {
 		paused = late
 	}
+	paused += s.unread + s.suspended.look(time.Now)
+	s.unread = 0
 	s.last = now
 	for _, sub := range s.subs {
 		sub.paused += paused
