gateway: ask anew when an instance cuts off a request once more

What callers would see: an instance resets a connection, as one that is full does, and crashes some seconds later under another request. That crash was not counted: the instance was asked about the reset and not again within 10 s.

Cause: one record for each life of an instance, kept for 10 s whatever came of it.

Change: a cut after the instance was found to be there begins a new record, and holds nothing against the requests of the old one; the word that an instance started again counts for 3 s only.

TestCrashAfterReset failed first (no crash held against the request); TestRestartLongAfterReset is written with the change.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -24,9 +24,12 @@
 )
 
 const (
-	// cutKept is for how long it is remembered that an instance cut off requests: it
-	// may take so long until it tells that it started again.
-	cutKept = 10 * time.Second
+	// restartSeen is for how long after an instance cut off requests the word that it
+	// started again shows that it crashed then: it writes its entry at its start.
+	restartSeen = 3 * time.Second
+	// crashKept is for how long it is remembered that an instance crashed: requests that it
+	// had may end later.
+	crashKept = 10 * time.Second
 	// digestsShown is how many digests a log line lists.
 	digestsShown = 8
 )
@@ -64,8 +67,10 @@
 	requests map[quarantine.Digest]struct{}
 	// evidence is empty until there is some.
 	evidence evidence
-	// asked is closed once the instance was asked for the first time.
+	// asked is closed once the instance was asked for the first time, over tells that it
+	// is not asked again.
 	asked chan struct{}
+	over  bool
 }
 
 func newCrashWatch(node Beliefs, set *metrics.Set, log zerolog.Logger) *crashWatch {
@@ -89,7 +94,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.cuts[i.ID]
-	if c == nil || c.instance.LifeOf(i.Born) == models.LaterLife {
+	if c == nil || c.isOver() || c.instance.LifeOf(i.Born) == models.LaterLife {
 		if !there || known.Draining {
 			return closed
 		}
@@ -104,6 +109,10 @@
 	return c.asked
 }
 
+// isOver reports whether the instance was found to be there: if it cuts off a request now
+// that is another matter.
+func (c *cutOff) isOver() bool { return c.over && c.evidence == "" }
+
 // report has all daemons know of requests that a crashed instance had. The watch must be
 // locked.
 func (w *crashWatch) report(c *cutOff, requests ...quarantine.Digest) {
@@ -117,7 +126,12 @@
 // ask finds out whether an instance still takes connections.
 func (w *crashWatch) ask(ctx context.Context, c *cutOff) error {
 	first := sync.OnceFunc(func() { close(c.asked) })
-	defer first()
+	defer func() {
+		w.mu.Lock()
+		c.over = true
+		w.mu.Unlock()
+		first()
+	}()
 	for _, pause := range askPauses {
 		time.Sleep(pause)
 		err := dialOnce(ctx, c.instance.Addr)
@@ -179,7 +193,7 @@
 		switch {
 		case c.evidence == "" && there && c.instance.LifeOf(i.Born) == models.LaterLife:
 			restarted = append(restarted, c)
-		case now.Sub(c.at) > cutKept:
+		case now.Sub(c.at) > crashKept, c.evidence == "" && now.Sub(c.at) > restartSeen:
 			delete(w.cuts, id)
 		}
 	}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -85,3 +85,43 @@
 		c.Check(isCut(other), qt.IsFalse, qt.Commentf("%v", other))
 	}
 }
+
+// An instance resets a connection, as one that is full does, and is found to be there. Some
+// seconds later it crashes under another request: that is proved all the same, and held
+// against that request alone.
+func TestCrashAfterReset(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	i := models.UpstreamInstance{ID: "i", Addr: netip.MustParseAddrPort(l.Addr().String())}
+	beliefs := &fixedBeliefs{quarantine: noQuarantine(), view: &cluster.View{All: map[models.InstanceID]models.UpstreamInstance{i.ID: i}}}
+	w := newCrashWatch(beliefs, metrics.NewSet(), zerolog.Nop())
+	reset, guilty := quarantine.Request{Target: "/reset"}.Digest(), quarantine.Request{Target: "/guilty"}.Digest()
+	w.cut(context.Background(), i, reset)
+	asking := time.Duration(0)
+	for _, pause := range askPauses {
+		asking += pause
+	}
+	time.Sleep(asking + 100*time.Millisecond)
+	c.Assert(l.Close(), qt.IsNil)
+	<-w.cut(context.Background(), i, guilty)
+	c.Assert(beliefs.quarantine.Standing(guilty).Crashes, qt.Equals, 1)
+	c.Assert(beliefs.quarantine.Standing(reset).Crashes, qt.Equals, 0)
+}
+
+// An instance that reset a connection and starts again much later did not crash under that
+// request.
+func TestRestartLongAfterReset(t *testing.T) {
+	c := qt.New(t)
+	i := models.UpstreamInstance{ID: "i", Born: time.Unix(1, 0), Addr: netip.MustParseAddrPort("127.0.0.1:1")}
+	beliefs := &fixedBeliefs{quarantine: noQuarantine(), view: &cluster.View{All: map[models.InstanceID]models.UpstreamInstance{}}}
+	w := newCrashWatch(beliefs, metrics.NewSet(), zerolog.Nop())
+	d := quarantine.Request{Target: "/reset"}.Digest()
+	now := time.Now()
+	w.cuts[i.ID] = &cutOff{instance: i, at: now, requests: map[quarantine.Digest]struct{}{d: {}}}
+	w.sweep(now.Add(restartSeen + time.Second))
+	i.Born = i.Born.Add(time.Minute)
+	beliefs.view.All[i.ID] = i
+	w.sweep(now.Add(restartSeen + 2*time.Second))
+	c.Assert(beliefs.quarantine.Standing(d).Crashes, qt.Equals, 0)
+}
