standin: have an instance whole before it takes requests

Cause: the stand-in's list of what an instance runs was set after it listened; a request that crashed it at once had that list read by the timer that ends it. Change: it is set, and the entry written, under the lock that who ends an instance takes first.

--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -66,11 +66,11 @@
 	i := &Instance{Service: service, Zone: zone, Domain: domain, Addr: l.Addr().(*net.TCPAddr).AddrPort(), f: f, cancel: cancel}
 	i.server = &http.Server{Handler: i, ReadHeaderTimeout: time.Minute}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.made++
 	i.ID = models.InstanceID(fmt.Sprintf("i-%03d", f.made))
 	f.instances[i.ID] = i
-	i.write()
-	f.mu.Unlock()
+	// A request that ends the instance may come as soon as it listens.
 	i.tasks = []task.Task{
 		task.Start(ctx, "serve", func(context.Context) error {
 			// Stop ends it, with an error that says no more than that.
@@ -79,6 +79,7 @@
 		}),
 		task.Start(ctx, "work", i.run),
 	}
+	i.write()
 	return i, nil
 }
 
