ratelimit, cluster, gateway, platform: tell which limits instances name

An incident could not be told apart by logs and metrics: nothing showed that an instance named a limit, which one, to whom, and when other daemons knew of it.

The adapter decodes the header; a daemon that hears a limit begin, change or end logs it and tells all others, over relays too, as it does of crashes.

No choice depends on it yet.

--- /dev/null
+++ b/cluster/limits_test.go
@@ -0,0 +1,55 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/ratelimit"
+)
+
+// An instance names a limit to one daemon only. All know it long before a limit must be kept,
+// also those that start later; and all know when it changes and ends, at whatever daemon.
+func TestLimitsAreTold(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		daemons int
+		zones   int
+	}{{"mesh", 3, 1}, {"relays", 24, 3}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var peers []*peerNode
+			start := func(n int) *peerNode {
+				return startPeer(t, models.DaemonID(fmt.Sprintf("d%02d", n)), models.Zone(fmt.Sprint("z", n%test.zones)), peers)
+			}
+			for n := range test.daemons {
+				peers = append(peers, start(n))
+			}
+			waitAll(c, peers, met, "met", func(p *peerNode) bool { return p.View().Daemons == test.daemons })
+			time.Sleep(met / 5)
+			hear := func(p *peerNode, rate float64) {
+				p.limits.Heard(ratelimit.Sighting{Instance: "i1", Rate: rate, Asked: time.Now().Add(-time.Millisecond), Heard: time.Now()})
+				time.Sleep(5 * time.Millisecond)
+			}
+			believes := func(rate float64) func(*peerNode) bool {
+				return func(p *peerNode) bool {
+					p.limits.mu.Lock()
+					defer p.limits.mu.Unlock()
+					return p.limits.limits.Named("i1") == rate
+				}
+			}
+			hear(peers[test.daemons-1], 2)
+			took := waitAll(c, peers, toldWithin, "told of a limit", believes(2))
+			t.Logf("all %d know of a limit after %v", test.daemons, took.Round(time.Millisecond))
+			hear(peers[test.daemons/2], 1.5)
+			waitAll(c, peers, toldWithin, "told of a lower one", believes(1.5))
+			late := start(test.daemons)
+			waitAll(c, []*peerNode{late}, met, "told at its start", believes(1.5))
+			hear(peers[1], models.NoLimit)
+			waitAll(c, append(peers, late), toldWithin, "told of its end", believes(models.NoLimit))
+		})
+	}
+}
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -91,10 +91,11 @@
 	// the last change of this daemon's loads that was told; zero if none was.
 	config int64
 	loads  uint64
-	// crashes is the last change of what is known of crashed instances that was told;
-	// toldCrashes tells that all before it were.
-	crashes     uint64
-	toldCrashes bool
+	// crashes and limits are the last changes of what is known of crashed instances, and
+	// of instances' limits, that were told; toldFound tells that all before them were.
+	crashes   uint64
+	limits    uint64
+	toldFound bool
 }
 
 func (t *teller) run(ctx context.Context) error {
@@ -115,7 +116,7 @@
 			err = t.beat()
 		case <-end.woken:
 			if err = t.tellLoads(); err == nil {
-				err = t.tellCrashes()
+				err = t.tellFound()
 			}
 		case f := <-end.frames:
 			err = t.sendFrame(f.forEnd(end))
@@ -124,7 +125,7 @@
 	return err
 }
 
-// beat sends a heartbeat, the loads and crashes that are new, and the configuration
+// beat sends a heartbeat, the loads, crashes and limits that are new, and the configuration
 // if the other daemon asks for it.
 func (t *teller) beat() error {
 	t.beaten = time.Now()
@@ -139,7 +140,7 @@
 	if err := t.tellLoads(); err != nil {
 		return err
 	}
-	if err := t.tellCrashes(); err != nil {
+	if err := t.tellFound(); err != nil {
 		return err
 	}
 	return t.tellConfig()
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -40,8 +40,8 @@
 	// target reads that.
 	packs atomic.Bool
 	// frames, woken, beat and back outlast a change of address. woken has a place
-	// for the word that loads and crashes are to be told at once, beat for the word that a
-	// heartbeat is, back for the word that the daemon was heard of anew.
+	// for the word that loads, crashes and limits are to be told at once, beat for the word
+	// that a heartbeat is, back for the word that the daemon was heard of anew.
 	frames chan sharedFrame
 	woken  chan struct{}
 	beat   chan struct{}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -91,6 +91,7 @@
 	peerLoads  *peerLoads
 	links      *links
 	quarantine *Quarantine
+	limits     *Limits
 	// leasing tells that this node is among those that the store deals the
 	// planner's lease to.
 	leasing atomic.Bool
@@ -191,6 +192,7 @@
 	n.instances = platform.NewInstances(n.conns)
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
+	n.limits = NewLimits(n.links.wakeAll, set, log)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
 	n.missed.note()
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -108,6 +108,7 @@
 		s.n.links.passOn(from.From, from.Zone, news)
 	}
 	s.n.takeCrashes(news.Crashes, from.From)
+	s.n.takeLimits(news.Limits, from.From)
 	if news.Term > 0 {
 		s.n.tell(ctx, newsSeen{
 			term: news.Term, feed: news.Feed, instances: news.Instances, entries: news.Entries,
--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -209,22 +209,28 @@
 	return out, last
 }
 
-// tellCrashes tells what is new of instances that crashed. Each connection begins with all
-// that is known, so that a daemon which starts or was cut off learns it from whoever it
-// reaches first; later on daemons that tell each other of themselves need not pass on what
-// others told.
-func (t *teller) tellCrashes() error {
+// tellFound tells what is new of instances that crashed or name a limit. Each connection
+// begins with all that is known, so that a daemon which starts or was cut off learns it from
+// whoever it reaches first; later on daemons that tell each other of themselves need not pass
+// on what others told.
+func (t *teller) tellFound() error {
 	v := t.n.View()
 	which := tellOwn
-	if !t.toldCrashes || (!v.mesh() && v.Arranged.Relay) {
+	if !t.toldFound || (!v.mesh() && v.Arranged.Relay) {
 		which = tellAll
 	}
-	news, last := t.n.quarantine.since(t.crashes, t.link.id, which)
-	t.crashes, t.toldCrashes = last, true
-	if len(news) == 0 {
+	crashes, lastCrash := t.n.quarantine.since(t.crashes, t.link.id, which)
+	limits, lastLimit := t.n.limits.since(t.limits, t.link.id, which)
+	t.crashes, t.limits, t.toldFound = lastCrash, lastLimit, true
+	if len(crashes) > 0 {
+		if err := t.send(frameNews, News{Crashes: crashes}); err != nil {
+			return err
+		}
+	}
+	if len(limits) == 0 {
 		return nil
 	}
-	return t.send(frameNews, News{Crashes: news})
+	return t.send(frameNews, News{Limits: limits})
 }
 
 // takeCrashes takes in what another daemon tells, and has those told who rely on this one.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -133,8 +133,8 @@
 }
 
 // News is what a daemon tells others besides its heartbeats: its loads, the
-// heads that stand still, of instances that crashed, and of all if it plans. Each
-// message holds one of the four.
+// heads that stand still, of instances that crashed or name a limit, and of all if it
+// plans. Each message holds one of the five.
 type News struct {
 	// From may be empty: then it is the daemon, and its incarnation, that the
 	// heartbeats on the connection tell.
@@ -167,6 +167,8 @@
 	Ended bool `msgpack:"e,omitempty"`
 	// Crashes are instances that ended with requests on them.
 	Crashes []CrashNews `msgpack:"cr,omitempty"`
+	// Limits are what instances told of the requests a second that they take.
+	Limits []LimitNews `msgpack:"lm,omitempty"`
 }
 
 // EntriesTold tells that all changes by the store's records of instances between two
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 	"github.com/lupinkeel/lupinkeel/quarantine"
+	"github.com/lupinkeel/lupinkeel/ratelimit"
 )
 
 // exchange is one request on its way.
@@ -103,6 +105,7 @@
 	if !e.route.Repeatable() {
 		freshest = freshOnce
 	}
+	asked := time.Now()
 	resp, err := e.g.conns.Do(ctx, i.Addr, h1.Request{
 		Method: e.r.Method, Target: e.r.RequestURI, Host: e.r.Host, Header: platform.ForwardHeader(e.r.Header, a), Body: e.body,
 		Freshest: freshest, Patience: patience,
@@ -121,6 +124,7 @@
 		return nil, errors.Join(errMayHaveRun, err)
 	}
 	told := platform.DecodeAnswer(resp.Status, resp.Header)
+	e.hearLimit(i, told.Limit, asked)
 	if !told.NotRun {
 		return resp, nil
 	}
@@ -128,6 +132,15 @@
 	return nil, fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
 }
 
+// hearLimit notes what an answer told of its instance's limit.
+func (e *exchange) hearLimit(i models.UpstreamInstance, rate float64, asked time.Time) {
+	if math.IsNaN(rate) {
+		e.g.log.Warn().Str("instance", string(i.ID)).Str("request", string(e.head.ID)).Msg("limit-unreadable")
+		return
+	}
+	e.g.node.Limits().Heard(ratelimit.Sighting{Instance: i.ID, Born: i.Born, Rate: rate, Asked: asked, Heard: time.Now()})
+}
+
 const (
 	// maxPriority is the last rank of the Priority header that instances take.
 	maxPriority = 9
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,8 @@
 	ReportStalled(group models.GroupKey, head models.InstanceID)
 	// Quarantine holds the requests that crash instances.
 	Quarantine() *cluster.Quarantine
+	// Limits holds the limits that instances name.
+	Limits() *cluster.Limits
 	Clock() *timer.Service
 }
 
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -83,6 +83,11 @@
 	return f.quarantine
 }
 
+// Limits are such that no instance names one.
+func (f *fixedBeliefs) Limits() *cluster.Limits {
+	return cluster.NewLimits(func() {}, metrics.NewSet(), zerolog.Nop())
+}
+
 // noQuarantine is one in which nothing is held yet.
 func noQuarantine() *cluster.Quarantine {
 	return cluster.NewQuarantine(func() {}, metrics.NewSet(), zerolog.Nop())
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -109,6 +109,7 @@
 			g.balance.forget(v.All)
 			g.crashes.sweep(tick.At)
 			g.node.Quarantine().Prune()
+			g.node.Limits().Prune(g.node.View().All)
 		}
 	}
 }
--- a/models/requests.go
+++ b/models/requests.go
@@ -1,6 +1,12 @@
 package models
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// NoLimit stands for the limit of an instance that takes any number of requests.
+const NoLimit = math.MaxFloat64
 
 // RequestHead is what a caller tells about a request beside its body.
 type RequestHead struct {
@@ -43,4 +49,7 @@
 	// Fault names the instance that keeps a group from running; empty if
 	// the answer names none.
 	Fault InstanceID
+	// Limit is how many requests a second the instance takes from all daemons
+	// together: NoLimit if it names none, NaN if what it names can't be read.
+	Limit float64
 }
