soak, standin, KNOWN-RED: test instances that name a limit, failing

Instances of the stand-ins name a limit in their answers, and hold what they get against it: any 4 s from 3 s after the first answer that named it. Half and all of the plain instances and of the engines name one, one falls, one ends, and daemons are killed and frozen meanwhile.

--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -38,6 +38,8 @@
 	beats   int64
 	written time.Time
 
+	limit limitRecord
+
 	dark         bool
 	draining     bool
 	cutFromStore bool
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return
 	}
+	i.f.mu.Lock()
+	i.noteArrival()
+	i.f.mu.Unlock()
 	if i.Domain == "" {
 		i.f.mu.Lock()
 		i.f.runs[id]++
@@ -61,6 +64,7 @@
 			return
 		}
 		time.Sleep(plainWork)
+		i.tellLimit(w)
 		w.Header().Set(headerStamp, string(i.ID))
 		// The caller may be gone.
 		_, _ = fmt.Fprintf(w, "answer to %s", id)
@@ -70,6 +74,7 @@
 	open := i.group.State == models.MemberOpen
 	i.f.mu.Unlock()
 	if !open {
+		i.tellLimit(w)
 		w.Header().Set(headerNot, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -111,6 +116,7 @@
 			continue
 		}
 		if next == 1 || w.Header().Get(headerStamp) == "" {
+			i.tellLimit(w)
 			w.Header().Set(headerStamp, string(i.ID))
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
