ratelimit, membership, cluster, gateway: keep what instances get within the limits they name

Callers' requests went on to an instance in need as before it named a limit: 21 in 4 s where 16 are allowed.

Cause: the limit is a bound on the sum of all daemons, and nothing kept it: the header was passed on and not read. A daemon alone could not keep it either.

Now one daemon of the instance's availability zone holds its token bucket, and every send to such an instance (first, repeat, resumed stream, request on trial) needs a permit, asked at the send itself too; second runs beside one that stands still go to others. A granter is nobody's appointment: daemons tell in heartbeats whom they ask, and one that less than half of them ask grants half of their part, so that all granters together never come to more than 1.25 of a rate for long.

Instances without a permit are left alone for as long as the granter says; where all name limits and none comes in time a request is refused at once, not run, with a Retry-After by the wait.

--- a/cluster/arrange.go
+++ b/cluster/arrange.go
@@ -70,6 +70,7 @@
 	return membership.Beat{
 		Daemon: membership.Daemon{ID: b.From, Zone: b.Zone, Power: b.Power}, Every: cmp.Or(b.Every, heartbeatEvery),
 		Relies: b.Relies, RelaysFirst: b.RelaysFirst, Size: b.Size,
+		Grants: b.Grants, Granters: b.Granters,
 	}
 }
 
--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -143,7 +143,18 @@
 		tell = n.limits.add(told.sighting(now), from) || tell
 	}
 	if tell {
-		n.links.wakeAll()
+		n.tellLimits()
+	}
+}
+
+// tellLimits has all daemons that this one is linked to told what is new of limits, and whom
+// this one asks for permits.
+func (n *Node) tellLimits() {
+	n.links.wakeAll()
+	select {
+	case n.inbox <- limitsChanged{}:
+	default:
+		// The owner is behind; it tells with the next heartbeats.
 	}
 }
 
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -82,8 +82,11 @@
 		head  models.InstanceID
 		from  models.DaemonID
 	}
+	// limitsChanged: something is new of instances' limits.
+	limitsChanged struct{}
 )
 
+func (limitsChanged) isMessage()    {}
 func (newsSeen) isMessage()         {}
 func (configRead) isMessage()       {}
 func (instancesRead) isMessage()    {}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -92,6 +92,7 @@
 	links      *links
 	quarantine *Quarantine
 	limits     *Limits
+	permits    *permits
 	// leasing tells that this node is among those that the store deals the
 	// planner's lease to.
 	leasing atomic.Bool
@@ -192,7 +193,8 @@
 	n.instances = platform.NewInstances(n.conns)
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
-	n.limits = NewLimits(n.links.wakeAll, set, log)
+	n.limits = NewLimits(n.tellLimits, set, log)
+	n.permits = newPermits(n, set)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
 	n.missed.note()
@@ -243,6 +245,7 @@
 		"announce":   n.announce,
 		"totals":     n.tellTotals,
 		"quarantine": n.keepQuarantine,
+		"permits":    n.permits.run,
 	}
 	var tasks []task.Task
 	for name, run := range parts {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/timer"
@@ -106,6 +107,8 @@
 		o.handleNews(m)
 	case stalled:
 		o.handleStalled(m)
+	case limitsChanged:
+		o.handleLimits()
 	}
 }
 
@@ -198,4 +201,34 @@
 	}
 	v.hears = len(o.peers.seen) > 0
 	v.behind = !o.peers.behind.IsZero() && now.Sub(o.peers.behind) > behindFor
+	v.granters, v.votes, v.shares = nil, nil, nil
+	if o.n.limits.Any() {
+		o.showGranters(v)
+	}
+}
+
+// handleLimits has the daemons that this one asks for permits know of it at once, when the
+// first instance names a limit.
+func (o *owner) handleLimits() {
+	if o.n.View().granters == nil {
+		o.publish()
+		o.n.links.beat("")
+	}
+}
+
+// showGranters shows who grants permits for instances that name a limit, and what this node
+// itself may grant. Until it knows its part among the daemons that is nothing.
+func (o *owner) showGranters(v *View) {
+	a := o.peers.arranged
+	v.granters, v.votes = map[models.DaemonID]netip.AddrPort{}, map[models.DaemonID]map[models.Zone]int{}
+	for _, id := range a.Granters {
+		if e, known := o.peers.entries[id]; known {
+			v.granters[id], v.votes[id] = e.addr, o.peers.roster.Votes(a, id)
+		}
+	}
+	select {
+	case <-o.n.partKnown:
+		v.shares = o.peers.roster.Shares(a)
+	default:
+	}
 }
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -139,6 +139,12 @@
 	if l.Across {
 		b.ZoneWork = v.zoneWork
 	}
+	if n.limits.Any() {
+		b.Grants = v.votes[to]
+		if l.Totals {
+			b.Granters = v.Arranged.Granters
+		}
+	}
 	for model, work := range n.traffic.Work() {
 		b.Work[model] = float32(work)
 	}
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -50,19 +50,26 @@
 	defer stop()
 	// from is the last heartbeat of the daemon at the other end.
 	var from Heartbeat
-	r := bufio.NewReader(conn)
+	r, answers := bufio.NewReader(conn), s.n.framed(conn, "asker")
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return err
 		}
 		kind, body, err := frame.Read(r)
-		if err == nil {
+		switch {
+		case err != nil:
+		case kind == frameAsk:
+			err = s.n.permits.answer(answers, body)
+		default:
 			from, err = s.take(ctx, kind, body, from)
 		}
-		if err != nil {
+		if err == nil {
+			continue
+		}
+		if from.From != "" {
 			s.n.tell(ctx, peerLost{id: from.From, err: err})
-			return err
 		}
+		return err
 	}
 }
 
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/membership"
@@ -48,6 +49,11 @@
 	mayPlan   bool
 	candidate bool
 	stalled   []StalledHead
+	// granters is where the daemons are reached that grant permits, votes what this node
+	// tells them, shares what it grants itself, by zone of the instances.
+	granters map[models.DaemonID]netip.AddrPort
+	votes    map[models.DaemonID]map[models.Zone]int
+	shares   map[models.Zone]float64
 }
 
 // version is that of the configuration in force, 0 if there is none.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -14,11 +14,15 @@
 	frameNews
 	// frameLoads holds news of nothing but loads.
 	frameLoads
+	// frameAsk asks for a permit, frameGrant answers on the same connection.
+	frameAsk
+	frameGrant
 )
 
 // frameNames name the kinds of frames in the metrics.
 var frameNames = map[frame.Kind]string{
 	frameHeartbeat: "heartbeats", frameConfig: "configurations", frameNews: "instances", frameLoads: "loads",
+	frameAsk: "permits", frameGrant: "permits",
 }
 
 // Heartbeat is what a daemon tells every other one. The first on a connection
@@ -71,6 +75,11 @@
 	// ZoneWork is the same of all daemons of the sender's zone. Relays tell it
 	// those of other zones.
 	ZoneWork map[models.ModelName]float32 `msgpack:"zw,omitempty"`
+	// Grants is for how many daemons the sender asks the receiver for permits, by zone of
+	// the instances, Granters who grants permits by what the sender, a relay, knows. Both
+	// are told while instances name limits.
+	Grants   map[models.Zone]int             `msgpack:"gr,omitempty"`
+	Granters map[models.Zone]models.DaemonID `msgpack:"gs,omitempty"`
 }
 
 // short leaves out what the first heartbeat on a connection told for good.
--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -35,6 +35,8 @@
 	arrivals map[models.ModelName]*average
 	// moved is when something last came from a group's head.
 	moved map[models.InstanceID]time.Time
+	// barred is until when instances that name a limit are left alone.
+	barred map[models.InstanceID]time.Time
 	// failed is what instances failed of late.
 	failed  map[models.InstanceID]failures
 	pauses  map[models.ModelName]*pauses
@@ -60,7 +62,7 @@
 		policy: placement.DefaultPolicy(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		loads: map[models.InstanceID]cluster.Load{}, stamps: map[models.InstanceID]uint64{},
 		work: map[models.ModelName]*average{}, arrivals: map[models.ModelName]*average{}, moved: map[models.InstanceID]time.Time{}, failed: map[models.InstanceID]failures{},
-		pauses: map[models.ModelName]*pauses{}, changed: make(chan struct{}, 1),
+		barred: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauses{}, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -163,6 +165,7 @@
 	}
 	maps.DeleteFunc(b.moved, func(id models.InstanceID, _ time.Time) bool { return gone(id) })
 	maps.DeleteFunc(b.failed, func(id models.InstanceID, _ failures) bool { return gone(id) })
+	maps.DeleteFunc(b.barred, func(id models.InstanceID, _ time.Time) bool { return gone(id) })
 	maps.DeleteFunc(b.stamps, func(id models.InstanceID, _ uint64) bool { return gone(id) })
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,6 +46,8 @@
 	// when it was chosen.
 	gap  time.Duration
 	load int
+	// permitAt is when a permit may come, if none came in time.
+	permitAt time.Time
 	// digest stands for what the caller asks. It may be called by several goroutines.
 	digest func() quarantine.Digest
 	// digested tells that the digest was asked for.
@@ -96,9 +98,12 @@
 	}
 }
 
-// send sends the request to an instance. It is safe for use by several
-// goroutines.
-func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, a models.Attempt, patience h1.Patience) (*h1.Response, error) {
+// send sends the request to an instance, if the permit allows it. It is safe for use by
+// several goroutines.
+func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, p permit, a models.Attempt, patience h1.Patience) (*h1.Response, error) {
+	if !p.allows(e.g, i) {
+		return nil, errors.Join(errNotRun, errNoPermit)
+	}
 	a.Left, a.Instance, a.Workspace = time.Until(e.until), i.ID, e.holder.Workspace
 	a.Priority = rank(e.holder.Priority, e.route.Priority)
 	freshest := freshRepeatable
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/ratelimit"
 )
 
 // Settings are what a gateway needs to know from the start.
@@ -57,6 +59,9 @@
 	Quarantine() *cluster.Quarantine
 	// Limits holds the limits that instances name.
 	Limits() *cluster.Limits
+	// AskPermit asks for a permit to send a request to one of several instances of a
+	// zone that name limits.
+	AskPermit(ctx context.Context, zone models.Zone, ask ratelimit.Ask) (ratelimit.Grant, error)
 	Clock() *timer.Service
 }
 
@@ -81,10 +86,12 @@
 	repeats *metrics.Counter
 	// quarantined counts the requests that were refused since they crash instances.
 	quarantined *metrics.Counter
-	resumes     *metrics.Counter
-	opened      *metrics.Counter
-	firstByte   *metrics.Histogram
-	inFlight    atomic.Int64
+	// limited counts those that were refused since all instances had named limits.
+	limited   *metrics.Counter
+	resumes   *metrics.Counter
+	opened    *metrics.Counter
+	firstByte *metrics.Histogram
+	inFlight  atomic.Int64
 	// ownZone and otherZone count the bytes of connections to upstreams.
 	ownZone   meter
 	otherZone meter
@@ -94,6 +101,7 @@
 	s := &stats{
 		ends: map[outcome]*metrics.Counter{}, repeats: set.NewCounter("lupinkeel_request_repeats_total"),
 		quarantined: set.NewCounter("lupinkeel_quarantine_refusals_total"),
+		limited:     set.NewCounter("lupinkeel_limit_refusals_total"),
 		resumes:     set.NewCounter("lupinkeel_stream_resumes_total"), opened: set.NewCounter("lupinkeel_upstream_connections_total"),
 		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
 		ownZone:   newMeter(set, "own"), otherZone: newMeter(set, "other"),
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -45,8 +45,8 @@
 }
 
 // newHedge begins a second run in the background.
-func (s *stream) newHedge(group cluster.Group) *hedge {
-	h := &hedge{run: s.newRun(group), ended: make(chan error, 1)}
+func (s *stream) newHedge(to placed) *hedge {
+	h := &hedge{run: s.newRun(to), ended: make(chan error, 1)}
 	h.patience = func(time.Duration) time.Duration { return hedgeStep }
 	go func() {
 		event, err := h.next()
@@ -138,13 +138,14 @@
 		// at once.
 		return givenUpStep
 	}
-	group, _, free := s.look()
+	// A permit is not spent on a request that another group may still answer.
+	to, free := s.lookUnlimited()
 	if !free || !s.spend() {
 		return firstStep
 	}
 	s.runs++
-	s.hedge = s.newHedge(group)
-	s.logHedge(group, silence, longest, suspect)
+	s.hedge = s.newHedge(to)
+	s.logHedge(to.group, silence, longest, suspect)
 	return hedgeStep
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -39,6 +39,10 @@
 	errNotRun     = errors.New("the instance did not run the request")
 	errMayHaveRun = errors.New("the request may have been run")
 	errBudget     = errors.New("too many requests are being repeated")
+	// errLimited: no permit comes in time to send the request to any of them.
+	errLimited = errors.New("all instances had named limits")
+	// errNoPermit: the instance named a limit since it was picked, or the permit lapsed.
+	errNoPermit = errors.New("the instance names a limit, and there is no permit for it")
 	// errQuarantined: instances crashed each time that they ran the request.
 	errQuarantined = errors.New("the request crashes the instances that run it")
 	// errLastSpared: an instance crashed with the request, and only one is left.
@@ -61,6 +65,9 @@
 	case errors.Is(err, errQuarantined):
 		// No word of when to retry: that would only bring the caller back.
 		e.g.stats.quarantined.Inc()
+	case errors.Is(err, errLimited):
+		e.g.stats.limited.Inc()
+		platform.SetRetryAfter(e.w.Header(), afterPermit(time.Until(e.permitAt)))
 	default:
 		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
@@ -89,6 +96,12 @@
 	return retryLeast + rand.N(retrySpread)
 }
 
+// afterPermit is when a caller should retry for whom a permit may come after a wait. They are
+// spread, as a permit is for one of them.
+func afterPermit(wait time.Duration) time.Duration {
+	return max(retryLeast, wait) + rand.N(max(retrySpread, wait))
+}
+
 // finish gives a request its end if no instance did.
 func (e *exchange) finish(ctx context.Context, err error) {
 	switch {
@@ -103,7 +116,7 @@
 		// begun is not whole.
 		e.note(outcomeBroken, 0, err)
 		panic(http.ErrAbortHandler)
-	case !e.ran && (errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream) || errors.Is(err, errQuarantined) || errors.Is(err, errLastSpared)):
+	case !e.ran && (errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream) || errors.Is(err, errLimited) || errors.Is(err, errQuarantined) || errors.Is(err, errLastSpared)):
 		e.refuse(err)
 	case ctx.Err() != nil:
 		e.note(outcomeLate, http.StatusGatewayTimeout, err)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -20,41 +20,80 @@
 	queuePart = 0.22
 )
 
-// look returns the best group that was not tried, if there is one, and
-// whether it has a place.
-func (s *stream) look() (group cluster.Group, found, free bool) {
+// look returns the best group that was not tried, if there is one, and whether it
+// has a place. Of a group whose head names a limit it then has a permit.
+func (s *stream) look() (to placed, found, free bool) {
 	engine := s.engine()
 	if engine == nil {
-		return group, false, false
+		return to, false, false
 	}
-	group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.wants())
-	if found && len(s.tried) == 0 {
-		s.load = load
+	for range mostAsks {
+		group, load, found := s.g.balance.pickGroup(s.g.node, engine, s.wants())
+		if found && len(s.tried) == 0 {
+			s.load = load
+		}
+		free := found && s.g.balance.policy.Takes(engine, load)
+		if !found || !(free || s.answering) || !s.g.isLimited(group.Head) {
+			return placed{group: group}, found, free
+		}
+		if to, granted := s.permitted(engine, group); granted {
+			return to, true, free
+		}
+	}
+	return to, false, false
+}
+
+// lookUnlimited is look for groups whose heads name no limit.
+func (s *stream) lookUnlimited() (to placed, free bool) {
+	engine := s.engine()
+	if engine == nil {
+		return to, false
+	}
+	w := s.wants()
+	w.unlimited = true
+	group, load, found := s.g.balance.pickGroup(s.g.node, engine, w)
+	return placed{group: group}, found && s.g.balance.policy.Takes(engine, load)
+}
+
+// heads are those of the groups that serve the stream's model.
+func (s *stream) heads() []models.UpstreamInstance {
+	groups := s.g.node.View().Groups[s.head.Model]
+	out := make([]models.UpstreamInstance, len(groups))
+	for n, g := range groups {
+		out[n] = g.Head
 	}
-	return group, found, found && s.g.balance.policy.Takes(engine, load)
+	return out
 }
 
 // pick waits for a group with a place. A stream that has begun takes any, and
-// waits as long as its caller puts up with a pause.
-func (s *stream) pick() (cluster.Group, error) {
+// waits as long as its caller puts up with a pause. Where no permit can come in
+// time it does not wait.
+func (s *stream) pick() (placed, error) {
 	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
 	if s.answering {
 		until = s.moved.Add(s.route.Pause)
 	}
 	for {
-		group, found, free := s.look()
+		to, found, free := s.look()
 		if free || (found && s.answering) {
-			return group, nil
+			return to, nil
+		}
+		next, limited := time.Time{}, false
+		if !found && s.g.node.Limits().Any() {
+			next, limited = s.g.balance.nextPermit(s.g.node, s.heads(), s.tried)
 		}
-		if time.Now().After(until) {
-			if found {
-				return group, errFull
-			}
-			return group, errNoUpstream
+		switch {
+		case limited && next.After(until):
+			s.permitAt = next
+			return to, errLimited
+		case time.Now().After(until) && found:
+			return to, errFull
+		case time.Now().After(until):
+			return to, errNoUpstream
 		}
 		select {
 		case <-s.ctx.Done():
-			return group, errors.Join(errNoUpstream, s.ctx.Err())
+			return to, errors.Join(errNoUpstream, s.ctx.Err())
 		case <-time.After(queueStep):
 		}
 	}
@@ -70,12 +109,14 @@
 	// place picks one of several groups or instances for a request that is on trial; it
 	// is nil for others.
 	place func(places int) int
+	// unlimited tells that only groups are wanted whose heads name no limit.
+	unlimited bool
 }
 
 // wants tells what the stream asks of its next group. One that is moved is late
 // already, wherever it goes on.
 func (s *stream) wants() wanted {
-	w := wanted{s.head, s.route.Aim, s.route.Aim, s.tried, s.place()}
+	w := wanted{head: s.head, aim: s.route.Aim, routeAim: s.route.Aim, tried: s.tried, place: s.place()}
 	if len(s.tried) > 0 {
 		w.aim = 0
 	}
@@ -89,7 +130,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	view := node.View()
-	groups := untried(view.Groups[head.Model], tried)
+	groups := b.eligible(node, view.Groups[head.Model], w, time.Now())
 	if len(groups) == 0 {
 		return cluster.Group{}, 0, false
 	}
@@ -137,9 +178,12 @@
 	}
 }
 
-func untried(groups []cluster.Group, tried []models.InstanceID) []cluster.Group {
+// eligible are the groups that were not tried and are not left alone. The balance must be
+// locked.
+func (b *balance) eligible(node Beliefs, groups []cluster.Group, w wanted, now time.Time) []cluster.Group {
 	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
-		return slices.Contains(tried, g.Head.ID)
+		return slices.Contains(w.tried, g.Head.ID) || b.isBarred(node, g.Head, now) ||
+			(w.unlimited && node.Limits().Rate(g.Head, now) != models.NoLimit)
 	})
 }
 
@@ -150,9 +194,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := node.View().Services[service]
-	best, least := -1, 0.0
+	best, least, now := -1, 0.0, time.Now()
 	for _, i := range rand.Perm(len(all)) {
-		if slices.Contains(tried, all[i].ID) {
+		if slices.Contains(tried, all[i].ID) || b.isBarred(node, all[i], now) {
 			continue
 		}
 		n := float64(b.loadAt(node, all[i].ID).Requests) + failureRequests*b.failing(all[i])
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -24,6 +24,7 @@
 type run struct {
 	s      *stream
 	group  cluster.Group
+	permit permit
 	ctx    context.Context
 	cancel context.CancelFunc
 	// resume is the event after which the run goes on, if resumed.
@@ -47,9 +48,10 @@
 }
 
 // newRun prepares a run and counts it at its group. It must be closed.
-func (s *stream) newRun(group cluster.Group) *run {
+func (s *stream) newRun(to placed) *run {
+	group := to.group
 	r := &run{
-		s: s, group: group, resume: s.last, resumed: s.begun, unread: s.head.PromptTokens, sent: time.Now(),
+		s: s, group: group, permit: to.permit, resume: s.last, resumed: s.begun, unread: s.head.PromptTokens, sent: time.Now(),
 	}
 	r.ctx, r.cancel = context.WithCancel(s.ctx)
 	s.try(group.Head)
@@ -72,7 +74,7 @@
 
 // open sends the request and reads the head of the answer.
 func (r *run) open() error {
-	answer, err := r.s.send(r.ctx, r.group.Head, models.Attempt{Resume: r.resumed, After: r.resume}, r.patience)
+	answer, err := r.s.send(r.ctx, r.group.Head, r.permit, models.Attempt{Resume: r.resumed, After: r.resume}, r.patience)
 	if err != nil {
 		return err
 	}
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -26,6 +26,7 @@
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
+	"github.com/lupinkeel/lupinkeel/ratelimit"
 )
 
 // TestScripts runs the archives in testdata. The file "config" holds the
@@ -88,6 +89,11 @@
 	return cluster.NewLimits(func() {}, metrics.NewSet(), zerolog.Nop())
 }
 
+// AskPermit is not called where no instance names a limit.
+func (f *fixedBeliefs) AskPermit(context.Context, models.Zone, ratelimit.Ask) (ratelimit.Grant, error) {
+	return ratelimit.Grant{}, cluster.ErrNoGranter
+}
+
 // noQuarantine is one in which nothing is held yet.
 func noQuarantine() *cluster.Quarantine {
 	return cluster.NewQuarantine(func() {}, metrics.NewSet(), zerolog.Nop())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,20 +46,20 @@
 		s.last, s.begun = e.head.After, true
 	}
 	defer s.close()
-	group, err := s.pick()
+	to, err := s.pick()
 	if err != nil {
 		return err
 	}
-	s.begin(group)
+	s.begin(to)
 	return s.run()
 }
 
 // begin begins a run that takes the place of the former one.
-func (s *stream) begin(group cluster.Group) {
+func (s *stream) begin(to placed) {
 	s.runs++
-	s.current = s.newRun(group)
+	s.current = s.newRun(to)
 	s.current.patience = s.patience
-	s.group = group.Key
+	s.group = to.group.Key
 }
 
 func (s *stream) close() {
@@ -123,16 +123,16 @@
 	if err := s.mayBeSent(); err != nil {
 		return errors.Join(cause, err)
 	}
-	group, err := s.pick()
+	to, err := s.pick()
 	if err != nil {
 		return errors.Join(cause, err)
 	}
 	if !s.spend() {
 		return errors.Join(cause, errBudget)
 	}
-	s.logMove(group, cause)
+	s.logMove(to.group, cause)
 	s.current.close()
-	s.begin(group)
+	s.begin(to)
 	return nil
 }
 
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -37,12 +37,12 @@
 	e.g.budget.request(e.began)
 	var err error
 	for {
-		i, found := e.pickInstance()
-		if !found {
-			return errors.Join(err, errNoUpstream)
+		i, p, none := e.pickPermitted(ctx)
+		if none != nil {
+			return errors.Join(err, none)
 		}
 		last := len(e.tried)+1 >= e.route.Attempts
-		err = e.tryUnary(ctx, i, last)
+		err = e.tryUnary(ctx, i, p, last)
 		e.noteCut(ctx, i, err)
 		e.ran = e.ran || (err != nil && !errors.Is(err, errNotRun))
 		if err == nil || last || ctx.Err() != nil || !(e.route.Repeatable() || errors.Is(err, errNotRun)) {
@@ -58,7 +58,7 @@
 	}
 }
 
-// pickInstance returns the instance that the request is sent to next.
+// pickInstance returns the instance that the request is sent to next, if it gets a permit.
 func (e *exchange) pickInstance() (models.UpstreamInstance, bool) {
 	all := e.g.node.View().Services[e.service]
 	if place := e.place(); place != nil && len(all) > 0 {
@@ -72,7 +72,7 @@
 
 // tryUnary makes one try. A failure that the instance gave is passed on only
 // in the last one.
-func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, last bool) error {
+func (e *exchange) tryUnary(ctx context.Context, i models.UpstreamInstance, p permit, last bool) error {
 	e.try(i)
 	e.g.balance.add(i.ID, 1, 0)
 	defer e.g.balance.add(i.ID, -1, 0)
@@ -81,7 +81,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	resp, err := e.send(ctx, i, models.Attempt{}, nil)
+	resp, err := e.send(ctx, i, p, models.Attempt{}, nil)
 	if err != nil {
 		return err
 	}
--- a/membership/arrange.go
+++ b/membership/arrange.go
@@ -23,6 +23,9 @@
 	// Planners are the daemons that may plan, in standing: all in a mesh, else the
 	// relays of all zones.
 	Planners []Daemon
+	// Granters are the daemons that grant permits for limited instances, by
+	// availability zone of the instances.
+	Granters map[models.Zone]models.DaemonID
 	// Links are the daemons that this one tells of itself.
 	Links map[models.DaemonID]Link
 }
@@ -46,10 +49,12 @@
 // Arrange returns the arrangement as of now.
 func (r *Roster) Arrange(now time.Time) *Arrangement {
 	a := &Arrangement{Size: r.size(), Zone: r.zone(), Links: map[models.DaemonID]Link{}}
+	relays := map[models.Zone][]Daemon{}
 	if a.Mesh = a.Size <= r.policy.Few; a.Mesh {
 		r.mesh(a)
 	} else {
-		r.tree(a, r.relays(now))
+		relays = r.relays(now)
+		r.tree(a, relays)
 	}
 	slices.SortFunc(a.Planners, func(x, y Daemon) int {
 		if x.Before(y) {
@@ -57,6 +62,7 @@
 		}
 		return 1
 	})
+	r.addGranters(a, relays)
 	for id, m := range r.known {
 		_, linked := a.Links[id]
 		switch {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,6 +13,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -89,6 +90,11 @@
 	Relies, RelaysFirst bool
 	// Size is how many daemons its sender knows of, itself among them.
 	Size int
+	// Grants is for how many daemons its sender asks this one for permits, by zone of
+	// the instances.
+	Grants map[models.Zone]int
+	// Granters are who grants permits by what its sender knows. Only relays tell that.
+	Granters map[models.Zone]models.DaemonID
 }
 
 // Roster is what one daemon knows of the others. It is not safe for use by
@@ -135,7 +141,8 @@
 	}
 	r.Enter(b.Daemon)
 	m := r.known[b.ID]
-	news := m.heard.IsZero() || m.Relies != b.Relies || m.RelaysFirst != b.RelaysFirst || m.Size != b.Size
+	news := m.heard.IsZero() || m.Relies != b.Relies || m.RelaysFirst != b.RelaysFirst || m.Size != b.Size ||
+		!maps.Equal(m.Granters, b.Granters)
 	m.Beat, m.heard, m.absent = b, at, time.Time{}
 	return news
 }
@@ -152,7 +159,7 @@
 			continue
 		}
 		m.heard, m.expected = time.Time{}, time.Time{}
-		m.Relies, m.RelaysFirst = false, false
+		m.Relies, m.RelaysFirst, m.Grants, m.Granters = false, false, nil, nil
 		m.absent = now.Add(r.policy.Absence)
 	}
 	return silent
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -44,6 +44,8 @@
 	daemons []*daemon
 	byID    map[models.DaemonID]*daemon
 	cut     map[models.Zone]bool
+	// granted is, by zone, what all granters' shares came to at each step.
+	granted map[models.Zone][]float64
 }
 
 // TestScripts plays the scripts: daemons find each other by the store's roster and
@@ -58,6 +60,9 @@
 //	links MOST             check how many links there are
 //	reach                  check that news of each daemon reaches all others
 //	loads                  check that each zone agrees whose word of loads it uses
+//	permits LEAST          check that each zone's permits are granted, to whom all running
+//	                       daemons of reachable zones ask, and that all shares come to this
+//	granted MOST           check what all shares came to, on average of any 4 s so far
 //	planners MOST          check that some daemon may plan, and how many
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -74,7 +79,7 @@
 	f, err := os.Open(file)
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
-	s := &site{c: c, now: time.Unix(1_000_000, 0), byID: map[models.DaemonID]*daemon{}, cut: map[models.Zone]bool{}}
+	s := &site{c: c, now: time.Unix(1_000_000, 0), byID: map[models.DaemonID]*daemon{}, cut: map[models.Zone]bool{}, granted: map[models.Zone][]float64{}}
 	lines := bufio.NewScanner(f)
 	for lines.Scan() {
 		line, _, _ := strings.Cut(lines.Text(), "#")
@@ -107,6 +112,10 @@
 		s.reach()
 	case "loads":
 		s.loads()
+	case "permits":
+		s.permits(s.part(args[0]))
+	case "granted":
+		s.mostGranted(s.part(args[0]))
 	case "planners":
 		s.planners(s.number(args[0]))
 	default:
@@ -120,6 +129,12 @@
 	return n
 }
 
+func (s *site) part(text string) float64 {
+	part, err := strconv.ParseFloat(text, 64)
+	s.c.Assert(err, qt.IsNil)
+	return part
+}
+
 func (s *site) add(zone models.Zone, n, strong int) {
 	for i := range n {
 		power := 0.2
@@ -188,6 +203,7 @@
 			d.beaten[id] = s.now
 			news := to.roster.Hear(membership.Beat{
 				Daemon: d.Daemon, Every: every, Relies: link.Relies, RelaysFirst: link.RelaysFirst, Size: d.arranged.Size,
+				Grants: d.roster.Votes(d.arranged, id), Granters: d.arranged.Granters,
 			}, s.now)
 			to.stale = to.stale || news
 		}
@@ -197,6 +213,59 @@
 			d.lookAround(s.now)
 		}
 	}
+	for zone, sum := range s.shares() {
+		s.granted[zone] = append(s.granted[zone], sum)
+	}
+}
+
+// shares is what all granters' shares come to now, by zone of the instances.
+func (s *site) shares() map[models.Zone]float64 {
+	sums := map[models.Zone]float64{}
+	for _, d := range s.daemons {
+		sums[d.Zone] += 0
+	}
+	for _, d := range s.daemons {
+		if !d.up {
+			continue
+		}
+		shares := d.roster.Shares(d.arranged)
+		for zone := range sums {
+			sums[zone] += d.arranged.ShareOf(shares, zone)
+		}
+	}
+	return sums
+}
+
+// permits checks that all that reach each other ask the same daemon for permits, and what
+// all granters' shares come to.
+func (s *site) permits(least float64) {
+	for zone, sum := range s.shares() {
+		s.c.Check(sum >= least, qt.IsTrue, qt.Commentf("zone %q: %v granted", zone, sum))
+		for _, a := range s.daemons {
+			for _, b := range s.daemons {
+				if s.reaches(a, b) && s.reaches(b, a) && (!s.cut[zone] || a.Zone == b.Zone) {
+					s.c.Assert(a.arranged.Granter(zone), qt.Equals, b.arranged.Granter(zone), qt.Commentf("%s and %s for %q", a.ID, b.ID, zone))
+				}
+			}
+		}
+	}
+}
+
+// mostGranted checks what all shares came to on average of any window.
+func (s *site) mostGranted(most float64) {
+	window := int(4 * time.Second / step)
+	for zone, sums := range s.granted {
+		sum, worst := 0.0, 0.0
+		for n, now := range sums {
+			sum += now
+			if n >= window {
+				sum -= sums[n-window]
+			}
+			worst = max(worst, sum/float64(window))
+		}
+		s.c.Logf("zone %q: %.2f at most", zone, worst)
+		s.c.Check(worst <= most, qt.IsTrue, qt.Commentf("zone %q: %v granted", zone, worst))
+	}
 }
 
 // lookAround arranges the daemon anew if it has reason to, and every now and then.
