membership, cluster: have a heard relay grant permits while a lost one is tried again

Where there are relays nobody granted permits for a zone for 1.2 s of every seven once its first relay was gone for good: that one is taken for the first again each time its absence ends, until its silence shows once more. The granter is now the first relay that is heard.

--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -141,7 +141,7 @@
 	}
 	if n.limits.Any() {
 		b.Grants = v.votes[to]
-		if l.Totals {
+		if l.Member {
 			b.Granters = v.Arranged.Granters
 		}
 	}
--- a/cluster/quarantine_test.go
+++ b/cluster/quarantine_test.go
@@ -48,6 +48,7 @@
 	}
 	p.tasks = []task.Task{
 		task.Start(ctx, "owner", o.run), task.Start(ctx, "clock", n.clock.Run), task.Start(ctx, "peers", server.run),
+		task.Start(ctx, "permits", n.permits.run),
 	}
 	t.Cleanup(p.stop)
 	return p
--- a/membership/arrange.go
+++ b/membership/arrange.go
@@ -26,6 +26,9 @@
 	// Granters are the daemons that grant permits for limited instances, by
 	// availability zone of the instances.
 	Granters map[models.Zone]models.DaemonID
+	// speaker is the relay that tells this daemon who grants permits, and tells granters
+	// of other zones for how many it speaks; it may be this daemon itself. Empty in a mesh.
+	speaker models.DaemonID
 	// Links are the daemons that this one tells of itself.
 	Links map[models.DaemonID]Link
 }
--- a/membership/granters.go
+++ b/membership/granters.go
@@ -33,10 +33,11 @@
 }
 
 // addGranters finds who grants permits. In a mesh that is the first daemon of each zone that
-// is heard; with relays, the first relay of each zone. Only relays hear relays of other zones,
-// and tell those who rely on them.
+// is heard; with relays, the first relay of each zone that is. Only relays hear relays of
+// other zones, and tell those who rely on them.
 func (r *Roster) addGranters(a *Arrangement, relays map[models.Zone][]Daemon) {
 	a.Granters = map[models.Zone]models.DaemonID{}
+	a.speaker, _ = r.firstHeard(relays[r.self.Zone])
 	switch {
 	case a.Mesh:
 		for _, d := range a.Planners {
@@ -45,16 +46,15 @@
 				a.Granters[d.Zone] = d.ID
 			}
 		}
-	case a.First == r.self.ID:
+	case a.speaker == r.self.ID:
 		for zone, of := range relays {
-			at := slices.IndexFunc(of, func(d Daemon) bool { return d.ID == r.self.ID || r.hears(d.ID) })
-			if at >= 0 {
-				a.Granters[zone] = of[at].ID
+			if id, heard := r.firstHeard(of); heard {
+				a.Granters[zone] = id
 			}
 		}
-	case r.hears(a.First):
-		maps.Copy(a.Granters, r.known[a.First].Granters)
-		a.Granters[r.self.Zone] = a.First
+	case a.speaker != "":
+		maps.Copy(a.Granters, r.known[a.speaker].Granters)
+		a.Granters[r.self.Zone] = a.speaker
 	}
 	delete(a.Granters, elsewhere)
 	if len(a.Granters) > 0 {
@@ -62,20 +62,27 @@
 	}
 }
 
-func (r *Roster) hears(id models.DaemonID) bool {
-	m := r.known[id]
-	return m != nil && !m.heard.IsZero()
+// firstHeard returns the first of some daemons that is heard, or is this one.
+func (r *Roster) firstHeard(of []Daemon) (models.DaemonID, bool) {
+	at := slices.IndexFunc(of, func(d Daemon) bool {
+		m := r.known[d.ID]
+		return d.ID == r.self.ID || (m != nil && !m.heard.IsZero())
+	})
+	if at < 0 {
+		return "", false
+	}
+	return of[at].ID, true
 }
 
 // Votes is for how many daemons this one asks another one for permits, by zone of the
-// instances. Where there are relays the first one of a zone speaks for those that rely on it.
+// instances. Where there are relays one of each zone speaks for those that ask it.
 func (r *Roster) Votes(a *Arrangement, to models.DaemonID) map[models.Zone]int {
 	weight := 1
 	switch {
-	case a.Mesh || to == a.First:
-	case a.First == r.self.ID:
+	case a.Mesh || to == a.speaker:
+	case a.speaker == r.self.ID:
 		for _, m := range r.known {
-			if !m.heard.IsZero() && m.Zone == r.self.Zone && m.RelaysFirst {
+			if !m.heard.IsZero() && m.Zone == r.self.Zone && m.Grants[m.Zone] > 0 {
 				weight++
 			}
 		}
