fleet, cluster: do not take groups whose heads name limits for idle

A group whose head names a limit has few requests, so that its model's places passed for idle, and instances could be taken from it or staged for others. The places that a limit withholds no longer count; a limit that does not bind withholds nothing. Without limits nothing changes.

--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/fleet"
@@ -48,24 +49,45 @@
 // twenty times a second: the average follows within two seconds.
 const busyKept = 0.97
 
-// busy averages how many requests the groups of each model have.
-func (o *owner) busy(engine *models.EngineProfile, now time.Time) map[models.ModelName]float64 {
+// busy averages how many requests the groups of each model have, and how many of their
+// places limits withhold.
+func (o *owner) busy(engine *models.EngineProfile, now time.Time) (busy, withheld map[models.ModelName]float64) {
 	if o.fleet.busy == nil {
-		o.fleet.busy = map[models.ModelName]float64{}
+		o.fleet.busy, o.fleet.withheld = map[models.ModelName]float64{}, map[models.ModelName]float64{}
 	}
 	groups := o.fleet.serving(now)
 	own := o.n.traffic.Loads()
 	for _, m := range engine.Models {
-		sum := 0
+		sum, kept := 0, 0
 		for _, g := range groups[m.Name] {
-			sum += own[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
+			requests := own[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
+			sum += requests
+			kept += engine.Slots - places(engine, o.n.limits.Rate(g.Head, now), requests)
 		}
-		if _, known := o.fleet.busy[m.Name]; !known {
-			o.fleet.busy[m.Name] = float64(sum)
-		}
-		o.fleet.busy[m.Name] = busyKept*o.fleet.busy[m.Name] + (1-busyKept)*float64(sum)
+		average(o.fleet.busy, m.Name, sum)
+		average(o.fleet.withheld, m.Name, kept)
+	}
+	return maps.Clone(o.fleet.busy), maps.Clone(o.fleet.withheld)
+}
+
+// typicalStay is about how long a request stays at a group.
+const typicalStay = time.Second
+
+// places is how many of a group's places can be used whose head may get requests at some
+// rate.
+func places(engine *models.EngineProfile, rate float64, requests int) int {
+	if rate >= float64(engine.Slots)/typicalStay.Seconds() {
+		return engine.Slots
+	}
+	return min(engine.Slots, max(requests, int(math.Ceil(rate*typicalStay.Seconds()))))
+}
+
+// average takes one more count into the average of a model.
+func average(averages map[models.ModelName]float64, model models.ModelName, count int) {
+	if _, known := averages[model]; !known {
+		averages[model] = float64(count)
 	}
-	return maps.Clone(o.fleet.busy)
+	averages[model] = busyKept*averages[model] + (1-busyKept)*float64(count)
 }
 
 // supplyEvery is how often the planner tells what serves.
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -54,9 +54,11 @@
 	// supplyLogged is when the supply was last told in the log.
 	supplyLogged time.Time
 	// demand is the part of all instances that each model needs, busy how many
-	// requests its groups have, both averaged.
-	demand map[models.ModelName]float64
-	busy   map[models.ModelName]float64
+	// requests its groups have, withheld how many of their places limits withhold, all
+	// averaged.
+	demand   map[models.ModelName]float64
+	busy     map[models.ModelName]float64
+	withheld map[models.ModelName]float64
 }
 
 // knownInstance is an upstream instance and how fresh what is known of it is.
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -175,8 +175,9 @@
 
 // world is what the planner is told of one service's instances.
 func (o *owner) world(name models.ServiceName, engine *models.EngineProfile, now time.Time) fleet.World {
+	busy, withheld := o.busy(engine, now)
 	w := fleet.World{
-		Now: now, Profile: engine, Demand: o.demand(engine), Busy: o.busy(engine, now),
+		Now: now, Profile: engine, Demand: o.demand(engine), Busy: busy, Withheld: withheld,
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Lost: map[models.InstanceID]bool{},
 		Unproven: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{},
 	}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -64,6 +64,9 @@
 	Demand map[models.ModelName]float64
 	// Busy counts the requests that each model's groups have.
 	Busy map[models.ModelName]float64
+	// Withheld counts the places of each model's groups that are not to be had, since
+	// their heads name limits.
+	Withheld map[models.ModelName]float64
 	// Traffic tells that requests have come. Until then loads are cheap.
 	Traffic bool
 }
--- a/fleet/supply.go
+++ b/fleet/supply.go
@@ -46,7 +46,8 @@
 // use is the part of its places that the model uses if so many instances are in
 // its groups.
 func (w World) use(m models.ModelProfile, instances int) float64 {
-	return w.Busy[m.Name] / max(1, float64(instances/m.Size*w.Profile.Slots))
+	places := float64(instances/m.Size*w.Profile.Slots) - w.Withheld[m.Name]
+	return w.Busy[m.Name] / max(1, places)
 }
 
 // bySize lists the models, those with the largest groups first.
