ratelimit: drain a bucket at the lower of two rates

A granter whose share or limit rose let the bucket drain at the new rate for the time before the rise too, also for time in which others granted: up to a burst more than the rate allows.

--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -58,7 +58,9 @@
 // bucket is a leaky bucket that holds the permits granted of late.
 type bucket struct {
 	level float64
-	at    time.Time
+	// at is when it was looked at last, rate what it then drained at.
+	at   time.Time
+	rate float64
 	// granted counts all permits.
 	granted int
 	// denied counts the asks refused since the last one.
@@ -78,6 +80,7 @@
 			return Grant{Granted: true, At: n, Waits: waits}
 		}
 		if r <= 0 {
+			g.bucket(w.Instance, now).drain(0, now)
 			waits[n] = longestWait
 			continue
 		}
@@ -102,10 +105,16 @@
 	return b
 }
 
+// drain has the bucket drain until now. The rate may have changed at any time since it last
+// did.
+func (b *bucket) drain(rate float64, now time.Time) {
+	drained := min(rate, b.rate) * max(0, now.Sub(b.at).Seconds())
+	b.level, b.at, b.rate = max(0, b.level-drained), now, rate
+}
+
 // take takes one permit and returns zero, or how long there will be none.
 func (b *bucket) take(rank int, rate float64, now time.Time) time.Duration {
-	b.level = max(0, b.level-rate*max(0, now.Sub(b.at).Seconds()))
-	b.at = now
+	b.drain(rate, now)
 	need := 1.0
 	waiting := now.Before(b.until)
 	if waiting && rank > b.urgent && b.granted%open != 0 {
--- /dev/null
+++ b/ratelimit/granter_test.go
@@ -0,0 +1,82 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+func want(id models.InstanceID) []Wanted { return []Wanted{{Instance: id, Rate: 1}} }
+
+// Whatever is asked for when, and however the rate changes, no more permits are granted than
+// the rate comes to, and the burst.
+func TestGrantsKeepWithinTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		var g Granter
+		var granted []time.Time
+		rate, sum := 2.0, 0.0
+		var sums []float64
+		for range rapid.IntRange(1, 200).Draw(t, "asks") {
+			step := time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond
+			now, sum = now.Add(step), sum+rate*step.Seconds()
+			if rapid.IntRange(0, 9).Draw(t, "changes") == 0 {
+				rate = rapid.SampledFrom([]float64{0, 0.3, 1.4, 5}).Draw(t, "rate")
+			}
+			rank := rapid.IntRange(0, 9).Draw(t, "rank")
+			got := g.Ask(Ask{Rank: rank, Wanted: want("i")}, func(Wanted) float64 { return rate }, now)
+			if !got.Granted {
+				if wait := got.Waits[0]; wait <= 0 || wait > longestWait+time.Millisecond {
+					t.Fatalf("a wait of %v", wait)
+				}
+				continue
+			}
+			granted, sums = append(granted, now), append(sums, sum)
+			for n := range granted {
+				const rounding = 1e-9
+				most := sums[len(sums)-1] - sums[n] + burst + rounding
+				if count := float64(len(granted) - n); count > most {
+					t.Fatalf("%v permits, %v allowed", count, most)
+				}
+			}
+		}
+	})
+}
+
+// While more urgent requests wait the last permit is kept for them, but for one in four.
+func TestUrgentComeFirst(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	var g Granter
+	rate := func(Wanted) float64 { return 1 }
+	ask := func(rank int) bool { return g.Ask(Ask{Rank: rank, Wanted: want("i")}, rate, now).Granted }
+	granted := map[int]int{}
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		for _, rank := range []int{5, 0} {
+			if ask(rank) {
+				granted[rank]++
+			}
+		}
+	}
+	c.Assert(granted[0]+granted[5] >= 38, qt.IsTrue, qt.Commentf("%v", granted))
+	c.Assert(granted[5] >= 8 && granted[5] <= 14, qt.IsTrue, qt.Commentf("%v", granted))
+}
+
+func ExampleGranter_Ask() {
+	var g Granter
+	now := time.Now()
+	ask := Ask{Wanted: []Wanted{{Instance: "fabric-a-1", Rate: 2}, {Instance: "fabric-a-2", Rate: 2}}}
+	rate := func(w Wanted) float64 { return w.Rate }
+	fmt.Println(g.Ask(ask, rate, now).Granted)
+	later := g.Ask(ask, rate, now.Add(time.Second))
+	fmt.Println(later.Granted, ask.Wanted[later.At].Instance)
+	// Output:
+	// false
+	// true fabric-a-1
+}
