--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -68,6 +68,9 @@
 	// busy holds how many requests other daemons have at instances.
 	busy       map[models.InstanceID]int
 	quarantine *cluster.Quarantine
+	// limits are none if nil; permit answers asks for permits.
+	limits *cluster.Limits
+	permit func(ratelimit.Ask) (ratelimit.Grant, error)
 
 	mu      sync.Mutex
 	stalled []models.InstanceID
@@ -84,14 +87,25 @@
 	return f.quarantine
 }
 
-// Limits are such that no instance names one.
+// Limits are such that no instance names one, unless the test has others.
 func (f *fixedBeliefs) Limits() *cluster.Limits {
+	if f.limits == nil {
+		return noLimits()
+	}
+	return f.limits
+}
+
+// noLimits are none yet.
+func noLimits() *cluster.Limits {
 	return cluster.NewLimits(func() {}, metrics.NewSet(), zerolog.Nop())
 }
 
-// AskPermit is not called where no instance names a limit.
-func (f *fixedBeliefs) AskPermit(context.Context, models.Zone, ratelimit.Ask) (ratelimit.Grant, error) {
-	return ratelimit.Grant{}, cluster.ErrNoGranter
+// AskPermit has nobody who grants permits, unless the test has.
+func (f *fixedBeliefs) AskPermit(_ context.Context, _ models.Zone, ask ratelimit.Ask) (ratelimit.Grant, error) {
+	if f.permit == nil {
+		return ratelimit.Grant{}, cluster.ErrNoGranter
+	}
+	return f.permit(ask)
 }
 
 // noQuarantine is one in which nothing is held yet.
