gateway: let connections rest within an instance's room at any number of daemons

Each daemon let one connection rest at least, so that 300 daemons kept 300 at an instance that takes 110 and resets any more; 90 kept 90 of 120 where half was to be left for those in use. Of a share below one a daemon now keeps one connection by a lot that is its own for each instance.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"log"
 	"net"
 	"net/http"
@@ -104,7 +105,7 @@
 			return ctx.Err()
 		case tick := <-ticks:
 			v := g.node.View()
-			g.conns.Allow(restingConns(v))
+			g.conns.Allow(restingConns(v, g.cfg.Listen))
 			g.conns.Sweep(tick.At)
 			g.balance.forget(v.All)
 			g.crashes.sweep(tick.At)
@@ -120,8 +121,9 @@
 const restingPart = 0.5
 
 // restingConns is how many connections to each instance may rest: this daemon's
-// share of what the instance takes, but one at least.
-func restingConns(v *cluster.View) map[netip.AddrPort]int {
+// share of what the instance takes. Of a share below one some daemons keep one
+// connection, others to other instances, so that all together keep to their part.
+func restingConns(v *cluster.View, self netip.AddrPort) map[netip.AddrPort]int {
 	most := make(map[netip.AddrPort]int, len(v.All))
 	for _, i := range v.All {
 		most[i.Addr] = h1.MaxIdle
@@ -129,13 +131,24 @@
 			continue
 		}
 		if takes := v.Routing.Services[i.Service].MaxConnections; takes > 0 {
-			share := int(restingPart * float64(takes) / float64(max(1, v.Daemons)))
-			most[i.Addr] = min(h1.MaxIdle, max(1, share))
+			share := restingPart * float64(takes) / float64(max(1, v.Daemons))
+			if share < 1 && lot(self, i.Addr) < share {
+				share = 1
+			}
+			most[i.Addr] = min(h1.MaxIdle, int(share))
 		}
 	}
 	return most
 }
 
+// lot is a number from 0 to 1 that is a daemon's own for each instance.
+func lot(self, instance netip.AddrPort) float64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %s", self, instance)
+	const bits = 53
+	return float64(h.Sum64()%(1<<bits)) / (1 << bits)
+}
+
 func (g *Gateway) readyRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
