gateway, cluster: no share of the fixed repeats for daemons that know of no others

The same cause as with limits: what all daemons may repeat together was one daemon's alone as long as it had neither read the roster nor heard another, so that several which start at once could each spend it. Until then a daemon may repeat by its own requests only.

--- a/cluster/arrange.go
+++ b/cluster/arrange.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// knowsPart reports whether the roster was read.
+func (n *Node) knowsPart() bool {
+	select {
+	case <-n.partKnown:
+		return true
+	default:
+		return false
+	}
+}
+
 // enter notes where a run of a daemon is reached, unless a later one is known.
 func (o *owner) enter(id models.DaemonID, entry rosterEntry) error {
 	addr, err := netip.ParseAddrPort(entry.Addr)
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -189,7 +189,10 @@
 // planning.
 func (o *owner) showPeers(v *View, now time.Time) {
 	v.Routing, v.Proven, v.config = o.config.routing, o.config.proven, o.config.data
-	v.Daemons, v.Arranged = o.peers.arranged.Size, o.peers.arranged
+	v.Arranged, v.Daemons = o.peers.arranged, 0
+	if o.n.knowsPart() || v.Arranged.Size > 1 {
+		v.Daemons = v.Arranged.Size
+	}
 	v.zoneWork = o.shownZoneWork()
 	v.Planner, v.Term = o.fleet.planner != nil, max(o.peers.term, o.fleet.term())
 	v.mayPlan, v.candidate = o.mayPlan(), o.candidate(now)
@@ -226,9 +229,7 @@
 			v.granters[id], v.votes[id] = e.addr, o.peers.roster.Votes(a, id)
 		}
 	}
-	select {
-	case <-o.n.partKnown:
+	if o.n.knowsPart() {
 		v.shares = o.peers.roster.Shares(a)
-	default:
 	}
 }
--- a/cluster/quarantine_test.go
+++ b/cluster/quarantine_test.go
@@ -43,6 +43,7 @@
 	server, err := listenPeers(n)
 	c.Assert(err, qt.IsNil)
 	o := newOwner(n)
+	close(n.partKnown)
 	for _, other := range others {
 		c.Assert(o.enter(other.cfg.ID, other.entry()), qt.IsNil)
 	}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -19,7 +19,8 @@
 	Services map[models.ServiceName][]models.UpstreamInstance
 	// Suspects are heads that this or another daemon found to stand still.
 	Suspects map[models.InstanceID]bool
-	// Daemons is the number of daemons, this one among them.
+	// Daemons is the number of daemons, this one among them; 0 until the roster was
+	// read or another daemon told.
 	Daemons int
 	Term    int64
 	// Planner tells that this node plans the groups.
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -51,7 +51,8 @@
 	b.advance(now).requests++
 }
 
-// repeat reports whether a request may be sent once more, and counts it.
+// repeat reports whether a request may be sent once more, and counts it. A daemon that
+// does not know yet how many there are has no share of the fixed number.
 func (b *budget) repeat(now time.Time, daemons int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -61,7 +62,11 @@
 		sum.requests += s.requests
 		sum.repeats += s.repeats
 	}
-	most := budgetPart * (b.ratio*float64(sum.requests) + b.slack/float64(max(1, daemons)))
+	most := b.ratio * float64(sum.requests)
+	if daemons > 0 {
+		most += b.slack / float64(daemons)
+	}
+	most *= budgetPart
 	if float64(sum.repeats+1) > most {
 		return false
 	}
