cluster, ratelimit: charge reports to the limits of instances

A stream whose group stands still takes a permit for its second run only where no other group takes it.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -297,6 +297,7 @@
 		defer cancel()
 		told, err := n.instances.Report(limited, i)
 		n.tell(ctx, reportEnded{instance: told, err: err, asked: asked})
+		n.permits.charge(ctx, i)
 		return nil
 	})
 }
--- a/cluster/permits.go
+++ b/cluster/permits.go
@@ -118,6 +118,19 @@
 	return grant, err
 }
 
+// charge counts what is sent to an instance without a permit against its limit: reports are
+// asked for when something is wrong, and can't wait.
+func (p *permits) charge(ctx context.Context, i models.UpstreamInstance) {
+	rate := p.n.limits.Rate(i, time.Now())
+	if rate == models.NoLimit {
+		return
+	}
+	_, err := p.ask(ctx, i.Zone, ratelimit.Ask{Charge: true, Wanted: []ratelimit.Wanted{{Instance: i.ID, Rate: rate}}})
+	if err != nil {
+		p.n.log.Debug().Str("instance", string(i.ID)).Err(err).Msg("report-not-charged")
+	}
+}
+
 func (p *permits) ask(ctx context.Context, zone models.Zone, ask ratelimit.Ask) (ratelimit.Grant, error) {
 	v := p.n.View()
 	if v.Arranged == nil {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -138,8 +138,11 @@
 		// at once.
 		return givenUpStep
 	}
-	// A permit is not spent on a request that another group may still answer.
 	to, free := s.lookUnlimited()
+	if !free {
+		// Permits are scarce, and the first run may still go on: they come second.
+		to, _, free = s.look()
+	}
 	if !free || !s.spend() {
 		return firstStep
 	}
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -37,6 +37,9 @@
 	Rank int `msgpack:"k"`
 	// Wanted are the instances, the best first.
 	Wanted []Wanted `msgpack:"w"`
+	// Charge tells that something was sent to the first of them without a permit, which
+	// counts against its rate all the same.
+	Charge bool `msgpack:"c,omitempty"`
 }
 
 // Grant answers an Ask.
@@ -74,6 +77,12 @@
 // now. The function tells the rate at which this daemon may grant permits of an instance.
 func (g *Granter) Ask(ask Ask, rate func(Wanted) float64, now time.Time) Grant {
 	waits := make([]time.Duration, len(ask.Wanted))
+	if ask.Charge && len(ask.Wanted) > 0 {
+		b := g.bucket(ask.Wanted[0].Instance, now)
+		b.drain(rate(ask.Wanted[0]), now)
+		b.level = min(b.level+1, 2*burst)
+		return Grant{Granted: true, Waits: waits}
+	}
 	for n, w := range ask.Wanted {
 		r := rate(w)
 		if r == models.NoLimit {
--- a/ratelimit/granter_test.go
+++ b/ratelimit/granter_test.go
@@ -68,6 +68,25 @@
 	c.Assert(granted[5] >= 8 && granted[5] <= 14, qt.IsTrue, qt.Commentf("%v", granted))
 }
 
+// What is sent without a permit leaves fewer for requests.
+func TestChargesCount(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	var g Granter
+	rate := func(Wanted) float64 { return 1 }
+	granted := 0
+	for n := range 100 {
+		now = now.Add(100 * time.Millisecond)
+		if n%20 == 0 {
+			g.Ask(Ask{Wanted: want("i"), Charge: true}, rate, now)
+		}
+		if g.Ask(Ask{Wanted: want("i")}, rate, now).Granted {
+			granted++
+		}
+	}
+	c.Assert(granted >= 4 && granted <= 5, qt.IsTrue, qt.Commentf("%d", granted))
+}
+
 func ExampleGranter_Ask() {
 	var g Granter
 	now := time.Now()
