--- a/cluster/limits_test.go
+++ b/cluster/limits_test.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -21,15 +20,7 @@
 	}{{"mesh", 3, 1}, {"relays", 24, 3}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			var peers []*peerNode
-			start := func(n int) *peerNode {
-				return startPeer(t, models.DaemonID(fmt.Sprintf("d%02d", n)), models.Zone(fmt.Sprint("z", n%test.zones)), peers)
-			}
-			for n := range test.daemons {
-				peers = append(peers, start(n))
-			}
-			waitAll(c, peers, met, "met", func(p *peerNode) bool { return p.View().Daemons == test.daemons })
-			time.Sleep(met / 5)
+			peers := startPeers(t, test.daemons, test.zones)
 			hear := func(p *peerNode, rate float64) {
 				p.limits.Heard(ratelimit.Sighting{Instance: "i1", Rate: rate, Asked: time.Now().Add(-time.Millisecond), Heard: time.Now()})
 				time.Sleep(5 * time.Millisecond)
@@ -46,7 +37,7 @@
 			t.Logf("all %d know of a limit after %v", test.daemons, took.Round(time.Millisecond))
 			hear(peers[test.daemons/2], 1.5)
 			waitAll(c, peers, toldWithin, "told of a lower one", believes(1.5))
-			late := start(test.daemons)
+			late := startNth(t, test.daemons, test.zones, peers)
 			waitAll(c, []*peerNode{late}, met, "told at its start", believes(1.5))
 			hear(peers[1], models.NoLimit)
 			waitAll(c, append(peers, late), toldWithin, "told of its end", believes(models.NoLimit))
--- a/cluster/permits_test.go
+++ b/cluster/permits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -92,12 +91,7 @@
 	}{{"mesh", 9, 3, 3}, {"relays", 24, 3, 3}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			var peers []*peerNode
-			for n := range test.daemons {
-				peers = append(peers, startPeer(t, models.DaemonID(fmt.Sprintf("d%02d", n)), models.Zone(fmt.Sprint("z", n%test.zones)), peers))
-			}
-			waitAll(c, peers, met, "met", func(p *peerNode) bool { return p.View().Daemons == test.daemons })
-			time.Sleep(met / 5)
+			peers := startPeers(t, test.daemons, test.zones)
 			peers[0].limits.Heard(ratelimit.Sighting{Instance: "i1", Rate: test.rate, Asked: time.Now(), Heard: time.Now()})
 			granter := func() models.DaemonID { return peers[0].View().Arranged.Granter("z1") }
 			waitAll(c, peers, met, "agreed on who grants", func(p *peerNode) bool {
--- a/cluster/quarantine_test.go
+++ b/cluster/quarantine_test.go
@@ -55,6 +55,23 @@
 	return p
 }
 
+// startPeers starts daemons in some zones and waits until all know of each other and have
+// agreed on relays.
+func startPeers(t *testing.T, daemons, zones int) []*peerNode {
+	var peers []*peerNode
+	for n := range daemons {
+		peers = append(peers, startNth(t, n, zones, peers))
+	}
+	waitAll(qt.New(t), peers, met, "met", func(p *peerNode) bool { return p.View().Daemons == daemons })
+	time.Sleep(met / 5)
+	return peers
+}
+
+// startNth starts one more daemon, in the zone whose turn it is.
+func startNth(t *testing.T, n, zones int, others []*peerNode) *peerNode {
+	return startPeer(t, models.DaemonID(fmt.Sprintf("d%02d", n)), models.Zone(fmt.Sprint("z", n%zones)), others)
+}
+
 // entry is what the daemon writes of itself into the roster.
 func (p *peerNode) entry() rosterEntry {
 	return rosterEntry{Zone: p.cfg.Zone, Addr: p.cfg.Peer.String(), Incarnation: p.started, Unpacks: true}
@@ -106,15 +123,7 @@
 	}{{"mesh", 3, 1}, {"relays", 24, 3}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			var peers []*peerNode
-			start := func(n int) *peerNode {
-				return startPeer(t, models.DaemonID(fmt.Sprintf("d%02d", n)), models.Zone(fmt.Sprint("z", n%test.zones)), peers)
-			}
-			for n := range test.daemons {
-				peers = append(peers, start(n))
-			}
-			waitAll(c, peers, met, "met", func(p *peerNode) bool { return p.View().Daemons == test.daemons })
-			time.Sleep(met / 5)
+			peers := startPeers(t, test.daemons, test.zones)
 			guilty, other := quarantine.Request{Target: "/crashes"}.Digest(), quarantine.Request{Target: "/other"}.Digest()
 
 			peers[0].quarantine.Crashed(crashed("i1", guilty, other))
@@ -128,7 +137,7 @@
 			peers[1].quarantine.EndedWell(other)
 			waitAll(c, peers, toldWithin, "told who ended well", func(p *peerNode) bool { return p.knows(other, 0) })
 
-			late := start(test.daemons)
+			late := startNth(t, test.daemons, test.zones, peers)
 			took = waitAll(c, []*peerNode{late}, met, "refusing", func(p *peerNode) bool { return p.quarantine.Standing(guilty).Quarantined })
 			t.Logf("one that starts refuses it after %v", took.Round(time.Millisecond))
 			c.Assert(late.knows(other, 0), qt.IsTrue)
