gateway: ask for permits of all instances of up to eight zones

With nine availability zones, or many limited heads in one, a request was refused after four asks of eight instances although others had permits left. Read from the code; on sites of three zones with up to eight heads each nothing changes.

--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// mostAsks is how often a request asks for a permit until it counts as refused: each
-	// time another availability zone's granter.
-	mostAsks = 4
+	// mostAsks is how often a request asks for a permit until it counts as refused, each
+	// time for other instances.
+	mostAsks = 8
 	// mostWanted bounds how many instances one ask names.
-	mostWanted = 8
+	mostWanted = 32
 	// permitValid is for how long a permit may be used.
 	permitValid = 300 * time.Millisecond
 	// unansweredBar is for how long instances are left alone whose granter did not answer.
