--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -116,7 +116,7 @@
 		// begun is not whole.
 		e.note(outcomeBroken, 0, err)
 		panic(http.ErrAbortHandler)
-	case !e.ran && (errors.Is(err, errNotRun) || errors.Is(err, errFull) || errors.Is(err, errNoUpstream) || errors.Is(err, errLimited) || errors.Is(err, errQuarantined) || errors.Is(err, errLastSpared)):
+	case !e.ran && isUnrun(err):
 		e.refuse(err)
 	case ctx.Err() != nil:
 		e.note(outcomeLate, http.StatusGatewayTimeout, err)
@@ -127,6 +127,16 @@
 	}
 }
 
+// isUnrun reports whether the error tells that no instance ran the request.
+func isUnrun(err error) bool {
+	for _, reason := range []error{errNotRun, errFull, errNoUpstream, errLimited, errQuarantined, errLastSpared} {
+		if errors.Is(err, reason) {
+			return true
+		}
+	}
+	return false
+}
+
 // note writes a request's end into the log and the metrics.
 func (e *exchange) note(end outcome, status int, err error) {
 	e.g.stats.ends[end].Inc()
