membership: count who asks for permits by zone, and only while the word is fresh

Two daemons could each take themselves for asked by all for one zone: a zone of which one of them heard no daemon was granted under the name of all such zones, for which everybody asks somebody, while others granted it under its own. With a zone cut off, two of another killed and the cut healed that came to 1.54 of a rate over 4 s, where 1.5 is borne. Now each known zone is named, and a vote holds for a heartbeat and a half rather than until its sender counts as silent.

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -230,6 +230,6 @@
 		}
 	}
 	if o.n.knowsPart() {
-		v.shares = o.peers.roster.Shares(a)
+		v.shares = o.peers.roster.Shares(a, time.Now())
 	}
 }
--- a/membership/granters.go
+++ b/membership/granters.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
 )
@@ -57,8 +58,17 @@
 		a.Granters[r.self.Zone] = a.speaker
 	}
 	delete(a.Granters, elsewhere)
-	if len(a.Granters) > 0 {
-		a.Granters[elsewhere] = a.Granters[slices.Min(slices.Collect(maps.Keys(a.Granters)))]
+	if len(a.Granters) == 0 {
+		return
+	}
+	// Zones of which no daemon is heard are named too: a daemon that others ask for them
+	// must not be taken for one that all ask.
+	first := a.Granters[slices.Min(slices.Collect(maps.Keys(a.Granters)))]
+	a.Granters[elsewhere] = first
+	for _, m := range r.known {
+		if _, known := a.Granters[m.Zone]; !known {
+			a.Granters[m.Zone] = first
+		}
 	}
 }
 
@@ -74,6 +84,20 @@
 	return of[at].ID, true
 }
 
+const (
+	// leastVote is for how long at least a heartbeat's word of whom its sender asks for
+	// permits holds, voteBeats for how many of its heartbeats: one that asks another
+	// daemon from now on need not tell this one.
+	leastVote = 1200 * time.Millisecond
+	voteBeats = 1.5
+)
+
+// votes reports whether the member's word of whom it asks for permits still holds.
+func (m *member) votes(now time.Time) bool {
+	holds := max(leastVote, time.Duration(voteBeats*float64(m.Every)))
+	return !m.heard.IsZero() && now.Sub(m.heard) <= holds
+}
+
 // Votes is for how many daemons this one asks another one for permits, by zone of the
 // instances. Where there are relays one of each zone speaks for those that ask it.
 func (r *Roster) Votes(a *Arrangement, to models.DaemonID) map[models.Zone]int {
@@ -102,7 +126,7 @@
 // zones that it grants permits for: all if more than half of the daemons ask it. Others may
 // ask one that it does not hear, so with fewer it grants half of their part, and all granters
 // together never more than one and a quarter of a rate.
-func (r *Roster) Shares(a *Arrangement) map[models.Zone]float64 {
+func (r *Roster) Shares(a *Arrangement, now time.Time) map[models.Zone]float64 {
 	all := len(r.known) + 1
 	for _, m := range r.known {
 		// Also by the word of those that are not heard any more.
@@ -115,7 +139,7 @@
 		}
 		votes := 1
 		for _, m := range r.known {
-			if !m.heard.IsZero() {
+			if m.votes(now) {
 				votes += m.Grants[zone]
 			}
 		}
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -238,7 +238,7 @@
 		if !d.up {
 			continue
 		}
-		shares := d.roster.Shares(d.arranged)
+		shares := d.roster.Shares(d.arranged, s.now)
 		for zone := range sums {
 			sums[zone] += d.arranged.ShareOf(shares, zone)
 		}
