gateway: take no word of a limit from an answer of a former address

An answer 421 may come from another instance that took over the address; its limit, or that it names none, was taken for that of the one which was asked. TestLimitOfFormerAddress failed before. Read from the code.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -129,7 +129,10 @@
 		return nil, errors.Join(errMayHaveRun, err)
 	}
 	told := platform.DecodeAnswer(resp.Status, resp.Header)
-	e.hearLimit(i, told.Limit, asked)
+	if resp.Status != http.StatusMisdirectedRequest {
+		// That may be another instance's word, at an address that was this one's.
+		e.hearLimit(i, told.Limit, asked)
+	}
 	if !told.NotRun {
 		return resp, nil
 	}
--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -22,9 +22,11 @@
 	c       *qt.C
 	beliefs *fixedBeliefs
 	front   *httptest.Server
-	// ran holds the instances that ran requests, limit what p1 names.
-	ran   []string
-	limit string
+	// ran holds the instances that got requests, limit what p1 names, status what it
+	// answers with unless that is 0.
+	ran    []string
+	limit  string
+	status int
 }
 
 func newLimitedSite(t *testing.T) *limitedSite {
@@ -38,6 +40,9 @@
 			if name == "p1" && s.limit != "" {
 				w.Header().Set("Server-Limit", s.limit)
 			}
+			if name == "p1" && s.status != 0 {
+				w.WriteHeader(s.status)
+			}
 		}))
 		t.Cleanup(upstream.Close)
 		instances = append(instances, &instance{name: name, l: upstream.Listener.(*net.TCPListener)})
@@ -129,6 +134,18 @@
 	s.c.Assert(s.ran, qt.HasLen, 0)
 }
 
+// Another instance has taken over the address of one with a limit: what it says is not that
+// one's word.
+func TestLimitOfFormerAddress(t *testing.T) {
+	s := newLimitedSite(t)
+	s.limit, s.status = "2", http.StatusMisdirectedRequest
+	for n := 0; len(s.ran) == 0 || s.ran[len(s.ran)-1] != "p1"; n++ {
+		s.c.Assert(n < 100, qt.IsTrue)
+		s.ask("a")
+	}
+	s.c.Assert(s.beliefs.limits.Any(), qt.IsFalse)
+}
+
 // A permit that comes within the time that requests wait for a place is waited for.
 func TestPermitIsAwaited(t *testing.T) {
 	s := newLimitedSite(t)
