soak: ask for a taken key's refusal over the time in which its proof is renewed

Traced with a run on the landed code that asks each 0.1 s for 6 s: 401, with 503 for some 0.3 s of each 1.2 s, since a daemon renews its proof each 1.2 s and the site's bound for it is 1 s. The check asked once, 0.2 s before such a gap. It was wrong about the moment, not about the promise.

In its place every daemon is asked for 1.5 s: each answer must be a refusal, which was checked once before, and 401 must be among them.

--- a/soak/outage_test.go
+++ b/soak/outage_test.go
@@ -49,11 +49,37 @@
 			s.expect("during the outage", test.during)
 			s.store.Misbehave(store.Faults{})
 			time.Sleep(2 * time.Second)
+			if test.after == http.StatusUnauthorized {
+				s.expectRefused("after it")
+				return
+			}
 			s.expect("after it", test.after)
 		})
 	}
 }
 
+// proofRenewed is how long it may take until the proof is renewed that a key is not known:
+// the daemons' bound for it is shorter here.
+const proofRenewed = 1500 * time.Millisecond
+
+// expectRefused asks every daemon again and again with the key that the site begins with: it
+// must be refused each time, and told as unknown before long. Meanwhile a daemon whose proof
+// is just being renewed may ask the caller to come back.
+func (s *site) expectRefused(when string) {
+	client := &http.Client{Timeout: 2 * time.Second}
+	for _, d := range s.daemons {
+		unknown := false
+		for end := time.Now().Add(proofRenewed); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			r := ask(client, d.addr, newRequest(kindAgain, ""))
+			unknown = unknown || r.status == http.StatusUnauthorized
+			if r.status != http.StatusUnauthorized && r.status != http.StatusServiceUnavailable {
+				s.t.Errorf("%s: %s: status %d", d.name, when, r.status)
+			}
+		}
+		qt.Check(s.t, unknown, qt.IsTrue, qt.Commentf("%s: %s: the key is not told as unknown", d.name, when))
+	}
+}
+
 // expect asks every daemon with the key that the site begins with.
 func (s *site) expect(when string, status int) {
 	client := &http.Client{Timeout: 2 * time.Second}
