ratelimit, cluster: do not take word of a limit that comes round for news

A daemon that was told of a limit told it on when a connection began, with an age that leaves out the way between. Received again it seemed younger than what had followed it: a lower rate was undone, an end was not believed, until the next answer. TestWordThatGoesRoundIsNoNews failed before.

--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -15,6 +15,9 @@
 // Limits holds what all daemons heard of the requests a second that instances take. It is
 // safe for use by several goroutines.
 type Limits struct {
+	self models.DaemonID
+	// began is when the daemon did.
+	began   time.Time
 	log     zerolog.Logger
 	changes *metrics.Counter
 	// known tells that any limit is known at all.
@@ -28,8 +31,8 @@
 
 // NewLimits returns what is known before any instance named a limit. The function is called
 // when there is something to tell other daemons.
-func NewLimits(found func(), set *metrics.Set, log zerolog.Logger) *Limits {
-	l := &Limits{log: log, found: found, changes: set.NewCounter("lupinkeel_instance_limit_changes_total")}
+func NewLimits(self models.DaemonID, found func(), set *metrics.Set, log zerolog.Logger) *Limits {
+	l := &Limits{self: self, began: time.Now(), log: log, found: found, changes: set.NewCounter("lupinkeel_instance_limit_changes_total")}
 	set.NewGauge("lupinkeel_limited_instances", func() float64 {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -43,6 +46,8 @@
 	if s.Rate == models.NoLimit && !l.Any() {
 		return
 	}
+	// The steady clock is read for what is added: the time of day may go back.
+	s.By, s.Number = l.self, l.began.UnixNano()+int64(time.Since(l.began))
 	if l.add(s, "") {
 		l.found()
 	}
@@ -110,11 +115,16 @@
 	// came.
 	Asked time.Duration `msgpack:"q"`
 	Heard time.Duration `msgpack:"h"`
+	// By is the daemon that heard the answer, Number rises with what it hears.
+	By     models.DaemonID `msgpack:"d"`
+	Number int64           `msgpack:"n"`
 }
 
 // sighting is what the news tell, received at some time.
 func (n LimitNews) sighting(at time.Time) ratelimit.Sighting {
-	return ratelimit.Sighting{Instance: n.Instance, Born: n.Born, Rate: n.Rate, Asked: at.Add(-n.Asked), Heard: at.Add(-n.Heard)}
+	return ratelimit.Sighting{
+		Instance: n.Instance, Born: n.Born, Rate: n.Rate, Asked: at.Add(-n.Asked), Heard: at.Add(-n.Heard), By: n.By, Number: n.Number,
+	}
 }
 
 // since is what another daemon is to be told that was learned after a change, and the
@@ -131,7 +141,9 @@
 	now := time.Now()
 	out := make([]LimitNews, len(sightings))
 	for n, s := range sightings {
-		out[n] = LimitNews{Instance: s.Instance, Born: s.Born, Rate: s.Rate, Asked: now.Sub(s.Asked), Heard: now.Sub(s.Heard)}
+		out[n] = LimitNews{
+			Instance: s.Instance, Born: s.Born, Rate: s.Rate, Asked: now.Sub(s.Asked), Heard: now.Sub(s.Heard), By: s.By, Number: s.Number,
+		}
 	}
 	return out, last
 }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -193,7 +193,7 @@
 	n.instances = platform.NewInstances(n.conns)
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
-	n.limits = NewLimits(n.tellLimits, set, log)
+	n.limits = NewLimits(cfg.ID, n.tellLimits, set, log)
 	n.permits = newPermits(n, set)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -97,7 +97,7 @@
 
 // noLimits are none yet.
 func noLimits() *cluster.Limits {
-	return cluster.NewLimits(func() {}, metrics.NewSet(), zerolog.Nop())
+	return cluster.NewLimits("d1", func() {}, metrics.NewSet(), zerolog.Nop())
 }
 
 // AskPermit has nobody who grants permits, unless the test has.
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -38,6 +38,10 @@
 	// Asked is when the request was sent, Heard when the head of its answer came. The
 	// instance named the limit in between.
 	Asked, Heard time.Time
+	// By is the daemon that heard the answer, empty for this one, Number rises with what
+	// that daemon hears.
+	By     models.DaemonID
+	Number int64
 }
 
 // Source tells who told of something; the empty one is this daemon itself.
@@ -58,6 +62,9 @@
 	life models.UpstreamInstance
 	// spans are the sightings that none is known to follow, joined by rate.
 	spans []span
+	// numbers are those of the last sightings by each daemon. What is told seems younger
+	// by its way here, so that a sighting which came round must not count anew.
+	numbers map[models.DaemonID]int64
 	// last is the rate that held before the limit ended, at the time ended.
 	last   float64
 	ended  time.Time
@@ -69,6 +76,9 @@
 type span struct {
 	rate         float64
 	asked, heard time.Time
+	// by and number are those of the sighting that was heard last.
+	by     models.DaemonID
+	number int64
 }
 
 // Change is what a sighting changed.
@@ -93,14 +103,20 @@
 		return Unchanged, false
 	}
 	if known == nil || known.life.LifeOf(s.Born) == models.LaterLife {
-		known = &limit{life: models.UpstreamInstance{ID: s.Instance, Born: s.Born}, last: models.NoLimit}
+		known = &limit{
+			life: models.UpstreamInstance{ID: s.Instance, Born: s.Born}, last: models.NoLimit, numbers: map[models.DaemonID]int64{},
+		}
 		if l.known == nil {
 			l.known = map[models.InstanceID]*limit{}
 		}
 		l.known[s.Instance] = known
 	}
+	if s.Number > 0 && s.Number <= known.numbers[s.By] {
+		return Unchanged, false
+	}
+	known.numbers[s.By] = s.Number
 	before, spans := known.rate(), len(known.spans)
-	newer := known.join(span{s.Rate, s.Asked, s.Heard})
+	newer := known.join(span{s.Rate, s.Asked, s.Heard, s.By, s.Number})
 	after := known.rate()
 	tell := after != before || len(known.spans) != spans
 	if !newer && from != "" {
@@ -139,8 +155,7 @@
 	at := slices.IndexFunc(k.spans, func(other span) bool { return other.rate == s.rate })
 	switch {
 	case at >= 0:
-		k.spans[at].asked = later(k.spans[at].asked, s.asked)
-		k.spans[at].heard = later(k.spans[at].heard, s.heard)
+		k.spans[at].joinSame(s)
 	case len(k.spans) < mostRates:
 		k.spans = append(k.spans, s)
 	}
@@ -150,6 +165,14 @@
 	return true
 }
 
+// joinSame takes in a sighting of the same rate.
+func (s *span) joinSame(o span) {
+	s.asked = later(s.asked, o.asked)
+	if o.heard.After(s.heard) {
+		s.heard, s.by, s.number = o.heard, o.by, o.number
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -223,7 +246,7 @@
 			continue
 		}
 		for _, s := range known.spans {
-			out = append(out, Sighting{Instance: id, Born: known.life.Born, Rate: s.rate, Asked: s.asked, Heard: s.heard})
+			out = append(out, Sighting{Instance: id, Born: known.life.Born, Rate: s.rate, Asked: s.asked, Heard: s.heard, By: s.by, Number: s.number})
 		}
 	}
 	return out, l.changes
--- a/ratelimit/limits_test.go
+++ b/ratelimit/limits_test.go
@@ -81,6 +81,25 @@
 	c.Assert(told, qt.DeepEquals, []Sighting{{Instance: "i1", Rate: 2, Asked: at(20), Heard: at(30)}})
 }
 
+// Word of a limit that goes round between daemons, each time a little later, does not put off
+// its end.
+func TestWordThatGoesRoundIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	var l Limits
+	l.Note(Sighting{Instance: "i1", Rate: 2, Asked: at(0), Heard: at(10), By: "peer", Number: 1}, "peer")
+	change, _ := l.Note(Sighting{Instance: "i1", Rate: 1.5, Asked: at(11), Heard: at(15), By: "other", Number: 1}, "other")
+	c.Assert(change, qt.Equals, Changed)
+	for round := range 10 {
+		change, tell := l.Note(Sighting{Instance: "i1", Rate: 2, Asked: at(20 * round), Heard: at(10 + 20*round), By: "peer", Number: 1}, "third")
+		c.Assert(change, qt.Equals, Unchanged)
+		c.Assert(tell, qt.IsFalse)
+	}
+	change, _ = l.Note(Sighting{Instance: "i1", Rate: models.NoLimit, Asked: at(20), Heard: at(30), By: "peer", Number: 2}, "peer")
+	c.Assert(change, qt.Equals, Ended)
+}
+
 // After a limit has ended the instance is not rushed at, and a later life has none.
 func TestRateRisesAfterALimit(t *testing.T) {
 	c := qt.New(t)
