--- a/cluster/permits_test.go
+++ b/cluster/permits_test.go
@@ -59,6 +59,13 @@
 	return nil
 }
 
+// count is how often permits were asked for.
+func (a *askers) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.asks
+}
+
 // worst is the most permits in any window, used the part of the limit that they used.
 func (a *askers) worst(from, to time.Time) (worst int, used float64) {
 	a.mu.Lock()
@@ -110,7 +117,7 @@
 			began := time.Now()
 			time.Sleep(limitWindow + time.Second)
 			calm, used := a.worst(began.Add(time.Second), time.Now())
-			t.Logf("no faults: %d permits in %v at most, %.2f of the limit used, %d asks", calm, limitWindow, used, a.asks)
+			t.Logf("no faults: %d permits in %v at most, %.2f of the limit used, %d asks", calm, limitWindow, used, a.count())
 			c.Check(used >= usedPart, qt.IsTrue, qt.Commentf("%v used", used))
 
 			lost := granter()
