ratelimit: hold the lowest of many rates that overlap

Of more than eight rates named in answers that overlap in time the first eight were kept, so that the last and lowest one of a limit that falls with each answer was not known. TestManyRatesAtOnce failed before. Read from the code.

--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -6,6 +6,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -156,8 +157,9 @@
 	switch {
 	case at >= 0:
 		k.spans[at].joinSame(s)
-	case len(k.spans) < mostRates:
+	default:
 		k.spans = append(k.spans, s)
+		k.dropHighest()
 	}
 	if before != models.NoLimit && k.rate() == models.NoLimit {
 		k.last, k.ended = before, s.heard
@@ -165,6 +167,15 @@
 	return true
 }
 
+// dropHighest drops the span of the highest rate if there are too many: the lowest one holds.
+func (k *limit) dropHighest() {
+	if len(k.spans) <= mostRates {
+		return
+	}
+	slices.SortFunc(k.spans, func(a, b span) int { return cmp.Compare(a.rate, b.rate) })
+	k.spans = k.spans[:mostRates]
+}
+
 // joinSame takes in a sighting of the same rate.
 func (s *span) joinSame(o span) {
 	s.asked = later(s.asked, o.asked)
--- a/ratelimit/limits_test.go
+++ b/ratelimit/limits_test.go
@@ -100,6 +100,19 @@
 	c.Assert(change, qt.Equals, Ended)
 }
 
+// An instance that names a lower rate in each of many answers that overlap is taken at the
+// last one.
+func TestManyRatesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	var l Limits
+	for n := range 3 * mostRates {
+		heard := now.Add(time.Duration(n) * time.Millisecond)
+		l.Note(Sighting{Instance: "i1", Rate: float64(100 - n), Asked: now.Add(-time.Second), Heard: heard}, "")
+	}
+	c.Assert(l.Named("i1"), qt.Equals, float64(101-3*mostRates))
+}
+
 // After a limit has ended the instance is not rushed at, and a later life has none.
 func TestRateRisesAfterALimit(t *testing.T) {
 	c := qt.New(t)
