gateway, cluster, platform: tell which instances ask for rest and say that they leave

Nothing told that an instance had asked for rest, for how long and of which daemon, nor that a request had been turned away by several instances before one ran it. No choice depends on any of it.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -92,6 +92,7 @@
 	links      *links
 	quarantine *Quarantine
 	limits     *Limits
+	breakers   *Breakers
 	permits    *permits
 	// leasing tells that this node is among those that the store deals the
 	// planner's lease to.
@@ -194,6 +195,7 @@
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.tellLimits, set, log)
+	n.breakers = NewBreakers(set, log)
 	n.permits = newPermits(n, set)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/breaker"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -46,6 +47,8 @@
 	// when it was chosen.
 	gap  time.Duration
 	load int
+	// turnedAway is how many sends instances did not run.
+	turnedAway atomic.Int32
 	// permitAt is when a permit may come, if none came in time.
 	permitAt time.Time
 	// digest stands for what the caller asks. It may be called by several goroutines.
@@ -132,10 +135,13 @@
 	if resp.Status != http.StatusMisdirectedRequest {
 		// That may be another instance's word, at an address that was this one's.
 		e.hearLimit(i, told.Limit, asked)
+		e.hearWord(i, told)
 	}
 	if !told.NotRun {
 		return resp, nil
 	}
+	e.turnedAway.Add(1)
+	e.g.stats.turnedAway.Inc()
 	resp.Body.Discard()
 	return nil, fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
 }
@@ -149,6 +155,14 @@
 	e.g.node.Limits().Heard(ratelimit.Sighting{Instance: i.ID, Born: i.Born, Rate: rate, Asked: asked, Heard: time.Now()})
 }
 
+// hearWord notes what an answer asked for its instance.
+func (e *exchange) hearWord(i models.UpstreamInstance, told models.AnswerHead) {
+	for _, header := range told.Unreadable {
+		e.g.log.Warn().Str("instance", string(i.ID)).Str("request", string(e.head.ID)).Str("header", header).Msg("answer-unreadable")
+	}
+	e.g.node.Breakers().Heard(breaker.Word{Instance: i.ID, Born: i.Born, Heard: time.Now(), Rest: told.Rest, Leaving: told.Leaving})
+}
+
 const (
 	// maxPriority is the last rank of the Priority header that instances take.
 	maxPriority = 9
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Quarantine() *cluster.Quarantine
 	// Limits holds the limits that instances name.
 	Limits() *cluster.Limits
+	// Breakers holds what instances asked for in their answers.
+	Breakers() *cluster.Breakers
 	// AskPermit asks for a permit to send a request to one of several instances of a
 	// zone that name limits.
 	AskPermit(ctx context.Context, zone models.Zone, ask ratelimit.Ask) (ratelimit.Grant, error)
@@ -87,11 +89,13 @@
 	// quarantined counts the requests that were refused since they crash instances.
 	quarantined *metrics.Counter
 	// limited counts those that were refused since all instances had named limits.
-	limited   *metrics.Counter
-	resumes   *metrics.Counter
-	opened    *metrics.Counter
-	firstByte *metrics.Histogram
-	inFlight  atomic.Int64
+	limited *metrics.Counter
+	// turnedAway counts the sends that instances did not run.
+	turnedAway *metrics.Counter
+	resumes    *metrics.Counter
+	opened     *metrics.Counter
+	firstByte  *metrics.Histogram
+	inFlight   atomic.Int64
 	// ownZone and otherZone count the bytes of connections to upstreams.
 	ownZone   meter
 	otherZone meter
@@ -102,6 +106,7 @@
 		ends: map[outcome]*metrics.Counter{}, repeats: set.NewCounter("lupinkeel_request_repeats_total"),
 		quarantined: set.NewCounter("lupinkeel_quarantine_refusals_total"),
 		limited:     set.NewCounter("lupinkeel_limit_refusals_total"),
+		turnedAway:  set.NewCounter("lupinkeel_turned_away_total"),
 		resumes:     set.NewCounter("lupinkeel_stream_resumes_total"), opened: set.NewCounter("lupinkeel_upstream_connections_total"),
 		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
 		ownZone:   newMeter(set, "own"), otherZone: newMeter(set, "other"),
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -159,7 +159,7 @@
 	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("model", string(e.head.Model)).
 		Dur("aim", e.route.Aim).Int64("config", version).Str("workspace", string(e.holder.Workspace)).
 		Str("outcome", string(end)).Int("status", status).Str("instance", string(e.at.ID)).Str("zone", string(e.at.Zone)).
-		Str("group", string(e.group.Name)).Int("sent", len(e.tried)).Int("load", e.load).
+		Str("group", string(e.group.Name)).Int("sent", len(e.tried)).Int32("turned-away", e.turnedAway.Load()).Int("load", e.load).
 		Dur("first", first).Dur("gap", e.gap).Dur("took", time.Since(e.began)).
 		Msg("request-ended")
 }
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -70,7 +70,9 @@
 	quarantine *cluster.Quarantine
 	// limits are none if nil; permit answers asks for permits.
 	limits *cluster.Limits
-	permit func(ratelimit.Ask) (ratelimit.Grant, error)
+	// breakers are none if nil.
+	breakers *cluster.Breakers
+	permit   func(ratelimit.Ask) (ratelimit.Grant, error)
 
 	mu      sync.Mutex
 	stalled []models.InstanceID
@@ -100,6 +102,17 @@
 	return cluster.NewLimits("d1", func() {}, metrics.NewSet(), zerolog.Nop())
 }
 
+// Breakers are such that no instance asked for anything, unless the test has others.
+func (f *fixedBeliefs) Breakers() *cluster.Breakers {
+	if f.breakers == nil {
+		return noBreakers()
+	}
+	return f.breakers
+}
+
+// noBreakers are none yet.
+func noBreakers() *cluster.Breakers { return cluster.NewBreakers(metrics.NewSet(), zerolog.Nop()) }
+
 // AskPermit has nobody who grants permits, unless the test has.
 func (f *fixedBeliefs) AskPermit(_ context.Context, _ models.Zone, ask ratelimit.Ask) (ratelimit.Grant, error) {
 	if f.permit == nil {
@@ -214,7 +227,7 @@
 		u.Service = "engines"
 		v.Groups["big"] = append(v.Groups["big"], cluster.Group{Key: models.GroupKey{Name: models.GroupID(i.name), Epoch: 1}, Model: "big", Service: "engines", Head: u})
 	}
-	return &fixedBeliefs{view: v, clock: timer.New(time.Now()), quarantine: noQuarantine()}
+	return &fixedBeliefs{view: v, clock: timer.New(time.Now()), quarantine: noQuarantine(), breakers: noBreakers()}
 }
 
 func lines(text string) []string {
--- a/models/requests.go
+++ b/models/requests.go
@@ -52,4 +52,11 @@
 	// Limit is how many requests a second the instance takes from all daemons
 	// together: NoLimit if it names none, NaN if what it names can't be read.
 	Limit float64
+	// Rest is for how long the instance wants nothing from the daemon that it answers, 0
+	// if it does not say.
+	Rest time.Duration
+	// Leaving tells that the instance is about to leave.
+	Leaving bool
+	// Unreadable names the headers of Rest and Leaving that can't be read as they stand.
+	Unreadable []string
 }
