soak, standin: have instances ask for rest and say that they leave, failing

The stand-ins turn requests away with Retry-After, and say Server-Leaving in answers alone. What comes to them is held against it for each daemon apart: two requests from half a second after a 503 until the rest ends, none that a caller sent 2 s after the daemon had an answer that said leaving; a restart or a freeze of the daemon in between excuses it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -258,10 +258,18 @@
 
 	mu      sync.Mutex
 	replies []reply
+	// asked tells which daemon each request was sent to, and when.
+	asked map[models.RequestID]asking
+}
+
+// asking is a request on its way to a daemon.
+type asking struct {
+	daemon string
+	at     time.Time
 }
 
 func startCallers(s *site) *load {
-	c := &load{s: s, done: make(chan struct{})}
+	c := &load{s: s, done: make(chan struct{}), asked: map[models.RequestID]asking{}}
 	for n := range callers {
 		c.wg.Add(1)
 		go c.call(n)
@@ -284,13 +292,25 @@
 		if k == kindStream {
 			model = []string{"big", "small"}[at/2%2]
 		}
-		r := ask(client, c.s.daemons[(n+at/16)%len(c.s.daemons)].addr, newRequest(k, model))
+		d, request := c.s.daemons[(n+at/16)%len(c.s.daemons)], newRequest(k, model)
+		c.mu.Lock()
+		c.asked[models.RequestID(request.id)] = asking{d.name, time.Now()}
+		c.mu.Unlock()
+		r := ask(client, d.addr, request)
 		c.mu.Lock()
 		c.replies = append(c.replies, r)
 		c.mu.Unlock()
 	}
 }
 
+// sender tells which daemon a request was sent to, and when.
+func (c *load) sender(id models.RequestID) (daemon string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.asked[id]
+	return a.daemon, a.at
+}
+
 // waitHealed waits until the last hundred requests are served as they should.
 func (c *load) waitHealed() bool {
 	const last = 100
@@ -339,6 +359,13 @@
 	return out
 }
 
+// wholeSoFar is whole while requests still come.
+func (c *load) wholeSoFar() (whole, all int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.whole()
+}
+
 // whole is how many requests were answered whole, of how many.
 func (c *load) whole() (whole, all int) {
 	for _, r := range c.replies {
--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -39,6 +39,7 @@
 	written time.Time
 
 	limit limitRecord
+	words words
 
 	dark         bool
 	draining     bool
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -55,7 +55,12 @@
 	}
 	i.f.mu.Lock()
 	i.noteArrival()
+	v, shed := i.noteVisit(id)
 	i.f.mu.Unlock()
+	if shed {
+		i.turnAway(w, v)
+		return
+	}
 	if i.Domain == "" {
 		i.f.mu.Lock()
 		i.f.runs[id]++
@@ -64,7 +69,7 @@
 			return
 		}
 		time.Sleep(plainWork)
-		i.tellLimit(w)
+		i.tellOfItself(w, v)
 		w.Header().Set(headerStamp, string(i.ID))
 		// The caller may be gone.
 		_, _ = fmt.Fprintf(w, "answer to %s", id)
@@ -74,20 +79,18 @@
 	open := i.group.State == models.MemberOpen
 	i.f.mu.Unlock()
 	if !open {
-		i.tellLimit(w)
-		w.Header().Set(headerNot, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		i.turnAway(w, v)
 		return
 	}
 	if i.crashOn(r, body) {
 		return
 	}
-	i.stream(w, r, id)
+	i.stream(w, r, v)
 }
 
 // stream sends the events of a stream while the group is whole.
-func (i *Instance) stream(w http.ResponseWriter, r *http.Request, id models.RequestID) {
-	next := 1
+func (i *Instance) stream(w http.ResponseWriter, r *http.Request, v *visit) {
+	id, next := v.id, 1
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		next = after + 1
 	}
@@ -116,7 +119,7 @@
 			continue
 		}
 		if next == 1 || w.Header().Get(headerStamp) == "" {
-			i.tellLimit(w)
+			i.tellOfItself(w, v)
 			w.Header().Set(headerStamp, string(i.ID))
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
