breaker, gateway, cluster: leave instances alone that ask for rest or leave

Callers: five of 21 groups turned away all that they got, and drew two thirds of all sends; 243 requests were refused in nine seconds, since the repeats were used up on them, while 16 groups were half idle. An instance that had asked a daemon for 3 s of rest got 31 requests from it meanwhile.

breaker/ (pure) is a circuit breaker for each life of an instance, opened by the instance's own word: nothing is sent while it rests, then one request tries it, and one more for each that is answered. Every send goes by it: picks leave such instances out, send admits, and the connection asks once more just before it writes. Where all rest a request is refused at once, with a Retry-After after the first end, more urgent ones first. Daemons tell each other: leaving binds all, another one's rest makes an instance worth less.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,16 +1,50 @@
 // Package breaker keeps what instances ask of a daemon in their answers: to be left alone
 // for a while, or for good, since they are about to leave. It is a circuit breaker for each
-// instance that opens by the instance's own word.
+// instance that opens by the instance's own word: open while the instance rests, half-open
+// afterwards, when a few requests try it, and closed once those were answered.
 //
-// The package is pure: it does no input or output, and the time is handed in.
+// The package is pure: it does no input or output, and the time and randomness are handed in.
 package breaker
 
 import (
+	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
+// Reasons for which nothing may be sent to an instance now.
+var (
+	ErrResting = errors.New("the instance asked for rest")
+	// ErrTried: as many requests as may try the instance after its rest are on their way.
+	ErrTried   = errors.New("the instance is being tried after its rest")
+	ErrLeaving = errors.New("the instance is about to leave")
+)
+
+const (
+	// spreadPart is the part of a rest over which daemons spread their return, so that they
+	// do not all come in the same moment.
+	spreadPart = 0.25
+	// closedAfter is how many requests must be answered until the breaker closes. One more
+	// may be on its way for each of them.
+	closedAfter = 8
+	// retryPause is the pause after a request that tried the instance was turned away. It
+	// doubles each time, up to mostRetryPause.
+	retryPause     = 250 * time.Millisecond
+	mostRetryPause = 4 * time.Second
+	// triedPause is when to look again at an instance that is being tried.
+	triedPause = 50 * time.Millisecond
+	// tellPart is the part of a rest by which it must outlast what other daemons were told,
+	// so that they are told again.
+	tellPart = 0.5
+	// kept is for how long a rest is remembered after its end, leavingKept how long it is
+	// that an instance leaves which is not listed any more: longer than any copy of the
+	// store is old.
+	kept        = time.Minute
+	leavingKept = 10 * time.Minute
+)
+
 // Word is what the head of one answer said of its instance.
 type Word struct {
 	Instance models.InstanceID
@@ -34,16 +68,38 @@
 // Breakers holds what is known of instances that asked for something. It is not safe for use
 // by several goroutines.
 type Breakers struct {
-	known map[models.InstanceID]*breaker
+	random *rand.Rand
+	known  map[models.InstanceID]*breaker
+	// changes numbers what is learned, so that others can be told what is new.
+	changes uint64
 }
 
 // breaker is what one life of an instance asked for.
 type breaker struct {
 	life models.UpstreamInstance
-	// until is the end of the rest, zero if there was none.
-	until time.Time
+	// began and until are the times of this daemon's rest, zero if there was none; reopens is
+	// when the instance may be tried.
+	began, until, reopens time.Time
+	// trying counts the requests on their way that try the instance, answered those that
+	// were answered since the rest, refused those turned away one after the other.
+	trying, answered, refused int
+	// rests tells that the end of the rest was not told yet, reported that the instance was
+	// asked for a report during the rest.
+	rests, reported bool
+	// elsewhere is the last end of a rest that other daemons know of, told how long the rest
+	// was.
+	elsewhere time.Time
+	told      time.Duration
 	// leaving is when the instance first said that it leaves, zero if it did not.
 	leaving time.Time
+	// change is when it last changed what others are to be told, from who told that.
+	change uint64
+	from   Source
+}
+
+// New returns breakers that are all closed.
+func New(random *rand.Rand) *Breakers {
+	return &Breakers{random: random, known: map[models.InstanceID]*breaker{}}
 }
 
 // Change is what a word changed.
@@ -52,33 +108,206 @@
 	Began, Lengthened bool
 	// Leaving tells that the instance was not known to leave.
 	Leaving bool
+	// Tell tells that other daemons are to be told.
+	Tell bool
 }
 
-// Note takes in a word. The later end of two rests holds, whichever is heard of first.
-func (b *Breakers) Note(w Word) Change {
+// Note takes in a word that this daemon heard, or that another one told. A rest binds only
+// the daemon that was asked for it; others take it for a sign that the instance is busy. The
+// later end of two rests holds, whichever is heard of first.
+func (b *Breakers) Note(w Word, from Source) Change {
 	k := b.known[w.Instance]
 	if w.IsEmpty() || (k != nil && k.life.LifeOf(w.Born) == models.EarlierLife) {
 		return Change{}
 	}
 	if k == nil || k.life.LifeOf(w.Born) == models.LaterLife {
 		k = &breaker{life: models.UpstreamInstance{ID: w.Instance, Born: w.Born}}
-		if b.known == nil {
-			b.known = map[models.InstanceID]*breaker{}
-		}
 		b.known[w.Instance] = k
 	}
 	var change Change
-	if end := w.Heard.Add(w.Rest); w.Rest > 0 && end.After(k.until) {
+	end := w.Heard.Add(w.Rest)
+	if from == "" && w.Rest > 0 && end.After(k.until) {
 		change.Began, change.Lengthened = !w.Heard.Before(k.until), w.Heard.Before(k.until)
-		k.until = end
+		k.open(w, end, b.spread(w.Rest))
+	}
+	if w.Rest > 0 && end.Sub(k.elsewhere) > time.Duration(tellPart*float64(w.Rest)) {
+		k.elsewhere, k.told, change.Tell = end, w.Rest, true
 	}
 	if w.Leaving && k.leaving.IsZero() {
-		change.Leaving, k.leaving = true, w.Heard
+		k.leaving, change.Leaving, change.Tell = w.Heard, true, true
+	}
+	if change.Tell {
+		b.changes++
+		k.change, k.from = b.changes, from
 	}
 	return change
 }
 
-// Resting is how many instances rest.
+// spread is a random part of a rest by which its end is put off.
+func (b *Breakers) spread(rest time.Duration) time.Duration {
+	return time.Duration(spreadPart * float64(rest) * b.random.Float64())
+}
+
+// open begins a rest, or lengthens one.
+func (k *breaker) open(w Word, end time.Time, spread time.Duration) {
+	if !w.Heard.Before(k.until) {
+		k.began, k.reported = w.Heard, false
+	}
+	k.rests = true
+	k.until, k.reopens, k.answered, k.refused = end, end.Add(spread), 0, 0
+}
+
+// find returns what this life of an instance asked for, nil if nothing.
+func (b *Breakers) find(i models.UpstreamInstance) *breaker {
+	k := b.known[i.ID]
+	if k == nil || i.LifeOf(k.life.Born) == models.EarlierLife {
+		return nil
+	}
+	return k
+}
+
+// isClosed reports whether the instance gets requests as any other.
+func (k *breaker) isClosed() bool { return k.until.IsZero() || k.answered >= closedAfter }
+
+// Bars returns why nothing may be sent to an instance at all, nil if something may.
+func (b *Breakers) Bars(i models.UpstreamInstance, now time.Time) error {
+	k := b.find(i)
+	switch {
+	case k == nil:
+		return nil
+	case !k.leaving.IsZero():
+		return ErrLeaving
+	case !k.isClosed() && now.Before(k.reopens):
+		return ErrResting
+	default:
+		return nil
+	}
+}
+
+// Check returns why no further request may be sent to an instance now, nil if one may.
+func (b *Breakers) Check(i models.UpstreamInstance, now time.Time) error {
+	if err := b.Bars(i, now); err != nil {
+		return err
+	}
+	if k := b.find(i); k != nil && !k.isClosed() && k.trying > k.answered {
+		return ErrTried
+	}
+	return nil
+}
+
+// Pass admits one request to an instance. It is to be settled.
+type Pass struct {
+	k *breaker
+}
+
+// Admit admits a request to an instance, or returns why it may not be sent.
+func (b *Breakers) Admit(i models.UpstreamInstance, now time.Time) (Pass, error) {
+	if err := b.Check(i, now); err != nil {
+		return Pass{}, err
+	}
+	k := b.find(i)
+	if k == nil || k.isClosed() {
+		return Pass{}, nil
+	}
+	k.trying++
+	return Pass{k}, nil
+}
+
+// End is what came of a request that was admitted.
+type End int
+
+// The ends of requests.
+const (
+	// Unanswered tells nothing of whether the instance takes requests.
+	Unanswered End = iota
+	Taken
+	TurnedAway
+)
+
+// Settle takes in what came of a request that was admitted.
+func (b *Breakers) Settle(p Pass, end End, now time.Time) {
+	k := p.k
+	if k == nil {
+		return
+	}
+	k.trying--
+	switch {
+	case now.Before(k.reopens):
+		// It was sent before the rest that has begun since.
+	case end == Taken:
+		k.answered, k.refused = k.answered+1, 0
+	case end == TurnedAway:
+		pause := min(mostRetryPause, retryPause<<min(k.refused, 10))
+		k.answered, k.refused = 0, k.refused+1
+		k.reopens = now.Add(pause + b.spread(pause))
+	}
+}
+
+// AdmitReport reports whether an instance may be asked for a report, which it may once in a
+// rest.
+func (b *Breakers) AdmitReport(i models.UpstreamInstance, now time.Time) bool {
+	k := b.find(i)
+	if k == nil || !now.Before(k.until) {
+		return true
+	}
+	first := !k.reported
+	k.reported = true
+	return first
+}
+
+// Next is when an instance that gets nothing now may be sent a request again, and since when
+// it gets none. It returns false for one that leaves.
+func (b *Breakers) Next(i models.UpstreamInstance, now time.Time) (next, since time.Time, ok bool) {
+	switch b.Check(i, now) {
+	case ErrResting:
+		k := b.find(i)
+		return k.reopens, k.began, true
+	case ErrTried:
+		return now.Add(triedPause), b.find(i).began, true
+	case ErrLeaving:
+		return time.Time{}, time.Time{}, false
+	default:
+		return now, now, true
+	}
+}
+
+// IsBusy reports whether an instance wants nothing from some daemon, or was not seen to take
+// requests since.
+func (b *Breakers) IsBusy(i models.UpstreamInstance, now time.Time) bool {
+	k := b.find(i)
+	return k != nil && (now.Before(k.elsewhere) || !k.isClosed())
+}
+
+// Leaving lists the instances that said that they leave, with when they did.
+func (b *Breakers) Leaving() []Word {
+	var out []Word
+	for id, k := range b.known {
+		if !k.leaving.IsZero() {
+			out = append(out, Word{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
+		}
+	}
+	return out
+}
+
+// Since returns what was learned after a change from those sources that are to be told of,
+// and the newest change.
+func (b *Breakers) Since(seen uint64, tells func(Source) bool, now time.Time) ([]Word, uint64) {
+	var out []Word
+	for id, k := range b.known {
+		if k.change <= seen || !tells(k.from) {
+			continue
+		}
+		if !k.leaving.IsZero() {
+			out = append(out, Word{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
+		}
+		if now.Before(k.elsewhere) {
+			out = append(out, Word{Instance: id, Born: k.life.Born, Heard: k.elsewhere.Add(-k.told), Rest: k.told})
+		}
+	}
+	return out, b.changes
+}
+
+// Resting is how many instances want nothing from this daemon.
 func (b *Breakers) Resting(now time.Time) int {
 	n := 0
 	for _, k := range b.known {
@@ -88,3 +317,23 @@
 	}
 	return n
 }
+
+// Prune forgets rests that ended long ago, and instances that left and are not listed any
+// more. It returns those whose rest ended since it was last called.
+func (b *Breakers) Prune(listed func(models.InstanceID) bool, now time.Time) []models.InstanceID {
+	var ended []models.InstanceID
+	for id, k := range b.known {
+		if k.rests && !now.Before(k.until) {
+			k.rests = false
+			ended = append(ended, id)
+		}
+		left := k.leaving.IsZero() || (!listed(id) && now.Sub(k.leaving) > leavingKept)
+		if left && now.Sub(k.reopens) > kept && now.Sub(k.elsewhere) > kept && k.trying == 0 {
+			delete(b.known, id)
+		}
+	}
+	return ended
+}
+
+// Empty reports whether nothing is known of any instance.
+func (b *Breakers) Empty() bool { return len(b.known) == 0 }
--- /dev/null
+++ b/breaker/property_test.go
@@ -0,0 +1,133 @@
+package breaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// TestRestIsKept checks, over made-up histories, that nothing is admitted while any rest that
+// was heard of lasts, in whatever order answers came, nor ever to an instance that leaves; and
+// that an instance which takes requests again gets them.
+func TestRestIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := epoch
+		b := New(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		i := models.UpstreamInstance{ID: "i"}
+		var ends time.Time
+		leaves := false
+		var under []Pass
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				late := time.Duration(rapid.IntRange(0, 400).Draw(t, "late")) * time.Millisecond
+				rest := time.Duration(rapid.IntRange(1, 5000).Draw(t, "rest")) * time.Millisecond
+				heard := now.Add(-late)
+				b.Note(Word{Instance: "i", Heard: heard, Rest: rest}, "")
+				if end := heard.Add(rest); end.After(ends) {
+					ends = end
+				}
+			case 2:
+				b.Note(Word{Instance: "i", Heard: now, Rest: time.Second}, "d2")
+			case 3:
+				if rapid.IntRange(0, 20).Draw(t, "leaves") == 0 {
+					leaves = true
+					b.Note(Word{Instance: "i", Heard: now, Leaving: true}, Source(rapid.SampledFrom([]string{"", "d2"}).Draw(t, "from")))
+				}
+			case 4:
+				b.Prune(func(models.InstanceID) bool { return true }, now)
+			case 5:
+				for _, p := range under {
+					b.Settle(p, End(rapid.IntRange(0, 2).Draw(t, "end")), now)
+				}
+				under = nil
+			default:
+				p, err := b.Admit(i, now)
+				if err == nil && (now.Before(ends) || leaves) {
+					t.Fatalf("a request is sent %v before the end of the rest, leaving: %v", ends.Sub(now), leaves)
+				}
+				if err == nil {
+					under = append(under, p)
+				}
+			}
+		}
+		for _, p := range under {
+			b.Settle(p, Taken, now)
+		}
+		if leaves {
+			return
+		}
+		now = now.Add(10 * time.Second)
+		for range closedAfter {
+			p, err := b.Admit(i, now)
+			if err != nil {
+				t.Fatalf("long after its rest: %v", err)
+			}
+			b.Settle(p, Taken, now)
+		}
+		for range 20 {
+			if _, err := b.Admit(i, now); err != nil {
+				t.Fatalf("the breaker does not close: %v", err)
+			}
+		}
+	})
+}
+
+// TestWordsJoinInAnyOrder checks that two daemons that heard the same words in another order
+// believe the same of when the instance may be tried, but for the part by which they spread.
+func TestWordsJoinInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var words []Word
+		for range rapid.IntRange(1, 8).Draw(t, "words") {
+			heard := epoch.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "heard")) * time.Millisecond)
+			words = append(words, Word{
+				Instance: "i", Heard: heard, Rest: time.Duration(rapid.IntRange(0, 3000).Draw(t, "rest")) * time.Millisecond,
+				Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+			})
+		}
+		until := func(order []Word) (time.Time, bool) {
+			b := New(rand.New(rand.NewPCG(1, 1)))
+			for _, w := range order {
+				b.Note(w, "")
+			}
+			k := b.known["i"]
+			if k == nil {
+				return time.Time{}, false
+			}
+			return k.until, !k.leaving.IsZero()
+		}
+		end, leaves := until(words)
+		otherEnd, otherLeaves := until(rapid.Permutation(words).Draw(t, "order"))
+		if !end.Equal(otherEnd) || leaves != otherLeaves {
+			t.Fatalf("until %v and %v, leaving %v and %v", end.Sub(epoch), otherEnd.Sub(epoch), leaves, otherLeaves)
+		}
+	})
+}
+
+// An instance that asked for rest is left alone, and then tried by one request at first.
+func ExampleBreakers_Admit() {
+	now := time.Unix(0, 0)
+	b := New(rand.New(rand.NewPCG(1, 1)))
+	i := models.UpstreamInstance{ID: "i1"}
+	b.Note(Word{Instance: i.ID, Heard: now, Rest: 3 * time.Second}, "")
+	_, err := b.Admit(i, now.Add(2*time.Second))
+	fmt.Println(err)
+	later := now.Add(4 * time.Second)
+	first, err := b.Admit(i, later)
+	fmt.Println(err)
+	_, err = b.Admit(i, later)
+	fmt.Println(err)
+	b.Settle(first, Taken, later)
+	fmt.Println(b.Check(i, later))
+	// Output:
+	// the instance asked for rest
+	// <nil>
+	// the instance is being tried after its rest
+	// <nil>
+}
--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -50,7 +50,7 @@
 const busyKept = 0.97
 
 // busy averages how many requests the groups of each model have, and how many of their
-// places limits withhold.
+// places limits and rests withhold.
 func (o *owner) busy(engine *models.EngineProfile, now time.Time) (busy, withheld map[models.ModelName]float64) {
 	if o.fleet.busy == nil {
 		o.fleet.busy, o.fleet.withheld = map[models.ModelName]float64{}, map[models.ModelName]float64{}
@@ -62,7 +62,11 @@
 		for _, g := range groups[m.Name] {
 			requests := own[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
 			sum += requests
-			kept += engine.Slots - places(engine, o.n.limits.Rate(g.Head, now), requests)
+			rate := o.n.limits.Rate(g.Head, now)
+			if o.n.breakers.IsBusy(g.Head) {
+				rate = 0
+			}
+			kept += engine.Slots - places(engine, rate, requests)
 		}
 		average(o.fleet.busy, m.Name, sum)
 		average(o.fleet.withheld, m.Name, kept)
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -195,7 +195,7 @@
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.tellLimits, set, log)
-	n.breakers = NewBreakers(set, log)
+	n.breakers = NewBreakers(n.links.wakeAll, set, log)
 	n.permits = newPermits(n, set)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
@@ -290,8 +290,11 @@
 	})
 }
 
-// askReport asks an instance how it is, in the background.
+// askReport asks an instance how it is, in the background, unless it wants nothing.
 func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance, timeout time.Duration) {
+	if !n.breakers.admitReport(i) {
+		return
+	}
 	n.stats.reports.Inc()
 	task.Start(ctx, "report", func(ctx context.Context) error {
 		asked := time.Now()
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -116,6 +116,7 @@
 	}
 	s.n.takeCrashes(news.Crashes, from.From)
 	s.n.takeLimits(news.Limits, from.From)
+	s.n.takeWords(news.Words, from.From)
 	if news.Term > 0 {
 		s.n.tell(ctx, newsSeen{
 			term: news.Term, feed: news.Feed, instances: news.Instances, entries: news.Entries,
--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -209,7 +209,7 @@
 	return out, last
 }
 
-// tellFound tells what is new of instances that crashed or name a limit. Each connection
+// tellFound tells what is new of instances that crashed, name a limit or ask for something. Each connection
 // begins with all that is known, so that a daemon which starts or was cut off learns it from
 // whoever it reaches first; later on daemons that tell each other of themselves need not pass
 // on what others told.
@@ -221,16 +221,26 @@
 	}
 	crashes, lastCrash := t.n.quarantine.since(t.crashes, t.link.id, which)
 	limits, lastLimit := t.n.limits.since(t.limits, t.link.id, which)
-	t.crashes, t.limits, t.toldFound = lastCrash, lastLimit, true
+	words, lastWord := t.n.breakers.since(t.words, func(from models.DaemonID) bool {
+		return from == "" || (which == tellAll && from != t.link.id)
+	})
+	t.crashes, t.limits, t.words, t.toldFound = lastCrash, lastLimit, lastWord, true
+	var news []News
 	if len(crashes) > 0 {
-		if err := t.send(frameNews, News{Crashes: crashes}); err != nil {
+		news = append(news, News{Crashes: crashes})
+	}
+	if len(limits) > 0 {
+		news = append(news, News{Limits: limits})
+	}
+	if len(words) > 0 {
+		news = append(news, News{Words: words})
+	}
+	for _, n := range news {
+		if err := t.send(frameNews, n); err != nil {
 			return err
 		}
 	}
-	if len(limits) == 0 {
-		return nil
-	}
-	return t.send(frameNews, News{Limits: limits})
+	return nil
 }
 
 // takeCrashes takes in what another daemon tells, and has those told who rely on this one.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -142,8 +142,8 @@
 }
 
 // News is what a daemon tells others besides its heartbeats: its loads, the
-// heads that stand still, of instances that crashed or name a limit, and of all if it
-// plans. Each message holds one of the five.
+// heads that stand still, of instances that crashed, name a limit or ask for something, and
+// of all if it plans. Each message holds one of the six.
 type News struct {
 	// From may be empty: then it is the daemon, and its incarnation, that the
 	// heartbeats on the connection tell.
@@ -178,6 +178,8 @@
 	Crashes []CrashNews `msgpack:"cr,omitempty"`
 	// Limits are what instances told of the requests a second that they take.
 	Limits []LimitNews `msgpack:"lm,omitempty"`
+	// Words are what instances asked for in their answers.
+	Words []WordNews `msgpack:"wo,omitempty"`
 }
 
 // EntriesTold tells that all changes by the store's records of instances between two
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,8 +49,8 @@
 	load int
 	// turnedAway is how many sends instances did not run.
 	turnedAway atomic.Int32
-	// permitAt is when a permit may come, if none came in time.
-	permitAt time.Time
+	// opening is when the request may be sent, if that did not come in time.
+	opening opening
 	// digest stands for what the caller asks. It may be called by several goroutines.
 	digest func() quarantine.Digest
 	// digested tells that the digest was asked for.
@@ -101,12 +101,41 @@
 	}
 }
 
-// send sends the request to an instance, if the permit allows it. It is safe for use by
-// several goroutines.
+// untry notes that the request was not sent to an instance after all.
+func (e *exchange) untry(i models.UpstreamInstance) {
+	e.tried = slices.DeleteFunc(e.tried, func(id models.InstanceID) bool { return id == i.ID })
+}
+
+// send sends the request to an instance, if that takes any and the permit allows it. It is
+// safe for use by several goroutines.
 func (e *exchange) send(ctx context.Context, i models.UpstreamInstance, p permit, a models.Attempt, patience h1.Patience) (*h1.Response, error) {
 	if !p.allows(e.g, i) {
-		return nil, errors.Join(errNotRun, errNoPermit)
+		return nil, errors.Join(errNotRun, errHeld, errNoPermit)
+	}
+	pass, err := e.g.node.Breakers().Admit(i)
+	if err != nil {
+		return nil, errors.Join(errNotRun, errHeld, err)
 	}
+	resp, end, err := e.sendAdmitted(ctx, i, p, a, patience)
+	e.g.node.Breakers().Settle(pass, end)
+	return resp, err
+}
+
+// held returns why the request may not be sent to an instance any more for which it had been
+// admitted. It is asked when the connection is there: the instance may have asked for rest
+// since, or the permit have lapsed.
+func (e *exchange) held(i models.UpstreamInstance, p permit) error {
+	if err := e.g.node.Breakers().Bars(i); err != nil {
+		return errors.Join(errHeld, err)
+	}
+	if !p.allows(e.g, i) {
+		return errors.Join(errHeld, errNoPermit)
+	}
+	return nil
+}
+
+// sendAdmitted is send for a request that was admitted. It tells what came of it.
+func (e *exchange) sendAdmitted(ctx context.Context, i models.UpstreamInstance, p permit, a models.Attempt, patience h1.Patience) (*h1.Response, breaker.End, error) {
 	a.Left, a.Instance, a.Workspace = time.Until(e.until), i.ID, e.holder.Workspace
 	a.Priority = rank(e.holder.Priority, e.route.Priority)
 	freshest := freshRepeatable
@@ -117,33 +146,55 @@
 	resp, err := e.g.conns.Do(ctx, i.Addr, h1.Request{
 		Method: e.r.Method, Target: e.r.RequestURI, Host: e.r.Host, Header: platform.ForwardHeader(e.r.Header, a), Body: e.body,
 		Freshest: freshest, Patience: patience,
-		Mine: func(h http.Header) bool { return platform.DecodeAnswer(0, h).ID == e.head.ID },
+		Ready: func() error { return e.held(i, p) },
+		Mine:  func(h http.Header) bool { return platform.DecodeAnswer(0, h).ID == e.head.ID },
 	})
 	switch {
 	case err == nil:
 		e.g.balance.answer(i.ID)
-	case ctx.Err() == nil && !errors.Is(err, h1.ErrStalled):
+	case ctx.Err() == nil && !errors.Is(err, h1.ErrStalled) && !errors.Is(err, errHeld):
 		e.g.balance.fail(i)
 	}
 	switch {
 	case errors.Is(err, h1.ErrNotSent):
-		return nil, errors.Join(errNotRun, err)
+		return nil, breaker.Unanswered, errors.Join(errNotRun, err)
 	case err != nil:
-		return nil, errors.Join(errMayHaveRun, err)
+		return nil, breaker.Unanswered, errors.Join(errMayHaveRun, err)
 	}
 	told := platform.DecodeAnswer(resp.Status, resp.Header)
-	if resp.Status != http.StatusMisdirectedRequest {
-		// That may be another instance's word, at an address that was this one's.
-		e.hearLimit(i, told.Limit, asked)
-		e.hearWord(i, told)
-	}
+	e.hear(i, told, resp.Status, asked)
 	if !told.NotRun {
-		return resp, nil
+		return resp, breaker.Taken, nil
 	}
 	e.turnedAway.Add(1)
 	e.g.stats.turnedAway.Inc()
 	resp.Body.Discard()
-	return nil, fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
+	return nil, breaker.TurnedAway, fmt.Errorf("%w: status %d, at fault %q", errNotRun, resp.Status, told.Fault)
+}
+
+// hear notes what an answer told of its instance.
+func (e *exchange) hear(i models.UpstreamInstance, told models.AnswerHead, status int, asked time.Time) {
+	for _, header := range told.Unreadable {
+		e.g.log.Warn().Str("instance", string(i.ID)).Str("request", string(e.head.ID)).Str("header", header).Msg("answer-unreadable")
+	}
+	// Another instance may have taken over the address, and answer so.
+	misdirected := status == http.StatusMisdirectedRequest
+	if !misdirected || !e.g.isShared(i) {
+		e.g.node.Breakers().HeardHead(i.ID, i.Born, told)
+	}
+	if !misdirected {
+		e.hearLimit(i, told.Limit, asked)
+	}
+}
+
+// isShared reports whether another instance is known to have the address of an instance.
+func (g *Gateway) isShared(i models.UpstreamInstance) bool {
+	for id, other := range g.node.View().All {
+		if id != i.ID && other.Addr == i.Addr {
+			return true
+		}
+	}
+	return false
 }
 
 // hearLimit notes what an answer told of its instance's limit.
@@ -155,14 +206,6 @@
 	e.g.node.Limits().Heard(ratelimit.Sighting{Instance: i.ID, Born: i.Born, Rate: rate, Asked: asked, Heard: time.Now()})
 }
 
-// hearWord notes what an answer asked for its instance.
-func (e *exchange) hearWord(i models.UpstreamInstance, told models.AnswerHead) {
-	for _, header := range told.Unreadable {
-		e.g.log.Warn().Str("instance", string(i.ID)).Str("request", string(e.head.ID)).Str("header", header).Msg("answer-unreadable")
-	}
-	e.g.node.Breakers().Heard(breaker.Word{Instance: i.ID, Born: i.Born, Heard: time.Now(), Rest: told.Rest, Leaving: told.Leaving})
-}
-
 const (
 	// maxPriority is the last rank of the Priority header that instances take.
 	maxPriority = 9
--- a/gateway/failures.go
+++ b/gateway/failures.go
@@ -17,6 +17,9 @@
 	// failureRequests is how many requests a failure counts for where the instance
 	// of a plain service with the fewest is picked.
 	failureRequests = 2
+	// busyFailures is how many failures it counts for that an instance asked another daemon
+	// for rest.
+	busyFailures = 2
 )
 
 // failures are how many requests an instance failed of late. One that resets every
@@ -60,3 +63,12 @@
 	}
 	return f.decayed(time.Now())
 }
+
+// setback is how many failures an instance counts for, those among them that others' word of
+// it stands for. The balance must be locked.
+func (b *balance) setback(node Beliefs, i models.UpstreamInstance) float64 {
+	if node.Breakers().IsBusy(i) {
+		return b.failing(i) + busyFailures
+	}
+	return b.failing(i)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,8 @@
 	quarantined *metrics.Counter
 	// limited counts those that were refused since all instances had named limits.
 	limited *metrics.Counter
+	// rested counts those that were refused since all instances had asked for rest.
+	rested *metrics.Counter
 	// turnedAway counts the sends that instances did not run.
 	turnedAway *metrics.Counter
 	resumes    *metrics.Counter
@@ -106,6 +108,7 @@
 		ends: map[outcome]*metrics.Counter{}, repeats: set.NewCounter("lupinkeel_request_repeats_total"),
 		quarantined: set.NewCounter("lupinkeel_quarantine_refusals_total"),
 		limited:     set.NewCounter("lupinkeel_limit_refusals_total"),
+		rested:      set.NewCounter("lupinkeel_rest_refusals_total"),
 		turnedAway:  set.NewCounter("lupinkeel_turned_away_total"),
 		resumes:     set.NewCounter("lupinkeel_stream_resumes_total"), opened: set.NewCounter("lupinkeel_upstream_connections_total"),
 		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -41,6 +41,10 @@
 	errBudget     = errors.New("too many requests are being repeated")
 	// errLimited: no permit comes in time to send the request to any of them.
 	errLimited = errors.New("all instances had named limits")
+	// errResting: none of them ends its rest in time.
+	errResting = errors.New("all instances had asked for rest")
+	// errHeld: the request was not sent, since the instance is to get none.
+	errHeld = errors.New("nothing may be sent to the instance now")
 	// errNoPermit: the instance named a limit since it was picked, or the permit lapsed.
 	errNoPermit = errors.New("the instance names a limit, and there is no permit for it")
 	// errQuarantined: instances crashed each time that they ran the request.
@@ -67,7 +71,10 @@
 		e.g.stats.quarantined.Inc()
 	case errors.Is(err, errLimited):
 		e.g.stats.limited.Inc()
-		platform.SetRetryAfter(e.w.Header(), afterPermit(time.Until(e.permitAt)))
+		platform.SetRetryAfter(e.w.Header(), afterPermit(time.Until(e.opening.at)))
+	case errors.Is(err, errResting):
+		e.g.stats.rested.Inc()
+		platform.SetRetryAfter(e.w.Header(), afterRest(e.opening, rank(e.holder.Priority, e.route.Priority), time.Now()))
 	default:
 		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
@@ -102,6 +109,18 @@
 	return max(retryLeast, wait) + rand.N(max(retrySpread, wait))
 }
 
+// ranksSpread is over how many ranks callers are spread who are told to come back.
+const ranksSpread = 3
+
+// afterRest is when a caller should retry who found all instances resting: after the first
+// rest ends, the more urgent ones first. They are spread over half of the time for which
+// callers were refused, so that those who come back add twice the usual requests at most.
+func afterRest(o opening, rank int, now time.Time) time.Duration {
+	spread := max(retrySpread, now.Sub(o.since)/2)
+	part := (float64(min(rank, ranksSpread-1)) + rand.Float64()) / ranksSpread
+	return max(retryLeast, o.at.Sub(now)) + time.Duration(part*float64(spread))
+}
+
 // finish gives a request its end if no instance did.
 func (e *exchange) finish(ctx context.Context, err error) {
 	switch {
@@ -129,7 +148,7 @@
 
 // isUnrun reports whether the error tells that no instance ran the request.
 func isUnrun(err error) bool {
-	for _, reason := range []error{errNotRun, errFull, errNoUpstream, errLimited, errQuarantined, errLastSpared} {
+	for _, reason := range []error{errNotRun, errFull, errNoUpstream, errLimited, errResting, errQuarantined, errLastSpared} {
 		if errors.Is(err, reason) {
 			return true
 		}
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -89,27 +89,48 @@
 	b.barred[id] = until
 }
 
-// isBarred reports whether an instance is to be left alone. The balance must be locked.
+// isBarred reports whether an instance is to be left alone: it asked for rest, leaves, or names
+// a limit and gave no permit. The balance must be locked.
 func (b *balance) isBarred(node Beliefs, i models.UpstreamInstance, now time.Time) bool {
+	return node.Breakers().Check(i) != nil || b.lacksPermit(node, i, now)
+}
+
+// lacksPermit reports whether an instance is left alone that names a limit. The balance must
+// be locked.
+func (b *balance) lacksPermit(node Beliefs, i models.UpstreamInstance, now time.Time) bool {
 	return now.Before(b.barred[i.ID]) && node.Limits().Rate(i, now) != models.NoLimit
 }
 
-// nextPermit is when one of some instances may be asked for again that is left alone now. It
-// returns false if none is.
-func (b *balance) nextPermit(node Beliefs, instances []models.UpstreamInstance, tried []models.InstanceID) (time.Time, bool) {
+// opening is when a request may be sent that may not be now.
+type opening struct {
+	at time.Time
+	// since is when the instance that may be sent it first began to get none.
+	since time.Time
+	// reason is why it may not be sent now, errLimited or errResting.
+	reason error
+}
+
+// nextOpening is when the first of some instances may be sent a request again that gets none
+// now. It returns false if there is none: all get requests, were tried, or leave.
+func (b *balance) nextOpening(node Beliefs, instances []models.UpstreamInstance, tried []models.InstanceID) (opening, bool) {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var next time.Time
+	var first opening
 	for _, i := range instances {
-		if slices.Contains(tried, i.ID) || !b.isBarred(node, i, now) {
+		at, since, stays := node.Breakers().Next(i, now)
+		if !stays || slices.Contains(tried, i.ID) {
 			continue
 		}
-		if until := b.barred[i.ID]; next.IsZero() || until.Before(next) {
-			next = until
+		o := opening{at, since, errResting}
+		if until := b.barred[i.ID]; b.lacksPermit(node, i, now) && !until.Before(at) {
+			o = opening{until, now, errLimited}
+		}
+		if o.at.After(now) && (first.at.IsZero() || o.at.Before(first.at)) {
+			first = o
 		}
 	}
-	return next, !next.IsZero()
+	return first, !first.at.IsZero()
 }
 
 // placed is a group that a request goes to, with the permit for its head.
@@ -154,7 +175,7 @@
 }
 
 // pickPermitted returns the instance of a plain service that the request is sent to next.
-// Where all of them name limits it waits for a permit as long as others wait for a place.
+// Where all of them name limits or rest it waits as long as others wait for a place.
 func (e *exchange) pickPermitted(ctx context.Context) (models.UpstreamInstance, permit, error) {
 	until := e.began.Add(time.Duration(queuePart * float64(e.route.Aim)))
 	for {
@@ -162,18 +183,18 @@
 		if found {
 			return i, p, nil
 		}
-		next, limited := e.g.balance.nextPermit(e.g.node, e.g.node.View().Services[e.service], e.tried)
-		if !limited {
+		next, opens := e.g.balance.nextOpening(e.g.node, e.g.node.View().Services[e.service], e.tried)
+		if !opens {
 			return i, p, errNoUpstream
 		}
-		if next.After(until) {
-			e.permitAt = next
-			return i, p, errLimited
+		if next.at.After(until) {
+			e.opening = next
+			return i, p, next.reason
 		}
 		select {
 		case <-ctx.Done():
 			return i, p, errNoUpstream
-		case <-time.After(time.Until(next)):
+		case <-time.After(time.Until(next.at)):
 		}
 	}
 }
--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -23,10 +23,11 @@
 	beliefs *fixedBeliefs
 	front   *httptest.Server
 	// ran holds the instances that got requests, limit what p1 names, status what it
-	// answers with unless that is 0.
+	// answers with unless that is 0, told what else it says in heads.
 	ran    []string
 	limit  string
 	status int
+	told   map[string]string
 }
 
 func newLimitedSite(t *testing.T) *limitedSite {
@@ -40,6 +41,11 @@
 			if name == "p1" && s.limit != "" {
 				w.Header().Set("Server-Limit", s.limit)
 			}
+			for header, value := range s.told {
+				if name == "p1" {
+					w.Header().Set(header, value)
+				}
+			}
 			if name == "p1" && s.status != 0 {
 				w.WriteHeader(s.status)
 			}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -67,7 +67,7 @@
 
 // pick waits for a group with a place. A stream that has begun takes any, and
 // waits as long as its caller puts up with a pause. Where no permit can come in
-// time it does not wait.
+// time, and no rest ends, it does not wait.
 func (s *stream) pick() (placed, error) {
 	until := s.began.Add(time.Duration(queuePart * float64(s.route.Aim)))
 	if s.answering {
@@ -78,14 +78,14 @@
 		if free || (found && s.answering) {
 			return to, nil
 		}
-		next, limited := time.Time{}, false
-		if !found && s.g.node.Limits().Any() {
-			next, limited = s.g.balance.nextPermit(s.g.node, s.heads(), s.tried)
+		next, opens := opening{}, false
+		if !found {
+			next, opens = s.g.balance.nextOpening(s.g.node, s.heads(), s.tried)
 		}
 		switch {
-		case limited && next.After(until):
-			s.permitAt = next
-			return to, errLimited
+		case opens && next.at.After(until):
+			s.opening = next
+			return to, next.reason
 		case time.Now().After(until) && found:
 			return to, errFull
 		case time.Now().After(until):
@@ -174,7 +174,7 @@
 func (b *balance) candidate(node Beliefs, g cluster.Group) placement.Candidate {
 	load := b.loadAt(node, g.Head.ID)
 	return placement.Candidate{
-		Requests: load.Requests, Unread: load.Unread, Near: g.Head.Zone == b.zone, Failures: b.failing(g.Head),
+		Requests: load.Requests, Unread: load.Unread, Near: g.Head.Zone == b.zone, Failures: b.setback(node, g.Head),
 	}
 }
 
@@ -189,7 +189,7 @@
 
 // pickInstance returns the instance of a plain service with the fewest
 // requests that was not tried, of equals one in this daemon's zone. Failures of
-// late count as requests.
+// late, and rests that others were asked for, count as requests.
 func (b *balance) pickInstance(node Beliefs, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -199,7 +199,7 @@
 		if slices.Contains(tried, all[i].ID) || b.isBarred(node, all[i], now) {
 			continue
 		}
-		n := float64(b.loadAt(node, all[i].ID).Requests) + failureRequests*b.failing(all[i])
+		n := float64(b.loadAt(node, all[i].ID).Requests) + failureRequests*b.setback(node, all[i])
 		nearer := best >= 0 && n == least && all[i].Zone == b.zone && all[best].Zone != b.zone
 		if best < 0 || n < least || nearer {
 			best, least = i, n
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/quarantine"
 )
 
@@ -62,19 +63,20 @@
 }
 
 // choices is how many instances or groups could take the request that are not known to
-// have crashed.
+// have crashed, to rest, or to leave.
 func (e *exchange) choices() int {
 	v, held := e.g.node.View(), e.g.node.Quarantine()
 	n := 0
-	for _, i := range v.Services[e.service] {
-		if !held.HasCrashed(i) {
+	count := func(i models.UpstreamInstance) {
+		if !held.HasCrashed(i) && e.g.node.Breakers().Bars(i) == nil {
 			n++
 		}
 	}
+	for _, i := range v.Services[e.service] {
+		count(i)
+	}
 	for _, group := range v.Groups[e.head.Model] {
-		if !held.HasCrashed(group.Head) {
-			n++
-		}
+		count(group.Head)
 	}
 	return n
 }
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -111,7 +111,9 @@
 }
 
 // noBreakers are none yet.
-func noBreakers() *cluster.Breakers { return cluster.NewBreakers(metrics.NewSet(), zerolog.Nop()) }
+func noBreakers() *cluster.Breakers {
+	return cluster.NewBreakers(func() {}, metrics.NewSet(), zerolog.Nop())
+}
 
 // AskPermit has nobody who grants permits, unless the test has.
 func (f *fixedBeliefs) AskPermit(_ context.Context, _ models.Zone, ask ratelimit.Ask) (ratelimit.Grant, error) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -110,7 +110,8 @@
 			g.balance.forget(v.All)
 			g.crashes.sweep(tick.At)
 			g.node.Quarantine().Prune()
-			g.node.Limits().Prune(g.node.View().All)
+			g.node.Limits().Prune(v.All)
+			g.node.Breakers().Prune(v.All)
 		}
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,6 +112,9 @@
 		}
 	}
 	s.noteEnd(cause)
+	if errors.Is(cause, errHeld) {
+		s.untry(s.current.group.Head)
+	}
 	if s.hedge != nil && s.takeHedge(cause) {
 		return nil
 	}
@@ -127,7 +130,7 @@
 	if err != nil {
 		return errors.Join(cause, err)
 	}
-	if !s.spend() {
+	if !errors.Is(cause, errHeld) && !s.spend() {
 		return errors.Join(cause, errBudget)
 	}
 	s.logMove(to.group, cause)
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -44,6 +44,11 @@
 		last := len(e.tried)+1 >= e.route.Attempts
 		err = e.tryUnary(ctx, i, p, last)
 		e.noteCut(ctx, i, err)
+		if errors.Is(err, errHeld) {
+			// Nothing was sent; it is picked for anew.
+			e.untry(i)
+			continue
+		}
 		e.ran = e.ran || (err != nil && !errors.Is(err, errNotRun))
 		if err == nil || last || ctx.Err() != nil || !(e.route.Repeatable() || errors.Is(err, errNotRun)) {
 			return err
@@ -63,7 +68,8 @@
 	all := e.g.node.View().Services[e.service]
 	if place := e.place(); place != nil && len(all) > 0 {
 		sorted := slices.SortedFunc(slices.Values(all), func(a, b models.UpstreamInstance) int { return cmp.Compare(a.ID, b.ID) })
-		if own := sorted[place(len(sorted))]; !slices.Contains(e.tried, own.ID) {
+		own := sorted[place(len(sorted))]
+		if !slices.Contains(e.tried, own.ID) && e.g.node.Breakers().Check(own) == nil {
 			return own, true
 		}
 	}
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -119,6 +119,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Ready != nil {
+		if err := r.Ready(); err != nil {
+			c.close()
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	c.patience = r.Patience
 	stop := context.AfterFunc(ctx, c.close)
 	n, err := c.write(r.encode())
--- a/lib/h1/pool_test.go
+++ b/lib/h1/pool_test.go
@@ -1,6 +1,7 @@
 package h1
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"testing"
@@ -48,3 +49,31 @@
 	pool.Sweep(time.Now())
 	c.Assert(open(), qt.HasLen, 0)
 }
+
+// TestNotReady checks that a request which is kept back once there is a connection reaches
+// nobody, and that the error tells so.
+func TestNotReady(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	read := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			close(read)
+			return
+		}
+		defer conn.Close()
+		n, _ := conn.Read(make([]byte, 1))
+		read <- n
+	}()
+	errBack := errors.New("kept back")
+	pool := NewPool(time.Second, nil)
+	_, err = pool.Do(t.Context(), netip.MustParseAddrPort(l.Addr().String()), Request{
+		Method: "GET", Target: "/", Ready: func() error { return errBack },
+	})
+	c.Assert(err, qt.ErrorIs, errBack)
+	c.Assert(err, qt.ErrorIs, ErrNotSent)
+	c.Assert(<-read, qt.Equals, 0)
+}
--- a/lib/h1/request.go
+++ b/lib/h1/request.go
@@ -21,6 +21,9 @@
 	// Mine, if set, tells an answer's head from that of another request,
 	// which is read to its end and dropped.
 	Mine func(http.Header) bool
+	// Ready, if set, is asked once there is a connection; an error keeps the request from
+	// being sent.
+	Ready func() error
 	// Patience, if set, tells how much longer to wait for the next bytes when
 	// none came for so long; 0 ends the request.
 	Patience Patience
