cluster, platform: have the planner hear of instances that say in answers that they leave

An instance that says so in answers alone went on to head groups: the gateways left it alone, and the planner, which reads entries, kept its group among those that serve and gave it to new ones. Its entry may say so late, never, or be listed anew by a store that came back from a copy.

The owner of a node's beliefs now takes such a word, its own or another daemon's, for what the entry would say, for as long as the instance's life. Answers to orders and reports are read for it as well.

--- a/cluster/breakers.go
+++ b/cluster/breakers.go
@@ -176,6 +176,16 @@
 	b.known.Store(!b.breakers.Empty())
 }
 
+// leaving lists the instances that said in answers that they leave.
+func (b *Breakers) leaving() []breaker.Word {
+	if !b.Any() {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.breakers.Leaving()
+}
+
 // WordNews is what a daemon tells others that an instance asked for.
 type WordNews struct {
 	Instance models.InstanceID `msgpack:"i"`
@@ -212,9 +222,32 @@
 		}, from) || tell
 	}
 	if tell {
-		n.links.wakeAll()
+		n.tellWords()
+	}
+}
+
+// tellWords has all daemons that this one is linked to told what is new of what instances
+// ask for, and the owner look at those that leave.
+func (n *Node) tellWords() {
+	n.links.wakeAll()
+	select {
+	case n.inbox <- wordsChanged{}:
+	default:
+		// The owner is behind; it looks at its next tick.
 	}
 }
 
 // Breakers holds what instances asked for in their answers.
 func (n *Node) Breakers() *Breakers { return n.breakers }
+
+// noteSaidLeaving has the instances leave that said so in answers. Entries may tell it later,
+// never, or the contrary.
+func (o *owner) noteSaidLeaving(now time.Time) {
+	for _, w := range o.n.breakers.leaving() {
+		k, known := o.fleet.instances[w.Instance]
+		if known && k.LifeOf(w.Born) == models.SameLife && !k.Draining {
+			o.noteLeaving(k, true, now.Sub(w.Heard))
+			o.fleetStale = true
+		}
+	}
+}
--- a/cluster/known_test.go
+++ b/cluster/known_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lupinkeel/lupinkeel/breaker"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/membership"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -50,6 +51,8 @@
 //	hold DAEMON               news reach it only from its release on
 //	release DAEMON
 //	wait DURATION
+//	says DAEMON ID            an answer of the instance tells the daemon that it leaves
+//	tell DAEMON OTHER         it tells another one what instances said in answers
 //	beat DAEMON OTHER         it tells another one of itself
 //	tick DAEMON               it looks for what is due
 //	known DAEMON ID BOOL      checks whether it knows the instance
@@ -152,8 +155,17 @@
 	case "beat":
 		to := s.owners[models.DaemonID(words[1])]
 		to.handleHeartbeat(heartbeatSeen{beat: o.n.heartbeat("", membership.Link{}), at: now})
+	case "says":
+		o.n.breakers.Heard(breaker.Word{Instance: models.InstanceID(words[1]), Heard: now, Leaving: true})
+		o.handleWaiting()
+	case "tell":
+		to := s.owners[models.DaemonID(words[1])]
+		news, _ := o.n.breakers.since(0, func(models.DaemonID) bool { return true })
+		to.n.takeWords(news, name)
+		to.handleWaiting()
 	case "tick":
 		o.dropMissing(now)
+		o.noteSaidLeaving(now)
 	case "lose":
 		s.lost[name] = true
 	case "hold":
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -84,9 +84,12 @@
 	}
 	// limitsChanged: something is new of instances' limits.
 	limitsChanged struct{}
+	// wordsChanged: something is new of what instances ask for.
+	wordsChanged struct{}
 )
 
 func (limitsChanged) isMessage()    {}
+func (wordsChanged) isMessage()     {}
 func (newsSeen) isMessage()         {}
 func (configRead) isMessage()       {}
 func (instancesRead) isMessage()    {}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -191,11 +191,11 @@
 	}
 	n.conns = h1.NewPool(dialTimeout, nil)
 	n.store = platform.NewStore(cfg.Store, n.conns)
-	n.instances = platform.NewInstances(n.conns)
+	n.instances = platform.NewInstances(n.conns, n.hearInstance)
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.tellLimits, set, log)
-	n.breakers = NewBreakers(n.links.wakeAll, set, log)
+	n.breakers = NewBreakers(n.tellWords, set, log)
 	n.permits = newPermits(n, set)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
@@ -290,6 +290,11 @@
 	})
 }
 
+// hearInstance notes what an answer to an order or a question told of its instance.
+func (n *Node) hearInstance(id models.InstanceID, told models.AnswerHead) {
+	n.breakers.HeardHead(id, n.View().All[id].Born, told)
+}
+
 // askReport asks an instance how it is, in the background, unless it wants nothing.
 func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance, timeout time.Duration) {
 	if !n.breakers.admitReport(i) {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -109,6 +109,8 @@
 		o.handleStalled(m)
 	case limitsChanged:
 		o.handleLimits()
+	case wordsChanged:
+		o.noteSaidLeaving(time.Now())
 	}
 }
 
@@ -137,6 +139,7 @@
 	}
 	o.dropSilent(tick.At)
 	o.arrange(tick.At)
+	o.noteSaidLeaving(tick.At)
 	if o.candidate(tick.At) != o.n.View().candidate {
 		o.viewStale = true
 	}
