--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -149,10 +149,7 @@
 		Ready: func() error { return e.held(i, p) },
 		Mine:  func(h http.Header) bool { return platform.DecodeAnswer(0, h).ID == e.head.ID },
 	})
-	switch {
-	case err == nil:
-		e.g.balance.answer(i.ID)
-	case ctx.Err() == nil && !errors.Is(err, h1.ErrStalled) && !errors.Is(err, errHeld):
+	if err != nil && ctx.Err() == nil && !errors.Is(err, h1.ErrStalled) && !errors.Is(err, errHeld) {
 		e.g.balance.fail(i)
 	}
 	switch {
@@ -164,8 +161,11 @@
 	told := platform.DecodeAnswer(resp.Status, resp.Header)
 	e.hear(i, told, resp.Status, asked)
 	if !told.NotRun {
+		e.g.balance.answer(i.ID)
 		return resp, breaker.Taken, nil
 	}
+	// An instance that turns requests away has few, and would seem the least busy one.
+	e.g.balance.fail(i)
 	e.turnedAway.Add(1)
 	e.g.stats.turnedAway.Inc()
 	resp.Body.Discard()
--- a/gateway/failures.go
+++ b/gateway/failures.go
@@ -36,7 +36,7 @@
 	return f.count * math.Exp(-now.Sub(f.at).Seconds()/failureSpan.Seconds())
 }
 
-// fail notes that an instance failed a request without an answer.
+// fail notes that an instance failed a request without an answer, or turned it away.
 func (b *balance) fail(i models.UpstreamInstance) {
 	now := time.Now()
 	b.mu.Lock()
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -146,6 +146,18 @@
 	s.c.Assert(s.ran, qt.Not(qt.Contains), own)
 }
 
+// An instance that turns away what it gets, without a word of when to come back, has no
+// requests, and is not taken for the least busy one.
+func TestTurningAwayIsPassedOver(t *testing.T) {
+	s := newLimitedSite(t)
+	s.status, s.told = http.StatusServiceUnavailable, map[string]string{"X-Lupinkeel-Not-Executed": "1"}
+	s.askUntil("p1")
+	for range 20 {
+		s.ask("b")
+	}
+	s.c.Assert(s.ran, qt.Not(qt.Contains), "p1")
+}
+
 // An instance asked another daemon for rest: this one prefers others, and still uses it where
 // there is none.
 func TestOthersRestIsAHint(t *testing.T) {
