gateway: leave repeats for failures where instances turn requests away

Each request that an instance turned away took one of the repeats that all daemons may make together, so that a request which failed meanwhile got none. Seven in ten of them at most go to requests that were turned away now (TestTurnedAwayLeaveRepeats).

--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -21,12 +21,17 @@
 	now   int64
 }
 
-type budgetStep struct{ requests, repeats int }
+// budgetStep counts requests, all repeats, and those after sends that were turned away.
+type budgetStep struct{ requests, repeats, turnedAway int }
 
 // budgetPart is the part of the budget that is used, since the daemons'
 // windows and the count of daemons do not agree to the moment.
 const budgetPart = 0.7
 
+// turnedAwayPart is the part of the repeats that may follow sends which instances turned
+// away, so that some are left for failures.
+const turnedAwayPart = 0.7
+
 func newBudget(ratio, slack float64, window time.Duration) *budget {
 	return &budget{ratio: ratio, slack: slack, window: window}
 }
@@ -53,7 +58,7 @@
 
 // repeat reports whether a request may be sent once more, and counts it. A daemon that
 // does not know yet how many there are has no share of the fixed number.
-func (b *budget) repeat(now time.Time, daemons int) bool {
+func (b *budget) repeat(now time.Time, daemons int, turnedAway bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	step := b.advance(now)
@@ -61,15 +66,19 @@
 	for _, s := range b.steps {
 		sum.requests += s.requests
 		sum.repeats += s.repeats
+		sum.turnedAway += s.turnedAway
 	}
 	most := b.ratio * float64(sum.requests)
 	if daemons > 0 {
 		most += b.slack / float64(daemons)
 	}
 	most *= budgetPart
-	if float64(sum.repeats+1) > most {
+	if float64(sum.repeats+1) > most || (turnedAway && float64(sum.turnedAway+1) > turnedAwayPart*most) {
 		return false
 	}
 	step.repeats++
+	if turnedAway {
+		step.turnedAway++
+	}
 	return true
 }
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -12,11 +12,12 @@
 func TestRepeatsOfDaemonsThatStart(t *testing.T) {
 	c := qt.New(t)
 	repeats := func(daemons int) int {
+		const turnedAway = false
 		b, n := newBudget(0.2, 100, 10*time.Second), 0
 		for range 100 {
 			b.request(time.Now())
 		}
-		for b.repeat(time.Now(), daemons) {
+		for b.repeat(time.Now(), daemons, turnedAway) {
 			n++
 		}
 		return n
@@ -25,3 +26,21 @@
 	c.Assert(repeats(1), qt.Equals, 84)
 	c.Assert(repeats(10), qt.Equals, 21)
 }
+
+// TestTurnedAwayLeaveRepeats checks that requests which instances turn away do not use up the
+// repeats of those that fail.
+func TestTurnedAwayLeaveRepeats(t *testing.T) {
+	c := qt.New(t)
+	b := newBudget(0.2, 100, 10*time.Second)
+	for range 100 {
+		b.request(time.Now())
+	}
+	count := func(turnedAway bool) (n int) {
+		for b.repeat(time.Now(), 1, turnedAway) {
+			n++
+		}
+		return n
+	}
+	c.Assert(count(true), qt.Equals, 58)
+	c.Assert(count(false), qt.Equals, 26)
+}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -143,7 +143,7 @@
 		// Permits are scarce, and the first run may still go on: they come second.
 		to, _, free = s.look()
 	}
-	if !free || !s.spend() {
+	if !free || !s.spend(false) {
 		return firstStep
 	}
 	s.runs++
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
@@ -156,6 +157,11 @@
 	return false
 }
 
+// isTurnedAway reports whether the error tells that an instance would not run the request.
+func isTurnedAway(err error) bool {
+	return errors.Is(err, errNotRun) && !errors.Is(err, h1.ErrNotSent)
+}
+
 // note writes a request's end into the log and the metrics.
 func (e *exchange) note(end outcome, status int, err error) {
 	e.g.stats.ends[end].Inc()
--- a/gateway/pauses_test.go
+++ b/gateway/pauses_test.go
@@ -53,14 +53,14 @@
 	allowed := 0
 	for range 1000 {
 		b.request(now)
-		if b.repeat(now, 10) {
+		if b.repeat(now, 10, false) {
 			allowed++
 		}
 		now = now.Add(5 * time.Millisecond)
 	}
 	c.Assert(allowed > 100 && allowed <= 210, qt.IsTrue, qt.Commentf("%d", allowed))
 	now = now.Add(time.Minute)
-	c.Assert(b.repeat(now, 10), qt.IsTrue)
+	c.Assert(b.repeat(now, 10, false), qt.IsTrue)
 }
 
 // TestSparePause checks that a stream waits for its group as long as it may go
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return errors.Join(cause, err)
 	}
-	if !errors.Is(cause, errHeld) && !s.spend() {
+	if !errors.Is(cause, errHeld) && !s.spend(isTurnedAway(cause)) {
 		return errors.Join(cause, errBudget)
 	}
 	s.logMove(to.group, cause)
@@ -193,9 +193,9 @@
 // maySend reports whether one more instance may be sent the request.
 func (s *stream) maySend() bool { return len(s.tried) < s.route.Attempts+spareSends }
 
-// spend takes a repeat from the budget.
-func (s *stream) spend() bool {
-	return s.g.budget.repeat(time.Now(), s.g.node.View().Daemons)
+// spend takes a repeat from the budget, of a send that was turned away if so.
+func (s *stream) spend(turnedAway bool) bool {
+	return s.g.budget.repeat(time.Now(), s.g.node.View().Daemons, turnedAway)
 }
 
 // pass passes an event on.
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -56,7 +56,7 @@
 		if quarantined := e.mayBeSent(); quarantined != nil {
 			return errors.Join(err, quarantined)
 		}
-		if !e.g.budget.repeat(time.Now(), e.g.node.View().Daemons) {
+		if !e.g.budget.repeat(time.Now(), e.g.node.View().Daemons, isTurnedAway(err)) {
 			return errors.Join(err, errBudget)
 		}
 		e.g.stats.repeats.Inc()
