--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -68,12 +68,15 @@
 		outcome types.OrderOutcome
 		err     error
 		at      time.Time
+		// took is how long the answer took, or the wait for it.
+		took time.Duration
 	}
 	// reportEnded: an instance was asked how it is.
 	reportEnded struct {
 		instance models.UpstreamInstance
 		err      error
 		asked    time.Time
+		took     time.Duration
 	}
 	// stalled: nothing moves at a group's head. It was found by another
 	// daemon if from is set.
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -76,17 +76,19 @@
 
 // Node is one daemon's part in the cluster.
 type Node struct {
-	cfg        Settings
-	log        zerolog.Logger
-	clock      *timer.Service
-	traffic    Traffic
-	store      *platform.Store
-	instances  *platform.Instances
-	conns      *h1.Pool
-	inbox      chan message
-	view       atomic.Pointer[View]
-	stats      *stats
-	planning   atomic.Bool
+	cfg       Settings
+	log       zerolog.Logger
+	clock     *timer.Service
+	traffic   Traffic
+	store     *platform.Store
+	instances *platform.Instances
+	conns     *h1.Pool
+	inbox     chan message
+	view      atomic.Pointer[View]
+	stats     *stats
+	planning  atomic.Bool
+	// questions counts the reports that are asked for and not answered.
+	questions  atomic.Int64
 	started    int64
 	peerLoads  *peerLoads
 	links      *links
@@ -131,6 +133,8 @@
 	orders      *metrics.Counter
 	reports     *metrics.Counter
 	plans       *metrics.Counter
+	// orderTime and reportTime are how long instances take to answer orders and questions.
+	orderTime, reportTime *metrics.Histogram
 	// reborn counts instances that started again under their ids, foreign entries
 	// that name no instance.
 	reborn  *metrics.Counter
@@ -184,6 +188,8 @@
 			orders:      set.NewCounter("lupinkeel_group_orders_total"),
 			reports:     set.NewCounter("lupinkeel_instance_reports_total"),
 			plans:       set.NewCounter("lupinkeel_plans_total"),
+			orderTime:   set.NewHistogram("lupinkeel_order_seconds"),
+			reportTime:  set.NewHistogram("lupinkeel_report_seconds"),
 			reborn:      set.NewCounter("lupinkeel_instance_restarts_total"),
 			foreign:     set.NewCounter("lupinkeel_unreadable_entries_total"),
 			restores:    set.NewCounter("lupinkeel_store_restores_total"),
@@ -282,10 +288,13 @@
 func (n *Node) giveOrder(ctx context.Context, addr netip.AddrPort, o types.GroupOrder) {
 	n.stats.orders.Inc()
 	task.Start(ctx, "order", func(ctx context.Context) error {
+		given := time.Now()
 		limited, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		outcome, err := n.instances.Order(limited, addr, o)
-		n.tell(ctx, orderEnded{order: o, outcome: outcome, err: err, at: time.Now()})
+		took := time.Since(given)
+		n.stats.orderTime.Update(took.Seconds())
+		n.tell(ctx, orderEnded{order: o, outcome: outcome, err: err, at: time.Now(), took: took})
 		return nil
 	})
 }
@@ -301,12 +310,16 @@
 		return
 	}
 	n.stats.reports.Inc()
+	n.questions.Add(1)
 	task.Start(ctx, "report", func(ctx context.Context) error {
 		asked := time.Now()
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		told, err := n.instances.Report(limited, i)
-		n.tell(ctx, reportEnded{instance: told, err: err, asked: asked})
+		n.questions.Add(-1)
+		took := time.Since(asked)
+		n.stats.reportTime.Update(took.Seconds())
+		n.tell(ctx, reportEnded{instance: told, err: err, asked: asked, took: took})
 		n.permits.charge(ctx, i)
 		return nil
 	})
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -213,7 +213,7 @@
 		event = o.n.log.Warn().Err(m.err)
 	}
 	event.Str("order", string(m.order.Kind)).Str("instance", string(m.order.Instance)).Str("group", string(m.order.Group.Name)).
-		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Msg("order-ended")
+		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Dur("took", m.took).Msg("order-ended")
 	o.fleet.underWay--
 	o.giveOrders()
 	if p := o.fleet.planner; p != nil && fleet.TermOf(m.order.Fence) == o.fleet.heldTerm {
