--- /dev/null
+++ b/cluster/calls_test.go
@@ -0,0 +1,52 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/worker/types"
+)
+
+// mostCalls is how many calls to instances may be under way at once.
+const mostCalls = 128
+
+// A daemon that began to plan asked all of 3,000 instances at once. On a weak one the renewal of
+// its lease waited behind them until the lease had ended, and the next planner began with 3,000
+// questions.
+func TestPlannerDrownsInItsOwnCalls(t *testing.T) {
+	const instances = 3000
+	fill := func(o *owner) {
+		for n := range instances {
+			i := models.UpstreamInstance{ID: models.InstanceID(fmt.Sprint("i", n)), Service: "s"}
+			o.fleet.instances[i.ID] = &knownInstance{UpstreamInstance: i}
+		}
+		o.handleLease(leaseHeld{term: 1, until: time.Now().Add(time.Minute)})
+	}
+	t.Run("questions", func(t *testing.T) {
+		c := qt.New(t)
+		o := newTestOwner(t)
+		fill(o)
+		o.askDoubtful("s", time.Now())
+		c.Assert(int(o.n.stats.reports.Get()) <= mostCalls, qt.IsTrue, qt.Commentf("%d at once", o.n.stats.reports.Get()))
+	})
+	t.Run("orders_are_answered_late", func(t *testing.T) {
+		c := qt.New(t)
+		o := newTestOwner(t)
+		fill(o)
+		for n := range instances {
+			o.fleet.orders = append(o.fleet.orders, types.GroupOrder{Instance: models.InstanceID(fmt.Sprint("i", n))})
+		}
+		o.giveOrders()
+		took := 5 * time.Millisecond
+		for n := range 1000 {
+			// Answers take the longer the more calls wait for the processor.
+			took = time.Duration(5+3*o.fleet.underWay) * time.Millisecond
+			o.handleOrderEnded(orderEnded{order: types.GroupOrder{Instance: models.InstanceID(fmt.Sprint("i", n))}, outcome: types.OrderDone, at: time.Now(), took: took})
+		}
+		c.Assert(took < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%d orders under way, answered after %v", o.fleet.underWay, took))
+	})
+}
