cluster: judge whether the planner's lease has ended by its newest renewal

A planner looks at its lease before it gives orders. It read renewals only when a round of planning began. A round of 3,000 instances takes longer on a weak or slowed daemon than what is left of the lease, and rounds are four times as far apart as they are long: the planner gave up a lease that it had renewed every 0.25 s, and so did the next one. Now the newest renewal is read at each look.

TestLeaseRenewedDuringARound failed before.

--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -70,9 +70,6 @@
 	}
 	started := time.Now()
 	f.planned = spacing{began: now}
-	if l := o.n.lease.Load(); l != nil && l.term == f.heldTerm {
-		f.until = l.until
-	}
 	if o.leaseEnded(now) {
 		o.stopPlanning("the lease ended")
 		return
@@ -92,6 +89,11 @@
 // leaseEnded reports whether another daemon may plan by now. Time in which the machine was
 // suspended counts: a planner that wakes would give orders beside the one that took over.
 func (o *owner) leaseEnded(now time.Time) bool {
+	// It may have been renewed at any time: a round of planning takes long, and rounds are
+	// far apart then.
+	if l := o.n.lease.Load(); l != nil && l.term == o.fleet.heldTerm {
+		o.fleet.until = l.until
+	}
 	renewed := o.fleet.until.Add(leaseMargin - o.n.cfg.LeaseMin)
 	suspended := o.n.clock.Suspended(renewed)
 	if suspended > o.n.cfg.LeaseMin {
--- a/cluster/spacing_test.go
+++ b/cluster/spacing_test.go
@@ -67,3 +67,18 @@
 	o.planGroups(now.Add(2 * time.Minute))
 	c.Assert(o.fleet.planner, qt.IsNil, qt.Commentf("the lease has ended"))
 }
+
+// The lease was renewed while a round of planning took longer than what was left of it. The
+// planner gave its term up all the same before the first order, and so did those after it, each
+// within some 1.1 s, so that no group was formed before requests came.
+func TestLeaseRenewedDuringARound(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	h := leaseHolder{n: o.n, term: 5}
+	h.tellHeld(t.Context(), leaseHeld{term: 5, until: time.Now().Add(20 * time.Millisecond)})
+	o.handle(<-o.n.inbox)
+	time.Sleep(30 * time.Millisecond)
+	h.tellHeld(t.Context(), leaseHeld{term: 5, until: time.Now().Add(time.Minute)})
+	o.giveOrders()
+	c.Assert(o.fleet.planner, qt.IsNotNil, qt.Commentf("the lease was renewed"))
+}
