cluster, lib/inflight: bound a planner's calls by how long they take

A daemon that began to plan asked all 3,000 instances at once, and gave 128 orders at a time.

lib/inflight (pure) bounds calls under way as TCP bounds what is on its way: a quarter more for each batch of answers while the one in the middle takes no more than 40 ms longer than the quickest, half as many otherwise. Orders and questions share the bound, neither takes more than half while the other waits; questions about a group that seems to stand still go first.

TestPlannerDrownsInItsOwnCalls failed before (3,000 at once; 128 under way that are answered after 389 ms).

--- a/cluster/asks.go
+++ b/cluster/asks.go
@@ -24,11 +24,64 @@
 
 // ask has an instance asked for a report, unless that was just done.
 func (o *owner) ask(k *knownInstance, now time.Time, timeout time.Duration) {
-	if now.Sub(k.asked) < askAgain {
+	if now.Sub(k.asked) >= askAgain {
+		o.askNext(k, timeout)
+	}
+}
+
+// question is an instance that is to be asked for a report.
+type question struct {
+	id      models.InstanceID
+	timeout time.Duration
+}
+
+// askNext has an instance asked for a report as soon as one more call may be made. Where
+// something may be wrong that is before all others.
+func (o *owner) askNext(k *knownInstance, timeout time.Duration) {
+	f, q := &o.fleet, question{k.ID, timeout}
+	switch {
+	case timeout < patientReport:
+		f.questions = slices.Insert(f.questions, 0, q)
+	case !k.waits:
+		f.questions = append(f.questions, q)
+	}
+	k.waits = true
+	o.makeCalls()
+}
+
+// makeCalls asks for reports and gives orders, as many at a time as leave the node time for
+// others: while it gave 3,000 at once other daemons heard nothing of it, and another one began
+// to plan; while it asked 3,000 its own lease ended. Neither kind keeps the other from more
+// than half of the calls.
+func (o *owner) makeCalls() {
+	f := &o.fleet
+	most := f.calls.Most()
+	for f.asking+f.underWay < most {
+		switch {
+		case len(f.questions) > 0 && (len(f.orders) == 0 || f.asking < most/2 || f.underWay >= most/2):
+			o.askFirst()
+		case len(f.orders) > 0:
+			o.giveFirst()
+		default:
+			return
+		}
+	}
+}
+
+// askFirst asks the first instance that is to be asked.
+func (o *owner) askFirst() {
+	f := &o.fleet
+	q := f.questions[0]
+	f.questions = f.questions[1:]
+	k := f.instances[q.id]
+	if k == nil || !k.waits {
+		// It is gone, or was asked since.
 		return
 	}
-	k.asked = now
-	o.n.askReport(o.ctx, k.UpstreamInstance, timeout)
+	k.asked, k.waits = time.Now(), false
+	if o.n.askReport(o.ctx, k.UpstreamInstance, q.timeout) {
+		f.asking++
+	}
 }
 
 // handleStalled passes over a head at which nothing moves, and has the
@@ -108,8 +161,7 @@
 		}
 		delete(o.fleet.due, id)
 		if k := o.fleet.instances[id]; k != nil && o.fleet.planner != nil {
-			k.asked = now
-			o.n.askReport(o.ctx, k.UpstreamInstance, patientReport)
+			o.askNext(k, patientReport)
 		}
 	}
 }
--- a/cluster/calls_test.go
+++ b/cluster/calls_test.go
@@ -11,9 +11,6 @@
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
-// mostCalls is how many calls to instances may be under way at once.
-const mostCalls = 128
-
 // A daemon that began to plan asked all of 3,000 instances at once. On a weak one the renewal of
 // its lease waited behind them until the lease had ended, and the next planner began with 3,000
 // questions.
@@ -24,7 +21,7 @@
 			i := models.UpstreamInstance{ID: models.InstanceID(fmt.Sprint("i", n)), Service: "s"}
 			o.fleet.instances[i.ID] = &knownInstance{UpstreamInstance: i}
 		}
-		o.handleLease(leaseHeld{term: 1, until: time.Now().Add(time.Minute)})
+		o.handleLease(leaseHeld{term: 2, until: time.Now().Add(time.Minute)})
 	}
 	t.Run("questions", func(t *testing.T) {
 		c := qt.New(t)
@@ -37,6 +34,7 @@
 		c := qt.New(t)
 		o := newTestOwner(t)
 		fill(o)
+		o.config.routing = &models.Routing{}
 		for n := range instances {
 			o.fleet.orders = append(o.fleet.orders, types.GroupOrder{Instance: models.InstanceID(fmt.Sprint("i", n))})
 		}
--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -113,5 +113,5 @@
 	}
 	c := o.fleet.planner.Counts()
 	o.n.log.Info().Int("forming", c.Forming).Int("ending", c.Ending).Int("staging", c.Staging).Int("loading", c.Loading).
-		Int("free", c.Free).Int("orders", o.fleet.underWay).Int64("questions", o.n.questions.Load()).Msg("plan")
+		Int("free", c.Free).Int("orders", o.fleet.underWay).Int("questions", o.fleet.asking).Int("calls-most", o.fleet.calls.Most()).Msg("plan")
 }
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/fleet"
+	"github.com/lupinkeel/lupinkeel/lib/inflight"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
@@ -35,9 +36,13 @@
 	// began is when this node began to plan in the term.
 	began time.Time
 	// orders are those that are due and not given yet, underWay counts those that were
-	// given and not answered.
-	orders   []types.GroupOrder
-	underWay int
+	// given and not answered. questions and asking are the same of reports.
+	orders    []types.GroupOrder
+	underWay  int
+	questions []question
+	asking    int
+	// calls bounds how many of both are under way.
+	calls *inflight.Limit
 	// planned is when orders were last planned.
 	planned spacing
 	// suspects are stalled heads, until when.
@@ -82,8 +87,9 @@
 	listed models.Position
 	// missing is since when a store that came back from a copy lacks its entry.
 	missing time.Time
-	// asked is when it was last asked for a report.
+	// asked is when it was last asked for a report, waits tells that it is to be.
 	asked time.Time
+	waits bool
 	// spread is what the other daemons were told last.
 	spread models.UpstreamInstance
 }
@@ -96,6 +102,7 @@
 		unreadable: map[models.InstanceID]uint64{},
 		suspects:   map[models.InstanceID]suspicion{},
 		due:        map[models.InstanceID]time.Time{},
+		calls:      inflight.New(leastCalls, mostCalls, callsWait),
 	}
 }
 
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -76,19 +76,17 @@
 
 // Node is one daemon's part in the cluster.
 type Node struct {
-	cfg       Settings
-	log       zerolog.Logger
-	clock     *timer.Service
-	traffic   Traffic
-	store     *platform.Store
-	instances *platform.Instances
-	conns     *h1.Pool
-	inbox     chan message
-	view      atomic.Pointer[View]
-	stats     *stats
-	planning  atomic.Bool
-	// questions counts the reports that are asked for and not answered.
-	questions  atomic.Int64
+	cfg        Settings
+	log        zerolog.Logger
+	clock      *timer.Service
+	traffic    Traffic
+	store      *platform.Store
+	instances  *platform.Instances
+	conns      *h1.Pool
+	inbox      chan message
+	view       atomic.Pointer[View]
+	stats      *stats
+	planning   atomic.Bool
 	started    int64
 	peerLoads  *peerLoads
 	links      *links
@@ -304,23 +302,23 @@
 	n.breakers.HeardHead(id, n.View().All[id].Born, told)
 }
 
-// askReport asks an instance how it is, in the background, unless it wants nothing.
-func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance, timeout time.Duration) {
+// askReport asks an instance how it is, in the background. It returns false if the instance
+// wants nothing now.
+func (n *Node) askReport(ctx context.Context, i models.UpstreamInstance, timeout time.Duration) bool {
 	if !n.breakers.admitReport(i) {
-		return
+		return false
 	}
 	n.stats.reports.Inc()
-	n.questions.Add(1)
 	task.Start(ctx, "report", func(ctx context.Context) error {
 		asked := time.Now()
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		told, err := n.instances.Report(limited, i)
-		n.questions.Add(-1)
 		took := time.Since(asked)
 		n.stats.reportTime.Update(took.Seconds())
 		n.tell(ctx, reportEnded{instance: told, err: err, asked: asked, took: took})
 		n.permits.charge(ctx, i)
 		return nil
 	})
+	return true
 }
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -16,9 +16,12 @@
 	// overdueFactor is how many heartbeats an instance may miss in the store
 	// before it is asked itself.
 	overdueFactor = 2.2
-	// ordersAtOnce is how many orders may be under way: each takes a fifth of a ms of a
-	// core, and news are to go out between them.
-	ordersAtOnce = 128
+	// leastCalls and mostCalls bound how many orders and questions may be under way,
+	// callsWait how much longer than the quickest they may take: then they wait for the
+	// node's own processor, and so does the renewal of its lease.
+	leastCalls = 8
+	mostCalls  = 128
+	callsWait  = 40 * time.Millisecond
 )
 
 // handleLease has this node plan in a new term, or go on in the one it is in.
@@ -54,7 +57,10 @@
 	}
 	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
 	o.n.links.send(News{From: o.n.cfg.ID, Term: o.fleet.heldTerm, Ended: true})
-	o.fleet.planner, o.fleet.orders = nil, nil
+	o.fleet.planner, o.fleet.orders, o.fleet.questions = nil, nil, nil
+	for _, k := range o.fleet.instances {
+		k.waits = false
+	}
 	// Whoever took the lease is heard of in a moment.
 	o.peers.planned = time.Now()
 	o.viewStale = true
@@ -136,27 +142,28 @@
 	o.giveOrders()
 }
 
-// giveOrders gives the orders that are due, as many at a time as leave the node time for
-// others: while it gave 3,000 at once other daemons heard nothing of it, and another one
-// began to plan.
+// giveOrders gives the orders that are due, unless the lease has ended.
 func (o *owner) giveOrders() {
-	f := &o.fleet
-	if f.planner != nil && o.leaseEnded(time.Now()) {
+	if o.fleet.planner != nil && o.leaseEnded(time.Now()) {
 		o.stopPlanning("the lease ended")
 	}
-	for len(f.orders) > 0 && f.underWay < ordersAtOnce {
-		order := f.orders[0]
-		f.orders = f.orders[1:]
-		k := f.instances[order.Instance]
-		if k == nil {
-			// Its entry went meanwhile; the next round knows.
-			continue
-		}
-		f.underWay++
-		o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
-			Int64("fence", order.Fence).Msg("order-given")
-		o.n.giveOrder(o.ctx, k.Addr, order)
+	o.makeCalls()
+}
+
+// giveFirst gives the first order that is due.
+func (o *owner) giveFirst() {
+	f := &o.fleet
+	order := f.orders[0]
+	f.orders = f.orders[1:]
+	k := f.instances[order.Instance]
+	if k == nil {
+		// Its entry went meanwhile; the next round knows.
+		return
 	}
+	f.underWay++
+	o.n.log.Info().Str("order", string(order.Kind)).Str("instance", string(order.Instance)).Str("group", string(order.Group.Name)).
+		Int64("fence", order.Fence).Msg("order-given")
+	o.n.giveOrder(o.ctx, k.Addr, order)
 }
 
 // askDoubtful asks the service's instances that were not heard in this term,
@@ -217,6 +224,7 @@
 	event.Str("order", string(m.order.Kind)).Str("instance", string(m.order.Instance)).Str("group", string(m.order.Group.Name)).
 		Int64("fence", m.order.Fence).Str("outcome", string(m.outcome)).Dur("took", m.took).Msg("order-ended")
 	o.fleet.underWay--
+	o.fleet.calls.Note(m.took)
 	o.giveOrders()
 	if p := o.fleet.planner; p != nil && fleet.TermOf(m.order.Fence) == o.fleet.heldTerm {
 		p.Note(m.order, m.outcome, m.at)
--- a/cluster/planning_test.go
+++ b/cluster/planning_test.go
@@ -21,7 +21,7 @@
 // before they are all given. A planner that ends gives none of those that are left.
 func TestOrdersAreSpaced(t *testing.T) {
 	c := qt.New(t)
-	const many = 3 * ordersAtOnce
+	const many = 3 * leastCalls
 	o := newTestOwner(t)
 	o.config.routing = &models.Routing{}
 	o.handleLease(leaseHeld{term: 1, until: time.Now().Add(time.Minute)})
@@ -31,8 +31,8 @@
 		o.fleet.orders = append(o.fleet.orders, types.GroupOrder{Kind: types.GroupLeave, Instance: id})
 	}
 	o.giveOrders()
-	c.Assert(o.fleet.underWay, qt.Equals, ordersAtOnce)
-	c.Assert(o.fleet.orders, qt.HasLen, many-ordersAtOnce)
+	c.Assert(o.fleet.underWay, qt.Equals, leastCalls)
+	c.Assert(o.fleet.orders, qt.HasLen, many-leastCalls)
 	planned := o.fleet.planned
 	o.planGroups(time.Now())
 	c.Assert(o.fleet.planned, qt.Equals, planned, qt.Commentf("orders are planned beside those that wait"))
@@ -40,11 +40,11 @@
 	for n := range answered {
 		o.handleOrderEnded(orderEnded{order: types.GroupOrder{Instance: models.InstanceID(fmt.Sprint("i", n))}, outcome: types.OrderDone, at: time.Now()})
 	}
-	c.Assert(o.fleet.underWay, qt.Equals, ordersAtOnce)
-	c.Assert(o.fleet.orders, qt.HasLen, many-ordersAtOnce-answered)
+	c.Assert(o.fleet.underWay, qt.Equals, leastCalls)
+	c.Assert(o.fleet.orders, qt.HasLen, many-leastCalls-answered)
 	o.stopPlanning("the test ends it")
 	o.handleOrderEnded(orderEnded{order: types.GroupOrder{Instance: "i7"}, at: time.Now()})
-	c.Assert(o.fleet.underWay, qt.Equals, ordersAtOnce-1)
+	c.Assert(o.fleet.underWay, qt.Equals, leastCalls-1)
 }
 
 // A planner that is heard by its heartbeats alone, since what it does keeps it from telling
--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -16,6 +16,9 @@
 // handleReport takes in what an instance told of itself, or that it did not
 // answer.
 func (o *owner) handleReport(m reportEnded) {
+	o.fleet.asking--
+	o.fleet.calls.Note(m.took)
+	defer o.giveOrders()
 	k, known := o.fleet.instances[m.instance.ID]
 	switch {
 	case !known || m.asked.Before(k.told):
