cluster: have the first planner of a store use instances by their entries

Each instance that came was asked for a report before it was used, since its entry may not tell yet what an earlier planner ordered. A store that comes back from a copy, and one that was used before, begin later terms.

TestFirstPlannerAsksNobody failed before (one question in term 1).

--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -210,9 +210,14 @@
 	return w
 }
 
+// firstTerm is that of the first planner that the store ever knew.
+const firstTerm = 1
+
 // unproven reports whether the instance was not heard since this node began to
-// plan.
-func (f *fleetState) unproven(i *knownInstance) bool { return !i.told.After(f.began) }
+// plan. In the first term nobody has given orders that its entry might not tell yet.
+func (f *fleetState) unproven(i *knownInstance) bool {
+	return f.heldTerm != firstTerm && !i.told.After(f.began)
+}
 
 // handleOrderEnded takes in what came of an order, and sees to it that the
 // instance is asked where the planner needs to know more.
--- a/cluster/planning_test.go
+++ b/cluster/planning_test.go
@@ -112,3 +112,16 @@
 	c.Assert(o.fleet.planner, qt.IsNil)
 	c.Assert(o.n.heartbeat("other", membership.Link{}).ConfigAge >= suspended, qt.IsTrue)
 }
+
+// The first planner of a store asked each instance that came for a report before it used it:
+// 3,000 questions while the weights had to be loaded. Nobody has given orders before it, which
+// an entry might not tell yet; before any later planner somebody may have.
+func TestFirstPlannerAsksNobody(t *testing.T) {
+	for term, asked := range map[int64]bool{firstTerm: false, 2: true, 1<<termEraBits + 1: true} {
+		o := newTestOwner(t)
+		o.handleLease(leaseHeld{term: term, until: time.Now().Add(time.Minute)})
+		o.noteEntry(models.UpstreamInstance{ID: "i1", Service: "s"}, time.Now())
+		o.askDoubtful("s", time.Now())
+		qt.Check(t, o.n.stats.reports.Get() > 0, qt.Equals, asked, qt.Commentf("term %d", term))
+	}
+}
