cluster: count the wait for its answer in the pause between two renewals of a lease

Renewals came a quarter of the lease after the answer to the one before, so that a lease of 1 s ended where answers took more than 0.33 s.

--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -45,10 +45,12 @@
 	for {
 		wait := askPause
 		if n.View().candidate {
+			asked := time.Now()
 			if err := h.ask(ctx); err != nil {
 				return err
 			}
-			wait = n.cfg.LeaseMin / renewDiv
+			// The wait for the answer counts: where it is long the lease would end else.
+			wait = n.cfg.LeaseMin/renewDiv - time.Since(asked)
 		} else {
 			h.standAside(ctx)
 		}
