--- a/cluster/known_test.go
+++ b/cluster/known_test.go
@@ -155,14 +155,8 @@
 	case "beat":
 		to := s.owners[models.DaemonID(words[1])]
 		to.handleHeartbeat(heartbeatSeen{beat: o.n.heartbeat("", membership.Link{}), at: now})
-	case "says":
-		o.n.breakers.Heard(breaker.Word{Instance: models.InstanceID(words[1]), Heard: now, Leaving: true})
-		o.handleWaiting()
-	case "tell":
-		to := s.owners[models.DaemonID(words[1])]
-		news, _ := o.n.breakers.since(0, func(models.DaemonID) bool { return true })
-		to.n.takeWords(news, name)
-		to.handleWaiting()
+	case "says", "tell":
+		s.hearWords(verb, o, words[1])
 	case "tick":
 		o.dropMissing(now)
 		o.noteSaidLeaving(now)
@@ -171,11 +165,7 @@
 	case "hold":
 		s.held[name] = []sharedFrame{}
 	case "release":
-		held := s.held[name]
-		delete(s.held, name)
-		for _, f := range held {
-			s.hand(name, f)
-		}
+		s.release(name)
 	case "wait":
 		d, err := time.ParseDuration(words[0])
 		s.c.Assert(err, qt.IsNil, s.comment)
@@ -193,6 +183,28 @@
 	}
 }
 
+// release hands a daemon the news that were held back from it.
+func (s *knownScript) release(name models.DaemonID) {
+	held := s.held[name]
+	delete(s.held, name)
+	for _, f := range held {
+		s.hand(name, f)
+	}
+}
+
+// hearWords has a daemon hear that an instance says it leaves, or tell another daemon.
+func (s *knownScript) hearWords(verb string, o *owner, of string) {
+	if verb == "says" {
+		o.n.breakers.Heard(breaker.Word{Instance: models.InstanceID(of), Heard: time.Now(), Leaving: true})
+		o.handleWaiting()
+		return
+	}
+	to := s.owners[models.DaemonID(of)]
+	news, _ := o.n.breakers.since(0, func(models.DaemonID) bool { return true })
+	to.n.takeWords(news, o.n.cfg.ID)
+	to.handleWaiting()
+}
+
 func (s *knownScript) scan(text string, out any) {
 	_, err := fmt.Sscan(text, out)
 	s.c.Assert(err, qt.IsNil, s.comment)
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -57,24 +57,10 @@
 }
 
 func (test limitCase) run(t *testing.T, bin string) {
-	s := startSite(t, bin, t.TempDir())
-	for range morePlain {
-		s.add("plain", "")
-	}
-	s.waitServing()
-	c := startCallers(s)
-	time.Sleep(time.Second)
-	var limited []*replica.Instance
-	of := 0
-	for _, i := range s.fabric.Instances() {
-		if i.Service != test.service {
-			continue
-		}
-		of++
-		if float64(len(limited)) < test.part*float64(of) {
-			i.NameLimit(test.rate)
-			limited = append(limited, i)
-		}
+	s, c := startBusy(t, bin)
+	limited := s.part(test.service, test.part)
+	for _, i := range limited {
+		i.NameLimit(test.rate)
 	}
 	began := time.Now()
 	if test.then != nil {
--- a/soak/rest_test.go
+++ b/soak/rest_test.go
@@ -64,24 +64,10 @@
 }
 
 func (test restCase) run(t *testing.T, bin string) {
-	s := startSite(t, bin, t.TempDir(), test.flags...)
-	for range morePlain {
-		s.add("plain", "")
-	}
-	s.waitServing()
-	c := startCallers(s)
-	time.Sleep(time.Second)
-	var asking []*replica.Instance
-	of := 0
-	for _, i := range s.fabric.Instances() {
-		if i.Service != test.service {
-			continue
-		}
-		of++
-		if float64(len(asking)) < test.part*float64(of) {
-			test.begin(i)
-			asking = append(asking, i)
-		}
+	s, c := startBusy(t, bin, test.flags...)
+	asking := s.part(test.service, test.part)
+	for _, i := range asking {
+		test.begin(i)
 	}
 	began, during := time.Now(), disturbances{}
 	if test.beside != nil {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -118,6 +118,34 @@
 	qt.Assert(s.t, err, qt.IsNil)
 }
 
+// startBusy starts a site with more plain instances, and callers.
+func startBusy(t *testing.T, bin string, flags ...string) (*site, *load) {
+	s := startSite(t, bin, t.TempDir(), flags...)
+	for range morePlain {
+		s.add("plain", "")
+	}
+	s.waitServing()
+	c := startCallers(s)
+	time.Sleep(time.Second)
+	return s, c
+}
+
+// part lists a part of the instances of a service, the first of each few.
+func (s *site) part(service models.ServiceName, part float64) []*replica.Instance {
+	var out []*replica.Instance
+	of := 0
+	for _, i := range s.fabric.Instances() {
+		if i.Service != service {
+			continue
+		}
+		of++
+		if float64(len(out)) < part*float64(of) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // nextPort is the port that freeAddr tries next. It begins at random, below
 // the ports that the system gives to connections, and never goes back: the
 // system's own choice gave the same port twice (seed 119).
