--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -1,6 +1,6 @@
 // Package breaker keeps what instances ask of a daemon in their answers: to be left alone
 // for a while, or for good, since they are about to leave. It is a circuit breaker for each
-// instance that opens by the instance's own word: open while the instance rests, half-open
+// instance that opens as the instance itself asks: open while the instance rests, half-open
 // afterwards, when a few requests try it, and closed once those were answered.
 //
 // The package is pure: it does no input or output, and the time and randomness are handed in.
@@ -45,8 +45,8 @@
 	leavingKept = 10 * time.Minute
 )
 
-// Word is what the head of one answer said of its instance.
-type Word struct {
+// Signal is what the head of one answer said of its instance.
+type Signal struct {
 	Instance models.InstanceID
 	// Born tells lives of one id apart; it is zero where births are not told.
 	Born time.Time
@@ -60,7 +60,7 @@
 }
 
 // IsEmpty reports whether the instance asked for nothing.
-func (w Word) IsEmpty() bool { return w.Rest <= 0 && !w.Leaving }
+func (s Signal) IsEmpty() bool { return s.Rest <= 0 && !s.Leaving }
 
 // Source tells who heard of something; the empty one is this daemon itself.
 type Source = models.DaemonID
@@ -102,7 +102,7 @@
 	return &Breakers{random: random, known: map[models.InstanceID]*breaker{}}
 }
 
-// Change is what a word changed.
+// Change is what a signal changed.
 type Change struct {
 	// Began tells that a rest began, Lengthened that it became longer.
 	Began, Lengthened bool
@@ -112,29 +112,29 @@
 	Tell bool
 }
 
-// Note takes in a word that this daemon heard, or that another one told. A rest binds only
+// Note takes in a signal that this daemon heard, or that another one told. A rest binds only
 // the daemon that was asked for it; others take it for a sign that the instance is busy. The
 // later end of two rests holds, whichever is heard of first.
-func (b *Breakers) Note(w Word, from Source) Change {
-	k := b.known[w.Instance]
-	if w.IsEmpty() || (k != nil && k.life.LifeOf(w.Born) == models.EarlierLife) {
+func (b *Breakers) Note(s Signal, from Source) Change {
+	k := b.known[s.Instance]
+	if s.IsEmpty() || (k != nil && k.life.LifeOf(s.Born) == models.EarlierLife) {
 		return Change{}
 	}
-	if k == nil || k.life.LifeOf(w.Born) == models.LaterLife {
-		k = &breaker{life: models.UpstreamInstance{ID: w.Instance, Born: w.Born}}
-		b.known[w.Instance] = k
+	if k == nil || k.life.LifeOf(s.Born) == models.LaterLife {
+		k = &breaker{life: models.UpstreamInstance{ID: s.Instance, Born: s.Born}}
+		b.known[s.Instance] = k
 	}
 	var change Change
-	end := w.Heard.Add(w.Rest)
-	if from == "" && w.Rest > 0 && end.After(k.until) {
-		change.Began, change.Lengthened = !w.Heard.Before(k.until), w.Heard.Before(k.until)
-		k.open(w, end, b.spread(w.Rest))
+	end := s.Heard.Add(s.Rest)
+	if from == "" && s.Rest > 0 && end.After(k.until) {
+		change.Began, change.Lengthened = !s.Heard.Before(k.until), s.Heard.Before(k.until)
+		k.open(s, end, b.spread(s.Rest))
 	}
-	if w.Rest > 0 && end.Sub(k.elsewhere) > time.Duration(tellPart*float64(w.Rest)) {
-		k.elsewhere, k.told, change.Tell = end, w.Rest, true
+	if s.Rest > 0 && end.Sub(k.elsewhere) > time.Duration(tellPart*float64(s.Rest)) {
+		k.elsewhere, k.told, change.Tell = end, s.Rest, true
 	}
-	if w.Leaving && k.leaving.IsZero() {
-		k.leaving, change.Leaving, change.Tell = w.Heard, true, true
+	if s.Leaving && k.leaving.IsZero() {
+		k.leaving, change.Leaving, change.Tell = s.Heard, true, true
 	}
 	if change.Tell {
 		b.changes++
@@ -149,9 +149,9 @@
 }
 
 // open begins a rest, or lengthens one.
-func (k *breaker) open(w Word, end time.Time, spread time.Duration) {
-	if !w.Heard.Before(k.until) {
-		k.began, k.reported = w.Heard, false
+func (k *breaker) open(s Signal, end time.Time, spread time.Duration) {
+	if !s.Heard.Before(k.until) {
+		k.began, k.reported = s.Heard, false
 	}
 	k.rests = true
 	k.until, k.reopens, k.answered, k.refused = end, end.Add(spread), 0, 0
@@ -169,8 +169,8 @@
 // isClosed reports whether the instance gets requests as any other.
 func (k *breaker) isClosed() bool { return k.until.IsZero() || k.answered >= closedAfter }
 
-// Bars returns why nothing may be sent to an instance at all, nil if something may.
-func (b *Breakers) Bars(i models.UpstreamInstance, now time.Time) error {
+// Blocks returns why nothing may be sent to an instance at all, nil if something may.
+func (b *Breakers) Blocks(i models.UpstreamInstance, now time.Time) error {
 	k := b.find(i)
 	switch {
 	case k == nil:
@@ -186,7 +186,7 @@
 
 // Check returns why no further request may be sent to an instance now, nil if one may.
 func (b *Breakers) Check(i models.UpstreamInstance, now time.Time) error {
-	if err := b.Bars(i, now); err != nil {
+	if err := b.Blocks(i, now); err != nil {
 		return err
 	}
 	if k := b.find(i); k != nil && !k.isClosed() && k.trying > k.answered {
@@ -195,22 +195,22 @@
 	return nil
 }
 
-// Pass admits one request to an instance. It is to be settled.
-type Pass struct {
+// Admission admits one request to an instance. It is to be settled.
+type Admission struct {
 	k *breaker
 }
 
 // Admit admits a request to an instance, or returns why it may not be sent.
-func (b *Breakers) Admit(i models.UpstreamInstance, now time.Time) (Pass, error) {
+func (b *Breakers) Admit(i models.UpstreamInstance, now time.Time) (Admission, error) {
 	if err := b.Check(i, now); err != nil {
-		return Pass{}, err
+		return Admission{}, err
 	}
 	k := b.find(i)
 	if k == nil || k.isClosed() {
-		return Pass{}, nil
+		return Admission{}, nil
 	}
 	k.trying++
-	return Pass{k}, nil
+	return Admission{k}, nil
 }
 
 // End is what came of a request that was admitted.
@@ -225,7 +225,7 @@
 )
 
 // Settle takes in what came of a request that was admitted.
-func (b *Breakers) Settle(p Pass, end End, now time.Time) {
+func (b *Breakers) Settle(p Admission, end End, now time.Time) {
 	k := p.k
 	if k == nil {
 		return
@@ -279,11 +279,11 @@
 }
 
 // Leaving lists the instances that said that they leave, with when they did.
-func (b *Breakers) Leaving() []Word {
-	var out []Word
+func (b *Breakers) Leaving() []Signal {
+	var out []Signal
 	for id, k := range b.known {
 		if !k.leaving.IsZero() {
-			out = append(out, Word{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
+			out = append(out, Signal{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
 		}
 	}
 	return out
@@ -291,17 +291,17 @@
 
 // Since returns what was learned after a change from those sources that are to be told of,
 // and the newest change.
-func (b *Breakers) Since(seen uint64, tells func(Source) bool, now time.Time) ([]Word, uint64) {
-	var out []Word
+func (b *Breakers) Since(seen uint64, tells func(Source) bool, now time.Time) ([]Signal, uint64) {
+	var out []Signal
 	for id, k := range b.known {
 		if k.change <= seen || !tells(k.from) {
 			continue
 		}
 		if !k.leaving.IsZero() {
-			out = append(out, Word{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
+			out = append(out, Signal{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
 		}
 		if now.Before(k.elsewhere) {
-			out = append(out, Word{Instance: id, Born: k.life.Born, Heard: k.elsewhere.Add(-k.told), Rest: k.told})
+			out = append(out, Signal{Instance: id, Born: k.life.Born, Heard: k.elsewhere.Add(-k.told), Rest: k.told})
 		}
 	}
 	return out, b.changes
--- a/breaker/compare_test.go
+++ b/breaker/compare_test.go
@@ -28,11 +28,11 @@
 	mostTries = 3
 )
 
-// news is a word on its way to the other daemons.
-type news struct {
+// onTheWay is a signal on its way to the other daemons.
+type onTheWay struct {
 	at   time.Time
 	from int
-	word Word
+	word Signal
 }
 
 // run tells which part of the sends was turned away, and which of the requests was not taken
@@ -47,7 +47,7 @@
 	for n := range all {
 		all[n].ID = models.InstanceID(rune('A' + n))
 	}
-	var queue []news
+	var queue []onTheWay
 	sends, sheds, requests, failed := 0, 0, 0, 0
 	pause := time.Duration(float64(time.Second) / s.rate)
 	for now := epoch; now.Before(epoch.Add(simulatedFor)); now = now.Add(pause) {
@@ -80,9 +80,9 @@
 				continue
 			}
 			sheds++
-			w := Word{Instance: i.ID, Heard: now, Rest: s.rest}
+			w := Signal{Instance: i.ID, Heard: now, Rest: s.rest}
 			if change := known[d].Note(w, ""); s.told && change.Tell {
-				queue = append(queue, news{now.Add(s.lag), d, w})
+				queue = append(queue, onTheWay{now.Add(s.lag), d, w})
 			}
 			known[d].Settle(pass, TurnedAway, now)
 		}
--- a/breaker/property_test.go
+++ b/breaker/property_test.go
@@ -21,7 +21,7 @@
 		i := models.UpstreamInstance{ID: "i"}
 		var ends time.Time
 		leaves := false
-		var under []Pass
+		var under []Admission
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
@@ -29,16 +29,16 @@
 				late := time.Duration(rapid.IntRange(0, 400).Draw(t, "late")) * time.Millisecond
 				rest := time.Duration(rapid.IntRange(1, 5000).Draw(t, "rest")) * time.Millisecond
 				heard := now.Add(-late)
-				b.Note(Word{Instance: "i", Heard: heard, Rest: rest}, "")
+				b.Note(Signal{Instance: "i", Heard: heard, Rest: rest}, "")
 				if end := heard.Add(rest); end.After(ends) {
 					ends = end
 				}
 			case 2:
-				b.Note(Word{Instance: "i", Heard: now, Rest: time.Second}, "d2")
+				b.Note(Signal{Instance: "i", Heard: now, Rest: time.Second}, "d2")
 			case 3:
 				if rapid.IntRange(0, 20).Draw(t, "leaves") == 0 {
 					leaves = true
-					b.Note(Word{Instance: "i", Heard: now, Leaving: true}, Source(rapid.SampledFrom([]string{"", "d2"}).Draw(t, "from")))
+					b.Note(Signal{Instance: "i", Heard: now, Leaving: true}, Source(rapid.SampledFrom([]string{"", "d2"}).Draw(t, "from")))
 				}
 			case 4:
 				b.Prune(func(models.InstanceID) bool { return true }, now)
@@ -79,19 +79,19 @@
 	})
 }
 
-// TestWordsJoinInAnyOrder checks that two daemons that heard the same words in another order
+// TestSignalsJoinInAnyOrder checks that two daemons that heard the same words in another order
 // believe the same of when the instance may be tried, but for the part by which they spread.
-func TestWordsJoinInAnyOrder(t *testing.T) {
+func TestSignalsJoinInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var words []Word
+		var words []Signal
 		for range rapid.IntRange(1, 8).Draw(t, "words") {
 			heard := epoch.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "heard")) * time.Millisecond)
-			words = append(words, Word{
+			words = append(words, Signal{
 				Instance: "i", Heard: heard, Rest: time.Duration(rapid.IntRange(0, 3000).Draw(t, "rest")) * time.Millisecond,
 				Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
 			})
 		}
-		until := func(order []Word) (time.Time, bool) {
+		until := func(order []Signal) (time.Time, bool) {
 			b := New(rand.New(rand.NewPCG(1, 1)))
 			for _, w := range order {
 				b.Note(w, "")
@@ -115,7 +115,7 @@
 	now := time.Unix(0, 0)
 	b := New(rand.New(rand.NewPCG(1, 1)))
 	i := models.UpstreamInstance{ID: "i1"}
-	b.Note(Word{Instance: i.ID, Heard: now, Rest: 3 * time.Second}, "")
+	b.Note(Signal{Instance: i.ID, Heard: now, Rest: 3 * time.Second}, "")
 	_, err := b.Admit(i, now.Add(2*time.Second))
 	fmt.Println(err)
 	later := now.Add(4 * time.Second)
--- a/breaker/script_test.go
+++ b/breaker/script_test.go
@@ -36,7 +36,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
 			data, err := os.ReadFile(file)
 			qt.Assert(t, err, qt.IsNil)
-			s := script{c: qt.New(t), b: New(rand.New(rand.NewPCG(1, 2))), passes: map[string]Pass{}, listed: true}
+			s := script{c: qt.New(t), b: New(rand.New(rand.NewPCG(1, 2))), passes: map[string]Admission{}, listed: true}
 			for n, line := range strings.Split(string(data), "\n") {
 				if line = strings.TrimSpace(line); line != "" && !strings.HasPrefix(line, "#") {
 					s.run(n+1, line)
@@ -49,7 +49,7 @@
 type script struct {
 	c      *qt.C
 	b      *Breakers
-	passes map[string]Pass
+	passes map[string]Admission
 	listed bool
 	now    time.Time
 }
@@ -88,9 +88,9 @@
 	return i
 }
 
-func (s *script) word(args []string) Word {
+func (s *script) word(args []string) Signal {
 	i := s.instance(args[0])
-	w := Word{Instance: i.ID, Born: i.Born, Heard: s.now}
+	w := Signal{Instance: i.ID, Born: i.Born, Heard: s.now}
 	for _, a := range args[1:] {
 		if rest, found := strings.CutPrefix(a, "rest="); found {
 			w.Rest = s.duration(rest)
@@ -174,7 +174,7 @@
 	seen, err := strconv.ParseUint(change, 10, 64)
 	s.c.Assert(err, qt.IsNil)
 	words, _ := s.b.Since(seen, func(from Source) bool { return from != "d2" }, s.now)
-	slices.SortFunc(words, func(a, b Word) int { return cmp.Compare(a.Rest, b.Rest) })
+	slices.SortFunc(words, func(a, b Signal) int { return cmp.Compare(a.Rest, b.Rest) })
 	var out []string
 	for _, w := range words {
 		text := string(w.Instance)
--- a/cluster/breakers.go
+++ b/cluster/breakers.go
@@ -44,36 +44,36 @@
 }
 
 // Heard notes what an answer told of its instance.
-func (b *Breakers) Heard(w breaker.Word) {
-	if b.Note(w, "") {
+func (b *Breakers) Heard(s breaker.Signal) {
+	if b.Note(s, "") {
 		b.found()
 	}
 }
 
 // HeardHead notes what the head of an answer told of its instance.
 func (b *Breakers) HeardHead(id models.InstanceID, born time.Time, told models.AnswerHead) {
-	b.Heard(breaker.Word{Instance: id, Born: born, Heard: time.Now(), Rest: told.Rest, Leaving: told.Leaving})
+	b.Heard(breaker.Signal{Instance: id, Born: born, Heard: time.Now(), Rest: told.Rest, Leaving: told.Leaving})
 }
 
-// Note takes in a word that a daemon heard, this one if none is named. It tells in the log
+// Note takes in a signal that a daemon heard, this one if none is named. It tells in the log
 // what that changed, and reports whether there is something to tell others.
-func (b *Breakers) Note(w breaker.Word, from breaker.Source) bool {
-	if w.IsEmpty() {
+func (b *Breakers) Note(s breaker.Signal, from breaker.Source) bool {
+	if s.IsEmpty() {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	change := b.breakers.Note(w, from)
+	change := b.breakers.Note(s, from)
 	b.known.Store(!b.breakers.Empty())
 	event := func() *zerolog.Event {
-		return b.log.Info().Str("instance", string(w.Instance)).Str("from", string(from)).Dur("age", time.Since(w.Heard))
+		return b.log.Info().Str("instance", string(s.Instance)).Str("from", string(from)).Dur("age", time.Since(s.Heard))
 	}
 	switch {
 	case change.Began:
 		b.rests.Inc()
-		event().Dur("for", w.Rest).Msg("rest-begun")
+		event().Dur("for", s.Rest).Msg("rest-begun")
 	case change.Lengthened:
-		event().Dur("for", w.Rest).Msg("rest-lengthened")
+		event().Dur("for", s.Rest).Msg("rest-lengthened")
 	}
 	if change.Leaving {
 		b.leavings.Inc()
@@ -86,14 +86,14 @@
 // up.
 func (b *Breakers) Any() bool { return b.known.Load() }
 
-// Bars returns why nothing may be sent to an instance at all, nil if something may.
-func (b *Breakers) Bars(i models.UpstreamInstance) error {
+// Blocks returns why nothing may be sent to an instance at all, nil if something may.
+func (b *Breakers) Blocks(i models.UpstreamInstance) error {
 	if !b.Any() {
 		return nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.breakers.Bars(i, time.Now())
+	return b.breakers.Blocks(i, time.Now())
 }
 
 // Check returns why no further request may be sent to an instance now, nil if one may.
@@ -108,9 +108,9 @@
 
 // Admit admits a request to an instance, or returns why it may not be sent. The pass is to be
 // settled.
-func (b *Breakers) Admit(i models.UpstreamInstance) (breaker.Pass, error) {
+func (b *Breakers) Admit(i models.UpstreamInstance) (breaker.Admission, error) {
 	if !b.Any() {
-		return breaker.Pass{}, nil
+		return breaker.Admission{}, nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -118,8 +118,8 @@
 }
 
 // Settle takes in what came of a request that was admitted.
-func (b *Breakers) Settle(p breaker.Pass, end breaker.End) {
-	if p == (breaker.Pass{}) {
+func (b *Breakers) Settle(p breaker.Admission, end breaker.End) {
+	if p == (breaker.Admission{}) {
 		return
 	}
 	b.mu.Lock()
@@ -177,7 +177,7 @@
 }
 
 // leaving lists the instances that said in answers that they leave.
-func (b *Breakers) leaving() []breaker.Word {
+func (b *Breakers) leaving() []breaker.Signal {
 	if !b.Any() {
 		return nil
 	}
@@ -186,8 +186,8 @@
 	return b.breakers.Leaving()
 }
 
-// WordNews is what a daemon tells others that an instance asked for.
-type WordNews struct {
+// SignalNews is what a daemon tells others that an instance asked for.
+type SignalNews struct {
 	Instance models.InstanceID `msgpack:"i"`
 	Born     time.Time         `msgpack:"b,omitempty"`
 	// Age is how long ago it did.
@@ -198,40 +198,40 @@
 
 // since is what another daemon is to be told that was learned after a change, and the newest
 // change.
-func (b *Breakers) since(seen uint64, tells func(breaker.Source) bool) ([]WordNews, uint64) {
+func (b *Breakers) since(seen uint64, tells func(breaker.Source) bool) ([]SignalNews, uint64) {
 	if !b.Any() {
 		return nil, seen
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	words, last := b.breakers.Since(seen, tells, now)
-	out := make([]WordNews, len(words))
-	for n, w := range words {
-		out[n] = WordNews{Instance: w.Instance, Born: w.Born, Age: now.Sub(w.Heard), Rest: w.Rest, Leaving: w.Leaving}
+	signals, last := b.breakers.Since(seen, tells, now)
+	out := make([]SignalNews, len(signals))
+	for n, s := range signals {
+		out[n] = SignalNews{Instance: s.Instance, Born: s.Born, Age: now.Sub(s.Heard), Rest: s.Rest, Leaving: s.Leaving}
 	}
 	return out, last
 }
 
-// takeWords takes in what another daemon tells, and has those told who rely on this one.
-func (n *Node) takeWords(news []WordNews, from models.DaemonID) {
+// takeSignals takes in what another daemon tells, and has those told who rely on this one.
+func (n *Node) takeSignals(news []SignalNews, from models.DaemonID) {
 	now, tell := time.Now(), false
 	for _, told := range news {
-		tell = n.breakers.Note(breaker.Word{
+		tell = n.breakers.Note(breaker.Signal{
 			Instance: told.Instance, Born: told.Born, Heard: now.Add(-told.Age), Rest: told.Rest, Leaving: told.Leaving,
 		}, from) || tell
 	}
 	if tell {
-		n.tellWords()
+		n.tellSignals()
 	}
 }
 
-// tellWords has all daemons that this one is linked to told what is new of what instances
+// tellSignals has all daemons that this one is linked to told what is new of what instances
 // ask for, and the owner look at those that leave.
-func (n *Node) tellWords() {
+func (n *Node) tellSignals() {
 	n.links.wakeAll()
 	select {
-	case n.inbox <- wordsChanged{}:
+	case n.inbox <- signalsChanged{}:
 	default:
 		// The owner is behind; it looks at its next tick.
 	}
--- a/cluster/breakers_test.go
+++ b/cluster/breakers_test.go
@@ -14,7 +14,7 @@
 // An instance says to one daemon that it leaves, and asks it for rest. All know soon that it
 // leaves, also those that start later; the rest binds the one alone, and the others take the
 // instance for busy.
-func TestWordsAreTold(t *testing.T) {
+func TestSignalsAreTold(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		daemons int
@@ -25,17 +25,17 @@
 			peers := startPeers(t, test.daemons, test.zones)
 			rests, leaves := models.UpstreamInstance{ID: "i1"}, models.UpstreamInstance{ID: "i2"}
 			heard := peers[test.daemons-1]
-			heard.breakers.Heard(breaker.Word{Instance: rests.ID, Heard: time.Now(), Rest: time.Minute})
-			heard.breakers.Heard(breaker.Word{Instance: leaves.ID, Heard: time.Now(), Leaving: true})
+			heard.breakers.Heard(breaker.Signal{Instance: rests.ID, Heard: time.Now(), Rest: time.Minute})
+			heard.breakers.Heard(breaker.Signal{Instance: leaves.ID, Heard: time.Now(), Leaving: true})
 			knows := func(p *peerNode) bool {
-				return errors.Is(p.breakers.Bars(leaves), breaker.ErrLeaving) && p.breakers.IsBusy(rests)
+				return errors.Is(p.breakers.Blocks(leaves), breaker.ErrLeaving) && p.breakers.IsBusy(rests)
 			}
 			took := waitAll(c, peers, toldWithin, "told", knows)
 			t.Logf("all %d know after %v", test.daemons, took.Round(time.Millisecond))
 			late := startNth(t, test.daemons, test.zones, peers)
 			waitAll(c, []*peerNode{late}, met, "told at its start", knows)
 			for _, p := range append(peers, late) {
-				c.Assert(p.breakers.Bars(rests) == nil, qt.Equals, p != heard)
+				c.Assert(p.breakers.Blocks(rests) == nil, qt.Equals, p != heard)
 			}
 		})
 	}
@@ -55,7 +55,7 @@
 	_, withheld := o.busy(engine, time.Now())
 	c.Assert(withheld["m"], qt.Equals, 0.0)
 	o.fleet.busy = nil
-	o.n.breakers.Heard(breaker.Word{Instance: "i1", Heard: time.Now(), Rest: time.Minute})
+	o.n.breakers.Heard(breaker.Signal{Instance: "i1", Heard: time.Now(), Rest: time.Minute})
 	_, withheld = o.busy(engine, time.Now())
 	c.Assert(withheld["m"], qt.Equals, 8.0)
 	c.Assert(o.fleet.serving(time.Now())["m"], qt.HasLen, 2)
@@ -72,7 +72,7 @@
 		return int(o.n.stats.reports.Get() - before)
 	}
 	c.Assert(asked(), qt.Equals, 1)
-	o.n.breakers.Heard(breaker.Word{Instance: i.ID, Heard: time.Now(), Rest: 30 * time.Millisecond})
+	o.n.breakers.Heard(breaker.Signal{Instance: i.ID, Heard: time.Now(), Rest: 30 * time.Millisecond})
 	c.Assert(asked(), qt.Equals, 1)
 	c.Assert(asked(), qt.Equals, 0)
 	time.Sleep(30 * time.Millisecond)
--- a/cluster/known_test.go
+++ b/cluster/known_test.go
@@ -195,13 +195,13 @@
 // hearWords has a daemon hear that an instance says it leaves, or tell another daemon.
 func (s *knownScript) hearWords(verb string, o *owner, of string) {
 	if verb == "says" {
-		o.n.breakers.Heard(breaker.Word{Instance: models.InstanceID(of), Heard: time.Now(), Leaving: true})
+		o.n.breakers.Heard(breaker.Signal{Instance: models.InstanceID(of), Heard: time.Now(), Leaving: true})
 		o.handleWaiting()
 		return
 	}
 	to := s.owners[models.DaemonID(of)]
 	news, _ := o.n.breakers.since(0, func(models.DaemonID) bool { return true })
-	to.n.takeWords(news, o.n.cfg.ID)
+	to.n.takeSignals(news, o.n.cfg.ID)
 	to.handleWaiting()
 }
 
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -91,12 +91,12 @@
 	// the last change of this daemon's loads that was told; zero if none was.
 	config int64
 	loads  uint64
-	// crashes, limits and words are the last changes that were told of what is known of
+	// crashes, limits and signals are the last changes that were told of what is known of
 	// crashed instances, of instances' limits, and of what they ask for; toldFound tells
 	// that all before them were.
 	crashes   uint64
 	limits    uint64
-	words     uint64
+	signals   uint64
 	toldFound bool
 }
 
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -87,12 +87,12 @@
 	}
 	// limitsChanged: something is new of instances' limits.
 	limitsChanged struct{}
-	// wordsChanged: something is new of what instances ask for.
-	wordsChanged struct{}
+	// signalsChanged: something is new of what instances ask for.
+	signalsChanged struct{}
 )
 
 func (limitsChanged) isMessage()    {}
-func (wordsChanged) isMessage()     {}
+func (signalsChanged) isMessage()   {}
 func (newsSeen) isMessage()         {}
 func (configRead) isMessage()       {}
 func (instancesRead) isMessage()    {}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -199,7 +199,7 @@
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.wakeAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.tellLimits, set, log)
-	n.breakers = NewBreakers(n.tellWords, set, log)
+	n.breakers = NewBreakers(n.tellSignals, set, log)
 	n.permits = newPermits(n, set)
 	n.view.Store(&View{})
 	n.entriesEnd.Store(&models.Position{})
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -109,7 +109,7 @@
 		o.handleStalled(m)
 	case limitsChanged:
 		o.handleLimits()
-	case wordsChanged:
+	case signalsChanged:
 		o.noteSaidLeaving(time.Now())
 	}
 }
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -116,7 +116,7 @@
 	}
 	s.n.takeCrashes(news.Crashes, from.From)
 	s.n.takeLimits(news.Limits, from.From)
-	s.n.takeWords(news.Words, from.From)
+	s.n.takeSignals(news.Signals, from.From)
 	if news.Term > 0 {
 		s.n.tell(ctx, newsSeen{
 			term: news.Term, feed: news.Feed, instances: news.Instances, entries: news.Entries,
--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -221,10 +221,10 @@
 	}
 	crashes, lastCrash := t.n.quarantine.since(t.crashes, t.link.id, which)
 	limits, lastLimit := t.n.limits.since(t.limits, t.link.id, which)
-	words, lastWord := t.n.breakers.since(t.words, func(from models.DaemonID) bool {
+	signals, lastSignal := t.n.breakers.since(t.signals, func(from models.DaemonID) bool {
 		return from == "" || (which == tellAll && from != t.link.id)
 	})
-	t.crashes, t.limits, t.words, t.toldFound = lastCrash, lastLimit, lastWord, true
+	t.crashes, t.limits, t.signals, t.toldFound = lastCrash, lastLimit, lastSignal, true
 	var news []News
 	if len(crashes) > 0 {
 		news = append(news, News{Crashes: crashes})
@@ -232,8 +232,8 @@
 	if len(limits) > 0 {
 		news = append(news, News{Limits: limits})
 	}
-	if len(words) > 0 {
-		news = append(news, News{Words: words})
+	if len(signals) > 0 {
+		news = append(news, News{Signals: signals})
 	}
 	for _, n := range news {
 		if err := t.send(frameNews, n); err != nil {
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -178,8 +178,8 @@
 	Crashes []CrashNews `msgpack:"cr,omitempty"`
 	// Limits are what instances told of the requests a second that they take.
 	Limits []LimitNews `msgpack:"lm,omitempty"`
-	// Words are what instances asked for in their answers.
-	Words []WordNews `msgpack:"wo,omitempty"`
+	// Signals are what instances asked for in their answers.
+	Signals []SignalNews `msgpack:"sg,omitempty"`
 }
 
 // EntriesTold tells that all changes by the store's records of instances between two
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -68,7 +68,7 @@
 	v, held := e.g.node.View(), e.g.node.Quarantine()
 	n := 0
 	count := func(i models.UpstreamInstance) {
-		if !held.HasCrashed(i) && e.g.node.Breakers().Bars(i) == nil {
+		if !held.HasCrashed(i) && e.g.node.Breakers().Blocks(i) == nil {
 			n++
 		}
 	}
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -28,12 +28,12 @@
 
 // says has an instance known to ask for something.
 func (s *limitedSite) says(id models.InstanceID, rest time.Duration, leaving bool) {
-	s.beliefs.breakers.Heard(breaker.Word{Instance: id, Born: s.beliefs.view.All[id].Born, Heard: time.Now(), Rest: rest, Leaving: leaving})
+	s.beliefs.breakers.Heard(breaker.Signal{Instance: id, Born: s.beliefs.view.All[id].Born, Heard: time.Now(), Rest: rest, Leaving: leaving})
 }
 
 // The rest that an answer asks for binds from the next request on, whatever came of that
 // answer's request; and so does its word that the instance leaves.
-func TestWordOfAnAnswerBindsAtOnce(t *testing.T) {
+func TestSignalOfAnAnswerBindsAtOnce(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		status int
@@ -172,7 +172,7 @@
 		return i.ID
 	}
 	c.Assert(pick(), qt.Equals, models.InstanceID("b"))
-	beliefs.breakers.Note(breaker.Word{Instance: "b", Heard: time.Now(), Rest: time.Minute}, "d2")
+	beliefs.breakers.Note(breaker.Signal{Instance: "b", Heard: time.Now(), Rest: time.Minute}, "d2")
 	for range 20 {
 		c.Assert(pick(), qt.Not(qt.Equals), models.InstanceID("b"))
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -34,7 +34,7 @@
 // admitted. It is asked when the connection is there: the instance may have asked for rest
 // since, or the permit have lapsed.
 func (e *exchange) held(i models.UpstreamInstance, p permit) error {
-	if err := e.g.node.Breakers().Bars(i); err != nil {
+	if err := e.g.node.Breakers().Blocks(i); err != nil {
 		return errors.Join(errHeld, err)
 	}
 	if !p.allows(e.g, i) {
