breaker: tell what this daemon heard itself though another one tells of the instance

What is told of an instance had one source: where another daemon told of its rest between the moment in which this one heard that it leaves and the next telling, daemons that tell each other of themselves alone were not told that it leaves.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -92,7 +92,12 @@
 	told      time.Duration
 	// leaving is when the instance first said that it leaves, zero if it did not.
 	leaving time.Time
-	// change is when it last changed what others are to be told, from who told that.
+	// restNews and leavingNews are the last changes of what others are to be told.
+	restNews, leavingNews news
+}
+
+// news is a change that others are to be told of, and who told it.
+type news struct {
 	change uint64
 	from   Source
 }
@@ -132,17 +137,21 @@
 	}
 	if s.Rest > 0 && end.Sub(k.elsewhere) > time.Duration(tellPart*float64(s.Rest)) {
 		k.elsewhere, k.told, change.Tell = end, s.Rest, true
+		k.restNews = b.newsFrom(from)
 	}
 	if s.Leaving && k.leaving.IsZero() {
 		k.leaving, change.Leaving, change.Tell = s.Heard, true, true
-	}
-	if change.Tell {
-		b.changes++
-		k.change, k.from = b.changes, from
+		k.leavingNews = b.newsFrom(from)
 	}
 	return change
 }
 
+// newsFrom numbers one more change.
+func (b *Breakers) newsFrom(from Source) news {
+	b.changes++
+	return news{b.changes, from}
+}
+
 // spread is a random part of a rest by which its end is put off.
 func (b *Breakers) spread(rest time.Duration) time.Duration {
 	return time.Duration(spreadPart * float64(rest) * b.random.Float64())
@@ -293,14 +302,12 @@
 // and the newest change.
 func (b *Breakers) Since(seen uint64, tells func(Source) bool, now time.Time) ([]Signal, uint64) {
 	var out []Signal
+	isNew := func(n news) bool { return n.change > seen && tells(n.from) }
 	for id, k := range b.known {
-		if k.change <= seen || !tells(k.from) {
-			continue
-		}
-		if !k.leaving.IsZero() {
+		if isNew(k.leavingNews) {
 			out = append(out, Signal{Instance: id, Born: k.life.Born, Heard: k.leaving, Leaving: true})
 		}
-		if now.Before(k.elsewhere) {
+		if isNew(k.restNews) && now.Before(k.elsewhere) {
 			out = append(out, Signal{Instance: id, Born: k.life.Born, Heard: k.elsewhere.Add(-k.told), Rest: k.told})
 		}
 	}
