--- a/cluster/asks.go
+++ b/cluster/asks.go
@@ -50,9 +50,8 @@
 }
 
 // makeCalls asks for reports and gives orders, as many at a time as leave the node time for
-// others: while it gave 3,000 at once other daemons heard nothing of it, and another one began
-// to plan; while it asked 3,000 its own lease ended. Neither kind keeps the other from more
-// than half of the calls.
+// all else, the renewal of its lease among it. Neither kind keeps the other from more than half
+// of the calls.
 func (o *owner) makeCalls() {
 	f := &o.fleet
 	most := f.calls.Most()
--- a/cluster/calls_test.go
+++ b/cluster/calls_test.go
@@ -11,9 +11,7 @@
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
 
-// A daemon that began to plan asked all of 3,000 instances at once. On a weak one the renewal of
-// its lease waited behind them until the lease had ended, and the next planner began with 3,000
-// questions.
+// A planner asked all instances at once, and its other calls timed out behind these.
 func TestPlannerDrownsInItsOwnCalls(t *testing.T) {
 	const instances = 3000
 	fill := func(o *owner) {
--- a/cluster/planning_test.go
+++ b/cluster/planning_test.go
@@ -113,9 +113,8 @@
 	c.Assert(o.n.heartbeat("other", membership.Link{}).ConfigAge >= suspended, qt.IsTrue)
 }
 
-// The first planner of a store asked each instance that came for a report before it used it:
-// 3,000 questions while the weights had to be loaded. Nobody has given orders before it, which
-// an entry might not tell yet; before any later planner somebody may have.
+// The first planner of a store asked each instance for a report before it used it, although
+// nobody can have given orders before.
 func TestFirstPlannerAsksNobody(t *testing.T) {
 	for term, asked := range map[int64]bool{firstTerm: false, 2: true, 1<<termEraBits + 1: true} {
 		o := newTestOwner(t)
--- a/cluster/spacing_test.go
+++ b/cluster/spacing_test.go
@@ -68,9 +68,7 @@
 	c.Assert(o.fleet.planner, qt.IsNil, qt.Commentf("the lease has ended"))
 }
 
-// The lease was renewed while a round of planning took longer than what was left of it. The
-// planner gave its term up all the same before the first order, and so did those after it, each
-// within some 1.1 s, so that no group was formed before requests came.
+// A planner gave up a lease that was renewed while it planned a round.
 func TestLeaseRenewedDuringARound(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,12 +21,12 @@
 	if !p.allows(e.g, i) {
 		return nil, errors.Join(errNotRun, errHeld, errNoPermit)
 	}
-	pass, err := e.g.node.Breakers().Admit(i)
+	admission, err := e.g.node.Breakers().Admit(i)
 	if err != nil {
 		return nil, errors.Join(errNotRun, errHeld, err)
 	}
 	resp, end, err := e.sendAdmitted(ctx, i, p, a, patience)
-	e.g.node.Breakers().Settle(pass, end)
+	e.g.node.Breakers().Settle(admission, end)
 	return resp, err
 }
 
--- a/soak/rest_test.go
+++ b/soak/rest_test.go
@@ -40,9 +40,7 @@
 	flags []string
 }
 
-// An instance had answered 503 and asked for 3 s of rest. One daemon sent it 31 requests
-// meanwhile, more than before: nothing read what answers ask for, and an instance that turns
-// requests away looks like the least busy one.
+// Daemons went on sending to instances that had asked them for rest, more than to others.
 func TestInstanceThatAsksForRestGetsMoreRequests(t *testing.T) {
 	const all = 1
 	shed := func(rest time.Duration) replica.Shedding { return replica.Shedding{Part: all, Rest: rest} }
