cluster, evacuation, ratelimit: evacuated zones and cold instances

Cause: the code knew neither.

Evacuations are read where the configuration is read and are told in the heartbeats that confirm it, with the position of the operators' records up to which they are known; the requests of all daemons leave the zone, and a request that was picked before is checked again before it is sent. The planner forms no groups there and does not count its groups as supply; they stay open.

An instance that answers again after it was lost counts as cold until its next entry.

Ruled out for evacuations: the configuration's version as carrier (an evacuation does not change it).

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/evacuation"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
@@ -17,6 +18,8 @@
 	confirmedAt time.Time
 	// pending is a configuration that is not in force until no peer can have a newer one.
 	pending *pendingConfig
+	// evacuations are the zones that operators evacuate.
+	evacuations evacuation.Zones
 }
 
 // configFetchDelay is how long a peer must have had a newer configuration before a daemon that
@@ -52,8 +55,9 @@
 		o.n.log.Info().Int64("version", routing.Version).Int64("in-force", old).Str("from", from).Msg("config-older")
 		return
 	}
-	o.config = configState{routing: routing, data: data, confirmedAt: requestedAt}
+	o.config.routing, o.config.data, o.config.confirmedAt, o.config.pending = routing, data, requestedAt, nil
 	o.fleet.services, o.fleetStale = routing.Services, true
+	o.n.limits.SetColdRates(coldRates(routing.Services))
 	if o.peers.topology.IsRelay {
 		// Daemons that use this one as their relay ask for the configuration once a heartbeat tells
 		// its version.
--- a/cluster/config_watch.go
+++ b/cluster/config_watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/evacuation"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
@@ -47,20 +48,9 @@
 	if err := n.awaitRoster(ctx); err != nil {
 		return err
 	}
-	read := func(r readResult) message {
-		m := configRead{requestedAt: r.requestedAt, era: r.end.Era}
-		if r.more {
-			// Records behind this page may hold a newer version.
-			m.requestedAt = time.Time{}
-		}
-		for _, record := range r.records {
-			if record.Key == platform.ConfigKey {
-				m.data = record.Value
-			}
-		}
-		return m
-	}
-	f := topicReader{n: n, topic: platform.ConfigTopic, onSnapshot: read, onDelta: read, guardContext: n.guardConfirmation}
+	f := topicReader{n: n, topic: platform.ConfigTopic, guardContext: n.guardConfirmation}
+	f.onSnapshot = func(r readResult) message { return toConfigRead(r, true) }
+	f.onDelta = func(r readResult) message { return toConfigRead(r, false) }
 	f.holdTime = func() time.Duration {
 		switch {
 		case n.usesRelay():
@@ -81,6 +71,24 @@
 	return f.run(ctx)
 }
 
+// toConfigRead converts the operators' records.
+func toConfigRead(r readResult, snapshot bool) configRead {
+	m := configRead{requestedAt: r.requestedAt, end: r.end, snapshot: snapshot}
+	if r.more {
+		// Records behind this page may hold a newer version.
+		m.requestedAt = time.Time{}
+	}
+	for _, record := range r.records {
+		if record.Key == platform.ConfigKey {
+			m.data = record.Value
+		}
+		if zone, found := platform.EvacuatedZone(record.Key); found {
+			m.evacuations = append(m.evacuations, evacuation.Change{Zone: zone, Evacuated: len(record.Value) > 0, Position: record.Position})
+		}
+	}
+	return m
+}
+
 // shouldReadConfig reports whether the configuration is to be read now.
 func (n *Node) shouldReadConfig() bool {
 	return !n.usesRelay() || n.mustReadConfig() || n.View().configBehind
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -245,6 +245,7 @@
 	} else {
 		k.mergeLost(i)
 	}
+	o.observeCold(k, i.ColdFor, now)
 	k.entrySeenAt, k.unlisted = now, false
 	if stale || (!k.lostSince.IsZero() && now.Sub(k.lostSince) > minProbeInterval) {
 		o.probeIfPlanner(k, now)
@@ -297,7 +298,7 @@
 			continue
 		}
 		if k.needsBroadcast() {
-			k.lastBroadcast = k.broadcastState()
+			k.markBroadcast()
 			out = append(out, k.toUpdate(requestedAt))
 		}
 	}
@@ -307,18 +308,25 @@
 // broadcastState returns the part of the state whose changes are broadcast.
 func (k *knownInstance) broadcastState() models.UpstreamInstance {
 	shown := k.UpstreamInstance
-	shown.HeartbeatSeq = 0
+	shown.HeartbeatSeq, shown.ColdFor = 0, 0
 	return shown
 }
 
+// markBroadcast records that the current state is broadcast.
+func (k *knownInstance) markBroadcast() {
+	k.lastBroadcast, k.lastColdUntil = k.broadcastState(), k.coldUntil
+}
+
 // needsBroadcast reports whether the state differs from the last broadcast one.
 func (k *knownInstance) needsBroadcast() bool {
-	return !reflect.DeepEqual(k.broadcastState(), k.lastBroadcast)
+	return !k.coldUntil.Equal(k.lastColdUntil) || !reflect.DeepEqual(k.broadcastState(), k.lastBroadcast)
 }
 
 // toUpdate returns the instance's state, as of a time, in the form sent to other daemons.
 func (k *knownInstance) toUpdate(at time.Time) InstanceUpdate {
+	i := k.UpstreamInstance
+	i.ColdFor = max(0, time.Until(k.coldUntil))
 	return InstanceUpdate{
-		Instance: k.UpstreamInstance, Age: time.Since(at), Lost: !k.lostSince.IsZero(), Missing: k.missingFor(time.Now()),
+		Instance: i, Age: time.Since(at), Lost: !k.lostSince.IsZero(), Missing: k.missingFor(time.Now()),
 	}
 }
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -90,8 +90,11 @@
 	// probedAt is when the instance was last probed, probeQueued is set while a probe is queued.
 	probedAt    time.Time
 	probeQueued bool
-	// lastBroadcast is the state as last broadcast.
+	// coldUntil is until when the instance is cold.
+	coldUntil time.Time
+	// lastBroadcast is the state as last broadcast, lastColdUntil the coldUntil in it.
 	lastBroadcast models.UpstreamInstance
+	lastColdUntil time.Time
 }
 
 func newFleetState() fleetState {
@@ -165,11 +168,11 @@
 	return groups
 }
 
-// plainInstances returns the usable instances of plain services.
-func (f *fleetState) plainInstances(routing *models.Routing) map[models.ServiceName][]models.UpstreamInstance {
+// plainInstances returns the usable instances of plain services outside the evacuated zones.
+func (f *fleetState) plainInstances(routing *models.Routing, evacuated map[models.Zone]bool) map[models.ServiceName][]models.UpstreamInstance {
 	services := map[models.ServiceName][]models.UpstreamInstance{}
 	for _, i := range f.instances {
-		if s := routing.Services[i.Service]; s.Engine == nil && i.usable() {
+		if s := routing.Services[i.Service]; s.Engine == nil && i.usable() && !evacuated[i.Zone] {
 			services[i.Service] = append(services[i.Service], i.UpstreamInstance)
 		}
 	}
--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -12,8 +12,8 @@
 	"github.com/lupinkeel/lupinkeel/ratelimit"
 )
 
-// Limits holds the rate limits, in requests per second, that instances announced in responses to
-// any daemon. It is safe for concurrent use.
+// Limits holds the rate limits, in requests per second, of instances: those that they announced in
+// responses to any daemon, and those of cold instances. It is safe for concurrent use.
 type Limits struct {
 	self models.DaemonID
 	// began is when the daemon started.
@@ -27,6 +27,7 @@
 
 	mu     sync.Mutex
 	limits ratelimit.Limits
+	cold   ratelimit.Cold
 }
 
 // NewLimits returns Limits without any limit. found is called when there is a change to send to
@@ -38,6 +39,11 @@
 		defer l.mu.Unlock()
 		return float64(l.limits.CountActive())
 	})
+	set.NewGauge("lupinkeel_cold_instances", func() float64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return float64(l.cold.Count(time.Now()))
+	})
 	return l
 }
 
@@ -63,9 +69,30 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limits.Rate(i, now)
+	return min(l.limits.Rate(i, now), l.cold.Rate(i, now))
+}
+
+// SetColdRates sets the rates of cold instances by service. Services without one are left out.
+func (l *Limits) SetColdRates(rates map[models.ServiceName]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold.SetRates(rates)
+	l.updateNonEmpty()
 }
 
+// SetCold records until when an instance is cold; a past time means that it is not.
+func (l *Limits) SetCold(i models.UpstreamInstance, until, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cold.Set(i, until, now) {
+		l.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Dur("for", max(0, until.Sub(now))).Msg("instance-cold")
+	}
+	l.updateNonEmpty()
+}
+
+// updateNonEmpty updates nonEmpty. The caller must hold the lock.
+func (l *Limits) updateNonEmpty() { l.nonEmpty.Store(!l.limits.Empty() || !l.cold.Empty()) }
+
 // record adds a sighting, logs the change and reports whether there is a change to send to other
 // daemons.
 func (l *Limits) record(s ratelimit.Observation, from ratelimit.Source) bool {
@@ -73,7 +100,7 @@
 	defer l.mu.Unlock()
 	before := l.limits.Announced(s.Instance)
 	change, changed := l.limits.Add(s, from)
-	l.nonEmpty.Store(!l.limits.Empty())
+	l.updateNonEmpty()
 	if change == ratelimit.Unchanged {
 		return changed
 	}
@@ -102,7 +129,8 @@
 		_, known := there[id]
 		return !known
 	}, now)
-	l.nonEmpty.Store(!l.limits.Empty())
+	l.cold.Prune(now)
+	l.updateNonEmpty()
 }
 
 // LimitUpdate is an observation of an instance's limit as daemons send it to each other.
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/evacuation"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/worker/types"
 )
@@ -16,8 +17,12 @@
 	configRead struct {
 		data        []byte
 		requestedAt time.Time
-		// era is the store's era.
-		era int64
+		// evacuations are the operators' records about zones before end: all of them if snapshot is
+		// set, otherwise those since the last read.
+		evacuations []evacuation.Change
+		snapshot    bool
+		// end is the position before which the operators' records were read.
+		end models.Position
 	}
 	// instancesSnapshot: all entries of instances were read.
 	instancesSnapshot struct{ readResult }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -159,6 +159,8 @@
 		}
 		return n.peerLoads.totalsAge(time.Now()).Seconds()
 	})
+	n.stats.set.NewGauge("lupinkeel_evacuated_zones", func() float64 { return float64(len(n.View().Evacuated)) })
+	n.stats.set.NewGauge("lupinkeel_requests_in_evacuated_zones", func() float64 { return float64(n.requestsInEvacuatedZones()) })
 	n.stats.set.NewGauge("lupinkeel_daemons", func() float64 { return float64(n.View().Daemons) })
 	n.stats.set.NewGauge("lupinkeel_relay", func() float64 {
 		if a := n.View().Topology; a != nil && a.IsRelay {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -152,6 +152,7 @@
 	o.checkUnlisted(tick.At)
 	o.removeMissing(tick.At)
 	o.applyPendingConfig(tick.At)
+	o.markEvacuations(o.config.evacuations.Expire(tick.At))
 	o.fleet.pruneEnded(tick.At)
 	o.fleet.pruneRestarted()
 	o.planGroups(tick.At)
@@ -178,17 +179,20 @@
 		v.Instances, o.fleet.listStale = o.fleet.copyInstances(), false
 	}
 	v.stalled = o.fleet.stalledHeads(now)
+	v.Evacuated = o.evacuated()
 	if o.config.routing == nil {
 		return
 	}
 	groups := o.fleet.healthyGroups()
 	v.Suspects = o.fleet.suspectedHeads(groups, now)
-	v.Groups, v.Services = withoutSuspects(groups, v.Suspects), o.fleet.plainInstances(o.config.routing)
+	v.Groups = withoutZones(withoutSuspects(groups, v.Suspects), v.Evacuated)
+	v.Services = o.fleet.plainInstances(o.config.routing, v.Evacuated)
 }
 
 // updatePeersView updates the configuration, the other daemons and this node's role in a view.
 func (o *owner) updatePeersView(v *View, now time.Time) {
 	v.Routing, v.ConfirmedAt, v.config = o.config.routing, o.config.confirmedAt, o.config.data
+	v.evacuated, v.operatorsEnd = o.config.evacuations.List(), o.config.evacuations.End()
 	v.Topology, v.Daemons = o.peers.topology, 0
 	if o.n.isRosterReady() || v.Topology.Size > 1 {
 		v.Daemons = v.Topology.Size
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -86,6 +86,7 @@
 	}
 	o.peers.term = max(o.peers.term, b.Term)
 	o.observeEra(b.Era, m.receivedAt)
+	o.markEvacuations(o.config.evacuations.Replace(b.Evacuated, b.OperatorsEnd, m.receivedAt))
 	o.confirmConfigBy(m)
 	for _, s := range b.Stalled {
 		o.handleStalled(stallDetected{group: s.Group, head: s.Head, from: b.From})
@@ -130,6 +131,7 @@
 		IsPlanner: n.planning.Load(),
 		CPUCores:  n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: map[models.ModelName]float32{}, Stalled: v.stalled,
 		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons,
+		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
 		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
 	}
 	if every := n.heartbeatIntervalFor(l); every != heartbeatInterval {
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -186,7 +186,7 @@
 	w := fleet.Snapshot{
 		Now: now, Profile: engine, DemandShares: o.demandShares(engine), InFlight: inFlight, LimitedSlots: withheld,
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Unreachable: map[models.InstanceID]bool{},
-		Unverified: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{},
+		Unverified: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{}, Evacuated: o.evacuated(),
 	}
 	// demandShares has updated hasTraffic.
 	w.HasTraffic = o.fleet.hasTraffic
--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -67,6 +67,7 @@
 	changed := suspect || !k.lostSince.IsZero()
 	if !k.lostSince.IsZero() {
 		o.n.log.Info().Str("instance", string(k.ID)).Dur("after", m.sentAt.Sub(k.lostSince)).Msg("instance-back")
+		o.presumeCold(k, time.Now())
 	}
 	k.lostSince, k.stateAt, k.probeFailedAt = time.Time{}, m.sentAt, time.Time{}
 	reported := k.UpstreamInstance
@@ -92,6 +93,6 @@
 	if k.unlisted || o.fleet.planner == nil {
 		return
 	}
-	k.lastBroadcast = k.broadcastState()
+	k.markBroadcast()
 	o.queueUpdates(k.toUpdate(at))
 }
--- a/cluster/restored.go
+++ b/cluster/restored.go
@@ -110,8 +110,9 @@
 // one than other daemons have in force, with keys that have been revoked since. A starting daemon
 // therefore waits for the heartbeats of its peers.
 func (o *owner) handleConfigRead(m configRead, now time.Time) {
-	o.observeEra(m.era, now)
-	if o.config.routing == nil && m.data != nil && m.era > 0 {
+	o.observeEra(m.end.Era, now)
+	o.handleEvacuationsRead(m, now)
+	if o.config.routing == nil && m.data != nil && m.end.Era > 0 {
 		routing, err := platform.DecodeRouting(m.data)
 		if err == nil && !o.isNewestConfig(routing.Version, now) {
 			o.config.pending = &pendingConfig{configRead: m, version: routing.Version}
--- a/cluster/restored_test.go
+++ b/cluster/restored_test.go
@@ -115,13 +115,13 @@
 
 	o.handleConfigRead(configRead{data: config("7"), requestedAt: now}, now)
 	later := now.Add(time.Second)
-	o.handleConfigRead(configRead{data: config("5"), requestedAt: later, era: 1}, later)
+	o.handleConfigRead(configRead{data: config("5"), requestedAt: later, end: models.Position{Era: 1}}, later)
 	c.Assert(inForce(o), qt.Equals, int64(7))
 	c.Assert(o.config.confirmedAt, qt.Equals, later, qt.Commentf("valid keys would be refused"))
 
 	starting := newTestOwner(t)
 	t.Cleanup(func() { c.Check(starting.n.links.stopAndWait(), qt.IsNil) })
-	starting.handleConfigRead(configRead{data: config("5"), requestedAt: now, era: 1}, now)
+	starting.handleConfigRead(configRead{data: config("5"), requestedAt: now, end: models.Position{Era: 1}}, now)
 	c.Assert(inForce(starting), qt.Equals, int64(0), qt.Commentf("no heartbeat was received yet"))
 	starting.handleHeartbeat(heartbeatReceived{heartbeat: Heartbeat{From: "d9", Addr: "127.0.0.1:9", ConfigVersion: 7}, receivedAt: now})
 	starting.applyPendingConfig(now.Add(plannerDiscoveryTimeout))
@@ -132,7 +132,7 @@
 
 	alone := newTestOwner(t)
 	began := time.Now()
-	alone.handleConfigRead(configRead{data: config("5"), requestedAt: began, era: 1}, began)
+	alone.handleConfigRead(configRead{data: config("5"), requestedAt: began, end: models.Position{Era: 1}}, began)
 	c.Assert(inForce(alone), qt.Equals, int64(0))
 	alone.applyPendingConfig(began.Add(plannerDiscoveryTimeout))
 	c.Assert(inForce(alone), qt.Equals, int64(5), qt.Commentf("all daemons were killed: no peer has a newer one"))
--- a/cluster/updates.go
+++ b/cluster/updates.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "time"
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
 
 // entryLag is how far an instance's entry may lag behind its own reports. Writing it takes some
 // milliseconds, with a slow store hundreds.
@@ -97,6 +101,9 @@
 			continue
 		}
 		o.applyInstance(u, m.receivedAt.Add(-u.Age), now)
+		if k := o.fleet.instances[u.Instance.ID]; k != nil && k.CompareIncarnation(u.Instance.StartedAt) != models.EarlierIncarnation {
+			o.observeCold(k, u.Instance.ColdFor, now)
+		}
 		if m.entries != nil {
 			o.fleet.markListed(u.Instance.ID, m.entries.End, u.missingSince(now))
 		}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -32,6 +32,13 @@
 	// Topology is the topology of the peers: the daemons to which this node sends, and what.
 	Topology *membership.Topology
 
+	// Evacuated are the zones whose instances get no new requests. Groups and Services do not include
+	// them.
+	Evacuated map[models.Zone]bool
+
+	// evacuated lists these zones, according to the operators' records before operatorsEnd.
+	evacuated    []models.Zone
+	operatorsEnd models.Position
 	// config is the encoded routing as the store holds it.
 	config []byte
 	// configSource is the daemon to be asked for its configuration, configRequesters are those that
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -66,6 +66,10 @@
 	EntriesAge time.Duration `msgpack:"ea,omitempty"`
 	// Era is the highest store era that the sender has seen.
 	Era int64 `msgpack:"er,omitempty"`
+	// Evacuated are the zones that operators evacuate, according to their records before
+	// OperatorsEnd. ConfigAge applies to them as well.
+	Evacuated    []models.Zone   `msgpack:"ez,omitempty"`
+	OperatorsEnd models.Position `msgpack:"oe"`
 	// Stalled are the heads that the sender found stalled.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Demand is the demand of the sender's callers for each model, in group-seconds per second.
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -200,7 +200,7 @@
 	var out []donor
 	for _, g := range r.groups {
 		stable := g.Serving() && r.forming[g.Key] == nil && r.ending[g.Key] == nil
-		if g.Model == to || g.Head == "" || r.Instances[g.Head].Domain != domain || !stable {
+		if g.Model == to || g.Head == "" || r.Instances[g.Head].Domain != domain || !stable || r.Evacuated[r.Instances[g.Head].Zone] {
 			continue
 		}
 		d := donor{group: g}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -78,7 +78,7 @@
 	out := map[models.Domain][]models.InstanceID{}
 	for _, id := range slices.Sorted(maps.Keys(r.Instances)) {
 		_, backingOff := r.backoffUntil[id]
-		if !r.usable(id) || r.Unverified[id] || r.reserved[id] || backingOff || !r.released(id) {
+		if !r.usable(id) || r.Unverified[id] || r.reserved[id] || backingOff || !r.released(id) || r.Evacuated[r.Instances[id].Zone] {
 			continue
 		}
 		out[r.Instances[id].Domain] = append(out[r.Instances[id].Domain], id)
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -57,6 +57,9 @@
 	// Unverified holds instances that the planner has not queried in its own term. Their known state
 	// may be older than the last orders of the previous planner, so they join no new groups.
 	Unverified map[models.InstanceID]bool
+	// Evacuated holds the zones whose instances get no new requests. Their groups stay open, but do
+	// not count as supply, and no groups are formed there.
+	Evacuated map[models.Zone]bool
 	// DemandShares is the fraction of all instances that each model needs.
 	DemandShares map[models.ModelName]float64
 	// InFlight is the number of requests in flight in each model's groups.
--- a/fleet/round.go
+++ b/fleet/round.go
@@ -31,6 +31,9 @@
 func (r *round) assign(model models.ModelName, ids []models.InstanceID) {
 	for _, id := range ids {
 		r.reserved[id] = true
+		if r.Evacuated[r.Instances[id].Zone] {
+			continue
+		}
 		r.assigned[model]++
 		domain := r.Instances[id].Domain
 		if r.assignedByDomain[domain] == nil {
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -46,6 +46,7 @@
 //	restart-members MODEL N restart a member other than the head in N serving groups
 //	suspect ID...           planners consider the instances unreachable
 //	trust ID...             planners consider them reachable again
+//	evacuate ZONE...        operators evacuate these zones and no others
 //	serving MODEL OP N      check the number of complete serving groups
 //	staged MODEL OP N       check the number of hosts that have the model's weights
 //	idle OP N               check the number of instances in no complete serving group
@@ -118,6 +119,11 @@
 		return each(func(i *simInstance) { s.suspected[i.ID] = true })
 	case "trust":
 		return each(func(i *simInstance) { delete(s.suspected, i.ID) })
+	case "evacuate":
+		s.evacuated = map[models.Zone]bool{}
+		for _, zone := range fields[1:] {
+			s.evacuated[models.Zone(zone)] = true
+		}
 	case "serving":
 		return compare(s.serving(models.ModelName(fields[1])), fields[2], fields[3])
 	case "idle":
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -67,6 +67,8 @@
 	cheapLoads bool
 	// suspected holds the instances that planners consider unreachable.
 	suspected map[models.InstanceID]bool
+	// evacuated holds the zones that operators evacuate.
+	evacuated map[models.Zone]bool
 }
 
 func newSim(profile *models.EngineProfile, seed uint64) *sim {
@@ -110,6 +112,7 @@
 	w := Snapshot{
 		Now: s.now, Profile: s.profile, Instances: map[models.InstanceID]models.UpstreamInstance{},
 		Unreachable: map[models.InstanceID]bool{}, DemandShares: s.demand, InFlight: s.requests, HasTraffic: s.traffic,
+		Evacuated: s.evacuated,
 	}
 	for id, i := range s.instances {
 		w.Instances[id] = i.UpstreamInstance
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -48,6 +48,8 @@
 	errNotAdmitted = errors.New("the instance must not be sent requests now")
 	// errNoPermit: the instance announced a rate limit after it was picked, or the permit expired.
 	errNoPermit = errors.New("the instance is rate-limited, and there is no valid permit for it")
+	// errZoneEvacuated: operators evacuate the instance's availability zone.
+	errZoneEvacuated = errors.New("the availability zone is evacuated")
 	// errQuarantined: several instances crashed while they ran the request.
 	errQuarantined = errors.New("the request crashes the instances that run it")
 	// errLastInstance: an instance crashed while it ran the request, and only one is left.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -37,6 +37,9 @@
 	if err := e.g.node.Breakers().Blocks(i); err != nil {
 		return errors.Join(errNotAdmitted, err)
 	}
+	if e.g.node.View().Evacuated[i.Zone] {
+		return errors.Join(errNotAdmitted, errZoneEvacuated)
+	}
 	if !p.allows(e.g, i) {
 		return errors.Join(errNotAdmitted, errNoPermit)
 	}
--- a/models/routing.go
+++ b/models/routing.go
@@ -60,6 +60,9 @@
 	// MaxConnections is the number of connections that an instance accepts from all daemons
 	// together.
 	MaxConnections int
+	// ColdRate is the number of requests per second that an instance may get from all daemons
+	// together while it is cold; 0 sets no limit.
+	ColdRate float64
 	// Engine is the profile of the service's model engines; nil for a plain service.
 	Engine *EngineProfile
 }
--- a/models/upstream.go
+++ b/models/upstream.go
@@ -26,6 +26,9 @@
 	Group        Membership
 	// HeartbeatSeq is the number of times that the instance has written its entry.
 	HeartbeatSeq int64 `msgpack:"Heartbeat"`
+	// ColdFor is how much longer the instance stays cold, as of when its entry was written: for some
+	// time after a start it bears few requests only.
+	ColdFor time.Duration `msgpack:"Cold,omitempty"`
 }
 
 // IncarnationOrder is the result of comparing the incarnation of an instance in a report with
