cluster, membership: start without reading the square of the fleet

- Only some daemons register: all while there are few, otherwise until each zone has four.
At the first start those with more processor come first.
Relays report how many daemons their zones have.
- Nothing else is read from the store until it is known whether a relay is to be used, or a relay has sent a heartbeat.
- What a daemon reads because no relay sends it is spread over a time that grows with the daemons and the bytes.

Weighed: the store's groups to deal relays (chosen at random, not by strength, and renewed for good), a partition a zone (still 200 entries for each of 200 daemons).

--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -56,7 +56,7 @@
 	case n.hasFreshUpdates(), n.usesRelay() && n.updatedWithin(relayedUpdateTimeout):
 		return updatedEntriesInterval
 	case n.usesRelay():
-		return relayedEntriesInterval
+		return max(relayedEntriesInterval, n.fallbackSpread(n.entriesBytes()))
 	default:
 		return entriesInterval
 	}
@@ -72,23 +72,17 @@
 	// maxStartupRelayWait is maxRelayWait for a starting daemon. A first planner is elected after
 	// 0.5 s, and its updates reach the relays 0.3 s later.
 	maxStartupRelayWait = time.Second
-	// rosterTimeout is how long a starting daemon waits for the roster before it reads other
-	// topics. The roster is read within some milliseconds, and a store that is down serves no other
-	// topic either.
-	rosterTimeout = 300 * time.Millisecond
 )
 
-// awaitRoster waits until the roster has been read, at most for rosterTimeout.
+// awaitRoster waits until this node knows whether it uses a relay. If the store does not answer, no
+// other topic can be read either, and a relay may send what is in them.
 func (n *Node) awaitRoster(ctx context.Context) error {
-	late := time.NewTimer(rosterTimeout)
-	defer late.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-n.rosterReady:
-	case <-late.C:
+		return nil
 	}
-	return nil
 }
 
 // waitsForRelay reports whether this daemon is to get missing entries from its relay and not from
@@ -102,10 +96,13 @@
 		return n.updatedWithin(relayedUpdateTimeout)
 	}
 	bound := maxRelayWait
-	if n.entriesAt.Load() == 0 {
+	switch {
+	case n.entriesAt.Load() == 0:
 		bound = maxStartupRelayWait
+	case *n.snapshotRelay.Load() == "":
+		bound = 0
 	}
-	return *n.snapshotRelay.Load() != "" && n.entriesAge() < bound
+	return n.entriesAge() < bound+n.fallbackDelay(n.entriesBytes())
 }
 
 // handleEntries applies entries read from the store: all of them if snapshot is set, otherwise
--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -36,12 +37,23 @@
 	}
 }
 
-// readTopic reads the newest record of each key of a topic.
-func (n *Node) readTopic(ctx context.Context, topic string) ([]platform.KeyedRecord, models.Position, error) {
+// readTopic continues reading the newest record of each key of a topic. Each page has a timeout of
+// its own, and a failed read goes on at the page that failed. When all daemons started a whole read
+// again after a timeout, each attempt cost as much as the first, and a busy store never recovered.
+func (n *Node) readTopic(ctx context.Context, topic string, scan *platform.Scan) error {
+	for !scan.Done {
+		if err := n.readTopicPage(ctx, topic, scan); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) readTopicPage(ctx context.Context, topic string, scan *platform.Scan) error {
 	n.stats.storeCalls(topic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, responseSlack)
 	defer cancel()
-	return n.store.Newest(ctx, topic)
+	return n.store.ReadPage(ctx, topic, scan)
 }
 
 // readTopicSince reads the records from a position on. The store holds the call up to wait if there
@@ -87,6 +99,9 @@
 	// next is the position of the next read; positioned is unset if that is to be a snapshot.
 	next       models.Position
 	positioned bool
+	// scan is the snapshot being read, scanRequestedAt when its first page was requested.
+	scan            platform.Scan
+	scanRequestedAt time.Time
 	// ignoreKnown is set if the store has lost the position from knownEnd.
 	ignoreKnown bool
 	// more is set if the last read did not reach the end.
@@ -94,6 +109,25 @@
 }
 
 func (f *topicReader) run(ctx context.Context) error {
+	for {
+		if err := f.read(ctx); err != nil {
+			return err
+		}
+		if f.afterRead != nil {
+			f.afterRead()
+		}
+		// A restored store is read again at the next step.
+		for waited := time.Duration(0); waited < f.interval() && (waited == 0 || f.next.Era >= f.n.era.Load()); waited += pollStep {
+			if err := sleep(ctx, pollStep); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// read reads until it has reached the end of the topic, with growing pauses between failures. It
+// returns an error only if the context ended.
+func (f *topicReader) read(ctx context.Context) error {
 	backoff := minRetryBackoff
 	for {
 		if f.shouldRead != nil && !f.shouldRead() {
@@ -109,34 +143,27 @@
 		case errors.Is(err, platform.ErrExpired):
 			// Positions known from other daemons have expired as well.
 			f.n.log.Info().Str("topic", f.topic).Int64("era", f.next.Era).Int64("from", f.next.Offset).Err(err).Msg("records-expired")
-			f.positioned, f.ignoreKnown = false, true
-			continue
+			f.positioned, f.ignoreKnown, f.scan = false, true, platform.Scan{}
 		case err != nil:
 			f.n.stats.storeErrors.Inc()
 			f.n.post(ctx, storeCallFailed{what: f.topic, err: err})
-			if err := sleep(ctx, backoff); err != nil {
+			if err := sleep(ctx, withJitter(backoff)); err != nil {
 				return err
 			}
 			backoff = min(f.n.maxBackoff(), 2*backoff)
-			continue
-		}
-		backoff = minRetryBackoff
-		if f.more {
+		case f.more:
 			// The rest is read at once: until then the topic is not known as of any time.
-			continue
-		}
-		if f.afterRead != nil {
-			f.afterRead()
-		}
-		// A restored store is read again at the next step.
-		for waited := time.Duration(0); waited < f.interval() && (waited == 0 || f.next.Era >= f.n.era.Load()); waited += pollStep {
-			if err := sleep(ctx, pollStep); err != nil {
-				return err
-			}
+			backoff = minRetryBackoff
+		default:
+			return nil
 		}
 	}
 }
 
+// withJitter returns a random pause between half of d and one and a half times d, so that daemons
+// that failed together do not retry together.
+func withJitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // maxBackoff returns the longest pause after a failed call to the store.
 func (n *Node) maxBackoff() time.Duration {
 	if n.usesRelay() {
@@ -153,25 +180,19 @@
 		return
 	}
 	if known, all := f.knownEnd(); all && (!f.positioned || f.next.Compare(known) < 0) {
-		f.next, f.positioned = known, true
+		f.next, f.positioned, f.scan = known, true, platform.Scan{}
 	}
 }
 
 // readOnce reads a snapshot or the new records and posts them to the owner.
 func (f *topicReader) readOnce(ctx context.Context) error {
 	requestedAt := time.Now()
-	if f.beforeRead != nil {
+	f.skipKnown()
+	if f.beforeRead != nil && !f.scan.Begun {
 		f.beforeRead()
 	}
-	f.skipKnown()
 	if !f.positioned {
-		records, next, err := f.n.readTopic(ctx, f.topic)
-		if err != nil {
-			return err
-		}
-		f.next, f.positioned, f.ignoreKnown, f.more = next, true, false, false
-		f.n.post(ctx, f.onSnapshot(readResult{records: records, end: next, requestedAt: requestedAt}))
-		return nil
+		return f.readSnapshot(ctx, requestedAt)
 	}
 	limited := ctx
 	if f.guardContext != nil {
@@ -195,3 +216,17 @@
 	f.n.post(ctx, f.onDelta(readResult{records: page.Records, end: page.Next, requestedAt: requestedAt, more: page.More}))
 	return nil
 }
+
+// readSnapshot reads the rest of a snapshot and posts it to the owner.
+func (f *topicReader) readSnapshot(ctx context.Context, requestedAt time.Time) error {
+	if !f.scan.Begun {
+		f.scanRequestedAt = requestedAt
+	}
+	if err := f.n.readTopic(ctx, f.topic, &f.scan); err != nil {
+		return err
+	}
+	done := f.scan
+	f.next, f.positioned, f.ignoreKnown, f.more, f.scan = done.Next, true, false, false, platform.Scan{}
+	f.n.post(ctx, f.onSnapshot(readResult{records: done.Records, end: done.Next, requestedAt: f.scanRequestedAt}))
+	return nil
+}
--- a/cluster/lease_test.go
+++ b/cluster/lease_test.go
@@ -21,6 +21,7 @@
 
 func newTestOwner(t *testing.T) *owner {
 	n := New(Settings{ID: "d1", InstanceHeartbeat: time.Second, LeaseMin: time.Second}, noTraffic{}, metrics.NewSet(), zerolog.Nop())
+	n.fallbackDraw = 0
 	o := newOwner(n)
 	o.ctx = t.Context()
 	return o
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -28,8 +28,14 @@
 	instancesSnapshot struct{ readResult }
 	// instancesDelta: the entries written since the last read were read.
 	instancesDelta struct{ readResult }
-	// rosterRead: the newest roster entries of these daemons were read.
-	rosterRead struct{ readResult }
+	// rosterRead: the newest roster entries of these daemons were read. The owner closes applied, if
+	// set, once it has handled all earlier messages.
+	rosterRead struct {
+		readResult
+		applied chan struct{}
+	}
+	// rosterSettled: enough of the roster is known to tell which daemons are relays.
+	rosterSettled struct{}
 	// storeCallFailed: a call to the store failed.
 	storeCallFailed struct {
 		what string
@@ -103,6 +109,7 @@
 func (instancesSnapshot) isMessage() {}
 func (instancesDelta) isMessage()    {}
 func (rosterRead) isMessage()        {}
+func (rosterSettled) isMessage()     {}
 func (storeCallFailed) isMessage()   {}
 func (leaseHeld) isMessage()         {}
 func (leaseLost) isMessage()         {}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	LeaseMin time.Duration
 	// InstanceHeartbeat is the interval at which an instance rewrites its entry in the store.
 	InstanceHeartbeat time.Duration
+	// FirstStart is set if all daemons start for the first time.
+	FirstStart bool
 }
 
 // Traffic reports the load that the daemon's callers cause. Implementations must be safe for
@@ -119,9 +122,14 @@
 	// era is the highest store era that this node or another daemon has seen. The store begins a
 	// new era whenever it is restored from a backup.
 	era atomic.Int64
-	// rosterReady is closed once the roster has been read, so that this node knows whether it uses
-	// a relay.
+	// rosterReady is closed once enough of the roster is known, so that this node knows whether it
+	// uses a relay.
 	rosterReady chan struct{}
+	// registered is set once this incarnation is registered in the roster.
+	registered atomic.Bool
+	// fallbackDraw is where in the time over which daemons spread their reads of the store this one
+	// reads, between 0 and 1.
+	fallbackDraw float64
 }
 
 type stats struct {
@@ -180,7 +188,7 @@
 	now := time.Now()
 	n := &Node{
 		cfg: cfg, log: log, clock: timer.New(now), traffic: traffic, inbox: make(chan message, inboxLen),
-		started: now.UnixNano(), peerLoads: newPeerLoads(), rosterReady: make(chan struct{}),
+		started: now.UnixNano(), peerLoads: newPeerLoads(), rosterReady: make(chan struct{}), fallbackDraw: rand.Float64(),
 		stats: &stats{
 			set:           set,
 			missedUpdates: set.NewCounter("lupinkeel_news_missed_total"),
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -80,9 +80,9 @@
 		o.markStoreRecovered(platform.InstancesTopic)
 		o.handleEntries(m.readResult, false)
 	case rosterRead:
-		o.markStoreRecovered(rosterTopic)
-		o.observeEra(m.end.Era, time.Now())
-		o.handleRoster(m.records)
+		o.handleRosterRead(m)
+	case rosterSettled:
+		o.markRosterReady()
 	case storeCallFailed:
 		o.handleStoreFailure(m)
 	case leaseHeld:
@@ -192,7 +192,7 @@
 // updatePeersView updates the configuration, the other daemons and this node's role in a view.
 func (o *owner) updatePeersView(v *View, now time.Time) {
 	v.Routing, v.ConfirmedAt, v.config = o.config.routing, o.config.confirmedAt, o.config.data
-	v.evacuated, v.operatorsEnd = o.config.evacuations.List(), o.config.evacuations.End()
+	v.evacuated, v.operatorsEnd = o.config.evacuations.Confirmed(), o.config.evacuations.End()
 	v.Topology, v.Daemons = o.peers.topology, 0
 	if o.n.isRosterReady() || v.Topology.Size > 1 {
 		v.Daemons = v.Topology.Size
@@ -206,6 +206,7 @@
 			v.configRequesters[id] = true
 		}
 	}
+	v.shouldRegister = o.peers.listed || o.peers.roster.ShouldRegister(now)
 	v.hasPeers = len(o.peers.seen) > 0
 	v.configBehind = !o.peers.configBehindSince.IsZero() && now.Sub(o.peers.configBehindSince) > configFetchDelay
 	v.granters, v.votes, v.shares = nil, nil, nil
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -18,6 +18,8 @@
 	topology      *membership.Topology
 	topologyAt    time.Time
 	topologyStale bool
+	// listed is set if the store's roster holds an entry of this daemon.
+	listed bool
 	// term is the newest term that any daemon knows of, updateTerm and updateSeq are the term and
 	// number of the planner's last received update.
 	term       int64
@@ -81,6 +83,8 @@
 	}
 	o.peers.topologyStale = o.peers.roster.RecordHeartbeat(b.membershipBeat(), m.receivedAt) || o.peers.topologyStale
 	o.peers.seen[b.From] = peerStatus{heartbeat: b, receivedAt: m.receivedAt}
+	// A relay may have found this daemon before it could read the roster.
+	o.markRosterReady()
 	if b.IsPlanner && b.Term >= o.peers.term && m.receivedAt.After(o.peers.plannerSeenAt) {
 		o.peers.plannerSeenAt = m.receivedAt
 	}
@@ -130,7 +134,7 @@
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(),
 		CPUCores:  n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: map[models.ModelName]float32{}, Stalled: v.stalled,
-		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons,
+		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(),
 		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
 		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
 	}
--- a/cluster/quarantine_store.go
+++ b/cluster/quarantine_store.go
@@ -141,11 +141,11 @@
 
 // readQuarantine adds the stored crashes and forwards them.
 func (n *Node) readQuarantine(ctx context.Context) error {
-	records, _, err := n.readTopic(ctx, quarantineTopic)
-	if err != nil {
+	var scan platform.Scan
+	if err := n.readTopic(ctx, quarantineTopic, &scan); err != nil {
 		return err
 	}
-	for _, r := range records {
+	for _, r := range scan.Records {
 		if len(r.Value) == 0 {
 			continue
 		}
--- a/cluster/restored.go
+++ b/cluster/restored.go
@@ -93,6 +93,10 @@
 		if now <= era {
 			continue
 		}
+		if !n.registered.Load() {
+			era = now
+			continue
+		}
 		if err := n.register(ctx); err != nil {
 			return err
 		}
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/pack"
 )
 
-// rosterTopic is the store's topic in which each daemon registers.
+// rosterTopic is the store's topic in which daemons register.
 const rosterTopic = "daemons"
 
 const (
@@ -18,25 +19,133 @@
 	rosterInterval = 15 * time.Second
 	// relayedRosterInterval is rosterInterval for daemons that use a relay.
 	relayedRosterInterval = time.Minute
+	// registrationSettleTime is how long a daemon that has registered waits for others that register
+	// at the same time, before it reads the roster.
+	registrationSettleTime = 150 * time.Millisecond
+	// firstStartDelay is the pause, at the first start of all daemons, before a daemon without
+	// processor power registers; the others pause for less, so that the strongest daemons register
+	// first. It exceeds the time within which all machines start.
+	firstStartDelay = 800 * time.Millisecond
+	// registrationSpread is the time over which daemons register that find at the same moment that
+	// too few are registered. The later ones then see the earlier ones and do not register.
+	registrationSpread = 200 * time.Millisecond
 )
 
-// followRoster registers the node, reads the roster, and closes the links in the end.
+// followRoster reads the roster, registers the node if too few others are registered, and closes
+// the links in the end.
 func (n *Node) followRoster(ctx context.Context) error {
-	if err := n.register(ctx); err != nil {
+	read := func(r readResult) message { return rosterRead{readResult: r} }
+	f := rosterFollower{topicReader{n: n, topic: rosterTopic, holdTime: func() time.Duration { return 0 }, onSnapshot: read, onDelta: read}}
+	err := f.run(ctx)
+	return errors.Join(err, n.links.stopAndWait())
+}
+
+// rosterFollower reads the roster and registers the node.
+type rosterFollower struct{ topicReader }
+
+func (f *rosterFollower) run(ctx context.Context) error {
+	if err := f.start(ctx); err != nil {
 		return err
 	}
-	read := func(r readResult) message { return rosterRead{r} }
-	f := topicReader{n: n, topic: rosterTopic, holdTime: func() time.Duration { return 0 }, onSnapshot: read, onDelta: read}
-	f.interval = func() time.Duration {
-		if n.usesRelay() {
-			return relayedRosterInterval
+	f.n.post(ctx, rosterSettled{})
+	for {
+		if err := f.pause(ctx); err != nil {
+			return err
+		}
+		if f.n.mustRegister() {
+			// Daemons that lost their relays at the same time notice it at the same time.
+			if err := sleep(ctx, rand.N(registrationSpread)); err != nil {
+				return err
+			}
+		}
+		if err := f.readAndRegister(ctx); err != nil {
+			return err
 		}
-		return rosterInterval
 	}
-	err := f.run(ctx)
-	return errors.Join(err, n.links.stopAndWait())
 }
 
+// start reads the roster for the first time. The entries of a cluster that was running before are
+// used at once; at the first start of all daemons, there are none until some have registered.
+func (f *rosterFollower) start(ctx context.Context) error {
+	if err := f.read(ctx); err != nil {
+		return err
+	}
+	if f.n.cfg.FirstStart && f.n.mustRegister() {
+		weakness := 1 - min(1, f.n.cfg.CPUCores)
+		delay := time.Duration(weakness*float64(firstStartDelay)) + rand.N(registrationSpread)
+		if err := sleep(ctx, delay); err != nil {
+			return err
+		}
+		if err := f.read(ctx); err != nil {
+			return err
+		}
+	}
+	return f.registerIfNeeded(ctx)
+}
+
+// readAndRegister reads what is new in the roster and registers the node if needed.
+func (f *rosterFollower) readAndRegister(ctx context.Context) error {
+	if err := f.read(ctx); err != nil {
+		return err
+	}
+	return f.registerIfNeeded(ctx)
+}
+
+// read reads the roster until the owner has applied it.
+func (f *rosterFollower) read(ctx context.Context) error {
+	if err := f.topicReader.read(ctx); err != nil {
+		return err
+	}
+	applied := make(chan struct{})
+	f.n.post(ctx, rosterRead{applied: applied})
+	select {
+	case <-applied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// registerIfNeeded registers the node if it must be registered, and reads who has registered at the
+// same time.
+func (f *rosterFollower) registerIfNeeded(ctx context.Context) error {
+	if !f.n.mustRegister() {
+		return nil
+	}
+	if err := f.n.register(ctx); err != nil {
+		return err
+	}
+	if err := sleep(ctx, registrationSettleTime); err != nil {
+		return err
+	}
+	return f.read(ctx)
+}
+
+// pause waits until the roster is to be read again: after an interval, once the node has to
+// register, or once the store has been restored.
+func (f *rosterFollower) pause(ctx context.Context) error {
+	for waited := time.Duration(0); waited < f.rereadInterval() && f.next.Era >= f.n.era.Load(); waited += pollStep {
+		if f.n.mustRegister() {
+			return nil
+		}
+		if err := sleep(ctx, pollStep); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *rosterFollower) rereadInterval() time.Duration {
+	if f.n.usesRelay() {
+		return relayedRosterInterval
+	}
+	return rosterInterval
+}
+
+// mustRegister reports whether this incarnation of the node is not registered and has to be: the
+// roster holds an earlier incarnation of it, or too few daemons that may be its relays.
+func (n *Node) mustRegister() bool { return !n.registered.Load() && n.View().shouldRegister }
+
 // register writes the node's roster entry, and retries until the store accepts it.
 func (n *Node) register(ctx context.Context) error {
 	value, err := pack.Marshal(rosterEntry{
@@ -51,6 +160,7 @@
 		err := n.store.Put(limited, rosterTopic, string(n.cfg.ID), value)
 		cancel()
 		if err == nil {
+			n.registered.Store(true)
 			return nil
 		}
 		n.stats.storeErrors.Inc()
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -20,14 +20,31 @@
 // changed it: peers may have timed out, or not be excluded after a timeout any more.
 const topologyInterval = 300 * time.Millisecond
 
+// handleRosterRead applies a read of the roster.
+func (o *owner) handleRosterRead(m rosterRead) {
+	if m.applied != nil {
+		o.updateTopology(time.Now())
+		o.publish()
+		close(m.applied)
+		return
+	}
+	o.markStoreRecovered(rosterTopic)
+	o.observeEra(m.end.Era, time.Now())
+	o.handleRoster(m.records)
+}
+
 // handleRoster applies roster entries read from the store.
 func (o *owner) handleRoster(records []platform.KeyedRecord) {
-	defer o.markRosterReady()
 	for _, r := range records {
+		if models.DaemonID(r.Key) == o.n.cfg.ID {
+			o.peers.listed = true
+			continue
+		}
 		var entry rosterEntry
 		err := pack.Unmarshal(r.Value, &entry)
 		if err == nil {
 			err = o.addPeer(models.DaemonID(r.Key), entry)
+			o.peers.roster.AddRegistered(membership.Daemon{ID: models.DaemonID(r.Key), Zone: entry.Zone, CPUCores: entry.CPUCores})
 		}
 		if err != nil {
 			o.n.log.Error().Err(err).Str("peer", r.Key).Msg("roster-entry-unreadable")
@@ -46,7 +63,7 @@
 	}
 }
 
-// isRosterReady reports whether the roster has been read.
+// isRosterReady reports whether enough daemons are known to tell whether this node uses a relay.
 func (n *Node) isRosterReady() bool {
 	select {
 	case <-n.rosterReady:
@@ -78,7 +95,7 @@
 func (b Heartbeat) membershipBeat() membership.Heartbeat {
 	return membership.Heartbeat{
 		Daemon: membership.Daemon{ID: b.From, Zone: b.Zone, CPUCores: b.CPUCores}, Interval: cmp.Or(b.Interval, heartbeatInterval),
-		UsesRelay: b.UsesRelay, UsesLoads: b.UsesLoads, Size: b.Size,
+		UsesRelay: b.UsesRelay, UsesLoads: b.UsesLoads, Size: b.Size, ZoneSize: b.ZoneSize,
 		Votes: b.Grants, Granters: b.Granters,
 	}
 }
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -36,7 +36,8 @@
 	// them.
 	Evacuated map[models.Zone]bool
 
-	// evacuated lists these zones, according to the operators' records before operatorsEnd.
+	// evacuated lists the zones that this daemon tells others are evacuated, according to the
+	// operators' records before operatorsEnd.
 	evacuated    []models.Zone
 	operatorsEnd models.Position
 	// config is the encoded routing as the store holds it.
@@ -47,6 +48,8 @@
 	configRequesters map[models.DaemonID]bool
 	// zoneDemand is the demand of this node's zone that it sends to other zones, if it is a relay.
 	zoneDemand map[models.ModelName]float32
+	// shouldRegister is set if this daemon has to be registered in the roster.
+	shouldRegister bool
 	// hasPeers is set while heartbeats of other daemons arrive.
 	hasPeers bool
 	// configBehind is set if another daemon has had a newer configuration for longer than
@@ -75,6 +78,14 @@
 // mesh reports whether each daemon sends to every other one directly, without relays.
 func (v *View) mesh() bool { return v.Topology == nil || v.Topology.IsMesh }
 
+// relayedZoneSize returns the size of the zone that this daemon reports as its relay.
+func (v *View) relayedZoneSize() int {
+	if v.Topology == nil {
+		return 0
+	}
+	return v.Topology.RelayedZoneSize()
+}
+
 // LoadSharers returns the number of daemons that choose groups by the same load totals, including
 // this one.
 func (v *View) LoadSharers() int {
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -58,6 +58,8 @@
 	UsesLoads bool `msgpack:"rf,omitempty"`
 	// Size is the number of daemons that the sender knows of, including itself.
 	Size int `msgpack:"sz,omitempty"`
+	// ZoneSize is the number of daemons in the sender's zone, if the sender is a relay.
+	ZoneSize int `msgpack:"zs,omitempty"`
 	// MissedUpdates is set if the sender missed updates of the planner and asks the receiver, its
 	// relay, for a snapshot of all instances.
 	MissedUpdates bool `msgpack:"ms,omitempty"`
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -73,6 +73,7 @@
 	traffic := gateway.Traffic()
 	node := cluster.New(cluster.Settings{
 		ID: s.ID, Zone: s.Zone, Peer: s.Peer, Store: s.Store, CPUCores: s.CPUCores, LeaseMin: s.LeaseMin, InstanceHeartbeat: s.InstanceHeartbeat,
+		FirstStart: s.FirstStart,
 	}, traffic, set, log)
 	if err := node.Clock().CountSuspensions(timer.BootTime); err != nil {
 		log.Warn().Err(err).Msg("suspensions-not-counted")
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -25,6 +25,8 @@
 	LeaseMin time.Duration
 	// InstanceHeartbeat is the interval at which instances write their entries.
 	InstanceHeartbeat time.Duration
+	// FirstStart is true if all daemons start for the first time.
+	FirstStart bool
 	// KeysBound is the maximum time after which a revoked API key is rejected, ConfigBound the
 	// maximum time after which a new configuration is in force.
 	KeysBound   time.Duration
@@ -80,6 +82,7 @@
 		stringFlag("store", "address of the platform's store", ""),
 		durationFlag("lease-min", "shortest lease that the store grants", time.Second),
 		durationFlag("instance-heartbeat", "interval at which instances write their entries", 1200*time.Millisecond),
+		&cli.BoolFlag{Name: "first-start", Usage: "all daemons start for the first time, so that none is in the store's roster yet", EnvVars: []string{EnvVar("first-start")}},
 		durationFlag("keys-bound", "maximum time after which a revoked API key is refused", 5*time.Second),
 		durationFlag("config-bound", "maximum time after which a new configuration is in force", 2*time.Second),
 		&cli.BoolFlag{Name: "strict-keys", Usage: "refuse all API keys while there is no proof that they are current", Value: true, EnvVars: []string{EnvVar("strict-keys")}},
@@ -106,6 +109,7 @@
 		Store:             r.dialAddr("store"),
 		LeaseMin:          r.duration("lease-min", 50*time.Millisecond, time.Minute),
 		InstanceHeartbeat: r.duration("instance-heartbeat", 10*time.Millisecond, time.Minute),
+		FirstStart:        c.Bool("first-start"),
 		KeysBound:         r.duration("keys-bound", 100*time.Millisecond, time.Hour),
 		ConfigBound:       r.duration("config-bound", 100*time.Millisecond, time.Hour),
 		StrictKeys:        c.Bool("strict-keys"),
--- a/membership/granters.go
+++ b/membership/granters.go
@@ -129,7 +129,7 @@
 // daemon whose heartbeats this one does not receive. All granters together never grant more than
 // 1.25 times a rate.
 func (r *Roster) Shares(t *Topology, now time.Time) map[models.Zone]float64 {
-	total := len(r.members) + 1
+	total := r.clusterSize()
 	for _, m := range r.members {
 		// Sizes reported by daemons that are silent now count too.
 		total = max(total, m.Size)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -25,6 +25,9 @@
 	MaxMeshSize int
 	// RelaysPerZone is the number of relays of an availability zone.
 	RelaysPerZone int
+	// MinRegistered is the number of registered daemons of its zone, besides itself, with which a
+	// daemon does not register in the roster.
+	MinRegistered int
 	// FirstHeartbeatTimeout is how long this daemon waits for the first heartbeat of a daemon that
 	// should send heartbeats to it.
 	FirstHeartbeatTimeout time.Duration
@@ -32,6 +35,10 @@
 	MaxMissedHeartbeats int
 	// SilentBackoff is how long a daemon that became silent is skipped.
 	SilentBackoff time.Duration
+	// SilentRetention is how long after that a daemon is forgotten that is not in the store's roster.
+	// It exceeds the duration of partitions: a granter of permits that forgets the daemons on the
+	// other side grants what a granter there grants as well.
+	SilentRetention time.Duration
 }
 
 // DefaultPolicy returns the parameters used in production.
@@ -43,11 +50,14 @@
 		// With two relays, the other one takes over without a gap in the broadcasts if one is lost.
 		// A third relay would send every broadcast to each daemon once more.
 		RelaysPerZone: 2,
+		// Both relays of a zone may be lost at once, and the daemons that replace them must be known.
+		MinRegistered: 4,
 		// The time of MaxMissedHeartbeats heartbeats of a relay.
 		FirstHeartbeatTimeout: 1200 * time.Millisecond,
 		MaxMissedHeartbeats:   4,
 		// Longer than a daemon takes to restart, which is 0.6 to 4 s.
-		SilentBackoff: 6 * time.Second,
+		SilentBackoff:   6 * time.Second,
+		SilentRetention: time.Hour,
 	}
 }
 
@@ -87,6 +97,8 @@
 	UsesRelay, UsesLoads bool
 	// Size is the number of daemons that the sender knows, itself included.
 	Size int
+	// ZoneSize is the number of daemons in the sender's zone, if the sender is a relay; 0 otherwise.
+	ZoneSize int
 	// Votes is the sender's number of votes for this daemon as a granter of permits, by zone of
 	// the instances.
 	Votes map[models.Zone]int
@@ -99,11 +111,15 @@
 	self    Daemon
 	policy  Policy
 	members map[models.DaemonID]*member
+	// isRelay is set if the last topology made this daemon a relay.
+	isRelay bool
 }
 
 // member is the state of another daemon.
 type member struct {
 	Heartbeat
+	// registered is set if the daemon is in the store's roster.
+	registered bool
 	// lastHeartbeat is when its last heartbeat arrived, zero if it is silent.
 	lastHeartbeat time.Time
 	// expectedSince is when it was first expected to send heartbeats to this daemon, zero if none
@@ -130,6 +146,31 @@
 	r.members[d.ID] = &member{Heartbeat: Heartbeat{Daemon: d}}
 }
 
+// AddRegistered adds a daemon that is in the store's roster.
+func (r *Roster) AddRegistered(d Daemon) {
+	r.Add(d)
+	if m := r.members[d.ID]; m != nil {
+		m.registered = true
+	}
+}
+
+// ShouldRegister reports whether this daemon has to register in the store's roster. With few daemons
+// all do, since they form a mesh. With many, a daemon needs no more than some daemons of its zone
+// that may be its relays: if all 986 registered, each would read 986 entries.
+func (r *Roster) ShouldRegister(now time.Time) bool {
+	registered, inZone := 0, 0
+	for _, m := range r.members {
+		if !m.registered || now.Before(m.skipUntil) {
+			continue
+		}
+		registered++
+		if m.Zone == r.self.Zone {
+			inZone++
+		}
+	}
+	return registered < r.policy.MaxMeshSize || inZone < r.policy.MinRegistered
+}
+
 // RecordHeartbeat records a heartbeat. It reports whether the topology may change.
 func (r *Roster) RecordHeartbeat(b Heartbeat, at time.Time) bool {
 	if b.ID == r.self.ID {
@@ -137,7 +178,7 @@
 	}
 	r.Add(b.Daemon)
 	m := r.members[b.ID]
-	changed := m.lastHeartbeat.IsZero() || m.UsesRelay != b.UsesRelay || m.UsesLoads != b.UsesLoads || m.Size != b.Size ||
+	changed := m.lastHeartbeat.IsZero() || m.UsesRelay != b.UsesRelay || m.UsesLoads != b.UsesLoads || m.Size != b.Size || m.ZoneSize != b.ZoneSize ||
 		!maps.Equal(m.Granters, b.Granters)
 	m.Heartbeat, m.lastHeartbeat, m.skipUntil = b, at, time.Time{}
 	return changed
@@ -158,5 +199,14 @@
 		m.UsesRelay, m.UsesLoads, m.Votes, m.Granters = false, false, nil, nil
 		m.skipUntil = now.Add(r.policy.SilentBackoff)
 	}
+	r.removeGone(now)
 	return silent
 }
+
+// removeGone forgets the daemons that are not in the store's roster and have been silent for
+// SilentRetention.
+func (r *Roster) removeGone(now time.Time) {
+	maps.DeleteFunc(r.members, func(_ models.DaemonID, m *member) bool {
+		return !m.registered && m.lastHeartbeat.IsZero() && !m.skipUntil.IsZero() && now.Sub(m.skipUntil) > r.policy.SilentRetention
+	})
+}
--- a/membership/topology.go
+++ b/membership/topology.go
@@ -11,7 +11,7 @@
 type Topology struct {
 	// Size is the number of daemons, this daemon included.
 	Size int
-	// ZoneSize is the number of known daemons in this daemon's zone, itself included.
+	// ZoneSize is the number of daemons in this daemon's zone, itself included.
 	ZoneSize int
 	// IsMesh reports whether there is a full mesh: every daemon sends heartbeats to every other
 	// one, and there are no relays.
@@ -31,6 +31,8 @@
 	// this daemon's vote for granters of other zones. It may be this daemon itself, and is empty in
 	// a mesh.
 	voteRelay models.DaemonID
+	// zoneKnown is the number of daemons in this daemon's zone that it knows itself.
+	zoneKnown int
 	// Links holds the daemons to which this daemon sends heartbeats.
 	Links map[models.DaemonID]Link
 }
@@ -52,9 +54,18 @@
 	CrossZone bool
 }
 
+// RelayedZoneSize returns the size of the zone that this daemon reports as its relay, 0 if it is
+// none.
+func (t *Topology) RelayedZoneSize() int {
+	if !t.IsRelay {
+		return 0
+	}
+	return t.zoneKnown
+}
+
 // Topology returns the current topology.
 func (r *Roster) Topology(now time.Time) *Topology {
-	t := &Topology{Size: r.clusterSize(), ZoneSize: r.zoneSize(), Links: map[models.DaemonID]Link{}}
+	t := &Topology{Size: r.clusterSize(), ZoneSize: r.zoneSizes()[r.self.Zone], zoneKnown: r.knownByZone()[r.self.Zone], Links: map[models.DaemonID]Link{}}
 	relays := map[models.Zone][]Daemon{}
 	if t.IsMesh = t.Size <= r.policy.MaxMeshSize; t.IsMesh {
 		r.linkAll(t)
@@ -62,6 +73,7 @@
 		relays = r.selectRelays(now)
 		r.linkRelays(t, relays)
 	}
+	r.isRelay = t.IsRelay
 	slices.SortFunc(t.PlannerCandidates, func(x, y Daemon) int {
 		if x.RanksBefore(y) {
 			return -1
@@ -81,27 +93,44 @@
 	return t
 }
 
-// clusterSize is the number of daemons according to the roster and to the heartbeats of live
-// daemons, whichever is greatest.
-func (r *Roster) clusterSize() int {
-	size := len(r.members) + 1
+// knownByZone returns the number of known daemons of each zone.
+func (r *Roster) knownByZone() map[models.Zone]int {
+	known := map[models.Zone]int{r.self.Zone: 1}
+	for _, m := range r.members {
+		known[m.Zone]++
+	}
+	return known
+}
+
+// zoneSizes returns the number of daemons of each zone: as many as are known, or as a relay of the
+// zone reports. Only a relay knows the daemons of its zone that are not in the store's roster.
+func (r *Roster) zoneSizes() map[models.Zone]int {
+	sizes := r.knownByZone()
 	for _, m := range r.members {
 		if !m.lastHeartbeat.IsZero() {
-			size = max(size, m.Size)
+			sizes[m.Zone] = max(sizes[m.Zone], m.ZoneSize)
 		}
 	}
-	return size
+	return sizes
 }
 
-// zoneSize is the number of known daemons in this daemon's zone, itself included.
-func (r *Roster) zoneSize() int {
-	n := 1
+// clusterSize is the number of daemons: the sum of the zones, or, if that is greater, the size that
+// a relay of this daemon's zone reports. Any other report only tells that the daemons form no mesh.
+func (r *Roster) clusterSize() int {
+	size := 0
+	for _, n := range r.zoneSizes() {
+		size += n
+	}
 	for _, m := range r.members {
-		if m.Zone == r.self.Zone {
-			n++
+		switch {
+		case m.lastHeartbeat.IsZero():
+		case m.ZoneSize > 0 && m.Zone == r.self.Zone && !r.isRelay:
+			size = max(size, m.Size)
+		default:
+			size = max(size, min(m.Size, r.policy.MaxMeshSize+1))
 		}
 	}
-	return n
+	return size
 }
 
 // linkAll links this daemon to all others.
