membership: let only registered daemons be relays; simulate first starts

A heartbeat says whether its sender is registered. Relays are chosen among those that are; others come only where too few are live.

--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/pack"
+	"github.com/lupinkeel/lupinkeel/membership"
 )
 
 // rosterTopic is the store's topic in which daemons register.
@@ -22,26 +23,25 @@
 	// registrationSettleTime is how long a daemon that has registered waits for others that register
 	// at the same time, before it reads the roster.
 	registrationSettleTime = 150 * time.Millisecond
-	// firstStartDelay is the pause, at the first start of all daemons, before a daemon without
-	// processor power registers; the others pause for less, so that the strongest daemons register
-	// first. It exceeds the time within which all machines start.
-	firstStartDelay = 800 * time.Millisecond
-	// registrationSpread is the time over which daemons register that find at the same moment that
-	// too few are registered. The later ones then see the earlier ones and do not register.
-	registrationSpread = 200 * time.Millisecond
 )
 
 // followRoster reads the roster, registers the node if too few others are registered, and closes
 // the links in the end.
 func (n *Node) followRoster(ctx context.Context) error {
 	read := func(r readResult) message { return rosterRead{readResult: r} }
-	f := rosterFollower{topicReader{n: n, topic: rosterTopic, holdTime: func() time.Duration { return 0 }, onSnapshot: read, onDelta: read}}
+	f := rosterFollower{
+		topicReader: topicReader{n: n, topic: rosterTopic, holdTime: func() time.Duration { return 0 }, onSnapshot: read, onDelta: read},
+		policy:      membership.DefaultPolicy(),
+	}
 	err := f.run(ctx)
 	return errors.Join(err, n.links.stopAndWait())
 }
 
 // rosterFollower reads the roster and registers the node.
-type rosterFollower struct{ topicReader }
+type rosterFollower struct {
+	topicReader
+	policy membership.Policy
+}
 
 func (f *rosterFollower) run(ctx context.Context) error {
 	if err := f.start(ctx); err != nil {
@@ -54,7 +54,7 @@
 		}
 		if f.n.mustRegister() {
 			// Daemons that lost their relays at the same time notice it at the same time.
-			if err := sleep(ctx, rand.N(registrationSpread)); err != nil {
+			if err := sleep(ctx, rand.N(f.policy.RegistrationSpread)); err != nil {
 				return err
 			}
 		}
@@ -71,9 +71,7 @@
 		return err
 	}
 	if f.n.cfg.FirstStart && f.n.mustRegister() {
-		weakness := 1 - min(1, f.n.cfg.CPUCores)
-		delay := time.Duration(weakness*float64(firstStartDelay)) + rand.N(registrationSpread)
-		if err := sleep(ctx, delay); err != nil {
+		if err := sleep(ctx, f.policy.RegistrationPause(f.n.cfg.CPUCores, rand.Float64())); err != nil {
 			return err
 		}
 		if err := f.read(ctx); err != nil {
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -95,7 +95,7 @@
 func (b Heartbeat) membershipBeat() membership.Heartbeat {
 	return membership.Heartbeat{
 		Daemon: membership.Daemon{ID: b.From, Zone: b.Zone, CPUCores: b.CPUCores}, Interval: cmp.Or(b.Interval, heartbeatInterval),
-		UsesRelay: b.UsesRelay, UsesLoads: b.UsesLoads, Size: b.Size, ZoneSize: b.ZoneSize,
+		UsesRelay: b.UsesRelay, UsesLoads: b.UsesLoads, Size: b.Size, ZoneSize: b.ZoneSize, Registered: b.Registered,
 		Votes: b.Grants, Granters: b.Granters,
 	}
 }
@@ -103,6 +103,10 @@
 // updateTopology computes the topology and opens and closes links accordingly.
 func (o *owner) updateTopology(now time.Time) {
 	p := &o.peers
+	if o.n.registered.Load() && !p.roster.IsRegistered() {
+		p.roster.MarkRegistered()
+		p.topologyStale = true
+	}
 	if !p.topologyStale && now.Sub(p.topologyAt) < topologyInterval {
 		return
 	}
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -60,6 +60,8 @@
 	Size int `msgpack:"sz,omitempty"`
 	// ZoneSize is the number of daemons in the sender's zone, if the sender is a relay.
 	ZoneSize int `msgpack:"zs,omitempty"`
+	// Registered is set if the sender is in the store's roster.
+	Registered bool `msgpack:"rg,omitempty"`
 	// MissedUpdates is set if the sender missed updates of the planner and asks the receiver, its
 	// relay, for a snapshot of all instances.
 	MissedUpdates bool `msgpack:"ms,omitempty"`
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -33,6 +33,11 @@
 	FirstHeartbeatTimeout time.Duration
 	// MaxMissedHeartbeats is the number of consecutive heartbeats that a live daemon may miss.
 	MaxMissedHeartbeats int
+	// FirstStartDelay is the pause, at the first start of all daemons, before a daemon without
+	// processor power registers; the others pause for less, so that the strongest daemons register
+	// first. RegistrationSpread is the time over which daemons register that find at the same moment
+	// that too few are registered: the later ones then see the earlier ones and do not register.
+	FirstStartDelay, RegistrationSpread time.Duration
 	// SilentBackoff is how long a daemon that became silent is skipped.
 	SilentBackoff time.Duration
 	// SilentRetention is how long after that a daemon is forgotten that is not in the store's roster.
@@ -52,6 +57,9 @@
 		RelaysPerZone: 2,
 		// Both relays of a zone may be lost at once, and the daemons that replace them must be known.
 		MinRegistered: 4,
+		// More than the time within which all machines start.
+		FirstStartDelay:    800 * time.Millisecond,
+		RegistrationSpread: 200 * time.Millisecond,
 		// The time of MaxMissedHeartbeats heartbeats of a relay.
 		FirstHeartbeatTimeout: 1200 * time.Millisecond,
 		MaxMissedHeartbeats:   4,
@@ -99,6 +107,8 @@
 	Size int
 	// ZoneSize is the number of daemons in the sender's zone, if the sender is a relay; 0 otherwise.
 	ZoneSize int
+	// Registered is set if the sender is in the store's roster.
+	Registered bool
 	// Votes is the sender's number of votes for this daemon as a granter of permits, by zone of
 	// the instances.
 	Votes map[models.Zone]int
@@ -111,6 +121,8 @@
 	self    Daemon
 	policy  Policy
 	members map[models.DaemonID]*member
+	// registered is set if this daemon is in the store's roster.
+	registered bool
 	// isRelay is set if the last topology made this daemon a relay.
 	isRelay bool
 }
@@ -118,8 +130,6 @@
 // member is the state of another daemon.
 type member struct {
 	Heartbeat
-	// registered is set if the daemon is in the store's roster.
-	registered bool
 	// lastHeartbeat is when its last heartbeat arrived, zero if it is silent.
 	lastHeartbeat time.Time
 	// expectedSince is when it was first expected to send heartbeats to this daemon, zero if none
@@ -150,17 +160,26 @@
 func (r *Roster) AddRegistered(d Daemon) {
 	r.Add(d)
 	if m := r.members[d.ID]; m != nil {
-		m.registered = true
+		m.Registered = true
 	}
 }
 
+// MarkRegistered records that this daemon is in the store's roster.
+func (r *Roster) MarkRegistered() { r.registered = true }
+
+// IsRegistered reports whether this daemon is in the store's roster.
+func (r *Roster) IsRegistered() bool { return r.registered }
+
+// Knows reports whether a daemon is known.
+func (r *Roster) Knows(id models.DaemonID) bool { return r.members[id] != nil }
+
 // ShouldRegister reports whether this daemon has to register in the store's roster. With few daemons
 // all do, since they form a mesh. With many, a daemon needs no more than some daemons of its zone
 // that may be its relays: if all 986 registered, each would read 986 entries.
 func (r *Roster) ShouldRegister(now time.Time) bool {
 	registered, inZone := 0, 0
 	for _, m := range r.members {
-		if !m.registered || now.Before(m.skipUntil) {
+		if !m.Registered || now.Before(m.skipUntil) {
 			continue
 		}
 		registered++
@@ -171,6 +190,13 @@
 	return registered < r.policy.MaxMeshSize || inZone < r.policy.MinRegistered
 }
 
+// RegistrationPause returns how long a daemon waits before it registers at the first start of all
+// daemons. The draw is a random number between 0 and 1.
+func (p Policy) RegistrationPause(cpuCores, draw float64) time.Duration {
+	weakness := 1 - min(1, cpuCores)
+	return time.Duration(weakness*float64(p.FirstStartDelay) + draw*float64(p.RegistrationSpread))
+}
+
 // RecordHeartbeat records a heartbeat. It reports whether the topology may change.
 func (r *Roster) RecordHeartbeat(b Heartbeat, at time.Time) bool {
 	if b.ID == r.self.ID {
@@ -178,8 +204,9 @@
 	}
 	r.Add(b.Daemon)
 	m := r.members[b.ID]
-	changed := m.lastHeartbeat.IsZero() || m.UsesRelay != b.UsesRelay || m.UsesLoads != b.UsesLoads || m.Size != b.Size || m.ZoneSize != b.ZoneSize ||
+	changed := m.lastHeartbeat.IsZero() || m.UsesRelay != b.UsesRelay || m.UsesLoads != b.UsesLoads || m.Size != b.Size || m.ZoneSize != b.ZoneSize || m.Registered != b.Registered ||
 		!maps.Equal(m.Granters, b.Granters)
+	b.Registered = b.Registered || m.Registered
 	m.Heartbeat, m.lastHeartbeat, m.skipUntil = b, at, time.Time{}
 	return changed
 }
@@ -207,6 +234,6 @@
 // SilentRetention.
 func (r *Roster) removeGone(now time.Time) {
 	maps.DeleteFunc(r.members, func(_ models.DaemonID, m *member) bool {
-		return !m.registered && m.lastHeartbeat.IsZero() && !m.skipUntil.IsZero() && now.Sub(m.skipUntil) > r.policy.SilentRetention
+		return !m.Registered && m.lastHeartbeat.IsZero() && !m.skipUntil.IsZero() && now.Sub(m.skipUntil) > r.policy.SilentRetention
 	})
 }
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -164,6 +164,7 @@
 				d.roster.AddRegistered(other.Daemon)
 			}
 		}
+		d.roster.MarkRegistered()
 		d.topology, d.topologyAt = d.roster.Topology(s.now), s.now
 	}
 	for _, d := range s.daemons {
@@ -213,7 +214,7 @@
 			}
 			d.lastSent[id] = s.now
 			changed := to.roster.RecordHeartbeat(membership.Heartbeat{
-				Daemon: d.Daemon, Interval: every, UsesRelay: link.UsesRelay, UsesLoads: link.UsesLoads, Size: d.topology.Size, ZoneSize: d.topology.RelayedZoneSize(),
+				Daemon: d.Daemon, Interval: every, UsesRelay: link.UsesRelay, UsesLoads: link.UsesLoads, Size: d.topology.Size, ZoneSize: d.topology.RelayedZoneSize(), Registered: d.roster.IsRegistered(),
 				Votes: d.roster.Votes(d.topology, id), Granters: d.topology.Granters,
 			}, s.now)
 			to.stale = to.stale || changed
--- a/membership/topology.go
+++ b/membership/topology.go
@@ -144,25 +144,37 @@
 	}
 }
 
-// selectRelays returns the relays of each zone: the highest-ranked live daemons, and skipped
-// daemons if there are not enough live ones.
+// selectRelays returns the relays of each zone: the highest-ranked of the live daemons that are in the
+// store's roster. If there are not enough, other live daemons follow, and then skipped ones. A daemon
+// that is not in the roster is known to few others, so that it can't be a relay while others can.
 func (r *Roster) selectRelays(now time.Time) map[models.Zone][]Daemon {
-	live, skipped := map[models.Zone][]Daemon{}, map[models.Zone][]Daemon{}
-	live[r.self.Zone] = []Daemon{r.self}
+	const registered, live, skipped = 0, 1, 2
+	classes := map[models.Zone]*[3][]Daemon{}
+	add := func(d Daemon, class int) {
+		if classes[d.Zone] == nil {
+			classes[d.Zone] = &[3][]Daemon{}
+		}
+		classes[d.Zone][class] = append(classes[d.Zone][class], d)
+	}
 	for _, m := range r.members {
-		if now.Before(m.skipUntil) {
-			skipped[m.Zone] = append(skipped[m.Zone], m.Daemon)
-		} else {
-			live[m.Zone] = append(live[m.Zone], m.Daemon)
+		switch {
+		case now.Before(m.skipUntil):
+			add(m.Daemon, skipped)
+		case m.Registered:
+			add(m.Daemon, registered)
+		default:
+			add(m.Daemon, live)
 		}
 	}
-	out := map[models.Zone][]Daemon{}
-	for zone, daemons := range live {
-		out[zone] = topRanked(daemons, r.policy.RelaysPerZone)
+	if r.registered {
+		add(r.self, registered)
+	} else {
+		add(r.self, live)
 	}
-	for zone, daemons := range skipped {
-		if missing := r.policy.RelaysPerZone - len(out[zone]); missing > 0 {
-			out[zone] = append(out[zone], topRanked(daemons, missing)...)
+	out := map[models.Zone][]Daemon{}
+	for zone, daemons := range classes {
+		for _, class := range daemons {
+			out[zone] = append(out[zone], topRanked(class, r.policy.RelaysPerZone-len(out[zone]))...)
 		}
 	}
 	return out
