gateway: keep requests within the homes of route and workspace

The regions of zones come from the platform's settings (--regions). Groups and plain instances outside are not picked, by retries, hedges, resumed streams and permits alike, and the last check before a send holds as well. Bodies are not passed between daemons, so that part of the rule needs nothing.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -79,7 +79,7 @@
 		log.Warn().Err(err).Msg("suspensions-not-counted")
 	}
 	g := gateway.New(gateway.Settings{
-		Zone: s.Zone, Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
+		Zone: s.Zone, Regions: s.Regions.Map(), Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace, StallReportDelay: stallReportDelay,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -13,6 +13,8 @@
 type Gateway struct {
 	ID   models.DaemonID
 	Zone models.Zone
+	// Regions holds the region of each availability zone.
+	Regions RegionMap
 	// Listen is the address for callers, Ready for the readiness probe of the load balancer,
 	// Metrics for metrics, and Peer for other daemons. Store is the address of the platform's
 	// store.
@@ -75,6 +77,7 @@
 	return []cli.Flag{
 		stringFlag("id", "name of this daemon", ""),
 		stringFlag("zone", "availability zone of this daemon", ""),
+		stringFlag("regions", "regions of the availability zones, as ZONE:REGION separated by commas", ""),
 		stringFlag("listen", "address for callers", "127.0.0.1:7700"),
 		stringFlag("ready", "address for the readiness probe of the load balancer", "127.0.0.1:7701"),
 		stringFlag("metrics", "address for metrics", "127.0.0.1:7703"),
@@ -102,6 +105,7 @@
 	s := Gateway{
 		ID:                name[models.DaemonID](r, "id"),
 		Zone:              name[models.Zone](r, "zone"),
+		Regions:           r.regions("regions"),
 		Listen:            r.addr("listen"),
 		Ready:             r.addr("ready"),
 		Metrics:           r.addr("metrics"),
--- a/config/gateway_test.go
+++ b/config/gateway_test.go
@@ -89,6 +89,7 @@
 		{"no equals sign", "no '='"},
 		{"strict-keys=mostly", "strict-keys"},
 		{"stale-keys=1ms", "--stale-keys"},
+		{"regions=zone-a", "--regions"},
 	} {
 		_, err := loadFile(t, validFile+test.line+"\n")
 		c.Assert(err, qt.ErrorIs, ErrSetting, qt.Commentf("%s", test.line))
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -34,6 +34,7 @@
 	if err := e.authorize(v); err != nil {
 		return err
 	}
+	e.zones = e.homeZones()
 	e.deadline = e.started.Add(defaultTimeout)
 	if e.route.Timeout > 0 {
 		e.deadline = e.started.Add(e.route.Timeout)
--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -170,7 +170,7 @@
 	node.breakers = closedBreakers()
 	b.zone = "b"
 	pick := func(tried ...models.InstanceID) models.InstanceID {
-		i, found := b.pickInstance(node, "s", tried)
+		i, found := b.pickInstance(node, node.View().Services["s"], tried)
 		c.Assert(found, qt.IsTrue)
 		return i.ID
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -15,13 +15,15 @@
 
 // exchange is a request in progress and its response.
 type exchange struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	head     models.RequestHead
-	route    models.Route
-	service  models.ServiceName
-	owner    models.KeyOwner
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	head    models.RequestHead
+	route   models.Route
+	service models.ServiceName
+	owner   models.KeyOwner
+	// zones are the zones whose instances may run the request.
+	zones    zoneFilter
 	body     []byte
 	started  time.Time
 	deadline time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,8 @@
 // Settings configure a gateway.
 type Settings struct {
 	Zone models.Zone
+	// Regions holds the region of each availability zone.
+	Regions map[models.Zone]models.Region
 	// Listen is the address for callers, Ready for readiness checks by the load balancer, Admin for
 	// metrics and the quarantine; Admin may be invalid, and is then not served.
 	Listen netip.AddrPort
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -48,6 +48,8 @@
 	errNotAdmitted = errors.New("the instance must not be sent requests now")
 	// errNoPermit: the instance announced a rate limit after it was picked, or the permit expired.
 	errNoPermit = errors.New("the instance is rate-limited, and there is no valid permit for it")
+	// errOutsideHomes: neither route nor workspace may use the instance's region.
+	errOutsideHomes = errors.New("the instance is outside the homes of the request")
 	// errZoneEvacuated: operators evacuate the instance's availability zone.
 	errZoneEvacuated = errors.New("the availability zone is evacuated")
 	// errQuarantined: several instances crashed while they ran the request.
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -133,7 +133,7 @@
 		if found {
 			return i, p, nil
 		}
-		next, opens := e.g.scheduler.nextAvailability(e.g.node, e.g.node.View().Services[e.service], e.tried)
+		next, opens := e.g.scheduler.nextAvailability(e.g.node, e.permittedInstances(), e.tried)
 		if !opens {
 			return i, p, errNoInstance
 		}
@@ -156,7 +156,7 @@
 		if !found || !e.g.needsPermit(i) {
 			return i, permit{}, found
 		}
-		instances := append([]models.UpstreamInstance{i}, e.g.scheduler.limitedInstances(e.g.node, e.service, i, e.tried)...)
+		instances := append([]models.UpstreamInstance{i}, e.g.scheduler.limitedInstances(e.g.node, e.permittedInstances(), i, e.tried)...)
 		if at, p, granted := e.requestPermit(ctx, instances); granted {
 			return instances[at], p, true
 		}
@@ -164,13 +164,13 @@
 	return models.UpstreamInstance{}, permit{}, false
 }
 
-// limitedInstances returns other instances of the same service and zone that have a rate limit.
-func (s *scheduler) limitedInstances(node Node, service models.ServiceName, picked models.UpstreamInstance, tried []models.InstanceID) []models.UpstreamInstance {
+// limitedInstances returns the instances of the picked one's zone that have a rate limit, without it.
+func (s *scheduler) limitedInstances(node Node, all []models.UpstreamInstance, picked models.UpstreamInstance, tried []models.InstanceID) []models.UpstreamInstance {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []models.UpstreamInstance
-	for _, i := range node.View().Services[service] {
+	for _, i := range all {
 		skip := i.ID == picked.ID || i.Zone != picked.Zone || slices.Contains(tried, i.ID) || s.isExcluded(node, i, now)
 		if len(out) < maxPermitCandidates-1 && !skip && node.Limits().Rate(i, now) != models.NoRateLimit {
 			out = append(out, i)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -111,12 +111,14 @@
 	isolationIndex func(places int) int
 	// unlimitedOnly excludes groups whose heads have a rate limit.
 	unlimitedOnly bool
+	// zones are the zones whose groups may run the request.
+	zones zoneFilter
 }
 
 // criteria returns the stream's criteria for its next group. After a failover the stream is late
 // already, wherever it continues.
 func (s *stream) criteria() groupCriteria {
-	criteria := groupCriteria{head: s.head, latencyTarget: s.route.LatencyTarget, routeTarget: s.route.LatencyTarget, tried: s.tried, isolationIndex: s.isolationIndex()}
+	criteria := groupCriteria{head: s.head, latencyTarget: s.route.LatencyTarget, routeTarget: s.route.LatencyTarget, tried: s.tried, isolationIndex: s.isolationIndex(), zones: s.zones}
 	if len(s.tried) > 0 {
 		criteria.latencyTarget = 0
 	}
@@ -178,22 +180,21 @@
 	}
 }
 
-// eligible returns the groups that were not tried and are not excluded. The scheduler must be
+// eligible returns the groups that may run the request, were not tried and are not excluded. The scheduler must be
 // locked.
 func (s *scheduler) eligible(node Node, groups []cluster.Group, criteria groupCriteria, now time.Time) []cluster.Group {
 	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
-		return slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
+		return !criteria.zones.permits(g.Head.Zone) || slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
 			(criteria.unlimitedOnly && node.Limits().Rate(g.Head, now) != models.NoRateLimit)
 	})
 }
 
-// pickInstance returns the instance of a plain service with the fewest requests that was not tried;
-// a tie goes to this daemon's zone. Recent failures, and backoffs that other daemons were asked
+// pickInstance returns the one of several instances with the fewest requests that was not tried; a
+// tie goes to this daemon's zone. Recent failures, and backoffs that other daemons were asked
 // for, count as requests.
-func (s *scheduler) pickInstance(node Node, service models.ServiceName, tried []models.InstanceID) (models.UpstreamInstance, bool) {
+func (s *scheduler) pickInstance(node Node, all []models.UpstreamInstance, tried []models.InstanceID) (models.UpstreamInstance, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := node.View().Services[service]
 	best, minLoad, now := -1, 0.0, time.Now()
 	for _, i := range rand.Perm(len(all)) {
 		if slices.Contains(tried, all[i].ID) || s.isExcluded(node, all[i], now) {
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -44,7 +44,7 @@
 		return g.Head.ID
 	}
 	instance := func() models.InstanceID {
-		i, found := b.pickInstance(node, "s", nil)
+		i, found := b.pickInstance(node, node.View().Services["s"], nil)
 		c.Assert(found, qt.IsTrue)
 		return i.ID
 	}
@@ -127,7 +127,7 @@
 	picks := func(tried ...models.InstanceID) (group, instance models.InstanceID) {
 		criteria := groupCriteria{head: models.RequestHead{Model: "m"}, latencyTarget: 300 * time.Millisecond, routeTarget: 300 * time.Millisecond, tried: tried}
 		g, _, _ := b.pickGroup(node, engine, criteria)
-		i, _ := b.pickInstance(node, "s", tried)
+		i, _ := b.pickInstance(node, node.View().Services["s"], tried)
 		return g.Head.ID, i.ID
 	}
 	b.addLoad("a", 3, 0)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -40,6 +40,9 @@
 	if e.g.node.View().Evacuated[i.Zone] {
 		return errors.Join(errNotAdmitted, errZoneEvacuated)
 	}
+	if !e.zones.permits(i.Zone) {
+		return errors.Join(errNotAdmitted, errOutsideHomes)
+	}
 	if !p.allows(e.g, i) {
 		return errors.Join(errNotAdmitted, errNoPermit)
 	}
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -66,7 +66,7 @@
 // pickInstance returns the instance to send the request to next; a rate-limited one still needs a
 // permit. An isolated request gets the instance that is assigned to it, if that is available.
 func (e *exchange) pickInstance() (models.UpstreamInstance, bool) {
-	all := e.g.node.View().Services[e.service]
+	all := e.permittedInstances()
 	if place := e.isolationIndex(); place != nil && len(all) > 0 {
 		sorted := slices.SortedFunc(slices.Values(all), func(a, b models.UpstreamInstance) int { return cmp.Compare(a.ID, b.ID) })
 		pinned := sorted[place(len(sorted))]
@@ -74,7 +74,7 @@
 			return pinned, true
 		}
 	}
-	return e.g.scheduler.pickInstance(e.g.node, e.service, e.tried)
+	return e.g.scheduler.pickInstance(e.g.node, all, e.tried)
 }
 
 // attemptUnary makes one attempt. A failure response is forwarded only in the last one.
--- a/models/models.go
+++ b/models/models.go
@@ -32,6 +32,8 @@
 	OperatorName string
 	// Zone names an availability zone.
 	Zone string
+	// Region names a region: a set of availability zones.
+	Region string
 	// Domain names a fabric domain.
 	Domain string
 	// RequestID identifies a caller's request across all attempts to run it.
--- a/models/routing.go
+++ b/models/routing.go
@@ -40,6 +40,8 @@
 	AuthExempt bool
 	// Resumable is true if a stream may be continued on another instance.
 	Resumable bool
+	// Homes are the regions whose instances may run the route's requests; all may if it is empty.
+	Homes []Region
 }
 
 // Idempotent reports whether a request of the route may be run more than once.
@@ -130,6 +132,8 @@
 type KeyOwner struct {
 	Workspace WorkspaceName
 	Priority  int
+	// Homes are the regions whose instances may run the workspace's requests; all may if it is empty.
+	Homes []Region
 }
 
 // CallerLimits limits the size of a caller's request, and the time that a caller may take to
