--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -56,6 +56,10 @@
 	readyAt, openAt, stagedAt time.Time
 	// stalledSince is the time since when the group of this head lacks a member.
 	stalledSince time.Time
+	// coldUntil is until when the instance is cold and bears coldRate requests a second. They are
+	// checked from coldCheckedFrom on.
+	coldUntil, coldCheckedFrom time.Time
+	coldRate                   float64
 }
 
 // Add starts an instance. An engine has a domain, a plain service has none.
--- a/standin/replica/limit.go
+++ b/standin/replica/limit.go
@@ -47,7 +47,11 @@
 }
 
 // recordArrival records the arrival of a request. The pool must be locked.
-func (i *Instance) recordArrival() { i.limits.arrivals = append(i.limits.arrivals, time.Now()) }
+func (i *Instance) recordArrival() {
+	now := time.Now()
+	i.limits.arrivals = append(i.limits.arrivals, now)
+	i.checkArrival(now)
+}
 
 // writeLimitHeader writes the limit into the response header.
 func (i *Instance) writeLimitHeader(w http.ResponseWriter) {
--- a/standin/replica/pool.go
+++ b/standin/replica/pool.go
@@ -50,6 +50,7 @@
 	violations []string
 	// poisons holds the poison requests by their bodies.
 	poisons map[string]*Poison
+	places  placeRules
 }
 
 // NewPool returns a pool without instances. Its instances write their entries to the store.
@@ -111,6 +112,8 @@
 	Slots    int
 	State    string
 	Sequence int64
+	// ColdRemainingMs is how much longer the instance is cold.
+	ColdRemainingMs int64
 	workStatus
 }
 
@@ -140,7 +143,7 @@
 		return
 	}
 	i.sequence++
-	e := entry{Service: i.Service, Address: i.Addr, Zone: i.Zone, Slots: i.pool.profile.Slots, State: "ready", Sequence: i.sequence, workStatus: i.workStatus()}
+	e := entry{Service: i.Service, Address: i.Addr, Zone: i.Zone, Slots: i.pool.profile.Slots, State: "ready", Sequence: i.sequence, ColdRemainingMs: i.coldRemaining(time.Now()), workStatus: i.workStatus()}
 	if i.draining {
 		e.State = "draining"
 	}
