cluster, lib/timer: fewer wake-ups at daemons that use a relay

Daemons that use a relay check every 200 ms instead of 50; a view that has to wait is published by a timer, not at the next check; links wake up for their heartbeats only. A new planner announces itself at once.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -83,10 +83,8 @@
 	framedConn
 	n    *Node
 	link linkConfig
-	// sentFullHeartbeat is set once the complete heartbeat was sent, lastHeartbeat is when the last
-	// heartbeat was sent.
+	// sentFullHeartbeat is set once the complete heartbeat was sent.
 	sentFullHeartbeat bool
-	lastHeartbeat     time.Time
 	// sentConfig is the last version of the configuration that was sent, sentLoads the last change
 	// number of this daemon's loads that was sent; 0 if none was.
 	sentConfig int64
@@ -101,7 +99,9 @@
 }
 
 func (t *linkWriter) run(ctx context.Context) error {
-	heartbeats := time.NewTicker(heartbeatInterval)
+	// The interval may become shorter while the timer runs; the links are then told to send a
+	// heartbeat at once.
+	heartbeats := time.NewTimer(heartbeatInterval)
 	defer heartbeats.Stop()
 	peer := t.link.peer
 	var err error
@@ -109,13 +109,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-heartbeats.C:
-			// Tickers fire slightly early or late.
-			if now.Sub(t.lastHeartbeat) >= t.n.heartbeatIntervalFor(*peer.sharedRole.Load())-heartbeatInterval/2 {
-				err = t.sendHeartbeat()
-			}
+		case <-heartbeats.C:
+			err = t.sendHeartbeat()
+			heartbeats.Reset(t.n.heartbeatIntervalFor(*peer.sharedRole.Load()))
 		case <-peer.heartbeatDue:
 			err = t.sendHeartbeat()
+			heartbeats.Reset(t.n.heartbeatIntervalFor(*peer.sharedRole.Load()))
 		case <-peer.updatesReady:
 			if err = t.sendLoads(); err == nil {
 				err = t.sendFindings()
@@ -130,7 +129,6 @@
 // sendHeartbeat sends a heartbeat, then changed loads, crashes, rate limits and signals, and the
 // configuration if the peer asks for it.
 func (t *linkWriter) sendHeartbeat() error {
-	t.lastHeartbeat = time.Now()
 	heartbeat := t.n.heartbeat(t.link.id, *t.link.peer.sharedRole.Load())
 	if t.sentFullHeartbeat {
 		heartbeat = heartbeat.abbreviated()
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -35,6 +35,8 @@
 func (o *owner) run(ctx context.Context) error {
 	o.ctx = ctx
 	plan := o.n.clock.Subscribe(tickInterval)
+	publishDue := time.NewTimer(0)
+	defer publishDue.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -44,11 +46,17 @@
 			o.drainInbox()
 		case tick := <-plan:
 			o.tick(tick)
+		case <-publishDue.C:
 		}
 		o.flushUpdates(time.Now())
-		if (o.viewStale || o.fleetStale) && o.lastPublish.ready(time.Now(), minPublishInterval) {
-			o.publish()
+		if !o.viewStale && !o.fleetStale {
+			continue
 		}
+		if wait := o.lastPublish.remaining(time.Now(), minPublishInterval); wait > 0 {
+			publishDue.Reset(wait)
+			continue
+		}
+		o.publish()
 	}
 }
 
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -46,7 +46,9 @@
 		i.lastBroadcast = models.UpstreamInstance{}
 	}
 	o.n.planning.Store(true)
-	o.viewStale = true
+	o.publish()
+	// Others wait for a sign of the new planner, and it sends heartbeats more often from now on.
+	o.n.links.sendHeartbeat("")
 	o.n.log.Info().Int64("term", m.term).Msg("planning-begun")
 }
 
--- a/cluster/throttle.go
+++ b/cluster/throttle.go
@@ -17,5 +17,10 @@
 
 // ready reports whether the task may run again. It pauses for minInterval at least.
 func (s throttle) ready(now time.Time, minInterval time.Duration) bool {
-	return now.Sub(s.started) >= max(minInterval, idleFactor*s.took)
+	return s.remaining(now, minInterval) <= 0
+}
+
+// remaining returns how long the task has to wait before it may run again.
+func (s throttle) remaining(now time.Time, minInterval time.Duration) time.Duration {
+	return max(minInterval, idleFactor*s.took) - now.Sub(s.started)
 }
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/lupinkeel/lupinkeel/lib/pack"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/membership"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -20,6 +21,19 @@
 // changed it: peers may have timed out, or not be excluded after a timeout any more.
 const topologyInterval = 300 * time.Millisecond
 
+// relayedClockStep is the interval of the periodic checks of a daemon that uses a relay. Most of what
+// such a daemon does follows messages; at a thousand daemons, checks every 50 ms cost more than all
+// else at rest.
+const relayedClockStep = 200 * time.Millisecond
+
+// clockStep returns the interval of periodic checks.
+func (o *owner) clockStep() time.Duration {
+	if t := o.peers.topology; t.IsMesh || t.IsRelay || o.fleet.planner != nil {
+		return timer.Step
+	}
+	return relayedClockStep
+}
+
 // handleRosterRead applies a read of the roster.
 func (o *owner) handleRosterRead(m rosterRead) {
 	if m.applied != nil {
@@ -118,6 +132,7 @@
 		o.n.peerLoads.removeTotals()
 	}
 	p.topology, p.topologyAt, p.topologyStale, o.viewStale = a, now, false, true
+	o.n.clock.SetStep(o.clockStep())
 	targets := make(map[models.DaemonID]target, len(a.Links))
 	for id, link := range a.Links {
 		e, known := p.addrs[id]
--- a/lib/timer/timer.go
+++ b/lib/timer/timer.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Step is the interval at which a running service reads the clock.
+// Step is the interval at which a running service reads the clock, unless SetStep sets another one.
 const Step = 50 * time.Millisecond
 
 // MinPause is how late a step must be to count as a pause of the process.
@@ -32,6 +32,8 @@
 	// yet reported to subscribers.
 	suspensions suspensions
 	unreported  time.Duration
+	// step is the interval at which Run reads the clock.
+	step time.Duration
 }
 
 type subscription struct {
@@ -43,7 +45,22 @@
 
 // New returns a service that starts at the given time.
 func New(now time.Time) *Service {
-	return &Service{last: now}
+	return &Service{last: now, step: Step}
+}
+
+// SetStep sets the interval at which Run reads the clock, from its next reading on. Ticks come no
+// more often than that, whatever the subscribers' periods are.
+func (s *Service) SetStep(step time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step = step
+}
+
+// nextStep returns the interval until the next reading of the clock.
+func (s *Service) nextStep() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.step
 }
 
 // Subscribe returns a channel that receives a tick each period. A subscriber slower than its
@@ -86,14 +103,16 @@
 
 // Run advances the service by the clock until the context ends.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(Step)
-	defer ticker.Stop()
+	next := time.NewTimer(s.nextStep())
+	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
-			s.Advance(time.Now())
+		case <-next.C:
+			started := time.Now()
+			s.Advance(started)
+			next.Reset(s.nextStep() - time.Since(started))
 		}
 	}
 }
