cluster: read the roster again after daemons have registered; fewer calls at a start

Cause, found by the simulation with a store ten times slower (TestFirstStart/200-0-40ms): a daemon that registers last may rank first in its zone, and those that read before never learn of it: they used the load totals of another relay.

A daemon reads the roster again 2 s after a time in which daemons registered.

--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -18,8 +18,12 @@
 	// registers later finds the other and sends it heartbeats, so this only helps daemons that
 	// could not reach each other then.
 	rosterInterval = 15 * time.Second
-	// relayedRosterInterval is rosterInterval for daemons that use a relay.
-	relayedRosterInterval = time.Minute
+	// relayedRosterInterval is rosterInterval for daemons that use a relay. They read the roster at
+	// once when too few relays are left.
+	relayedRosterInterval = 10 * time.Minute
+	// rosterFluxInterval is rosterInterval after a time in which daemons have registered: one that
+	// registered last may rank first, and is not known to those that read before.
+	rosterFluxInterval = 2 * time.Second
 	// registrationSettleTime is how long a daemon that has registered waits for others that register
 	// at the same time, before it reads the roster.
 	registrationSettleTime = 150 * time.Millisecond
@@ -41,6 +45,8 @@
 type rosterFollower struct {
 	topicReader
 	policy membership.Policy
+	// inFlux is set while daemons may be registering.
+	inFlux bool
 }
 
 func (f *rosterFollower) run(ctx context.Context) error {
@@ -52,7 +58,7 @@
 		if err := f.pause(ctx); err != nil {
 			return err
 		}
-		if f.n.mustRegister() {
+		if f.inFlux = f.n.mustRegister(); f.inFlux {
 			// Daemons that lost their relays at the same time notice it at the same time.
 			if err := sleep(ctx, rand.N(f.policy.RegistrationSpread)); err != nil {
 				return err
@@ -67,18 +73,12 @@
 // start reads the roster for the first time. The entries of a cluster that was running before are
 // used at once; at the first start of all daemons, there are none until some have registered.
 func (f *rosterFollower) start(ctx context.Context) error {
-	if err := f.read(ctx); err != nil {
-		return err
-	}
-	if f.n.cfg.FirstStart && f.n.mustRegister() {
+	if f.inFlux = f.n.cfg.FirstStart; f.inFlux {
 		if err := sleep(ctx, f.policy.RegistrationPause(f.n.cfg.CPUCores, rand.Float64())); err != nil {
 			return err
 		}
-		if err := f.read(ctx); err != nil {
-			return err
-		}
 	}
-	return f.registerIfNeeded(ctx)
+	return f.readAndRegister(ctx)
 }
 
 // readAndRegister reads what is new in the roster and registers the node if needed.
@@ -110,6 +110,7 @@
 	if !f.n.mustRegister() {
 		return nil
 	}
+	f.inFlux = true
 	if err := f.n.register(ctx); err != nil {
 		return err
 	}
@@ -134,10 +135,14 @@
 }
 
 func (f *rosterFollower) rereadInterval() time.Duration {
-	if f.n.usesRelay() {
+	switch {
+	case f.inFlux:
+		return rosterFluxInterval
+	case f.n.usesRelay():
 		return relayedRosterInterval
+	default:
+		return rosterInterval
 	}
-	return rosterInterval
 }
 
 // mustRegister reports whether this incarnation of the node is not registered and has to be: the
--- a/membership/start_test.go
+++ b/membership/start_test.go
@@ -14,12 +14,17 @@
 )
 
 const (
-	// storeLatency is the time that the simulated store takes for a call.
-	storeLatency = 4 * time.Millisecond
+	// storeLatency is the time that the simulated store takes for a call, slowStoreLatency the same of
+	// a store that is slow.
+	storeLatency     = 4 * time.Millisecond
+	slowStoreLatency = 10 * storeLatency
 	// startSpread is the time within which all machines start.
 	startSpread = 300 * time.Millisecond
 	// settleTime is how long a daemon that has registered waits before it reads the roster again.
 	settleTime = 150 * time.Millisecond
+	// fluxInterval is how long after its first read a daemon reads the roster again, if daemons were
+	// registering then.
+	fluxInterval = 2 * time.Second
 	// maxEntriesRead is the number of roster entries that a daemon may read at a start, whatever the
 	// number of daemons.
 	maxEntriesRead = 300
@@ -28,7 +33,8 @@
 // fleetStart simulates how daemons find each other by the store's roster.
 type fleetStart struct {
 	*simulation
-	began time.Time
+	// latency is the time that the store takes for a call.
+	latency time.Duration
 	// registeredAt is when each daemon's entry became readable.
 	registeredAt map[models.DaemonID]time.Time
 	// read counts the entries that each daemon has read, calls its calls to the store.
@@ -45,10 +51,16 @@
 // grow with the number of daemons, that topologies are complete 4 s after it, and that relays know
 // how many daemons there are. When all daemons registered, each read one entry for every daemon.
 func TestFirstStart(t *testing.T) {
-	for _, size := range []struct{ perZone, strong int }{{3, 0}, {20, 2}, {20, 0}, {200, 10}, {200, 0}, {400, 10}} {
-		t.Run(fmt.Sprintf("%d-%d", size.perZone, size.strong), func(t *testing.T) {
+	for _, size := range []struct {
+		perZone, strong int
+		latency         time.Duration
+	}{
+		{3, 0, storeLatency}, {20, 2, storeLatency}, {20, 0, storeLatency}, {200, 10, storeLatency}, {200, 0, storeLatency},
+		{200, 0, slowStoreLatency}, {400, 10, storeLatency},
+	} {
+		t.Run(fmt.Sprintf("%d-%d-%v", size.perZone, size.strong, size.latency), func(t *testing.T) {
 			c := qt.New(t)
-			s := newFleetStart(c, size.perZone, size.strong)
+			s := newFleetStart(c, size.perZone, size.strong, size.latency)
 			s.startAll(rand.New(rand.NewPCG(uint64(size.perZone), uint64(size.strong))), true)
 			for range int(4 * time.Second / step) {
 				s.step()
@@ -62,7 +74,7 @@
 // TestRestartOfAll checks the same where all daemons were killed and start again.
 func TestRestartOfAll(t *testing.T) {
 	c := qt.New(t)
-	s := newFleetStart(c, 200, 10)
+	s := newFleetStart(c, 200, 10, storeLatency)
 	random := rand.New(rand.NewPCG(1, 1))
 	s.startAll(random, true)
 	s.exec("run", []string{"3s"})
@@ -73,8 +85,9 @@
 	s.check(1000)
 }
 
-func newFleetStart(c *qt.C, perZone, strong int) *fleetStart {
+func newFleetStart(c *qt.C, perZone, strong int, latency time.Duration) *fleetStart {
 	s := &fleetStart{
+		latency:      latency,
 		simulation:   &simulation{c: c, now: time.Unix(1_000_000, 0), byID: map[models.DaemonID]*daemon{}, cut: map[models.Zone]bool{}, granted: map[models.Zone][]float64{}},
 		registeredAt: map[models.DaemonID]time.Time{},
 	}
@@ -92,14 +105,11 @@
 	for _, d := range s.daemons {
 		d.up, d.lastSent = true, map[models.DaemonID]time.Time{}
 		d.roster = membership.NewRoster(d.Daemon, membership.DefaultPolicy())
-		add(s.now.Add(time.Duration(random.Float64()*float64(startSpread))), func(now time.Time) {
-			s.readRoster(d, now)
-			pause := time.Duration(0)
-			if firstStart && d.roster.ShouldRegister(now) {
-				pause = membership.DefaultPolicy().RegistrationPause(d.CPUCores, random.Float64())
-			}
-			add(now.Add(pause+storeLatency), func(now time.Time) { s.register(d, now, add) })
-		})
+		pause := time.Duration(random.Float64() * float64(startSpread))
+		if firstStart {
+			pause += membership.DefaultPolicy().RegistrationPause(d.CPUCores, random.Float64())
+		}
+		add(s.now.Add(pause+s.latency), func(now time.Time) { s.register(d, now, firstStart, add) })
 	}
 	for len(events) > 0 {
 		first := 0
@@ -118,15 +128,22 @@
 	}
 }
 
-// register registers a daemon if it has to, and lets it read who registered at the same time.
-func (s *fleetStart) register(d *daemon, now time.Time, add func(time.Time, func(time.Time))) {
+// register registers a daemon if it has to, and lets it read who registered at the same time or
+// later.
+func (s *fleetStart) register(d *daemon, now time.Time, inFlux bool, add func(time.Time, func(time.Time))) {
 	s.readRoster(d, now)
 	_, listed := s.registeredAt[d.ID]
-	if !listed && !d.roster.ShouldRegister(now) {
+	mustRegister := listed || d.roster.ShouldRegister(now)
+	if inFlux || mustRegister {
+		add(now.Add(fluxInterval), func(now time.Time) { s.readRoster(d, now) })
+	}
+	if !mustRegister {
 		return
 	}
 	s.calls[d.ID]++
-	s.registeredAt[d.ID] = now.Add(storeLatency)
+	if !listed {
+		s.registeredAt[d.ID] = now.Add(s.latency)
+	}
 	d.roster.MarkRegistered()
 	add(now.Add(settleTime), func(now time.Time) { s.readRoster(d, now) })
 }
