gateway: bound the bytes that are held for requests and responses

Cause: request bodies (4 MB each) and buffered responses (16 MB each) were bounded one by one, not together; callers that send many at once could take a machine of 184 MB beyond its memory.

All together may take 0.15 of the memory. A request that exceeds it is refused while its body is read (not run, with a Retry-After); a response that exceeds it counts as one that may have been run. Streams hold one event each and stop reading while their caller does not read, as before. `lupinkeel_buffered_bytes`, `lupinkeel_buffer_refusals_total`.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -58,7 +58,10 @@
 	// heapMemoryRatio is the fraction of the allowed memory that is set as the garbage
 	// collector's memory limit; the rest is for stacks and buffers.
 	heapMemoryRatio = 0.6
-	megabyte        = 1 << 20
+	// bufferMemoryRatio is the fraction of the allowed memory that requests and responses may take.
+	// Reading them takes up to twice as much.
+	bufferMemoryRatio = 0.15
+	megabyte          = 1 << 20
 	// stallReportDelay is the time after the start during which a daemon does not report groups
 	// as stalled. After this time it knows the requests of the other daemons and has measured a
 	// few hundred pauses between events.
@@ -80,7 +83,8 @@
 	}
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Regions: s.Regions.Map(), Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
-		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace, StallReportDelay: stallReportDelay,
+		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
+		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), StallReportDelay: stallReportDelay,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
 		Stringer("store", s.Store).Bool("strict-keys", s.StrictKeys).Dur("keys-proof", s.MaxKeysProofAge()).Msg("started")
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -74,11 +74,13 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	body, err := io.ReadAll(countedReader{http.MaxBytesReader(e.w, e.r.Body, limit), e.g.buffers, &e.heldBytes})
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return errBodyTooLong
+	case errors.Is(err, errBuffersFull):
+		return errBuffersFull
 	case err != nil:
 		return errors.Join(errBodyIncomplete, err)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,10 +23,12 @@
 	service models.ServiceName
 	owner   models.KeyOwner
 	// zones are the zones whose instances may run the request.
-	zones    zoneFilter
-	body     []byte
-	started  time.Time
-	deadline time.Time
+	zones zoneFilter
+	body  []byte
+	// heldBytes is the number of bytes that are held for the request and its response.
+	heldBytes int
+	started   time.Time
+	deadline  time.Time
 	// tried are the instances that the request was sent to.
 	tried []models.InstanceID
 	// mayHaveRun is set if an instance may have run the request, which then must not be
@@ -62,6 +64,7 @@
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, started: time.Now(), head: platform.DecodeRequest(r.Header)}
 	e.digest = sync.OnceValue(e.computeDigest)
+	defer func() { g.buffers.release(e.heldBytes) }()
 	err := e.admit()
 	if err == nil {
 		err = e.checkQuarantine()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,9 @@
 	RetryRatio   float64
 	RetrySlack   float64
 	RetryWindow  time.Duration
+	// MaxBufferedBytes bounds the bytes of requests and responses that are held at once; 0 sets no
+	// bound.
+	MaxBufferedBytes int64
 	// StopGrace bounds the time that a planned stop takes.
 	StopGrace time.Duration
 	// StallReportDelay is the time after the start during which the gateway does not report stalled
@@ -75,6 +78,7 @@
 	node      Node
 	scheduler *scheduler
 	budget    *retryBudget
+	buffers   *buffers
 	crashes   *crashDetector
 	// stallReportsFrom is when the gateway begins to report stalled groups.
 	stallReportsFrom time.Time
@@ -159,7 +163,8 @@
 func New(cfg Settings, node Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, scheduler: traffic.(*scheduler), stats: newStats(set), set: set,
-		budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
+		buffers: newBuffers(cfg.MaxBufferedBytes, set),
+		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -218,7 +218,7 @@
 
 // forwardFailure forwards a failure response.
 func (s *stream) forwardFailure(resp *h1.Response) error {
-	body, err := readResponse(resp)
+	body, err := s.readResponse(resp)
 	if err != nil {
 		return errors.Join(errMayHaveRun, err)
 	}
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readResponse(resp)
+	body, err := e.readResponse(resp)
 	if err != nil {
 		return errors.Join(errMayHaveRun, err)
 	}
@@ -120,9 +120,9 @@
 }
 
 // readResponse reads a response's body to its end.
-func readResponse(resp *h1.Response) ([]byte, error) {
+func (e *exchange) readResponse(resp *h1.Response) ([]byte, error) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(countedReader{io.LimitReader(resp.Body, maxResponseBytes+1), e.g.buffers, &e.heldBytes})
 	if err != nil {
 		return nil, err
 	}
