cluster: keep the confirmation of the earlier configuration for a new one

Relays hold a long poll of 20 s; the new version counted as confirmed when the poll had been requested, 7 s before, so that its keys were no longer proved until the next heartbeat. It holds for every daemon with a long poll, on all deployments.

Ruled out: heartbeats that did not arrive (other versions were confirmed until then, and no relay was silent). When the earlier version was confirmed as the newest, the new one was not written yet, so that confirmation holds for it as well. TestNewConfigKeepsConfirmation fails before.

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -55,7 +55,12 @@
 		o.n.log.Info().Int64("version", routing.Version).Int64("in-force", old).Str("from", from).Msg("config-older")
 		return
 	}
-	o.config.routing, o.config.data, o.config.confirmedAt, o.config.pending = routing, data, requestedAt, nil
+	o.config.routing, o.config.data, o.config.pending = routing, data, nil
+	if requestedAt.After(o.config.confirmedAt) {
+		// Otherwise the earlier confirmation stays: when the earlier version was the newest, this one
+		// was not written yet. A long poll may have been requested long before it returns a version.
+		o.config.confirmedAt = requestedAt
+	}
 	o.fleet.services, o.fleetStale = routing.Services, true
 	o.n.limits.SetColdRates(coldRates(routing.Services))
 	if o.peers.topology.IsRelay {
--- a/cluster/config_test.go
+++ b/cluster/config_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,3 +48,21 @@
 	o.applyConfig(nil, now.Add(2*time.Second), "store")
 	c.Assert(o.config.confirmedAt.Equal(now.Add(2*time.Second)), qt.IsTrue)
 }
+
+// TestNewConfigKeepsConfirmation checks that a version that a long poll returns, or a peer sends, is
+// as current as the earlier one was. Otherwise keyed requests were rejected after each change until
+// the next heartbeat, since the poll had been requested seconds before.
+func TestNewConfigKeepsConfirmation(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	now := time.Now()
+	o.applyConfig([]byte(`{"Version":7}`), now, "store")
+	for _, from := range []string{"store", "peer"} {
+		version := o.config.routing.Version + 1
+		o.applyConfig(fmt.Appendf(nil, `{"Version":%d}`, version), now.Add(-7*time.Second), from)
+		c.Assert(o.config.routing.Version, qt.Equals, version)
+		c.Assert(o.config.confirmedAt, qt.Equals, now)
+	}
+	o.applyConfig([]byte(`{"Version":10}`), now.Add(time.Second), "store")
+	c.Assert(o.config.confirmedAt, qt.Equals, now.Add(time.Second))
+}
--- a/membership/start_test.go
+++ b/membership/start_test.go
@@ -59,6 +59,7 @@
 		{200, 0, slowStoreLatency}, {400, 10, storeLatency},
 	} {
 		t.Run(fmt.Sprintf("%d-%d-%v", size.perZone, size.strong, size.latency), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			s := newFleetStart(c, size.perZone, size.strong, size.latency)
 			s.startAll(rand.New(rand.NewPCG(uint64(size.perZone), uint64(size.strong))), true)
@@ -73,6 +74,7 @@
 
 // TestRestartOfAll checks the same where all daemons were killed and start again.
 func TestRestartOfAll(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	s := newFleetStart(c, 200, 10, storeLatency)
 	random := rand.New(rand.NewPCG(1, 1))
