gateway: observe each model's base latency

A first event takes longer than the passes of the engine account for, by a constant that the configuration does not contain. Without it, neither supply nor placement can predict whether a request will be late.

--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -40,7 +40,9 @@
 	// failures holds the recent failures of instances.
 	failures map[models.InstanceID]failureCount
 	pauses   map[models.ModelName]*pauseHistogram
-	changed  chan struct{}
+	// bases holds the observed base latency of each model.
+	bases   map[models.ModelName]*baseLatency
+	changed chan struct{}
 }
 
 // decayingRate is a rate whose past decays exponentially.
@@ -62,7 +64,7 @@
 		policy: placement.DefaultPolicy(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		loads: map[models.InstanceID]cluster.Load{}, changeSeqs: map[models.InstanceID]uint64{},
 		demand: map[models.ModelName]*decayingRate{}, arrivals: map[models.ModelName]*decayingRate{}, lastEvents: map[models.InstanceID]time.Time{}, failures: map[models.InstanceID]failureCount{},
-		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauseHistogram{}, changed: make(chan struct{}, 1),
+		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauseHistogram{}, bases: map[models.ModelName]*baseLatency{}, changed: make(chan struct{}, 1),
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -232,6 +232,7 @@
 
 // finishStream completes the response.
 func (s *stream) finishStream() error {
+	s.observeBase()
 	if !s.headSent {
 		s.writeHead(s.current.response.Status, s.current.response.Header)
 	}
