fleet, cluster, gateway: estimate late requests from demand and latency targets

The planner knew the demand as a single figure of work, so that its supply could not take account of latency targets. Heartbeats now hold the rates of requests, prompt and output tokens, latency targets and base latencies for each model; relays sum them up as before. The new fields have new keys: an older version can't decode a struct in the place of its number, and would lose the whole heartbeat.

The planner calibrates the length of responses by Little's law, and estimates the fraction of late requests for a number of groups. Nothing is decided by it yet.

--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -23,7 +23,7 @@
 	demand := o.clusterDemand()
 	total := 0.0
 	for _, m := range engine.Models {
-		total += demand[m.Name] * float64(m.GroupSize)
+		total += float64(demand[m.Name].Work) * float64(m.GroupSize)
 	}
 	if total > 0 {
 		o.fleet.hasTraffic = true
@@ -32,7 +32,7 @@
 	for _, m := range engine.Models {
 		want[m.Name] = m.Share
 		if total > minDemand {
-			want[m.Name] = demand[m.Name] * float64(m.GroupSize) / total
+			want[m.Name] = float64(demand[m.Name].Work) * float64(m.GroupSize) / total
 		}
 	}
 	if o.fleet.demandShares == nil || total <= minDemand {
@@ -44,6 +44,27 @@
 	return maps.Clone(o.fleet.demandShares)
 }
 
+// meanDemand returns the demand of all daemons' callers, as means over the requests for each model.
+func (o *owner) meanDemand() map[models.ModelName]fleet.Demand {
+	out := map[models.ModelName]fleet.Demand{}
+	for model, d := range o.clusterDemand() {
+		if d.Requests <= 0 {
+			continue
+		}
+		mean := fleet.Demand{
+			Rate: float64(d.Requests), Prompt: float64(d.Prompt / d.Requests), Output: float64(d.Output / d.Requests),
+			Target: seconds(d.Target / d.Requests),
+		}
+		if d.Observed > 0 {
+			mean.Base = seconds(d.Base / d.Observed)
+		}
+		out[model] = mean
+	}
+	return out
+}
+
+func seconds(s float32) time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+
 // inFlightSmoothing is the weight of the previous average in the moving average of requests, which
 // is updated at each planning round, twenty times a second: it follows changes within two seconds.
 const inFlightSmoothing = 0.97
@@ -107,7 +128,7 @@
 	for _, m := range engine.Models {
 		busy := int(w.InFlight[m.Name])
 		o.n.log.Info().Str("model", string(m.Name)).Int("groups", len(groups[m.Name])).Int("size", m.GroupSize).Int("in-flight", busy).
-			Float64("demand", w.DemandShares[m.Name]).Float64("work", demand[m.Name]).Int("instances", len(w.Instances)).
+			Float64("demand", w.DemandShares[m.Name]).Float32("work", demand[m.Name].Work).Int("instances", len(w.Instances)).
 			Int("lost", len(w.Unreachable)).Msg("supply")
 	}
 	c := o.fleet.planner.Counts()
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -52,9 +52,8 @@
 	LoadsSince(seen uint64) (map[models.InstanceID]Load, uint64)
 	// Changed receives a value after loads have changed.
 	Changed() <-chan struct{}
-	// Demand returns the demand for each model, in group-seconds per second: how many replica groups
-	// its requests would keep fully busy.
-	Demand() map[models.ModelName]float64
+	// Demand returns the demand of this daemon's callers for each model. The caller may keep the map.
+	Demand() map[models.ModelName]ModelDemand
 }
 
 const (
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -133,7 +133,7 @@
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(),
-		CPUCores:  n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: map[models.ModelName]float32{}, Stalled: v.stalled,
+		CPUCores:  n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
 		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
 		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
 		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
@@ -150,9 +150,6 @@
 			b.Granters = v.Topology.Granters
 		}
 	}
-	for model, demand := range n.traffic.Demand() {
-		b.Demand[model] = float32(demand)
-	}
 	if v.Routing != nil {
 		b.ConfigVersion, b.ConfigAge = v.Routing.Version, n.clock.Since(v.ConfirmedAt)
 	}
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -190,6 +190,10 @@
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Unreachable: map[models.InstanceID]bool{},
 		Unverified: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{}, Evacuated: o.evacuated(),
 	}
+	w.Demand, w.Serving = o.meanDemand(), map[models.ModelName]int{}
+	for model, groups := range o.fleet.serving(now) {
+		w.Serving[model] = len(groups)
+	}
 	// demandShares has updated hasTraffic.
 	w.HasTraffic = o.fleet.hasTraffic
 	for id, i := range o.fleet.instances {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -47,7 +47,7 @@
 	configSource     models.DaemonID
 	configRequesters map[models.DaemonID]bool
 	// zoneDemand is the demand of this node's zone that it sends to other zones, if it is a relay.
-	zoneDemand map[models.ModelName]float32
+	zoneDemand map[models.ModelName]ModelDemand
 	// shouldRegister is set if this daemon has to be registered in the roster.
 	shouldRegister bool
 	// hasPeers is set while heartbeats of other daemons arrive.
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -76,11 +76,12 @@
 	OperatorsEnd models.Position `msgpack:"oe"`
 	// Stalled are the heads that the sender found stalled.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
-	// Demand is the demand of the sender's callers for each model, in group-seconds per second.
-	Demand map[models.ModelName]float32 `msgpack:"w,omitempty"`
+	// Demand is the demand of the sender's callers for each model. Older versions send and expect a
+	// single number for each model as "w", which a struct in its place would make unreadable.
+	Demand map[models.ModelName]ModelDemand `msgpack:"dm,omitempty"`
 	// ZoneDemand is the total Demand of all daemons in the sender's zone. Relays send it to relays of
 	// other zones.
-	ZoneDemand map[models.ModelName]float32 `msgpack:"zw,omitempty"`
+	ZoneDemand map[models.ModelName]ModelDemand `msgpack:"zd,omitempty"`
 	// Grants is, by zone of the instances, the number of daemons for which the sender requests
 	// permits from the receiver. Granters are the granters of permits as the sender, a relay, knows
 	// them. Both are sent only while some instance has a rate limit.
--- a/cluster/zone_demand.go
+++ b/cluster/zone_demand.go
@@ -6,11 +6,46 @@
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
-// The demand for each model, in group-seconds per second, is summed up by zone for the planner.
+// The demand for each model is summed up by zone for the planner.
+
+// ModelDemand is the demand of callers for a model, as sums over the requests of a second.
+type ModelDemand struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Work is in group-seconds: how many replica groups the requests would keep fully busy.
+	Work float32
+	// Requests is the number of requests, Prompt and Output are the tokens of their prompts and the
+	// maximum tokens of the responses that their callers accept.
+	Requests float32
+	Prompt   float32
+	Output   float32
+	// Target are the latency targets, in seconds.
+	Target float32
+	// Base are the base latencies, in seconds, of those requests for which one has been observed,
+	// and Observed is the number of these.
+	Base     float32
+	Observed float32
+}
+
+// Add returns the sum of two demands.
+func (d ModelDemand) Add(o ModelDemand) ModelDemand {
+	return ModelDemand{
+		Work: d.Work + o.Work, Requests: d.Requests + o.Requests, Prompt: d.Prompt + o.Prompt, Output: d.Output + o.Output,
+		Target: d.Target + o.Target, Base: d.Base + o.Base, Observed: d.Observed + o.Observed,
+	}
+}
+
+// Scale returns the demand multiplied by a factor.
+func (d ModelDemand) Scale(factor float64) ModelDemand {
+	f := float32(factor)
+	return ModelDemand{
+		Work: f * d.Work, Requests: f * d.Requests, Prompt: f * d.Prompt, Output: f * d.Output,
+		Target: f * d.Target, Base: f * d.Base, Observed: f * d.Observed,
+	}
+}
 
 // clusterDemand returns the demand of all daemons' callers for each model. The demand of another
 // zone comes from the first of its relays that sends it.
-func (o *owner) clusterDemand() map[models.ModelName]float64 {
+func (o *owner) clusterDemand() map[models.ModelName]ModelDemand {
 	sum := o.zoneDemand()
 	if o.peers.topology.IsMesh {
 		return sum
@@ -29,10 +64,10 @@
 
 // zoneDemand returns the demand of the callers of this zone's daemons for each model; in a mesh, of
 // all daemons.
-func (o *owner) zoneDemand() map[models.ModelName]float64 {
+func (o *owner) zoneDemand() map[models.ModelName]ModelDemand {
 	sum := maps.Clone(o.n.traffic.Demand())
 	if sum == nil {
-		sum = map[models.ModelName]float64{}
+		sum = map[models.ModelName]ModelDemand{}
 	}
 	for _, p := range o.peers.seen {
 		if o.peers.topology.IsMesh || p.heartbeat.Zone == o.n.cfg.Zone {
@@ -42,20 +77,16 @@
 	return sum
 }
 
-func addDemand(sum map[models.ModelName]float64, demand map[models.ModelName]float32) {
-	for model, w := range demand {
-		sum[model] += float64(w)
+func addDemand(sum, demand map[models.ModelName]ModelDemand) {
+	for model, d := range demand {
+		sum[model] = sum[model].Add(d)
 	}
 }
 
 // zoneDemandUpdate returns the zone's demand to be sent to other zones, if this daemon is a relay.
-func (o *owner) zoneDemandUpdate() map[models.ModelName]float32 {
+func (o *owner) zoneDemandUpdate() map[models.ModelName]ModelDemand {
 	if o.peers.topology.IsMesh || !o.peers.topology.IsRelay {
 		return nil
 	}
-	out := map[models.ModelName]float32{}
-	for model, w := range o.zoneDemand() {
-		out[model] = float32(w)
-	}
-	return out
+	return o.zoneDemand()
 }
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -67,6 +67,9 @@
 	// LimitedSlots is the number of slots of each model's groups that can't be used because their
 	// heads announce rate limits.
 	LimitedSlots map[models.ModelName]float64
+	// Demand is the demand of callers for each model, Serving the number of its serving groups.
+	Demand  map[models.ModelName]Demand
+	Serving map[models.ModelName]int
 	// HasTraffic is set once requests have arrived. Until then loads are cheap.
 	HasTraffic bool
 }
@@ -105,8 +108,9 @@
 	warming  map[models.InstanceID]warming
 	arrivals arrivals
 	// converting is the conversion in progress, converted when the last conversion started.
-	converting *conversion
-	converted  time.Time
+	converting  *conversion
+	converted   time.Time
+	calibration calibration
 	// began is when the term began.
 	began time.Time
 	// loadStarts holds when loads were started within loadWindow.
@@ -131,7 +135,7 @@
 		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, startTimes: map[models.InstanceID]time.Time{}, unansweredOpens: map[models.GroupKey]time.Time{}, backoffUntil: map[models.InstanceID]time.Time{},
 		staging: map[models.InstanceID]staging{}, began: now, converted: now,
-		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(),
+		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(), calibration: newCalibration(),
 	}
 }
 
@@ -178,6 +182,7 @@
 	r.arrivals.observe(s.Instances, s.Now)
 	r.detectRestarts()
 	r.pruneState()
+	r.calibration.observe(s)
 	r.advanceFormations()
 	r.advanceWarming()
 	r.evaluateGroups()
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -1,6 +1,68 @@
 package gateway
 
-import "github.com/lupinkeel/lupinkeel/models"
+import (
+	"math"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+// demandRates are the rates of the requests for a model. Their past decays exponentially, with
+// averagingPeriod.
+type demandRates struct {
+	rates   cluster.ModelDemand
+	updated time.Time
+}
+
+// decayed returns the rates now. It may be called on nil.
+func (d *demandRates) decayed(now time.Time) cluster.ModelDemand {
+	if d == nil {
+		return cluster.ModelDemand{}
+	}
+	return d.rates.Scale(math.Exp(-now.Sub(d.updated).Seconds() / averagingPeriod.Seconds()))
+}
+
+// requests returns the rate of requests now. It may be called on nil.
+func (d *demandRates) requests(now time.Time) float64 { return float64(d.decayed(now).Requests) }
+
+// add counts one request.
+func (d *demandRates) add(request cluster.ModelDemand, now time.Time) {
+	d.rates, d.updated = d.decayed(now).Add(request.Scale(1/averagingPeriod.Seconds())), now
+}
+
+// Demand returns the demand of this daemon's callers for each model.
+func (s *scheduler) Demand() map[models.ModelName]cluster.ModelDemand {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[models.ModelName]cluster.ModelDemand, len(s.demand))
+	for model, rates := range s.demand {
+		d := rates.decayed(now)
+		if base := s.bases[model]; base != nil {
+			d.Observed, d.Base = d.Requests, d.Requests*float32(time.Duration(*base).Seconds())
+		}
+		out[model] = d
+	}
+	return out
+}
+
+// addDemand adds a request to the demand for a model.
+func (s *scheduler) addDemand(model models.ModelName, request cluster.ModelDemand) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.demand[model]
+	if d == nil {
+		d = &demandRates{updated: now}
+		s.demand[model] = d
+	}
+	if request.Target == 0 && d.rates.Requests > 0 {
+		// Requests of routes without a latency target must not lower the mean target.
+		request.Target = d.rates.Target / d.rates.Requests
+	}
+	d.add(request, now)
+}
 
 // addDemand adds the request to the demand for its model.
 func (e *exchange) addDemand() {
@@ -12,7 +74,10 @@
 	if !known {
 		return
 	}
-	e.g.scheduler.addDemand(e.head.Model, groupSeconds(service.Engine, profile, e.head))
+	e.g.scheduler.addDemand(e.head.Model, cluster.ModelDemand{
+		Work: float32(groupSeconds(service.Engine, profile, e.head)), Requests: 1,
+		Prompt: float32(e.head.PromptTokens), Output: float32(e.head.OutputTokens), Target: float32(e.route.LatencyTarget.Seconds()),
+	})
 }
 
 // groupSeconds returns how long a request would occupy a whole group, at half of the group's slots
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -149,7 +149,7 @@
 		// Its other requests fail over as well.
 		req.Displaced = max(req.Displaced, s.totalLoadLocked(node, id).Requests)
 	}
-	staleness := placement.Staleness{Age: view.LoadsAge(), Daemons: view.LoadSharers(), RequestRate: s.arrivals[head.Model].decayed(time.Now())}
+	staleness := placement.Staleness{Age: view.LoadsAge(), Daemons: view.LoadSharers(), RequestRate: s.demand[head.Model].requests(time.Now())}
 	index := s.policy.Pick(engine, candidates, req, staleness, s.random)
 	return groups[index], candidates[index].Requests, true
 }
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -12,8 +11,9 @@
 	"github.com/lupinkeel/lupinkeel/placement"
 )
 
-// averagingPeriod is the time constant of the moving averages of demand and arrivals.
-const averagingPeriod = 4 * time.Second
+// averagingPeriod is the time constant of the decaying rates of demand: with 4 s, a burst of 1.6
+// times the usual rate was seen at 38% two seconds after it began.
+const averagingPeriod = 1500 * time.Millisecond
 
 // scheduler tracks the daemon's load at each instance and picks where the next request goes. It is
 // safe for concurrent use.
@@ -30,9 +30,7 @@
 	// changeSeqs holds the sequence number of the last change of each instance's load.
 	changeSeqs map[models.InstanceID]uint64
 	lastSeq    uint64
-	demand     map[models.ModelName]*decayingRate
-	// arrivals is the number of requests per second for each model.
-	arrivals map[models.ModelName]*decayingRate
+	demand     map[models.ModelName]*demandRates
 	// lastEvents holds when the last event was received from each group's head.
 	lastEvents map[models.InstanceID]time.Time
 	// excludedUntil holds until when rate-limited instances must not be picked.
@@ -45,25 +43,11 @@
 	changed chan struct{}
 }
 
-// decayingRate is a rate whose past decays exponentially.
-type decayingRate struct {
-	rate    float64
-	updated time.Time
-}
-
-// decayed returns the rate now. It may be called on nil.
-func (a *decayingRate) decayed(now time.Time) float64 {
-	if a == nil {
-		return 0
-	}
-	return a.rate * math.Exp(-now.Sub(a.updated).Seconds()/averagingPeriod.Seconds())
-}
-
 func newScheduler() *scheduler {
 	return &scheduler{
 		policy: placement.DefaultPolicy(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		loads: map[models.InstanceID]cluster.Load{}, changeSeqs: map[models.InstanceID]uint64{},
-		demand: map[models.ModelName]*decayingRate{}, arrivals: map[models.ModelName]*decayingRate{}, lastEvents: map[models.InstanceID]time.Time{}, failures: map[models.InstanceID]failureCount{},
+		demand: map[models.ModelName]*demandRates{}, lastEvents: map[models.InstanceID]time.Time{}, failures: map[models.InstanceID]failureCount{},
 		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauseHistogram{}, bases: map[models.ModelName]*baseLatency{}, changed: make(chan struct{}, 1),
 	}
 }
@@ -91,36 +75,6 @@
 // Changed yields after loads have changed.
 func (s *scheduler) Changed() <-chan struct{} { return s.changed }
 
-// Demand returns the demand for each model, in seconds of a replica group per second.
-func (s *scheduler) Demand() map[models.ModelName]float64 {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[models.ModelName]float64, len(s.demand))
-	for model, a := range s.demand {
-		out[model] = a.decayed(now)
-	}
-	return out
-}
-
-func (s *scheduler) addDemand(model models.ModelName, seconds float64) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	addToRate(s.demand, model, seconds, now)
-	addToRate(s.arrivals, model, 1, now)
-}
-
-// addToRate adds an amount to the rate of a model.
-func addToRate(averages map[models.ModelName]*decayingRate, model models.ModelName, amount float64, now time.Time) {
-	a := averages[model]
-	if a == nil {
-		a = &decayingRate{updated: now}
-		averages[model] = a
-	}
-	a.rate, a.updated = a.decayed(now)+amount/averagingPeriod.Seconds(), now
-}
-
 // addLoad changes the daemon's load at an instance, and wakes the reader of Changed.
 func (s *scheduler) addLoad(id models.InstanceID, requests, prefillTokens int) {
 	s.mu.Lock()
