--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -112,7 +112,7 @@
 	free, donors := r.freeInstances(), r.donors()
 	for _, to := range r.Profile.Models {
 		for _, domain := range r.allDomains() {
-			if r.converting[domain] != nil || r.Now.Sub(r.converted[domain]) < minConversionInterval {
+			if !r.mayConvert(domain) {
 				continue
 			}
 			if c := r.planConversion(domain, to, free[domain], donors[domain]); c != nil {
@@ -123,6 +123,11 @@
 	return out
 }
 
+// mayConvert reports whether a conversion may start in the domain.
+func (r *round) mayConvert(domain models.Domain) bool {
+	return r.converting[domain] == nil && r.Now.Sub(r.converted[domain]) >= minConversionInterval
+}
+
 // bestConversion returns the conversion with the greatest gain of those that gain enough, nil if
 // there is none.
 func (r *round) bestConversion(options []*conversion) *conversion {
--- a/fleet/cost.go
+++ b/fleet/cost.go
@@ -27,6 +27,11 @@
 	})
 }
 
+// presentCost returns the cost of a supply by the present rates.
+func (r *round) presentCost(s supply) float64 {
+	return r.costAt(s, func(m models.ModelProfile) float64 { return r.Demand[m.Name].Rate })
+}
+
 // costAt returns the cost of a supply for these rates of requests.
 func (r *round) costAt(s supply, rate func(models.ModelProfile) float64) float64 {
 	total := 0.0
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -120,6 +120,8 @@
 	// superseded is set when an instance has seen a newer term.
 	superseded bool
 	counts     Counts
+	// last is the last round.
+	last *round
 }
 
 // pending is the outcome of an order that has not been answered yet.
@@ -194,6 +196,7 @@
 	r.formGroups()
 	r.startConversions()
 	r.prepareSpares()
+	p.last = r
 	p.counts = Counts{Forming: len(p.forming), Ending: len(p.ending), Staging: len(p.staging), Loading: r.loading}
 	for _, ids := range r.freeInstances() {
 		p.counts.Free += len(ids)
