cluster: log what holds back the supply, and count conversions

Operators could not tell why instances were not moved. The supply lines keep their keys and get the target, what was reached, the expected late fraction, base latency, length of responses and the reason; metrics count conversions begun, completed and given up.

--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -114,6 +114,13 @@
 	averages[model] = inFlightSmoothing*averages[model] + (1-inFlightSmoothing)*float64(count)
 }
 
+// countConversions adds the conversions between two counts of one planner to the metrics.
+func (s *stats) countConversions(before, now fleet.ConversionCounts) {
+	s.conversionsBegun.Add(now.Begun - before.Begun)
+	s.conversionsCompleted.Add(now.Completed - before.Completed)
+	s.conversionsGivenUp.Add(now.GivenUp - before.GivenUp)
+}
+
 // supplyLogInterval is how often the planner logs supply and demand.
 const supplyLogInterval = 2 * time.Second
 
@@ -124,14 +131,16 @@
 	}
 	o.fleet.supplyLoggedAt = w.Now
 	groups := o.fleet.serving(w.Now)
-	demand := o.clusterDemand()
+	demand, supply := o.clusterDemand(), o.fleet.planner.Supply()
 	for _, m := range engine.Models {
-		busy := int(w.InFlight[m.Name])
+		busy, s := int(w.InFlight[m.Name]), supply[m.Name]
 		o.n.log.Info().Str("model", string(m.Name)).Int("groups", len(groups[m.Name])).Int("size", m.GroupSize).Int("in-flight", busy).
 			Float64("demand", w.DemandShares[m.Name]).Float32("work", demand[m.Name].Work).Int("instances", len(w.Instances)).
-			Int("lost", len(w.Unreachable)).Msg("supply")
+			Int("lost", len(w.Unreachable)).Float64("rate", w.Demand[m.Name].Rate).Int("target", s.Target).Int("reached", s.Reached).
+			Float64("late", s.Late).Dur("base", s.Base).Float64("length", s.OutputTokens).Str("held", string(s.Held)).Msg("supply")
 	}
-	c := o.fleet.planner.Counts()
+	c, conversions := o.fleet.planner.Counts(), o.fleet.planner.Conversions()
 	o.n.log.Info().Int("forming", c.Forming).Int("ending", c.Ending).Int("staging", c.Staging).Int("loading", c.Loading).
-		Int("free", c.Free).Int("orders", o.fleet.ordersInFlight).Int("questions", o.fleet.probesInFlight).Int("calls-most", o.fleet.callLimit.Max()).Msg("plan")
+		Int("free", c.Free).Int("orders", o.fleet.ordersInFlight).Int("questions", o.fleet.probesInFlight).Int("calls-most", o.fleet.callLimit.Max()).
+		Int("conversions-begun", conversions.Begun).Int("conversions-completed", conversions.Completed).Int("conversions-given-up", conversions.GivenUp).Msg("plan")
 }
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -138,6 +138,8 @@
 	orders        *metrics.Counter
 	reports       *metrics.Counter
 	plans         *metrics.Counter
+	// The conversions count moves of instances between models.
+	conversionsBegun, conversionsCompleted, conversionsGivenUp *metrics.Counter
 	// orderTime and reportTime are the response times of instances to orders and probes.
 	orderTime, reportTime *metrics.Histogram
 	// restarted counts instances that restarted under the same ID, unreadable counts entries that
@@ -189,17 +191,20 @@
 		cfg: cfg, log: log, clock: timer.New(now), traffic: traffic, inbox: make(chan message, inboxLen),
 		started: now.UnixNano(), peerLoads: newPeerLoads(), rosterReady: make(chan struct{}), fallbackDraw: rand.Float64(),
 		stats: &stats{
-			set:           set,
-			missedUpdates: set.NewCounter("lupinkeel_news_missed_total"),
-			storeErrors:   set.NewCounter("lupinkeel_store_errors_total"),
-			orders:        set.NewCounter("lupinkeel_group_orders_total"),
-			reports:       set.NewCounter("lupinkeel_instance_reports_total"),
-			plans:         set.NewCounter("lupinkeel_plans_total"),
-			orderTime:     set.NewHistogram("lupinkeel_order_seconds"),
-			reportTime:    set.NewHistogram("lupinkeel_report_seconds"),
-			restarted:     set.NewCounter("lupinkeel_instance_restarts_total"),
-			unreadable:    set.NewCounter("lupinkeel_unreadable_entries_total"),
-			restores:      set.NewCounter("lupinkeel_store_restores_total"),
+			set:                  set,
+			missedUpdates:        set.NewCounter("lupinkeel_news_missed_total"),
+			storeErrors:          set.NewCounter("lupinkeel_store_errors_total"),
+			orders:               set.NewCounter("lupinkeel_group_orders_total"),
+			reports:              set.NewCounter("lupinkeel_instance_reports_total"),
+			plans:                set.NewCounter("lupinkeel_plans_total"),
+			conversionsBegun:     set.NewCounter("lupinkeel_conversions_begun_total"),
+			conversionsCompleted: set.NewCounter("lupinkeel_conversions_completed_total"),
+			conversionsGivenUp:   set.NewCounter("lupinkeel_conversions_given_up_total"),
+			orderTime:            set.NewHistogram("lupinkeel_order_seconds"),
+			reportTime:           set.NewHistogram("lupinkeel_report_seconds"),
+			restarted:            set.NewCounter("lupinkeel_instance_restarts_total"),
+			unreadable:           set.NewCounter("lupinkeel_unreadable_entries_total"),
+			restores:             set.NewCounter("lupinkeel_store_restores_total"),
 		},
 	}
 	n.conns = h1.NewPool(dialTimeout, nil)
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -137,8 +137,10 @@
 	o.probeUnverified(name, now)
 	snapshot := o.planningSnapshot(name, engine, now)
 	o.n.stats.plans.Inc()
-	o.logSupply(engine, snapshot)
+	before := f.planner.Conversions()
 	f.orders = append(f.orders, f.planner.Step(snapshot)...)
+	o.n.stats.countConversions(before, f.planner.Conversions())
+	o.logSupply(engine, snapshot)
 	o.sendOrders()
 }
 
