fleet: test that planning is deterministic

The conversions in progress are a map, and so are groups, formations and endings: a planner that follows their order takes other members in each run.

--- a/fleet/shift_test.go
+++ b/fleet/shift_test.go
@@ -157,3 +157,18 @@
 	s.run(simStep)
 	c.Assert(p.Supply()["small"].Held, qt.Equals, HeldNoStagedHosts)
 }
+
+// TestPlanningIsDeterministic checks that the same inputs give the same groups, members and epochs.
+// Decisions that follow the order of a map can't be replayed from a log.
+func TestPlanningIsDeterministic(t *testing.T) {
+	c := qt.New(t)
+	run := func() map[models.GroupKey][]models.InstanceID {
+		s := newQuietDay(c)
+		for range 4 {
+			s.run(2 * time.Second)
+			s.killMember()
+		}
+		return s.memberLists
+	}
+	c.Assert(run(), qt.DeepEquals, run())
+}
