gateway: place and hedge by predicted first events

Each daemon sees how late the first events of a group are, but picked groups by load alone, and hedged streams after three quarters of the latency target, whatever the load of their group: too early at loaded groups, and too late for another group to answer in time.

The scheduler now keeps each group's slowness until the group is gone, and passes it, the base latency and the time left to the pick. A group is of unknown speed until its first event has arrived at this daemon, and while its head is cold; its epoch does not tell when it was formed. A first event is waited for until it is later than predicted by two standard deviations; a group that makes progress is hedged only while another one is predicted to be in time. The retry budget is unchanged.

--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -72,6 +72,13 @@
 	return min(l.limits.Rate(i, now), l.cold.Rate(i, now))
 }
 
+// IsCold reports whether an instance announced that it is cold.
+func (l *Limits) IsCold(i models.UpstreamInstance, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.Contains(i, now)
+}
+
 // SetColdRates sets the rates of cold instances by service. Services without one are left out.
 func (l *Limits) SetColdRates(rates map[models.ServiceName]float64) {
 	l.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,8 +34,9 @@
 	// readTimeout is called when nothing is received from the group.
 	readTimeout h1.StallPolicy
 
-	response *h1.Response
-	events   *sse.Reader
+	response  *h1.Response
+	events    *sse.Reader
+	predicted prediction
 	// prefillTokens are the prompt's tokens that wait for prefill: all until the first event, then
 	// 0.
 	prefillTokens int
@@ -56,6 +57,7 @@
 		s: s, group: group, permit: dest.permit, resume: s.lastID, resumed: s.hasLast, prefillTokens: s.head.PromptTokens, sentAt: time.Now(),
 	}
 	a.ctx, a.cancel = context.WithCancel(s.ctx)
+	a.predicted = s.g.scheduler.predict(s.g.node, s.engine(), group, s.head, s.route.LatencyTarget)
 	s.markTried(group.Head)
 	s.g.scheduler.addLoad(group.Head.ID, 1, a.prefillTokens)
 	return a
@@ -70,6 +72,7 @@
 		}
 	}
 	a.cancel()
+	a.s.g.scheduler.endPrediction(a.group.Key, a.predicted, false)
 	a.s.g.scheduler.addLoad(a.group.Head.ID, -1, -a.prefillTokens)
 	a.prefillTokens = 0
 }
@@ -132,6 +135,7 @@
 	balance.noteEvent(head)
 	now := time.Now()
 	if a.lastEvent.IsZero() {
+		balance.endPrediction(a.group.Key, a.predicted, true)
 		balance.addLoad(head, 0, -a.prefillTokens)
 		a.prefillTokens = 0
 	} else {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -11,8 +11,11 @@
 	// hedgePollInterval is how often an attempt checks its hedge.
 	hedgePollInterval = 8 * time.Millisecond
 	// firstEventFraction is the part of the latency target within which the first event is waited
-	// for at a head about which nothing else is known.
+	// for if it is not predicted.
 	firstEventFraction = 0.75
+	// overdueSpreads is by how many standard deviations a first event is later than predicted before
+	// it is overdue: 1 in 40 is by chance.
+	overdueSpreads = 2
 	// fullFraction is the part of a group's slots above which a request may be queued there: the
 	// loads that other daemons report are up to a second old, and requests are queued from 0.95 of
 	// the slots on.
@@ -127,7 +130,8 @@
 		return stallTimeout - silence
 	}
 	suspect := s.g.node.View().Suspects[a.group.Head.ID]
-	if !suspect && !s.isStalled(a, stallTimeout) {
+	stalled := suspect || s.isStalled(a, stallTimeout)
+	if !stalled && !s.isOverdue(a, time.Now()) {
 		return stallPollInterval
 	}
 	if !s.mayRetry() || s.quarantineStatus().NeedsIsolation() {
@@ -135,6 +139,10 @@
 		return idlePollInterval
 	}
 	dest, free := s.findUnlimitedGroup()
+	if !stalled && !(free && s.wouldBeInTime(dest.group)) {
+		// The first attempt may still answer as soon as any other group.
+		return stallPollInterval
+	}
 	if !free {
 		// Permits are scarce, and the first attempt may still continue: groups that need one come
 		// second.
@@ -174,6 +182,28 @@
 	return full || (load.Requests >= minWatchers && waited < time.Duration(watchedWaitFactor*float64(s.route.LatencyTarget)))
 }
 
+// firstEventTimeout returns how long the attempt's first event is waited for: until it is overdue, if
+// it was predicted, but not so long that it is late anyway.
+func (s *stream) firstEventTimeout(a *streamAttempt) time.Duration {
+	if !a.predicted.known() {
+		return time.Duration(firstEventFraction * float64(s.route.LatencyTarget))
+	}
+	return min(a.predicted.overdueAfter(), time.Duration(watchedWaitFactor*float64(s.route.LatencyTarget)))
+}
+
+// isOverdue reports whether the attempt's first event is later than predicted by more than first
+// events vary, but not late yet.
+func (s *stream) isOverdue(a *streamAttempt, now time.Time) bool {
+	return a.lastEvent.IsZero() && !s.headSent && a.predicted.known() &&
+		now.Sub(a.sentAt) >= a.predicted.overdueAfter() && now.Before(s.started.Add(s.route.LatencyTarget))
+}
+
+// wouldBeInTime reports whether the stream's first event is predicted to be in time at a group.
+func (s *stream) wouldBeInTime(group cluster.Group) bool {
+	first, known := s.g.scheduler.firstEvent(s.g.node, s.engine(), group, s.head.Model)
+	return known && first <= s.criteria().timeLeft
+}
+
 // isStalled reports whether the attempt's group has been silent for long enough to start a hedge.
 // It reports the group to the other daemons if it is surely stalled.
 func (s *stream) isStalled(a *streamAttempt, stallTimeout time.Duration) bool {
@@ -183,7 +213,7 @@
 	case s.g.scheduler.silence(head, now) < stallTimeout:
 		// The group makes progress; only this request waits.
 		return false
-	case awaitsFirst && waited < time.Duration(firstEventFraction*float64(s.route.LatencyTarget)):
+	case awaitsFirst && waited < s.firstEventTimeout(a):
 		// The first event may still be on its way.
 		return false
 	case awaitsFirst && s.isWatched(a.group, waited):
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -109,6 +109,8 @@
 	// isolationIndex picks one of several groups or instances for an isolated request; it is nil for
 	// others.
 	isolationIndex func(places int) int
+	// timeLeft is the time until the first event is due, 0 if it is late already or was sent.
+	timeLeft time.Duration
 	// unlimitedOnly excludes groups whose heads have a rate limit.
 	unlimitedOnly bool
 	// zones are the zones whose groups may run the request.
@@ -122,34 +124,38 @@
 	if len(s.tried) > 0 {
 		criteria.latencyTarget = 0
 	}
+	if !s.headSent {
+		criteria.timeLeft = max(0, time.Until(s.started.Add(s.route.LatencyTarget)))
+	}
 	return criteria
 }
 
 // pickGroup returns a group that was not tried and is expected to answer soon, and how many
 // requests it has.
 func (s *scheduler) pickGroup(node Node, engine *models.EngineProfile, criteria groupCriteria) (cluster.Group, int, bool) {
-	head, tried := criteria.head, criteria.tried
+	head, tried, now := criteria.head, criteria.tried, time.Now()
+	base, model, _ := s.baseOf(engine, head.Model)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := node.View()
-	groups := s.eligible(node, view.Groups[head.Model], criteria, time.Now())
+	groups := s.eligible(node, view.Groups[head.Model], criteria, now)
 	if len(groups) == 0 {
 		return cluster.Group{}, 0, false
 	}
 	candidates := make([]placement.Candidate, len(groups))
 	for i, g := range groups {
-		candidates[i] = s.candidate(node, g)
+		candidates[i] = s.candidate(node, g, now)
 	}
 	if criteria.isolationIndex != nil {
 		index := s.pickIsolated(engine, groups, candidates, criteria.isolationIndex)
 		return groups[index], candidates[index].Requests, true
 	}
-	req := placement.Request{PromptTokens: head.PromptTokens, LatencyTarget: criteria.latencyTarget, RouteTarget: criteria.routeTarget, Displaced: 1}
+	req := placement.Request{PromptTokens: head.PromptTokens, LatencyTarget: criteria.latencyTarget, RouteTarget: criteria.routeTarget, Displaced: 1, Model: model, Base: base, TimeLeft: criteria.timeLeft}
 	for _, id := range tried {
 		// Its other requests fail over as well.
 		req.Displaced = max(req.Displaced, s.totalLoadLocked(node, id).Requests)
 	}
-	staleness := placement.Staleness{Age: view.LoadsAge(), Daemons: view.LoadSharers(), RequestRate: s.arrivals[head.Model].decayed(time.Now())}
+	staleness := placement.Staleness{Age: view.LoadsAge(), Daemons: view.LoadSharers(), RequestRate: s.arrivals[head.Model].decayed(now)}
 	index := s.policy.Pick(engine, candidates, req, staleness, s.random)
 	return groups[index], candidates[index].Requests, true
 }
@@ -173,10 +179,11 @@
 }
 
 // candidate returns the placement candidate of a group. The scheduler must be locked.
-func (s *scheduler) candidate(node Node, g cluster.Group) placement.Candidate {
+func (s *scheduler) candidate(node Node, g cluster.Group, now time.Time) placement.Candidate {
 	load := s.totalLoadLocked(node, g.Head.ID)
 	return placement.Candidate{
 		Requests: load.Requests, PrefillTokens: load.PrefillTokens, SameZone: g.Head.Zone == s.zone, Failures: s.penalty(node, g.Head),
+		Slowness: s.slownessFactor(g.Key, now), Unproven: s.isUnproven(node, g, now),
 	}
 }
 
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -41,8 +41,10 @@
 	failures map[models.InstanceID]failureCount
 	pauses   map[models.ModelName]*pauseHistogram
 	// bases holds the observed base latency of each model.
-	bases   map[models.ModelName]*baseLatency
-	changed chan struct{}
+	bases map[models.ModelName]*baseLatency
+	// slowness holds the observed slowness of each group.
+	slowness map[models.GroupKey]*placement.Slowness
+	changed  chan struct{}
 }
 
 // decayingRate is a rate whose past decays exponentially.
@@ -64,7 +66,7 @@
 		policy: placement.DefaultPolicy(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		loads: map[models.InstanceID]cluster.Load{}, changeSeqs: map[models.InstanceID]uint64{},
 		demand: map[models.ModelName]*decayingRate{}, arrivals: map[models.ModelName]*decayingRate{}, lastEvents: map[models.InstanceID]time.Time{}, failures: map[models.InstanceID]failureCount{},
-		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauseHistogram{}, bases: map[models.ModelName]*baseLatency{}, changed: make(chan struct{}, 1),
+		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauseHistogram{}, bases: map[models.ModelName]*baseLatency{}, slowness: map[models.GroupKey]*placement.Slowness{}, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -155,8 +157,8 @@
 	return now.Sub(s.lastEvents[id])
 }
 
-// prune drops the state of instances that are gone.
-func (s *scheduler) prune(known map[models.InstanceID]models.UpstreamInstance) {
+// prune drops the state of instances and groups that are gone.
+func (s *scheduler) prune(known map[models.InstanceID]models.UpstreamInstance, groups map[models.ModelName][]cluster.Group) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gone := func(id models.InstanceID) bool {
@@ -167,6 +169,7 @@
 	maps.DeleteFunc(s.lastEvents, func(id models.InstanceID, _ time.Time) bool { return gone(id) })
 	maps.DeleteFunc(s.failures, func(id models.InstanceID, _ failureCount) bool { return gone(id) })
 	maps.DeleteFunc(s.excludedUntil, func(id models.InstanceID, _ time.Time) bool { return gone(id) })
+	s.pruneSlowness(groups)
 	maps.DeleteFunc(s.changeSeqs, func(id models.InstanceID, _ uint64) bool { return gone(id) })
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -112,7 +112,7 @@
 				limitsFor = v
 			}
 			g.conns.Sweep(tick.At)
-			g.scheduler.prune(v.Instances)
+			g.scheduler.prune(v.Instances, v.Groups)
 			g.crashes.sweep(tick.At)
 			g.node.Quarantine().Prune()
 			g.node.Limits().Prune(v.Instances)
--- a/ratelimit/cold.go
+++ b/ratelimit/cold.go
@@ -44,16 +44,21 @@
 // Rate returns the requests per second that an instance may get from all daemons together, if it is
 // cold.
 func (c *Cold) Rate(i models.UpstreamInstance, now time.Time) float64 {
-	k, known := c.instances[i.ID]
-	if !known || !now.Before(k.until) || k.instance.CompareIncarnation(i.StartedAt) != models.SameIncarnation {
+	if !c.Contains(i, now) {
 		return models.NoRateLimit
 	}
-	if rate := c.rates[k.instance.Service]; rate > 0 {
+	if rate := c.rates[c.instances[i.ID].instance.Service]; rate > 0 {
 		return rate
 	}
 	return models.NoRateLimit
 }
 
+// Contains reports whether an instance is cold.
+func (c *Cold) Contains(i models.UpstreamInstance, now time.Time) bool {
+	k, known := c.instances[i.ID]
+	return known && now.Before(k.until) && k.instance.CompareIncarnation(i.StartedAt) == models.SameIncarnation
+}
+
 // Count returns the number of cold instances.
 func (c *Cold) Count(now time.Time) int {
 	n := 0
