admission: order, reject and hold waiting requests

A request that finds all groups full has been queued for a fixed time, whatever its rank and remaining time, and late requests take the slots of those that could be in time. The queue now decides by time left, rank, predicted first event, and how many daemons may take the same slots.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,6 +1,12 @@
 // Package admission decides which of a model's waiting requests run now, which wait and which are
 // rejected, from the model's capacity as a daemon knows it. It is pure: it has no clock, no
 // network and no goroutines, and randomness is passed in.
+//
+// Requests that can still be in time go first, by rank and then by remaining time. Late ones take
+// the slots that are left, the newest first, and one of several admissions in any case. What can't
+// be served before its deadline, or can't be in time and finds no slot, is rejected at once, and no
+// request waits for longer than a slot may still help it. Where loads are known with a delay, each
+// daemon admits only the part of the free slots that other daemons leave on average.
 package admission
 
 import (
@@ -94,30 +100,41 @@
 	// RetryFraction is the part of its remaining time after which a caller is told to retry at the
 	// latest.
 	RetryFraction float64
+	// MaxLoadsAge is the age from which on other daemons' loads are not used, 0 for none: requests
+	// are then admitted by free slots alone.
+	MaxLoadsAge time.Duration
 }
 
 // DefaultPolicy returns the parameters in use.
 func DefaultPolicy() Policy {
 	return Policy{
-		// A caller that is rejected early may still succeed in time elsewhere. Half of the time from
-		// the first event to a target is spent on the network and the engine; an eighth leaves the
-		// caller more than the usual time of a first event.
+		// Answers overloads: a caller that is rejected early may succeed in time elsewhere. Seven
+		// eighths of the target are more than a group that is not full takes for the first event,
+		// which was up to 0.84 of the target.
 		WaitFraction: 0.125,
-		// Where latency can't be predicted, requests wait for as long as before predictions existed.
+		// Where latency can't be predicted, requests wait for as long as they did before predictions
+		// existed.
 		UnpredictedWaitFraction: 0.22,
-		// Late responses are worth a tenth to a third of those in time, so that an eighth of the
-		// slots costs little and lets every late request run eventually.
+		// Answers overloads that last: late requests would get no slot while others take all. Late
+		// responses are worth a tenth to a third of those in time, so that one of eight costs little.
 		LateInterval: 8,
-		// A rank that gets less than a quarter of the common ratio is starved, not just less urgent.
+		// Answers overloads by urgent requests: others would get nothing. A rank with more than a
+		// quarter of the common ratio is less urgent, but not starved.
 		FairFraction: 0.25,
-		// A burst lasts some seconds; fairness is judged within it.
+		// Bursts last 3 to 6 s. A shorter time counts too few requests of one daemon, a longer one
+		// still counts admissions from before the burst.
 		RatioPeriod: 2 * time.Second,
-		// A group of 20 slots with requests of 1.2 s completes one about every 60 ms, but an overload
-		// of all groups lasts longer, and most callers retry only once.
+		// Answers callers that retry into the same overload. A group of 20 slots with requests of
+		// 1.2 s completes one about every 60 ms, but an overload of all groups lasts longer, and most
+		// callers retry only once.
 		MinRetryAfter: 300 * time.Millisecond,
-		// Callers that were rejected together should not retry together.
-		RetryJitter: 200 * time.Millisecond,
+		// Callers that were rejected together should not retry together. The range is that used
+		// before predictions existed.
+		RetryJitter: 500 * time.Millisecond,
 		// Callers honour up to a third of their remaining time.
 		RetryFraction: 1.0 / 3,
+		// Answers lost updates: requests last a second or so, and with them the loads that were
+		// reported.
+		MaxLoadsAge: time.Second,
 	}
 }
