admission: keep wrong predictions from rejecting every request

A first event that was once later than the callers' deadlines would have had all requests rejected, so that none could correct the prediction. One of eight now runs while slots are free. Without a prediction, slots alone decide, however old loads are.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -90,6 +90,9 @@
 	UnpredictedWaitFraction float64
 	// LateInterval is the number of admissions of which one is of a late request, while any waits.
 	LateInterval int
+	// ProbeInterval is the number of requests that are predicted to miss their deadlines of which one
+	// is admitted nevertheless, while slots are free.
+	ProbeInterval int
 	// FairFraction is the fraction of the common admission ratio that each rank gets.
 	FairFraction float64
 	// RatioPeriod is the time constant with which arrivals and admissions by rank are forgotten.
@@ -118,6 +121,9 @@
 		// Answers overloads that last: late requests would get no slot while others take all. Late
 		// responses are worth a tenth to a third of those in time, so that one of eight costs little.
 		LateInterval: 8,
+		// Answers predictions that are wrong, such as those after a single first event that was very
+		// late. Where slots are free, a right prediction hardly ever exceeds a deadline.
+		ProbeInterval: 8,
 		// Answers overloads by urgent requests: others would get nothing. A rank with more than a
 		// quarter of the common ratio is less urgent, but not starved.
 		FairFraction: 0.25,
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -16,6 +16,8 @@
 	// sinceLate is the number of admissions since the last late request was admitted, at most
 	// Policy.LateInterval.
 	sinceLate int
+	// hopeless is the number of requests that were rejected by ErrDeadline since one was spared.
+	hopeless int
 }
 
 // entry is a waiting request.
@@ -47,8 +49,8 @@
 // take the request out of the queue. It judges all requests by the given time alone, so that a
 // daemon that was suspended rejects those whose time is past.
 func (q *Queue) Decide(now time.Time, c Capacity, random *rand.Rand) []Decision {
-	if q.policy.MaxLoadsAge > 0 && c.LoadsAge > q.policy.MaxLoadsAge {
-		// The predictions and the other daemons' loads are worthless; own loads count slots.
+	if c.FirstEvent <= 0 || (q.policy.MaxLoadsAge > 0 && c.LoadsAge > q.policy.MaxLoadsAge) {
+		// Nothing can be predicted; free slots alone decide.
 		c.FirstEvent, c.SlotsInTime, c.LoadsAge = 0, c.Slots, 0
 	}
 	r := &round{Queue: q, now: now, c: c, random: random}
@@ -105,22 +107,27 @@
 	r.c.SlotsInTime, r.c.Slots = max(0, r.c.SlotsInTime-1), max(0, r.c.Slots-1)
 }
 
-// rejectHopeless rejects the requests that no group can serve before their deadline.
+// rejectHopeless rejects the requests that no group can serve before their deadline. While slots
+// are free, it spares one of ProbeInterval whose deadline is not past: with a wrong prediction no
+// request would run that could correct it.
 func (r *round) rejectHopeless() {
 	r.waiting = slices.DeleteFunc(r.waiting, func(e *entry) bool {
-		hopeless := e.hopeless(r.now, r.c)
-		if hopeless {
-			r.reject(e, ErrDeadline)
+		if r.now.Add(r.c.FirstEvent).Before(e.Deadline) {
+			return false
 		}
-		return hopeless
+		if r.now.Before(e.Deadline) && r.c.Slots > 0 && r.policy.ProbeInterval > 0 && r.hopeless >= r.policy.ProbeInterval-1 {
+			r.hopeless = 0
+			r.decide(e, Run{})
+			r.shares.admit(e.Rank)
+			r.takeSlot()
+			return true
+		}
+		r.hopeless++
+		r.reject(e, ErrDeadline)
+		return true
 	})
 }
 
-// hopeless reports whether the request's first event is expected after its deadline.
-func (e *entry) hopeless(now time.Time, c Capacity) bool {
-	return !now.Add(c.FirstEvent).Before(e.Deadline)
-}
-
 // split returns the waiting requests that can still be in time and those that can't, each in the
 // order in which they are admitted.
 func (r *round) split() (inTime, late []*entry) {
