gateway: decide waiting streams by queues

A stream that found all groups full polled every 20 ms for 0.22 of its latency target, in no order. One queue per model and set of homes now decides by package admission when a request arrives, when one of the daemon's own ends, on clock ticks, and when a wait ends. A request that finds a free slot is decided in its own goroutine.

Streams that were sent before, must be isolated or have no latency target wait as before, but are woken rather than polling. Without a base latency groups take slots + 2 requests, as before.

Rejections are logged as request-rejected, waits of over an eighth of the target as request-waited, and both are counted.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,6 +72,7 @@
 	a.cancel()
 	a.s.g.scheduler.addLoad(a.group.Head.ID, -1, -a.prefillTokens)
 	a.prefillTokens = 0
+	a.s.g.queues.requestEnded(a.s.head.Model)
 }
 
 // open sends the request and reads the head of the response.
--- /dev/null
+++ b/gateway/capacity.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/admission"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/placement"
+)
+
+// groupsCapacity is what the groups that may run a queue's requests can take.
+type groupsCapacity struct {
+	admission.Capacity
+	// groups is the number of these groups.
+	groups int
+}
+
+// horizon is the time within which first events count as in time: the longest remaining time of a
+// queue's requests. Each request's own time is compared with the prediction for the best group.
+type horizon time.Duration
+
+// capacity returns what the groups that may run a request with these criteria can take now. Without
+// a known base latency nothing is predicted, and slots alone count.
+func (s *scheduler) capacity(node Node, engine *models.EngineProfile, criteria groupCriteria, within horizon) groupsCapacity {
+	now, name := time.Now(), criteria.head.Model
+	base, known := s.baseLatency(name)
+	view := node.View()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: view.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.arrivals[name].decayed(now)}}
+	model, profiled := engine.Model(name)
+	predicts := known && profiled && engine.StepTime > 0 && engine.PrefillTokensPerSecond > 0
+	for _, g := range s.eligible(node, view.Groups[name], criteria, now) {
+		c, free := s.candidate(node, g), 0
+		out.groups++
+		for s.policy.HasCapacity(engine, c.Requests+free) {
+			free++
+		}
+		if !predicts {
+			out.Slots += free
+			out.SlotsInTime += free
+			continue
+		}
+		inTime := s.slotsInTime(engine, model, base, c, free, within)
+		out.SlotsInTime += inTime
+		out.Slots += max(inTime, min(free, engine.Slots-c.Requests))
+		// A request that waits in the queue is sent once a slot is free.
+		c.Requests = min(c.Requests, engine.Slots-1)
+		if first := s.firstEvent(engine, model, base, c); out.FirstEvent == 0 || first < out.FirstEvent {
+			out.FirstEvent = first
+		}
+	}
+	return out
+}
+
+// slotsInTime returns how many of a group's free slots can be filled with requests whose first event
+// is in time.
+func (s *scheduler) slotsInTime(engine *models.EngineProfile, model models.ModelProfile, base time.Duration, c placement.Candidate, free int, within horizon) int {
+	for n := range free {
+		if s.firstEvent(engine, model, base, c) > time.Duration(within) {
+			return n
+		}
+		c.Requests++
+	}
+	return free
+}
+
+// firstEvent predicts the time to the first event of a request that is sent to a group. The policy's
+// cost of a queued request stands for the wait for a slot.
+func (s *scheduler) firstEvent(engine *models.EngineProfile, model models.ModelProfile, base time.Duration, c placement.Candidate) time.Duration {
+	prefill := time.Duration(model.TimeFactor * float64(engine.PrefillTime(c.PrefillTokens)))
+	first := base + passesBeforeFirst(engine, model, c.Requests) + prefill
+	if c.Requests >= engine.Slots {
+		first += time.Duration(c.Requests-engine.Slots+1) * s.policy.QueuedRequestCost
+	}
+	return first
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/admission"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 	"github.com/lupinkeel/lupinkeel/quarantine"
@@ -49,6 +50,8 @@
 	rejections atomic.Int32
 	// available is when the request could be sent, if that is after the deadline for waiting.
 	available availability
+	// rejected is set if the queue of the request's model rejected it.
+	rejected *admission.Reject
 	// digest returns the hash of the request's content. It is safe for concurrent use.
 	digest func() quarantine.Digest
 	// digestUsed is set once the digest was computed.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,7 @@
 	node      Node
 	scheduler *scheduler
 	budget    *retryBudget
+	queues    *queues
 	buffers   *buffers
 	crashes   *crashDetector
 	// stallReportsFrom is when the gateway begins to report stalled groups.
@@ -103,6 +104,7 @@
 	resumes     *metrics.Counter
 	connsOpened *metrics.Counter
 	firstByte   *metrics.Histogram
+	verdicts    verdictCounter
 	inFlight    atomic.Int64
 	// ownZone and otherZone count the bytes of connections to upstreams by zone.
 	ownZone   byteMeter
@@ -117,8 +119,8 @@
 		backoffRejections:    set.NewCounter("lupinkeel_rest_refusals_total"),
 		rejections:           set.NewCounter("lupinkeel_turned_away_total"),
 		resumes:              set.NewCounter("lupinkeel_stream_resumes_total"), connsOpened: set.NewCounter("lupinkeel_upstream_connections_total"),
-		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"),
-		ownZone:   newByteMeter(set, "own"), otherZone: newByteMeter(set, "other"),
+		firstByte: set.NewHistogram("lupinkeel_first_byte_seconds"), verdicts: verdictCounter{set},
+		ownZone: newByteMeter(set, "own"), otherZone: newByteMeter(set, "other"),
 	}
 	set.NewGauge("lupinkeel_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
 	for _, o := range outcomes {
@@ -166,6 +168,7 @@
 		buffers: newBuffers(cfg.MaxBufferedBytes, set),
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
+	g.queues = newQueues(g)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(dialTimeout, g.connOpened)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -80,6 +80,8 @@
 	case errors.Is(err, errAllBackingOff):
 		e.g.stats.backoffRejections.Inc()
 		platform.SetRetryAfter(e.w.Header(), retryAfterBackoff(e.available, rank(e.owner.Priority, e.route.Priority), time.Now()))
+	case e.rejected != nil:
+		platform.SetRetryAfter(e.w.Header(), e.rejected.RetryAfter)
 	default:
 		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
@@ -151,7 +153,7 @@
 
 // isNotRun reports whether the error means that no instance ran the request.
 func isNotRun(err error) bool {
-	for _, reason := range []error{errNotRun, errAllFull, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errLastInstance} {
+	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errLastInstance} {
 		if errors.Is(err, reason) {
 			return true
 		}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,14 +11,6 @@
 	"github.com/lupinkeel/lupinkeel/placement"
 )
 
-const (
-	// queuePollInterval is how often a queued request looks for a group with capacity.
-	queuePollInterval = 20 * time.Millisecond
-	// queueFraction is the part of its latency target for which a request is queued: a rejection must
-	// be early enough for the caller to succeed elsewhere.
-	queueFraction = 0.22
-)
-
 // findGroup returns the best group that was not tried, if any, and whether it has capacity. If the
 // group's head has a rate limit, the target includes a permit.
 func (s *stream) findGroup() (dest target, found, free bool) {
@@ -28,7 +19,7 @@
 		return dest, false, false
 	}
 	for range maxPermitRequests {
-		group, load, found := s.g.scheduler.pickGroup(s.g.node, engine, s.criteria())
+		group, load, found := s.pickFreeGroup(engine)
 		if found && len(s.tried) == 0 {
 			s.pickedLoad = load
 		}
@@ -43,6 +34,21 @@
 	return dest, false, false
 }
 
+// pickFreeGroup returns the best group. If it is full, it returns the best one with capacity instead,
+// if there is any: a random pick among similar groups may be a full one.
+func (s *stream) pickFreeGroup(engine *models.EngineProfile) (group cluster.Group, load int, found bool) {
+	criteria := s.criteria()
+	group, load, found = s.g.scheduler.pickGroup(s.g.node, engine, criteria)
+	if !found || s.headSent || s.g.scheduler.policy.HasCapacity(engine, load) {
+		return group, load, found
+	}
+	criteria.maxLoad = engine.Slots + s.g.scheduler.policy.ExtraSlots
+	if other, otherLoad, free := s.g.scheduler.pickGroup(s.g.node, engine, criteria); free {
+		return other, otherLoad, true
+	}
+	return group, load, found
+}
+
 // findUnlimitedGroup is findGroup for groups whose heads have no rate limit.
 func (s *stream) findUnlimitedGroup() (dest target, free bool) {
 	engine := s.engine()
@@ -65,40 +71,6 @@
 	return out
 }
 
-// awaitGroup waits for a group with capacity. A stream whose response has begun takes any group,
-// and waits as long as its caller tolerates a pause. It does not wait if no permit and no end of a
-// backoff comes in time.
-func (s *stream) awaitGroup() (target, error) {
-	until := s.started.Add(time.Duration(queueFraction * float64(s.route.LatencyTarget)))
-	if s.headSent {
-		until = s.lastEvent.Add(s.route.EventGapTarget)
-	}
-	for {
-		dest, found, free := s.findGroup()
-		if free || (found && s.headSent) {
-			return dest, nil
-		}
-		next, opens := availability{}, false
-		if !found {
-			next, opens = s.g.scheduler.nextAvailability(s.g.node, s.heads(), s.tried)
-		}
-		switch {
-		case opens && next.at.After(until):
-			s.available = next
-			return dest, next.err
-		case time.Now().After(until) && found:
-			return dest, errAllFull
-		case time.Now().After(until):
-			return dest, errNoInstance
-		}
-		select {
-		case <-s.ctx.Done():
-			return dest, errors.Join(errNoInstance, s.ctx.Err())
-		case <-time.After(queuePollInterval):
-		}
-	}
-}
-
 // groupCriteria are a request's criteria for the group that is picked for it.
 type groupCriteria struct {
 	head models.RequestHead
@@ -111,6 +83,8 @@
 	isolationIndex func(places int) int
 	// unlimitedOnly excludes groups whose heads have a rate limit.
 	unlimitedOnly bool
+	// maxLoad excludes groups with this number of requests or more, unless it is 0.
+	maxLoad int
 	// zones are the zones whose groups may run the request.
 	zones zoneFilter
 }
@@ -185,6 +159,7 @@
 func (s *scheduler) eligible(node Node, groups []cluster.Group, criteria groupCriteria, now time.Time) []cluster.Group {
 	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
 		return !criteria.zones.permits(g.Head.Zone) || slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
+			(criteria.maxLoad > 0 && s.totalLoadLocked(node, g.Head.ID).Requests >= criteria.maxLoad) ||
 			(criteria.unlimitedOnly && node.Limits().Rate(g.Head, now) != models.NoRateLimit)
 	})
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,7 +44,7 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	tasks := []task.Task{task.Start(background, "sweep", g.sweep)}
+	tasks := []task.Task{task.Start(background, "sweep", g.sweep), task.Start(background, "queues", g.queues.run)}
 	for addr, server := range servers {
 		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,6 +35,8 @@
 	current  *streamAttempt
 	hedge    *hedge
 	flush    func() error
+	// admittedBy is the queue that admitted the stream, until its load is counted.
+	admittedBy *groupQueue
 }
 
 // serveStream sends a request to a group and forwards its events.
@@ -58,11 +60,13 @@
 func (s *stream) startAttempt(dest target) {
 	s.attempts++
 	s.current = s.newAttempt(dest)
+	s.settleAdmission()
 	s.current.readTimeout = s.readTimeout
 	s.group = dest.group.Key
 }
 
 func (s *stream) close() {
+	s.settleAdmission()
 	if s.hedge != nil {
 		s.hedge.cancelAndClose()
 	}
