gateway: test the decisions on waiting streams

Scripts may send requests concurrently, and an instance whose request never comes no longer blocks the run.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -45,9 +45,13 @@
 // Instances whose names begin with "g" are heads of groups of model "big", the others are of the
 // plain service. "busy" holds lines of an instance and how many requests other daemons have there.
 // "restarted" names instances that are known to have restarted since their groups were published.
+// "base" holds lines of a model and its base latency, which is unknown for others.
 // "settle" is how long the gateway reports no stalled groups. "ask" holds requests, one per line:
 //
-//	METHOD PATH [NAME=VALUE...]
+//	[@DELAY] METHOD PATH [NAME=VALUE...]
+//
+// A request with a delay is sent that long after the first of those with delays could be, and the
+// next ones don't wait for its response.
 //
 // "want" holds the response to each, then the requests that the instances received, then the groups
 // that were reported as stalled. The response to HEAD is shown with its length.
@@ -60,6 +64,9 @@
 	}
 }
 
+// scriptTimeout bounds the time for which an instance waits for a request.
+const scriptTimeout = 10 * time.Second
+
 // fakeNode is a Node that does not change while a script runs.
 type fakeNode struct {
 	view  *cluster.View
@@ -159,7 +166,7 @@
 	var instances []*fakeInstance
 	for _, f := range archive.Files {
 		parts[f.Name] = string(f.Data)
-		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "restarted" || f.Name == "ask" || f.Name == "want" {
+		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "base" || f.Name == "restarted" || f.Name == "ask" || f.Name == "want" {
 			continue
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -190,10 +197,13 @@
 	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
 	front := httptest.NewServer(http.HandlerFunc(g.serve))
 	defer front.Close()
-	var got []string
-	for _, line := range lines(parts["ask"]) {
-		got = append(got, sendRequest(front.URL, line))
+	for _, line := range lines(parts["base"]) {
+		name, base, _ := strings.Cut(line, " ")
+		d, err := time.ParseDuration(base)
+		c.Assert(err, qt.IsNil)
+		g.scheduler.observeBase(models.ModelName(name), d)
 	}
+	got := sendRequests(c, front.URL, lines(parts["ask"]))
 	for _, i := range instances {
 		i.l.Close()
 		c.Assert(<-i.done, qt.IsNil)
@@ -240,6 +250,32 @@
 	return out
 }
 
+// sendRequests sends requests, one after the other unless they have delays, and describes the
+// responses.
+func sendRequests(c *qt.C, url string, asked []string) []string {
+	got := make([]string, len(asked))
+	var began time.Time
+	var sent sync.WaitGroup
+	for n, line := range asked {
+		delay, request, delayed := strings.Cut(line, " ")
+		if delayed = strings.HasPrefix(delay, "@"); !delayed {
+			got[n] = sendRequest(url, line)
+			continue
+		}
+		d, err := time.ParseDuration(delay[1:])
+		c.Assert(err, qt.IsNil)
+		if began.IsZero() {
+			began = time.Now()
+		}
+		sent.Go(func() {
+			time.Sleep(d - time.Since(began))
+			got[n] = sendRequest(url, request)
+		})
+	}
+	sent.Wait()
+	return got
+}
+
 // sendRequest sends one request and describes the response.
 func sendRequest(url, line string) string {
 	words := strings.Fields(line)
@@ -304,6 +340,8 @@
 			}
 			conn = accepted.(*net.TCPConn)
 			defer conn.Close()
+			// A request that never comes must not block the script.
+			_ = conn.SetReadDeadline(time.Now().Add(scriptTimeout))
 			r = bufio.NewReader(conn)
 			if _, err := r.Peek(1); step == "read" && errors.Is(err, io.EOF) {
 				conn = nil
