--- a/gateway/await.go
+++ b/gateway/await.go
@@ -107,7 +107,7 @@
 		}
 		return errNoInstance
 	}
-	s.rejected = &v
+	s.rejected, s.pickedLoad = &v, c.load
 	s.g.log.Info().Str("request", string(s.head.ID)).Str("model", string(s.head.Model)).Dur("aim", s.route.LatencyTarget).
 		Str("reason", reasonLabel(v.Reason)).Int("rank", rank(s.owner.Priority, s.route.Priority)).
 		Dur("waited", time.Since(s.started)).Dur("left", time.Until(s.deadline)).Dur("predicted", c.FirstEvent).Dur("age", c.LoadsAge).
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -11,8 +11,8 @@
 // groupsCapacity is what the groups that may run a queue's requests can take.
 type groupsCapacity struct {
 	admission.Capacity
-	// groups is the number of these groups.
-	groups int
+	// groups is the number of these groups, load the least number of requests that one has.
+	groups, load int
 }
 
 // horizon is the time within which first events count as in time: the longest remaining time of a
@@ -32,7 +32,9 @@
 	predicts := known && profiled && engine.StepTime > 0 && engine.PrefillTokensPerSecond > 0
 	for _, g := range s.eligible(node, view.Groups[name], criteria, now) {
 		c, free := s.candidate(node, g), 0
-		out.groups++
+		if out.groups++; out.groups == 1 || c.Requests < out.load {
+			out.load = c.Requests
+		}
 		for s.policy.HasCapacity(engine, c.Requests+free) {
 			free++
 		}
--- a/gateway/queues_test.go
+++ b/gateway/queues_test.go
@@ -220,6 +220,7 @@
 	_, err := s.awaitGroup()
 	f.c.Assert(err, qt.ErrorIs, errRejected)
 	f.c.Assert(isNotRun(err), qt.IsTrue)
+	f.c.Assert(s.pickedLoad, qt.Equals, 3)
 	s.reject(err)
 	f.c.Assert(w.Code, qt.Equals, 503)
 	f.c.Assert(w.Header().Get("Retry-After"), qt.Equals, fmt.Sprintf("%.2f", s.rejected.RetryAfter.Seconds()))
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -257,8 +257,8 @@
 	var began time.Time
 	var sent sync.WaitGroup
 	for n, line := range asked {
-		delay, request, delayed := strings.Cut(line, " ")
-		if delayed = strings.HasPrefix(delay, "@"); !delayed {
+		delay, request, _ := strings.Cut(line, " ")
+		if !strings.HasPrefix(delay, "@") {
 			got[n] = sendRequest(url, line)
 			continue
 		}
