--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sort"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/admission"
@@ -31,13 +32,11 @@
 	model, profiled := engine.Model(name)
 	predicts := known && profiled && engine.StepTime > 0 && engine.PrefillTokensPerSecond > 0
 	for _, g := range s.eligible(node, view.Groups[name], criteria, now) {
-		c, free := s.candidate(node, g), 0
+		c := s.candidate(node, g)
+		free := max(0, engine.Slots+s.policy.ExtraSlots-c.Requests)
 		if out.groups++; out.groups == 1 || c.Requests < out.load {
 			out.load = c.Requests
 		}
-		for s.policy.HasCapacity(engine, c.Requests+free) {
-			free++
-		}
 		if !predicts {
 			out.Slots += free
 			out.SlotsInTime += free
@@ -58,13 +57,12 @@
 // slotsInTime returns how many of a group's free slots can be filled with requests whose first event
 // is in time.
 func (s *scheduler) slotsInTime(engine *models.EngineProfile, model models.ModelProfile, base time.Duration, c placement.Candidate, free int, within horizon) int {
-	for n := range free {
-		if s.firstEvent(engine, model, base, c) > time.Duration(within) {
-			return n
-		}
-		c.Requests++
-	}
-	return free
+	// First events grow with the load.
+	return sort.Search(free, func(n int) bool {
+		filled := c
+		filled.Requests += n
+		return s.firstEvent(engine, model, base, filled) > time.Duration(within)
+	})
 }
 
 // firstEvent predicts the time to the first event of a request that is sent to a group. The policy's
