admission: correct the reason for the bound on waits

The measured first events of 0.84 of the target or less are those of groups with up to 0.6 of their slots in use, not of all that have free slots.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -112,8 +112,8 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		// Answers overloads: a caller that is rejected early may succeed in time elsewhere. Seven
-		// eighths of the target are more than a group that is not full takes for the first event,
-		// which was up to 0.84 of the target.
+		// eighths of the target are more than the mean first event at groups with up to 0.6 of their
+		// slots in use, which was 0.55 to 0.84 of the target.
 		WaitFraction: 0.125,
 		// Where latency can't be predicted, requests wait for as long as they did before predictions
 		// existed.
