--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,6 +75,7 @@
 	a.s.g.scheduler.endPrediction(a.group.Key, a.predicted, false)
 	a.s.g.scheduler.addLoad(a.group.Head.ID, -1, -a.prefillTokens)
 	a.prefillTokens = 0
+	a.s.g.queues.requestEnded(a.s.head.Model)
 }
 
 // open sends the request and reads the head of the response.
