gateway, admission: predict by placement, and keep late requests from slots beyond the target

Late requests took all slots that were left, so that groups stayed filled beyond the load at which first events are in time, and requests that could still be in time were late as well. Slots count as in time with a margin of one standard deviation of first events; where not even an idle group meets the target, all slots count.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -177,12 +177,14 @@
 	}
 }
 
-// freeFor returns the free slots that the request may take.
+// freeFor returns the free slots that the request may take. Late requests too may only take those
+// at which requests would be in time, except for every LateInterval-th admission: beyond them they
+// would make requests late that can still be in time.
 func (r *round) freeFor(e *entry) int {
-	if e.target() > 0 && e.lateSince.IsZero() {
-		return r.c.SlotsInTime
+	if e.target() <= 0 || (!e.lateSince.IsZero() && r.lateTurn()) {
+		return r.c.Slots
 	}
-	return r.c.Slots
+	return r.c.SlotsInTime
 }
 
 // admit admits requests while there are grants and slots, and returns the others.
@@ -190,7 +192,7 @@
 	for r.grants > 0 {
 		next := r.nextInTime(inTime)
 		switch {
-		case len(late) > 0 && r.c.Slots > 0 && (next < 0 || r.lateTurn()):
+		case len(late) > 0 && r.freeFor(late[0]) > 0 && (next < 0 || r.lateTurn()):
 			r.admitOne(late[0])
 			late = late[1:]
 			r.sinceLate = 0
@@ -274,7 +276,7 @@
 		if latest := e.Deadline.Add(-r.c.FirstEvent); latest.Before(until) {
 			until = latest
 		}
-		mayWait := r.c.Slots > 0 || (position == 0 && r.lateTurn())
+		mayWait := r.freeFor(e) > 0 || (position == 0 && r.lateTurn())
 		if !mayWait || !r.now.Before(until) {
 			r.reject(e, ErrLate)
 			continue
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -16,7 +16,7 @@
 	groups, load int
 }
 
-// horizon is the time within which first events count as in time: the longest remaining time of a
+// horizon is the time within which first events count as in time: the longest latency target of a
 // queue's requests. Each request's own time is compared with the prediction for the best group.
 type horizon time.Duration
 
@@ -28,11 +28,11 @@
 	view := node.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: view.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.arrivals[name].decayed(now)}}
+	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: view.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.demand[name].requests(now)}}
 	model, profiled := engine.Model(name)
 	predicts := known && profiled && engine.StepTime > 0 && engine.PrefillTokensPerSecond > 0
 	for _, g := range s.eligible(node, view.Groups[name], criteria, now) {
-		c := s.candidate(node, g)
+		c := s.candidate(node, g, now)
 		free := max(0, engine.Slots+s.policy.ExtraSlots-c.Requests)
 		if out.groups++; out.groups == 1 || c.Requests < out.load {
 			out.load = c.Requests
@@ -47,7 +47,7 @@
 		out.Slots += max(inTime, min(free, engine.Slots-c.Requests))
 		// A request that waits in the queue is sent once a slot is free.
 		c.Requests = min(c.Requests, engine.Slots-1)
-		if first := s.firstEvent(engine, model, base, c); out.FirstEvent == 0 || first < out.FirstEvent {
+		if first := s.policy.FirstEvent(engine, model, base, c); out.FirstEvent == 0 || first < out.FirstEvent {
 			out.FirstEvent = first
 		}
 	}
@@ -55,23 +55,18 @@
 }
 
 // slotsInTime returns how many of a group's free slots can be filled with requests whose first event
-// is in time.
+// is in time. If not even an idle group's would be, the load makes no difference, and all of them
+// count.
 func (s *scheduler) slotsInTime(engine *models.EngineProfile, model models.ModelProfile, base time.Duration, c placement.Candidate, free int, within horizon) int {
+	limit := time.Duration(within) - placement.FirstEventSpread(engine, model, time.Duration(within), 0)
+	late := func(c placement.Candidate) bool { return s.policy.FirstEvent(engine, model, base, c) > limit }
+	if idle := (placement.Candidate{Slowness: c.Slowness}); late(idle) {
+		return free
+	}
 	// First events grow with the load.
 	return sort.Search(free, func(n int) bool {
 		filled := c
 		filled.Requests += n
-		return s.firstEvent(engine, model, base, filled) > time.Duration(within)
+		return late(filled)
 	})
 }
-
-// firstEvent predicts the time to the first event of a request that is sent to a group. The policy's
-// cost of a queued request stands for the wait for a slot.
-func (s *scheduler) firstEvent(engine *models.EngineProfile, model models.ModelProfile, base time.Duration, c placement.Candidate) time.Duration {
-	prefill := time.Duration(model.TimeFactor * float64(engine.PrefillTime(c.PrefillTokens)))
-	first := base + passesBeforeFirst(engine, model, c.Requests) + prefill
-	if c.Requests >= engine.Slots {
-		first += time.Duration(c.Requests-engine.Slots+1) * s.policy.QueuedRequestCost
-	}
-	return first
-}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -200,7 +200,7 @@
 
 // wouldBeInTime reports whether the stream's first event is predicted to be in time at a group.
 func (s *stream) wouldBeInTime(group cluster.Group) bool {
-	first, known := s.g.scheduler.firstEvent(s.g.node, s.engine(), group, s.head.Model)
+	first, known := s.g.scheduler.predictFirstEvent(s.g.node, s.engine(), group, s.head.Model)
 	return known && first <= s.criteria().timeLeft
 }
 
--- a/gateway/queues.go
+++ b/gateway/queues.go
@@ -57,8 +57,9 @@
 
 // queuedStream is a stream in a queue.
 type queuedStream struct {
-	id  uint64
-	due time.Time
+	id uint64
+	// target is the latency target of its route.
+	target time.Duration
 	// verdict receives Run or Reject, once. next ends when the request is to be decided again.
 	verdict chan admission.Verdict
 	next    *time.Timer
@@ -94,7 +95,7 @@
 		gq = &groupQueue{key: key, zones: s.zones, queue: admission.NewQueue(admission.DefaultPolicy()), streams: map[uint64]*queuedStream{}}
 	}
 	due := s.started.Add(s.route.LatencyTarget)
-	if q.refresh(gq, time.Until(due)); gq.capacity.groups == 0 {
+	if q.refresh(gq, s.route.LatencyTarget); gq.capacity.groups == 0 {
 		return gq, nil, false
 	}
 	if q.byKey[key] == nil {
@@ -103,7 +104,7 @@
 	}
 	q.lastID++
 	// The verdict replaces the timer's first time.
-	w := &queuedStream{id: q.lastID, due: due, verdict: make(chan admission.Verdict, 1), next: time.NewTimer(time.Hour)}
+	w := &queuedStream{id: q.lastID, target: s.route.LatencyTarget, verdict: make(chan admission.Verdict, 1), next: time.NewTimer(time.Hour)}
 	gq.streams[w.id] = w
 	q.waiting.Add(1)
 	gq.queue.Add(admission.Request{
@@ -113,9 +114,9 @@
 	return gq, w, true
 }
 
-// refresh updates the capacity of a queue's groups. remaining is the time that a request has left
-// which is not in the queue yet.
-func (q *queues) refresh(gq *groupQueue, remaining time.Duration) {
+// refresh updates the capacity of a queue's groups. target is the latency target of a request that
+// is not in the queue yet.
+func (q *queues) refresh(gq *groupQueue, target time.Duration) {
 	gq.capacity = groupsCapacity{}
 	routing := q.g.node.View().Routing
 	if routing == nil || routing.Services[gq.key.service].Engine == nil {
@@ -123,10 +124,10 @@
 	}
 	now := time.Now()
 	for _, w := range gq.streams {
-		remaining = max(remaining, w.due.Sub(now))
+		target = max(target, w.target)
 	}
 	criteria := groupCriteria{head: models.RequestHead{Model: gq.key.model}, zones: gq.zones}
-	c := q.g.scheduler.capacity(q.g.node, routing.Services[gq.key.service].Engine, criteria, horizon(remaining))
+	c := q.g.scheduler.capacity(q.g.node, routing.Services[gq.key.service].Engine, criteria, horizon(target))
 	c.Slots, c.SlotsInTime = max(0, c.Slots-gq.unsent), max(0, c.SlotsInTime-gq.unsent)
 	// A daemon knows only its own completions; those that decide by the same loads have as many.
 	c.Completions = q.completions[gq.key.model].decayed(now) * float64(c.Deciders)
@@ -198,7 +199,12 @@
 // requestEnded is called after a request of the daemon's has ended at a group of the model.
 func (q *queues) requestEnded(model models.ModelName) {
 	q.mu.Lock()
-	addToRate(q.completions, model, 1, time.Now())
+	rate := q.completions[model]
+	if rate == nil {
+		rate = &decayingRate{}
+		q.completions[model] = rate
+	}
+	rate.add(time.Now())
 	q.mu.Unlock()
 	q.redecideAll()
 }
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -24,8 +24,9 @@
 // overdueAfter returns the time after which the first event is overdue.
 func (p prediction) overdueAfter() time.Duration { return p.firstEvent + overdueSpreads*p.spread }
 
-// firstEvent returns the predicted time to the first event of a request that is sent to a group now.
-func (s *scheduler) firstEvent(node Node, engine *models.EngineProfile, group cluster.Group, name models.ModelName) (time.Duration, bool) {
+// predictFirstEvent returns the predicted time to the first event of a request that is sent to a
+// group now.
+func (s *scheduler) predictFirstEvent(node Node, engine *models.EngineProfile, group cluster.Group, name models.ModelName) (time.Duration, bool) {
 	base, model, known := s.baseOf(engine, name)
 	if !known {
 		return 0, false
