gateway: correct the first observations of a base latency soon

Cause: the first observation was taken as it was, and each later one moved it by 1.3% at most. After all daemons had started again, a first event of a cold group made every prediction 80 to 400 ms too high for 20 s (bases of 272 and 550 ms where 120 and 150 are usual). The first steps are larger now, 0.8 divided by the number of observations.

--- a/gateway/base_latency.go
+++ b/gateway/base_latency.go
@@ -15,6 +15,9 @@
 	// baseStep is the fraction by which the base latency moves by observations below and above it
 	// together: about 100 observations change it by half, and a single one by at most 1.3%.
 	baseStep = 0.02
+	// firstBaseStep is divided by the number of observations as long as the result is above baseStep,
+	// so that the first ones, which may be outliers, are corrected soon.
+	firstBaseStep = 0.8
 	// minBaseLatency keeps the base latency positive, since it changes by fractions of itself.
 	minBaseLatency = time.Millisecond
 	// basePasses is how many passes precede the first event on average: the rest of the pass that
@@ -30,18 +33,27 @@
 
 // baseLatency is a running percentile of the time from a request to its first event that the passes
 // of the engine do not account for: the network, the daemons, and constants of the engine.
-type baseLatency time.Duration
+type baseLatency struct {
+	value time.Duration
+	count int
+}
 
 // observe moves the percentile up by a fraction of itself if the observation is above it, and down
 // if it is below. The two fractions balance where basePercentile of the observations are below.
 func (b *baseLatency) observe(d time.Duration) {
-	current := max(float64(*b), float64(minBaseLatency))
-	if d > time.Duration(*b) {
-		current *= 1 + baseStep*basePercentile
+	b.count++
+	if b.count == 1 {
+		b.value = max(d, minBaseLatency)
+		return
+	}
+	step := max(baseStep, firstBaseStep/float64(b.count))
+	current := float64(b.value)
+	if d > b.value {
+		current *= 1 + step*basePercentile
 	} else {
-		current *= 1 - baseStep*(1-basePercentile)
+		current *= 1 - step*(1-basePercentile)
 	}
-	*b = baseLatency(max(current, float64(minBaseLatency)))
+	b.value = max(time.Duration(current), minBaseLatency)
 }
 
 // observeBase records a stream's base latency for its model, if it was sent once and to a group
@@ -72,9 +84,8 @@
 	defer s.mu.Unlock()
 	b := s.bases[model]
 	if b == nil {
-		first := baseLatency(max(d, minBaseLatency))
-		s.bases[model] = &first
-		return
+		b = &baseLatency{}
+		s.bases[model] = b
 	}
 	b.observe(d)
 }
@@ -87,5 +98,5 @@
 	if b == nil {
 		return 0, false
 	}
-	return time.Duration(*b), true
+	return b.value, true
 }
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -40,7 +40,7 @@
 	for model, rates := range s.demand {
 		d := rates.decayed(now)
 		if base := s.bases[model]; base != nil {
-			d.Observed, d.Base = d.Requests, d.Requests*float32(time.Duration(*base).Seconds())
+			d.Observed, d.Base = d.Requests, d.Requests*float32(base.value.Seconds())
 		}
 		out[model] = d
 	}
