fleet: estimate lateness by the observed load where it is higher

Cause: in a burst the rates and the calibrated length follow with a delay of 1.5 s and more, while the requests in flight already show the overload: 0.4% of the requests were expected to be late at 19 of 20 slots. The length of responses no longer falls under 0.3 of what callers accept: with cut links the loads of some daemons are missing but not their rates, and lengths fell to 57 tokens from 128. A later planner waits 3 s rather than 4 s: a burst of 4 s was over before the successor moved anything.

--- a/fleet/calibration.go
+++ b/fleet/calibration.go
@@ -11,6 +11,9 @@
 	// assumedOutputFraction is the fraction of the tokens that callers accept which responses
 	// have, until it has been observed.
 	assumedOutputFraction = 0.45
+	// minOutputFraction bounds an observed fraction: while links are cut, the loads of some daemons
+	// are missing but not their rates, and responses once looked half as long as they were.
+	minOutputFraction = 0.3
 	// maxOutputFraction bounds an observed fraction: responses can't have more tokens than callers
 	// accept, but requests that wait for prefill or for slots count as in flight too.
 	maxOutputFraction = 1.5
@@ -29,8 +32,9 @@
 	// firstDemandDelay is the time from the first request until the first planner knows the demand.
 	firstDemandDelay = 1500 * time.Millisecond
 	// takeoverDelay is the time from the start of a later planner's term until it knows the demand:
-	// its averages start anew while requests arrive.
-	takeoverDelay = 4 * time.Second
+	// the average of the requests in flight starts anew. With 4 s, a burst was over before the
+	// successor of a planner that had failed moved anything.
+	takeoverDelay = 3 * time.Second
 	// peakPeriod is the time constant with which the recent peak of a model's rate decays: demand
 	// oscillates over 10 to 15 s.
 	peakPeriod = 20 * time.Second
@@ -93,7 +97,7 @@
 		return 0, false
 	}
 	tokens := inFlight / d.Rate * (1 - e.prefillFraction(d.Rate/groups)) / step
-	return min(maxOutputFraction, tokens/d.Output), true
+	return min(maxOutputFraction, max(minOutputFraction, tokens/d.Output)), true
 }
 
 // demandKnown reports whether the demand is known well enough to move instances between models.
@@ -115,6 +119,12 @@
 
 // estimate returns the latency estimate of a model's requests.
 func (r *round) estimate(m models.ModelProfile) latencyEstimate {
-	d := r.Demand[m.Name]
-	return latencyEstimate{engine: r.Profile, model: m, demand: d, outputTokens: r.calibration.outputFraction(m.Name) * d.Output}
+	d, groups := r.Demand[m.Name], float64(r.Serving[m.Name])
+	e := latencyEstimate{engine: r.Profile, model: m, demand: d, outputTokens: r.calibration.outputFraction(m.Name) * d.Output}
+	if groups > 0 {
+		if expected := e.load(d.Rate / groups); expected > 0 {
+			e.loadFactor = r.InFlight[m.Name] / groups / expected
+		}
+	}
+	return e
 }
--- a/fleet/lateness.go
+++ b/fleet/lateness.go
@@ -55,6 +55,10 @@
 	demand Demand
 	// outputTokens is the mean number of tokens of a response.
 	outputTokens float64
+	// loadFactor is the ratio of the observed to the expected load of the serving groups, if that
+	// is above 1: an overload shows in the requests in flight before the rates and the length of
+	// responses follow.
+	loadFactor float64
 }
 
 // step returns the duration of a decode step at a group with this load, in seconds.
@@ -117,7 +121,7 @@
 		return 1 - groups/full*(1-e.lateAt(saturatedLoad*float64(e.engine.Slots), e.demand.Rate/full))
 	}
 	rate := e.demand.Rate / groups
-	return e.lateAt(e.load(rate), rate)
+	return e.lateAt(min(float64(e.engine.Slots), max(1, e.loadFactor)*e.load(rate)), rate)
 }
 
 // lateAt returns the probability that the first event comes after the latency target, at a group
