fleet: merge small groups into larger ones only for a gain of 0.1

Cause: on the small deployment (60 instances, groups of 4 and 2) the planner closed small groups for large ones that lost a member soon after; 4 to 6 small groups were left where 8 to 10 served before.

--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -20,7 +20,7 @@
 	// 3 s, a group of 8 lost a member after 18 s on average, and left 7 whose hosts had lost the
 	// other model's weights; with 0.01 for all, 21 small groups were closed for 5 large ones within
 	// 4 s.
-	minMergeGain = 0.06
+	minMergeGain = 0.1
 	// closedFraction is the part of the time for which a conversion is judged, 10 s, in which its
 	// groups are closed and the new ones are not open yet: 3 to 4 s.
 	closedFraction = 0.4
