--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -73,6 +73,8 @@
 	ignoreFences bool
 	// cheapLoads reduces load times to a tenth until there is traffic.
 	cheapLoads bool
+	// storeDown keeps loads that start from ending.
+	storeDown bool
 	// suspected holds the instances that planners consider unreachable.
 	suspected map[models.InstanceID]bool
 	// evacuated holds the zones that operators evacuate.
@@ -325,6 +327,9 @@
 
 // loadTime is how long a load takes now.
 func (s *sim) loadTime(model models.ModelProfile) time.Duration {
+	if s.storeDown {
+		return time.Hour
+	}
 	if s.cheapLoads && !s.traffic {
 		return model.LoadTime / 10
 	}
