admission: admit requests with the most remaining time first

Cause: ordered by the least remaining time, each request in a burst just misses its target when its turn comes. The scripts that expected the other order expect this one.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -2,7 +2,7 @@
 // rejected, from the model's capacity as a daemon knows it. It is pure: it has no clock, no
 // network and no goroutines, and randomness is passed in.
 //
-// Requests that can still be in time go first, by rank and then by remaining time. Late ones take
+// Requests that can still be in time go first, by rank and then by remaining time, most first. Late ones take
 // the slots that are left, the newest first, and one of several admissions in any case. What can't
 // be served before its deadline, or can't be in time and finds no slot, is rejected at once, and no
 // request waits for longer than a slot may still help it. Where loads are known with a delay, each
--- a/admission/example_test.go
+++ b/admission/example_test.go
@@ -8,8 +8,7 @@
 	"github.com/lupinkeel/lupinkeel/admission"
 )
 
-// Of three requests for one free slot, the one with the least remaining time that can still be in
-// time runs.
+// Of three requests for one free slot, the one with the most remaining time runs.
 func ExampleQueue_Decide() {
 	start := time.Unix(0, 0)
 	q := admission.NewQueue(admission.DefaultPolicy())
@@ -28,8 +27,8 @@
 		}
 	}
 	// Output:
-	// 2 runs
-	// 1 waits for 62.5ms
+	// 1 runs
+	// 2 waits for 37.5ms
 	// 0 is rejected: the request can't be in time, and no slot is free for late requests
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -142,7 +142,9 @@
 		}
 		late = append(late, e)
 	}
-	slices.SortStableFunc(inTime, func(a, b *entry) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Due.Compare(b.Due)) })
+	// The most remaining time first: with the least first, each request in a burst just misses its
+	// target when its turn comes.
+	slices.SortStableFunc(inTime, func(a, b *entry) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), b.Due.Compare(a.Due)) })
 	// The newest first: the oldest first would make every request late in an overload.
 	slices.SortStableFunc(late, func(a, b *entry) int { return b.Arrived.Compare(a.Arrived) })
 	return inTime, late
