--- a/gateway/queues_test.go
+++ b/gateway/queues_test.go
@@ -68,16 +68,17 @@
 
 // admitted is how awaitGroup ended.
 type admitted struct {
-	s   *stream
-	at  time.Time
-	err error
+	s    *stream
+	dest target
+	at   time.Time
+	err  error
 }
 
 func (f *queueFixture) await(s *stream) <-chan admitted {
 	done := make(chan admitted, 1)
 	go func() {
-		_, err := s.awaitGroup()
-		done <- admitted{s, time.Now(), err}
+		dest, err := s.awaitGroup()
+		done <- admitted{s, dest, time.Now(), err}
 	}()
 	return done
 }
