--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -202,6 +202,17 @@
 // PeersLoad returns the load of other daemons on an instance, as last received.
 func (n *Node) PeersLoad(id models.InstanceID) Load { return n.peerLoads.loadOn(id) }
 
+// LoadsAge returns the age of other daemons' loads: typicalTotalsAge as long as totals arrive, and
+// the time since the last ones where it is longer. A relay adds up its zone itself. Once totals are
+// dropped, this daemon's own loads count alone, and these have the typical age again.
+func (n *Node) LoadsAge() time.Duration {
+	v := n.View()
+	if v.mesh() || v.Topology.IsRelay {
+		return v.LoadsAge()
+	}
+	return max(v.LoadsAge(), n.peerLoads.totalsAge(time.Now()))
+}
+
 const (
 	// loadsDelay is how long changed loads are collected before they are sent. It is short against
 	// the time that reading a prompt takes.
--- a/cluster/loads_test.go
+++ b/cluster/loads_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/lupinkeel/lupinkeel/membership"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -46,6 +47,27 @@
 	c.Assert(requests(), qt.Equals, 0, qt.Commentf("it sends its loads to another relay now"))
 }
 
+// TestLoadsAgeWithoutTotals guards against admission by loads that are taken for fresh although the
+// relay that sends totals is gone: their age grows until they are dropped, and after that the
+// daemon's own loads decide.
+func TestLoadsAgeWithoutTotals(t *testing.T) {
+	c := qt.New(t)
+	n := newTestOwner(t).n
+	view := *n.View()
+	view.Topology = &membership.Topology{Size: 30, ZoneSize: 10, LoadRelay: "r1"}
+	n.view.Store(&view)
+	c.Assert(n.LoadsAge(), qt.Equals, typicalTotalsAge, qt.Commentf("no totals yet"))
+	n.peerLoads.apply(Update{From: "r1", LoadsVersion: 1, Scope: scopeCluster, Full: true, Loads: map[models.InstanceID]Load{"i-1": {Requests: 3}}}, "a", n.traffic.Loads)
+	c.Assert(n.LoadsAge(), qt.Equals, typicalTotalsAge)
+	n.peerLoads.byDaemon["r1"].receivedAt = time.Now().Add(-800 * time.Millisecond)
+	age := n.LoadsAge()
+	c.Assert(age >= 800*time.Millisecond && age < totalsTimeout, qt.IsTrue, qt.Commentf("%v", age))
+	c.Assert(n.PeersLoad("i-1").Requests, qt.Equals, 3)
+	n.peerLoads.prune(time.Now().Add(totalsTimeout))
+	c.Assert(n.PeersLoad("i-1").Requests, qt.Equals, 0)
+	c.Assert(n.LoadsAge(), qt.Equals, typicalTotalsAge)
+}
+
 // TestLoadTotals checks that a daemon subtracts its own loads from the cluster's total, that a
 // relay sums up its zone and the totals of other zones, and that totals are replaced by those of
 // another relay and dropped when they are too old.
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -28,7 +28,7 @@
 	view := node.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: view.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.demand[name].requests(now)}}
+	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: node.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.demand[name].requests(now)}}
 	model, profiled := engine.Model(name)
 	predicts := known && profiled && engine.StepTime > 0 && engine.PrefillTokensPerSecond > 0
 	for _, g := range s.eligible(node, view.Groups[name], criteria, now) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,8 @@
 	View() *cluster.View
 	// PeersLoad returns the load that other daemons have at an instance.
 	PeersLoad(id models.InstanceID) cluster.Load
+	// LoadsAge returns the age of these loads. It grows while no load totals arrive.
+	LoadsAge() time.Duration
 	// ReportStalled reports to the other daemons that a group is stalled.
 	ReportStalled(group models.GroupKey, head models.InstanceID)
 	// Quarantine tracks requests that crash instances.
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -84,8 +84,9 @@
 	stalled []models.InstanceID
 }
 
-func (f *fakeNode) View() *cluster.View   { return f.view }
-func (f *fakeNode) Clock() *timer.Service { return f.clock }
+func (f *fakeNode) View() *cluster.View     { return f.view }
+func (f *fakeNode) LoadsAge() time.Duration { return f.view.LoadsAge() }
+func (f *fakeNode) Clock() *timer.Service   { return f.clock }
 
 // Quarantine returns the test's quarantine, or an empty one.
 func (f *fakeNode) Quarantine() *cluster.Quarantine {
