--- a/fleet/shift_test.go
+++ b/fleet/shift_test.go
@@ -172,3 +172,68 @@
 	}
 	c.Assert(run(), qt.DeepEquals, run())
 }
+
+// takeOver replaces the planner after a pause in which there is none, and checks that its
+// successor finishes the shift.
+func (s *sim) takeOver(c *qt.C) {
+	c.Helper()
+	s.planners = nil
+	s.run(2 * time.Second)
+	s.newPlanner(2)
+	s.run(14 * time.Second)
+	s.checkShifted(c)
+	idle := 0
+	for _, i := range s.instances {
+		if !i.dead && i.Group.State == models.MemberNone {
+			idle++
+		}
+	}
+	// The largest remainder of a domain of 19 by groups of 4 and 8 is 3.
+	c.Assert(idle <= 9*3+2, qt.IsTrue, qt.Commentf("%d instances are in no group", idle))
+}
+
+// TestPlannerLostWhileForming guards against groups that stay half formed after a planner was
+// killed during a shift, when its converted instances were joining their new groups.
+func TestPlannerLostWhileForming(t *testing.T) {
+	c := qt.New(t)
+	s := newQuietDay(c)
+	s.runUntil(c, 4*time.Second, func() bool { return s.planners[0].Conversions().Completed > 0 })
+	s.runUntil(c, time.Second, func() bool { return s.joining("small") > 0 })
+	s.takeOver(c)
+}
+
+// joining counts the instances that join groups of a model.
+func (s *sim) joining(model models.ModelName) (n int) {
+	for _, i := range s.instances {
+		if i.Group.State == models.MemberJoining && ModelOf(i.Group.Key.Name) == model {
+			n++
+		}
+	}
+	return n
+}
+
+// TestMemberLostWithoutPlanner guards against a successor that waits for a member which was lost
+// while there was no planner, in a group that was being formed or closed.
+func TestMemberLostWithoutPlanner(t *testing.T) {
+	for _, state := range []models.MemberState{models.MemberClosing, models.MemberJoining} {
+		t.Run(string(state), func(t *testing.T) {
+			c := qt.New(t)
+			s := newQuietDay(c)
+			var lost *simInstance
+			s.runUntil(c, 6*time.Second, func() bool {
+				if len(s.planners[0].converting) == 0 && s.planners[0].Conversions().Completed == 0 {
+					return false
+				}
+				for _, id := range slices.Sorted(maps.Keys(s.instances)) {
+					if i := s.instances[id]; i.Group.State == state {
+						lost = i
+						return true
+					}
+				}
+				return false
+			})
+			lost.dead = true
+			s.takeOver(c)
+		})
+	}
+}
