soak: surge one model after the other, and check that the split follows

The load was far below the slots, so that no queue formed and no instance changed models. Rejected streams must not have run.

--- a/gateway/stale_loads_test.go
+++ b/gateway/stale_loads_test.go
@@ -61,14 +61,18 @@
 		}
 	}
 	go func() { all.Wait(); close(results) }()
+	var streams []*stream
 	for got := range results {
-		defer got.s.close()
+		streams = append(streams, got.s)
 		if got.err == nil {
 			ran++
 		} else {
 			qt.Check(t, isNotRun(got.err), qt.IsTrue, qt.Commentf("%v", got.err))
 		}
 	}
+	for _, s := range streams {
+		s.close()
+	}
 	return ran, total
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,24 +69,27 @@
 	s.waitServing()
 	c := startCallers(s)
 	r := rand.New(rand.NewPCG(seed, 7))
+	surges := c.startSurges(seed)
 	var injected []string
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
 		injected = append(injected, s.injectFault(r))
 		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
 	}
 	s.clearFaults()
+	split := surges.awaitShift()
 	recovered := c.waitRecovered()
 	c.stop()
 	// A rejected request that still runs late must show up before the check.
 	time.Sleep(300 * time.Millisecond)
 	violations := append(s.pool.Violations(), c.violations()...)
+	violations = append(violations, split.violations()...)
 	if !recovered {
 		violations = append(violations, fmt.Sprintf("less than %g of the requests are served %s after the faults", minServedFraction, recoveryTimeout))
 	}
 	if len(violations) > 0 {
 		t.Fatalf("seed %d, logs in %s\nfaults: %s\n%s", seed, logs, strings.Join(injected, ", "), strings.Join(violations, "\n"))
 	}
-	t.Logf("seed %d: %s; %s", seed, c.summary(), strings.Join(injected, ", "))
+	t.Logf("seed %d: %s; %s; %s", seed, c.summary(), split, strings.Join(injected, ", "))
 	os.RemoveAll(logs)
 }
 
@@ -167,6 +170,8 @@
 	kind  kind
 	model string
 	body  string
+	// outputTokens is the number of tokens that the caller accepts.
+	outputTokens int
 }
 
 var (
@@ -179,7 +184,7 @@
 	defer requestIDLock.Unlock()
 	lastRequestID++
 	id := fmt.Sprintf("%016x", lastRequestID)
-	return request{id: id, kind: k, model: model, body: "body of " + id}
+	return request{id: id, kind: k, model: model, body: "body of " + id, outputTokens: 60}
 }
 
 // reply is the outcome of a request.
@@ -210,7 +215,7 @@
 	req.Header.Set("Authorization", "Token "+key)
 	if r.model != "" {
 		req.Header.Set("X-Lupinkeel-Model", r.model)
-		req.Header.Set("X-Lupinkeel-Token-Count", "100,60")
+		req.Header.Set("X-Lupinkeel-Token-Count", fmt.Sprintf("100,%d", r.outputTokens))
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -293,17 +298,22 @@
 		if k == kindStream {
 			model = []string{"big", "small"}[at/2%2]
 		}
-		d, request := c.s.daemons[(n+at/16)%len(c.s.daemons)], newRequest(k, model)
-		c.mu.Lock()
-		c.sent[models.RequestID(request.id)] = sentRequest{d.name, time.Now()}
-		c.mu.Unlock()
-		r := send(client, d.addr, request)
-		c.mu.Lock()
-		c.replies = append(c.replies, r)
-		c.mu.Unlock()
+		c.request(client, c.s.daemons[(n+at/16)%len(c.s.daemons)], newRequest(k, model))
 	}
 }
 
+// request sends a request to a daemon and keeps the reply.
+func (c *callerLoad) request(client *http.Client, d *daemon, request request) reply {
+	c.mu.Lock()
+	c.sent[models.RequestID(request.id)] = sentRequest{d.name, time.Now()}
+	c.mu.Unlock()
+	r := send(client, d.addr, request)
+	c.mu.Lock()
+	c.replies = append(c.replies, r)
+	c.mu.Unlock()
+	return r
+}
+
 // sender returns the daemon that a request was sent to, and when.
 func (c *callerLoad) sender(id models.RequestID) (daemon string, at time.Time) {
 	c.mu.Lock()
@@ -353,6 +363,8 @@
 			out = append(out, fmt.Sprintf("%s ran %d times", r.id, runs))
 		case r.kind == kindNonIdempotent && r.status == http.StatusServiceUnavailable && runs > 0:
 			out = append(out, r.id+" was refused as not run, but ran")
+		case r.kind == kindStream && r.status == http.StatusServiceUnavailable && runs > 0:
+			out = append(out, r.id+" was rejected as not run, but ran")
 		case r.complete && runs == 0:
 			out = append(out, r.id+" was completed but never ran")
 		}
