--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -21,6 +21,10 @@
 	// other model's weights; with 0.01 for all, 21 small groups were closed for 5 large ones within
 	// 4 s.
 	minMergeGain = 0.1
+	// safeUtilization is the utilization up to which a model gives up small groups for larger ones of
+	// another model like any others: minMergeGain would keep them from a model in a deep overload,
+	// where no single group gains as much.
+	safeUtilization = 0.35
 	// closedFraction is the part of the time for which a conversion is judged, 10 s, in which its
 	// groups are closed and the new ones are not open yet: 3 to 4 s.
 	closedFraction = 0.4
@@ -60,7 +64,8 @@
 		return minRepairGain
 	}
 	for _, from := range r.Profile.Models {
-		if c.supplyChange[from.Name] < 0 && from.GroupSize <= c.model.GroupSize {
+		left := r.assigned[from.Name] + c.supplyChange[from.Name]
+		if c.supplyChange[from.Name] < 0 && from.GroupSize <= c.model.GroupSize && r.utilization(from, left) > safeUtilization {
 			return minMergeGain
 		}
 	}
