--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -24,7 +24,7 @@
 	// safeUtilization is the utilization up to which a model gives up small groups for larger ones of
 	// another model like any others: minMergeGain would keep them from a model in a deep overload,
 	// where no single group gains as much.
-	safeUtilization = 0.35
+	safeUtilization = 0.1
 	// closedFraction is the part of the time for which a conversion is judged, 10 s, in which its
 	// groups are closed and the new ones are not open yet: 3 to 4 s.
 	closedFraction = 0.4
