fleet: move instances by shares where the weight store is slow

Every move makes hosts lose the other model's weights, and there the replacement of lost instances takes all loads of the store. Where fewer than 10 loads may run at once, conversions follow shares and utilization again, as before the estimate of lateness.

--- a/fleet/calibration.go
+++ b/fleet/calibration.go
@@ -111,10 +111,16 @@
 	return r.Now.Sub(r.calibration.trafficSince) >= firstDemandDelay
 }
 
-// estimatesLateness reports whether the profile says how fast engines are, and whether there are
-// models to divide the instances between.
+// minStoreLoads is the number of concurrent loads from which lateness decides. Every join makes a host
+// lose the other model's weights, and the weight store replaces them; with fewer loads at once, the
+// replacement of lost instances takes them all, and moves can't be undone for tens of seconds.
+const minStoreLoads = 10
+
+// estimatesLateness reports whether the profile says how fast engines are, whether there are models
+// to divide the instances between, and whether the weight store is fast enough for moves.
 func (s Snapshot) estimatesLateness() bool {
-	return len(s.Profile.Models) > 1 && s.Profile.PrefillTokensPerSecond > 0 && s.Profile.StepTime > 0
+	p := s.Profile
+	return len(p.Models) > 1 && p.PrefillTokensPerSecond > 0 && p.StepTime > 0 && p.MaxConcurrentLoads >= minStoreLoads
 }
 
 // estimate returns the latency estimate of a model's requests.
--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -75,9 +75,8 @@
 // gain returns by how much the conversion lowers the cost, less the rise while its groups are
 // closed.
 func (r *round) gain(c *conversion) float64 {
-	now, during, after := r.cost(r.assigned), maps.Clone(r.assigned), maps.Clone(r.assigned)
+	now, during, after := r.cost(r.assigned), maps.Clone(r.assigned), r.supplyAfter(c)
 	for name, n := range c.supplyChange {
-		after[name] += n
 		during[name] += min(0, n)
 	}
 	return now - r.cost(after) - closedFraction*(r.cost(during)-now)
@@ -86,6 +85,10 @@
 // startConversions starts the conversions with the greatest gains, one in a domain at a time, as
 // long as few instances are being moved.
 func (r *round) startConversions() {
+	if !r.estimatesLateness() {
+		r.startShareConversion()
+		return
+	}
 	// No conversion gains more than the present cost.
 	if !r.demandKnown() || r.cost(r.assigned) < minRepairGain {
 		return
@@ -151,11 +154,13 @@
 func (r *round) beginConversion(c *conversion) {
 	r.converting[c.domain], r.converted[c.domain] = c, r.Now
 	r.conversions.Begun++
-	for name, n := range c.supplyChange {
-		r.assigned[name] += n
-	}
-	for _, id := range c.members {
-		r.reserved[id] = true
+	if r.estimatesLateness() {
+		for name, n := range c.supplyChange {
+			r.assigned[name] += n
+		}
+		for _, id := range c.members {
+			r.reserved[id] = true
+		}
 	}
 	r.advanceConversion(c)
 }
@@ -212,7 +217,10 @@
 // countFormed counts the groups that a conversion's members and the instances left over will form:
 // the latter groups of the new model, if enough of them have its weights, or of their own again.
 func (r *round) countFormed(c *conversion, leftover supply, spare int) {
-	c.formed[c.model.Name] = c.model.GroupSize + spare/c.model.GroupSize*c.model.GroupSize
+	c.formed[c.model.Name] = c.model.GroupSize
+	if r.estimatesLateness() {
+		c.formed[c.model.Name] += spare / c.model.GroupSize * c.model.GroupSize
+	}
 	for _, from := range r.Profile.Models {
 		if from.Name != c.model.Name {
 			c.formed[from.Name] = leftover[from.Name] / from.GroupSize * from.GroupSize
@@ -274,7 +282,7 @@
 	for _, domain := range slices.Sorted(maps.Keys(r.converting)) {
 		c := r.converting[domain]
 		r.advanceConversion(c)
-		if r.converting[domain] == nil {
+		if r.converting[domain] == nil || !r.estimatesLateness() {
 			continue
 		}
 		for name, n := range c.formed {
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -171,6 +171,10 @@
 
 // addRequests adds the demand and the requests in flight to a planner's input.
 func (s *sim) addRequests(w Snapshot) {
+	if !w.estimatesLateness() {
+		maps.Copy(w.InFlight, s.requests)
+		return
+	}
 	if s.initial == 0 {
 		s.initial = len(s.instances)
 	}
--- a/fleet/staging.go
+++ b/fleet/staging.go
@@ -156,8 +156,15 @@
 	return ""
 }
 
-// canYield reports whether another model gains more from instances than this one.
+// canYield reports whether another model gains more from instances than this one; without an
+// estimate of lateness, whether this one has low utilization and another one high utilization.
 func (r *round) canYield(m models.ModelProfile) bool {
+	if !r.estimatesLateness() {
+		return r.HasTraffic && r.utilization(m, r.assigned[m.Name]) <= lowUtilization &&
+			slices.ContainsFunc(r.Profile.Models, func(o models.ModelProfile) bool {
+				return o.Name != m.Name && r.utilization(o, r.assigned[o.Name]) >= highUtilization
+			})
+	}
 	if !r.demandKnown() {
 		return false
 	}
