--- a/cluster/groups.go
+++ b/cluster/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/lupinkeel/lupinkeel/fleet"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -135,7 +136,8 @@
 // buildGroup returns a group, and whether it serves and has no lost or restarted member.
 func (f *fleetState) buildGroup(key models.GroupKey) (Group, bool) {
 	g := fleet.GroupsOf(func(yield func(models.InstanceID, models.Membership) bool) {
-		for id := range f.groups.byKey[key] {
+		// Sorted, so that of two members with the same rank it is always the same one that counts.
+		for _, id := range slices.Sorted(maps.Keys(f.groups.byKey[key])) {
 			if !yield(id, f.groups.members[id].membership) {
 				return
 			}
