--- a/gateway/queues_test.go
+++ b/gateway/queues_test.go
@@ -259,7 +259,8 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			time.Sleep(time.Duration(n) * 500 * time.Microsecond)
-			s := f.stream(ctx, 200*time.Millisecond)
+			// Far longer than all of them take, so that the machine's load does not reject them.
+			s := f.stream(ctx, 30*time.Second)
 			if n%5 == 0 {
 				time.AfterFunc(2*time.Millisecond, cancel)
 			}
@@ -283,7 +284,7 @@
 	all.Wait()
 	f.c.Assert(f.queues.waiting.Load(), qt.Equals, int64(0))
 	f.c.Assert(over.Load(), qt.Equals, int64(0))
-	f.c.Assert(ran.Load() > 10, qt.IsTrue, qt.Commentf("%d ran", ran.Load()))
+	f.c.Assert(ran.Load() >= 160, qt.IsTrue, qt.Commentf("%d ran", ran.Load()))
 	f.c.Assert(f.scheduler.Loads(), qt.HasLen, 0)
 	for _, gq := range f.queues.byKey {
 		f.c.Assert(gq.unsent, qt.Equals, 0)
