cluster: dial instances through the node

A pool gets a function that makes its connections, the node and its gateway share one for instances, and the node's settings may replace it, so that a test can cut one daemon off from the instances. The stand-in can keep entries that do not change unwritten, as the users' platform does. No behaviour changes.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -40,6 +40,8 @@
 	InstanceHeartbeat time.Duration
 	// FirstStart is set if all daemons start for the first time.
 	FirstStart bool
+	// DialInstance connects to an instance; nil connects over TCP.
+	DialInstance h1.DialFunc
 }
 
 // Traffic reports the load that the daemon's callers cause. Implementations must be safe for
@@ -77,24 +79,26 @@
 
 // Node is this daemon's member of the cluster.
 type Node struct {
-	cfg        Settings
-	log        zerolog.Logger
-	clock      *timer.Service
-	traffic    Traffic
-	store      *platform.Store
-	instances  *platform.InstanceClient
-	conns      *h1.Pool
-	inbox      chan message
-	view       atomic.Pointer[View]
-	stats      *stats
-	planning   atomic.Bool
-	started    int64
-	peerLoads  *peerLoads
-	links      *links
-	quarantine *Quarantine
-	limits     *Limits
-	breakers   *Breakers
-	permits    *permits
+	cfg       Settings
+	log       zerolog.Logger
+	clock     *timer.Service
+	traffic   Traffic
+	store     *platform.Store
+	instances *platform.InstanceClient
+	// storeConns and instanceConns are the connections to the store and to instances.
+	storeConns    *h1.Pool
+	instanceConns *h1.Pool
+	inbox         chan message
+	view          atomic.Pointer[View]
+	stats         *stats
+	planning      atomic.Bool
+	started       int64
+	peerLoads     *peerLoads
+	links         *links
+	quarantine    *Quarantine
+	limits        *Limits
+	breakers      *Breakers
+	permits       *permits
 	// inLeaseGroup is set while this node is a member of the store's group among which the store
 	// assigns the planner's lease.
 	inLeaseGroup atomic.Bool
@@ -207,9 +211,13 @@
 			restores:             set.NewCounter("lupinkeel_store_restores_total"),
 		},
 	}
-	n.conns = h1.NewPool(dialTimeout, nil)
-	n.store = platform.NewStore(cfg.Store, n.conns)
-	n.instances = platform.NewInstanceClient(n.conns, n.recordResponseHead)
+	if n.cfg.DialInstance == nil {
+		n.cfg.DialInstance = h1.Direct(dialTimeout)
+	}
+	n.storeConns = h1.NewPool(h1.Direct(dialTimeout), nil)
+	n.instanceConns = h1.NewPool(n.DialInstance, nil)
+	n.store = platform.NewStore(cfg.Store, n.storeConns)
+	n.instances = platform.NewInstanceClient(n.instanceConns, n.recordResponseHead)
 	n.links = newLinks(n)
 	n.quarantine = NewQuarantine(n.links.notifyAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.notifyLimits, set, log)
@@ -227,6 +235,11 @@
 // View returns the current view.
 func (n *Node) View() *View { return n.view.Load() }
 
+// DialInstance connects to an instance.
+func (n *Node) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	return n.cfg.DialInstance(ctx, addr)
+}
+
 // Clock returns the node's timer service.
 func (n *Node) Clock() *timer.Service { return n.clock }
 
@@ -284,7 +297,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case tick := <-ticks:
-			n.conns.Sweep(tick.At)
+			n.storeConns.Sweep(tick.At)
+			n.instanceConns.Sweep(tick.At)
 		}
 	}
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"maps"
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -132,7 +131,7 @@
 	}()
 	for _, pause := range probeDelays {
 		time.Sleep(pause)
-		err := dialOnce(ctx, c.instance.Addr)
+		err := cd.dialOnce(ctx, c.instance.Addr)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			cd.confirm(c, evidenceRefused)
 			return nil
@@ -147,9 +146,10 @@
 }
 
 // dialOnce opens a connection and closes it.
-func dialOnce(ctx context.Context, addr netip.AddrPort) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp4", addr.String())
+func (cd *crashDetector) dialOnce(ctx context.Context, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := cd.node.DialInstance(ctx, addr)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	// RequestPermit requests a permit to send a request to one of several rate-limited instances of a
 	// zone.
 	RequestPermit(ctx context.Context, zone models.Zone, ask ratelimit.PermitRequest) (ratelimit.Grant, error)
+	// DialInstance connects to an instance.
+	DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error)
 	Clock() *timer.Service
 }
 
@@ -173,6 +175,13 @@
 	g.queues = newQueues(g)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
-	g.conns = h1.NewPool(dialTimeout, g.connOpened)
+	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
 	return g
 }
+
+// dialInstance connects to an instance within dialTimeout.
+func (g *Gateway) dialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return g.node.DialInstance(ctx, addr)
+}
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -88,6 +89,11 @@
 func (f *fakeNode) LoadsAge() time.Duration { return f.view.LoadsAge() }
 func (f *fakeNode) Clock() *timer.Service   { return f.clock }
 
+// DialInstance connects over TCP.
+func (f *fakeNode) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	return h1.Direct(dialTimeout)(ctx, addr)
+}
+
 // Quarantine returns the test's quarantine, or an empty one.
 func (f *fakeNode) Quarantine() *cluster.Quarantine {
 	if f.quarantine == nil {
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -28,7 +27,7 @@
 type conn struct {
 	pool *Pool
 	addr netip.AddrPort
-	nc   *net.TCPConn
+	nc   Conn
 	br   *bufio.Reader
 	// idleSince is since when the connection is idle; idleTimeout is how long it may stay idle.
 	idleSince   time.Time
@@ -44,7 +43,7 @@
 // header.
 const readBufferLen = 4 << 10
 
-func newConn(p *Pool, addr netip.AddrPort, nc *net.TCPConn) *conn {
+func newConn(p *Pool, addr netip.AddrPort, nc Conn) *conn {
 	c := &conn{pool: p, addr: addr, nc: nc, idleTimeout: defaultIdleTimeout}
 	c.br = bufio.NewReaderSize(c, readBufferLen)
 	return c
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -38,8 +38,7 @@
 
 // Pool keeps idle connections by address. The zero value is not usable; see NewPool.
 type Pool struct {
-	// dialTimeout bounds the making of a connection.
-	dialTimeout time.Duration
+	dial DialFunc
 	// newMeter is called for each new connection and may return a meter of its bytes; it may be
 	// nil.
 	newMeter func(netip.AddrPort) Meter
@@ -57,10 +56,20 @@
 	Received(n int)
 }
 
-// NewPool returns an empty pool. The function newMeter is called for each new connection and may
-// return a meter of its bytes; it may be nil.
-func NewPool(dialTimeout time.Duration, newMeter func(netip.AddrPort) Meter) *Pool {
-	return &Pool{dialTimeout: dialTimeout, newMeter: newMeter, idle: map[netip.AddrPort][]*conn{}}
+// Conn is a connection to an upstream. Its socket must be readable whenever the connection has
+// received something.
+type Conn interface {
+	net.Conn
+	syscall.Conn
+}
+
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, addr netip.AddrPort) (Conn, error)
+
+// NewPool returns an empty pool that makes connections with dial. The function newMeter is called
+// for each new connection and may return a meter of its bytes; it may be nil.
+func NewPool(dial DialFunc, newMeter func(netip.AddrPort) Meter) *Pool {
+	return &Pool{dial: dial, newMeter: newMeter, idle: map[netip.AddrPort][]*conn{}}
 }
 
 // get returns a connection that has been idle for at most maxIdleAge, or a new connection.
@@ -68,7 +77,7 @@
 	for {
 		c := p.pop(addr)
 		if c == nil {
-			return p.dial(ctx, addr)
+			return p.connect(ctx, addr)
 		}
 		if time.Since(c.idleSince) <= maxIdleAge && c.isReusable() {
 			return c, nil
@@ -149,24 +158,35 @@
 	return remaining
 }
 
-func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	dialer := net.Dialer{Timeout: p.dialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp4", addr.String())
+func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	nc, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := newConn(p, addr, nc.(*net.TCPConn))
+	c := newConn(p, addr, nc)
 	if p.newMeter != nil {
 		c.meter = p.newMeter(addr)
 	}
 	return c, nil
 }
 
+// Direct returns a DialFunc that connects over TCP within a timeout.
+func Direct(timeout time.Duration) DialFunc {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	return func(ctx context.Context, addr netip.AddrPort) (Conn, error) {
+		nc, err := dialer.DialContext(ctx, "tcp4", addr.String())
+		if err != nil {
+			return nil, err
+		}
+		return nc.(*net.TCPConn), nil
+	}
+}
+
 // tcpUserTimeout is how long data may stay unacknowledged before the kernel closes the
 // connection, in case the peer lost power or is partitioned.
 const tcpUserTimeout = 4 * time.Second
 
-func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
 		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
--- a/lib/h1/pool_test.go
+++ b/lib/h1/pool_test.go
@@ -18,10 +18,10 @@
 	c.Assert(err, qt.IsNil)
 	defer l.Close()
 	addr := netip.MustParseAddrPort(l.Addr().String())
-	pool := NewPool(time.Second, nil)
+	pool := NewPool(Direct(time.Second), nil)
 	var conns []*conn
 	for range 4 {
-		dialed, err := pool.dial(t.Context(), addr)
+		dialed, err := pool.connect(t.Context(), addr)
 		c.Assert(err, qt.IsNil)
 		defer dialed.close()
 		conns = append(conns, dialed)
@@ -69,7 +69,7 @@
 		bytesRead <- n
 	}()
 	errNotReady := errors.New("not ready")
-	pool := NewPool(time.Second, nil)
+	pool := NewPool(Direct(time.Second), nil)
 	_, err = pool.Do(t.Context(), netip.MustParseAddrPort(l.Addr().String()), Request{
 		Method: "GET", Target: "/", BeforeSend: func() error { return errNotReady },
 	})
--- a/lib/h1/script_test.go
+++ b/lib/h1/script_test.go
@@ -55,7 +55,7 @@
 	go func() { serverDone <- serveSteps(l, parseSteps(parts["server"])) }()
 	addr := netip.MustParseAddrPort(l.Addr().String())
 	dialed := 0
-	pool := NewPool(time.Second, func(netip.AddrPort) Meter { dialed++; return nil })
+	pool := NewPool(Direct(time.Second), func(netip.AddrPort) Meter { dialed++; return nil })
 	var got []string
 	for _, step := range parseSteps(parts["client"]) {
 		if line := runClientStep(pool, addr, step); line != "" {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -77,7 +77,21 @@
 }
 
 func startSite(t *testing.T, bin, logs string, flags ...string) *site {
-	s := &site{t: t, store: store.New(), logs: logs}
+	s := startInstances(t, profile)
+	s.logs = logs
+	for n := range daemons {
+		d := s.newDaemon(bin, n)
+		d.flags = append(d.flags, flags...)
+		s.daemons = append(s.daemons, d)
+		d.start(t)
+		t.Cleanup(d.kill)
+	}
+	return s
+}
+
+// startInstances starts a site without daemons.
+func startInstances(t *testing.T, profile replica.Profile) *site {
+	s := &site{t: t, store: store.New()}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(s.server.Close)
 	s.pool = replica.NewPool(profile, s.store)
@@ -95,13 +109,6 @@
 			_ = i.Stop()
 		}
 	})
-	for n := range daemons {
-		d := s.newDaemon(bin, n)
-		d.flags = append(d.flags, flags...)
-		s.daemons = append(s.daemons, d)
-		d.start(t)
-		t.Cleanup(d.kill)
-	}
 	return s
 }
 
--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -137,7 +137,7 @@
 
 // advance completes the pending steps that are due.
 func (i *Instance) advance(now time.Time) {
-	changed := now.Sub(i.lastWrite) >= i.pool.profile.HeartbeatInterval
+	changed := !i.pool.profile.EntriesOnChange && now.Sub(i.lastWrite) >= i.pool.profile.HeartbeatInterval
 	if i.stagingModel != "" && !now.Before(i.stagedAt) {
 		i.staged, i.stagingModel, changed = []models.ModelName{i.stagingModel}, "", true
 	}
--- a/standin/replica/pool.go
+++ b/standin/replica/pool.go
@@ -28,7 +28,10 @@
 	Events        int
 	// HeartbeatInterval is the interval at which an instance writes its entry.
 	HeartbeatInterval time.Duration
-	Slots             int
+	// EntriesOnChange is set if an instance writes its entry only when something other than the
+	// number of writes has changed.
+	EntriesOnChange bool
+	Slots           int
 }
 
 func (p Profile) model(name models.ModelName) (models.ModelProfile, bool) {
