cluster: probe lost instances until they answer or their entry goes

Cause: the planner probes a lost instance only when its entry in the store changes, and an instance that goes on as before does not write a changed entry. The count of writes by which other daemons end a loss does not change either.

The planner now probes a lost instance once a second. It costs a probe or two for an instance that has crashed, until its entry is removed.

TestLostInstanceIsNeverProbedAgain fails without the change (0 probes, 1 wanted).

--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -16,6 +16,9 @@
 	// overdueFactor is how many heartbeats of an instance the store may lack before the instance is
 	// probed.
 	overdueFactor = 2.2
+	// lostProbeInterval is the time between two probes of a lost instance. Its entry does not show
+	// that it answers again: an entry is written only when it changes.
+	lostProbeInterval = time.Second
 	// minCalls and maxCalls bound the limit on orders and probes in flight. The limit is lowered
 	// when calls take longer than the fastest by maxCallQueueing: then they queue for this node's
 	// processor, and so does the renewal of its lease.
@@ -168,13 +171,20 @@
 	o.n.sendOrder(o.ctx, k.Addr, order)
 }
 
-// probeUnverified probes the service's instances that have not been seen in this term, and those
-// whose entries are overdue although the store is up.
+// probeUnverified probes the service's instances that have not been seen in this term, those
+// whose entries are overdue although the store is up, and lost ones to find out whether they answer
+// again.
 func (o *owner) probeUnverified(name models.ServiceName, now time.Time) {
 	_, storeDown := o.storeFailingSince[platform.InstancesTopic]
 	overdue := time.Duration(overdueFactor * float64(o.n.cfg.InstanceHeartbeat))
 	for _, i := range o.fleet.instances {
-		if i.Service != name || !i.lostSince.IsZero() {
+		if i.Service != name {
+			continue
+		}
+		if !i.lostSince.IsZero() {
+			if now.Sub(i.probedAt) >= lostProbeInterval {
+				o.probe(i, now, probeTimeout)
+			}
 			continue
 		}
 		overdueEntry := !storeDown && now.Sub(i.entrySeenAt) > overdue && now.Sub(i.stateAt) > overdue
--- a/cluster/reports_test.go
+++ b/cluster/reports_test.go
@@ -92,3 +92,22 @@
 	o.handleLease(leaseHeld{term: 6, until: time.Now().Add(time.Minute)})
 	c.Assert(broadcasts(), qt.Equals, 1, qt.Commentf("a new term began"))
 }
+
+// TestLostInstanceIsNeverProbedAgain guards against an instance that stays lost although it
+// answers: its entry in the store does not change, and nothing else made the planner probe it.
+func TestLostInstanceIsNeverProbedAgain(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	o.handleLease(leaseHeld{term: 2, until: time.Now().Add(time.Minute)})
+	now := time.Now()
+	o.fleet.instances["i1"] = &knownInstance{
+		UpstreamInstance: models.UpstreamInstance{ID: "i1", Service: "s"}, stateAt: now, entrySeenAt: now, lostSince: now, probedAt: now,
+	}
+	probed := func(at time.Time) int {
+		before := int(o.n.stats.reports.Get())
+		o.probeUnverified("s", at)
+		return int(o.n.stats.reports.Get()) - before
+	}
+	c.Assert(probed(now.Add(lostProbeInterval/2)), qt.Equals, 0)
+	c.Assert(probed(now.Add(lostProbeInterval)), qt.Equals, 1)
+}
