cluster: reach instances through other daemons in a partition

Cause: a daemon took a failed connection for a failed instance. The planner declared all 60 instances lost for everybody on its own word, the crash detector counted refusals as crashes of instances (52 times), and a request had no other way. Evidence: instance-lost and instance-crashed only on daemons that were cut off, all with 'connection refused'; the lease was renewed all the time. Ruled out: a loss of the lease, and instances that failed.

Change: when a direct connection fails or takes 60 ms, other daemons are asked to connect to the same instance, and the connection goes through them (tunnels). A partitioned planner takes nothing for lost and leaves the lease to a daemon that reaches the instances. A refusal counts as a crash only if another daemon was refused as well.

Why it works: the second observer is what the daemon lacked; with it, a broken path neither changes the plan nor fails a request.

--- a/cluster/candidacy.go
+++ b/cluster/candidacy.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/membership"
@@ -49,7 +50,7 @@
 // each restart of one made the store reassign the lease, and the planner changed seven times in
 // 34 s while daemons restarted, and twice while none did.
 func (o *owner) isCandidate(now time.Time) bool {
-	if o.n.resigned.Load() {
+	if o.n.resigned.Load() || (o.n.paths.partitioned() && o.hasBetterCandidate()) {
 		return false
 	}
 	ahead, stronger, eligible := o.rank()
@@ -69,6 +70,14 @@
 	}
 }
 
+// hasBetterCandidate reports whether another daemon that may become planner reaches the instances.
+func (o *owner) hasBetterCandidate() bool {
+	return slices.ContainsFunc(o.peers.topology.PlannerCandidates, func(d membership.Daemon) bool {
+		p, alive := o.peers.seen[d.ID]
+		return alive && !p.heartbeat.Partitioned
+	})
+}
+
 // discoverySilence returns, at the first start of all daemons, how long this node has known of no
 // planner and, unless the topology is a mesh, discovered no further daemon. The store takes the
 // roster entries of hundreds of daemons one by one. While they arrive, each daemon regards another
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -40,7 +40,7 @@
 	InstanceHeartbeat time.Duration
 	// FirstStart is set if all daemons start for the first time.
 	FirstStart bool
-	// DialInstance connects to an instance; nil connects over TCP.
+	// DialInstance connects to an instance directly; nil connects over TCP.
 	DialInstance h1.DialFunc
 }
 
@@ -85,6 +85,9 @@
 	traffic   Traffic
 	store     *platform.Store
 	instances *platform.InstanceClient
+	// paths connects to instances, through tunnelPeers where it has to.
+	paths       *paths
+	tunnelPeers atomic.Pointer[[]tunnelPeer]
 	// storeConns and instanceConns are the connections to the store and to instances.
 	storeConns    *h1.Pool
 	instanceConns *h1.Pool
@@ -211,9 +214,12 @@
 			restores:             set.NewCounter("lupinkeel_store_restores_total"),
 		},
 	}
-	if n.cfg.DialInstance == nil {
-		n.cfg.DialInstance = h1.Direct(dialTimeout)
+	direct := cfg.DialInstance
+	if direct == nil {
+		direct = h1.Direct(dialTimeout)
 	}
+	n.paths = newPaths(n, direct, set)
+	n.tunnelPeers.Store(&[]tunnelPeer{})
 	n.storeConns = h1.NewPool(h1.Direct(dialTimeout), nil)
 	n.instanceConns = h1.NewPool(n.DialInstance, nil)
 	n.store = platform.NewStore(cfg.Store, n.storeConns)
@@ -235,11 +241,6 @@
 // View returns the current view.
 func (n *Node) View() *View { return n.view.Load() }
 
-// DialInstance connects to an instance.
-func (n *Node) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
-	return n.cfg.DialInstance(ctx, addr)
-}
-
 // Clock returns the node's timer service.
 func (n *Node) Clock() *timer.Service { return n.clock }
 
@@ -280,6 +281,7 @@
 		"totals":     n.broadcastTotals,
 		"quarantine": n.syncQuarantine,
 		"permits":    n.permits.run,
+		"paths":      n.paths.run,
 	}
 	var tasks []task.Task
 	for name, run := range loops {
@@ -343,7 +345,8 @@
 		sentAt := time.Now()
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		report, err := n.instances.FetchReport(limited, i)
+		// A connection from before may hang, which is no evidence about the instance.
+		report, err := n.instances.FetchReport(limited, i, timeout < probeTimeout)
 		took := time.Since(sentAt)
 		n.stats.reportTime.Update(took.Seconds())
 		n.post(ctx, probeFinished{instance: report, err: err, sentAt: sentAt, took: took})
--- /dev/null
+++ b/cluster/paths.go
@@ -0,0 +1,328 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/reachability"
+)
+
+const (
+	// detourDelay is how long a direct connection may take before a tunnel is tried as well: several
+	// round trips within a region.
+	detourDelay = 60 * time.Millisecond
+	// pathCheckInterval is the minimum time between two checks of paths to silent instances.
+	pathCheckInterval = 100 * time.Millisecond
+	// recheckInterval is the interval of direct attempts during a partition.
+	recheckInterval = 200 * time.Millisecond
+)
+
+// ErrUnconfirmed is returned with the error of a failed connection if no other daemon could try the
+// instance: the failure may be one of this daemon's network.
+var ErrUnconfirmed = errors.New("no other daemon could confirm the failure")
+
+// paths connects to instances, directly or through another daemon, and tracks which way works. It
+// is safe for concurrent use.
+type paths struct {
+	n       *Node
+	direct  h1.DialFunc
+	tunnels *metrics.Counter
+
+	mu        sync.Mutex
+	tracker   reachability.Tracker
+	since     time.Time
+	checkedAt time.Time
+}
+
+func newPaths(n *Node, direct h1.DialFunc, set *metrics.Set) *paths {
+	p := &paths{n: n, direct: direct, tunnels: set.NewCounter("lupinkeel_tunnels_total")}
+	set.NewGauge("lupinkeel_partitioned", func() float64 {
+		if p.partitioned() {
+			return 1
+		}
+		return 0
+	})
+	return p
+}
+
+// partitioned reports whether this daemon is partitioned from most instances.
+func (p *paths) partitioned() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Partitioned()
+}
+
+func (p *paths) needsDetour(addr netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.NeedsDetour(addr, time.Now())
+}
+
+func (p *paths) record(addr netip.AddrPort, outcome reachability.Outcome) {
+	now := time.Now()
+	p.mu.Lock()
+	changed, partitioned, lasted := p.tracker.Record(addr, outcome, now), p.tracker.Partitioned(), now.Sub(p.since)
+	if changed {
+		p.since = now
+	}
+	p.mu.Unlock()
+	switch {
+	case !changed:
+		return
+	case partitioned:
+		p.n.log.Warn().Stringer("address", addr).Msg("partition-began")
+	default:
+		p.n.log.Info().Dur("after", lasted).Msg("partition-ended")
+	}
+	// Other daemons choose tunnels and the planner by this.
+	p.n.links.sendHeartbeat("")
+}
+
+// dial connects to an instance. It tries a tunnel through another daemon if the direct connection
+// fails or takes long, and tries the tunnel first if the direct one failed shortly before.
+func (p *paths) dial(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	if p.needsDetour(addr) {
+		conn, err := p.dialTunnel(ctx, addr)
+		if err == nil || !errors.Is(err, errNoTunnel) {
+			return conn, err
+		}
+	}
+	first := p.startDirect(ctx, addr)
+	delay := time.NewTimer(detourDelay)
+	defer delay.Stop()
+	select {
+	case <-first.done:
+		if first.err == nil {
+			return first.take(), nil
+		}
+	case <-delay.C:
+	case <-ctx.Done():
+		first.abandon()
+		return nil, ctx.Err()
+	}
+	tunnel, err := p.dialTunnel(ctx, addr)
+	if err == nil && first.connected() {
+		return first.take(), tunnel.Close()
+	}
+	if err == nil {
+		first.bypass()
+		return tunnel, nil
+	}
+	select {
+	case <-first.done:
+	case <-ctx.Done():
+		first.abandon()
+		return nil, ctx.Err()
+	}
+	switch {
+	case first.err == nil:
+		return first.take(), nil
+	case errors.Is(err, errNoTunnel) && p.n.View().hasPeers:
+		return nil, errors.Join(first.err, ErrUnconfirmed)
+	default:
+		return nil, first.err
+	}
+}
+
+// directAttempt is an attempt to connect directly, which runs on when a tunnel was faster.
+type directAttempt struct {
+	p    *paths
+	addr netip.AddrPort
+	// done is closed when conn and err are set.
+	done chan struct{}
+	conn h1.Conn
+	err  error
+
+	mu sync.Mutex
+	// ended is set with done. bypassed is set if a tunnel was faster, abandoned if nobody waits for
+	// the connection.
+	ended, bypassed, abandoned bool
+}
+
+func (p *paths) startDirect(ctx context.Context, addr netip.AddrPort) *directAttempt {
+	a := &directAttempt{p: p, addr: addr, done: make(chan struct{})}
+	task.Start(context.WithoutCancel(ctx), "dial", a.run)
+	return a
+}
+
+func (a *directAttempt) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := a.p.direct(ctx, a.addr)
+	a.mu.Lock()
+	a.conn, a.err, a.ended = conn, err, true
+	close(a.done)
+	bypassed, abandoned := a.bypassed, a.abandoned
+	a.mu.Unlock()
+	if err == nil {
+		a.p.record(a.addr, reachability.Connected)
+	} else if bypassed {
+		a.p.record(a.addr, reachability.Bypassed)
+	}
+	if err == nil && abandoned {
+		return conn.Close()
+	}
+	return nil
+}
+
+// connected reports whether the attempt has succeeded.
+func (a *directAttempt) connected() bool {
+	select {
+	case <-a.done:
+		return a.err == nil
+	default:
+		return false
+	}
+}
+
+// take returns the connection of a successful attempt.
+func (a *directAttempt) take() h1.Conn { return &directConn{Conn: a.conn, p: a.p, addr: a.addr} }
+
+// abandon closes the connection, also if it is made later.
+func (a *directAttempt) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.abandoned = true
+	if a.connected() {
+		// The connection was not used.
+		_ = a.conn.Close()
+	}
+}
+
+// bypass abandons the attempt because a tunnel to the instance was made.
+func (a *directAttempt) bypass() {
+	a.abandon()
+	a.mu.Lock()
+	a.bypassed = true
+	ended := a.ended
+	a.mu.Unlock()
+	if ended && a.err != nil {
+		a.p.record(a.addr, reachability.Bypassed)
+	}
+}
+
+// directConn is a direct connection to an instance.
+type directConn struct {
+	h1.Conn
+	p    *paths
+	addr netip.AddrPort
+}
+
+// Stale reports whether connections to the instance take a detour now, because direct ones may hang.
+func (c *directConn) Stale() bool { return c.p.needsDetour(c.addr) }
+
+// check finds out in the background whether an instance that is silent can be reached.
+func (p *paths) check(ctx context.Context, addr netip.AddrPort) {
+	now := time.Now()
+	p.mu.Lock()
+	due := now.Sub(p.checkedAt) >= pathCheckInterval && !p.tracker.NeedsDetour(addr, now)
+	if due {
+		p.checkedAt = now
+	}
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	task.Start(context.WithoutCancel(ctx), "check", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := p.dial(ctx, addr)
+		if err != nil {
+			// The attempt has been recorded; the caller's request shows whether the instance failed.
+			return err
+		}
+		return conn.Close()
+	})
+}
+
+// run attempts direct connections during a partition, to find out when it ends.
+func (p *paths) run(ctx context.Context) error {
+	ticks := p.n.clock.Subscribe(recheckInterval)
+	var next models.InstanceID
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks:
+		}
+		if !p.partitioned() {
+			continue
+		}
+		i, known := nextInstance(p.n.View().Instances, next)
+		if !known {
+			continue
+		}
+		next = i.ID
+		task.Start(ctx, "recheck", func(ctx context.Context) error { return p.recheck(ctx, i.Addr) })
+	}
+}
+
+// recheck attempts a direct connection to an instance.
+func (p *paths) recheck(ctx context.Context, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.direct(ctx, addr)
+	if err != nil {
+		// During a partition, most failures are due to it.
+		p.record(addr, reachability.Bypassed)
+		return err
+	}
+	p.record(addr, reachability.Connected)
+	return conn.Close()
+}
+
+// nextInstance returns the instance that follows another one in the order of their ids.
+func nextInstance(all map[models.InstanceID]models.UpstreamInstance, after models.InstanceID) (models.UpstreamInstance, bool) {
+	var first, next models.InstanceID
+	for id := range all {
+		if first == "" || id < first {
+			first = id
+		}
+		if id > after && (next == "" || id < next) {
+			next = id
+		}
+	}
+	if next == "" {
+		next = first
+	}
+	i, known := all[next]
+	return i, known
+}
+
+// tunnelPeer is a daemon that tunnels to instances may go through.
+type tunnelPeer struct {
+	addr netip.AddrPort
+	// near is set if it is in this daemon's zone.
+	near bool
+}
+
+// updateTunnelPeers updates the daemons that tunnels may go through: those that are alive and not
+// partitioned themselves.
+func (o *owner) updateTunnelPeers() {
+	var peers []tunnelPeer
+	for id, p := range o.peers.seen {
+		if at, known := o.peers.addrs[id]; known && !p.heartbeat.Partitioned {
+			peers = append(peers, tunnelPeer{at.addr, at.zone == o.n.cfg.Zone})
+		}
+	}
+	slices.SortFunc(peers, func(a, b tunnelPeer) int { return a.addr.Compare(b.addr) })
+	o.n.tunnelPeers.Store(&peers)
+}
+
+// CheckPath finds out in the background whether an instance that does not answer can be reached.
+func (n *Node) CheckPath(ctx context.Context, addr netip.AddrPort) { n.paths.check(ctx, addr) }
+
+// DialInstance connects to an instance, through another daemon if this one is partitioned from it.
+// The error wraps ErrUnconfirmed if no other daemon could try.
+func (n *Node) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	return n.paths.dial(ctx, addr)
+}
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -83,6 +83,9 @@
 	}
 	o.peers.topologyStale = o.peers.roster.RecordHeartbeat(b.membershipBeat(), m.receivedAt) || o.peers.topologyStale
 	o.peers.seen[b.From] = peerStatus{heartbeat: b, receivedAt: m.receivedAt}
+	if !known || before.heartbeat.Partitioned != b.Partitioned || before.heartbeat.Addr != b.Addr {
+		o.updateTunnelPeers()
+	}
 	// A relay may have found this daemon before it could read the roster.
 	o.markRosterReady()
 	if b.IsPlanner && b.Term >= o.peers.term && m.receivedAt.After(o.peers.plannerSeenAt) {
@@ -121,6 +124,7 @@
 	for _, id := range o.peers.roster.MarkSilent(now) {
 		o.n.log.Warn().Str("peer", string(id)).Dur("silent", now.Sub(o.peers.seen[id].receivedAt)).Msg("peer-silent")
 		delete(o.peers.seen, id)
+		o.updateTunnelPeers()
 		o.n.peerLoads.remove(id)
 		o.viewStale, o.peers.topologyStale = true, true
 	}
@@ -132,8 +136,8 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
-		IsPlanner: n.planning.Load(),
-		CPUCores:  n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
+		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(),
+		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
 		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
 		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
 		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -58,6 +58,8 @@
 		kind, body, err := frame.Read(r)
 		switch {
 		case err != nil:
+		case kind == frameTunnel:
+			return s.serveTunnel(ctx, conn, r, replies, body)
 		case kind == framePermitRequest:
 			err = s.n.permits.handleRequest(replies, body)
 		default:
--- a/cluster/probes.go
+++ b/cluster/probes.go
@@ -93,8 +93,10 @@
 	now := time.Now()
 	if s, suspect := o.fleet.suspects[m.head]; !suspect || now.After(s.until) {
 		o.n.log.Warn().Str("group", string(m.group.Name)).Str("head", string(m.head)).Str("from", string(m.from)).Msg("group-stalled")
-		o.fleet.suspects[m.head] = suspicion{group: m.group, until: now.Add(suspicionDuration), own: m.from == ""}
-		if m.from == "" {
+		// A partitioned daemon does not tell others what it suspects.
+		own := m.from == "" && !o.n.paths.partitioned()
+		o.fleet.suspects[m.head] = suspicion{group: m.group, until: now.Add(suspicionDuration), own: own}
+		if own {
 			o.n.links.broadcast(Update{From: o.n.cfg.ID, Stalled: []StalledHead{{Group: m.group, Head: m.head}}})
 		}
 		o.fleetStale = true
--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"errors"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -32,9 +33,11 @@
 	}
 }
 
-// handleProbeFailure marks an instance as lost, or probes it again if one failure is no proof.
+// handleProbeFailure marks an instance as lost, or probes it again if one failure is no proof, or
+// may be a failure of this daemon's network.
 func (o *owner) handleProbeFailure(k *knownInstance, m probeFinished) {
-	if !o.provesLoss(k, m.sentAt) {
+	isOwnFailure := errors.Is(m.err, ErrUnconfirmed) || o.n.paths.partitioned()
+	if isOwnFailure || !o.provesLoss(k, m.sentAt) {
 		if k.probeFailedAt.IsZero() {
 			k.probeFailedAt = time.Now()
 		}
--- /dev/null
+++ b/cluster/tunnel.go
@@ -0,0 +1,318 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/lib/frame"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+)
+
+const (
+	// tunnelAcceptTimeout bounds the wait for a peer to accept a tunnel. A healthy peer does so in a
+	// round trip.
+	tunnelAcceptTimeout = 100 * time.Millisecond
+	// maxTunnelPeers is how many peers are tried for a tunnel, tunnelStagger the time between two.
+	maxTunnelPeers = 4
+	tunnelStagger  = 20 * time.Millisecond
+	// tunnelDialTimeout bounds connecting to an instance for another daemon.
+	tunnelDialTimeout = 150 * time.Millisecond
+	// tunnelBufferLen is the maximum length of a chunk in bytes.
+	tunnelBufferLen = 8 << 10
+	// chunkHeaderLen is the length of a chunk's header.
+	chunkHeaderLen = 4
+)
+
+// errNoTunnel: no other daemon accepted a tunnel.
+var errNoTunnel = errors.New("no other daemon accepted a tunnel")
+
+// tunnelRequest asks a peer to connect to an instance and to pass on the bytes of the connection.
+// The peer answers with a tunnelReply when it begins to connect, and with another one when it has
+// connected or failed. After that, bytes to the instance are sent as they are, and bytes from it in
+// chunks: a length of four bytes, big end first, and that many bytes. A length of 0 is the regular
+// end; without it the connection was reset.
+type tunnelRequest struct {
+	Addr string `msgpack:"a"`
+}
+
+// tunnelReply is the answer to a tunnelRequest.
+type tunnelReply struct {
+	// Accepted is set in the first reply if the peer tries to connect. Connected and Refused are
+	// set in the second one.
+	Accepted  bool `msgpack:"ok,omitempty"`
+	Connected bool `msgpack:"c,omitempty"`
+	Refused   bool `msgpack:"r,omitempty"`
+	// Error tells why not.
+	Error string `msgpack:"e,omitempty"`
+}
+
+// dialTunnel connects to an instance through another daemon. It tries several, because some may be
+// partitioned as well, and takes the first connection. The error wraps errNoTunnel if no daemon
+// tried to connect, and ECONNREFUSED if the instance refused.
+func (p *paths) dialTunnel(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := p.pickTunnelPeers()
+	results, err := make(chan tunnelResult), errNoTunnel
+	for started, ended := 0, 0; ended < len(peers); {
+		var next <-chan time.Time
+		if started < len(peers) {
+			p.startTunnel(ctx, peers[started].addr, addr, results)
+			started++
+			next = time.After(tunnelStagger)
+		}
+		select {
+		case r := <-results:
+			ended++
+			if r.err == nil {
+				p.tunnels.Inc()
+				return r.conn, nil
+			}
+			if !errors.Is(r.err, errNoTunnel) {
+				err = r.err
+			}
+		case <-next:
+		}
+	}
+	return nil, err
+}
+
+// tunnelResult is the outcome of an attempt to make a tunnel.
+type tunnelResult struct {
+	conn h1.Conn
+	err  error
+}
+
+// startTunnel attempts to make a tunnel through a peer. Once the context has ended, a connection is
+// closed.
+func (p *paths) startTunnel(ctx context.Context, peer, addr netip.AddrPort, results chan<- tunnelResult) {
+	task.Start(ctx, "tunnel", func(ctx context.Context) error {
+		conn, err := p.dialTunnelVia(ctx, peer, addr)
+		select {
+		case results <- tunnelResult{conn, err}:
+			return nil
+		case <-ctx.Done():
+		}
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})
+}
+
+// pickTunnelPeers picks daemons to try for a tunnel: one of this zone, if there is one, then others
+// at random. A zone may be partitioned as a whole.
+func (p *paths) pickTunnelPeers() []tunnelPeer {
+	peers := slices.Clone(*p.n.tunnelPeers.Load())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if at := slices.IndexFunc(peers, func(peer tunnelPeer) bool { return peer.near }); at >= 0 {
+		near := peers[at]
+		others := slices.Delete(peers, at, at+1)
+		slices.SortStableFunc(others, func(a, b tunnelPeer) int { return boolRank(a.near) - boolRank(b.near) })
+		peers = append([]tunnelPeer{near}, others...)
+	}
+	return peers[:min(len(peers), maxTunnelPeers)]
+}
+
+// boolRank orders false before true.
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// dialTunnelVia connects to an instance through a peer.
+func (p *paths) dialTunnelVia(ctx context.Context, peer, addr netip.AddrPort) (conn h1.Conn, err error) {
+	accepting, cancel := context.WithTimeout(ctx, tunnelAcceptTimeout)
+	defer cancel()
+	nc, err := h1.Direct(tunnelAcceptTimeout)(accepting, peer)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoTunnel, err)
+	}
+	defer func() {
+		if err != nil {
+			// The error that matters is the first one.
+			_ = nc.Close()
+		}
+	}()
+	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Now()) })
+	defer stop()
+	if err := nc.SetDeadline(time.Now().Add(tunnelAcceptTimeout)); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoTunnel, err)
+	}
+	t := &tunnelConn{Conn: nc, p: p, addr: addr, r: bufio.NewReaderSize(nc, tunnelBufferLen+chunkHeaderLen)}
+	if _, err := frame.Write(nc, frameTunnel, tunnelRequest{Addr: addr.String()}); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoTunnel, err)
+	}
+	accepted, err := t.readReply()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoTunnel, err)
+	}
+	if !accepted.Accepted {
+		return nil, fmt.Errorf("%w: %v answered: %s", errNoTunnel, peer, accepted.Error)
+	}
+	if err := nc.SetDeadline(time.Now().Add(dialTimeout)); err != nil {
+		return nil, err
+	}
+	connected, err := t.readReply()
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("tunnel through %v to %v: %w", peer, addr, err)
+	case connected.Refused:
+		return nil, fmt.Errorf("tunnel through %v to %v: %w", peer, addr, syscall.ECONNREFUSED)
+	case !connected.Connected:
+		return nil, fmt.Errorf("tunnel through %v to %v: %s", peer, addr, connected.Error)
+	}
+	if !stop() {
+		return nil, ctx.Err()
+	}
+	return t, nc.SetDeadline(time.Time{})
+}
+
+// tunnelConn is a connection to an instance through another daemon.
+type tunnelConn struct {
+	h1.Conn
+	p    *paths
+	addr netip.AddrPort
+	r    *bufio.Reader
+	// remaining is the number of bytes left in the current chunk, ended is set after the last one.
+	remaining uint32
+	ended     bool
+}
+
+func (c *tunnelConn) readReply() (tunnelReply, error) {
+	kind, body, err := frame.Read(c.r)
+	if err != nil {
+		return tunnelReply{}, err
+	}
+	if kind != frameTunnelReply {
+		return tunnelReply{}, fmt.Errorf("%w: kind %d", frame.ErrFormat, kind)
+	}
+	var reply tunnelReply
+	err = frame.Decode(body, &reply)
+	return reply, err
+}
+
+// Read returns the instance's bytes. An end without a last chunk is an error.
+func (c *tunnelConn) Read(p []byte) (int, error) {
+	if c.remaining == 0 && !c.ended {
+		// Peek keeps what was received when the read deadline passes.
+		header, err := c.r.Peek(chunkHeaderLen)
+		if errors.Is(err, io.EOF) {
+			return 0, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return 0, err
+		}
+		c.remaining = binary.BigEndian.Uint32(header)
+		c.ended = c.remaining == 0
+		if _, err := c.r.Discard(chunkHeaderLen); err != nil {
+			return 0, err
+		}
+	}
+	if c.ended {
+		return 0, io.EOF
+	}
+	n, err := c.r.Read(p[:min(len(p), int(c.remaining))])
+	c.remaining -= uint32(n)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Stale reports whether anything was received, or the instance can be reached directly again.
+func (c *tunnelConn) Stale() bool {
+	return c.ended || c.remaining > 0 || c.r.Buffered() > 0 || !c.p.needsDetour(c.addr)
+}
+
+// serveTunnel connects to an instance for another daemon, and passes on bytes until one side ends.
+// It takes over the connection.
+func (s *peerServer) serveTunnel(ctx context.Context, conn net.Conn, r *bufio.Reader, replies framedConn, body []byte) error {
+	var req tunnelRequest
+	if err := frame.Decode(body, &req); err != nil {
+		return err
+	}
+	addr, err := s.tunnelTarget(req)
+	if err != nil {
+		return replies.send(frameTunnelReply, tunnelReply{Error: err.Error()})
+	}
+	if err := replies.send(frameTunnelReply, tunnelReply{Accepted: true}); err != nil {
+		return err
+	}
+	dialing, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
+	defer cancel()
+	instance, err := s.n.paths.direct(dialing, addr)
+	if err != nil {
+		return errors.Join(err, replies.send(frameTunnelReply, tunnelReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Error: err.Error()}))
+	}
+	defer instance.Close()
+	if err := replies.send(frameTunnelReply, tunnelReply{Connected: true}); err != nil {
+		return err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { instance.Close() })
+	defer stop()
+	downstream := task.Start(ctx, "tunnel", func(context.Context) error { return sendChunks(conn, instance) })
+	// The other daemon closes its connection when it does not need the instance any more.
+	_, err = io.Copy(instance, r)
+	return errors.Join(err, instance.Close(), conn.Close(), task.Wait(downstream))
+}
+
+// tunnelTarget returns the instance's address that a tunnel is to go to.
+func (s *peerServer) tunnelTarget(req tunnelRequest) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(req.Addr)
+	switch {
+	case err != nil:
+		return addr, err
+	case s.n.resigned.Load():
+		return addr, errors.New("the daemon is stopping")
+	case s.n.paths.partitioned():
+		return addr, errors.New("the daemon is partitioned itself")
+	}
+	for _, i := range s.n.View().Instances {
+		if i.Addr == addr {
+			return addr, nil
+		}
+	}
+	return addr, fmt.Errorf("no instance with address %v is known", addr)
+}
+
+// sendChunks sends what an instance sends, in chunks, and its end. If the instance resets its
+// connection, the other one is reset.
+func sendChunks(to net.Conn, instance net.Conn) error {
+	buf := make([]byte, chunkHeaderLen+tunnelBufferLen)
+	for {
+		n, err := instance.Read(buf[chunkHeaderLen:])
+		if n > 0 {
+			binary.BigEndian.PutUint32(buf, uint32(n))
+			if _, writeErr := to.Write(buf[:chunkHeaderLen+n]); writeErr != nil {
+				return errors.Join(writeErr, instance.Close())
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			_, err = to.Write(make([]byte, chunkHeaderLen))
+			return err
+		case err != nil:
+			if conn, ok := to.(*net.TCPConn); ok {
+				err = errors.Join(err, conn.SetLinger(0))
+			}
+			return errors.Join(err, to.Close())
+		}
+	}
+}
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -17,12 +17,16 @@
 	// framePermitRequest asks for a permit; framePermitReply answers on the same connection.
 	framePermitRequest
 	framePermitReply
+	// frameTunnel asks for a tunnel to an instance; frameTunnelReply answers on the same connection.
+	frameTunnel
+	frameTunnelReply
 )
 
 // frameNames are the names of the frame kinds in metrics.
 var frameNames = map[frame.Kind]string{
 	frameHeartbeat: "heartbeats", frameConfig: "configurations", frameUpdate: "instances", frameLoads: "loads",
 	framePermitRequest: "permits", framePermitReply: "permits",
+	frameTunnel: "tunnels", frameTunnelReply: "tunnels",
 }
 
 // Heartbeat is the periodic message from each daemon to its peers. The first one on a connection is
@@ -74,6 +78,8 @@
 	// OperatorsEnd. ConfigAge applies to them as well.
 	Evacuated    []models.Zone   `msgpack:"ez,omitempty"`
 	OperatorsEnd models.Position `msgpack:"oe"`
+	// Partitioned is set if the sender cannot connect to most instances that other daemons reach.
+	Partitioned bool `msgpack:"pt,omitempty"`
 	// Stalled are the heads that the sender found stalled.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Demand is the demand of the sender's callers for each model. Older versions send and expect a
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
 	"github.com/lupinkeel/lupinkeel/lib/task"
@@ -132,7 +133,7 @@
 	for _, pause := range probeDelays {
 		time.Sleep(pause)
 		err := cd.dialOnce(ctx, c.instance.Addr)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, cluster.ErrUnconfirmed) {
 			cd.confirm(c, evidenceRefused)
 			return nil
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,8 +70,11 @@
 	// RequestPermit requests a permit to send a request to one of several rate-limited instances of a
 	// zone.
 	RequestPermit(ctx context.Context, zone models.Zone, ask ratelimit.PermitRequest) (ratelimit.Grant, error)
-	// DialInstance connects to an instance.
+	// DialInstance connects to an instance. The error wraps cluster.ErrUnconfirmed if the failure
+	// may be one of this daemon's network.
 	DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error)
+	// CheckPath finds out in the background whether an instance that does not answer can be reached.
+	CheckPath(ctx context.Context, addr netip.AddrPort)
 	Clock() *timer.Service
 }
 
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -134,6 +134,9 @@
 	if !stalled && !s.isOverdue(a, time.Now()) {
 		return stallPollInterval
 	}
+	if stalled {
+		s.g.node.CheckPath(s.ctx, a.group.Head.Addr)
+	}
 	if !s.mayRetry() || s.quarantineStatus().NeedsIsolation() {
 		// A request suspected of crashing instances is not sent to two at once.
 		return idlePollInterval
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -89,6 +89,9 @@
 func (f *fakeNode) LoadsAge() time.Duration { return f.view.LoadsAge() }
 func (f *fakeNode) Clock() *timer.Service   { return f.clock }
 
+// CheckPath does nothing.
+func (f *fakeNode) CheckPath(context.Context, netip.AddrPort) {}
+
 // DialInstance connects over TCP.
 func (f *fakeNode) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
 	return h1.Direct(dialTimeout)(ctx, addr)
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -49,6 +49,9 @@
 			e.unmarkTried(i)
 			continue
 		}
+		if errors.Is(err, h1.ErrNoResponse) {
+			e.g.node.CheckPath(ctx, i.Addr)
+		}
 		e.mayHaveRun = e.mayHaveRun || (err != nil && !errors.Is(err, errNotRun))
 		if err == nil || last || ctx.Err() != nil || !(e.route.Idempotent() || errors.Is(err, errNotRun)) {
 			return err
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -96,6 +96,9 @@
 	if time.Since(c.idleSince) > c.idleTimeout || c.br.Buffered() > 0 {
 		return false
 	}
+	if s, ok := c.nc.(Staler); ok && s.Stale() {
+		return false
+	}
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -63,6 +63,9 @@
 	syscall.Conn
 }
 
+// Staler is a Conn that may become unusable while it is idle, although it has received nothing.
+type Staler interface{ Stale() bool }
+
 // DialFunc connects to an address.
 type DialFunc func(ctx context.Context, addr netip.AddrPort) (Conn, error)
 
