--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -170,6 +170,8 @@
 	kind  kind
 	model string
 	body  string
+	// parts are the parts of the prompt, in the form of the users' platform.
+	parts string
 	// outputTokens is the number of tokens that the caller accepts.
 	outputTokens int
 }
@@ -215,6 +217,9 @@
 	req.Header.Set("Authorization", "Token "+key)
 	if r.model != "" {
 		req.Header.Set("X-Lupinkeel-Model", r.model)
+		if r.parts != "" {
+			req.Header.Set("X-Lupinkeel-Prefix-Hash", r.parts)
+		}
 		req.Header.Set("X-Lupinkeel-Token-Count", fmt.Sprintf("100,%d", r.outputTokens))
 	}
 	resp, err := client.Do(req)
--- a/standin/replica/poison.go
+++ b/standin/replica/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -28,6 +29,32 @@
 	return n
 }
 
+// headerPromptParts lists the parts of a prompt.
+const headerPromptParts = "X-Lupinkeel-Prefix-Hash"
+
+// partPrefix marks the poison that is a part of prompts.
+const partPrefix = "part "
+
+// CrashOnPart makes requests with this part in their prompts crash every instance that runs them.
+// The record of it is that of the poison PartName(part).
+func (p *Pool) CrashOnPart(part string, replaceAfter time.Duration) {
+	p.CrashOn(PartName(part), replaceAfter)
+}
+
+// PartName returns the name of the poison that is a part of prompts.
+func PartName(part string) string { return partPrefix + part }
+
+// poisonOf returns the poison in a request, or nil. The pool must be locked.
+func (p *Pool) poisonOf(r *http.Request, body []byte) *Poison {
+	for part := range strings.SplitSeq(r.Header.Get(headerPromptParts), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		if poison := p.poisons[PartName(id)]; poison != nil {
+			return poison
+		}
+	}
+	return p.poisons[string(body)]
+}
+
 // CrashOn makes a request with this body crash every instance that runs it. A new instance replaces
 // a crashed one after replaceAfter.
 func (p *Pool) CrashOn(body string, replaceAfter time.Duration) {
@@ -43,11 +70,11 @@
 	return *p.poisons[body]
 }
 
-// crashIfPoisoned makes the instance crash shortly, and the request never complete, if the body is
-// that of a poison request. It returns false if it isn't.
+// crashIfPoisoned makes the instance crash shortly, and the request never complete, if it is a
+// poison request. It returns false if it isn't.
 func (i *Instance) crashIfPoisoned(r *http.Request, body []byte) bool {
 	i.pool.mu.Lock()
-	p := i.pool.poisons[string(body)]
+	p := i.pool.poisonOf(r, body)
 	if p != nil {
 		p.Sent = append(p.Sent, time.Now())
 	}
