quarantine: blame parts of prompts for crashes

Cause: the quarantine knew whole requests only, by caller, path and body. No two of these requests are alike, so none came to three crashes but by retries. Evidence: each instance-crashed line has other digests, the instances end one after the other. Ruled out: late detection, crashes are reported within 6 ms.

Change: the shared parts of a prompt are suspects beside the request. A part is blamed after three crashes at different times if no request and no other part was on nearly all of them; parts that always came together block a prompt only together. A part that was answered within ten seconds is no suspect, a success clears it: otherwise popular parts would be blamed for a power failure. A part counts for its workspace, so that nobody can have another's part blamed, and for all workspaces only if no single one explains its crashes. The last part, which is the request's or the session's own, is not looked at.

Why it works: what the crashes have in common is now among what they are counted by, and sound requests speak for the rest.

--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -14,7 +14,7 @@
 )
 
 // Quarantine holds the crashes of instances that any daemon found, with the requests in flight on
-// them. It is safe for concurrent use.
+// them and the parts of their prompts. It is safe for concurrent use.
 type Quarantine struct {
 	log zerolog.Logger
 	// nonEmpty is set if any crash is known.
@@ -80,6 +80,30 @@
 	return q.list.Status(d)
 }
 
+// MarkSound records that an instance answered a request with these parts and did not crash.
+func (q *Quarantine) MarkSound(parts []quarantine.Digest) {
+	now, cleared := time.Now(), false
+	q.mu.Lock()
+	for _, d := range parts {
+		cleared = q.list.MarkSound(d, now) || cleared
+	}
+	if cleared {
+		q.refresh(now)
+	}
+	q.mu.Unlock()
+	if cleared {
+		q.onChange()
+	}
+}
+
+// Blocks returns a part because of which a prompt with these parts must not be sent, and whether
+// there is one.
+func (q *Quarantine) Blocks(parts []quarantine.Digest) (quarantine.Digest, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.Blocks(parts)
+}
+
 // HasCrashed reports whether this incarnation of an instance is known to have crashed.
 func (q *Quarantine) HasCrashed(i models.UpstreamInstance) bool {
 	q.mu.Lock()
@@ -123,7 +147,7 @@
 	quarantined := q.list.Quarantined()
 	for d, s := range quarantined {
 		if _, before := q.quarantined[d]; !before {
-			q.log.Warn().Stringer("digest", d).Int("crashes", s.Crashes).Dur("age", now.Sub(s.Last)).Msg("request-quarantined")
+			q.log.Warn().Stringer("digest", d).Bool("part", d.IsPart()).Int("crashes", s.Crashes).Dur("age", now.Sub(s.Last)).Msg("request-quarantined")
 			q.enqueueOwnWrite(d)
 		}
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,6 +21,10 @@
 	errFailureResponse = errors.New("the instance answered with a failure status")
 )
 
+// soundAfter is how long a group must send events for the prompt to be sound. A prompt that crashes
+// instances does so soon after the first event.
+const soundAfter = 500 * time.Millisecond
+
 // streamAttempt is one attempt to serve a stream from one group.
 type streamAttempt struct {
 	s      *stream
@@ -46,6 +50,10 @@
 	// when this pass ends its prompts count as prefilled.
 	lastEvent    time.Time
 	expectedPass time.Duration
+	// firstEvent is when the first event was received, proven is set once the prompt is known to be
+	// sound.
+	firstEvent time.Time
+	proven     bool
 	// buffered is an event that was read before next was called for it.
 	buffered *sse.Event
 }
@@ -138,11 +146,15 @@
 	if a.lastEvent.IsZero() {
 		balance.endPrediction(a.group.Key, a.predicted, true)
 		balance.addLoad(head, 0, -a.prefillTokens)
-		a.prefillTokens = 0
+		a.prefillTokens, a.firstEvent = 0, now
 	} else {
 		balance.addPause(a.s.head.Model, now.Sub(a.lastEvent), a.expectedPass)
 	}
 	a.lastEvent, a.expectedPass = now, a.passTime()
+	if !a.proven && now.Sub(a.firstEvent) >= soundAfter {
+		a.proven = true
+		a.s.markSound()
+	}
 }
 
 // profile returns the profiles of the engine and the model, if they are known.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -63,6 +63,7 @@
 type disconnect struct {
 	instance models.UpstreamInstance
 	at       time.Time
+	// requests holds the digests of the requests, and of the shared parts of their prompts.
 	requests map[quarantine.Digest]struct{}
 	// evidence is empty until there is some.
 	evidence evidence
@@ -87,7 +88,7 @@
 // noteDisconnect records that an instance disconnected during a request that it may have been
 // executing, and probes it at once. The channel is closed after the first probe. An instance that
 // was about to leave ends as planned and is not probed.
-func (cd *crashDetector) noteDisconnect(ctx context.Context, i models.UpstreamInstance, d quarantine.Digest) <-chan struct{} {
+func (cd *crashDetector) noteDisconnect(ctx context.Context, i models.UpstreamInstance, digests ...quarantine.Digest) <-chan struct{} {
 	known, there := cd.node.View().Instances[i.ID]
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
@@ -100,9 +101,11 @@
 		cd.disconnects[i.ID] = c
 		task.Start(context.WithoutCancel(ctx), "probe", func(ctx context.Context) error { return cd.probe(ctx, c) })
 	}
-	c.requests[d] = struct{}{}
+	for _, d := range digests {
+		c.requests[d] = struct{}{}
+	}
 	if c.evidence != "" {
-		cd.report(c, d)
+		cd.report(c, digests...)
 	}
 	return c.probed
 }
@@ -111,7 +114,8 @@
 // one.
 func (c *disconnect) isAlive() bool { return c.probeEnded && c.evidence == "" }
 
-// report informs all daemons of which requests a crashed instance was running. The detector must be
+// report informs all daemons of which requests a crashed instance was running, and of the parts of
+// their prompts. The detector must be
 // locked.
 func (cd *crashDetector) report(c *disconnect, requests ...quarantine.Digest) {
 	crash := quarantine.Crash{Instance: c.instance.ID, StartedAt: c.instance.StartedAt, At: c.at, Requests: map[quarantine.Digest]bool{}}
@@ -168,10 +172,22 @@
 	cd.crashes.Inc()
 	cd.report(c, slices.Collect(maps.Keys(c.requests))...)
 	cd.log.Warn().Str("instance", string(c.instance.ID)).Time("born", c.instance.StartedAt).Str("evidence", string(e)).
-		Int("requests", len(c.requests)).Str("digests", c.digestList()).Dur("after", time.Since(c.at)).Msg("instance-crashed")
+		Int("requests", c.countRequests()).Str("digests", c.digestList()).Dur("after", time.Since(c.at)).Msg("instance-crashed")
+}
+
+// countRequests counts the requests that the instance was running.
+func (c *disconnect) countRequests() int {
+	n := 0
+	for d := range c.requests {
+		if !d.IsPart() {
+			n++
+		}
+	}
+	return n
 }
 
-// digestList lists the requests that the instance was running, up to maxLoggedDigests.
+// digestList lists the requests that the instance was running, and then the parts of their prompts,
+// up to maxLoggedDigests.
 func (c *disconnect) digestList() string {
 	var out []string
 	for d := range c.requests {
@@ -216,7 +232,7 @@
 // safe for concurrent use.
 func (e *exchange) noteDisconnect(ctx context.Context, i models.UpstreamInstance, err error) {
 	if ctx.Err() == nil && isDisconnect(err) {
-		probed := e.g.crashes.noteDisconnect(ctx, i, e.digest())
+		probed := e.g.crashes.noteDisconnect(ctx, i, append([]quarantine.Digest{e.digest()}, e.parts()...)...)
 		e.probed.Store(&probed)
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -54,6 +54,8 @@
 	rejected *admission.Reject
 	// digest returns the hash of the request's content. It is safe for concurrent use.
 	digest func() quarantine.Digest
+	// parts returns the digests of the shared parts of the prompt. It is safe for concurrent use.
+	parts func() []quarantine.Digest
 	// digestUsed is set once the digest was computed.
 	digestUsed atomic.Bool
 	// probed is closed once it is known whether the instance that last disconnected during the
@@ -67,6 +69,9 @@
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, started: time.Now(), head: platform.DecodeRequest(r.Header)}
 	e.digest = sync.OnceValue(e.computeDigest)
+	e.parts = sync.OnceValue(func() []quarantine.Digest {
+		return quarantine.PartDigests(e.owner.Workspace, e.head.Model, e.head.SharedParts)
+	})
 	defer func() { g.buffers.release(e.heldBytes) }()
 	err := e.admit()
 	if err == nil {
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -54,6 +54,9 @@
 	errZoneEvacuated = errors.New("the availability zone is evacuated")
 	// errQuarantined: several instances crashed while they ran the request.
 	errQuarantined = errors.New("the request crashes the instances that run it")
+	// errPartQuarantined: several instances crashed while they ran requests with the same part of
+	// their prompts.
+	errPartQuarantined = errors.New("a part of the prompt crashes the instances that run it")
 	// errLastInstance: an instance crashed while it ran the request, and only one is left.
 	errLastInstance = errors.New("an instance crashed with the request, and the last one is spared")
 )
@@ -71,7 +74,7 @@
 	case errors.Is(err, errBodyIncomplete):
 		outcome = outcomeCallerGone
 		status = http.StatusBadRequest
-	case errors.Is(err, errQuarantined):
+	case errors.Is(err, errQuarantined), errors.Is(err, errPartQuarantined):
 		// No Retry-After: it would only make the caller send the request again.
 		e.g.stats.quarantineRejections.Inc()
 	case errors.Is(err, errAllLimited):
@@ -153,7 +156,7 @@
 
 // isNotRun reports whether the error means that no instance ran the request.
 func isNotRun(err error) bool {
-	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errLastInstance} {
+	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errPartQuarantined, errLastInstance} {
 		if errors.Is(err, reason) {
 			return true
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -36,6 +36,9 @@
 // caller has received is, unless it is isolated.
 func (e *exchange) checkQuarantine() error {
 	e.awaitProbe()
+	if err := e.checkParts(); err != nil {
+		return err
+	}
 	s := e.quarantineStatus()
 	suspect := s.Crashes > 0 && (!e.headSent || s.NeedsIsolation())
 	switch {
@@ -48,6 +51,24 @@
 	}
 }
 
+// checkParts returns an error if a part of the prompt is known to crash instances.
+func (e *exchange) checkParts() error {
+	if len(e.head.SharedParts) == 0 || !e.g.node.Quarantine().Any() {
+		return nil
+	}
+	if d, blocked := e.g.node.Quarantine().Blocks(e.parts()); blocked {
+		return fmt.Errorf("%w: %v", errPartQuarantined, d)
+	}
+	return nil
+}
+
+// markSound records that an instance answered the request, or a good part of it, without crashing.
+func (e *exchange) markSound() {
+	if len(e.head.SharedParts) > 0 {
+		e.g.node.Quarantine().MarkSound(e.parts())
+	}
+}
+
 // awaitProbe waits until it is known whether the instance that last disconnected during the request
 // has crashed.
 func (e *exchange) awaitProbe() {
@@ -97,11 +118,11 @@
 	}
 }
 
-// listQuarantine lists the quarantined requests for an operator, one per line.
+// listQuarantine lists the quarantined requests and parts of prompts for an operator, one per line.
 func (g *Gateway) listQuarantine(w http.ResponseWriter, _ *http.Request) {
 	for d, s := range g.node.Quarantine().Quarantined() {
 		// A write error means that the operator has disconnected.
-		_, _ = fmt.Fprintf(w, "digest=%x crashes=%d age=%s\n", d[:], s.Crashes, time.Since(s.Last).Round(time.Second))
+		_, _ = fmt.Fprintf(w, "digest=%x part=%t crashes=%d age=%s\n", d[:], d.IsPart(), s.Crashes, time.Since(s.Last).Round(time.Second))
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -237,6 +237,7 @@
 // finishStream completes the response.
 func (s *stream) finishStream() error {
 	s.observeBase()
+	s.markSound()
 	if !s.headSent {
 		s.writeHead(s.current.response.Status, s.current.response.Header)
 	}
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -104,6 +104,9 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeResponse(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
+	if resp.Status < http.StatusMultipleChoices {
+		e.markSound()
+	}
 	e.setContentLength(resp, body)
 	e.writeHead(resp.Status, resp.Header)
 	_, err = e.w.Write(body)
--- a/models/requests.go
+++ b/models/requests.go
@@ -19,6 +19,8 @@
 	Model        ModelName
 	PromptTokens int
 	OutputTokens int
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
+	SharedParts []string
 	// LastEventID is the ID of the last event of a stream that the caller has received. It is valid
 	// only if HasLastEventID is true.
 	LastEventID    int64
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -51,7 +51,7 @@
 func (l *List) IsolationIndex(d Digest, n int) int {
 	before := 0
 	for other := range l.suspects {
-		if bytes.Compare(other[:], d[:]) < 0 && l.Status(other).NeedsIsolation() {
+		if !other.IsPart() && bytes.Compare(other[:], d[:]) < 0 && l.Status(other).NeedsIsolation() {
 			before++
 		}
 	}
@@ -69,7 +69,7 @@
 	return out
 }
 
-// evaluate finds the requests that caused the crashes. All requests that were on an instance when
+// evaluate finds the requests and parts that caused the crashes. All requests that were on an instance when
 // it crashed are suspects. All crashes of the request that was on most of the crashed instances are
 // attributed to it, and only the remaining crashes count against other requests. So requests that
 // shared instances with a crashing request are cleared once that request is identified. While
@@ -78,13 +78,14 @@
 	l.statuses, l.attributed = map[Digest]Status{}, map[*crash]bool{}
 	candidates := map[Digest][]*crash{}
 	for d, crashes := range l.suspects {
-		if len(crashes) >= CrashLimit {
+		if len(crashes) >= CrashLimit && !d.IsPart() {
 			candidates[d] = crashes
 		}
 	}
 	for top := l.topSuspects(candidates); len(top) > 0; top = l.topSuspects(candidates) {
 		l.attribute(top, now)
 	}
+	l.evaluateParts(now)
 }
 
 // topSuspects returns the candidates with the most unattributed crashes, if these reach CrashLimit.
@@ -129,7 +130,7 @@
 	most := 0
 	for _, c := range crashes {
 		for other, i := range c.requests {
-			if other == d || i.cleared {
+			if other == d || i.cleared || other.IsPart() {
 				continue
 			}
 			shared[other]++
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -11,11 +11,11 @@
 	// retention is how long a crash is kept. It is as long as regions may be partitioned, so that
 	// the crashes seen on both sides can still be merged.
 	retention = time.Hour
-	// maxCrashes bounds the number of kept crashes, maxRequestsPerCrash the number of requests of
-	// each. They limit the memory that a caller can fill by crashing instances with ever new
+	// maxCrashes bounds the number of kept crashes, maxRequestsPerCrash the number of requests
+	// and parts of each. They limit the memory that a caller can fill by crashing instances with ever new
 	// requests.
 	maxCrashes          = 256
-	maxRequestsPerCrash = 128
+	maxRequestsPerCrash = 256
 )
 
 // Crash is the crash of an instance, with the requests that it may have been running.
@@ -45,6 +45,11 @@
 	// attributed to them.
 	statuses   map[Digest]Status
 	attributed map[*crash]bool
+	// tied holds, for each quarantined part that is not enough to reject a prompt, the parts that
+	// must all be in it.
+	tied map[Digest][]Digest
+	// sound holds when parts of prompts were last answered.
+	sound map[Digest]time.Time
 }
 
 // crash is the internal form of a Crash.
@@ -78,6 +83,11 @@
 		l.crashes = append(l.crashes, known)
 	}
 	for d, cleared := range c.Requests {
+		if !cleared && l.isSound(d, known.at) {
+			// The other daemons have to learn that it is cleared, whoever reported the crash.
+			l.record(known, d, true, "")
+			continue
+		}
 		l.record(known, d, cleared, source)
 	}
 	if l.version == before {
@@ -192,6 +202,7 @@
 // Prune drops crashes older than retention, and the oldest crashes above maxCrashes that are not
 // evidence against a quarantined request. Then it evaluates the requests again.
 func (l *List) Prune(now time.Time) {
+	l.pruneSound(now)
 	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool {
 		old := now.Sub(c.at) > retention
 		if old {
