cluster: ask all daemons at once whether an instance refuses

A daemon that was refused by an instance asked four others 20 ms apart before it took the instance for crashed, at least three such pauses later than before. The four are now asked at once; they stay apart where a connection is only slow, so that a busy daemon does not cause four more. In clusters with relays, where few daemons send heartbeats to each other, daemons of the roster are asked as well: a zone may be partitioned as a whole. TestTunnelPeersOfOneZone.

--- a/cluster/paths.go
+++ b/cluster/paths.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -91,12 +90,12 @@
 // fails or takes long, and tries the tunnel first if the direct one failed shortly before.
 func (p *paths) dial(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
 	if p.needsDetour(addr) {
-		conn, err := p.dialTunnel(ctx, addr)
+		conn, err := p.dialTunnel(ctx, addr, tunnelStagger)
 		if err == nil || !errors.Is(err, errNoTunnel) {
 			return conn, err
 		}
 	}
-	first := p.startDirect(ctx, addr)
+	first, stagger := p.startDirect(ctx, addr), tunnelStagger
 	delay := time.NewTimer(detourDelay)
 	defer delay.Stop()
 	select {
@@ -104,12 +103,14 @@
 		if first.err == nil {
 			return first.take(), nil
 		}
+		// The instance probably refused, and all daemons find out at once whether it does.
+		stagger = 0
 	case <-delay.C:
 	case <-ctx.Done():
 		first.abandon()
 		return nil, ctx.Err()
 	}
-	tunnel, err := p.dialTunnel(ctx, addr)
+	tunnel, err := p.dialTunnel(ctx, addr, stagger)
 	if err == nil && first.connected() {
 		return first.take(), tunnel.Close()
 	}
@@ -301,20 +302,22 @@
 // tunnelPeer is a daemon that tunnels to instances may go through.
 type tunnelPeer struct {
 	addr netip.AddrPort
-	// near is set if it is in this daemon's zone.
-	near bool
+	// near is set if it is in this daemon's zone, alive if it sends this daemon heartbeats.
+	near, alive bool
 }
 
 // updateTunnelPeers updates the daemons that tunnels may go through: those that are alive and not
-// partitioned themselves.
+// partitioned themselves. Unless the topology is a mesh, only few daemons send heartbeats, perhaps
+// only those of a zone that is partitioned as a whole, and all others in the roster count too.
 func (o *owner) updateTunnelPeers() {
 	var peers []tunnelPeer
-	for id, p := range o.peers.seen {
-		if at, known := o.peers.addrs[id]; known && !p.heartbeat.Partitioned {
-			peers = append(peers, tunnelPeer{at.addr, at.zone == o.n.cfg.Zone})
+	for id, at := range o.peers.addrs {
+		p, alive := o.peers.seen[id]
+		if alive && p.heartbeat.Partitioned || !alive && o.peers.topology.IsMesh {
+			continue
 		}
+		peers = append(peers, tunnelPeer{at.addr, at.zone == o.n.cfg.Zone, alive})
 	}
-	slices.SortFunc(peers, func(a, b tunnelPeer) int { return a.addr.Compare(b.addr) })
 	o.n.tunnelPeers.Store(&peers)
 }
 
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -132,6 +132,7 @@
 		o.n.peerLoads.removeTotals()
 	}
 	p.topology, p.topologyAt, p.topologyStale, o.viewStale = a, now, false, true
+	o.updateTunnelPeers()
 	o.n.clock.SetStep(o.clockStep())
 	targets := make(map[models.DaemonID]target, len(a.Links))
 	for id, link := range a.Links {
--- a/cluster/tunnel.go
+++ b/cluster/tunnel.go
@@ -58,9 +58,9 @@
 }
 
 // dialTunnel connects to an instance through another daemon. It tries several, because some may be
-// partitioned as well, and takes the first connection. The error wraps errNoTunnel if no daemon
-// tried to connect, and ECONNREFUSED if the instance refused.
-func (p *paths) dialTunnel(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+// partitioned as well, one each stagger, and takes the first connection. The error wraps errNoTunnel
+// if no daemon tried to connect, and ECONNREFUSED if the instance refused.
+func (p *paths) dialTunnel(ctx context.Context, addr netip.AddrPort, stagger time.Duration) (h1.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := p.pickTunnelPeers()
@@ -70,7 +70,7 @@
 		if started < len(peers) {
 			p.startTunnel(ctx, peers[started].addr, addr, results)
 			started++
-			next = time.After(tunnelStagger)
+			next = time.After(stagger)
 		}
 		select {
 		case r := <-results:
@@ -111,26 +111,31 @@
 	})
 }
 
-// pickTunnelPeers picks daemons to try for a tunnel: one of this zone, if there is one, then others
-// at random. A zone may be partitioned as a whole.
+// pickTunnelPeers picks daemons to try for a tunnel: one of this zone that is alive, then others at
+// random, those that are alive first. A zone may be partitioned as a whole.
 func (p *paths) pickTunnelPeers() []tunnelPeer {
 	peers := slices.Clone(*p.n.tunnelPeers.Load())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	if at := slices.IndexFunc(peers, func(peer tunnelPeer) bool { return peer.near }); at >= 0 {
+	slices.SortStableFunc(peers, func(a, b tunnelPeer) int { return a.order() - b.order() })
+	if at := slices.IndexFunc(peers, func(peer tunnelPeer) bool { return peer.near && peer.alive }); at >= 0 {
 		near := peers[at]
-		others := slices.Delete(peers, at, at+1)
-		slices.SortStableFunc(others, func(a, b tunnelPeer) int { return boolRank(a.near) - boolRank(b.near) })
-		peers = append([]tunnelPeer{near}, others...)
+		peers = slices.Insert(slices.Delete(peers, at, at+1), 0, near)
 	}
 	return peers[:min(len(peers), maxTunnelPeers)]
 }
 
-// boolRank orders false before true.
-func boolRank(b bool) int {
-	if b {
+// order is the place of a daemon among those to try: other zones come first.
+func (t tunnelPeer) order() int {
+	switch {
+	case t.alive && !t.near:
+		return 0
+	case t.alive:
 		return 1
+	case !t.near:
+		return 2
+	default:
+		return 3
 	}
-	return 0
 }
 
 // dialTunnelVia connects to an instance through a peer.
--- a/cluster/tunnel_test.go
+++ b/cluster/tunnel_test.go
@@ -40,7 +40,7 @@
 	s.peer = New(Settings{ID: "d2", Peer: peerAddr}, nil, metrics.NewSet(), zerolog.Nop())
 	s.peer.view.Store(&View{Instances: map[models.InstanceID]models.UpstreamInstance{"i1": {ID: "i1", Addr: s.addr()}}})
 	s.daemon.view.Store(&View{hasPeers: true})
-	s.daemon.tunnelPeers.Store(&[]tunnelPeer{{addr: peerAddr}})
+	s.daemon.tunnelPeers.Store(&[]tunnelPeer{{addr: peerAddr, alive: true}})
 	server, err := listenPeers(s.peer)
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,3 +148,25 @@
 	_, err = s.daemon.DialInstance(context.Background(), s.addr())
 	s.c.Assert(err, qt.ErrorIs, ErrUnconfirmed)
 }
+
+// TestTunnelPeersOfOneZone guards against a daemon that tries only daemons of its own zone, which
+// may be partitioned as a whole.
+func TestTunnelPeersOfOneZone(t *testing.T) {
+	c := qt.New(t)
+	n := New(Settings{ID: "d1"}, nil, metrics.NewSet(), zerolog.Nop())
+	peer := func(port uint16, near, alive bool) tunnelPeer {
+		return tunnelPeer{netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), near, alive}
+	}
+	n.tunnelPeers.Store(&[]tunnelPeer{
+		peer(1, true, true), peer(2, true, true), peer(3, true, true), peer(4, true, true), peer(5, true, true),
+		peer(6, false, true), peer(7, false, false), peer(8, false, false), peer(9, true, false),
+	})
+	for range 20 {
+		picked := n.paths.pickTunnelPeers()
+		c.Assert(picked, qt.HasLen, maxTunnelPeers)
+		c.Assert(picked[0].near && picked[0].alive, qt.IsTrue)
+		c.Assert(picked[1], qt.Equals, peer(6, false, true))
+	}
+	n.tunnelPeers.Store(&[]tunnelPeer{peer(7, false, false), peer(9, true, false)})
+	c.Assert(n.paths.pickTunnelPeers()[0], qt.Equals, peer(7, false, false))
+}
