--- a/cluster/paths.go
+++ b/cluster/paths.go
@@ -111,10 +111,12 @@
 		return nil, ctx.Err()
 	}
 	tunnel, err := p.dialTunnel(ctx, addr, stagger)
-	if err == nil && first.connected() {
-		return first.take(), tunnel.Close()
-	}
-	if err == nil {
+	switch {
+	case err == nil && first.connected():
+		// The tunnel is not used.
+		_ = tunnel.Close()
+		return first.take(), nil
+	case err == nil:
 		first.bypass()
 		return tunnel, nil
 	}
@@ -134,93 +136,6 @@
 	}
 }
 
-// directAttempt is an attempt to connect directly, which runs on when a tunnel was faster.
-type directAttempt struct {
-	p    *paths
-	addr netip.AddrPort
-	// done is closed when conn and err are set.
-	done chan struct{}
-	conn h1.Conn
-	err  error
-
-	mu sync.Mutex
-	// ended is set with done. bypassed is set if a tunnel was faster, abandoned if nobody waits for
-	// the connection.
-	ended, bypassed, abandoned bool
-}
-
-func (p *paths) startDirect(ctx context.Context, addr netip.AddrPort) *directAttempt {
-	a := &directAttempt{p: p, addr: addr, done: make(chan struct{})}
-	task.Start(context.WithoutCancel(ctx), "dial", a.run)
-	return a
-}
-
-func (a *directAttempt) run(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := a.p.direct(ctx, a.addr)
-	a.mu.Lock()
-	a.conn, a.err, a.ended = conn, err, true
-	close(a.done)
-	bypassed, abandoned := a.bypassed, a.abandoned
-	a.mu.Unlock()
-	if err == nil {
-		a.p.record(a.addr, reachability.Connected)
-	} else if bypassed {
-		a.p.record(a.addr, reachability.Bypassed)
-	}
-	if err == nil && abandoned {
-		return conn.Close()
-	}
-	return nil
-}
-
-// connected reports whether the attempt has succeeded.
-func (a *directAttempt) connected() bool {
-	select {
-	case <-a.done:
-		return a.err == nil
-	default:
-		return false
-	}
-}
-
-// take returns the connection of a successful attempt.
-func (a *directAttempt) take() h1.Conn { return &directConn{Conn: a.conn, p: a.p, addr: a.addr} }
-
-// abandon closes the connection, also if it is made later.
-func (a *directAttempt) abandon() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.abandoned = true
-	if a.connected() {
-		// The connection was not used.
-		_ = a.conn.Close()
-	}
-}
-
-// bypass abandons the attempt because a tunnel to the instance was made.
-func (a *directAttempt) bypass() {
-	a.abandon()
-	a.mu.Lock()
-	a.bypassed = true
-	ended := a.ended
-	a.mu.Unlock()
-	if ended && a.err != nil {
-		a.p.record(a.addr, reachability.Bypassed)
-	}
-}
-
-// directConn is a direct connection to an instance.
-type directConn struct {
-	h1.Conn
-	p    *paths
-	addr netip.AddrPort
-}
-
-// Stale reports whether connections to the instance take a detour now, because direct ones may hang.
-func (c *directConn) Stale() bool { return c.p.needsDetour(c.addr) }
-
 // check finds out in the background whether an instance that is silent can be reached.
 func (p *paths) check(ctx context.Context, addr netip.AddrPort) {
 	now := time.Now()
@@ -299,28 +214,6 @@
 	return i, known
 }
 
-// tunnelPeer is a daemon that tunnels to instances may go through.
-type tunnelPeer struct {
-	addr netip.AddrPort
-	// near is set if it is in this daemon's zone, alive if it sends this daemon heartbeats.
-	near, alive bool
-}
-
-// updateTunnelPeers updates the daemons that tunnels may go through: those that are alive and not
-// partitioned themselves. Unless the topology is a mesh, only few daemons send heartbeats, perhaps
-// only those of a zone that is partitioned as a whole, and all others in the roster count too.
-func (o *owner) updateTunnelPeers() {
-	var peers []tunnelPeer
-	for id, at := range o.peers.addrs {
-		p, alive := o.peers.seen[id]
-		if alive && p.heartbeat.Partitioned || !alive && o.peers.topology.IsMesh {
-			continue
-		}
-		peers = append(peers, tunnelPeer{at.addr, at.zone == o.n.cfg.Zone, alive})
-	}
-	o.n.tunnelPeers.Store(&peers)
-}
-
 // CheckPath finds out in the background whether an instance that does not answer can be reached.
 func (n *Node) CheckPath(ctx context.Context, addr netip.AddrPort) { n.paths.check(ctx, addr) }
 
--- a/cluster/tunnel.go
+++ b/cluster/tunnel.go
@@ -7,10 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/netip"
-	"slices"
 	"syscall"
 	"time"
 
@@ -111,33 +108,6 @@
 	})
 }
 
-// pickTunnelPeers picks daemons to try for a tunnel: one of this zone that is alive, then others at
-// random, those that are alive first. A zone may be partitioned as a whole.
-func (p *paths) pickTunnelPeers() []tunnelPeer {
-	peers := slices.Clone(*p.n.tunnelPeers.Load())
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	slices.SortStableFunc(peers, func(a, b tunnelPeer) int { return a.order() - b.order() })
-	if at := slices.IndexFunc(peers, func(peer tunnelPeer) bool { return peer.near && peer.alive }); at >= 0 {
-		near := peers[at]
-		peers = slices.Insert(slices.Delete(peers, at, at+1), 0, near)
-	}
-	return peers[:min(len(peers), maxTunnelPeers)]
-}
-
-// order is the place of a daemon among those to try: other zones come first.
-func (t tunnelPeer) order() int {
-	switch {
-	case t.alive && !t.near:
-		return 0
-	case t.alive:
-		return 1
-	case !t.near:
-		return 2
-	default:
-		return 3
-	}
-}
-
 // dialTunnelVia connects to an instance through a peer.
 func (p *paths) dialTunnelVia(ctx context.Context, peer, addr netip.AddrPort) (conn h1.Conn, err error) {
 	accepting, cancel := context.WithTimeout(ctx, tunnelAcceptTimeout)
@@ -242,82 +212,3 @@
 func (c *tunnelConn) Stale() bool {
 	return c.ended || c.remaining > 0 || c.r.Buffered() > 0 || !c.p.needsDetour(c.addr)
 }
-
-// serveTunnel connects to an instance for another daemon, and passes on bytes until one side ends.
-// It takes over the connection.
-func (s *peerServer) serveTunnel(ctx context.Context, conn net.Conn, r *bufio.Reader, replies framedConn, body []byte) error {
-	var req tunnelRequest
-	if err := frame.Decode(body, &req); err != nil {
-		return err
-	}
-	addr, err := s.tunnelTarget(req)
-	if err != nil {
-		return replies.send(frameTunnelReply, tunnelReply{Error: err.Error()})
-	}
-	if err := replies.send(frameTunnelReply, tunnelReply{Accepted: true}); err != nil {
-		return err
-	}
-	dialing, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
-	defer cancel()
-	instance, err := s.n.paths.direct(dialing, addr)
-	if err != nil {
-		return errors.Join(err, replies.send(frameTunnelReply, tunnelReply{Refused: errors.Is(err, syscall.ECONNREFUSED), Error: err.Error()}))
-	}
-	defer instance.Close()
-	if err := replies.send(frameTunnelReply, tunnelReply{Connected: true}); err != nil {
-		return err
-	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return err
-	}
-	stop := context.AfterFunc(ctx, func() { instance.Close() })
-	defer stop()
-	downstream := task.Start(ctx, "tunnel", func(context.Context) error { return sendChunks(conn, instance) })
-	// The other daemon closes its connection when it does not need the instance any more.
-	_, err = io.Copy(instance, r)
-	return errors.Join(err, instance.Close(), conn.Close(), task.Wait(downstream))
-}
-
-// tunnelTarget returns the instance's address that a tunnel is to go to.
-func (s *peerServer) tunnelTarget(req tunnelRequest) (netip.AddrPort, error) {
-	addr, err := netip.ParseAddrPort(req.Addr)
-	switch {
-	case err != nil:
-		return addr, err
-	case s.n.resigned.Load():
-		return addr, errors.New("the daemon is stopping")
-	case s.n.paths.partitioned():
-		return addr, errors.New("the daemon is partitioned itself")
-	}
-	for _, i := range s.n.View().Instances {
-		if i.Addr == addr {
-			return addr, nil
-		}
-	}
-	return addr, fmt.Errorf("no instance with address %v is known", addr)
-}
-
-// sendChunks sends what an instance sends, in chunks, and its end. If the instance resets its
-// connection, the other one is reset.
-func sendChunks(to net.Conn, instance net.Conn) error {
-	buf := make([]byte, chunkHeaderLen+tunnelBufferLen)
-	for {
-		n, err := instance.Read(buf[chunkHeaderLen:])
-		if n > 0 {
-			binary.BigEndian.PutUint32(buf, uint32(n))
-			if _, writeErr := to.Write(buf[:chunkHeaderLen+n]); writeErr != nil {
-				return errors.Join(writeErr, instance.Close())
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			_, err = to.Write(make([]byte, chunkHeaderLen))
-			return err
-		case err != nil:
-			if conn, ok := to.(*net.TCPConn); ok {
-				err = errors.Join(err, conn.SetLinger(0))
-			}
-			return errors.Join(err, to.Close())
-		}
-	}
-}
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -189,6 +189,16 @@
 // connection, in case the peer lost power or is partitioned.
 const tcpUserTimeout = 4 * time.Second
 
+// SetUserTimeout bounds how long data may stay unacknowledged on an accepted connection as on dialed
+// ones.
+func SetUserTimeout(conn syscall.Conn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout("", "", raw)
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -89,18 +89,16 @@
 	for _, d := range cut {
 		d.network.partition(mode)
 	}
-	time.Sleep(contactTime)
-	during := load.outcomes()
-	time.Sleep(partitionDuration - contactTime)
-	during = load.outcomes().minus(during)
+	began := time.Now()
+	time.Sleep(partitionDuration)
 	for _, d := range cut {
 		d.network.heal()
 	}
-	time.Sleep(contactTime)
-	after := load.outcomes()
-	time.Sleep(time.Second)
-	after = load.outcomes().minus(after)
+	healed := time.Now()
+	time.Sleep(contactTime + time.Second)
 	load.stop()
+	during := load.outcomes(began.Add(contactTime), healed)
+	after := load.outcomes(healed.Add(contactTime), time.Now())
 
 	cutDuring, othersDuring := during.of(cut), during.of(others)
 	t.Logf("during the partition: partitioned daemons %v, others %v; after it: %v, %v", cutDuring, othersDuring, after.of(cut), after.of(others))
@@ -314,28 +312,21 @@
 
 func (c servedCount) String() string { return fmt.Sprintf("%d of %d", c.served, c.total) }
 
-// outcomes returns the outcomes of all requests so far.
-func (c *callerLoad) outcomes() outcomes {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// outcomes returns the outcomes of the requests that were sent in an interval. The load must have
+// stopped.
+func (c *callerLoad) outcomes(from, until time.Time) outcomes {
 	out := outcomes{}
 	for _, r := range c.replies {
-		daemon := c.sent[models.RequestID(r.id)].daemon
-		count := out[daemon]
+		sent := c.sent[models.RequestID(r.id)]
+		if sent.at.Before(from) || !sent.at.Before(until) {
+			continue
+		}
+		count := out[sent.daemon]
 		count.total++
 		if r.complete {
 			count.served++
 		}
-		out[daemon] = count
-	}
-	return out
-}
-
-// minus returns the outcomes since earlier ones.
-func (o outcomes) minus(earlier outcomes) outcomes {
-	out := outcomes{}
-	for daemon, count := range o {
-		out[daemon] = servedCount{count.served - earlier[daemon].served, count.total - earlier[daemon].total}
+		out[sent.daemon] = count
 	}
 	return out
 }
