reachability: end a partition when few instances are left

With fewer than four instances left a partition never ended: as many had to be reached. It also ends when all of the last five seconds' attempts succeed. The script few_instances fails before (partitioned at 6 s).

--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -62,7 +62,9 @@
 		}
 	}
 	before := t.partitioned
-	if count >= decisiveAttempts {
+	// There may be fewer instances left than are decisive otherwise.
+	allConnected := outcome == Connected && count == len(t.attempts)
+	if count >= decisiveAttempts || allConnected {
 		t.partitioned = outcome == Bypassed
 	}
 	if before == t.partitioned {
