cluster: end attempts to make a tunnel with their context

An attempt whose context ended while daemons had not answered waited for results that were never sent, and with it the request. Found by reading. TestTunnelDialHangs fails before: an attempt has not ended 2 s after its context.

--- a/cluster/tunnel.go
+++ b/cluster/tunnel.go
@@ -80,6 +80,8 @@
 				err = r.err
 			}
 		case <-next:
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
 	}
 	return nil, err
--- a/cluster/tunnel_test.go
+++ b/cluster/tunnel_test.go
@@ -170,3 +170,36 @@
 	n.tunnelPeers.Store(&[]tunnelPeer{peer(7, false, false), peer(9, true, false)})
 	c.Assert(n.paths.pickTunnelPeers()[0], qt.Equals, peer(7, false, false))
 }
+
+// TestTunnelDialHangs guards against a connection attempt that outlives its context, because none
+// of the daemons that it waits for answers in time.
+func TestTunnelDialHangs(t *testing.T) {
+	c := qt.New(t)
+	silent := listen(c).Addr().(*net.TCPAddr).AddrPort()
+	hang := func(ctx context.Context, _ netip.AddrPort) (h1.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	n := New(Settings{ID: "d1", DialInstance: hang}, nil, metrics.NewSet(), zerolog.Nop())
+	n.view.Store(&View{hasPeers: true})
+	n.tunnelPeers.Store(&[]tunnelPeer{{silent, true, true}, {silent, false, true}, {silent, false, true}, {silent, false, true}})
+	const attempts = 20
+	ended := make(chan error, attempts)
+	for range attempts {
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), detourDelay+5*time.Millisecond)
+			defer cancel()
+			_, err := n.DialInstance(ctx, silent)
+			ended <- err
+		}()
+	}
+	timeout := time.After(2 * time.Second)
+	for range attempts {
+		select {
+		case err := <-ended:
+			c.Assert(err, qt.IsNotNil)
+		case <-timeout:
+			c.Fatal("an attempt has not ended 2 s after its context")
+		}
+	}
+}
