cluster: probe instances less often during the planner's own partition

Tests of what a partitioned planner and candidate do: TestPartitionedPlannerLosesInstances and TestPartitionedDaemonPlans.

--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -36,8 +36,11 @@
 // handleProbeFailure marks an instance as lost, or probes it again if one failure is no proof, or
 // may be a failure of this daemon's network.
 func (o *owner) handleProbeFailure(k *knownInstance, m probeFinished) {
-	isOwnFailure := errors.Is(m.err, ErrUnconfirmed) || o.n.paths.partitioned()
-	if isOwnFailure || !o.provesLoss(k, m.sentAt) {
+	if errors.Is(m.err, ErrUnconfirmed) || o.n.paths.partitioned() {
+		o.fleet.probeAt[k.ID] = time.Now().Add(minProbeInterval)
+		return
+	}
+	if !o.provesLoss(k, m.sentAt) {
 		if k.probeFailedAt.IsZero() {
 			k.probeFailedAt = time.Now()
 		}
--- a/cluster/reports_test.go
+++ b/cluster/reports_test.go
@@ -1,6 +1,9 @@
 package cluster
 
 import (
+	"errors"
+	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -8,6 +11,7 @@
 
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
+	"github.com/lupinkeel/lupinkeel/reachability"
 )
 
 // TestOutOfOrderReports checks that the response to an earlier probe does not revert a later one,
@@ -111,3 +115,52 @@
 	c.Assert(probed(now.Add(lostProbeInterval/2)), qt.Equals, 0)
 	c.Assert(probed(now.Add(lostProbeInterval)), qt.Equals, 1)
 }
+
+// TestPartitionedPlannerLosesInstances guards against a planner that takes its own partition for
+// the loss of instances, or a failure that no other daemon could confirm.
+func TestPartitionedPlannerLosesInstances(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	o.config.routing = &models.Routing{}
+	o.handleLease(leaseHeld{term: 2, until: time.Now().Add(time.Minute)})
+	o.applyEntry(models.UpstreamInstance{ID: "i-1"}, time.Now())
+	i := o.fleet.instances["i-1"]
+	failTwice := func(err error) bool {
+		for range 2 {
+			o.handleProbeResult(probeFinished{instance: i.UpstreamInstance, err: err, sentAt: time.Now()})
+		}
+		return !i.lostSince.IsZero()
+	}
+	c.Assert(failTwice(errors.Join(syscall.ECONNREFUSED, ErrUnconfirmed)), qt.IsFalse)
+	record := func(outcome reachability.Outcome) {
+		for n := range byte(4) {
+			o.n.paths.record(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), outcome)
+		}
+	}
+	record(reachability.Bypassed)
+	c.Assert(failTwice(syscall.ECONNREFUSED), qt.IsFalse)
+	record(reachability.Connected)
+	c.Assert(failTwice(syscall.ECONNREFUSED), qt.IsTrue)
+}
+
+// TestPartitionedDaemonPlans guards against a planner that keeps the lease although it cannot reach
+// the instances and another daemon can.
+func TestPartitionedDaemonPlans(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	o.handleLease(leaseHeld{term: 2, until: time.Now().Add(time.Minute)})
+	receive := func(partitioned bool) {
+		b := Heartbeat{From: "a", Addr: "127.0.0.1:1", Zone: "z", Partitioned: partitioned}
+		o.handleHeartbeat(heartbeatReceived{heartbeat: b, receivedAt: time.Now()})
+		o.updateTopology(time.Now().Add(time.Minute))
+	}
+	receive(false)
+	t.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
+	c.Assert(o.isCandidate(time.Now()), qt.IsTrue)
+	for n := range byte(4) {
+		o.n.paths.record(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), reachability.Bypassed)
+	}
+	c.Assert(o.isCandidate(time.Now()), qt.IsFalse)
+	receive(true)
+	c.Assert(o.isCandidate(time.Now()), qt.IsTrue, qt.Commentf("no other daemon reaches the instances either"))
+}
