--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -183,8 +183,7 @@
 // a partition can stop them.
 type network struct {
 	listener net.Listener
-	// state is a partitionState.
-	state atomic.Pointer[partitionState]
+	state    atomic.Pointer[partitionState]
 
 	mu     sync.Mutex
 	relays map[*relay]struct{}
