soak: reproduce a daemon that serves nothing in a flood

The test gives a daemon a small share of a core, as a cgroup would, finds out how many requests it can serve, and then sends it several times as many on connections of their own.

--- /dev/null
+++ b/soak/flood_test.go
@@ -0,0 +1,241 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// floodedShare is the share of a core that the daemon under a flood has.
+	floodedShare = 0.06
+	// floodRate is the number of requests per second in a flood, several times what such a daemon
+	// can serve; calmRate is well below that.
+	floodRate = 500
+	calmRate  = 25
+	// floodDuration is how long a flood lasts; floodOnset is how long the daemon may take to adapt
+	// to it, and to its end.
+	floodDuration = 8 * time.Second
+	floodOnset    = 2 * time.Second
+	calmDuration  = 3 * time.Second
+	// saturatingCallers is the number of callers that send one request after the other to find out
+	// how many a daemon can serve.
+	saturatingCallers = 32
+	// minGoodput is the fraction of that rate that a daemon must serve in a flood.
+	minGoodput = 0.5
+	// minServedOfRead is the fraction of the requests read by the daemon that it must serve in a
+	// flood.
+	minServedOfRead = 0.75
+)
+
+// TestFloodedDaemonServesNothing guards against daemons that begin every request they get: with
+// several times the requests that it could serve, such a daemon served almost none, and lost its
+// connection to the store.
+func TestFloodedDaemonServesNothing(t *testing.T) {
+	s := startInstances(t, profile)
+	s.logs = t.TempDir()
+	for range extraPlainInstances {
+		s.add("plain", "")
+	}
+	d := s.newDaemon(binary(t), 0)
+	s.daemons = append(s.daemons, d)
+	d.env = []string{"GOMAXPROCS=1"}
+	d.start(t)
+	t.Cleanup(d.kill)
+	s.waitServing()
+	limitCPU(t, d, floodedShare)
+
+	capacity := s.saturate(calmDuration)
+	calm := s.flood(calmRate, calmDuration)
+	flooded := s.flood(floodRate, floodDuration).from(floodOnset)
+	after := s.flood(calmRate, floodOnset+calmDuration).from(floodOnset)
+
+	goodput := float64(flooded.served()) / (floodDuration - floodOnset).Seconds()
+	t.Logf("capacity %.0f/s, goodput %.0f/s; calm %v; flooded %v; after %v", capacity, goodput, calm, flooded, after)
+	c := qt.New(t)
+	c.Check(calm.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("before the flood %v", calm))
+	c.Check(goodput >= minGoodput*capacity, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, of %.0f that could be", goodput, capacity))
+	c.Check(flooded.servedOfRead() >= minServedOfRead, qt.IsTrue, qt.Commentf("in the flood %v", flooded))
+	c.Check(after.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("%s after the flood %v", floodOnset, after))
+	text, err := os.ReadFile(filepath.Join(s.logs, d.name+".log"))
+	c.Assert(err, qt.IsNil)
+	for _, event := range []string{"store-lost", "server-error", "planning-ended", "process-paused"} {
+		c.Check(strings.Count(string(text), "event="+event+" "), qt.Equals, 0, qt.Commentf("%s; logs are in %s", event, s.logs))
+	}
+	violations := s.pool.Violations()
+	c.Check(violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(violations, "\n")))
+}
+
+// limitCPU pauses a daemon whenever it has used its share of a core in the current period, until the
+// end of the test.
+func limitCPU(t *testing.T, d *daemon, share float64) {
+	const period, step = 20 * time.Millisecond, time.Millisecond
+	pid := d.cmd.Process.Pid
+	// CPUCLOCK_SCHED of a process: the time that all its threads have run.
+	clock := int32(^pid<<3 | 2)
+	done, ended := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() {
+		close(done)
+		<-ended
+	})
+	go func() {
+		defer close(ended)
+		defer d.signal(syscall.SIGCONT)
+		allowed, paused := cpuTime(clock), false
+		began := time.Now()
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(step):
+			}
+			used := cpuTime(clock)
+			if elapsed := time.Since(began); elapsed >= period {
+				began = time.Now()
+				// Unused time does not accumulate.
+				allowed = min(allowed+time.Duration(share*float64(elapsed)), used)
+			}
+			over := used > allowed+time.Duration(share*float64(period))
+			switch {
+			case over && !paused:
+				d.signal(syscall.SIGSTOP)
+			case !over && paused:
+				d.signal(syscall.SIGCONT)
+			}
+			paused = over
+		}
+	}()
+}
+
+// cpuTime returns how long a process has run, or 0 if it has exited.
+func cpuTime(clock int32) time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(clock, &ts); err != nil {
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
+
+// saturate returns how many requests per second the daemon serves if a few callers send one after
+// the other.
+func (s *site) saturate(duration time.Duration) float64 {
+	load := &flood{}
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := range saturatingCallers {
+		wg.Go(func() {
+			for i := n; time.Since(began) < duration; i++ {
+				load.send(s, i, 0)
+			}
+		})
+	}
+	wg.Wait()
+	return float64(load.served()) / time.Since(began).Seconds()
+}
+
+// flood sends requests at a rate, however long they take, each on a connection of its own.
+func (s *site) flood(rate int, duration time.Duration) *flood {
+	load := &flood{}
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := 0; ; n++ {
+		at := time.Duration(n) * time.Second / time.Duration(rate)
+		if at >= duration {
+			break
+		}
+		time.Sleep(time.Until(began.Add(at)))
+		wg.Go(func() { load.send(s, n, at) })
+	}
+	wg.Wait()
+	return load
+}
+
+// flood is a set of requests, by when they were sent.
+type flood struct {
+	mu      sync.Mutex
+	replies []floodReply
+}
+
+// floodReply is the outcome of a request sent at a time since the beginning of the flood. refused
+// is set if the daemon did not read it, because its connection was refused or reset at once.
+type floodReply struct {
+	reply
+	at      time.Duration
+	refused bool
+}
+
+func (f *flood) send(s *site, n int, at time.Duration) {
+	k, model := kindIdempotent, ""
+	if n%2 == 0 {
+		k, model = kindStream, []string{"big", "small"}[n/2%2]
+	}
+	refused := false
+	transport := &http.Transport{DisableKeepAlives: true}
+	client := &http.Client{Timeout: 3 * time.Second, Transport: refusals{transport, &refused}}
+	defer transport.CloseIdleConnections()
+	r := send(client, s.daemons[0].addr, newRequest(k, model))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replies = append(f.replies, floodReply{r, at, refused})
+}
+
+// refusals notes whether a daemon refused or reset the connection of a request.
+type refusals struct {
+	http.RoundTripper
+	refused *bool
+}
+
+func (r refusals) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := r.RoundTripper.RoundTrip(req)
+	*r.refused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	return resp, err
+}
+
+// from returns the requests sent at this time or later.
+func (f *flood) from(at time.Duration) *flood {
+	out := &flood{}
+	for _, r := range f.replies {
+		if r.at >= at {
+			out.replies = append(out.replies, r)
+		}
+	}
+	return out
+}
+
+func (f *flood) served() (n int) {
+	for _, r := range f.replies {
+		if r.complete {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *flood) refused() (n int) {
+	for _, r := range f.replies {
+		if r.refused {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *flood) servedFraction() float64 { return float64(f.served()) / float64(len(f.replies)) }
+
+func (f *flood) servedOfRead() float64 {
+	return float64(f.served()) / float64(max(1, len(f.replies)-f.refused()))
+}
+
+func (f *flood) String() string {
+	return fmt.Sprintf("%d served of %d, %d not read", f.served(), len(f.replies), f.refused())
+}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -62,8 +62,10 @@
 }
 
 type daemon struct {
-	name    string
-	flags   []string
+	name  string
+	flags []string
+	// env is added to the environment of the test.
+	env     []string
 	addr    string
 	cmd     *exec.Cmd
 	logFile *os.File
@@ -191,6 +193,7 @@
 func (d *daemon) start(t *testing.T) {
 	d.cmd = exec.Command(d.flags[0], d.flags[1:]...)
 	d.cmd.Stdout, d.cmd.Stderr = d.logFile, d.logFile
+	d.cmd.Env = append(os.Environ(), d.env...)
 	qt.Assert(t, d.cmd.Start(), qt.IsNil)
 }
 
