soak: compare a flooded daemon with what its processor is enough for

The capacity in TestFloodedDaemonServesNothing was what 32 callers got one after the other, 135 to 157 requests a second, which depends on how long a request lasts and on how many a daemon admits. It is now computed from the processor time that requests take at a low rate. The lease is a second long, as on the users' platform.

--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -18,20 +18,18 @@
 
 const (
 	// floodedShare is the share of a core that the daemon under a flood has.
-	floodedShare = 0.06
+	floodedShare = 0.1
 	// floodRate is the number of requests per second in a flood, several times what such a daemon
 	// can serve; calmRate is well below that.
-	floodRate = 500
+	floodRate = 600
 	calmRate  = 25
 	// floodDuration is how long a flood lasts; floodOnset is how long the daemon may take to adapt
 	// to it, and to its end.
 	floodDuration = 8 * time.Second
 	floodOnset    = 2 * time.Second
 	calmDuration  = 3 * time.Second
-	// saturatingCallers is the number of callers that send one request after the other to find out
-	// how many a daemon can serve.
-	saturatingCallers = 32
-	// minGoodput is the fraction of that rate that a daemon must serve in a flood.
+	// minGoodput is the fraction of the requests that its share is enough for that a daemon must
+	// serve in a flood.
 	minGoodput = 0.5
 	// minServedOfRead is the fraction of the requests read by the daemon that it must serve in a
 	// flood.
@@ -43,26 +41,30 @@
 // connection to the store.
 func TestFloodedDaemonServesNothing(t *testing.T) {
 	s := startInstances(t, profile)
-	s.logs = t.TempDir()
+	s.logs = filepath.Join(os.TempDir(), fmt.Sprintf("lupinkeel-flood-%d", os.Getpid()))
+	c := qt.New(t)
+	c.Assert(os.MkdirAll(s.logs, 0o755), qt.IsNil)
 	for range extraPlainInstances {
 		s.add("plain", "")
 	}
 	d := s.newDaemon(binary(t), 0)
 	s.daemons = append(s.daemons, d)
 	d.env = []string{"GOMAXPROCS=1"}
+	d.flags = append(d.flags, "--lease-min", "1s", "--power", fmt.Sprint(floodedShare))
 	d.start(t)
 	t.Cleanup(d.kill)
 	s.waitServing()
 	limitCPU(t, d, floodedShare)
 
-	capacity := s.saturate(calmDuration)
-	calm := s.flood(calmRate, calmDuration)
+	idle := cpuShare(d, func() { time.Sleep(calmDuration) })
+	var calm *flood
+	busy := cpuShare(d, func() { calm = s.flood(calmRate, calmDuration) })
+	capacity := calmRate * (floodedShare - idle) / (busy - idle)
 	flooded := s.flood(floodRate, floodDuration).from(floodOnset)
 	after := s.flood(calmRate, floodOnset+calmDuration).from(floodOnset)
 
 	goodput := float64(flooded.served()) / (floodDuration - floodOnset).Seconds()
-	t.Logf("capacity %.0f/s, goodput %.0f/s; calm %v; flooded %v; after %v", capacity, goodput, calm, flooded, after)
-	c := qt.New(t)
+	t.Logf("share %.3f idle, %.3f at %d/s; capacity %.0f/s, goodput %.0f/s; calm %v; flooded %v; after %v", idle, busy, calmRate, capacity, goodput, calm, flooded, after)
 	c.Check(calm.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("before the flood %v", calm))
 	c.Check(goodput >= minGoodput*capacity, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, of %.0f that could be", goodput, capacity))
 	c.Check(flooded.servedOfRead() >= minServedOfRead, qt.IsTrue, qt.Commentf("in the flood %v", flooded))
@@ -74,15 +76,16 @@
 	}
 	violations := s.pool.Violations()
 	c.Check(violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(violations, "\n")))
+	if !t.Failed() {
+		os.RemoveAll(s.logs)
+	}
 }
 
 // limitCPU pauses a daemon whenever it has used its share of a core in the current period, until the
 // end of the test.
 func limitCPU(t *testing.T, d *daemon, share float64) {
-	const period, step = 20 * time.Millisecond, time.Millisecond
-	pid := d.cmd.Process.Pid
-	// CPUCLOCK_SCHED of a process: the time that all its threads have run.
-	clock := int32(^pid<<3 | 2)
+	const period, step = 50 * time.Millisecond, time.Millisecond
+	clock := cpuClock(d)
 	done, ended := make(chan struct{}), make(chan struct{})
 	t.Cleanup(func() {
 		close(done)
@@ -117,6 +120,20 @@
 	}()
 }
 
+// cpuClock returns the clock of the time that all threads of a daemon have run.
+func cpuClock(d *daemon) int32 {
+	const schedClock = 2
+	return int32(^d.cmd.Process.Pid<<3 | schedClock)
+}
+
+// cpuShare returns the share of a core that a daemon uses while a function runs.
+func cpuShare(d *daemon, run func()) float64 {
+	clock, began := cpuClock(d), time.Now()
+	before := cpuTime(clock)
+	run()
+	return (cpuTime(clock) - before).Seconds() / time.Since(began).Seconds()
+}
+
 // cpuTime returns how long a process has run, or 0 if it has exited.
 func cpuTime(clock int32) time.Duration {
 	var ts unix.Timespec
@@ -126,23 +143,6 @@
 	return time.Duration(ts.Nano())
 }
 
-// saturate returns how many requests per second the daemon serves if a few callers send one after
-// the other.
-func (s *site) saturate(duration time.Duration) float64 {
-	load := &flood{}
-	var wg sync.WaitGroup
-	began := time.Now()
-	for n := range saturatingCallers {
-		wg.Go(func() {
-			for i := n; time.Since(began) < duration; i++ {
-				load.send(s, i, 0)
-			}
-		})
-	}
-	wg.Wait()
-	return float64(load.served()) / time.Since(began).Seconds()
-}
-
 // flood sends requests at a rate, however long they take, each on a connection of its own.
 func (s *site) flood(rate int, duration time.Duration) *flood {
 	load := &flood{}
