gateway: measure how long work waits to run

The listener for callers counts their connections, and measures how late the clock ticks and how long goroutines wait for each other.

No logic has changed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	queues    *queues
 	buffers   *buffers
 	crashes   *crashDetector
+	entrance  *entrance
 	// stallReportsFrom is when the gateway begins to report stalled groups.
 	stallReportsFrom time.Time
 	conns            *h1.Pool
@@ -176,6 +177,7 @@
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
+	g.entrance = newEntrance(cfg.Listen, set)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -38,13 +38,20 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	callers := g.newServer(http.HandlerFunc(g.serve))
 	callers.ReadHeaderTimeout, callers.MaxHeaderBytes = readHeaderTimeout, maxHeaderBytes
-	servers := map[netip.AddrPort]*http.Server{g.cfg.Listen: callers, g.cfg.Ready: g.newServer(g.readyRoutes())}
+	callers.ConnState = g.entrance.connState
+	servers := map[netip.AddrPort]*http.Server{g.cfg.Ready: g.newServer(g.readyRoutes())}
 	if g.cfg.Admin.IsValid() {
 		servers[g.cfg.Admin] = g.newServer(g.adminRoutes())
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	tasks := []task.Task{task.Start(background, "sweep", g.sweep), task.Start(background, "queues", g.queues.run)}
+	if err := g.entrance.listen(); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	tasks := []task.Task{
+		task.Start(background, "sweep", g.sweep), task.Start(background, "queues", g.queues.run), task.Start(background, "entrance", g.entrance.run),
+		task.Start(background, "callers", func(context.Context) error { return serveOn(callers, g.entrance) }),
+	}
 	for addr, server := range servers {
 		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
@@ -56,6 +63,7 @@
 	if err == nil {
 		g.shutdown(background, callers)
 	}
+	callers.Close()
 	for _, server := range servers {
 		server.Close()
 	}
--- a/lib/timer/timer.go
+++ b/lib/timer/timer.go
@@ -21,6 +21,8 @@
 	// Paused is how long the process was paused, or the machine suspended, before this tick; 0 if
 	// neither.
 	Paused time.Duration
+	// Late is how much later than intended a running service read the clock for this tick.
+	Late time.Duration
 }
 
 // Service sends ticks to subscribers. Create it with New; the zero value is not usable.
@@ -75,7 +77,9 @@
 
 // Advance moves the service to the given time and sends the ticks that are due. Run calls it with
 // the current time; tests call it with times of their own.
-func (s *Service) Advance(now time.Time) {
+func (s *Service) Advance(now time.Time) { s.advance(now, 0) }
+
+func (s *Service) advance(now time.Time, lateness time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var paused time.Duration
@@ -91,7 +95,7 @@
 			continue
 		}
 		select {
-		case sub.ticks <- Tick{At: now, Paused: sub.paused}:
+		case sub.ticks <- Tick{At: now, Paused: sub.paused, Late: lateness}:
 			sub.paused = 0
 		default:
 			// The subscriber has not read its last tick; sub.paused keeps the pause for its next
@@ -103,7 +107,8 @@
 
 // Run advances the service by the clock until the context ends.
 func (s *Service) Run(ctx context.Context) error {
-	next := time.NewTimer(s.nextStep())
+	due := time.Now().Add(s.nextStep())
+	next := time.NewTimer(time.Until(due))
 	defer next.Stop()
 	for {
 		select {
@@ -111,8 +116,9 @@
 			return ctx.Err()
 		case <-next.C:
 			started := time.Now()
-			s.Advance(started)
-			next.Reset(s.nextStep() - time.Since(started))
+			s.advance(started, started.Sub(due))
+			due = started.Add(s.nextStep())
+			next.Reset(time.Until(due))
 		}
 	}
 }
