gateway: bound requests in progress by how long work waits to run

With several times the requests that its processor can bear all became slower than their callers wait for, and its calls to the store and its lease came too late as well. It is a congestion collapse: accepted work displaces work that could still be done.

Ruled out: descriptors as the cause.

Change: the limit on requests in progress adapts to how long work waits to run, measured by the lateness of a clock and by the scheduler's latencies. At the limit the listening socket is closed, so that the kernel refuses connections. A daemon that does so for a quarter of the time fails its readiness checks.

It works because the delay is what callers and the daemon's own traffic suffer from, whatever causes it, and because refusing takes nothing from the process.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -72,6 +73,10 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapMemoryRatio * s.MemoryMB * megabyte))
 	}
+	descriptors, err := descriptorLimit()
+	if err != nil {
+		return fmt.Errorf("read the limit on descriptors: %w", err)
+	}
 	set := metrics.NewSet()
 	traffic := gateway.Traffic()
 	node := cluster.New(cluster.Settings{
@@ -84,7 +89,8 @@
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Regions: s.Regions.Map(), Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
-		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), StallReportDelay: stallReportDelay,
+		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: maxRequests(descriptors, s.MemoryMB),
+		StallReportDelay: stallReportDelay,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
 		Stringer("store", s.Store).Bool("strict-keys", s.StrictKeys).Dur("keys-proof", s.MaxKeysProofAge()).Msg("started")
@@ -95,7 +101,7 @@
 	serving := task.Start(ctx, "gateway", g.Run)
 	sizing := task.Start(background, "heap", func(ctx context.Context) error { return tuneGC(ctx, node) })
 	reloading := task.Start(background, "reload", func(ctx context.Context) error { return reload(ctx, s, explicit, log) })
-	err := task.WaitAny(ctx, running, serving)
+	err = task.WaitAny(ctx, running, serving)
 	if err != nil {
 		cancel()
 	}
--- /dev/null
+++ b/commands/max_requests.go
@@ -0,0 +1,33 @@
+package commands
+
+import "golang.org/x/sys/unix"
+
+const (
+	// descriptorsPerRequest is how many descriptors there must be for each request in progress: its
+	// caller's connection, its instance's, and as many idle ones. What requests leave is for the
+	// store, the other daemons, files and the connections of the operators.
+	descriptorsPerRequest = 4
+	// requestMemoryRatio is the fraction of the allowed memory that requests in progress may take,
+	// without their bodies, and requestBytes what one of them takes with both its connections.
+	requestMemoryRatio = 0.25
+	requestBytes       = 64 << 10
+)
+
+// maxRequests returns how many requests a process can hold at once by its descriptors, and by its
+// memory unless that is unlimited (0).
+func maxRequests(descriptors uint64, memoryMB float64) int {
+	most := int(min(descriptors, 1<<20)) / descriptorsPerRequest
+	if memoryMB > 0 {
+		most = min(most, int(requestMemoryRatio*memoryMB*megabyte/requestBytes))
+	}
+	return most
+}
+
+// descriptorLimit returns how many descriptors the process may have open.
+func descriptorLimit() (uint64, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, err
+	}
+	return limit.Cur, nil
+}
--- a/gateway/entrance.go
+++ b/gateway/entrance.go
@@ -10,27 +10,46 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
+	"github.com/lupinkeel/lupinkeel/overload"
 )
 
-// minMeasuredRequests is the number of requests in progress from which on delays are measured often.
-const minMeasuredRequests = 8
+const (
+	// reopenFraction is the fraction of the limit to which the requests in progress must fall before
+	// the entrance opens again, so that it does not open for one connection at a time.
+	reopenFraction = 0.9
+	// minMeasuredRequests is the number of requests in progress from which on delays are measured
+	// often.
+	minMeasuredRequests = 8
+)
 
-// entrance is the listener for callers. It counts their connections, and measures how long the
-// daemon's work waits to run.
+// entrance is the listener for callers. It bounds the requests in progress by what the daemon can
+// bear: at the limit it closes the listening socket, so that the kernel refuses further connections.
+// That takes nothing from this process, and callers learn at once that they have to go elsewhere.
+// Requests that were read are served.
 type entrance struct {
-	addr     netip.AddrPort
-	clock    *timer.Service
-	socket   net.Listener
-	accepted *metrics.Counter
+	addr               netip.AddrPort
+	log                zerolog.Logger
+	clock              *timer.Service
+	accepted, closings *metrics.Counter
 
 	mu sync.Mutex
+	// socket is the listening socket, nil while the entrance is closed.
+	socket net.Listener
+	// changed is closed and replaced when the entrance opens or ends.
+	changed chan struct{}
+	ended   bool
 	// active is the number of connections with a request in progress, or whose first request is
 	// still to come; open is the number of all connections.
 	active, open int
-	delay        *runDelay
+	// reached is set if the limit was reached since the last measurement.
+	reached bool
+	delay   *runDelay
+	limit   *overload.Limit
+	state   *overload.State
 }
 
 // callerConn is a connection of a caller. The entrance's lock guards its state.
@@ -40,8 +59,13 @@
 }
 
 // newEntrance returns an entrance that does not listen yet.
-func newEntrance(addr netip.AddrPort, set *metrics.Set) *entrance {
-	e := &entrance{addr: addr, clock: timer.New(time.Now()), accepted: set.NewCounter("lupinkeel_caller_connections_accepted_total"), delay: newRunDelay()}
+func newEntrance(addr netip.AddrPort, policy overload.Policy, set *metrics.Set, log zerolog.Logger) *entrance {
+	now := time.Now()
+	e := &entrance{
+		addr: addr, log: log, clock: timer.New(now), changed: make(chan struct{}),
+		accepted: set.NewCounter("lupinkeel_caller_connections_accepted_total"), closings: set.NewCounter("lupinkeel_entrance_closings_total"),
+		delay: newRunDelay(), limit: overload.NewLimit(policy, now), state: overload.NewState(now),
+	}
 	e.clock.SetStep(restInterval)
 	locked := func(read func() float64) func() float64 {
 		return func() float64 {
@@ -51,79 +75,146 @@
 		}
 	}
 	set.NewGauge("lupinkeel_run_delay_seconds", locked(func() float64 { return e.delay.last.Seconds() }))
+	set.NewGauge("lupinkeel_request_limit", locked(func() float64 { return float64(e.limit.Max()) }))
+	set.NewGauge("lupinkeel_entrance_closed_fraction", locked(func() float64 { return e.state.Closed() }))
 	set.NewGauge(`lupinkeel_caller_connections{state="active"}`, locked(func() float64 { return float64(e.active) }))
 	set.NewGauge(`lupinkeel_caller_connections{state="idle"}`, locked(func() float64 { return float64(e.open - e.active) }))
 	return e
 }
 
-// listen opens the entrance.
+// listen opens the entrance for the first time.
 func (e *entrance) listen() error {
-	socket, err := net.Listen("tcp4", e.addr.String())
-	if err != nil {
-		return err
-	}
-	e.socket = socket
-	return nil
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.openSocket()
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. While the entrance is closed it waits.
 func (e *entrance) Accept() (net.Conn, error) {
-	conn, err := e.socket.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		e.mu.Lock()
+		socket, changed, ended := e.socket, e.changed, e.ended
+		e.mu.Unlock()
+		if ended {
+			return nil, net.ErrClosed
+		}
+		if socket == nil {
+			<-changed
+			continue
+		}
+		conn, err := socket.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			// The entrance was closed or ended meanwhile.
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		e.accepted.Inc()
+		c := &callerConn{Conn: conn}
+		e.setState(c, http.StateNew)
+		return c, nil
 	}
-	e.accepted.Inc()
-	c := &callerConn{Conn: conn}
-	e.mu.Lock()
-	e.open++
-	e.mu.Unlock()
-	e.setActive(c, true)
-	return c, nil
 }
 
-// Close closes the entrance.
-func (e *entrance) Close() error { return e.socket.Close() }
+// Close ends the entrance.
+func (e *entrance) Close() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended {
+		return nil
+	}
+	e.ended = true
+	e.notifyChanged()
+	return e.closeSocket()
+}
 
 // Addr returns the address for callers.
 func (e *entrance) Addr() net.Addr { return net.TCPAddrFromAddrPort(e.addr) }
 
 // connState is called by the server when the state of a connection changes.
 func (e *entrance) connState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
-	if !ok {
-		return
-	}
-	e.setActive(c, state == http.StateNew || state == http.StateActive)
-	if state == http.StateClosed || state == http.StateHijacked {
-		e.mu.Lock()
-		e.open--
-		e.mu.Unlock()
+	// Accept has recorded that the connection is new.
+	if c, ok := conn.(*callerConn); ok && state != http.StateNew {
+		e.setState(c, state)
 	}
 }
 
-func (e *entrance) setActive(c *callerConn, active bool) {
+// setState records the state of a connection, and opens or closes the entrance accordingly.
+func (e *entrance) setState(c *callerConn, state http.ConnState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c.active == active {
-		return
+	switch state {
+	case http.StateNew:
+		e.open++
+	case http.StateClosed, http.StateHijacked:
+		e.open--
+	}
+	active := state == http.StateNew || state == http.StateActive
+	if active != c.active {
+		c.active = active
+		if active {
+			e.active++
+		} else {
+			e.active--
+		}
 	}
-	c.active = active
-	if active {
-		e.active++
-	} else {
-		e.active--
+	e.update()
+}
+
+// update opens or closes the entrance by the number of requests in progress.
+func (e *entrance) update() {
+	limit := e.limit.Max()
+	e.reached = e.reached || e.active >= limit
+	switch {
+	case e.ended:
+	case e.socket != nil && e.active >= limit:
+		e.closings.Inc()
+		if err := e.closeSocket(); err != nil {
+			e.log.Warn().Err(err).Msg("entrance-not-closed")
+		}
+	case e.socket == nil && float64(e.active) <= reopenFraction*float64(limit):
+		// If it fails, the next measurement tries again.
+		if err := e.openSocket(); err != nil {
+			e.log.Warn().Err(err).Msg("entrance-not-opened")
+		}
 	}
 }
 
-// run measures delays until the context ends.
+func (e *entrance) openSocket() error {
+	socket, err := net.Listen("tcp4", e.addr.String())
+	if err != nil {
+		return err
+	}
+	e.socket = socket
+	e.notifyChanged()
+	return nil
+}
+
+func (e *entrance) closeSocket() error {
+	if e.socket == nil {
+		return nil
+	}
+	err := e.socket.Close()
+	e.socket = nil
+	return err
+}
+
+// notifyChanged wakes Accept.
+func (e *entrance) notifyChanged() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// run measures delays and adapts the limit until the context ends.
 func (e *entrance) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	ticks := e.clock.Subscribe(delayInterval)
 	clock := task.Start(ctx, "clock", e.clock.Run)
 	for {
 		select {
 		case <-ctx.Done():
-			cancel()
 			return errors.Join(ctx.Err(), task.Wait(clock))
 		case tick := <-ticks:
 			e.observe(tick)
@@ -134,10 +225,30 @@
 func (e *entrance) observe(tick timer.Tick) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.delay.measure(tick.At, tick.Late)
+	delay := e.delay.measure(tick.At, tick.Late)
+	e.limit.Observe(tick.At, delay, e.active, e.reached)
+	e.reached = false
+	e.update()
+	e.clock.SetStep(restInterval)
 	if e.active >= minMeasuredRequests {
 		e.clock.SetStep(delayInterval)
-	} else {
-		e.clock.SetStep(restInterval)
 	}
+	was := e.state.Overloaded()
+	e.state.Observe(tick.At, e.socket == nil)
+	if is := e.state.Overloaded(); is != was {
+		event := "overload-ended"
+		if is {
+			event = "overload-began"
+		}
+		e.log.Warn().Int("requests", e.active).Int("connections", e.open).Int("limit", e.limit.Max()).Dur("delay", delay).
+			Float64("closed", e.state.Closed()).Msg(event)
+	}
+}
+
+// overloaded reports whether the entrance is closed so often that the load balancer should send
+// callers elsewhere.
+func (e *entrance) overloaded() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Overloaded()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/overload"
 	"github.com/lupinkeel/lupinkeel/ratelimit"
 )
 
@@ -41,6 +42,10 @@
 	// MaxBufferedBytes bounds the bytes of requests and responses that are held at once; 0 sets no
 	// bound.
 	MaxBufferedBytes int64
+	// CPUCores is the number of processor cores, or the fraction of one, that the process may use.
+	CPUCores float64
+	// MaxRequests is how many requests the process can hold at once, by its memory and descriptors.
+	MaxRequests int
 	// StopGrace bounds the time that a planned stop takes.
 	StopGrace time.Duration
 	// StallReportDelay is the time after the start during which the gateway does not report stalled
@@ -177,7 +182,7 @@
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
-	g.entrance = newEntrance(cfg.Listen, set)
+	g.entrance = newEntrance(cfg.Listen, overload.DefaultPolicy(cfg.CPUCores, cfg.MaxRequests), set, log)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -187,7 +187,7 @@
 
 // serveReady answers the load balancer's readiness check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
+	if g.stopping.Load() || g.entrance.overloaded() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
