cluster: hand the lease on while overloaded

A planner that gets more callers than it can bear went on planning. Now a daemon that refuses callers for a quarter of the time says so in its heartbeats, leaves the lease to another daemon that may plan and is neither overloaded nor partitioned, and makes no connections to instances for others.

TestOverloadedDaemonPlans fails without the check in isCandidate.

--- a/cluster/candidacy.go
+++ b/cluster/candidacy.go
@@ -50,7 +50,8 @@
 // each restart of one made the store reassign the lease, and the planner changed seven times in
 // 34 s while daemons restarted, and twice while none did.
 func (o *owner) isCandidate(now time.Time) bool {
-	if o.n.resigned.Load() || (o.n.paths.partitioned() && o.hasBetterCandidate()) {
+	impaired := o.n.paths.partitioned() || o.n.overloaded.Load()
+	if o.n.resigned.Load() || (impaired && o.hasBetterCandidate()) {
 		return false
 	}
 	ahead, stronger, eligible := o.rank()
@@ -70,11 +71,12 @@
 	}
 }
 
-// hasBetterCandidate reports whether another daemon that may become planner reaches the instances.
+// hasBetterCandidate reports whether another daemon that may become planner reaches the instances
+// and is not overloaded.
 func (o *owner) hasBetterCandidate() bool {
 	return slices.ContainsFunc(o.peers.topology.PlannerCandidates, func(d membership.Daemon) bool {
 		p, alive := o.peers.seen[d.ID]
-		return alive && !p.heartbeat.Partitioned
+		return alive && !p.heartbeat.isImpaired()
 	})
 }
 
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -109,6 +109,9 @@
 	lease atomic.Pointer[leaseHeld]
 	// resigned is set once this node must not be planner any more, because the process is stopping.
 	resigned atomic.Bool
+	// overloaded is set while this daemon refuses connections of callers for a considerable part of
+	// the time.
+	overloaded atomic.Bool
 	// lastEndedTerm is the last term in which this node was planner and stopped. Its fences and
 	// epochs must not be issued again.
 	lastEndedTerm atomic.Int64
@@ -258,6 +261,11 @@
 // daemon takes over at once.
 func (n *Node) Resign() { n.resigned.Store(true) }
 
+// SetOverloaded tells the node whether the daemon refuses connections of callers for a considerable
+// part of the time. Meanwhile it leaves planning to other daemons, and makes no connections to
+// instances for them.
+func (n *Node) SetOverloaded(overloaded bool) { n.overloaded.Store(overloaded) }
+
 // Run runs the node until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -83,7 +83,7 @@
 	}
 	o.peers.topologyStale = o.peers.roster.RecordHeartbeat(b.membershipBeat(), m.receivedAt) || o.peers.topologyStale
 	o.peers.seen[b.From] = peerStatus{heartbeat: b, receivedAt: m.receivedAt}
-	if !known || before.heartbeat.Partitioned != b.Partitioned || before.heartbeat.Addr != b.Addr {
+	if !known || before.heartbeat.isImpaired() != b.isImpaired() || before.heartbeat.Addr != b.Addr {
 		o.updateTunnelPeers()
 	}
 	// A relay may have found this daemon before it could read the roster.
@@ -136,7 +136,7 @@
 	v := n.View()
 	b := Heartbeat{
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
-		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(),
+		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(), Overloaded: n.overloaded.Load(),
 		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
 		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
 		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
--- a/cluster/reports_test.go
+++ b/cluster/reports_test.go
@@ -164,3 +164,27 @@
 	receive(true)
 	c.Assert(o.isCandidate(time.Now()), qt.IsTrue, qt.Commentf("no other daemon reaches the instances either"))
 }
+
+// TestOverloadedDaemonPlans guards against a planner that keeps the lease although callers take its
+// processor and another daemon has room.
+func TestOverloadedDaemonPlans(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	o.handleLease(leaseHeld{term: 2, until: time.Now().Add(time.Minute)})
+	receive := func(overloaded bool) {
+		b := Heartbeat{From: "a", Addr: "127.0.0.1:1", Zone: "z", Overloaded: overloaded}
+		o.handleHeartbeat(heartbeatReceived{heartbeat: b, receivedAt: time.Now()})
+		o.updateTopology(time.Now().Add(time.Minute))
+	}
+	receive(false)
+	t.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
+	c.Assert(o.isCandidate(time.Now()), qt.IsTrue)
+	c.Assert(*o.n.tunnelPeers.Load(), qt.HasLen, 1)
+	o.n.SetOverloaded(true)
+	c.Assert(o.isCandidate(time.Now()), qt.IsFalse)
+	_, err := (&peerServer{n: o.n}).tunnelTarget(tunnelRequest{Addr: "127.0.0.1:1"})
+	c.Assert(err, qt.ErrorMatches, "the daemon is overloaded")
+	receive(true)
+	c.Assert(o.isCandidate(time.Now()), qt.IsTrue, qt.Commentf("the other daemon is overloaded as well"))
+	c.Assert(*o.n.tunnelPeers.Load(), qt.HasLen, 0)
+}
--- a/cluster/tunnel_peers.go
+++ b/cluster/tunnel_peers.go
@@ -13,14 +13,14 @@
 	near, alive bool
 }
 
-// updateTunnelPeers updates the daemons that tunnels may go through: those that are alive and not
-// partitioned themselves. Unless the topology is a mesh, only few daemons send heartbeats, perhaps
+// updateTunnelPeers updates the daemons that tunnels may go through: those that are alive and neither
+// partitioned themselves nor overloaded. Unless the topology is a mesh, only few daemons send heartbeats, perhaps
 // only those of a zone that is partitioned as a whole, and all others in the roster count too.
 func (o *owner) updateTunnelPeers() {
 	var peers []tunnelPeer
 	for id, at := range o.peers.addrs {
 		p, alive := o.peers.seen[id]
-		if alive && p.heartbeat.Partitioned || !alive && o.peers.topology.IsMesh {
+		if alive && p.heartbeat.isImpaired() || !alive && o.peers.topology.IsMesh {
 			continue
 		}
 		peers = append(peers, tunnelPeer{at.addr, at.zone == o.n.cfg.Zone, alive})
--- a/cluster/tunnel_server.go
+++ b/cluster/tunnel_server.go
@@ -68,6 +68,8 @@
 		return addr, errors.New("the daemon is stopping")
 	case s.n.paths.partitioned():
 		return addr, errors.New("the daemon is partitioned itself")
+	case s.n.overloaded.Load():
+		return addr, errors.New("the daemon is overloaded")
 	}
 	for _, i := range s.n.View().Instances {
 		if i.Addr == addr {
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -80,6 +80,9 @@
 	OperatorsEnd models.Position `msgpack:"oe"`
 	// Partitioned is set if the sender cannot connect to most instances that other daemons reach.
 	Partitioned bool `msgpack:"pt,omitempty"`
+	// Overloaded is set if the sender refuses connections of callers for a considerable part of the
+	// time.
+	Overloaded bool `msgpack:"ol,omitempty"`
 	// Stalled are the heads that the sender found stalled.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Demand is the demand of the sender's callers for each model. Older versions send and expect a
@@ -95,6 +98,10 @@
 	Granters map[models.Zone]models.DaemonID `msgpack:"gs,omitempty"`
 }
 
+// isImpaired reports whether the sender is partitioned or overloaded, so that others do better what
+// any daemon could do.
+func (b Heartbeat) isImpaired() bool { return b.Partitioned || b.Overloaded }
+
 // abbreviated omits the fields that the first heartbeat on a connection has sent.
 func (b Heartbeat) abbreviated() Heartbeat {
 	b.From, b.Incarnation, b.Addr, b.Zone, b.CPUCores, b.AcceptsCompressed = "", 0, "", "", 0, false
--- a/gateway/entrance.go
+++ b/gateway/entrance.go
@@ -35,6 +35,8 @@
 	log                zerolog.Logger
 	clock              *timer.Service
 	accepted, closings *metrics.Counter
+	// notify is called when an overload begins and ends.
+	notify func(overloaded bool)
 
 	mu sync.Mutex
 	// socket is the listening socket, nil while the entrance is closed.
@@ -59,10 +61,10 @@
 }
 
 // newEntrance returns an entrance that does not listen yet.
-func newEntrance(addr netip.AddrPort, policy overload.Policy, set *metrics.Set, log zerolog.Logger) *entrance {
+func newEntrance(addr netip.AddrPort, policy overload.Policy, notify func(overloaded bool), set *metrics.Set, log zerolog.Logger) *entrance {
 	now := time.Now()
 	e := &entrance{
-		addr: addr, log: log, clock: timer.New(now), changed: make(chan struct{}),
+		addr: addr, log: log, clock: timer.New(now), notify: notify, changed: make(chan struct{}),
 		accepted: set.NewCounter("lupinkeel_caller_connections_accepted_total"), closings: set.NewCounter("lupinkeel_entrance_closings_total"),
 		delay: newRunDelay(), limit: overload.NewLimit(policy, now), state: overload.NewState(now),
 	}
@@ -236,6 +238,7 @@
 	was := e.state.Overloaded()
 	e.state.Observe(tick.At, e.socket == nil)
 	if is := e.state.Overloaded(); is != was {
+		e.notify(is)
 		event := "overload-ended"
 		if is {
 			event = "overload-began"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,9 @@
 	DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error)
 	// CheckPath finds out in the background whether an instance that does not answer can be reached.
 	CheckPath(ctx context.Context, addr netip.AddrPort)
+	// SetOverloaded tells the cluster whether this daemon refuses connections of callers for a
+	// considerable part of the time.
+	SetOverloaded(overloaded bool)
 	Clock() *timer.Service
 }
 
@@ -182,7 +185,7 @@
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
-	g.entrance = newEntrance(cfg.Listen, overload.DefaultPolicy(cfg.CPUCores, cfg.MaxRequests), set, log)
+	g.entrance = newEntrance(cfg.Listen, overload.DefaultPolicy(cfg.CPUCores, cfg.MaxRequests), node.SetOverloaded, set, log)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -90,6 +90,8 @@
 func (f *fakeNode) Clock() *timer.Service   { return f.clock }
 
 // CheckPath does nothing.
+func (f *fakeNode) SetOverloaded(bool) {}
+
 func (f *fakeNode) CheckPath(context.Context, netip.AddrPort) {}
 
 // DialInstance connects over TCP.
