gateway: leave descriptors to the daemon's own traffic

The limit on requests in progress does not bound idle connections, nor those on which nothing arrives; the latter even kept the entrance closed for up to 10 s.

Now callers' connections take half of the descriptors at most: beyond that the one that has been idle for longest is closed. A connection on which nothing has arrived for 250 ms counts as idle.

TestSilentConnectionsCloseEntrance fails without the second part, TestIdleConnectionsTakeAllDescriptors without the first.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -89,7 +89,7 @@
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Regions: s.Regions.Map(), Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
-		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: maxRequests(descriptors, s.MemoryMB),
+		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: maxRequests(descriptors, s.MemoryMB), MaxConnections: maxConnections(descriptors),
 		StallReportDelay: stallReportDelay,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
--- a/commands/max_requests.go
+++ b/commands/max_requests.go
@@ -3,6 +3,9 @@
 import "golang.org/x/sys/unix"
 
 const (
+	// descriptorsPerConnection is how many descriptors there must be for each connection of a
+	// caller: its own, and one to an instance.
+	descriptorsPerConnection = 2
 	// descriptorsPerRequest is how many descriptors there must be for each request in progress: its
 	// caller's connection, its instance's, and as many idle ones. What requests leave is for the
 	// store, the other daemons, files and the connections of the operators.
@@ -23,6 +26,11 @@
 	return most
 }
 
+// maxConnections returns how many connections callers may have open.
+func maxConnections(descriptors uint64) int {
+	return int(min(descriptors, 1<<20)) / descriptorsPerConnection
+}
+
 // descriptorLimit returns how many descriptors the process may have open.
 func descriptorLimit() (uint64, error) {
 	var limit unix.Rlimit
--- a/gateway/entrance.go
+++ b/gateway/entrance.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -24,17 +25,24 @@
 	// minMeasuredRequests is the number of requests in progress from which on delays are measured
 	// often.
 	minMeasuredRequests = 8
+	// silentTime is how long a new connection counts as one with a request in progress although
+	// nothing has arrived on it. Callers also connect in advance.
+	silentTime = 250 * time.Millisecond
 )
 
 // entrance is the listener for callers. It bounds the requests in progress by what the daemon can
 // bear: at the limit it closes the listening socket, so that the kernel refuses further connections.
 // That takes nothing from this process, and callers learn at once that they have to go elsewhere.
-// Requests that were read are served.
+// Requests that were read are served. It also bounds the connections: beyond that it closes the one
+// that has been idle for longest, so that descriptors are left for the daemon's own traffic.
 type entrance struct {
 	addr               netip.AddrPort
 	log                zerolog.Logger
 	clock              *timer.Service
+	maxConns           int
 	accepted, closings *metrics.Counter
+	// evicted counts idle connections that were closed to make room.
+	evicted *metrics.Counter
 	// notify is called when an overload begins and ends.
 	notify func(overloaded bool)
 
@@ -44,9 +52,12 @@
 	// changed is closed and replaced when the entrance opens or ends.
 	changed chan struct{}
 	ended   bool
-	// active is the number of connections with a request in progress, or whose first request is
-	// still to come; open is the number of all connections.
+	// active is the number of connections with a request in progress, or so new that their first
+	// request is still to come; open is the number of all connections.
 	active, open int
+	// fresh holds the connections on which nothing has arrived for less than silentTime, and idle
+	// those without a request in progress. Both are in the order in which they were added.
+	fresh, idle *list.List
 	// reached is set if the limit was reached since the last measurement.
 	reached bool
 	delay   *runDelay
@@ -57,14 +68,31 @@
 // callerConn is a connection of a caller. The entrance's lock guards its state.
 type callerConn struct {
 	net.Conn
-	active bool
+	acceptedAt time.Time
+	active     bool
+	// counted is set while the connection counts as open.
+	counted bool
+	// in is the list that holds the connection at place; nil if none does.
+	in    *list.List
+	place *list.Element
+}
+
+// moveTo moves the connection to the end of a list, or out of all if that is nil.
+func (c *callerConn) moveTo(to *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.place)
+	}
+	if c.in = to; to != nil {
+		c.place = to.PushBack(c)
+	}
 }
 
 // newEntrance returns an entrance that does not listen yet.
-func newEntrance(addr netip.AddrPort, policy overload.Policy, notify func(overloaded bool), set *metrics.Set, log zerolog.Logger) *entrance {
+func newEntrance(addr netip.AddrPort, policy overload.Policy, maxConns int, notify func(overloaded bool), set *metrics.Set, log zerolog.Logger) *entrance {
 	now := time.Now()
 	e := &entrance{
-		addr: addr, log: log, clock: timer.New(now), notify: notify, changed: make(chan struct{}),
+		addr: addr, log: log, clock: timer.New(now), maxConns: maxConns, notify: notify, changed: make(chan struct{}),
+		fresh: list.New(), idle: list.New(), evicted: set.NewCounter("lupinkeel_caller_connections_evicted_total"),
 		accepted: set.NewCounter("lupinkeel_caller_connections_accepted_total"), closings: set.NewCounter("lupinkeel_entrance_closings_total"),
 		delay: newRunDelay(), limit: overload.NewLimit(policy, now), state: overload.NewState(now),
 	}
@@ -113,7 +141,7 @@
 			return nil, err
 		}
 		e.accepted.Inc()
-		c := &callerConn{Conn: conn}
+		c := &callerConn{Conn: conn, acceptedAt: time.Now()}
 		e.setState(c, http.StateNew)
 		return c, nil
 	}
@@ -148,34 +176,85 @@
 	defer e.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		e.open++
+		e.setCounted(c, true)
+		c.moveTo(e.fresh)
+		e.setActive(c, true)
+	case http.StateActive:
+		c.moveTo(nil)
+		e.setActive(c, true)
+	case http.StateIdle:
+		c.moveTo(e.idle)
+		e.setActive(c, false)
 	case http.StateClosed, http.StateHijacked:
+		e.setCounted(c, false)
+		c.moveTo(nil)
+		e.setActive(c, false)
+	}
+	e.evict()
+	e.update()
+}
+
+func (e *entrance) setActive(c *callerConn, active bool) {
+	switch {
+	case active == c.active:
+		return
+	case active:
+		e.active++
+	default:
+		e.active--
+	}
+	c.active = active
+}
+
+func (e *entrance) setCounted(c *callerConn, counted bool) {
+	switch {
+	case counted == c.counted:
+		return
+	case counted:
+		e.open++
+	default:
 		e.open--
 	}
-	active := state == http.StateNew || state == http.StateActive
-	if active != c.active {
-		c.active = active
-		if active {
-			e.active++
-		} else {
-			e.active--
+	c.counted = counted
+}
+
+// evict closes idle connections until there is room for another one.
+func (e *entrance) evict() {
+	for e.open >= e.maxConns && e.idle.Len() > 0 {
+		c := e.idle.Front().Value.(*callerConn)
+		c.moveTo(nil)
+		e.setCounted(c, false)
+		e.evicted.Inc()
+		if err := c.Conn.Close(); err != nil {
+			e.log.Debug().Err(err).Msg("connection-not-closed")
 		}
 	}
-	e.update()
 }
 
-// update opens or closes the entrance by the number of requests in progress.
+// expireFresh counts connections on which nothing has arrived for silentTime as idle.
+func (e *entrance) expireFresh(now time.Time) {
+	for first := e.fresh.Front(); first != nil; first = e.fresh.Front() {
+		c := first.Value.(*callerConn)
+		if now.Sub(c.acceptedAt) < silentTime {
+			return
+		}
+		c.moveTo(e.idle)
+		e.setActive(c, false)
+	}
+}
+
+// update opens or closes the entrance by the number of requests in progress and of connections.
 func (e *entrance) update() {
 	limit := e.limit.Max()
 	e.reached = e.reached || e.active >= limit
 	switch {
 	case e.ended:
-	case e.socket != nil && e.active >= limit:
+	case e.socket != nil && (e.active >= limit || e.open >= e.maxConns):
 		e.closings.Inc()
 		if err := e.closeSocket(); err != nil {
 			e.log.Warn().Err(err).Msg("entrance-not-closed")
 		}
-	case e.socket == nil && float64(e.active) <= reopenFraction*float64(limit):
+	case e.socket == nil && e.open < e.maxConns && float64(e.active) <= reopenFraction*float64(limit):
 		// If it fails, the next measurement tries again.
 		if err := e.openSocket(); err != nil {
 			e.log.Warn().Err(err).Msg("entrance-not-opened")
@@ -228,6 +307,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delay := e.delay.measure(tick.At, tick.Late)
+	e.expireFresh(tick.At)
 	e.limit.Observe(tick.At, delay, e.active, e.reached)
 	e.reached = false
 	e.update()
--- /dev/null
+++ b/gateway/entrance_test.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/overload"
+)
+
+// entranceTest is an entrance with a server whose requests last until the test releases them.
+type entranceTest struct {
+	*entrance
+	c *qt.C
+	// begun receives a value for each request that has begun; release ends one for each value.
+	begun, release chan struct{}
+}
+
+func startEntrance(t *testing.T, limit, maxConns int) *entranceTest {
+	c := qt.New(t)
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := free.Addr().(*net.TCPAddr).AddrPort()
+	c.Assert(free.Close(), qt.IsNil)
+	policy := overload.Policy{Min: limit, Initial: limit, Max: limit, MaxDelay: time.Hour, DoubleTime: time.Second}
+	e := &entranceTest{
+		entrance: newEntrance(netip.AddrPortFrom(addr.Addr(), addr.Port()), policy, maxConns, func(bool) {}, metrics.NewSet(), zerolog.Nop()),
+		c:        c, begun: make(chan struct{}, 100), release: make(chan struct{}),
+	}
+	c.Assert(e.listen(), qt.IsNil)
+	server := &http.Server{ConnState: e.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			e.begun <- struct{}{}
+			<-e.release
+		}
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := task.Start(ctx, "entrance", e.run)
+	serving := task.Start(ctx, "server", func(context.Context) error { return serveOn(server, e.entrance) })
+	t.Cleanup(func() {
+		close(e.release)
+		cancel()
+		c.Check(server.Close(), qt.IsNil)
+		c.Check(task.Wait(running, serving), qt.IsNil)
+	})
+	return e
+}
+
+// connect opens a connection, which the test closes at its end.
+func (e *entranceTest) connect() (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp4", e.addr.String(), time.Second)
+	if err == nil {
+		e.c.Cleanup(func() { conn.Close() })
+	}
+	return conn, err
+}
+
+// request sends a request on a connection and returns its status.
+func (e *entranceTest) request(conn net.Conn, path string) (int, error) {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return 0, err
+	}
+	if path == "/long" {
+		<-e.begun
+		return 0, nil
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// await waits until a condition holds.
+func (e *entranceTest) await(what string, condition func() bool) {
+	for range 200 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	e.c.Fatalf("%s did not happen within 2 s", what)
+}
+
+// serves reports whether a new connection is accepted and a request on it is served.
+func (e *entranceTest) serves() bool {
+	conn, err := e.connect()
+	if err != nil {
+		return false
+	}
+	status, err := e.request(conn, "/")
+	return err == nil && status == http.StatusOK
+}
+
+// TestEntranceRefusesAtLimit checks that connections are refused while as many requests are in
+// progress as the limit says, that requests on open connections are served all the same, and that
+// connections are accepted again afterwards.
+func TestEntranceRefusesAtLimit(t *testing.T) {
+	e := startEntrance(t, 3, 100)
+	open, err := e.connect()
+	e.c.Assert(err, qt.IsNil)
+	_, err = e.request(open, "/")
+	e.c.Assert(err, qt.IsNil)
+	for range 3 {
+		conn, err := e.connect()
+		e.c.Assert(err, qt.IsNil)
+		_, err = e.request(conn, "/long")
+		e.c.Assert(err, qt.IsNil)
+	}
+	e.await("a refusal", func() bool {
+		_, err := e.connect()
+		return errors.Is(err, syscall.ECONNREFUSED)
+	})
+	status, err := e.request(open, "/")
+	e.c.Assert(err, qt.IsNil)
+	e.c.Assert(status, qt.Equals, http.StatusOK)
+	e.await("an overload", e.overloaded)
+	e.release <- struct{}{}
+	e.await("the end of refusals", e.serves)
+}
+
+// TestSilentConnectionsCloseEntrance guards against an entrance that stays closed because of
+// connections on which nothing arrives.
+func TestSilentConnectionsCloseEntrance(t *testing.T) {
+	e := startEntrance(t, 3, 100)
+	for range 3 {
+		_, err := e.connect()
+		e.c.Assert(err, qt.IsNil)
+	}
+	e.await("a request served beside silent connections", e.serves)
+}
+
+// TestIdleConnectionsTakeAllDescriptors guards against idle connections of callers that leave no
+// descriptors to others: the one that has been idle for longest is closed.
+func TestIdleConnectionsTakeAllDescriptors(t *testing.T) {
+	const maxConns = 4
+	e := startEntrance(t, 100, maxConns)
+	var conns []net.Conn
+	for range 2 * maxConns {
+		conn, err := e.connect()
+		e.c.Assert(err, qt.IsNil)
+		status, err := e.request(conn, "/")
+		e.c.Assert(err, qt.IsNil)
+		e.c.Assert(status, qt.Equals, http.StatusOK)
+		conns = append(conns, conn)
+	}
+	e.c.Assert(conns[0].SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	_, err := conns[0].Read(make([]byte, 1))
+	e.c.Assert(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	status, err := e.request(conns[len(conns)-1], "/")
+	e.c.Assert(err, qt.IsNil)
+	e.c.Assert(status, qt.Equals, http.StatusOK)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.c.Assert(e.open < maxConns, qt.IsTrue, qt.Commentf("%d connections are open", e.open))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,8 +3,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -44,8 +46,11 @@
 	MaxBufferedBytes int64
 	// CPUCores is the number of processor cores, or the fraction of one, that the process may use.
 	CPUCores float64
-	// MaxRequests is how many requests the process can hold at once, by its memory and descriptors.
+	// MaxRequests is how many requests the process can hold at once, by its memory and descriptors;
+	// 0 sets no bound.
 	MaxRequests int
+	// MaxConnections is how many connections callers may have open; 0 sets no bound.
+	MaxConnections int
 	// StopGrace bounds the time that a planned stop takes.
 	StopGrace time.Duration
 	// StallReportDelay is the time after the start during which the gateway does not report stalled
@@ -185,7 +190,7 @@
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
-	g.entrance = newEntrance(cfg.Listen, overload.DefaultPolicy(cfg.CPUCores, cfg.MaxRequests), node.SetOverloaded, set, log)
+	g.entrance = newEntrance(cfg.Listen, overload.DefaultPolicy(cfg.CPUCores, cmp.Or(cfg.MaxRequests, math.MaxInt32)), cmp.Or(cfg.MaxConnections, math.MaxInt32), node.SetOverloaded, set, log)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -167,7 +167,7 @@
 	}, traffic, set, log)
 	g := gateway.New(gateway.Settings{
 		Zone: "z", Listen: listen, Ready: address(), MaxKeysProofAge: keysBound, MaxConfigAge: time.Second, RetryRatio: 0.2, RetrySlack: 1000, RetryWindow: 10 * time.Second,
-		StopGrace: time.Second, StallReportDelay: 2 * time.Second, CPUCores: 1, MaxRequests: 1000,
+		StopGrace: time.Second, StallReportDelay: 2 * time.Second, CPUCores: 1, MaxRequests: 1000, MaxConnections: 1000,
 	}, d.node, traffic, set, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	node, serving := task.Start(ctx, "node", d.node.Run), task.Start(ctx, "gateway", g.Run)
