api: bound requests in progress in serve as well

The listener moves to lib/entrance and serves both.

Not played: a daemon of `serve` in a flood, with the bound by the delay.

--- a/api/server.go
+++ b/api/server.go
@@ -1,12 +1,14 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +18,9 @@
 	"github.com/lupinkeel/lupinkeel/config"
 	"github.com/lupinkeel/lupinkeel/daemon"
 	"github.com/lupinkeel/lupinkeel/lib/dial"
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/overload"
 	"github.com/lupinkeel/lupinkeel/router"
 	"github.com/lupinkeel/lupinkeel/worker/upstream"
 )
@@ -45,7 +49,7 @@
 	stopping  atomic.Bool
 	stats     *stats
 
-	callerListener net.Listener
+	callerListener *entrance.Listener
 	adminListener  net.Listener
 }
 
@@ -78,8 +82,15 @@
 		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), inFlight: newInFlightCounter(), limits: router.NewConcurrencyLimits(), admission: router.NewAdmission(), prefixes: router.NewRecentPrefixes(),
 	}
 	s.stats = newStats(d.Metrics(), s.inFlight.count)
-	var err error
-	if s.callerListener, err = net.Listen("tcp", cfg.Listen.String()); err != nil {
+	descriptors, err := entrance.DescriptorLimit()
+	if err != nil {
+		return nil, fmt.Errorf("read the limit on descriptors: %w", err)
+	}
+	s.callerListener = entrance.New(entrance.Settings{
+		Addr: cfg.Listen, Policy: overload.DefaultPolicy(float64(runtime.GOMAXPROCS(0)), cmp.Or(cfg.MaxRequests, entrance.MaxRequests(descriptors, 0))),
+		MaxConnections: entrance.MaxConnections(descriptors),
+	}, d.Metrics(), s.log)
+	if err := s.callerListener.Open(); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	if s.adminListener, err = net.Listen("tcp", cfg.Admin.String()); err != nil {
@@ -103,10 +114,12 @@
 // Run serves until the context ends, and then shuts down gracefully: it fails the readiness
 // probe, after a delay rejects new requests, and drains the requests in flight.
 func (s *Server) Run(ctx context.Context) error {
-	callers := &http.Server{Handler: s.callerRoutes(), ReadHeaderTimeout: readHeaderTimeout}
+	callers := &http.Server{Handler: s.callerRoutes(), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.callerListener.ConnState}
 	admin := &http.Server{Handler: s.adminRoutes(), ReadHeaderTimeout: readHeaderTimeout}
-	background := context.WithoutCancel(ctx)
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	tasks := []task.Task{
+		task.Start(background, "entrance", s.callerListener.Run),
 		task.Start(background, "callers", func(context.Context) error { return serve(callers, s.callerListener) }),
 		task.Start(background, "operators", func(context.Context) error { return serve(admin, s.adminListener) }),
 	}
@@ -116,6 +129,7 @@
 	}
 	closeServer(background, callers)
 	closeServer(background, admin)
+	cancel()
 	return errors.Join(err, task.Wait(tasks...))
 }
 
@@ -172,6 +186,8 @@
 		writeError(w, ErrStopping, router.OutcomeNone)
 	case !s.daemon.View().Current(time.Now()):
 		writeError(w, ErrNotCurrent, router.OutcomeNone)
+	case s.callerListener.Overloaded():
+		writeError(w, router.ErrOverloaded, router.OutcomeNone)
 	default:
 		w.WriteHeader(http.StatusNoContent)
 	}
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/config"
 	"github.com/lupinkeel/lupinkeel/gateway"
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/logfmt"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
@@ -73,7 +75,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(heapMemoryRatio * s.MemoryMB * megabyte))
 	}
-	descriptors, err := descriptorLimit()
+	descriptors, err := entrance.DescriptorLimit()
 	if err != nil {
 		return fmt.Errorf("read the limit on descriptors: %w", err)
 	}
@@ -89,7 +91,7 @@
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Regions: s.Regions.Map(), Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, StopGrace: s.StopGrace,
-		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: maxRequests(descriptors, s.MemoryMB), MaxConnections: maxConnections(descriptors),
+		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: cmp.Or(s.MaxRequests, entrance.MaxRequests(descriptors, s.MemoryMB)), MaxConnections: entrance.MaxConnections(descriptors),
 		StallReportDelay: stallReportDelay,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
--- a/config/gateway.go
+++ b/config/gateway.go
@@ -44,6 +44,9 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	StopGrace   time.Duration
+	// MaxRequests is the number of requests in progress at which connections are refused, if no
+	// delay of the process sets a lower one; 0 if memory and descriptors set it.
+	MaxRequests int
 	// CPUCores is the number of cores, or the fraction of a core, that the process may use.
 	// Daemons with more of it come first when the roles in the cluster are assigned.
 	CPUCores float64
@@ -94,6 +97,7 @@
 		&cli.Float64Flag{Name: "retry-slack", Usage: "further retries in each window, over all daemons", Value: 100, EnvVars: []string{EnvVar("retry-slack")}},
 		durationFlag("retry-window", "window of the retry budget", 10*time.Second),
 		durationFlag("stop-grace", "maximum duration of a graceful stop", 8*time.Second),
+		maxRequestsFlag(),
 		&cli.Float64Flag{Name: "power", Usage: "number of cores, or fraction of a core, that the process may use", Value: 1, EnvVars: []string{EnvVar("power")}},
 		&cli.Float64Flag{Name: "memory", Usage: "memory that the process may use, in MB; 0 for no limit", EnvVars: []string{EnvVar("memory")}},
 	}
@@ -122,6 +126,7 @@
 		RetrySlack:        c.Float64("retry-slack"),
 		RetryWindow:       r.duration("retry-window", time.Second, time.Hour),
 		StopGrace:         r.duration("stop-grace", 0, time.Hour),
+		MaxRequests:       r.count("max-requests", 0, maxMaxRequests),
 		CPUCores:          c.Float64("power"),
 		MemoryMB:          c.Float64("memory"),
 	}
--- a/config/serve.go
+++ b/config/serve.go
@@ -58,6 +58,9 @@
 	RequestTimeout time.Duration
 	// StopGrace is the maximum time that a graceful stop waits for requests in flight.
 	StopGrace time.Duration
+	// MaxRequests is the number of requests in progress at which connections are refused, if no
+	// delay of the process sets a lower one; 0 if memory and descriptors set it.
+	MaxRequests int
 }
 
 // Defaults returns the default values of all settings except names, addresses and tokens.
@@ -103,9 +106,16 @@
 		intFlag("max-body", "maximum length of a request body, in bytes", d.MaxBody),
 		durationFlag("request-timeout", "timeout of a request without a deadline", d.RequestTimeout),
 		durationFlag("stop-grace", "maximum time that a graceful stop waits for requests in flight", d.StopGrace),
+		maxRequestsFlag(),
 	}
 }
 
+const maxMaxRequests = 1_000_000
+
+func maxRequestsFlag() cli.Flag {
+	return intFlag("max-requests", "number of requests in progress at which connections are refused even without a delay; 0 for what memory and descriptors allow", 0)
+}
+
 // LoadServe reads and validates the settings of a daemon. Its error lists all invalid settings.
 func LoadServe(c *cli.Context) (Serve, error) {
 	r := &reader{c: c}
@@ -131,6 +141,7 @@
 		MaxBody:         r.count("max-body", 1<<10, 64<<20),
 		RequestTimeout:  r.duration("request-timeout", time.Second, time.Hour),
 		StopGrace:       r.duration("stop-grace", 0, time.Hour),
+		MaxRequests:     r.count("max-requests", 0, maxMaxRequests),
 	}
 	if c.String("advertise-peer") != "" {
 		s.AdvertisePeer = r.dialAddr("advertise-peer")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -101,7 +102,7 @@
 	queues    *queues
 	buffers   *buffers
 	crashes   *crashDetector
-	entrance  *entrance
+	entrance  *entrance.Listener
 	// stallReportsFrom is when the gateway begins to report stalled groups.
 	stallReportsFrom time.Time
 	conns            *h1.Pool
@@ -190,7 +191,10 @@
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
-	g.entrance = newEntrance(cfg.Listen, overload.DefaultPolicy(cfg.CPUCores, cmp.Or(cfg.MaxRequests, math.MaxInt32)), cmp.Or(cfg.MaxConnections, math.MaxInt32), node.SetOverloaded, set, log)
+	g.entrance = entrance.New(entrance.Settings{
+		Addr: cfg.Listen, Policy: overload.DefaultPolicy(cfg.CPUCores, cmp.Or(cfg.MaxRequests, math.MaxInt32)),
+		MaxConnections: cmp.Or(cfg.MaxConnections, math.MaxInt32), Notify: node.SetOverloaded,
+	}, set, log)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -38,18 +38,18 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	callers := g.newServer(http.HandlerFunc(g.serve))
 	callers.ReadHeaderTimeout, callers.MaxHeaderBytes = readHeaderTimeout, maxHeaderBytes
-	callers.ConnState = g.entrance.connState
+	callers.ConnState = g.entrance.ConnState
 	servers := map[netip.AddrPort]*http.Server{g.cfg.Ready: g.newServer(g.readyRoutes())}
 	if g.cfg.Admin.IsValid() {
 		servers[g.cfg.Admin] = g.newServer(g.adminRoutes())
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	if err := g.entrance.listen(); err != nil {
+	if err := g.entrance.Open(); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	tasks := []task.Task{
-		task.Start(background, "sweep", g.sweep), task.Start(background, "queues", g.queues.run), task.Start(background, "entrance", g.entrance.run),
+		task.Start(background, "sweep", g.sweep), task.Start(background, "queues", g.queues.run), task.Start(background, "entrance", g.entrance.Run),
 		task.Start(background, "callers", func(context.Context) error { return serveOn(callers, g.entrance) }),
 	}
 	for addr, server := range servers {
@@ -187,7 +187,7 @@
 
 // serveReady answers the load balancer's readiness check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.entrance.overloaded() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
+	if g.stopping.Load() || g.entrance.Overloaded() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/gateway/entrance_test.go
+++ b/lib/entrance/entrance_test.go
@@ -1,4 +1,4 @@
-package gateway
+package entrance
 
 import (
 	"bufio"
@@ -21,35 +21,31 @@
 	"github.com/lupinkeel/lupinkeel/overload"
 )
 
-// entranceTest is an entrance with a server whose requests last until the test releases them.
-type entranceTest struct {
-	*entrance
+// listenerTest is a Listener with a server whose requests last until the test releases them.
+type listenerTest struct {
+	*Listener
 	c *qt.C
 	// begun receives a value for each request that has begun; release ends one for each value.
 	begun, release chan struct{}
 }
 
-func startEntrance(t *testing.T, limit, maxConns int) *entranceTest {
+func startListener(t *testing.T, limit, maxConns int) *listenerTest {
 	c := qt.New(t)
-	free, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	addr := free.Addr().(*net.TCPAddr).AddrPort()
-	c.Assert(free.Close(), qt.IsNil)
 	policy := overload.Policy{Min: limit, Initial: limit, Max: limit, MaxDelay: time.Hour, DoubleTime: time.Second}
-	e := &entranceTest{
-		entrance: newEntrance(netip.AddrPortFrom(addr.Addr(), addr.Port()), policy, maxConns, func(bool) {}, metrics.NewSet(), zerolog.Nop()),
+	e := &listenerTest{
+		Listener: New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: policy, MaxConnections: maxConns}, metrics.NewSet(), zerolog.Nop()),
 		c:        c, begun: make(chan struct{}, 100), release: make(chan struct{}),
 	}
-	c.Assert(e.listen(), qt.IsNil)
-	server := &http.Server{ConnState: e.connState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	c.Assert(e.Open(), qt.IsNil)
+	server := &http.Server{ConnState: e.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
 			e.begun <- struct{}{}
 			<-e.release
 		}
 	})}
 	ctx, cancel := context.WithCancel(context.Background())
-	running := task.Start(ctx, "entrance", e.run)
-	serving := task.Start(ctx, "server", func(context.Context) error { return serveOn(server, e.entrance) })
+	running := task.Start(ctx, "entrance", e.Run)
+	serving := task.Start(ctx, "server", func(context.Context) error { return serve(server, e.Listener) })
 	t.Cleanup(func() {
 		close(e.release)
 		cancel()
@@ -59,9 +55,17 @@
 	return e
 }
 
+// serve serves until the server is closed.
+func serve(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // connect opens a connection, which the test closes at its end.
-func (e *entranceTest) connect() (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp4", e.addr.String(), time.Second)
+func (e *listenerTest) connect() (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp4", e.Addr().String(), time.Second)
 	if err == nil {
 		e.c.Cleanup(func() { conn.Close() })
 	}
@@ -69,7 +73,7 @@
 }
 
 // request sends a request on a connection and returns its status.
-func (e *entranceTest) request(conn net.Conn, path string) (int, error) {
+func (e *listenerTest) request(conn net.Conn, path string) (int, error) {
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
 		return 0, err
 	}
@@ -88,7 +92,7 @@
 }
 
 // await waits until a condition holds.
-func (e *entranceTest) await(what string, condition func() bool) {
+func (e *listenerTest) await(what string, condition func() bool) {
 	for range 200 {
 		if condition() {
 			return
@@ -99,7 +103,7 @@
 }
 
 // serves reports whether a new connection is accepted and a request on it is served.
-func (e *entranceTest) serves() bool {
+func (e *listenerTest) serves() bool {
 	conn, err := e.connect()
 	if err != nil {
 		return false
@@ -112,7 +116,7 @@
 // progress as the limit says, that requests on open connections are served all the same, and that
 // connections are accepted again afterwards.
 func TestEntranceRefusesAtLimit(t *testing.T) {
-	e := startEntrance(t, 3, 100)
+	e := startListener(t, 3, 100)
 	open, err := e.connect()
 	e.c.Assert(err, qt.IsNil)
 	_, err = e.request(open, "/")
@@ -130,7 +134,7 @@
 	status, err := e.request(open, "/")
 	e.c.Assert(err, qt.IsNil)
 	e.c.Assert(status, qt.Equals, http.StatusOK)
-	e.await("an overload", e.overloaded)
+	e.await("an overload", e.Overloaded)
 	e.release <- struct{}{}
 	e.await("the end of refusals", e.serves)
 }
@@ -138,7 +142,7 @@
 // TestSilentConnectionsCloseEntrance guards against an entrance that stays closed because of
 // connections on which nothing arrives.
 func TestSilentConnectionsCloseEntrance(t *testing.T) {
-	e := startEntrance(t, 3, 100)
+	e := startListener(t, 3, 100)
 	for range 3 {
 		_, err := e.connect()
 		e.c.Assert(err, qt.IsNil)
@@ -150,7 +154,7 @@
 // descriptors to others: the one that has been idle for longest is closed.
 func TestIdleConnectionsTakeAllDescriptors(t *testing.T) {
 	const maxConns = 4
-	e := startEntrance(t, 100, maxConns)
+	e := startListener(t, 100, maxConns)
 	var conns []net.Conn
 	for range 2 * maxConns {
 		conn, err := e.connect()
--- a/commands/max_requests.go
+++ b/lib/entrance/resources.go
@@ -1,4 +1,4 @@
-package commands
+package entrance
 
 import "golang.org/x/sys/unix"
 
@@ -14,11 +14,12 @@
 	// without their bodies, and requestBytes what one of them takes with both its connections.
 	requestMemoryRatio = 0.25
 	requestBytes       = 64 << 10
+	megabyte           = 1 << 20
 )
 
-// maxRequests returns how many requests a process can hold at once by its descriptors, and by its
+// MaxRequests returns how many requests a process can hold at once by its descriptors, and by its
 // memory unless that is unlimited (0).
-func maxRequests(descriptors uint64, memoryMB float64) int {
+func MaxRequests(descriptors uint64, memoryMB float64) int {
 	most := int(min(descriptors, 1<<20)) / descriptorsPerRequest
 	if memoryMB > 0 {
 		most = min(most, int(requestMemoryRatio*memoryMB*megabyte/requestBytes))
@@ -26,13 +27,13 @@
 	return most
 }
 
-// maxConnections returns how many connections callers may have open.
-func maxConnections(descriptors uint64) int {
+// MaxConnections returns how many connections callers may have open.
+func MaxConnections(descriptors uint64) int {
 	return int(min(descriptors, 1<<20)) / descriptorsPerConnection
 }
 
-// descriptorLimit returns how many descriptors the process may have open.
-func descriptorLimit() (uint64, error) {
+// DescriptorLimit returns how many descriptors the process may have open.
+func DescriptorLimit() (uint64, error) {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		return 0, err
--- a/gateway/run_delay.go
+++ b/lib/entrance/run_delay.go
@@ -1,4 +1,4 @@
-package gateway
+package entrance
 
 import (
 	"runtime/metrics"
--- a/overload/limit.go
+++ b/overload/limit.go
@@ -39,9 +39,8 @@
 // DefaultPolicy returns the policy of a daemon that has a number of processor cores, or a fraction of
 // one, and can hold at most maxRequests requests.
 func DefaultPolicy(cores float64, maxRequests int) Policy {
-	most := max(minRequests, maxRequests)
 	return Policy{
-		Min: minRequests, Initial: min(most, max(minInitialRequests, int(initialRequestsPerCore*cores))), Max: most,
+		Min: min(minRequests, maxRequests), Initial: min(maxRequests, max(minInitialRequests, int(initialRequestsPerCore*cores))), Max: maxRequests,
 		MaxDelay: 5 * time.Millisecond, FallTime: 100 * time.Millisecond, MaxFall: 0.5, DoubleTime: 100 * time.Millisecond, Growth: 200,
 	}
 }
