--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -47,12 +46,7 @@
 	for range extraPlainInstances {
 		s.add("plain", "")
 	}
-	d := s.newDaemon(binary(t), 0)
-	s.daemons = append(s.daemons, d)
-	d.env = []string{"GOMAXPROCS=1"}
-	d.flags = append(d.flags, "--lease-min", "1s", "--power", fmt.Sprint(floodedShare))
-	d.start(t)
-	t.Cleanup(d.kill)
+	d := s.startLimitedDaemon(binary(t), 0)
 	s.waitServing()
 	limitCPU(t, d, floodedShare)
 
@@ -69,16 +63,7 @@
 	c.Check(goodput >= minGoodput*capacity, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, of %.0f that could be", goodput, capacity))
 	c.Check(flooded.servedOfRead() >= minServedOfRead, qt.IsTrue, qt.Commentf("in the flood %v", flooded))
 	c.Check(after.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("%s after the flood %v", floodOnset, after))
-	text, err := os.ReadFile(filepath.Join(s.logs, d.name+".log"))
-	c.Assert(err, qt.IsNil)
-	for _, event := range []string{"store-lost", "server-error", "planning-ended", "process-paused"} {
-		c.Check(strings.Count(string(text), "event="+event+" "), qt.Equals, 0, qt.Commentf("%s; logs are in %s", event, s.logs))
-	}
-	violations := s.pool.Violations()
-	c.Check(violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(violations, "\n")))
-	if !t.Failed() {
-		os.RemoveAll(s.logs)
-	}
+	s.checkUndisturbed(c, "event=planning-ended ")
 }
 
 // limitCPU pauses a daemon whenever it has used its share of a core in the current period, until the
@@ -154,7 +139,7 @@
 			break
 		}
 		time.Sleep(time.Until(began.Add(at)))
-		wg.Go(func() { load.send(s, n, at) })
+		wg.Go(func() { load.add(sendAlone(s.daemons[0].addr, floodRequest(n), at)) })
 	}
 	wg.Wait()
 	return load
@@ -174,19 +159,27 @@
 	refused bool
 }
 
-func (f *flood) send(s *site, n int, at time.Duration) {
-	k, model := kindIdempotent, ""
+func (f *flood) add(r floodReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replies = append(f.replies, r)
+}
+
+// floodRequest returns the nth request of a flood: every other one is a stream.
+func floodRequest(n int) request {
 	if n%2 == 0 {
-		k, model = kindStream, []string{"big", "small"}[n/2%2]
+		return newRequest(kindStream, []string{"big", "small"}[n/2%2])
 	}
+	return newRequest(kindIdempotent, "")
+}
+
+// sendAlone sends a request on a connection of its own.
+func sendAlone(addr string, r request, at time.Duration) floodReply {
 	refused := false
 	transport := &http.Transport{DisableKeepAlives: true}
-	client := &http.Client{Timeout: 3 * time.Second, Transport: refusals{transport, &refused}}
 	defer transport.CloseIdleConnections()
-	r := send(client, s.daemons[0].addr, newRequest(k, model))
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.replies = append(f.replies, floodReply{r, at, refused})
+	client := &http.Client{Timeout: 3 * time.Second, Transport: refusals{transport, &refused}}
+	return floodReply{send(client, addr, r), at, refused}
 }
 
 // refusals notes whether a daemon refused or reset the connection of a request.
