entrance: forget single pauses, and do not count the end as an overload

One tick that is seconds late, after a suspension, kept the mean lateness above the bound for up to 35 ticks, in which a daemon that is full of the requests that waited meanwhile would have cut its limit to the minimum. A tick now counts as 100 ms late at most. A stopping daemon logged overload-began, since its listener was closed.

The loop that sends requests at a rate stands once in the soak.

--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -332,6 +332,9 @@
 	if l.active >= minMeasuredRequests {
 		l.clock.SetStep(delayInterval)
 	}
+	if l.ended {
+		return
+	}
 	was := l.state.Overloaded()
 	l.state.Observe(tick.At, l.socket == nil)
 	if is := l.state.Overloaded(); is != was {
--- a/lib/entrance/entrance_test.go
+++ b/lib/entrance/entrance_test.go
@@ -37,7 +37,7 @@
 		c:        c, begun: make(chan struct{}, 100), release: make(chan struct{}),
 	}
 	c.Assert(e.Open(), qt.IsNil)
-	server := &http.Server{ConnState: e.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ConnState: e.ConnState, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
 			e.begun <- struct{}{}
 			<-e.release
@@ -55,9 +55,9 @@
 	return e
 }
 
-// serve serves until the server is closed.
+// serve serves until the server or its listener is closed.
 func serve(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -174,3 +174,11 @@
 	defer e.mu.Unlock()
 	e.c.Assert(e.open < maxConns, qt.IsTrue, qt.Commentf("%d connections are open", e.open))
 }
+
+// TestStoppedListenerIsNotOverloaded checks that the end of a listener does not count as an overload.
+func TestStoppedListenerIsNotOverloaded(t *testing.T) {
+	e := startListener(t, 3, 100)
+	e.c.Assert(e.Close(), qt.IsNil)
+	time.Sleep(500 * time.Millisecond)
+	e.c.Assert(e.Overloaded(), qt.IsFalse)
+}
--- a/lib/entrance/run_delay.go
+++ b/lib/entrance/run_delay.go
@@ -12,6 +12,9 @@
 	restInterval  = 50 * time.Millisecond
 	// lateWeight is the weight of the last tick in the mean lateness.
 	lateWeight = 0.125
+	// maxLate bounds the lateness of one tick, so that a single pause of the process is forgotten
+	// within some ticks.
+	maxLate = 100 * time.Millisecond
 
 	schedulerLatencies = "/sched/latencies:seconds"
 	// schedulerInterval is the interval at which the scheduler's latencies are read, which takes
@@ -41,7 +44,7 @@
 
 // measure returns the delay, given how late the clock has just ticked.
 func (d *runDelay) measure(now time.Time, late time.Duration) time.Duration {
-	d.late += time.Duration(lateWeight * float64(late-d.late))
+	d.late += time.Duration(lateWeight * float64(min(late, maxLate)-d.late))
 	if now.Sub(d.readAt) >= schedulerInterval {
 		d.readAt, d.waited = now, d.readScheduler()
 	}
--- a/overload/limit.go
+++ b/overload/limit.go
@@ -50,7 +50,6 @@
 type Limit struct {
 	policy  Policy
 	current float64
-	delay   time.Duration
 	last    time.Time
 	// fell is set once a delay was too long.
 	fell bool
@@ -64,14 +63,11 @@
 // Max returns how many requests may be in progress.
 func (l *Limit) Max() int { return int(l.current) }
 
-// Delay returns the last delay.
-func (l *Limit) Delay() time.Duration { return l.delay }
-
 // Observe records a delay, how many requests are in progress, and whether the limit was reached
 // since the last delay.
 func (l *Limit) Observe(now time.Time, delay time.Duration, active int, reached bool) {
 	elapsed := now.Sub(l.last)
-	l.last, l.delay = now, delay
+	l.last = now
 	switch {
 	case delay > l.policy.MaxDelay:
 		if float64(active) < usedFraction*l.current {
--- a/soak/balancer_test.go
+++ b/soak/balancer_test.go
@@ -107,27 +107,15 @@
 // load sends requests at a rate through the balancer, each on a connection of its own. A request
 // that fails is sent once more.
 func (b *balancer) load(rate int, duration time.Duration) *flood {
-	out := &flood{}
-	var wg sync.WaitGroup
-	began := time.Now()
-	for n := 0; ; n++ {
-		at := time.Duration(n) * time.Second / time.Duration(rate)
-		if at >= duration {
-			break
+	return sendAtRate(rate, duration, func(n int, at time.Duration) floodReply {
+		first := b.pick(n)
+		r := sendAlone(first.addr, floodRequest(n), at)
+		if !r.complete {
+			time.Sleep(rand.N(maxReturnDelay))
+			r = sendAlone(b.pick(n, first).addr, floodRequest(n), at)
 		}
-		time.Sleep(time.Until(began.Add(at)))
-		wg.Go(func() {
-			first := b.pick(n)
-			r := sendAlone(first.addr, floodRequest(n), at)
-			if !r.complete {
-				time.Sleep(rand.N(maxReturnDelay))
-				r = sendAlone(b.pick(n, first).addr, floodRequest(n), at)
-			}
-			out.add(r)
-		})
-	}
-	wg.Wait()
-	return out
+		return r
+	})
 }
 
 // TestSkewedBalancerOverloadsOneDaemonAfterAnother guards against daemons that one after the other
--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -128,9 +128,16 @@
 	return time.Duration(ts.Nano())
 }
 
-// flood sends requests at a rate, however long they take, each on a connection of its own.
+// flood sends requests at a rate to the first daemon, each on a connection of its own.
 func (s *site) flood(rate int, duration time.Duration) *flood {
-	load := &flood{}
+	return sendAtRate(rate, duration, func(n int, at time.Duration) floodReply {
+		return sendAlone(s.daemons[0].addr, floodRequest(n), at)
+	})
+}
+
+// sendAtRate sends requests at a rate, however long they take, and returns their outcomes.
+func sendAtRate(rate int, duration time.Duration, send func(n int, at time.Duration) floodReply) *flood {
+	out := &flood{}
 	var wg sync.WaitGroup
 	began := time.Now()
 	for n := 0; ; n++ {
@@ -139,10 +146,10 @@
 			break
 		}
 		time.Sleep(time.Until(began.Add(at)))
-		wg.Go(func() { load.add(sendAlone(s.daemons[0].addr, floodRequest(n), at)) })
+		wg.Go(func() { out.add(send(n, at)) })
 	}
 	wg.Wait()
-	return load
+	return out
 }
 
 // flood is a set of requests, by when they were sent.
