--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -341,12 +341,13 @@
 		if l.cfg.Notify != nil {
 			l.cfg.Notify(is)
 		}
-		event := "overload-ended"
+		event := l.log.Warn().Int("requests", l.active).Int("connections", l.open).Int("limit", l.limit.Max()).Dur("delay", delay).
+			Float64("closed", l.state.Closed())
 		if is {
-			event = "overload-began"
+			event.Msg("overload-began")
+		} else {
+			event.Msg("overload-ended")
 		}
-		l.log.Warn().Int("requests", l.active).Int("connections", l.open).Int("limit", l.limit.Max()).Dur("delay", delay).
-			Float64("closed", l.state.Closed()).Msg(event)
 	}
 }
 
