overload: keep the limit above what is served in twice the usual time

Cause: under a quota a process is paused whenever it has used its share, however few requests are in progress, so that the delay stays above the bound and the limit falls to its minimum of 8. There each request takes 1.2 ms of the processor rather than 0.3, since each wakes the process on its own. A daemon with a tenth of a core served 92 requests a second of a flood, with a fixed limit of 16 133, of 32 222, of 64 296, of 128 284.

The limit now stays above the number of requests that would be in progress if those that are served took twice as long as while the daemon is calm. In a collapse nothing is served, and the bound falls with it. Requests that were rejected or left do not count.

TestFloodedDaemonServesNothing compares the flood with what is served of 160 requests a second as well, and fails without the change (60 and 69 requests a second; with it 202, 216, 232), as does TestQuotaPausesShrinkLimit. The simulation observes delays as the daemon does, by a clock that waits for its turn; its machines are played after a calm time, too.

--- a/api/exchange.go
+++ b/api/exchange.go
@@ -67,6 +67,7 @@
 		Int("tries", e.req.Attempts()).Dur("took", time.Since(e.started)).Msg("request-ended")
 	switch {
 	case err == nil:
+		e.s.callerListener.Served(time.Since(e.started))
 	case responseStarted:
 		// The header has been sent, so only an aborted connection tells the caller that the
 		// response is incomplete.
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -135,6 +135,7 @@
 	switch {
 	case err == nil:
 		e.clear()
+		e.g.entrance.Served(time.Since(e.started))
 		e.logEnd(outcomeComplete, 0, nil)
 	case e.r.Context().Err() != nil:
 		e.logEnd(outcomeCallerGone, 0, err)
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -115,6 +115,7 @@
 	}
 	set.NewGauge("lupinkeel_run_delay_seconds", locked(func() float64 { return l.delay.last.Seconds() }))
 	set.NewGauge("lupinkeel_request_limit", locked(func() float64 { return float64(l.limit.Max()) }))
+	set.NewGauge("lupinkeel_request_usual_seconds", locked(func() float64 { return l.limit.UsualDuration().Seconds() }))
 	set.NewGauge("lupinkeel_entrance_closed_fraction", locked(func() float64 { return l.state.Closed() }))
 	set.NewGauge(`lupinkeel_caller_connections{state="active"}`, locked(func() float64 { return float64(l.active) }))
 	set.NewGauge(`lupinkeel_caller_connections{state="idle"}`, locked(func() float64 { return float64(l.open - l.active) }))
@@ -351,6 +352,13 @@
 	}
 }
 
+// Served records how long a request took that was served.
+func (l *Listener) Served(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit.Served(time.Now(), took)
+}
+
 // Overloaded reports whether the listener is closed so often that the load balancer should send
 // callers elsewhere.
 func (l *Listener) Overloaded() bool {
--- a/overload/limit.go
+++ b/overload/limit.go
@@ -24,6 +24,8 @@
 	// long yet. Afterwards it rises by Growth requests per second.
 	DoubleTime time.Duration
 	Growth     float64
+	// MaxSlowdown is by what factor requests may take longer than usual before the limit falls.
+	MaxSlowdown float64
 }
 
 const (
@@ -34,6 +36,8 @@
 	initialRequestsPerCore = 500
 	// usedFraction is the fraction of the limit that must be used for the limit to fall.
 	usedFraction = 0.9
+	// calmFraction is the fraction of the limit below which a daemon is calm.
+	calmFraction = 0.5
 )
 
 // DefaultPolicy returns the policy of a daemon that has a number of processor cores, or a fraction of
@@ -41,18 +45,24 @@
 func DefaultPolicy(cores float64, maxRequests int) Policy {
 	return Policy{
 		Min: min(minRequests, maxRequests), Initial: min(maxRequests, max(minInitialRequests, int(initialRequestsPerCore*cores))), Max: maxRequests,
-		MaxDelay: 5 * time.Millisecond, FallTime: 200 * time.Millisecond, MaxFall: 0.5, DoubleTime: 100 * time.Millisecond, Growth: 200,
+		MaxDelay: 5 * time.Millisecond, FallTime: 200 * time.Millisecond, MaxFall: 0.5, DoubleTime: 100 * time.Millisecond, Growth: 200, MaxSlowdown: 2,
 	}
 }
 
 // Limit is an adaptive limit on concurrent requests, with additive increase and multiplicative
-// decrease by the delay with which work gets to run. It is not safe for concurrent use.
+// decrease by the delay with which work gets to run. The delay alone does not tell that a daemon has
+// too many requests: under a quota it is paused whenever it uses all of its processor time. So the
+// limit does not fall below the number of requests that are in progress if those that are served
+// take MaxSlowdown times as long as usual. It is not safe for concurrent use.
 type Limit struct {
 	policy  Policy
 	current float64
 	last    time.Time
 	// fell is set once a delay was too long.
 	fell bool
+	// calm is set while no work waits and the limit is far.
+	calm      bool
+	durations durations
 }
 
 // NewLimit returns a limit with its first value.
@@ -66,13 +76,14 @@
 // Observe records a delay, how many requests are in progress, and whether the limit was reached
 // since the last delay.
 func (l *Limit) Observe(now time.Time, delay time.Duration, active int, reached bool) {
+	l.calm = delay <= l.policy.MaxDelay && float64(active) < calmFraction*l.current
 	elapsed := now.Sub(l.last)
 	l.last = now
 	switch {
 	case delay > l.policy.MaxDelay:
 		if float64(active) < usedFraction*l.current {
 			// Something else than too many requests causes the delay.
-			return
+			break
 		}
 		l.fell = true
 		l.current *= max(l.policy.MaxFall, math.Exp2(-elapsed.Seconds()/l.policy.FallTime.Seconds()))
@@ -82,5 +93,13 @@
 	default:
 		l.current *= min(2, math.Exp2(elapsed.Seconds()/l.policy.DoubleTime.Seconds()))
 	}
-	l.current = min(float64(l.policy.Max), max(float64(l.policy.Min), l.current))
+	l.current = min(float64(l.policy.Max), max(float64(l.policy.Min), l.current, l.policy.MaxSlowdown*l.durations.usualLoad(now)))
+}
+
+// Served records how long a request took that was served.
+func (l *Limit) Served(now time.Time, took time.Duration) { l.durations.add(now, took, l.calm) }
+
+// UsualDuration returns how long requests take while the daemon is calm.
+func (l *Limit) UsualDuration() time.Duration {
+	return time.Duration(l.durations.usual * float64(time.Second))
 }
--- a/overload/limit_test.go
+++ b/overload/limit_test.go
@@ -63,23 +63,29 @@
 	// pause apart.
 	turns           int
 	turnTime, pause time.Duration
-	// quota is the processor time in each period of 100 ms; 0 sets none.
-	quota time.Duration
-	// rate is the number of arrivals per second.
-	rate float64
+	// quota is the processor time in each period; 0 sets none.
+	quota, period time.Duration
+	// rate is the number of arrivals per second, calmRate the one in calmTime before. What happens
+	// before does not count.
+	rate, calmRate float64
+	calmTime       time.Duration
 }
 
 const (
-	patience   = 2 * time.Second
-	simStep    = time.Millisecond
-	quotaCycle = 100 * time.Millisecond
-	interval   = 10 * time.Millisecond
+	patience = 2 * time.Second
+	simStep  = time.Millisecond
+	interval = 10 * time.Millisecond
+	// lateWeight is the weight of an observed delay in their mean, which the limit is told.
+	lateWeight = 0.125
+	maxLate    = 100 * time.Millisecond
 )
 
+// simRequest is a request, or an observation of the delay, which waits for its turn like others.
 type simRequest struct {
 	arrived time.Duration
 	turns   int
 	ready   time.Duration
+	tick    bool
 }
 
 // result is what a simulation served and refused, and the median time of what was served.
@@ -97,19 +103,27 @@
 	var out result
 	var queue, pausing []*simRequest
 	var times []time.Duration
-	var budget, waited time.Duration
-	active := 0
-	for now := time.Duration(0); now < duration; now += simStep {
-		if m.quota > 0 && now%quotaCycle == 0 {
+	var budget, late, nextTick time.Duration
+	active, ticking, reached := 0, false, false
+	for now := time.Duration(0); now < m.calmTime+duration; now += simStep {
+		rate := m.rate
+		switch {
+		case now < m.calmTime:
+			rate = m.calmRate
+		case now == m.calmTime:
+			out, times = result{}, nil
+		}
+		if m.quota > 0 && now%m.period == 0 {
 			budget = m.quota
 		}
-		for p := m.rate * simStep.Seconds(); random.Float64() < p; p-- {
+		for p := rate * simStep.Seconds(); random.Float64() < p; p-- {
 			out.arrived++
 			if active >= limit.Max() {
 				out.refused++
 				continue
 			}
 			active++
+			reached = reached || active >= limit.Max()
 			queue = append(queue, &simRequest{arrived: now, turns: m.turns, ready: now})
 		}
 		pausing = slices.DeleteFunc(pausing, func(r *simRequest) bool {
@@ -119,12 +133,23 @@
 			queue = append(queue, r)
 			return true
 		})
+		if now >= nextTick && !ticking {
+			ticking = true
+			queue = append(queue, &simRequest{ready: now, tick: true})
+		}
 		if m.quota == 0 {
 			budget += simStep
 		}
 		for len(queue) > 0 && budget >= m.turnTime {
 			r := queue[0]
-			queue, budget, waited = queue[1:], budget-m.turnTime, now-r.ready
+			queue, budget = queue[1:], budget-m.turnTime
+			if r.tick {
+				ticking, nextTick = false, now-now%interval+interval
+				late += time.Duration(lateWeight * float64(min(now-r.ready, maxLate)-late))
+				limit.Observe(time.Unix(0, 0).Add(now), late, active, reached)
+				reached = active >= limit.Max()
+				continue
+			}
 			if now-r.arrived > patience {
 				active--
 				continue
@@ -137,15 +162,10 @@
 			active--
 			out.served++
 			times = append(times, now-r.arrived)
+			limit.Served(time.Unix(0, 0).Add(now), now-r.arrived)
 		}
 		if m.quota == 0 && len(queue) == 0 {
-			budget, waited = 0, 0
-		}
-		if now%interval == 0 {
-			if len(queue) > 0 {
-				waited = max(waited, now-queue[0].ready)
-			}
-			limit.Observe(time.Unix(0, 0).Add(now), waited, active, active >= limit.Max())
+			budget = 0
 		}
 	}
 	if len(times) > 0 {
@@ -159,6 +179,7 @@
 type limiter interface {
 	Max() int
 	Observe(now time.Time, delay time.Duration, active int, reached bool)
+	Served(now time.Time, took time.Duration)
 }
 
 // fixed is a limit that never changes.
@@ -166,9 +187,11 @@
 
 func (f fixed) Max() int                                  { return int(f) }
 func (fixed) Observe(time.Time, time.Duration, int, bool) {}
+func (fixed) Served(time.Time, time.Duration)             {}
 
 // TestLimitServesWhatTheBestFixedLimitDoes checks, on several machines with several times the
-// requests that they can serve, that the limit serves nearly as many as the best fixed limit for each.
+// requests that they can serve, that the limit serves nearly as many as the best fixed limit for each,
+// at once and after a calm time.
 func TestLimitServesWhatTheBestFixedLimitDoes(t *testing.T) {
 	const duration, minOfBest, maxRequests = 10 * time.Second, 0.8, 1500
 	for _, test := range []struct {
@@ -179,7 +202,11 @@
 		{"small", 0.2, machine{turns: 30, turnTime: 170 * time.Microsecond, pause: 20 * time.Millisecond, rate: 600}},
 		{"large", 0.8, machine{turns: 30, turnTime: 40 * time.Microsecond, pause: 20 * time.Millisecond, rate: 2400}},
 		{"short_answers", 0.2, machine{turns: 3, turnTime: 500 * time.Microsecond, pause: 15 * time.Millisecond, rate: 2000}},
-		{"quota", 0.2, machine{turns: 30, turnTime: 34 * time.Microsecond, pause: 20 * time.Millisecond, rate: 600, quota: 20 * time.Millisecond}},
+		{"quota", 0.2, machine{turns: 30, turnTime: 34 * time.Microsecond, pause: 20 * time.Millisecond, rate: 600, quota: 20 * time.Millisecond, period: 100 * time.Millisecond}},
+		{"small_after_calm", 0.2, machine{turns: 30, turnTime: 170 * time.Microsecond, pause: 20 * time.Millisecond, rate: 600, calmRate: 40, calmTime: 5 * time.Second}},
+		{"large_after_calm", 0.8, machine{turns: 30, turnTime: 40 * time.Microsecond, pause: 20 * time.Millisecond, rate: 2400, calmRate: 160, calmTime: 5 * time.Second}},
+		{"short_answers_after_calm", 0.2, machine{turns: 3, turnTime: 500 * time.Microsecond, pause: 15 * time.Millisecond, rate: 2000, calmRate: 130, calmTime: 5 * time.Second}},
+		{"quota_after_calm", 0.2, machine{turns: 30, turnTime: 34 * time.Microsecond, pause: 20 * time.Millisecond, rate: 600, quota: 20 * time.Millisecond, period: 100 * time.Millisecond, calmRate: 40, calmTime: 5 * time.Second}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -223,3 +250,34 @@
 	}
 	h.Limit.Observe(now, delay, active, reached)
 }
+
+// TestQuotaPausesShrinkLimit guards against a limit that falls to its minimum because a quota pauses
+// the daemon, although requests take hardly longer than usual. The limit still falls if few are
+// served.
+func TestQuotaPausesShrinkLimit(t *testing.T) {
+	const usual, delay, step = 100 * time.Millisecond, 20 * time.Millisecond, 10 * time.Millisecond
+	now := time.Unix(0, 0)
+	policy := overload.DefaultPolicy(0.2, 700)
+	l := overload.NewLimit(policy, now)
+	// run serves a number of requests in each step, with the limit reached in delays.
+	run := func(duration time.Duration, served int, delay time.Duration) {
+		for range duration / step {
+			now = now.Add(step)
+			active := l.Max()
+			if delay == 0 {
+				active /= 4
+			}
+			for range served {
+				l.Served(now, usual)
+			}
+			l.Observe(now, delay, active, delay > 0)
+		}
+	}
+	run(2*time.Second, 1, 0)
+	qt.Check(t, l.UsualDuration(), qt.Equals, usual)
+	run(5*time.Second, 2, delay)
+	inProgress := 2 * usual.Seconds() / step.Seconds()
+	qt.Check(t, float64(l.Max()) >= 0.9*policy.MaxSlowdown*inProgress, qt.IsTrue, qt.Commentf("limit %d, %.0f in progress", l.Max(), inProgress))
+	run(5*time.Second, 0, delay)
+	qt.Check(t, l.Max(), qt.Equals, policy.Min)
+}
--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -19,8 +19,9 @@
 	// floodedShare is the share of a core that the daemon under a flood has.
 	floodedShare = 0.1
 	// floodRate is the number of requests per second in a flood, several times what such a daemon
-	// can serve; calmRate is well below that.
+	// can serve; calmRate is well below that, and busyRate near it.
 	floodRate = 600
+	busyRate  = 160
 	calmRate  = 25
 	// floodDuration is how long a flood lasts; floodOnset is how long the daemon may take to adapt
 	// to it, and to its end.
@@ -30,6 +31,8 @@
 	// minGoodput is the fraction of the requests that its share is enough for that a daemon must
 	// serve in a flood.
 	minGoodput = 0.5
+	// minOfBusy is the fraction of what a busy daemon serves that it must serve in a flood.
+	minOfBusy = 0.8
 	// minServedOfRead is the fraction of the requests read by the daemon that it must serve in a
 	// flood.
 	minServedOfRead = 0.75
@@ -54,13 +57,15 @@
 	var calm *flood
 	busy := cpuShare(d, func() { calm = s.flood(calmRate, calmDuration) })
 	capacity := calmRate * (floodedShare - idle) / (busy - idle)
+	busyGoodput := float64(s.flood(busyRate, calmDuration).served()) / calmDuration.Seconds()
 	flooded := s.flood(floodRate, floodDuration).from(floodOnset)
 	after := s.flood(calmRate, floodOnset+calmDuration).from(floodOnset)
 
 	goodput := float64(flooded.served()) / (floodDuration - floodOnset).Seconds()
-	t.Logf("share %.3f idle, %.3f at %d/s; capacity %.0f/s, goodput %.0f/s; calm %v; flooded %v; after %v", idle, busy, calmRate, capacity, goodput, calm, flooded, after)
+	t.Logf("share %.3f idle, %.3f at %d/s; capacity %.0f/s, goodput %.0f/s, %.0f/s of %d/s; calm %v; flooded %v; after %v", idle, busy, calmRate, capacity, goodput, busyGoodput, busyRate, calm, flooded, after)
 	c.Check(calm.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("before the flood %v", calm))
 	c.Check(goodput >= minGoodput*capacity, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, of %.0f that could be", goodput, capacity))
+	c.Check(goodput >= minOfBusy*busyGoodput, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, %.0f of %d a second", goodput, busyGoodput, busyRate))
 	c.Check(flooded.servedOfRead() >= minServedOfRead, qt.IsTrue, qt.Commentf("in the flood %v", flooded))
 	c.Check(after.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("%s after the flood %v", floodOnset, after))
 	s.checkUndisturbed(c, "event=planning-ended ")
