soak: measure what a request costs before sending most of them to one daemon

TestSkewedBalancerOverloadsOneDaemonAfterAnother sent 320 requests a second on any machine. On one on which a calm request takes 2.2 ms rather than 1.6 that is all that three daemons with a twentieth of a core serve even if the balancer spreads them: evenly 633 of 960 (at a share of 0.07), of which the test says nothing. It sends now what takes half a core at the cost of a calm request: about as many as before on the machine on which 320 was found (1.64 ms, 311), fewer on a slower one. Bounds and shares are as before.

--- a/soak/balancer_test.go
+++ b/soak/balancer_test.go
@@ -24,9 +24,10 @@
 	maxMissedChecks   = 2
 	// skewedFraction is the fraction of new connections that a skewed balancer sends to one daemon.
 	skewedFraction = 0.9
-	// skewedRate is the number of requests per second in a skew: more than one daemon with
-	// floodedShare of a core can serve, and fewer than three can.
-	skewedRate = 320
+	// skewedCores is the processor time per second that the requests in a skew would take at a low
+	// rate: more than one daemon with floodedShare of a core can serve, and fewer than three can,
+	// which take less for each of many.
+	skewedCores = 0.5
 	// maxReturnDelay is the longest pause until a caller sends a failed request again.
 	maxReturnDelay = 200 * time.Millisecond
 )
@@ -137,11 +138,13 @@
 	for _, d := range s.daemons {
 		limitCPU(t, d, floodedShare)
 	}
+	_, cost, _ := s.calmCost()
+	rate := int(skewedCores / cost.Seconds())
 	b := startBalancer(t, s.daemons)
-	even := b.load(skewedRate, calmDuration)
+	even := b.load(rate, calmDuration)
 	b.skewed = true
-	skewed := b.load(skewedRate, floodDuration).from(floodOnset)
-	t.Logf("evenly %v; skewed %v", even, skewed)
+	skewed := b.load(rate, floodDuration).from(floodOnset)
+	t.Logf("%v a calm request, %d/s; evenly %v; skewed %v", cost, rate, even, skewed)
 	c.Check(even.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("evenly %v", even))
 	c.Check(skewed.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("skewed %v", skewed))
 	// An overloaded planner hands the lease on.
--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -53,16 +53,14 @@
 	s.waitServing()
 	limitCPU(t, d, floodedShare)
 
-	idle := cpuShare(d, func() { time.Sleep(calmDuration) })
-	var calm *flood
-	busy := cpuShare(d, func() { calm = s.flood(calmRate, calmDuration) })
-	capacity := calmRate * (floodedShare - idle) / (busy - idle)
+	idle, cost, calm := s.calmCost()
+	capacity := (floodedShare - idle) / cost.Seconds()
 	busyGoodput := float64(s.flood(busyRate, calmDuration).served()) / calmDuration.Seconds()
 	flooded := s.flood(floodRate, floodDuration).from(floodOnset)
 	after := s.flood(calmRate, floodOnset+calmDuration).from(floodOnset)
 
 	goodput := float64(flooded.served()) / (floodDuration - floodOnset).Seconds()
-	t.Logf("share %.3f idle, %.3f at %d/s; capacity %.0f/s, goodput %.0f/s, %.0f/s of %d/s; calm %v; flooded %v; after %v", idle, busy, calmRate, capacity, goodput, busyGoodput, busyRate, calm, flooded, after)
+	t.Logf("share %.3f idle, %v a calm request; capacity %.0f/s, goodput %.0f/s, %.0f/s of %d/s; calm %v; flooded %v; after %v", idle, cost, capacity, goodput, busyGoodput, busyRate, calm, flooded, after)
 	c.Check(calm.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("before the flood %v", calm))
 	c.Check(goodput >= minGoodput*capacity, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, of %.0f that could be", goodput, capacity))
 	c.Check(goodput >= minOfBusy*busyGoodput, qt.IsTrue, qt.Commentf("%.0f requests a second are served in a flood, %.0f of %d a second", goodput, busyGoodput, busyRate))
@@ -124,6 +122,15 @@
 	return (cpuTime(clock) - before).Seconds() / time.Since(began).Seconds()
 }
 
+// calmCost returns the share of a core that the first daemon uses at rest, the processor time that a
+// request takes there at a low rate, and the outcome of these requests.
+func (s *site) calmCost() (idle float64, cost time.Duration, calm *flood) {
+	d := s.daemons[0]
+	idle = cpuShare(d, func() { time.Sleep(calmDuration) })
+	used := cpuShare(d, func() { calm = s.flood(calmRate, calmDuration) }) - idle
+	return idle, time.Duration(used / calmRate * float64(time.Second)), calm
+}
+
 // cpuTime returns how long a process has run, or 0 if it has exited.
 func cpuTime(clock int32) time.Duration {
 	var ts unix.Timespec
