entrance: wait for the first request to end before filling the limit

The caller has its response before the server has recorded that the connection is idle, so that it still counted as one of three requests. The test waits for that now, and checks what it did before.

--- a/lib/entrance/entrance_test.go
+++ b/lib/entrance/entrance_test.go
@@ -112,6 +112,13 @@
 	return err == nil && status == http.StatusOK
 }
 
+// isIdle reports whether no request is in progress.
+func (e *listenerTest) isIdle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active == 0
+}
+
 // TestEntranceRefusesAtLimit checks that connections are refused while as many requests are in
 // progress as the limit says, that requests on open connections are served all the same, and that
 // connections are accepted again afterwards.
@@ -121,6 +128,7 @@
 	e.c.Assert(err, qt.IsNil)
 	_, err = e.request(open, "/")
 	e.c.Assert(err, qt.IsNil)
+	e.await("the end of the first request", e.isIdle)
 	for range 3 {
 		conn, err := e.connect()
 		e.c.Assert(err, qt.IsNil)
