--- a/soak/balancer_test.go
+++ b/soak/balancer_test.go
@@ -24,10 +24,9 @@
 	maxMissedChecks   = 2
 	// skewedFraction is the fraction of new connections that a skewed balancer sends to one daemon.
 	skewedFraction = 0.9
-	// skewedCores is the processor time per second that the requests in a skew would take at a low
-	// rate, where each takes about three times as much as in a flood. They are more than one daemon
-	// with floodedShare of a core serves, and fewer than three do.
-	skewedCores = 0.5
+	// skewedRate is the number of requests per second in a skew: more than one daemon with
+	// floodedShare of a core can serve, and fewer than three can.
+	skewedRate = 320
 	// maxReturnDelay is the longest pause until a caller sends a failed request again.
 	maxReturnDelay = 200 * time.Millisecond
 )
@@ -138,13 +137,11 @@
 	for _, d := range s.daemons {
 		limitCPU(t, d, floodedShare)
 	}
-	_, cost, _ := s.calmCost()
-	rate := int(skewedCores / cost.Seconds())
 	b := startBalancer(t, s.daemons)
-	even := b.load(rate, calmDuration)
+	even := b.load(skewedRate, calmDuration)
 	b.skewed = true
-	skewed := b.load(rate, floodDuration).from(floodOnset)
-	t.Logf("%v a calm request, %d/s; evenly %v; skewed %v", cost, rate, even, skewed)
+	skewed := b.load(skewedRate, floodDuration).from(floodOnset)
+	t.Logf("evenly %v; skewed %v", even, skewed)
 	c.Check(even.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("evenly %v", even))
 	c.Check(skewed.servedFraction() >= minServedFraction, qt.IsTrue, qt.Commentf("skewed %v", skewed))
 	// An overloaded planner hands the lease on.
