--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -20,7 +20,7 @@
 const maxRun = 110 * time.Second
 
 func main() {
-	cases := map[string]func(*site) (bool, error){"stale-keys": staleKeys}
+	cases := map[string]func(*site) (bool, error){"stale-keys": staleKeys, "refused-ran": refusedRan}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-harness CASE RECORD")
 		os.Exit(exitCantRun)
--- a/review/_harness/site.go
+++ b/review/_harness/site.go
@@ -269,6 +269,8 @@
 	id, service string
 	ip, zone    string
 	sequence    int
+	// grey is the fraction of requests that the server fails after it has run them, in thousandths.
+	grey atomic.Int64
 }
 
 func (s *site) addServer(service, zone string) error {
@@ -319,6 +321,11 @@
 	time.Sleep(5 * time.Millisecond)
 	w.Header().Set("X-Lupinkeel-Request-Id", id)
 	w.Header().Set("X-Lupinkeel-Response-Stamp", v.id+"."+id)
+	if rand.Int64N(1000) < v.grey.Load() {
+		// The request has run, so that the answer does not say that it was not executed.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	fmt.Fprintf(w, "%s ran %s with %d bytes", v.id, id, len(body))
 }
 
