review: a freeze makes old proofs young, and a revoked key is accepted (case 1)

The case now takes the doses of the site file: the store is down for 8 s after it has acknowledged that a key is taken away, and one daemon of six freezes for 4 s meanwhile.

Seen: once it is awake, all six daemons accept the key, up to 7.3 s after the acknowledgement. RevokeMs is 5 s.

Cause: the age of a peer's proof is counted from when the heartbeat is read, and the other daemons take the wrong age over.

--- a/review/_harness/site.go
+++ b/review/_harness/site.go
@@ -107,9 +107,15 @@
 type gate struct {
 	s    *site
 	busy atomic.Bool
+	// silent is set while the store is down and answers nothing.
+	silent atomic.Bool
 }
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.silent.Load() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if g.busy.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -128,6 +134,10 @@
 }
 
 func (w *gatedWriter) decide() {
+	if w.g.silent.Load() {
+		// Once a connection loses an answer, it says nothing more.
+		select {}
+	}
 	if !w.decided {
 		w.decided = true
 		if w.refused = w.g.busy.Load(); w.refused {
@@ -343,6 +353,7 @@
 
 // answer is what a client got for one request.
 type answer struct {
+	daemon string
 	id     string
 	sent   time.Time
 	status int
@@ -351,7 +362,7 @@
 
 // request sends one request to a daemon over a connection of its own.
 func (s *site) request(d *daemon, key string) answer {
-	a := answer{id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now()}
+	a := answer{daemon: d.name, id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now()}
 	conn, err := net.DialTimeout("tcp4", fmt.Sprintf("%s:%d", d.ip, frontPort), time.Second)
 	if err != nil {
 		a.err = err
--- a/review/_harness/stale_keys.go
+++ b/review/_harness/stale_keys.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -12,20 +13,19 @@
 const (
 	// revokeBound is RevokeMs of the deployments.
 	revokeBound = 5 * time.Second
-	// turnedAwayFor is how long the store turns one of six daemons away, freezeTime how long
-	// that daemon stands still.
-	turnedAwayFor = 9 * time.Second
-	freezeTime    = 5 * time.Second
-	// freezeAfter is when it freezes, after the store has begun to turn it away;
-	// revokeAfter is when the key is taken away, after that.
-	freezeAfter = 2 * time.Second
-	revokeAfter = 200 * time.Millisecond
-	// askFor is how long requests with the revoked key are sent to the machine after it has woken.
-	askFor = 5 * time.Second
+	// downFor is how long the store is down, freezeTime how long one machine stands still, and
+	// freezeAfter when it freezes, after the key was taken away.
+	downFor     = 8 * time.Second
+	freezeTime  = 4 * time.Second
+	freezeAfter = 400 * time.Millisecond
+	// askFor is for how long requests with the key are sent, from its revocation on, and askEvery
+	// the pause between two requests to a daemon.
+	askFor   = 10 * time.Second
+	askEvery = 50 * time.Millisecond
 )
 
-// staleKeys lets the store turn one of six daemons away, freezes that daemon, takes a key away, and sends
-// the daemon requests with that key once it is awake.
+// staleKeys takes a key away, lets the store be down from then on, and freezes one of six daemons.
+// Requests with the key are sent to all of them.
 func staleKeys(s *site) (bool, error) {
 	zones := []string{"za", "zb", "zc"}
 	s.configure(100, "revoked", "kept")
@@ -43,44 +43,26 @@
 		return false, err
 	}
 	time.Sleep(5 * time.Second)
-	var others []*daemon
+	var frozen *daemon
 	for _, d := range s.daemons {
+		d.keepLog = true
 		if !strings.Contains(d.logText(), "planning-begun") {
-			others = append(others, d)
+			frozen = d
+		}
+		before := s.request(d, "revoked")
+		s.note("request %s to %s while the key holds: status %d, error %v", before.id, d.name, before.status, before.err)
+		if before.status != http.StatusOK {
+			return false, fmt.Errorf("the key is not accepted while it holds: status %d, error %w", before.status, before.err)
 		}
 	}
-	if len(others) == 0 {
+	if frozen == nil {
 		return false, errors.New("all daemons have been planner")
 	}
-	frozen := others[0]
-	frozen.keepLog = true
-	before := s.request(frozen, "revoked")
-	s.note("request %s to %s with the key: status %d, error %v", before.id, frozen.name, before.status, before.err)
-	if before.status != 200 {
-		return false, fmt.Errorf("the key is not accepted while it holds: status %d, error %w", before.status, before.err)
-	}
-	if s.trouble {
-		s.note("the store turns %s away for %v", frozen.name, turnedAwayFor)
-		frozen.gate.busy.Store(true)
-		time.AfterFunc(turnedAwayFor, func() {
-			frozen.gate.busy.Store(false)
-			s.note("the store serves %s again", frozen.name)
-		})
-	}
-	time.Sleep(freezeAfter)
-	if s.trouble {
-		s.note("%s freezes", frozen.name)
-		frozen.signal(syscall.SIGSTOP)
-	}
-	froze := time.Now()
-	time.Sleep(revokeAfter)
 	acked := s.configure(101, "kept")
-	time.Sleep(time.Until(froze.Add(freezeTime)))
 	if s.trouble {
-		frozen.signal(syscall.SIGCONT)
-		s.note("%s is awake", frozen.name)
+		s.disrupt(frozen)
 	}
-	answers := s.askWith(frozen, "revoked")
+	answers := s.askAll("revoked")
 	late := 0
 	s.mu.Lock()
 	runs := s.runs
@@ -96,26 +78,50 @@
 			late++
 			line += ": RULE BROKEN"
 		}
-		s.note("request %s sent %.3f s after the acknowledgement: status %d, error %v, %s", a.id, after.Seconds(), a.status, a.err, line)
+		s.note("request %s sent to %s %.3f s after the acknowledgement: status %d, error %v, %s", a.id, a.daemon, after.Seconds(), a.status, a.err, line)
 	}
-	s.note("%d of %d requests with the revoked key were sent more than %v after the acknowledgement and run", late, len(answers), revokeBound)
+	s.note("sum: %d of %d requests with the key were sent more than %v after the acknowledgement and run", late, len(answers), revokeBound)
 	return late > 0, nil
 }
 
-// askWith sends requests with a key to a daemon, one each ten milliseconds.
-func (s *site) askWith(d *daemon, key string) []answer {
+// disrupt takes the store down, and freezes a daemon a little later.
+func (s *site) disrupt(frozen *daemon) {
+	for _, d := range s.daemons {
+		d.gate.silent.Store(true)
+	}
+	s.note("the store is down for %v", downFor)
+	time.AfterFunc(downFor, func() {
+		for _, d := range s.daemons {
+			d.gate.silent.Store(false)
+		}
+		s.note("the store is up again")
+	})
+	time.AfterFunc(freezeAfter, func() {
+		s.note("%s freezes", frozen.name)
+		frozen.signal(syscall.SIGSTOP)
+	})
+	time.AfterFunc(freezeAfter+freezeTime, func() {
+		frozen.signal(syscall.SIGCONT)
+		s.note("%s is awake", frozen.name)
+	})
+}
+
+// askAll sends requests with a key to all daemons.
+func (s *site) askAll(key string) []answer {
 	var mu sync.Mutex
 	var answers []answer
 	var wg sync.WaitGroup
-	for until := time.Now().Add(askFor); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			a := s.request(d, key)
-			mu.Lock()
-			answers = append(answers, a)
-			mu.Unlock()
-		}()
+	for until := time.Now().Add(askFor); time.Now().Before(until); time.Sleep(askEvery) {
+		for _, d := range s.daemons {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				a := s.request(d, key)
+				mu.Lock()
+				answers = append(answers, a)
+				mu.Unlock()
+			}()
+		}
 	}
 	wg.Wait()
 	return answers
