review: a model that loses its last group gets none back (case 3)

Seen: after a burst on one model, the other one, which nobody has asked for, has no group. The operator adds a route for it: none of its requests is served, and the planner forms no group.

Cause: the planner weighs moves by cost and demand alone; no floor keeps a model that is asked for at one group.

--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -20,7 +22,7 @@
 const maxRun = 110 * time.Second
 
 func main() {
-	cases := map[string]func(*site) (bool, error){"stale-keys": staleKeys, "refused-ran": refusedRan}
+	cases := map[string]func(*site) (bool, error){"stale-keys": staleKeys, "refused-ran": refusedRan, "idle-model": idleModel}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-harness CASE RECORD")
 		os.Exit(exitCantRun)
@@ -30,11 +32,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCantRun)
 	}
-	watchdog := time.AfterFunc(maxRun, func() {
+	giveUp := func(reason string) {
 		s.close()
-		fmt.Fprintln(os.Stderr, "the case took too long")
+		fmt.Fprintln(os.Stderr, reason)
 		os.Exit(exitCantRun)
-	})
+	}
+	watchdog := time.AfterFunc(maxRun, func() { giveUp("the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		giveUp("the case was stopped")
+	}()
 	broken, err := cases[os.Args[1]](s)
 	watchdog.Stop()
 	s.close()
--- a/review/_harness/site.go
+++ b/review/_harness/site.go
@@ -175,10 +175,17 @@
 	return string(data)
 }
 
-// notable returns the lines of the log about the configuration and the planner.
+// maxSupplyLines is how many of the last lines about the supply of models are recorded.
+const maxSupplyLines = 4
+
+// notable returns the lines of the log about the configuration and the planner, and the last ones
+// about the supply of models.
 func (d *daemon) notable() string {
-	var out []string
+	var out, supply []string
 	for line := range strings.SplitSeq(d.logText(), "\n") {
+		if strings.Contains(line, "event=supply") {
+			supply = append(supply, line)
+		}
 		for _, word := range []string{"config-", "planning-", "process-paused", "store-"} {
 			if strings.Contains(line, word) {
 				out = append(out, line)
@@ -186,6 +193,7 @@
 			}
 		}
 	}
+	out = append(out, supply[max(0, len(supply)-maxSupplyLines):]...)
 	return strings.Join(out, "\n         ")
 }
 
