--- a/review/_harness/main.go
+++ b/review/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command review-harness runs the scripted cases of the review. It starts the project's daemons as
 // separate processes and plays everything around them: the platform's store, the servers and the
 // clients.
@@ -7,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -21,6 +24,9 @@
 // maxRun bounds a whole case.
 const maxRun = 110 * time.Second
 
+// init keeps main on the main thread; see addDaemon.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	cases := map[string]func(*site) (bool, error){"stale-keys": staleKeys, "refused-ran": refusedRan, "idle-model": idleModel}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/_harness/refused_ran.go
+++ b/review/refused_ran.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -16,13 +18,13 @@
 	sendEvery = 20 * time.Millisecond
 )
 
-// refusedRan lets one of three plain servers fail a part of its requests after it has run them, and
+// refusedRan lets one of eight plain servers fail a part of its requests after it has run them, and
 // sends requests that may not be repeated.
 func refusedRan(s *site) (bool, error) {
 	zones := []string{"za", "zb", "zc"}
 	s.configure(100, "kept")
-	for _, zone := range zones {
-		if err := s.addServer("feed-api", zone); err != nil {
+	for n := range 8 {
+		if err := s.addServer("feed-api", zones[n%len(zones)]); err != nil {
 			return false, err
 		}
 	}
--- a/review/_harness/site.go
+++ b/review/site.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -107,15 +109,9 @@
 type gate struct {
 	s    *site
 	busy atomic.Bool
-	// silent is set while the store is down and answers nothing.
-	silent atomic.Bool
 }
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.silent.Load() {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	if g.busy.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -134,10 +130,6 @@
 }
 
 func (w *gatedWriter) decide() {
-	if w.g.silent.Load() {
-		// Once a connection loses an answer, it says nothing more.
-		select {}
-	}
 	if !w.decided {
 		w.decided = true
 		if w.refused = w.g.busy.Load(); w.refused {
@@ -242,6 +234,9 @@
 	defer logFile.Close()
 	d.cmd = exec.Command("target/lupinkeel", "gateway")
 	d.cmd.Stdout, d.cmd.Stderr = logFile, logFile
+	// The daemons end with this process, even if it is killed. That takes a thread that lives as long
+	// as it, the main one.
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LUPINKEEL_NODE_FILE=" + path}
 	if err := d.cmd.Start(); err != nil {
 		return nil, err
--- a/review/_harness/stale_keys.go
+++ b/review/stale_keys.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -16,7 +18,7 @@
 	// downFor is how long the store is down, freezeTime how long one machine stands still, and
 	// freezeAfter when it freezes, after the key was taken away.
 	downFor     = 8 * time.Second
-	freezeTime  = 4 * time.Second
+	freezeTime  = 2800 * time.Millisecond
 	freezeAfter = 400 * time.Millisecond
 	// askFor is for how long requests with the key are sent, from its revocation on, and askEvery
 	// the pause between two requests to a daemon.
@@ -87,12 +89,12 @@
 // disrupt takes the store down, and freezes a daemon a little later.
 func (s *site) disrupt(frozen *daemon) {
 	for _, d := range s.daemons {
-		d.gate.silent.Store(true)
+		d.gate.busy.Store(true)
 	}
 	s.note("the store is down for %v", downFor)
 	time.AfterFunc(downFor, func() {
 		for _, d := range s.daemons {
-			d.gate.silent.Store(false)
+			d.gate.busy.Store(false)
 		}
 		s.note("the store is up again")
 	})
