cluster: count only time in which the process runs against connections

Callers of a daemon that gets most new connections were answered 503 after their requests had been read: 159 of 697 that ended in the first three seconds of a play with four small daemons, 110 requests a second each, 'the request was not sent: context deadline exceeded', most with 'too many requests are being repeated'.

Cause: timeouts for the other side ran on while this process did not get to run. The scheduler runs timers before what the network has completed, so that a connection that the kernel had made was given up after 250 ms of the daemon's own delay; after 60 ms, other daemons were asked for tunnels, and the request was sent elsewhere, which takes more processor time.

timer.WithTimeout consists of ten steps, each of which ends only after the goroutines that were ready have run. Dials of instances, other daemons' tunnels and the store use it. Instances that hang are found as fast as before where the processor is free.

The soak's partitions (five cases), flood and skewed balancer pass.

--- a/cluster/direct_attempt.go
+++ b/cluster/direct_attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/reachability"
 )
 
@@ -32,7 +33,7 @@
 }
 
 func (a *directAttempt) run(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := timer.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := a.p.direct(ctx, a.addr)
 	a.mu.Lock()
--- a/cluster/paths.go
+++ b/cluster/paths.go
@@ -11,6 +11,7 @@
 
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/reachability"
 )
@@ -96,8 +97,8 @@
 		}
 	}
 	first, stagger := p.startDirect(ctx, addr), tunnelStagger
-	delay := time.NewTimer(detourDelay)
-	defer delay.Stop()
+	slow, cancel := timer.WithTimeout(ctx, detourDelay)
+	defer cancel()
 	select {
 	case <-first.done:
 		if first.err == nil {
@@ -105,10 +106,14 @@
 		}
 		// The instance probably refused, and all daemons find out at once whether it does.
 		stagger = 0
-	case <-delay.C:
-	case <-ctx.Done():
+	case <-slow.Done():
+	}
+	switch {
+	case first.connected():
+		return first.take(), nil
+	case ctx.Err() != nil:
 		first.abandon()
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	}
 	tunnel, err := p.dialTunnel(ctx, addr, stagger)
 	switch {
@@ -124,7 +129,7 @@
 	case <-first.done:
 	case <-ctx.Done():
 		first.abandon()
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	}
 	switch {
 	case first.err == nil:
@@ -149,7 +154,7 @@
 		return
 	}
 	task.Start(context.WithoutCancel(ctx), "check", func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		ctx, cancel := timer.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		conn, err := p.dial(ctx, addr)
 		if err != nil {
@@ -184,7 +189,7 @@
 
 // recheck attempts a direct connection to an instance.
 func (p *paths) recheck(ctx context.Context, addr netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := timer.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.direct(ctx, addr)
 	if err != nil {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -19,6 +19,7 @@
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
 	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/quarantine"
 )
@@ -152,7 +153,7 @@
 
 // dialOnce opens a connection and closes it.
 func (cd *crashDetector) dialOnce(ctx context.Context, addr netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := timer.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := cd.node.DialInstance(ctx, addr)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -203,7 +203,7 @@
 
 // dialInstance connects to an instance within dialTimeout.
 func (g *Gateway) dialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := timer.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	return g.node.DialInstance(ctx, addr)
 }
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/lupinkeel/lupinkeel/lib/timer"
 )
 
 // Errors of Do. Each failure wraps exactly one of them.
@@ -175,11 +177,13 @@
 
 // Direct returns a DialFunc that connects over TCP within a timeout.
 func Direct(timeout time.Duration) DialFunc {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	return func(ctx context.Context, addr netip.AddrPort) (Conn, error) {
+		ctx, cancel := timer.WithTimeout(ctx, timeout)
+		defer cancel()
 		nc, err := dialer.DialContext(ctx, "tcp4", addr.String())
 		if err != nil {
-			return nil, err
+			return nil, errors.Join(err, context.Cause(ctx))
 		}
 		return nc.(*net.TCPConn), nil
 	}
