gateway: take no retry from the budget for requests that have not arrived

A send that failed before its first byte was written counted as the first arrival, so that the next one needed a retry, and the budget ran out when connections failed in series.

A request now takes a retry only once an instance may have received a part of it. How many instances it may be sent to is bounded as before.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,6 +46,8 @@
 	// when it was picked.
 	maxPause   time.Duration
 	pickedLoad int
+	// arrived is set once an instance may have received a part of the request.
+	arrived atomic.Bool
 	// rejections counts the sends that instances rejected without running the request.
 	rejections atomic.Int32
 	// available is when the request could be sent, if that is after the deadline for waiting.
@@ -108,6 +110,12 @@
 	}
 }
 
+// allowRetry reports whether the request may be sent once more. As long as it has not arrived anywhere,
+// the next send takes nothing from the budget, which bounds what arrives beyond each request's first.
+func (e *exchange) allowRetry(rejected bool) bool {
+	return !e.arrived.Load() || e.g.budget.allowRetry(time.Now(), e.g.node.View().Daemons, rejected)
+}
+
 // unmarkTried records that the request was not sent to the instance after all.
 func (e *exchange) unmarkTried(i models.UpstreamInstance) {
 	e.tried = slices.DeleteFunc(e.tried, func(id models.InstanceID) bool { return id == i.ID })
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -12,6 +12,8 @@
 	"net/http/httptest"
 	"net/netip"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -47,7 +49,8 @@
 // plain service. "busy" holds lines of an instance and how many requests other daemons have there.
 // "restarted" names instances that are known to have restarted since their groups were published.
 // "base" holds lines of a model and its base latency, which is unknown for others.
-// "settle" is how long the gateway reports no stalled groups. "ask" holds requests, one per line:
+// "unreachable" names instances that refuse connections. "retries" is how many retries the budget
+// allows; there are plenty if it is not given. "settle" is how long the gateway reports no stalled groups. "ask" holds requests, one per line:
 //
 //	[@DELAY] METHOD PATH [NAME=VALUE...]
 //
@@ -178,7 +181,7 @@
 	var instances []*fakeInstance
 	for _, f := range archive.Files {
 		parts[f.Name] = string(f.Data)
-		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "base" || f.Name == "restarted" || f.Name == "ask" || f.Name == "want" {
+		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "base" || f.Name == "restarted" || f.Name == "unreachable" || f.Name == "retries" || f.Name == "ask" || f.Name == "want" {
 			continue
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -201,11 +204,21 @@
 		u.StartedAt = u.StartedAt.Add(time.Second)
 		node.view.Instances[u.ID] = u
 	}
+	for _, i := range instances {
+		if slices.Contains(lines(parts["unreachable"]), i.name) {
+			c.Assert(i.l.Close(), qt.IsNil)
+		}
+	}
 	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
 	if settle, given := parts["settle"]; given {
 		cfg.StallReportDelay, err = time.ParseDuration(lines(settle)[0])
 		c.Assert(err, qt.IsNil)
 	}
+	if retries, given := parts["retries"]; given {
+		cfg.RetryRatio = 0
+		cfg.RetrySlack, err = strconv.ParseFloat(lines(retries)[0], 64)
+		c.Assert(err, qt.IsNil)
+	}
 	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
 	front := httptest.NewServer(http.HandlerFunc(g.serve))
 	defer front.Close()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -67,6 +67,9 @@
 	if err != nil && ctx.Err() == nil && !errors.Is(err, h1.ErrStalled) && !errors.Is(err, errNotAdmitted) {
 		e.g.scheduler.addFailure(i)
 	}
+	if !errors.Is(err, h1.ErrNotSent) {
+		e.arrived.Store(true)
+	}
 	switch {
 	case errors.Is(err, h1.ErrNotSent):
 		return nil, breaker.Unanswered, errors.Join(errNotRun, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -196,11 +196,6 @@
 // maySend reports whether the request may be sent to one more instance.
 func (s *stream) maySend() bool { return len(s.tried) < s.route.MaxAttempts+extraSends }
 
-// allowRetry takes a retry from the budget.
-func (s *stream) allowRetry(rejected bool) bool {
-	return s.g.budget.allowRetry(time.Now(), s.g.node.View().Daemons, rejected)
-}
-
 // forward sends an event to the caller.
 func (s *stream) forward(event sse.Event) error {
 	if !s.headSent {
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -59,7 +59,7 @@
 		if quarantined := e.checkQuarantine(); quarantined != nil {
 			return errors.Join(err, quarantined)
 		}
-		if !e.g.budget.allowRetry(time.Now(), e.g.node.View().Daemons, isRejected(err)) {
+		if !e.allowRetry(isRejected(err)) {
 			return errors.Join(err, errRetryBudget)
 		}
 		e.g.stats.retries.Inc()
