h1: look for bytes before an upstream counts as silent

The stall policy then started a hedge, moved the stream to another group or reported the group as stalled, although its events waited in the socket.

After a deadline, the socket is looked at before the policy is asked. A silent upstream costs one more system call each time.

TestBusyProcessAbortsAnsweredRequest failed before ('the answer stands still') and passes; go test -race of lib/h1, gateway and cluster passes.

--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -71,7 +71,7 @@
 		return c.nc.Read(p)
 	}
 	startedAt := time.Now()
-	for wait := c.stallPolicy(0); wait > 0; wait = c.stallPolicy(time.Since(startedAt)) {
+	for wait := c.stallPolicy(0); wait > 0; {
 		if err := c.nc.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return 0, err
 		}
@@ -79,6 +79,15 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		if err := c.nc.SetReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+		// A busy process runs its timers before what the network has completed, so that the deadline may
+		// pass although bytes have arrived.
+		if empty, err := c.isEmpty(); err == nil && !empty {
+			continue
+		}
+		wait = c.stallPolicy(time.Since(startedAt))
 	}
 	return 0, ErrStalled
 }
@@ -99,18 +108,23 @@
 	if s, ok := c.nc.(Staler); ok && s.Stale() {
 		return false
 	}
+	empty, err := c.isEmpty()
+	return err == nil && empty
+}
+
+// isEmpty reports whether the socket has received nothing that has not been read.
+func (c *conn) isEmpty() (empty bool, err error) {
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
-		return false
+		return false, err
 	}
-	empty := false
 	err = raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
 		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = errors.Is(err, unix.EAGAIN)
 		return true
 	})
-	return err == nil && empty
+	return empty, err
 }
 
 // Do sends the request and returns the response once its header has arrived. When the context
