cluster: count only time in which the process runs against probes

The same cause: with a busy processor, a planner's probe timed out before the answer that had arrived was read, and the planner declared instances lost for all daemons.

Renewals of the lease and the age of the keys' proof still count by the clock: there, late is unsafe whatever the reason.

--- a/cluster/busy_dial_test.go
+++ b/cluster/busy_dial_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
 	"net/netip"
 	"runtime"
 	"sync"
@@ -13,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/models"
 )
 
 // busyGoroutines is the number of goroutines that keep the only processor busy: each runs for 10 ms
@@ -69,3 +73,32 @@
 	s.c.Check(failed.Load(), qt.Equals, int32(0))
 	s.c.Check(daemon.paths.tunnels.Get(), qt.Equals, uint64(0))
 }
+
+// TestBusyPlannerLosesInstances guards against a planner that takes its own lack of processor time for
+// instances that do not answer its probes, and declares them lost for all daemons.
+func TestBusyPlannerLosesInstances(t *testing.T) {
+	c := qt.New(t)
+	node := New(Settings{ID: "d1"}, nil, metrics.NewSet(), zerolog.Nop())
+	instance := models.UpstreamInstance{ID: "i1", Addr: serveReports(c).Addr().(*net.TCPAddr).AddrPort()}
+	stop := keepBusy()
+	defer stop()
+	c.Assert(node.sendProbe(t.Context(), instance, stalledProbeTimeout), qt.IsTrue)
+	result := (<-node.inbox).(probeFinished)
+	c.Assert(errors.Is(result.err, h1.ErrNotSent) || errors.Is(result.err, h1.ErrNoResponse), qt.IsFalse, qt.Commentf("%v", result.err))
+}
+
+// serveReports answers each connection with an empty report.
+func serveReports(c *qt.C) net.Listener {
+	l := listen(c)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			defer conn.Close()
+		}
+	}()
+	return l
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -351,7 +351,7 @@
 	n.stats.reports.Inc()
 	task.Start(ctx, "report", func(ctx context.Context) error {
 		sentAt := time.Now()
-		limited, cancel := context.WithTimeout(ctx, timeout)
+		limited, cancel := timer.WithTimeout(ctx, timeout)
 		defer cancel()
 		// A connection from before may hang, which is no evidence about the instance.
 		report, err := n.instances.FetchReport(limited, i, timeout < probeTimeout)
