gateway: start with an empty share of the retries

Beside that, the share of a daemon that is gone went to the others at once, though it may have used it in this window; and the budget's window went by the time of day, whose jumps aged what was used.

0.7 of a share is used. In its first window after a start a daemon now uses up to the other 0.3, growing with the time, so that starts in series together use at most what the incarnation before could not. The share is divided by the most daemons known within the window, and the window counts by the monotonic clock. At the first start of all daemons the share is whole. The fraction of the requests is as before: single requests after a calm start are repeated.

Open: the planner's loads in a window, and the retries of serve.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	RetryRatio   float64
 	RetrySlack   float64
 	RetryWindow  time.Duration
+	// FirstStart is set if all daemons start for the first time.
+	FirstStart bool
 	// MaxBufferedBytes bounds the bytes of requests and responses that are held at once; 0 sets no
 	// bound.
 	MaxBufferedBytes int64
@@ -188,7 +190,7 @@
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, scheduler: traffic.(*scheduler), stats: newStats(set), set: set,
 		buffers: newBuffers(cfg.MaxBufferedBytes, set),
-		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow), crashes: newCrashDetector(node, set, log),
+		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, time.Now(), !cfg.FirstStart), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
 	g.entrance = entrance.New(entrance.Settings{
--- a/gateway/pauses_test.go
+++ b/gateway/pauses_test.go
@@ -48,7 +48,7 @@
 // the fixed number, over any window.
 func TestBudget(t *testing.T) {
 	c := qt.New(t)
-	b := newRetryBudget(0.2, 100, 10*time.Second)
+	b := newRetryBudget(0.2, 100, 10*time.Second, time.Unix(1000, 0), false)
 	now := time.Unix(1000, 0)
 	allowed := 0
 	for range 1000 {
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -9,19 +9,24 @@
 const budgetBuckets = 10
 
 // retryBudget bounds retries over a sliding window to a fraction of the requests plus a fixed
-// number. The fixed number is for all daemons together, so that each uses its share.
+// number. The fixed number is for all daemons together, so that each uses its share. A daemon that
+// has started again does not know what it used before, and has its share after a whole window.
 type retryBudget struct {
 	ratio  float64
 	slack  float64
 	window time.Duration
+	// startedAt is when the daemon started, restarted is set if it may have run before.
+	startedAt time.Time
+	restarted bool
 
 	mu      sync.Mutex
 	buckets [budgetBuckets + 1]budgetBucket
 	current int64
 }
 
-// budgetBucket counts requests, all retries, and the retries of rejected sends.
-type budgetBucket struct{ requests, retries, rejections int }
+// budgetBucket counts requests, all retries, and the retries of rejected sends. daemons is the
+// largest number of daemons that was known meanwhile.
+type budgetBucket struct{ requests, retries, rejections, daemons int }
 
 // usableFraction is the part of the budget that is used, since the daemons' windows and their
 // counts of daemons differ slightly.
@@ -31,12 +36,12 @@
 // left for failures.
 const rejectionFraction = 0.7
 
-func newRetryBudget(ratio, slack float64, window time.Duration) *retryBudget {
-	return &retryBudget{ratio: ratio, slack: slack, window: window}
+func newRetryBudget(ratio, slack float64, window time.Duration, startedAt time.Time, restarted bool) *retryBudget {
+	return &retryBudget{ratio: ratio, slack: slack, window: window, startedAt: startedAt, restarted: restarted}
 }
 
 func (b *retryBudget) advance(now time.Time) *budgetBucket {
-	step := now.UnixNano() / int64(b.window/budgetBuckets)
+	step := int64(now.Sub(b.startedAt) / (b.window / budgetBuckets))
 	if step-b.current > int64(len(b.buckets)) {
 		b.buckets = [budgetBuckets + 1]budgetBucket{}
 		b.current = step
@@ -55,23 +60,36 @@
 	b.advance(now).requests++
 }
 
+// shareFraction returns the part of the daemon's share of the fixed number that it may use. All that
+// incarnations use within their first windows, however often they start, is at most the part that
+// the one before them could not use.
+func (b *retryBudget) shareFraction(now time.Time) float64 {
+	if age := now.Sub(b.startedAt); b.restarted && age < b.window {
+		return (1 - usableFraction) * float64(age) / float64(b.window)
+	}
+	return usableFraction
+}
+
 // allowRetry reports whether a request may be sent once more, and counts it. A daemon that does not
-// know yet how many daemons there are has no share of the fixed number.
+// know yet how many daemons there are has no share of the fixed number. The share does not grow
+// before a window has passed in which there were fewer daemons: those that are gone may have used
+// theirs.
 func (b *retryBudget) allowRetry(now time.Time, daemons int, rejected bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	step := b.advance(now)
+	step.daemons = max(step.daemons, daemons)
 	var sum budgetBucket
 	for _, s := range b.buckets {
 		sum.requests += s.requests
 		sum.retries += s.retries
 		sum.rejections += s.rejections
+		sum.daemons = max(sum.daemons, s.daemons)
 	}
-	limit := b.ratio * float64(sum.requests)
+	limit := usableFraction * (b.ratio * float64(sum.requests))
 	if daemons > 0 {
-		limit += b.slack / float64(daemons)
+		limit += b.shareFraction(now) * b.slack / float64(sum.daemons)
 	}
-	limit *= usableFraction
 	if float64(sum.retries+1) > limit || (rejected && float64(sum.rejections+1) > rejectionFraction*limit) {
 		return false
 	}
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
 // TestRetryBudgetWithUnknownDaemonCount checks that daemons which do not know yet how many daemons
@@ -13,7 +15,7 @@
 	c := qt.New(t)
 	retries := func(daemons int) int {
 		const rejected = false
-		b, n := newRetryBudget(0.2, 100, 10*time.Second), 0
+		b, n := newRetryBudget(0.2, 100, 10*time.Second, time.Now(), false), 0
 		for range 100 {
 			b.addRequest(time.Now())
 		}
@@ -31,7 +33,7 @@
 // of failed ones.
 func TestRejectionsLeaveRetryBudget(t *testing.T) {
 	c := qt.New(t)
-	b := newRetryBudget(0.2, 100, 10*time.Second)
+	b := newRetryBudget(0.2, 100, 10*time.Second, time.Now(), false)
 	for range 100 {
 		b.addRequest(time.Now())
 	}
@@ -44,3 +46,61 @@
 	c.Assert(count(true), qt.Equals, 58)
 	c.Assert(count(false), qt.Equals, 26)
 }
+
+// TestRestartRenewsRetryBudget guards against daemons that have their whole share of the retries again
+// after each start, and against those that take the shares of daemons that have just gone.
+func TestRestartRenewsRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			ratio, slack, daemons = 0.2, 90.0, 3
+			window, step          = 10 * time.Second, 100 * time.Millisecond
+			steps                 = 400
+		)
+		// A share of the fixed number is for each daemon that there has been.
+		began := time.Unix(1000, 0)
+		budgets := [daemons]*retryBudget{}
+		for d := range budgets {
+			budgets[d] = newRetryBudget(ratio, slack, window, began, false)
+		}
+		restartProbability := rapid.Float64Range(0, 0.2).Draw(t, "restarts")
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, seed))
+		var requests, retries [steps]int
+		for n := range steps {
+			now := began.Add(time.Duration(n) * step)
+			alive := daemons
+			for d := range budgets {
+				switch {
+				case budgets[d] == nil && random.Float64() < 0.1:
+					budgets[d] = newRetryBudget(ratio, slack, window, now, true)
+				case budgets[d] != nil && random.Float64() < restartProbability:
+					budgets[d] = nil
+				}
+				if budgets[d] == nil {
+					alive--
+				}
+			}
+			for _, b := range budgets {
+				if b == nil {
+					continue
+				}
+				if random.Float64() < 0.5 {
+					b.addRequest(now)
+					requests[n]++
+				}
+				for b.allowRetry(now, alive, false) {
+					retries[n]++
+				}
+			}
+		}
+		for first := 0; first+int(window/step) <= steps; first++ {
+			sent, repeated := 0, 0
+			for n := first; n < first+int(window/step); n++ {
+				sent, repeated = sent+requests[n], repeated+retries[n]
+			}
+			if most := ratio*float64(sent) + slack; float64(repeated) > most {
+				t.Fatalf("%d retries in a window from %v on, %.0f are allowed", repeated, time.Duration(first)*step, most)
+			}
+		}
+	})
+}
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -209,7 +209,7 @@
 			c.Assert(i.l.Close(), qt.IsNil)
 		}
 	}
-	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
 	if settle, given := parts["settle"]; given {
 		cfg.StallReportDelay, err = time.ParseDuration(lines(settle)[0])
 		c.Assert(err, qt.IsNil)
