gateway: pass on no status that promises too much

An instance that has run a request which may run only once, and answers 408, 421, 429 or 503 without the header that says that it did not, had its status passed on.

Other statuses, and those of requests that may be repeated, are passed on as before.

--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -46,6 +47,9 @@
 	errAllBackingOff = errors.New("all instances had asked for rest")
 	// errNotAdmitted: the request was not sent, since the instance must not get any.
 	errNotAdmitted = errors.New("the instance must not be sent requests now")
+	// errFalsePromise: the instance ran a request that may run only once, and answered with a status
+	// which promises callers that it did not.
+	errFalsePromise = errors.New("the status promises that the request was not run, and the instance does not say so")
 	// errNoPermit: the instance announced a rate limit after it was picked, or the permit expired.
 	errNoPermit = errors.New("the instance is rate-limited, and there is no valid permit for it")
 	// errOutsideHomes: neither route nor workspace may use the instance's region.
@@ -155,6 +159,25 @@
 	}
 }
 
+// promisesNotRun reports whether a status tells callers that the request was not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkPromise returns an error for an instance's status that must not be passed on: callers would
+// send a request again that may run only once.
+func (e *exchange) checkPromise(status int) error {
+	if !e.route.Idempotent() && promisesNotRun(status) {
+		return fmt.Errorf("%w: %w: status %d", errMayHaveRun, errFalsePromise, status)
+	}
+	return nil
+}
+
 // isNotRun reports whether the error means that no instance ran the request.
 func isNotRun(err error) bool {
 	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errPartQuarantined, errLastInstance} {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -221,6 +221,9 @@
 	if err != nil {
 		return errors.Join(errMayHaveRun, err)
 	}
+	if err := s.checkPromise(resp.Status); err != nil {
+		return err
+	}
 	if s.headSent {
 		return fmt.Errorf("%w: status %d", errMayHaveRun, resp.Status)
 	}
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -104,6 +104,9 @@
 	if resp.Status < http.StatusMultipleChoices && !platform.DecodeResponse(resp.Status, resp.Header).Signed {
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
+	if err := e.checkPromise(resp.Status); err != nil {
+		return err
+	}
 	if resp.Status < http.StatusMultipleChoices {
 		e.markSound()
 	}
