gateway: count daemons for the retry budget with each request

A daemon that had not repeated anything for a while did not know how many daemons there had been in the window, and took the shares of those that had just gone.

--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -53,11 +53,13 @@
 	return &b.buckets[b.current%int64(len(b.buckets))]
 }
 
-// addRequest counts a request.
-func (b *retryBudget) addRequest(now time.Time) {
+// addRequest counts a request, while a number of daemons is known.
+func (b *retryBudget) addRequest(now time.Time, daemons int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.advance(now).requests++
+	step := b.advance(now)
+	step.requests++
+	step.daemons = max(step.daemons, daemons)
 }
 
 // shareFraction returns the part of the daemon's share of the fixed number that it may use. All that
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,7 +41,7 @@
 
 // serveStream sends a request to a group and forwards its events.
 func (e *exchange) serveStream(ctx context.Context) error {
-	e.g.budget.addRequest(e.started)
+	e.g.budget.addRequest(e.started, e.g.node.View().Daemons)
 	e.addDemand()
 	s := &stream{exchange: e, ctx: ctx, flush: http.NewResponseController(e.w).Flush}
 	if e.head.HasLastEventID {
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -34,7 +34,7 @@
 // serveUnary sends a request to an instance of a plain service and forwards the response once it is
 // complete.
 func (e *exchange) serveUnary(ctx context.Context) error {
-	e.g.budget.addRequest(e.started)
+	e.g.budget.addRequest(e.started, e.g.node.View().Daemons)
 	var err error
 	for {
 		i, p, none := e.awaitInstance(ctx)
