h1: look for surplus only on connections that have just become idle

Idle connections are as many as instances, so the cost grew with the fleet at each daemon, with no test. Now only connections that have been idle for two seconds or less are looked at, which are bounded by the requests of that time; later surplus is found as before when the connection is to be used.

--- a/config/gateway.go
+++ b/config/gateway.go
@@ -88,7 +88,7 @@
 		stringFlag("store", "address of the platform's store", ""),
 		durationFlag("lease-min", "shortest lease that the store grants", time.Second),
 		durationFlag("instance-heartbeat", "interval at which instances write their entries", 1200*time.Millisecond),
-		&cli.BoolFlag{Name: "first-start", Usage: "all daemons start for the first time, so that none is in the store's roster yet", EnvVars: []string{EnvVar("first-start")}},
+		&cli.BoolFlag{Name: "first-start", Usage: "all daemons start for the first time, so that none is in the store's roster yet, and none has used up retries", EnvVars: []string{EnvVar("first-start")}},
 		durationFlag("keys-bound", "maximum time after which a revoked API key is refused", 5*time.Second),
 		durationFlag("config-bound", "maximum time after which a new configuration is in force", 2*time.Second),
 		&cli.BoolFlag{Name: "strict-keys", Usage: "refuse all API keys while there is no proof that they are current", Value: true, EnvVars: []string{EnvVar("strict-keys")}},
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -183,7 +183,7 @@
 	maxDiscardedBody = 1 << 20
 )
 
-// ErrHeadTooLong is returned if the head of a response is longer than 64 KiB.
+// ErrHeadTooLong is returned if the heads of a response are longer than MaxHeadBytes.
 var ErrHeadTooLong = errors.New("the head of the response is too long")
 
 // readHeader reads the header of the final response to the request. It skips informational (1xx)
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -34,6 +34,9 @@
 	// idleMargin is how much earlier than the upstream the pool closes an idle connection, so
 	// that the upstream does not close it while a request is being sent.
 	idleMargin = 300 * time.Millisecond
+	// surplusTime is for how long after a response further bytes are looked for in sweeps: two of them,
+	// one a second. Later ones are found when the connection is to be used.
+	surplusTime = 2 * time.Second
 	// MaxIdle is the maximum number of idle connections to one address.
 	MaxIdle = 64
 )
@@ -130,8 +133,8 @@
 	p.maxIdle = maxIdle
 }
 
-// Sweep closes connections that have been idle for too long, have received bytes that belong to no
-// request, or exceed the maximum number.
+// Sweep closes connections that have been idle for too long, have received bytes soon after a
+// response that belong to no request, or exceed the maximum number.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,13 +153,12 @@
 }
 
 // closeStale closes the connections to one address that have been idle for too long, have received
-// something or exceed the limit. It filters conns in place and returns the remaining connections.
+// something soon after a response or exceed the limit. It filters conns in place and returns the remaining connections.
 func closeStale(conns []*conn, limit int, now time.Time) []*conn {
 	remaining := conns[:0]
 	for i, c := range conns {
 		// The last connections have been idle for the shortest time.
-		empty, err := c.isEmpty()
-		if len(conns)-i <= limit && now.Before(c.idleSince.Add(c.idleTimeout)) && empty && err == nil {
+		if len(conns)-i <= limit && now.Before(c.idleSince.Add(c.idleTimeout)) && !c.hasSurplus(now) {
 			remaining = append(remaining, c)
 			continue
 		}
@@ -165,6 +167,15 @@
 	return remaining
 }
 
+// hasSurplus reports whether a connection that became idle a short time ago has received something.
+func (c *conn) hasSurplus(now time.Time) bool {
+	if now.Sub(c.idleSince) > surplusTime {
+		return false
+	}
+	empty, err := c.isEmpty()
+	return err != nil || !empty
+}
+
 func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	nc, err := p.dial(ctx, addr)
 	if err != nil {
