cluster: date heartbeats by echoed clock readings

Cause: a heartbeat says how old its sender's confirmation of the configuration is, and the receiver subtracted that from the time at which it read the heartbeat. In a traced run the stopped daemon read, 0.1 ms after it continued, heartbeats with an age of 1.04 s that had waited for 2.6 s, and took the configuration for 2.64 s newer than anybody could know; 300 ms later all daemons had that from it. Each hop also gained the time that the message took. Ruled out by the same trace: responses of the store, copies of the configuration, the check for suspended machines.

Heartbeats now carry a reading of the sender's clock and return the receiver's last one with the time for which it was held. The receiver dates ages from there: it can't have been written earlier, whoever stops wherever. Copies of the configuration are dated alike. Without an echo, as from an older version, nothing is confirmed, and the daemon reads the store.

A heartbeat takes 32 bytes more.

--- a/cluster/link.go
+++ b/cluster/link.go
@@ -172,11 +172,17 @@
 	if !v.configRequesters[t.link.id] || v.version() <= t.sentConfig {
 		return nil
 	}
-	c := ConfigCopy{Version: v.version(), Age: time.Since(v.ConfirmedAt), Data: v.config}
+	c := t.n.configCopy(t.link.id)
 	t.sentConfig = c.Version
 	return t.send(frameConfig, c)
 }
 
+// configCopy returns a copy of the configuration for a peer.
+func (n *Node) configCopy(to models.DaemonID) ConfigCopy {
+	e, v := n.echoes.echo(to, time.Now()), n.View()
+	return ConfigCopy{Version: v.version(), Echo: e, Age: n.clock.Since(v.ConfirmedAt), Data: v.config}
+}
+
 // sendsLoadsTo reports whether this daemon sends its own loads to a peer.
 func (n *Node) sendsLoadsTo(l membership.Link) bool { return l.UsesLoads || n.View().mesh() }
 
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -49,13 +49,18 @@
 	}
 	// leaseLost: this node does not hold the planner's lease any more.
 	leaseLost struct{ reason string }
-	// heartbeatReceived: another daemon sent a heartbeat.
+	// heartbeatReceived: another daemon sent a heartbeat. It was written after writtenAfter, which is
+	// zero if that is not known.
 	heartbeatReceived struct {
-		heartbeat  Heartbeat
-		receivedAt time.Time
+		heartbeat    Heartbeat
+		receivedAt   time.Time
+		writtenAfter time.Time
+	}
+	// configReceived: another daemon sent its configuration, which was written after writtenAfter.
+	configReceived struct {
+		config       ConfigCopy
+		writtenAfter time.Time
 	}
-	// configReceived: another daemon sent its configuration.
-	configReceived struct{ config ConfigCopy }
 	// peerDisconnected: the connection from another daemon ended.
 	peerDisconnected struct {
 		id  models.DaemonID
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -98,6 +98,7 @@
 	started       int64
 	peerLoads     *peerLoads
 	links         *links
+	echoes        *echoes
 	quarantine    *Quarantine
 	limits        *Limits
 	breakers      *Breakers
@@ -228,6 +229,7 @@
 	n.store = platform.NewStore(cfg.Store, n.storeConns)
 	n.instances = platform.NewInstanceClient(n.instanceConns, n.recordResponseHead)
 	n.links = newLinks(n)
+	n.echoes = newEchoes(now)
 	n.quarantine = NewQuarantine(n.links.notifyAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.notifyLimits, set, log)
 	n.breakers = NewBreakers(n.notifySignals, set, log)
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -104,7 +104,7 @@
 	case heartbeatReceived:
 		o.handleHeartbeat(m)
 	case configReceived:
-		o.applyConfig(m.config.Data, time.Now().Add(-m.config.Age), "peer")
+		o.applyConfig(m.config.Data, dateOf(m.writtenAfter, m.config.Age), "peer")
 	case peerDisconnected:
 		if o.ctx.Err() != nil {
 			return
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -111,7 +111,7 @@
 	r := o.config.routing
 	switch {
 	case r != nil && r.Version == m.heartbeat.ConfigVersion:
-		if confirmedAt := m.receivedAt.Add(-m.heartbeat.ConfigAge); confirmedAt.After(o.config.confirmedAt) {
+		if confirmedAt := dateOf(m.writtenAfter, m.heartbeat.ConfigAge); confirmedAt.After(o.config.confirmedAt) {
 			o.config.confirmedAt = confirmedAt
 		}
 	case m.heartbeat.ConfigVersion > 0 && (r == nil || r.Version < m.heartbeat.ConfigVersion):
@@ -124,6 +124,7 @@
 	for _, id := range o.peers.roster.MarkSilent(now) {
 		o.n.log.Warn().Str("peer", string(id)).Dur("silent", now.Sub(o.peers.seen[id].receivedAt)).Msg("peer-silent")
 		delete(o.peers.seen, id)
+		o.n.echoes.forget(id)
 		o.updateTunnelPeers()
 		o.n.peerLoads.remove(id)
 		o.viewStale, o.peers.topologyStale = true, true
@@ -133,8 +134,11 @@
 
 // heartbeat returns the current heartbeat to a peer.
 func (n *Node) heartbeat(to models.DaemonID, l membership.Link) Heartbeat {
+	// Ages must not be read before the time that dates them.
+	now := time.Now()
 	v := n.View()
 	b := Heartbeat{
+		Clock: n.echoes.clock.Read(now), Echo: n.echoes.echo(to, now),
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(), Overloaded: n.overloaded.Load(),
 		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/echo"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 )
@@ -84,7 +85,9 @@
 			return from, err
 		}
 		b = b.completed(from)
-		s.n.post(ctx, heartbeatReceived{heartbeat: b, receivedAt: time.Now()})
+		now := time.Now()
+		s.n.echoes.record(b.From, echo.Received{Reading: b.Clock, At: now})
+		s.n.post(ctx, heartbeatReceived{heartbeat: b, receivedAt: now, writtenAfter: s.n.writtenAfter(b.Echo, now)})
 		return b, nil
 	case frameUpdate, frameLoads:
 		var update Update
@@ -101,7 +104,7 @@
 		if err := frame.Decode(body, &c); err != nil {
 			return from, err
 		}
-		s.n.post(ctx, configReceived{config: c})
+		s.n.post(ctx, configReceived{config: c, writtenAfter: s.n.writtenAfter(c.Echo, time.Now())})
 		return from, nil
 	default:
 		return from, fmt.Errorf("%w: kind %d", frame.ErrFormat, kind)
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/echo"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/models"
 )
@@ -42,6 +43,10 @@
 	CPUCores float64 `msgpack:"p,omitempty"`
 	// AcceptsCompressed is set if the daemon reads compressed frames.
 	AcceptsCompressed bool `msgpack:"up,omitempty"`
+	// Clock is a reading of the sender's clock, Echo the last one that the sender received from the
+	// receiver. It dates the ages in the heartbeat. Older versions omit both.
+	Clock echo.Reading `msgpack:"ck,omitempty"`
+	Echo  echo.Echo    `msgpack:"ec,omitempty"`
 	// ConfigVersion is the version of the configuration in force, ConfigAge the time since it was
 	// last confirmed to be the newest.
 	ConfigVersion int64         `msgpack:"cv,omitempty"`
@@ -123,9 +128,10 @@
 	Head  models.InstanceID `msgpack:"h"`
 }
 
-// ConfigCopy is a configuration sent from one daemon to another.
+// ConfigCopy is a configuration sent from one daemon to another. Echo dates Age.
 type ConfigCopy struct {
 	Version int64         `msgpack:"v"`
+	Echo    echo.Echo     `msgpack:"ec,omitempty"`
 	Age     time.Duration `msgpack:"a"`
 	Data    []byte        `msgpack:"d"`
 }
