cluster: date updates by clock readings

A daemon that was stopped took the updates that had waited for it as from the time of their reading, claimed to know all entries as of then, and went on sending requests to an instance that had begun to leave; as a relay it told its zone so.

Updates carry a reading of their sender's clock, which the last heartbeat of that daemon relates to the receiver's clock (echo.Anchor). A relay adds the time since an update was written. The ages of queued updates are set when they are encoded, not when they are queued. Entries in an update that can't be dated, as from an older version, count as known but not as current; the state of an instance is then ordered by the receipt, as before, so that groups are learned of all the same. Copies of the configuration are dated alike.

--- a/cluster/cold_test.go
+++ b/cluster/cold_test.go
@@ -27,7 +27,7 @@
 		k := planner.fleet.instances["i1"]
 		c.Assert(k.needsBroadcast(), qt.IsTrue)
 		k.markBroadcast()
-		member.handleUpdate(updateReceived{term: 1, seq: member.peers.updateSeq + 1, instances: []InstanceUpdate{k.toUpdate(now)}, receivedAt: now})
+		member.handleUpdate(updateReceived{term: 1, seq: member.peers.updateSeq + 1, instances: []InstanceUpdate{k.toUpdate(now).asOf(now)}, receivedAt: now})
 	}
 	planner.applyEntry(i, now)
 	c.Assert(rate(planner), qt.Equals, 14.0)
--- a/cluster/confirmations_test.go
+++ b/cluster/confirmations_test.go
@@ -169,7 +169,7 @@
 }
 
 func (s *confirmationScript) copyConfig(o *owner, to models.DaemonID) {
-	s.queue(o, to, frameConfig, o.n.configCopy(to))
+	s.queue(o, to, frameConfig, o.n.configCopy())
 }
 
 func (s *confirmationScript) queue(o *owner, to models.DaemonID, kind frame.Kind, value any) {
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -184,12 +184,12 @@
 }
 
 // goneUpdate reports that an instance's entry was missing at a time, with its last known state.
-func (f *fleetState) goneUpdate(id models.InstanceID, at time.Time) InstanceUpdate {
+func (f *fleetState) goneUpdate(id models.InstanceID, at time.Time) queuedUpdate {
 	lastState := models.UpstreamInstance{ID: id}
 	if e, ended := f.ended[id]; ended {
 		lastState.StartedAt, lastState.HeartbeatSeq = e.startedAt, e.heartbeat
 	}
-	return InstanceUpdate{Instance: lastState, Age: time.Since(at), Gone: true}
+	return queuedUpdate{InstanceUpdate{Instance: lastState, Gone: true}, at}
 }
 
 // reportUnreadable logs and counts an entry that can't be decoded, once per content.
@@ -277,11 +277,11 @@
 }
 
 // updatesFor returns the instances of these records whose current state has not been broadcast.
-func (f *fleetState) updatesFor(records []platform.KeyedRecord, requestedAt time.Time) []InstanceUpdate {
+func (f *fleetState) updatesFor(records []platform.KeyedRecord, requestedAt time.Time) []queuedUpdate {
 	if f.planner == nil {
 		return nil
 	}
-	var out []InstanceUpdate
+	var out []queuedUpdate
 	seen := map[models.InstanceID]bool{}
 	for _, r := range records {
 		id := models.InstanceID(r.Key)
@@ -320,10 +320,21 @@
 }
 
 // toUpdate returns the instance's state, as of a time, in the form sent to other daemons.
-func (k *knownInstance) toUpdate(at time.Time) InstanceUpdate {
+func (k *knownInstance) toUpdate(at time.Time) queuedUpdate {
 	i := k.UpstreamInstance
 	i.ColdFor = max(0, time.Until(k.coldUntil))
-	return InstanceUpdate{
-		Instance: i, Age: time.Since(at), Lost: !k.lostSince.IsZero(), Missing: k.missingFor(time.Now()),
-	}
+	return queuedUpdate{InstanceUpdate{Instance: i, Lost: !k.lostSince.IsZero(), Missing: k.missingFor(time.Now())}, at}
+}
+
+// queuedUpdate is the state of an instance at a time. Its age is set when it is encoded, since the
+// process may be stopped while it is queued.
+type queuedUpdate struct {
+	InstanceUpdate
+	at time.Time
+}
+
+// asOf returns the update to encode at a time.
+func (u queuedUpdate) asOf(now time.Time) InstanceUpdate {
+	u.Age = now.Sub(u.at)
+	return u.InstanceUpdate
 }
--- a/cluster/entries_progress.go
+++ b/cluster/entries_progress.go
@@ -68,9 +68,10 @@
 	return &EntriesRange{Since: since, End: e.end, Age: now.Sub(e.currentAt)}
 }
 
-// toRecordRange converts the range of an update received at a time.
-func (t *EntriesRange) toRecordRange(receivedAt time.Time) recordRange {
-	return recordRange{since: t.Since, end: t.End, currentAt: receivedAt.Add(-t.Age)}
+// toRecordRange converts the range of an update whose ages are as of a time or later, zero if that is
+// not known.
+func (t *EntriesRange) toRecordRange(writtenAfter time.Time) recordRange {
+	return recordRange{since: t.Since, end: t.End, currentAt: dateOf(writtenAfter, t.Age)}
 }
 
 // olderThan reports whether this daemon knows more of the store's entry records than the sender of
--- a/cluster/entries_progress_property_test.go
+++ b/cluster/entries_progress_property_test.go
@@ -30,8 +30,8 @@
 // TestEntriesProgressProperty generates random histories of four daemons, two of which may become
 // planner, and checks after each step that no daemon claims to know entries as of a later time than
 // it does: it must not use an instance that had signaled leaving, or whose entry had been removed,
-// before that time. Updates are lost, delayed and reordered, reads are late, and the store is
-// restored from backups.
+// before that time. Updates are lost, and wait for daemons that are stopped, reads are late, and the
+// store is restored from backups.
 func TestEntriesProgressProperty(t *testing.T) {
 	seeds := regressionSeeds
 	for seed := range uint64(historySeeds) {
@@ -85,7 +85,7 @@
 // nextStep generates a step.
 func (h *randomHistory) nextStep() string {
 	d := h.daemon()
-	switch h.random.IntN(14) {
+	switch h.random.IntN(16) {
 	case 0:
 		h.instances++
 		return fmt.Sprintf("put i-%d ready", h.instances)
@@ -119,6 +119,11 @@
 		return fmt.Sprintf("reread %s %d", d, h.random.IntN(len(h.log)+1))
 	case 12:
 		return fmt.Sprintf("heartbeat %s %s", d, h.daemon())
+	case 13, 14:
+		if _, held := h.held[models.DaemonID(d)]; held {
+			return "release " + d
+		}
+		return "hold " + d
 	default:
 		return h.copyOrRestore()
 	}
--- a/cluster/entries_progress_test.go
+++ b/cluster/entries_progress_test.go
@@ -33,6 +33,8 @@
 // its last read was at 17.5 s. So it answered snapshot requests, and the receivers regarded their
 // entries as current too.
 //
+// stopped_daemon guards against the same fault after a daemon was stopped while updates waited for it.
+//
 // reports_only covers the first 0.4 s of these 3 s: nobody read the store, because the planner
 // could not and still broadcast the reports of engines as updates.
 //
@@ -101,7 +103,7 @@
 	era       int64
 	read      map[models.DaemonID]models.Position
 	dropNext  map[models.DaemonID]bool
-	held      map[models.DaemonID][]sharedFrame
+	held      map[models.DaemonID][]heldFrame
 	// writes counts the writes of each instance.
 	writes map[string]int
 }
@@ -109,7 +111,7 @@
 func newProgressScript(c *qt.C, t *testing.T) *progressScript {
 	return &progressScript{
 		c: c, t: t, owners: map[models.DaemonID]*owner{}, read: map[models.DaemonID]models.Position{},
-		dropNext: map[models.DaemonID]bool{}, held: map[models.DaemonID][]sharedFrame{}, writes: map[string]int{},
+		dropNext: map[models.DaemonID]bool{}, held: map[models.DaemonID][]heldFrame{}, writes: map[string]int{},
 	}
 }
 
@@ -163,7 +165,7 @@
 	case "drop":
 		s.dropNext[name] = true
 	case "hold":
-		s.held[name] = []sharedFrame{}
+		s.held[name] = []heldFrame{}
 	case "release":
 		s.release(name)
 	case "wait":
@@ -188,7 +190,7 @@
 	held := s.held[name]
 	delete(s.held, name)
 	for _, f := range held {
-		s.deliverTo(name, f)
+		s.deliverTo(f.from, name, f.frame)
 	}
 }
 
@@ -224,24 +226,37 @@
 		}
 		s.owners[o.n.cfg.ID] = o
 	}
+	for range 2 {
+		for _, from := range s.owners {
+			for id, to := range s.owners {
+				to.n.echoes.receive(from.n.heartbeat(id, membership.Link{}), time.Now())
+			}
+		}
+	}
 }
 
 // deliver delivers the queued frames of all links.
 func (s *progressScript) deliver() {
-	for _, from := range s.owners {
+	for name, from := range s.owners {
 		for to, end := range from.n.links.peers {
 			for len(end.frames) > 0 {
-				s.deliverTo(to, <-end.frames)
+				s.deliverTo(name, to, <-end.frames)
 			}
 		}
 	}
 }
 
-func (s *progressScript) deliverTo(to models.DaemonID, f sharedFrame) {
+// heldFrame is a frame that waits for a daemon.
+type heldFrame struct {
+	from  models.DaemonID
+	frame sharedFrame
+}
+
+func (s *progressScript) deliverTo(from, to models.DaemonID, f sharedFrame) {
 	kind, body, err := frame.Read(bytes.NewReader(f.plain.Bytes))
 	s.c.Assert(err, qt.IsNil)
 	if held, late := s.held[to]; late {
-		s.held[to] = append(held, f)
+		s.held[to] = append(held, heldFrame{from, f})
 		return
 	}
 	if s.dropNext[to] {
@@ -249,7 +264,7 @@
 		return
 	}
 	o := s.owners[to]
-	_, err = (&peerServer{n: o.n}).handleFrame(o.ctx, kind, body, Heartbeat{})
+	_, err = (&peerServer{n: o.n}).handleFrame(o.ctx, kind, body, Heartbeat{From: from})
 	s.c.Assert(err, qt.IsNil)
 	o.drainInbox()
 }
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -57,7 +57,7 @@
 	// probeAt is when instances with a scheduled probe are to be probed.
 	probeAt map[models.InstanceID]time.Time
 	// pendingUpdates are the updates to be sent with the next broadcast.
-	pendingUpdates []InstanceUpdate
+	pendingUpdates []queuedUpdate
 	// updateSeq numbers the broadcasts, lastBroadcastAt is the time of the last one.
 	updateSeq       int64
 	lastBroadcastAt time.Time
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -172,15 +172,16 @@
 	if !v.configRequesters[t.link.id] || v.version() <= t.sentConfig {
 		return nil
 	}
-	c := t.n.configCopy(t.link.id)
+	c := t.n.configCopy()
 	t.sentConfig = c.Version
 	return t.send(frameConfig, c)
 }
 
-// configCopy returns a copy of the configuration for a peer.
-func (n *Node) configCopy(to models.DaemonID) ConfigCopy {
-	e, v := n.echoes.echo(to, time.Now()), n.View()
-	return ConfigCopy{Version: v.version(), Echo: e, Age: n.clock.Since(v.ConfirmedAt), Data: v.config}
+// configCopy returns a copy of the configuration for other daemons.
+func (n *Node) configCopy() ConfigCopy {
+	// The age must not be read before the clock.
+	clock, v := n.echoes.own.Read(time.Now()), n.View()
+	return ConfigCopy{Version: v.version(), Clock: clock, Age: n.clock.Since(v.ConfirmedAt), Data: v.config}
 }
 
 // sendsLoadsTo reports whether this daemon sends its own loads to a peer.
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/task"
@@ -167,15 +168,20 @@
 }
 
 // forward forwards an update from a daemon: to the daemons that use this one as a relay if it comes
-// from another zone, and to these and the relays of other zones if its sender is no relay.
-func (l *links) forward(from models.DaemonID, zone models.Zone, update Update) {
+// from another zone, and to these and the relays of other zones if its sender is no relay. The ages in
+// the update are as of writtenAfter or later.
+func (l *links) forward(from models.DaemonID, zone models.Zone, update Update, writtenAfter time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.mesh || (zone == l.n.cfg.Zone && !update.Forward) {
 		return
 	}
 	toOtherZones := update.Forward
-	update.Forward = false
+	update.Forward, update.Clock, update.Delay = false, 0, 0
+	if !writtenAfter.IsZero() {
+		now := time.Now()
+		update.Clock, update.Delay = l.n.echoes.own.Read(now), now.Sub(writtenAfter)
+	}
 	f, ok := l.encode(frameUpdate, update)
 	if !ok {
 		return
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -77,6 +77,8 @@
 		snapshot   bool
 		termEnded  bool
 		receivedAt time.Time
+		// The ages in the update are as of writtenAfter or later. It is zero if that is not known.
+		writtenAfter time.Time
 	}
 	// orderFinished: an order was answered, timed out or failed.
 	orderFinished struct {
--- a/cluster/missed_updates.go
+++ b/cluster/missed_updates.go
@@ -84,7 +84,7 @@
 	o.removeAbsent(m)
 	o.applyInstances(m, now)
 	if m.entries != nil {
-		o.fleet.entries.advance(m.entries.End, m.receivedAt.Add(-m.entries.Age))
+		o.fleet.entries.advance(m.entries.End, dateOf(m.writtenAfter, m.entries.Age))
 		o.publishProgress()
 	}
 	o.n.log.Info().Int64("term", m.term).Int64("feed", m.seq).Int("instances", len(m.instances)).
@@ -102,7 +102,7 @@
 	}
 	o.markResynced(now)
 	o.n.missedUpdates.recoverTo(o.n.missedUpdates.recorded.Load())
-	o.n.updatesCurrentAt.Store(entries.currentAt.UnixNano())
+	o.n.setUpdatesCurrentAt(entries.currentAt)
 }
 
 // removeAbsent removes the instances that a snapshot lacks, unless this daemon has newer state of
@@ -159,10 +159,10 @@
 		// The encoded snapshot is reused for up to snapshotReuse, so its age is overstated by that
 		// much.
 		entries := o.fleet.entries.rangeSince(models.Position{}, now.Add(snapshotReuse))
-		update := Update{From: o.n.cfg.ID, Term: term, Seq: seq, Snapshot: true, Entries: entries}
+		update := Update{From: o.n.cfg.ID, Clock: o.n.echoes.own.Read(now), Term: term, Seq: seq, Snapshot: true, Entries: entries}
 		for _, k := range o.fleet.instances {
 			if !k.unlisted {
-				update.Instances = append(update.Instances, k.toUpdate(k.stateTime()))
+				update.Instances = append(update.Instances, k.toUpdate(k.stateTime()).asOf(now))
 			}
 		}
 		f, ok := o.n.links.encode(frameUpdate, update)
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -229,7 +229,7 @@
 	n.store = platform.NewStore(cfg.Store, n.storeConns)
 	n.instances = platform.NewInstanceClient(n.instanceConns, n.recordResponseHead)
 	n.links = newLinks(n)
-	n.echoes = newEchoes(now)
+	n.echoes = newEchoes(n.clock, now)
 	n.quarantine = NewQuarantine(n.links.notifyAll, set, log)
 	n.limits = NewLimits(cfg.ID, n.notifyLimits, set, log)
 	n.breakers = NewBreakers(n.notifySignals, set, log)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -138,7 +138,7 @@
 	now := time.Now()
 	v := n.View()
 	b := Heartbeat{
-		Clock: n.echoes.clock.Read(now), Echo: n.echoes.echo(to, now),
+		Clock: n.echoes.own.Read(now), Echo: n.echoes.echo(to, now),
 		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(), Overloaded: n.overloaded.Load(),
 		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
--- a/cluster/peers_test.go
+++ b/cluster/peers_test.go
@@ -62,12 +62,12 @@
 		return zones
 	}
 	update := Update{Term: 3, Seq: 1}
-	o.n.links.forward("b-28", "b", update)
+	o.n.links.forward("b-28", "b", update, time.Now())
 	c.Assert(sentByZone(), qt.DeepEquals, map[models.Zone]int{"a": 10, "b": 0, "c": 0})
-	o.n.links.forward("a-27", "a", update)
+	o.n.links.forward("a-27", "a", update, time.Now())
 	c.Assert(sentByZone(), qt.DeepEquals, map[models.Zone]int{"a": 0, "b": 0, "c": 0}, qt.Commentf("the other relay sends it itself"))
 	update.Forward = true
-	o.n.links.forward("a-3", "a", update)
+	o.n.links.forward("a-3", "a", update, time.Now())
 	c.Assert(sentByZone(), qt.DeepEquals, map[models.Zone]int{"a": 9, "b": 2, "c": 2})
 	o.n.links.broadcast(Update{Term: 3, Seq: 1})
 	c.Assert(sentByZone(), qt.DeepEquals, map[models.Zone]int{"a": 10, "b": 2, "c": 2})
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/lupinkeel/lupinkeel/lib/echo"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 )
@@ -86,8 +85,7 @@
 		}
 		b = b.completed(from)
 		now := time.Now()
-		s.n.echoes.record(b.From, echo.Received{Reading: b.Clock, At: now})
-		s.n.post(ctx, heartbeatReceived{heartbeat: b, receivedAt: now, writtenAfter: s.n.writtenAfter(b.Echo, now)})
+		s.n.post(ctx, heartbeatReceived{heartbeat: b, receivedAt: now, writtenAfter: s.n.echoes.receive(b, now)})
 		return b, nil
 	case frameUpdate, frameLoads:
 		var update Update
@@ -104,7 +102,7 @@
 		if err := frame.Decode(body, &c); err != nil {
 			return from, err
 		}
-		s.n.post(ctx, configReceived{config: c, writtenAfter: s.n.writtenAfter(c.Echo, time.Now())})
+		s.n.post(ctx, configReceived{config: c, writtenAfter: s.n.echoes.writtenAfter(from.From, c.Clock, time.Now())})
 		return from, nil
 	default:
 		return from, fmt.Errorf("%w: kind %d", frame.ErrFormat, kind)
@@ -115,8 +113,10 @@
 // holders, the rest to the owner. Updates of instances and stalls are also forwarded.
 func (s *peerServer) handleUpdate(ctx context.Context, update Update, from Heartbeat) {
 	s.n.peerLoads.apply(update, from.Zone, s.n.traffic.Loads)
+	now := time.Now()
+	writtenAfter := dateOf(s.n.echoes.writtenAfter(from.From, update.Clock, now), update.Delay)
 	if (update.Term > 0 && !update.Snapshot) || len(update.Stalled) > 0 {
-		s.n.links.forward(from.From, from.Zone, update)
+		s.n.links.forward(from.From, from.Zone, update, writtenAfter)
 	}
 	s.n.handleCrashes(update.Crashes, from.From)
 	s.n.handleLimits(update.Limits, from.From)
@@ -124,7 +124,7 @@
 	if update.Term > 0 {
 		s.n.post(ctx, updateReceived{
 			term: update.Term, seq: update.Seq, instances: update.Instances, entries: update.Entries,
-			snapshot: update.Snapshot, termEnded: update.TermEnded, receivedAt: time.Now(),
+			snapshot: update.Snapshot, termEnded: update.TermEnded, receivedAt: now, writtenAfter: writtenAfter,
 		})
 	}
 	for _, head := range update.Stalled {
--- a/cluster/updates.go
+++ b/cluster/updates.go
@@ -24,7 +24,7 @@
 )
 
 // queueUpdates queues updates for the next broadcast, if this node is the planner.
-func (o *owner) queueUpdates(updates ...InstanceUpdate) {
+func (o *owner) queueUpdates(updates ...queuedUpdate) {
 	if o.fleet.planner == nil {
 		return
 	}
@@ -46,8 +46,12 @@
 	f, now := &o.fleet, time.Now()
 	f.updateSeq++
 	f.lastBroadcastAt = now
+	var instances []InstanceUpdate
+	for _, u := range f.pendingUpdates {
+		instances = append(instances, u.asOf(now))
+	}
 	o.n.links.broadcast(Update{
-		From: o.n.cfg.ID, Term: f.heldTerm, Seq: f.updateSeq, Instances: f.pendingUpdates,
+		From: o.n.cfg.ID, Clock: o.n.echoes.own.Read(now), Term: f.heldTerm, Seq: f.updateSeq, Instances: instances,
 		Entries: f.entries.rangeSince(f.broadcastEnd, now),
 	})
 	f.pendingUpdates, f.broadcastEnd = nil, f.entries.end
@@ -77,7 +81,7 @@
 	o.applyInstances(m, now)
 	// An update without a range of entries, as older versions send it, does not save this daemon a
 	// read.
-	continuous := m.entries != nil && o.fleet.entries.addRange(m.entries.toRecordRange(m.receivedAt))
+	continuous := m.entries != nil && o.fleet.entries.addRange(m.entries.toRecordRange(m.writtenAfter))
 	o.publishProgress()
 	if missed {
 		p.missedSeq = m.seq - 1
@@ -86,8 +90,18 @@
 	case missed, m.entries != nil && !continuous && !o.n.missedUpdates.pending():
 		o.requestMissed(now)
 	case continuous && !o.n.missedUpdates.pending():
-		o.n.updatesCurrentAt.Store(m.receivedAt.Add(-m.entries.Age).UnixNano())
+		o.n.setUpdatesCurrentAt(dateOf(m.writtenAfter, m.entries.Age))
+	}
+}
+
+// stateAt returns as of when an instance had the state in an update, which orders it among other states.
+// Where the update can't be dated, as in the first moments of a connection, this is as if it had just
+// been written.
+func (m updateReceived) stateAt(u InstanceUpdate) time.Time {
+	if m.writtenAfter.IsZero() {
+		return m.receivedAt.Add(-u.Age)
 	}
+	return dateOf(m.writtenAfter, u.Age)
 }
 
 // applyInstances applies the instances in an update.
@@ -100,7 +114,7 @@
 			o.applyGone(u, m, now)
 			continue
 		}
-		o.applyInstance(u, m.receivedAt.Add(-u.Age), now)
+		o.applyInstance(u, m.stateAt(u), now)
 		if k := o.fleet.instances[u.Instance.ID]; k != nil && k.CompareIncarnation(u.Instance.StartedAt) != models.EarlierIncarnation {
 			o.observeCold(k, u.Instance.ColdFor, now)
 		}
@@ -148,7 +162,7 @@
 	k, known := o.fleet.instances[id]
 	switch {
 	case !known:
-	case m.entries != nil && k.knownThrough.Compare(m.entries.End) <= 0, m.entries == nil && m.receivedAt.Add(-u.Age).After(k.entrySeenAt):
+	case m.entries != nil && k.knownThrough.Compare(m.entries.End) <= 0, m.entries == nil && m.stateAt(u).After(k.entrySeenAt):
 		o.handleEntryGone(id)
 	}
 	if _, stillKnown := o.fleet.instances[id]; !stillKnown && u.Instance.HeartbeatSeq > 0 {
@@ -181,3 +195,13 @@
 func (n *Node) updatedWithin(d time.Duration) bool {
 	return time.Since(time.Unix(0, n.updatesCurrentAt.Load())) < d
 }
+
+// setUpdatesCurrentAt sets the time up to which updates cover all changes. The zero time means that
+// none is known.
+func (n *Node) setUpdatesCurrentAt(at time.Time) {
+	if at.IsZero() {
+		n.updatesCurrentAt.Store(0)
+		return
+	}
+	n.updatesCurrentAt.Store(at.UnixNano())
+}
--- a/cluster/updates_test.go
+++ b/cluster/updates_test.go
@@ -18,7 +18,7 @@
 	c := qt.New(t)
 	o := newTestOwner(t)
 	receive := func(term, seq int64, draining bool) {
-		o.handleUpdate(updateReceived{term: term, seq: seq, receivedAt: time.Now(), entries: &EntriesRange{}, instances: []InstanceUpdate{
+		o.handleUpdate(updateReceived{term: term, seq: seq, receivedAt: time.Now(), writtenAfter: time.Now(), entries: &EntriesRange{}, instances: []InstanceUpdate{
 			{Instance: models.UpstreamInstance{ID: "i-1", Draining: draining}},
 		}})
 	}
@@ -56,7 +56,7 @@
 	o.handleLease(leaseHeld{term: 5, until: time.Now().Add(time.Minute)})
 	now := time.Now()
 	for range 2 * linkQueueLen {
-		o.queueUpdates(InstanceUpdate{Instance: models.UpstreamInstance{ID: "i-1"}})
+		o.queueUpdates(queuedUpdate{InstanceUpdate{Instance: models.UpstreamInstance{ID: "i-1"}}, now})
 		o.flushUpdates(now)
 	}
 	c.Assert(o.fleet.updateSeq, qt.Equals, int64(1))
@@ -95,7 +95,7 @@
 		return InstanceUpdate{Instance: models.UpstreamInstance{ID: id, Draining: draining}, Age: age}
 	}
 	receive := func(seq int64, snapshot bool, updates ...InstanceUpdate) {
-		o.handleUpdate(updateReceived{term: 1, seq: seq, snapshot: snapshot, instances: updates, entries: &EntriesRange{}, receivedAt: now})
+		o.handleUpdate(updateReceived{term: 1, seq: seq, snapshot: snapshot, instances: updates, entries: &EntriesRange{}, receivedAt: now, writtenAfter: now})
 	}
 	missed := func() bool { return o.n.missedUpdates.pending() }
 
@@ -129,7 +129,7 @@
 	t.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
 	addPeers(o, meshLimit+1, 7)
 	now := time.Now()
-	o.handleUpdate(updateReceived{term: 1, seq: 4, snapshot: true, entries: &EntriesRange{}, receivedAt: now})
+	o.handleUpdate(updateReceived{term: 1, seq: 4, snapshot: true, entries: &EntriesRange{}, receivedAt: now, writtenAfter: now})
 	c.Assert(o.n.missedUpdates.pending(), qt.IsFalse)
 	o.requestIfStale(now)
 	c.Assert(o.n.missedUpdates.pending(), qt.IsFalse, qt.Commentf("it gets updates"))
@@ -141,9 +141,9 @@
 	o.requestIfStale(now)
 	c.Assert(o.n.missedUpdates.pending(), qt.IsTrue)
 	c.Assert(o.n.waitsForRelay(), qt.IsTrue)
-	o.handleUpdate(updateReceived{term: 1, seq: 4, snapshot: true, entries: &EntriesRange{Age: relayedUpdateTimeout}, receivedAt: now})
+	o.handleUpdate(updateReceived{term: 1, seq: 4, snapshot: true, entries: &EntriesRange{Age: relayedUpdateTimeout}, receivedAt: now, writtenAfter: now})
 	c.Assert(o.n.missedUpdates.pending(), qt.IsTrue, qt.Commentf("the relay's entries are no newer"))
-	o.handleUpdate(updateReceived{term: 1, seq: 4, snapshot: true, entries: &EntriesRange{}, receivedAt: now})
+	o.handleUpdate(updateReceived{term: 1, seq: 4, snapshot: true, entries: &EntriesRange{}, receivedAt: now, writtenAfter: now})
 	c.Assert(o.n.missedUpdates.pending(), qt.IsFalse)
 	c.Assert(o.n.updatedWithin(relayedUpdateTimeout), qt.IsTrue)
 
@@ -176,7 +176,7 @@
 	o.answerSnapshotRequests(time.Now())
 	c.Assert(sentFrames(), qt.Equals, 0, qt.Commentf("it has had no update of a planner"))
 	for seq := range int64(2) {
-		o.handleUpdate(updateReceived{term: 1, seq: seq + 1, entries: &EntriesRange{}, receivedAt: time.Now()})
+		o.handleUpdate(updateReceived{term: 1, seq: seq + 1, entries: &EntriesRange{}, receivedAt: time.Now(), writtenAfter: time.Now()})
 	}
 	o.answerSnapshotRequests(time.Now())
 	c.Assert(sentFrames(), qt.Equals, 0, qt.Commentf("what preceded the first update is missing"))
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -128,10 +128,11 @@
 	Head  models.InstanceID `msgpack:"h"`
 }
 
-// ConfigCopy is a configuration sent from one daemon to another. Echo dates Age.
+// ConfigCopy is a configuration sent from one daemon to another. Age is as of Clock, a reading of the
+// sender's clock.
 type ConfigCopy struct {
 	Version int64         `msgpack:"v"`
-	Echo    echo.Echo     `msgpack:"ec,omitempty"`
+	Clock   echo.Reading  `msgpack:"ck,omitempty"`
 	Age     time.Duration `msgpack:"a"`
 	Data    []byte        `msgpack:"d"`
 }
@@ -173,6 +174,11 @@
 	// From is empty if the sender is the daemon, in the incarnation, that sends the heartbeats on
 	// the connection.
 	From models.DaemonID `msgpack:"id,omitempty"`
+	// Clock is a reading of the clock of the daemon that sends the heartbeats on the connection. The
+	// ages in the update are as of this reading less Delay, which is the time that a forwarded update
+	// took to arrive at that daemon. It is 0 if this is not known, and in loads.
+	Clock echo.Reading  `msgpack:"ck,omitempty"`
+	Delay time.Duration `msgpack:"dl,omitempty"`
 	// Incarnation and LoadsVersion order the states of a daemon's loads. A message that comes by
 	// way of another daemon may arrive after a newer one.
 	Incarnation  int64  `msgpack:"in,omitempty"`
--- a/lib/echo/echo.go
+++ b/lib/echo/echo.go
@@ -58,6 +58,31 @@
 	return readAt.Add(min(e.Held, now.Sub(readAt))), true
 }
 
+// maxAnchorDistance bounds the time between two readings of one process: readings of different
+// processes are farther apart, but for a chance of one in millions.
+const maxAnchorDistance = time.Hour
+
+// Anchor relates the clock of another process to this one's: the other process read its clock after At.
+// The zero value relates nothing.
+type Anchor struct {
+	Reading Reading
+	At      time.Time
+}
+
+// WrittenAfter returns a time after which the other process read its clock. It returns false if the
+// anchor does not relate to this reading. The result is at most now, see [Clock.WrittenAfter].
+func (a Anchor) WrittenAfter(r Reading, now time.Time) (time.Time, bool) {
+	since := time.Duration(r - a.Reading)
+	if a.Reading == 0 || r == 0 || since.Abs() > maxAnchorDistance {
+		return time.Time{}, false
+	}
+	at := a.At.Add(since)
+	if at.After(now) {
+		return now, true
+	}
+	return at, true
+}
+
 // Received is a reading of another process's clock.
 type Received struct {
 	Reading Reading
