timer: count what never was as old after a suspension

Since returned a negative time for the zero time once the machine had been suspended, since the sum exceeded the longest duration. A daemon that had never confirmed its configuration then accepted keys, revoked ones included.

TestSuspension checks it, and failed before.

--- a/lib/timer/suspended.go
+++ b/lib/timer/suspended.go
@@ -1,6 +1,7 @@
 package timer
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -118,5 +119,11 @@
 
 // Since returns the time elapsed since a time, including suspensions. By the monotonic clock
 // alone a revoked key or an expired lease would become valid again for a while after a
-// suspension.
-func (s *Service) Since(t time.Time) time.Duration { return time.Since(t) + s.Suspended(t) }
+// suspension. The result is at most the longest duration, as for the zero time.
+func (s *Service) Since(t time.Time) time.Duration {
+	elapsed, suspended := time.Since(t), s.Suspended(t)
+	if elapsed > math.MaxInt64-suspended {
+		return math.MaxInt64
+	}
+	return elapsed + suspended
+}
--- a/lib/timer/suspended_test.go
+++ b/lib/timer/suspended_test.go
@@ -30,6 +30,7 @@
 	c.Assert(since >= length && since < length+time.Second, qt.IsTrue, qt.Commentf("%v", since))
 	c.Assert(s.Since(time.Now()) >= length, qt.IsTrue, qt.Commentf("data received just after a suspension may have been sent before it"))
 	c.Assert(s.Suspended(time.Now().Add(time.Second)), qt.Equals, time.Duration(0))
+	c.Assert(s.Since(time.Time{}) > 0, qt.IsTrue, qt.Commentf("what never was is not recent after a suspension"))
 	s.Advance(start.Add(2 * timer.Step))
 	reported := (<-ticks).Paused
 	c.Assert(reported >= length && reported < length+time.Second, qt.IsTrue, qt.Commentf("%v", reported))
