cluster: count the age of entries by the monotonic clock

While the clock of the machine was set back, they counted as recent however old they were: the daemon read no entries, sent requests to leaving instances, and told others so as a relay. Set ahead, all daemons of the machine read the store for each update.

--- a/cluster/candidacy.go
+++ b/cluster/candidacy.go
@@ -104,7 +104,7 @@
 
 // uptime returns how long this node has run.
 func (o *owner) uptime(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, o.n.started))
+	return now.Sub(o.n.startedAt)
 }
 
 // plannerSilence returns how long there has been no sign of a planner.
--- a/cluster/candidacy_test.go
+++ b/cluster/candidacy_test.go
@@ -14,7 +14,7 @@
 // newRunningOwner returns an owner with an uptime.
 func newRunningOwner(t *testing.T, id models.DaemonID, cpuCores float64, uptime time.Duration) *owner {
 	o := newTestOwner(t)
-	o.n.cfg.ID, o.n.cfg.CPUCores, o.n.started = id, cpuCores, time.Now().Add(-uptime).UnixNano()
+	o.n.cfg.ID, o.n.cfg.CPUCores, o.n.startedAt = id, cpuCores, time.Now().Add(-uptime)
 	o.peers = newPeersState(o.n.cfg)
 	return o
 }
@@ -111,7 +111,7 @@
 		}
 		o.peers.topology = o.peers.roster.Topology(time.Now())
 		c.Check(o.isEligible(), qt.Equals, test.eligible)
-		o.n.started = time.Now().Add(-time.Minute).UnixNano()
+		o.n.startedAt = time.Now().Add(-time.Minute)
 		o.peers.plannerSeenAt = time.Now().Add(-time.Minute)
 		c.Check(o.isCandidate(time.Now()), qt.Equals, test.eligible)
 	}
@@ -122,7 +122,7 @@
 func TestElectionAfterTermEnd(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
-	o.n.started = time.Now().Add(-time.Minute).UnixNano()
+	o.n.startedAt = time.Now().Add(-time.Minute)
 	o.handleUpdate(updateReceived{term: 5, seq: 1, receivedAt: time.Now()})
 	c.Assert(o.isCandidate(time.Now()), qt.IsFalse)
 	o.handleUpdate(updateReceived{term: 4, termEnded: true, receivedAt: time.Now()})
--- a/cluster/config_watch.go
+++ b/cluster/config_watch.go
@@ -100,7 +100,7 @@
 	v, bound := n.View(), confirmationTimeout
 	if n.usesRelay() {
 		bound = relayedConfirmationTimeout
-		if v.Routing == nil && (v.hasPeers || time.Since(time.Unix(0, n.started)) < maxStartupRelayWait+n.fallbackDelay(typicalConfigBytes)) {
+		if v.Routing == nil && (v.hasPeers || time.Since(n.startedAt) < maxStartupRelayWait+n.fallbackDelay(typicalConfigBytes)) {
 			// Once there is a relay, it sends the configuration. 290 daemons that each read the
 			// store four times a second before they had a relay made most of 8,500 calls.
 			return false
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -97,7 +97,7 @@
 	}
 	bound := maxRelayWait
 	switch {
-	case n.entriesAt.Load() == 0:
+	case n.entriesAt.Load() == nil:
 		bound = maxStartupRelayWait
 	case *n.snapshotRelay.Load() == "":
 		bound = 0
--- a/cluster/entries_progress.go
+++ b/cluster/entries_progress.go
@@ -62,10 +62,11 @@
 	return false
 }
 
-// rangeSince returns the range of records that an update covers. Receivers know the records before
+// entriesSince returns the range of records that an update covers. Receivers know the records before
 // since, or since is zero and the update is a snapshot.
-func (e *entriesProgress) rangeSince(since models.Position, now time.Time) *EntriesRange {
-	return &EntriesRange{Since: since, End: e.end, Age: now.Sub(e.currentAt)}
+func (o *owner) entriesSince(since models.Position) *EntriesRange {
+	e := &o.fleet.entries
+	return &EntriesRange{Since: since, End: e.end, Age: o.n.clock.Since(e.currentAt)}
 }
 
 // toRecordRange converts the range of an update whose ages are as of a time or later, zero if that is
@@ -121,7 +122,7 @@
 	end := o.fleet.entries.end
 	o.n.entriesEnd.Store(&end)
 	if at := o.fleet.entries.currentAt; !at.IsZero() {
-		o.n.entriesAt.Store(at.UnixNano())
+		o.n.entriesAt.Store(&at)
 	}
 }
 
@@ -134,10 +135,10 @@
 // entriesAge returns the time since all entries were known, or since the start.
 func (n *Node) entriesAge() time.Duration {
 	at := n.entriesAt.Load()
-	if at == 0 {
-		at = n.started
+	if at == nil {
+		at = &n.startedAt
 	}
-	return time.Since(time.Unix(0, at))
+	return n.clock.Since(*at)
 }
 
 // missedUpdates tracks missed updates of instances: recorded counts them, and recovered is the
--- a/cluster/lease.go
+++ b/cluster/lease.go
@@ -34,7 +34,7 @@
 
 // holdLease acquires and renews the planner's lease while this node is a candidate.
 func (n *Node) holdLease(ctx context.Context) error {
-	h := leaseHolder{n: n, member: string(n.cfg.ID) + "-" + time.Unix(0, n.started).UTC().Format("150405.000")}
+	h := leaseHolder{n: n, member: string(n.cfg.ID) + "-" + n.startedAt.UTC().Format("150405.000")}
 	defer n.releaseLease(ctx, h.member)
 	if err := sleep(ctx, peerDiscoveryDelay); err != nil {
 		return err
@@ -154,7 +154,7 @@
 	n.stats.storeCalls(termsTopic).Inc()
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	at, err := n.store.Append(ctx, termsTopic, binary.BigEndian.AppendUint64(nil, uint64(n.started)))
+	at, err := n.store.Append(ctx, termsTopic, binary.BigEndian.AppendUint64(nil, uint64(n.incarnation())))
 	if err != nil {
 		n.log.Warn().Err(err).Msg("term-not-begun")
 		return 0, 0
--- a/cluster/missed_updates.go
+++ b/cluster/missed_updates.go
@@ -19,7 +19,7 @@
 	relay := o.pickRelay(now)
 	o.n.log.Info().Int64("term", o.peers.updateTerm).Int64("feed", o.peers.updateSeq).Str("relay", string(relay)).
 		Dur("entries-age", o.n.entriesAge()).Msg("news-missed")
-	o.n.updatesCurrentAt.Store(0)
+	o.n.updatesCurrentAt.Store(nil)
 	o.n.missedUpdates.record()
 	o.n.snapshotRelay.Store(&relay)
 	if relay != "" {
@@ -97,7 +97,7 @@
 	}
 	p.updateSeq = max(p.updateSeq, m.seq)
 	entries := &o.fleet.entries
-	if m.entries == nil || entries.pending != nil || entries.end.Era < o.n.era.Load() || now.Sub(entries.currentAt) > relayedUpdateTimeout {
+	if m.entries == nil || entries.pending != nil || entries.end.Era < o.n.era.Load() || o.n.clock.Since(entries.currentAt) > relayedUpdateTimeout {
 		return
 	}
 	o.markResynced(now)
@@ -145,7 +145,7 @@
 // entries are not current: the receiver would regard its own entries as current, and keep sending
 // requests to leaving instances.
 func (o *owner) sendSnapshot(to models.DaemonID, now time.Time) bool {
-	if now.Sub(o.fleet.entries.currentAt) > updateTimeout || o.fleet.entries.end.Era < o.n.era.Load() {
+	if o.n.clock.Since(o.fleet.entries.currentAt) > updateTimeout || o.fleet.entries.end.Era < o.n.era.Load() {
 		return false
 	}
 	term, seq := o.peers.updateTerm, o.peers.updateSeq
@@ -158,7 +158,8 @@
 	if w.term != term || w.seq != seq || now.Sub(w.encodedAt) > snapshotReuse {
 		// The encoded snapshot is reused for up to snapshotReuse, so its age is overstated by that
 		// much.
-		entries := o.fleet.entries.rangeSince(models.Position{}, now.Add(snapshotReuse))
+		entries := o.entriesSince(models.Position{})
+		entries.Age += snapshotReuse
 		update := Update{From: o.n.cfg.ID, Clock: o.n.echoes.own.Read(now), Term: term, Seq: seq, Snapshot: true, Entries: entries}
 		for _, k := range o.fleet.instances {
 			if !k.unlisted {
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -95,7 +95,7 @@
 	view          atomic.Pointer[View]
 	stats         *stats
 	planning      atomic.Bool
-	started       int64
+	startedAt     time.Time
 	peerLoads     *peerLoads
 	links         *links
 	echoes        *echoes
@@ -117,16 +117,15 @@
 	// epochs must not be issued again.
 	lastEndedTerm atomic.Int64
 	// updatesCurrentAt is the time up to which the planner's updates, or a relay's snapshot, cover
-	// all changes of instances, in Unix nanoseconds; 0 after an update was missed.
-	updatesCurrentAt atomic.Int64
+	// all changes of instances; nil after an update was missed.
+	updatesCurrentAt atomic.Pointer[time.Time]
 	// missedUpdates is pending while updates are missing, also before the first update, until
 	// entries are read or a snapshot arrives. snapshotRelay is the relay that is asked for the
 	// snapshot, empty if no relay has current entries.
 	missedUpdates missedUpdates
 	snapshotRelay atomic.Pointer[models.DaemonID]
-	// entriesAt is the time as of which all entries of instances are known, in Unix nanoseconds; 0
-	// until they are.
-	entriesAt atomic.Int64
+	// entriesAt is the time as of which all entries of instances are known; nil until they are.
+	entriesAt atomic.Pointer[time.Time]
 	// entriesEnd is the position up to which the store's entry records are known.
 	entriesEnd atomic.Pointer[models.Position]
 	// era is the highest store era that this node or another daemon has seen. The store begins a
@@ -165,12 +164,15 @@
 // planner's updates, which are sent four times a second, and load totals, which are sent every
 // totalsInterval. It also registers gauges for the number of daemons and this node's role.
 func (n *Node) registerAgeMetrics() {
-	since := func(unixNanos int64) float64 { return max(0, time.Since(time.Unix(0, unixNanos)).Seconds()) }
 	n.stats.set.NewGauge("lupinkeel_planner_news_age_seconds", func() float64 {
 		if n.planning.Load() {
 			return 0
 		}
-		return since(max(n.started, n.updatesCurrentAt.Load()))
+		at := n.updatesCurrentAt.Load()
+		if at == nil {
+			at = &n.startedAt
+		}
+		return max(0, n.clock.Since(*at).Seconds())
 	})
 	n.stats.set.NewGauge("lupinkeel_entries_age_seconds", func() float64 { return n.entriesAge().Seconds() })
 	n.stats.set.NewGauge("lupinkeel_load_sums_age_seconds", func() float64 {
@@ -200,7 +202,7 @@
 	now := time.Now()
 	n := &Node{
 		cfg: cfg, log: log, clock: timer.New(now), traffic: traffic, inbox: make(chan message, inboxLen),
-		started: now.UnixNano(), peerLoads: newPeerLoads(), rosterReady: make(chan struct{}), fallbackDraw: rand.Float64(),
+		startedAt: now, peerLoads: newPeerLoads(), rosterReady: make(chan struct{}), fallbackDraw: rand.Float64(),
 		stats: &stats{
 			set:                  set,
 			missedUpdates:        set.NewCounter("lupinkeel_news_missed_total"),
@@ -246,6 +248,9 @@
 // View returns the current view.
 func (n *Node) View() *View { return n.view.Load() }
 
+// incarnation returns the number of this process among those of the daemon, which increases.
+func (n *Node) incarnation() int64 { return n.startedAt.UnixNano() }
+
 // Clock returns the node's timer service.
 func (n *Node) Clock() *timer.Service { return n.clock }
 
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -139,7 +139,7 @@
 	v := n.View()
 	b := Heartbeat{
 		Clock: n.echoes.own.Read(now), Echo: n.echoes.echo(to, now),
-		From: n.cfg.ID, Incarnation: n.started, Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
+		From: n.cfg.ID, Incarnation: n.incarnation(), Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(), Overloaded: n.overloaded.Load(),
 		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
 		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
--- a/cluster/planning_test.go
+++ b/cluster/planning_test.go
@@ -77,7 +77,7 @@
 		t.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
 		o.n.cfg.CPUCores = 1
 		o.peers.roster = membership.NewRoster(membership.Daemon{ID: "d1", Zone: "z", CPUCores: 1}, membership.DefaultPolicy())
-		started := time.Unix(0, o.n.started)
+		started := o.n.startedAt
 		for n := range test.daemons {
 			c.Assert(o.addPeer(models.DaemonID(fmt.Sprint("e", n)), rosterEntry{Zone: "z", Addr: "127.0.0.1:1", Incarnation: 1, CPUCores: 0.1}), qt.IsNil)
 		}
--- a/cluster/quarantine_test.go
+++ b/cluster/quarantine_test.go
@@ -74,7 +74,7 @@
 
 // entry returns the daemon's roster entry.
 func (p *testPeer) entry() rosterEntry {
-	return rosterEntry{Zone: p.cfg.Zone, Addr: p.cfg.Peer.String(), Incarnation: p.started, AcceptsCompressed: true}
+	return rosterEntry{Zone: p.cfg.Zone, Addr: p.cfg.Peer.String(), Incarnation: p.incarnation(), AcceptsCompressed: true}
 }
 
 // stop stops the daemon and waits for its goroutines.
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -152,7 +152,7 @@
 // register writes the node's roster entry, and retries until the store accepts it.
 func (n *Node) register(ctx context.Context) error {
 	value, err := pack.Marshal(rosterEntry{
-		Zone: n.cfg.Zone, Addr: n.cfg.Peer.String(), Incarnation: n.started, CPUCores: n.cfg.CPUCores, AcceptsCompressed: true,
+		Zone: n.cfg.Zone, Addr: n.cfg.Peer.String(), Incarnation: n.incarnation(), CPUCores: n.cfg.CPUCores, AcceptsCompressed: true,
 	})
 	if err != nil {
 		return err
--- a/cluster/updates.go
+++ b/cluster/updates.go
@@ -52,7 +52,7 @@
 	}
 	o.n.links.broadcast(Update{
 		From: o.n.cfg.ID, Clock: o.n.echoes.own.Read(now), Term: f.heldTerm, Seq: f.updateSeq, Instances: instances,
-		Entries: f.entries.rangeSince(f.broadcastEnd, now),
+		Entries: o.entriesSince(f.broadcastEnd),
 	})
 	f.pendingUpdates, f.broadcastEnd = nil, f.entries.end
 }
@@ -65,7 +65,7 @@
 		return
 	case m.termEnded:
 		p.term, p.plannerSeenAt = m.term, m.receivedAt.Add(-electionTimeout)
-		o.n.updatesCurrentAt.Store(0)
+		o.n.updatesCurrentAt.Store(nil)
 		return
 	case m.snapshot:
 		o.handleSnapshot(m)
@@ -193,15 +193,16 @@
 func (n *Node) hasFreshUpdates() bool { return n.updatedWithin(updateTimeout) }
 
 func (n *Node) updatedWithin(d time.Duration) bool {
-	return time.Since(time.Unix(0, n.updatesCurrentAt.Load())) < d
+	at := n.updatesCurrentAt.Load()
+	return at != nil && n.clock.Since(*at) < d
 }
 
 // setUpdatesCurrentAt sets the time up to which updates cover all changes. The zero time means that
 // none is known.
 func (n *Node) setUpdatesCurrentAt(at time.Time) {
 	if at.IsZero() {
-		n.updatesCurrentAt.Store(0)
+		n.updatesCurrentAt.Store(nil)
 		return
 	}
-	n.updatesCurrentAt.Store(at.UnixNano())
+	n.updatesCurrentAt.Store(&at)
 }
--- a/cluster/updates_test.go
+++ b/cluster/updates_test.go
@@ -133,7 +133,7 @@
 	c.Assert(o.n.missedUpdates.pending(), qt.IsFalse)
 	o.requestIfStale(now)
 	c.Assert(o.n.missedUpdates.pending(), qt.IsFalse, qt.Commentf("it gets updates"))
-	o.n.updatesCurrentAt.Store(now.Add(-relayedUpdateTimeout).UnixNano())
+	o.n.setUpdatesCurrentAt(now.Add(-relayedUpdateTimeout))
 	o.requestIfStale(now)
 	c.Assert(o.n.missedUpdates.pending(), qt.IsFalse, qt.Commentf("it has just read the store"))
 	o.fleet.entries.currentAt = now.Add(-relayedUpdateTimeout)
