membership: stop and continue daemons in scripts and histories

Votes for granters of permits count from their receipt, also those that waited while the granter was stopped. It was suspected that two granters then grant the whole rate. The voters turn back at the continued granter's first heartbeat, within the time that nobody granted. So the votes stay as they are.

--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -15,7 +15,7 @@
 // instance accepts 1.5 times its limit for that long.
 const maxTotalShare = 1.5
 
-// Whatever sequence of kills, starts, partitions and heals occurs, the shares of all granters of
+// Whatever sequence of kills, starts, stopped processes, partitions and heals occurs, the shares of all granters of
 // permits together stay within what an instance accepts. Three daemons per zone form a full mesh,
 // eight use relays.
 func TestSharesInMadeUpHistories(t *testing.T) {
@@ -35,13 +35,13 @@
 				s.exec("run", []string{"4s"})
 				for range rapid.IntRange(1, 8).Draw(t, "steps") {
 					zone := string(rapid.SampledFrom(zones).Draw(t, "zone"))
-					switch verb := rapid.SampledFrom([]string{"kill", "kill", "kill all", "start", "start", "cut", "heal"}).Draw(t, "verb"); verb {
+					switch verb := rapid.SampledFrom([]string{"kill", "kill", "kill all", "start", "start", "cut", "heal", "stop", "stop", "continue", "continue"}).Draw(t, "verb"); verb {
 					case "kill all":
 						s.exec("kill", []string{"all"})
 						s.exec("start", nil)
-					case "kill":
+					case "kill", "stop":
 						if s.countRunning(models.Zone(zone)) > 0 {
-							s.exec("kill", []string{zone, "1"})
+							s.exec(verb, []string{zone, "1"})
 						}
 					default:
 						s.exec(verb, []string{zone})
@@ -62,7 +62,7 @@
 func (s *simulation) countRunning(zone models.Zone) int {
 	n := 0
 	for _, d := range s.daemons {
-		if d.up && d.Zone == zone {
+		if d.up && !d.stopped && d.Zone == zone {
 			n++
 		}
 	}
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -29,6 +29,10 @@
 	roster   *membership.Roster
 	topology *membership.Topology
 	up       bool
+	// stopped is set while the process is stopped; waiting are the heartbeats that are sent to it
+	// meanwhile.
+	stopped bool
+	waiting []membership.Heartbeat
 	// topologyAt is when the topology was last computed; stale is set by a heartbeat that may
 	// change it.
 	topologyAt time.Time
@@ -60,6 +64,8 @@
 //	run DURATION           advance the time
 //	kill ZONE N            kill the N highest-ranked running daemons of a zone
 //	kill all               kill all daemons
+//	stop ZONE N            stop the processes of the N highest-ranked running daemons of a zone
+//	continue               continue all stopped processes; they receive what waited for them
 //	cut ZONE, heal ZONE    partition the zone from all others, or end that
 //	links MOST             check the number of links
 //	reach                  check that a broadcast of each daemon reaches all others
@@ -108,6 +114,12 @@
 		}
 	case "kill":
 		s.kill(args)
+	case "stop":
+		for range s.number(args[1]) {
+			s.highestRanked(models.Zone(args[0])).stopped = true
+		}
+	case "continue":
+		s.continueAll()
 	case "cut", "heal":
 		s.cut[models.Zone(args[0])] = verb == "cut"
 	case "links":
@@ -157,7 +169,7 @@
 		if d.up {
 			continue
 		}
-		d.up, d.lastSent = true, map[models.DaemonID]time.Time{}
+		d.up, d.stopped, d.waiting, d.lastSent = true, false, nil, map[models.DaemonID]time.Time{}
 		d.roster = membership.NewRoster(d.Daemon, membership.DefaultPolicy())
 		for n, other := range s.daemons {
 			if n < i || s.registered[other.ID] {
@@ -184,13 +196,28 @@
 		return
 	}
 	for range s.number(args[1]) {
-		var first *daemon
-		for _, d := range s.daemons {
-			if d.up && d.Zone == models.Zone(args[0]) && (first == nil || d.RanksBefore(first.Daemon)) {
-				first = d
-			}
+		s.highestRanked(models.Zone(args[0])).up = false
+	}
+}
+
+// highestRanked returns the highest-ranked running daemon of a zone.
+func (s *simulation) highestRanked(zone models.Zone) *daemon {
+	var first *daemon
+	for _, d := range s.daemons {
+		if d.up && !d.stopped && d.Zone == zone && (first == nil || d.RanksBefore(first.Daemon)) {
+			first = d
+		}
+	}
+	return first
+}
+
+// continueAll continues the stopped processes, which receive what waited for them.
+func (s *simulation) continueAll() {
+	for _, d := range s.daemons {
+		for _, b := range d.waiting {
+			d.stale = d.roster.RecordHeartbeat(b, s.now) || d.stale
 		}
-		first.up = false
+		d.stopped, d.waiting = false, nil
 	}
 }
 
@@ -213,15 +240,20 @@
 				continue
 			}
 			d.lastSent[id] = s.now
-			changed := to.roster.RecordHeartbeat(membership.Heartbeat{
+			b := membership.Heartbeat{
 				Daemon: d.Daemon, Interval: every, UsesRelay: link.UsesRelay, UsesLoads: link.UsesLoads, Size: d.topology.Size, ZoneSize: d.topology.RelayedZoneSize(), Registered: d.roster.IsRegistered(),
 				Votes: d.roster.Votes(d.topology, id), Granters: d.topology.Granters,
-			}, s.now)
+			}
+			if to.stopped {
+				to.waiting = append(to.waiting, b)
+				continue
+			}
+			changed := to.roster.RecordHeartbeat(b, s.now)
 			to.stale = to.stale || changed
 		}
 	}
 	for _, d := range s.daemons {
-		if d.up {
+		if d.up && !d.stopped {
 			d.updateTopology(s.now)
 		}
 	}
@@ -237,7 +269,7 @@
 		sums[d.Zone] += 0
 	}
 	for _, d := range s.daemons {
-		if !d.up {
+		if !d.up || d.stopped {
 			continue
 		}
 		shares := d.roster.Shares(d.topology, s.now)
@@ -298,7 +330,7 @@
 }
 
 func (d *daemon) links() map[models.DaemonID]membership.Link {
-	if !d.up {
+	if !d.up || d.stopped {
 		return nil
 	}
 	return d.topology.Links
