cluster: order delayed observations of rate limits by what is certain

While a daemon was stopped, observations of an instance's rate limit waited for it. Read afterwards, an earlier and higher rate counted as sent after a newer one, and replaced it: as granter the daemon gave permits for 10 requests a second where the instance accepted 2, until the instance's next response.

An observation is now sent no later, and received no earlier, than it says by the clock reading of its update and by its receipt, so that observations whose order is not certain overlap, and the lower rate applies.

TestDelayedLimitReplacesNewerOne failed before: 10 instead of 2.

--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -154,10 +154,12 @@
 	Seq      int64           `msgpack:"n"`
 }
 
-// toSighting converts an update received at a time.
-func (n LimitUpdate) toSighting(at time.Time) ratelimit.Observation {
+// toSighting converts an update written after one time and received at another. The times of the
+// observation are such that the instance announced the limit between them, whenever the update was
+// written.
+func (n LimitUpdate) toSighting(writtenAfter, receivedAt time.Time) ratelimit.Observation {
 	return ratelimit.Observation{
-		Instance: n.Instance, StartedAt: n.StartedAt, Rate: n.Rate, SentAt: at.Add(-n.RequestAge), ReceivedAt: at.Add(-n.ResponseAge), Receiver: n.Observer, Seq: n.Seq,
+		Instance: n.Instance, StartedAt: n.StartedAt, Rate: n.Rate, SentAt: writtenAfter.Add(-n.RequestAge), ReceivedAt: receivedAt.Add(-n.ResponseAge), Receiver: n.Observer, Seq: n.Seq,
 	}
 }
 
@@ -182,11 +184,15 @@
 	return out, last
 }
 
-// handleLimits records limits from another daemon and forwards the new ones.
-func (n *Node) handleLimits(updates []LimitUpdate, from models.DaemonID) {
-	now, changed := time.Now(), false
+// handleLimits records limits from another daemon and forwards the new ones. writtenAfter is zero if it
+// is not known; the limits are then dated by their receipt.
+func (n *Node) handleLimits(updates []LimitUpdate, from models.DaemonID, writtenAfter, receivedAt time.Time) {
+	if writtenAfter.IsZero() {
+		writtenAfter = receivedAt
+	}
+	changed := false
 	for _, u := range updates {
-		changed = n.limits.record(u.toSighting(now), from) || changed
+		changed = n.limits.record(u.toSighting(writtenAfter, receivedAt), from) || changed
 	}
 	if changed {
 		n.notifyLimits()
--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -119,7 +119,7 @@
 		s.n.links.forward(from.From, from.Zone, update, writtenAfter)
 	}
 	s.n.handleCrashes(update.Crashes, from.From)
-	s.n.handleLimits(update.Limits, from.From)
+	s.n.handleLimits(update.Limits, from.From, writtenAfter, now)
 	s.n.handleSignals(update.Signals, from.From)
 	if update.Term > 0 {
 		s.n.post(ctx, updateReceived{
--- a/cluster/quarantine.go
+++ b/cluster/quarantine.go
@@ -236,7 +236,7 @@
 // known, so that a daemon that has started or was cut off gets them from the first peer that it
 // reaches. After that, daemons in a mesh need not forward each other's findings.
 func (t *linkWriter) sendFindings() error {
-	v := t.n.View()
+	v, clock := t.n.View(), t.n.echoes.own.Read(time.Now())
 	scope := ownFindings
 	if !t.sentAllFindings || (!v.mesh() && v.Topology.IsRelay) {
 		scope = allFindings
@@ -252,7 +252,7 @@
 		updates = append(updates, Update{Crashes: crashes})
 	}
 	if len(limits) > 0 {
-		updates = append(updates, Update{Limits: limits})
+		updates = append(updates, Update{Clock: clock, Limits: limits})
 	}
 	if len(signals) > 0 {
 		updates = append(updates, Update{Signals: signals})
