cluster: confirm nothing as of a time that has not come

A long poll without records counted as if the store had held it for the whole time asked for. Had the store ended it early, the configuration would have been confirmed for up to 20 s in the future, and a revoked key accepted for as long.

TestEarlyResponseConfirmsFuture failed before: confirmed 9.95 s after the request instead of 0.

--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -218,8 +218,9 @@
 	if err != nil {
 		return err
 	}
-	if len(page.Records) == 0 && wait > longPollSlack && f.n.clock.Suspended(requestedAt) == 0 {
-		// The store held the call and checked for records again when the hold time ended.
+	held := time.Since(requestedAt) >= wait-longPollSlack && f.n.clock.Suspended(requestedAt) == 0
+	if len(page.Records) == 0 && wait > longPollSlack && held {
+		// The store checked for records again when the hold time ended.
 		requestedAt = requestedAt.Add(wait - longPollSlack)
 	}
 	f.next, f.more = page.Next, page.More
