--- a/cluster/echoes.go
+++ b/cluster/echoes.go
@@ -43,10 +43,10 @@
 	p := e.peers[b.From]
 	p.received = echo.Received{Reading: b.Clock, At: now}
 	writtenAfter, ok := e.own.WrittenAfter(b.Echo, now)
-	if readAt, _ := e.own.Time(b.Echo.Reading, now); !ok || e.service.Suspended(readAt) > 0 {
-		writtenAfter = time.Time{}
-	} else {
+	if sentAt, _ := e.own.Time(b.Echo.Reading, now); ok && e.service.Suspended(sentAt) == 0 {
 		p.anchor = echo.Anchor{Reading: b.Clock, At: writtenAfter}
+	} else {
+		writtenAfter = time.Time{}
 	}
 	e.peers[b.From] = p
 	return writtenAfter
--- a/cluster/link.go
+++ b/cluster/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/lupinkeel/lupinkeel/lib/echo"
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/membership"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -83,8 +84,8 @@
 	framedConn
 	n    *Node
 	link linkConfig
-	// sentFullHeartbeat is set once the complete heartbeat was sent.
-	sentFullHeartbeat bool
+	// sentFullHeartbeat is set once the complete heartbeat was sent, sentEcho once one with an echo was.
+	sentFullHeartbeat, sentEcho bool
 	// sentConfig is the last version of the configuration that was sent, sentLoads the last change
 	// number of this daemon's loads that was sent; 0 if none was.
 	sentConfig int64
@@ -120,7 +121,9 @@
 				err = t.sendFindings()
 			}
 		case f := <-peer.frames:
-			err = t.sendFrame(f.forPeer(peer))
+			if err = t.sendFirstEcho(); err == nil {
+				err = t.sendFrame(f.forPeer(peer))
+			}
 		}
 	}
 	return err
@@ -136,7 +139,7 @@
 	if err := t.send(frameHeartbeat, heartbeat); err != nil {
 		return err
 	}
-	t.sentFullHeartbeat = true
+	t.sentFullHeartbeat, t.sentEcho = true, t.sentEcho || heartbeat.Echo != echo.Echo{}
 	if err := t.sendLoads(); err != nil {
 		return err
 	}
@@ -146,6 +149,15 @@
 	return t.sendConfig()
 }
 
+// sendFirstEcho sends a heartbeat if none with an echo was sent on this connection but could be now. The
+// peer can't date what is sent before it, and would ask for a snapshot again.
+func (t *linkWriter) sendFirstEcho() error {
+	if t.sentEcho || t.n.echoes.echo(t.link.id, time.Now()) == (echo.Echo{}) {
+		return nil
+	}
+	return t.sendHeartbeat()
+}
+
 // sendLoads sends the loads that changed since the last call; the first call sends all. A peer that
 // is not to have them any more gets an empty full update.
 func (t *linkWriter) sendLoads() error {
--- a/cluster/links_test.go
+++ b/cluster/links_test.go
@@ -71,6 +71,43 @@
 	c.Assert(o.n.links.peers["d2"].addr.String(), qt.Equals, moved.Addr().String(), qt.Commentf("a heartbeat of an earlier incarnation is late"))
 }
 
+// TestUndatedSnapshotIsRequestedAgain guards against a snapshot that is sent to a starting daemon before
+// a heartbeat with an echo: the daemon can't date it, and asks for it again.
+func TestUndatedSnapshotIsRequestedAgain(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	t.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
+	f, ok := o.n.links.encode(frameUpdate, Update{From: "d1", Term: 1, Seq: 7, Snapshot: true})
+	c.Assert(ok, qt.IsTrue)
+	l := listenTCP(t)
+	c.Assert(o.addPeer("d2", rosterEntry{Addr: l.Addr().String(), Incarnation: 1}), qt.IsNil)
+	o.updateTopology(time.Now())
+	conn, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(3*time.Second)), qt.IsNil)
+	peer := newTestOwner(t).n
+	for sent := false; ; {
+		kind, body, err := frame.Read(conn)
+		c.Assert(err, qt.IsNil)
+		switch kind {
+		case frameHeartbeat:
+			var b Heartbeat
+			c.Assert(frame.Decode(body, &b), qt.IsNil)
+			peer.echoes.receive(b.completed(Heartbeat{From: "d1"}), time.Now())
+			if !sent {
+				o.n.echoes.receive(Heartbeat{From: "d2", Clock: peer.echoes.own.Read(time.Now())}, time.Now())
+				c.Assert(o.n.links.sendTo("d2", f), qt.IsTrue)
+				sent = true
+			}
+		case frameUpdate:
+			dated := peer.echoes.writtenAfter("d1", o.n.echoes.own.Read(time.Now()), time.Now())
+			c.Assert(dated.IsZero(), qt.IsFalse)
+			return
+		}
+	}
+}
+
 // TestSnapshotsAtMassStart checks how long it takes a relay to send snapshots of 3,000 instances to
 // 97 daemons of its zone that start at once, at 200 Mbit/s. It must be well below the time after
 // which a relay without heartbeats is regarded as dead. It takes 0.34 s. Uncompressed it took
