fleet: keep a group of each model that callers ask for

A model that callers ask for, rejected requests included, now keeps its last group in both planners. If it has none, it gets one whatever that gains: from free instances, by closing a group of another model where enough hosts have its weights, or after staging these in the domain where the fewest are missing. A model that nobody has asked for in the last minute may lose all groups, as before.

--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -210,6 +210,11 @@
 	if len(c.members) < to.GroupSize {
 		return nil
 	}
+	for from, change := range c.supplyChange {
+		if change < 0 && r.isLastGroup(from, -change) {
+			return nil
+		}
+	}
 	r.countFormed(c, leftover, spare)
 	return c
 }
@@ -255,7 +260,7 @@
 func (r *round) donorsFor(to models.ModelName, groups []*Group) []donor {
 	var out []donor
 	for _, g := range groups {
-		if g.Model == to {
+		if g.Model == to || r.isLastGroup(g.Model, len(g.Members)) {
 			continue
 		}
 		d := donor{group: g}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -127,7 +127,7 @@
 
 // modelsByNeed lists the models by the gain from one more group, for each of its instances, the
 // greatest first. While the demand is unknown, it lists them by the ratio of supply to their shares,
-// the lowest first.
+// the lowest first. Models that lack a group come before all others.
 func (r *round) modelsByNeed() []models.ModelProfile {
 	out := slices.Clone(r.Profile.Models)
 	supply := func(m models.ModelProfile) float64 {
@@ -138,6 +138,13 @@
 	if r.demandKnown() {
 		slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(r.groupGain(b), r.groupGain(a)) })
 	}
+	order := func(m models.ModelProfile) int {
+		if r.lacksGroup(m) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(out, func(a, b models.ModelProfile) int { return cmp.Compare(order(a), order(b)) })
 	return out
 }
 
@@ -146,10 +153,10 @@
 // load them first, and another model may need it more by then. Before traffic, loads are cheap, and
 // the layout decides which groups are formed with loads.
 func (r *round) buildCandidate(model models.ModelProfile, domain models.Domain, ids []models.InstanceID) (candidate, bool) {
-	if len(ids) < model.GroupSize {
+	sorted := slices.DeleteFunc(slices.Clone(ids), func(id models.InstanceID) bool { return r.isKeptFor(id, model.Name) })
+	if len(sorted) < model.GroupSize {
 		return candidate{}, false
 	}
-	sorted := slices.Clone(ids)
 	slices.SortStableFunc(sorted, func(a, b models.InstanceID) int {
 		return cmp.Compare(r.joinTime(a, model), r.joinTime(b, model))
 	})
@@ -192,7 +199,7 @@
 // mayTakeOver reports whether the members that ran another model last are better used by this one:
 // by the cost, or before traffic by the layout. Without an estimate of lateness they always are.
 func (r *round) mayTakeOver(c candidate, domain models.Domain) bool {
-	if len(c.takenFrom) == 0 || !r.estimatesLateness() {
+	if len(c.takenFrom) == 0 || !r.estimatesLateness() || r.lacksGroup(c.model) {
 		return true
 	}
 	if !r.HasTraffic {
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -194,6 +194,7 @@
 	r.advanceConversions()
 	r.advanceEndings()
 	r.formGroups()
+	r.formFirstGroups()
 	r.startConversions()
 	r.prepareSpares()
 	p.last = r
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -40,6 +40,8 @@
 //	in-flight MODEL N       set the requests in flight in the model's groups
 //	rate MODEL N            set the model's requests per second; without it they fill half of the
 //	                        slots of the instances that it needs
+//	loads-at-once N         set how many loads the weight store serves at once, which selects how
+//	                        conversions are chosen
 //	run DURATION            advance the time
 //	kill ID...              kill the instances
 //	gone ID...              remove the entries of the instances
@@ -102,7 +104,7 @@
 		return nil
 	}
 	switch fields[0] {
-	case "domain", "planner", "only", "late", "demand", "in-flight", "rate", "run":
+	case "domain", "planner", "only", "late", "demand", "in-flight", "rate", "loads-at-once", "run":
 		return s.numericCommand(fields)
 	case "traffic":
 		s.traffic = true
@@ -217,6 +219,8 @@
 		s.lateFraction = number
 	case "demand":
 		s.demand[models.ModelName(fields[1])] = number
+	case "loads-at-once":
+		s.profile.MaxConcurrentLoads = int(number)
 	case "rate":
 		s.rates[models.ModelName(fields[1])] = number
 	case "in-flight":
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -173,6 +173,9 @@
 func (s *sim) addRequests(w Snapshot) {
 	if !w.estimatesLateness() {
 		maps.Copy(w.InFlight, s.requests)
+		for model, rate := range s.rates {
+			w.Demand[model] = Demand{Rate: rate}
+		}
 		return
 	}
 	if s.initial == 0 {
