--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -37,11 +37,12 @@
 func TestEndlessAnswersFillMemory(t *testing.T) {
 	bin := binary(t)
 	for _, kind := range replica.EndlessAnswers() {
-		t.Run(string(kind), func(t *testing.T) { testEndlessAnswers(t, bin, kind) })
+		t.Run(string(kind), func(t *testing.T) { testEndlessAnswers(t, bin, kind, endlessAnswers) })
 	}
 }
 
-func testEndlessAnswers(t *testing.T, bin string, kind replica.EndlessAnswer) {
+// testEndlessAnswers lets a number of answers without end arrive at a small daemon.
+func testEndlessAnswers(t *testing.T, bin string, kind replica.EndlessAnswer, count int) {
 	c := qt.New(t)
 	s := startInstances(t, profile)
 	s.logs = t.TempDir()
@@ -59,7 +60,7 @@
 	var beside *flood
 	peak := peakMemory(d, func() {
 		var endless sync.WaitGroup
-		for n := range endlessAnswers {
+		for n := range count {
 			r := newRequest(kindNonIdempotent, "")
 			if kind == replica.EndlessEvent || n%2 == 0 && kind != replica.EndlessBody {
 				r = newRequest(kindStream, "small")
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -71,7 +71,11 @@
 	logFile *os.File
 }
 
+// binary builds the program, unless LUPINKEEL_SOAK_BINARY names one to test instead.
 func binary(t *testing.T) string {
+	if path := os.Getenv("LUPINKEEL_SOAK_BINARY"); path != "" {
+		return path
+	}
 	path := filepath.Join(t.TempDir(), "lupinkeel")
 	out, err := exec.Command("go", "build", "-o", path, "..").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,19 +42,9 @@
 func TestSoak(t *testing.T) {
 	bin := binary(t)
 	seeds := append([]uint64{}, regressions...)
-	first, count := uint64(1), 1
-	if text := os.Getenv("LUPINKEEL_SOAK_SEEDS"); text != "" {
-		n, err := strconv.Atoi(text)
-		qt.Assert(t, err, qt.IsNil)
-		count = n
-	}
-	if text := os.Getenv("LUPINKEEL_SOAK_FIRST"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		qt.Assert(t, err, qt.IsNil)
-		first = n
-	}
+	first, count := soakSeeds(t, 1)
 	for n := range count {
-		seeds = append(seeds, first+uint64(n))
+		seeds = append(seeds, first+n)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, bin, seed) })
--- a/standin/replica/pool.go
+++ b/standin/replica/pool.go
@@ -54,6 +54,9 @@
 	// runs counts how often each request ran.
 	runs       map[models.RequestID]int
 	violations []string
+	// wrong is how plain requests are answered wrongly, arrivals holds their arrivals.
+	wrong    WrongAnswers
+	arrivals []Arrival
 	// poisons holds the poison requests by their bodies.
 	poisons map[string]*Poison
 	places  placeRules
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -64,11 +64,15 @@
 	if i.Domain == "" {
 		i.pool.mu.Lock()
 		i.pool.runs[id]++
+		i.pool.arrivals = append(i.pool.arrivals, Arrival{ID: id, At: time.Now()})
 		i.pool.mu.Unlock()
 		if i.crashIfPoisoned(r, body) || i.answerEndlessly(w, id, body) {
 			return
 		}
 		time.Sleep(plainRequestTime)
+		if i.answerWrongly(w) {
+			return
+		}
 		i.writeSignalHeaders(w, received)
 		w.Header().Set(headerStamp, string(i.ID))
 		// The client may have disconnected.
