gateway: send the requests of queue_rank by what waits, not by time

The script sent five requests 15 ms apart and checked their order, so that it failed whenever the start of a request took longer: in 7 to 36 of 40 or 80 runs with 40 copies at once. Each is now sent once the one before it waits in the queue.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -52,10 +52,11 @@
 // "unreachable" names instances that refuse connections. "retries" is how many retries the budget
 // allows; there are plenty if it is not given. "settle" is how long the gateway reports no stalled groups. "ask" holds requests, one per line:
 //
-//	[@DELAY] METHOD PATH [NAME=VALUE...]
+//	[@DELAY | @running=N | @queued=N] METHOD PATH [NAME=VALUE...]
 //
-// A request with a delay is sent that long after the first of those with delays could be, and the
-// next ones don't wait for its response.
+// A request with a delay is sent that long after the first of those with delays could be, and one with
+// a count once instances have received, or queues hold, that many requests. The next ones don't wait for
+// the response of either.
 //
 // "want" holds the response to each, then the requests that the instances received, then the groups
 // that were reported as stalled. The response to HEAD is shown with its length.
@@ -228,7 +229,18 @@
 		c.Assert(err, qt.IsNil)
 		g.scheduler.observeBase(models.ModelName(name), d)
 	}
-	got := sendRequests(c, front.URL, lines(parts["ask"]))
+	got := sendRequests(c, front.URL, lines(parts["ask"]), map[string]func() int{
+		"@running": func() int {
+			n := 0
+			for _, i := range instances {
+				i.mu.Lock()
+				n += len(i.requests)
+				i.mu.Unlock()
+			}
+			return n
+		},
+		"@queued": func() int { return g.queues.length("big") },
+	})
 	for _, i := range instances {
 		i.l.Close()
 		c.Assert(<-i.done, qt.IsNil)
@@ -276,8 +288,8 @@
 }
 
 // sendRequests sends requests, one after the other unless they have delays, and describes the
-// responses.
-func sendRequests(c *qt.C, url string, asked []string) []string {
+// responses. In place of a delay, a condition such as @queued=2 waits for a count.
+func sendRequests(c *qt.C, url string, asked []string, counts map[string]func() int) []string {
 	got := make([]string, len(asked))
 	var began time.Time
 	var sent sync.WaitGroup
@@ -287,6 +299,11 @@
 			got[n] = sendRequest(url, line)
 			continue
 		}
+		if name, want, found := strings.Cut(delay, "="); found {
+			c.Assert(awaitCount(counts[name], want), qt.IsTrue, qt.Commentf("%s: the count is %d", line, counts[name]()))
+			sent.Go(func() { got[n] = sendRequest(url, request) })
+			continue
+		}
 		d, err := time.ParseDuration(delay[1:])
 		c.Assert(err, qt.IsNil)
 		if began.IsZero() {
@@ -301,6 +318,16 @@
 	return got
 }
 
+// awaitCount waits until a count has a value.
+func awaitCount(count func() int, want string) bool {
+	for end := time.Now().Add(scriptTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if fmt.Sprint(count()) == want {
+			return true
+		}
+	}
+	return false
+}
+
 // sendRequest sends one request and describes the response.
 func sendRequest(url, line string) string {
 	words := strings.Fields(line)
