--- a/cluster/confirmations_test.go
+++ b/cluster/confirmations_test.go
@@ -1,13 +1,9 @@
 package cluster
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,31 +36,13 @@
 //	age DAEMON MIN [MAX]  checks how long ago the daemon's configuration is known to be the newest
 //	unconfirmed DAEMON    checks that it is not known to be the newest at any time
 func TestDelayedMessageConfirmsOldConfig(t *testing.T) {
-	files, err := filepath.Glob("testdata/confirmations/*.txt")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runConfirmationScript(t, file) })
-		})
-	}
-}
-
-func runConfirmationScript(t *testing.T, file string) {
-	c := qt.New(t)
-	f, err := os.Open(file)
-	c.Assert(err, qt.IsNil)
-	defer f.Close()
-	s := newConfirmationScript(c, t)
-	lines := bufio.NewScanner(f)
-	for n := 1; lines.Scan(); n++ {
-		line, _, _ := strings.Cut(lines.Text(), "#")
-		if words := strings.Fields(line); len(words) > 0 {
-			s.comment = qt.Commentf("%s:%d: %s", filepath.Base(file), n, line)
+	runScripts(t, "testdata/confirmations", func(c *qt.C, t *testing.T) func([]string, qt.Comment) {
+		s := newConfirmationScript(c, t)
+		return func(words []string, comment qt.Comment) {
+			s.comment = comment
 			s.run(words)
 		}
-	}
-	c.Assert(lines.Err(), qt.IsNil)
+	})
 }
 
 // confirmationScript connects daemons by queues in place of connections. All have the same clock, so
--- a/cluster/entries_progress_test.go
+++ b/cluster/entries_progress_test.go
@@ -61,30 +61,40 @@
 //	usable DAEMON ID BOOL     checks whether the instance may get requests
 //	current DAEMON BOOL       checks whether the daemon's entries are current
 func TestEntriesProgress(t *testing.T) {
-	files, err := filepath.Glob("testdata/known/*.txt")
+	runScripts(t, "testdata/known", func(c *qt.C, t *testing.T) func([]string, qt.Comment) {
+		s := newProgressScript(c, t)
+		return func(words []string, comment qt.Comment) {
+			s.comment = comment
+			s.run(words)
+			s.deliver()
+			time.Sleep(time.Millisecond)
+		}
+	})
+}
+
+// runScripts runs the scripts of a folder in bubbles. start returns a function that runs a line.
+func runScripts(t *testing.T, dir string, start func(*qt.C, *testing.T) func(words []string, comment qt.Comment)) {
+	files, err := filepath.Glob(dir + "/*.txt")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runProgressScript(t, file) })
+			synctest.Test(t, func(t *testing.T) { runScript(t, file, start) })
 		})
 	}
 }
 
-func runProgressScript(t *testing.T, file string) {
+func runScript(t *testing.T, file string, start func(*qt.C, *testing.T) func(words []string, comment qt.Comment)) {
 	c := qt.New(t)
 	f, err := os.Open(file)
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
-	s := newProgressScript(c, t)
+	run := start(c, t)
 	lines := bufio.NewScanner(f)
 	for n := 1; lines.Scan(); n++ {
 		line, _, _ := strings.Cut(lines.Text(), "#")
 		if words := strings.Fields(line); len(words) > 0 {
-			s.comment = qt.Commentf("%s:%d: %s", filepath.Base(file), n, line)
-			s.run(words)
-			s.deliver()
-			time.Sleep(time.Millisecond)
+			run(words, qt.Commentf("%s:%d: %s", filepath.Base(file), n, line))
 		}
 	}
 	c.Assert(lines.Err(), qt.IsNil)
