--- a/lib/echo/echo_test.go
+++ b/lib/echo/echo_test.go
@@ -24,6 +24,20 @@
 	// Output: 1.3s true
 }
 
+func ExampleAnchor_WrittenAfter() {
+	now := time.Now()
+	// The other process's clock showed 5,000 ns after now; a message has a reading 1 ms later.
+	anchor := echo.Anchor{Reading: 5_000, At: now}
+	writtenAfter, ok := anchor.WrittenAfter(1_005_000, now.Add(time.Second))
+	fmt.Println(writtenAfter.Sub(now), ok)
+	// A process that has started again has another clock.
+	_, ok = anchor.WrittenAfter(1<<63, now.Add(time.Second))
+	fmt.Println(ok)
+	// Output:
+	// 1ms true
+	// false
+}
+
 // TestForeignReadings checks that readings of other clocks, of the future, and of an earlier process
 // are rejected, and that no message counts as written after it was read.
 func TestForeignReadings(t *testing.T) {
@@ -34,12 +48,23 @@
 		_, ok := clock.Time(r, now)
 		c.Check(ok, qt.IsFalse)
 	}
-	_, ok := clock.WrittenAfter(echo.Echo{Reading: clock.Read(start), Held: -1}, now)
+	sent := clock.Read(start)
+	_, ok := clock.WrittenAfter(echo.Echo{Reading: sent, Held: -1}, now)
 	c.Check(ok, qt.IsFalse)
 	writtenAfter, ok := clock.WrittenAfter(echo.Echo{Reading: clock.Read(start), Held: time.Hour}, now)
 	c.Check(ok, qt.IsTrue)
 	c.Check(writtenAfter, qt.Equals, now)
 	c.Check(echo.Received{At: start}.Echo(now), qt.Equals, echo.Echo{})
+	anchor := echo.Anchor{Reading: sent, At: start}
+	for _, r := range []echo.Reading{0, sent - echo.Reading(2*time.Hour), sent + echo.Reading(2*time.Hour)} {
+		_, ok := anchor.WrittenAfter(r, now)
+		c.Check(ok, qt.IsFalse)
+	}
+	_, ok = echo.Anchor{}.WrittenAfter(sent, now)
+	c.Check(ok, qt.IsFalse)
+	writtenAfter, ok = anchor.WrittenAfter(sent+echo.Reading(2*time.Minute), now)
+	c.Check(ok, qt.IsTrue)
+	c.Check(writtenAfter, qt.Equals, now)
 }
 
 // TestBoundNeverTooLate checks for processes that stop for any time at each point that a fact is never
