fleet: look through all instances once for a model that lacks a group

At 3,000 instances in 375 domains a round took 51 ms, twenty times a second, more than a core.

One pass finds the same members. The other tests of fleet/ pass.

--- a/fleet/convert.go
+++ b/fleet/convert.go
@@ -169,14 +169,21 @@
 // the domain.
 func (r *round) releasePending(domain models.Domain, model models.ModelName) bool {
 	for id, i := range r.Instances {
-		member := i.Group.State != models.MemberNone && ModelOf(i.Group.Key.Name) == model
-		if member && i.Domain == domain && r.usable(id) && !r.reserved[id] && !r.released(id) {
+		if i.Domain == domain && r.isReleasePending(id, model) {
 			return true
 		}
 	}
 	return false
 }
 
+// isReleasePending reports whether an instance is a member of a broken group of the model, and about to
+// become free.
+func (r *round) isReleasePending(id models.InstanceID, model models.ModelName) bool {
+	i := r.Instances[id]
+	member := i.Group.State != models.MemberNone && ModelOf(i.Group.Key.Name) == model
+	return member && r.usable(id) && !r.reserved[id] && !r.released(id)
+}
+
 // planConversion picks the members for a group of the model in one domain: free instances first,
 // then members of the donor groups that lose the fewest other members, smaller groups first. It
 // returns nil if no group has to be closed or hosts with the model's weights are missing.
--- a/fleet/first_group.go
+++ b/fleet/first_group.go
@@ -63,7 +63,12 @@
 
 // anyReleasePending reports whether members of broken groups of a model are about to become free.
 func (r *round) anyReleasePending(m models.ModelName) bool {
-	return slices.ContainsFunc(r.allDomains(), func(domain models.Domain) bool { return r.releasePending(domain, m) })
+	for id := range r.Instances {
+		if r.isReleasePending(id, m) {
+			return true
+		}
+	}
+	return false
 }
 
 // firstGroupConversion returns the conversion to a model that costs least, nil if there is none.
