admission: admit what waits briefly at a group rather than draw for it

The simulation now draws arrivals and deviations from a sequence of their own; the check is the same, and the difference that it looks at is the discipline's alone.

Change: a request takes a free slot without a draw if the slots that become free in half the time for which it may wait make up for those missing.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -167,7 +167,7 @@
 	for _, e := range requests {
 		free := r.freeFor(e)
 		switch {
-		case float64(free) > expected:
+		case free > 0 && float64(free)+r.freeSoon(e) > expected:
 			r.grants++
 		case free <= 0, !e.drawn.IsZero() && r.now.Before(e.drawn.Add(r.c.LoadsAge)):
 		default:
@@ -179,6 +179,13 @@
 	}
 }
 
+// freeSoon returns how many slots become free in half the time for which the request may wait. If no more
+// requests than these are expected beyond the free slots, drawing costs them more than the short waits at
+// groups would.
+func (r *round) freeSoon(e *entry) float64 {
+	return r.c.Completions * fraction(e.target(), r.policy.WaitFraction).Seconds() / 2
+}
+
 // freeFor returns the free slots that the request may take. Late requests too may only take those
 // at which requests would be in time, except for every LateInterval-th admission: beyond them they
 // would make requests late that can still be in time.
--- a/admission/simulation_test.go
+++ b/admission/simulation_test.go
@@ -84,6 +84,8 @@
 	kind     *simKind
 	arrived  time.Time
 	attempts int
+	// deviation is that of its first event, in standard deviations.
+	deviation float64
 }
 
 // simulation is a number of daemons that decide about requests to the same groups.
@@ -92,7 +94,7 @@
 	kinds                        []*simKind
 	daemons, groups, slots       int
 	step, add, pass, factor, age float64
-	random                       *rand.Rand
+	random, choices              *rand.Rand
 	now                          time.Time
 	tick                         int
 	queues                       []discipline
@@ -119,7 +121,7 @@
 func newSimulation(line, mode string, seed uint64) (*simulation, error) {
 	s := &simulation{values: map[string][]float64{
 		"daemons": {24}, "slots": {20}, "step": {7.8}, "add": {0.095}, "pass": {6}, "factor": {0.6}, "age": {0.15}, "burst": {0, 0},
-	}, random: rand.New(rand.NewPCG(seed, 1)), now: origin, calls: map[uint64]*simCall{}, ends: map[int][][2]int{}, retries: map[int][]*simCall{}}
+	}, random: rand.New(rand.NewPCG(seed, 1)), choices: rand.New(rand.NewPCG(seed, 2)), now: origin, calls: map[uint64]*simCall{}, ends: map[int][][2]int{}, retries: map[int][]*simCall{}}
 	for _, word := range strings.Fields(line)[1:] {
 		name, text, _ := strings.Cut(word, "=")
 		var v []float64
@@ -218,7 +220,7 @@
 		s.remember()
 		for _, k := range s.kinds {
 			for mean := k.rate * s.burst(k) * simStep.Seconds(); s.random.Float64() < mean; mean-- {
-				s.call(&simCall{kind: k, arrived: s.now})
+				s.call(&simCall{kind: k, arrived: s.now, deviation: s.random.NormFloat64()})
 			}
 		}
 		for _, c := range s.retries[s.tick] {
@@ -230,7 +232,7 @@
 				continue
 			}
 			loads := s.known(d)
-			for _, decision := range q.Decide(s.now, s.capacity(loads), s.random) {
+			for _, decision := range q.Decide(s.now, s.capacity(loads), s.choices) {
 				s.execute(d, loads, decision)
 			}
 		}
@@ -244,7 +246,7 @@
 	s.lastID++
 	s.calls[s.lastID] = c
 	seconds := func(t float64) time.Duration { return time.Duration(t * float64(time.Second)) }
-	daemon := s.random.IntN(s.daemons)
+	daemon := s.choices.IntN(s.daemons)
 	s.waiting[daemon]++
 	s.queues[daemon].Add(Request{
 		ID: s.lastID, Arrived: s.now, Due: s.now.Add(seconds(c.kind.target)), Deadline: c.arrived.Add(seconds(c.kind.deadline)), Rank: c.kind.rank,
@@ -300,7 +302,7 @@
 func (s *simulation) pick(loads []int) int {
 	best, most := 0, -1.0
 	for g, load := range loads {
-		weight := s.random.Float64() * (0.01 + float64(max(0, s.slots-load)))
+		weight := s.choices.Float64() * (0.01 + float64(max(0, s.slots-load)))
 		if s.eligible(g) && weight > most {
 			best, most = g, weight
 		}
@@ -317,7 +319,7 @@
 	length := c.kind.tokens * step
 	wait := max(0, load+1-float64(s.slots)) * length / float64(s.slots)
 	mean := baseLatency + 2*s.pass*step + wait
-	first := mean + s.random.NormFloat64()*math.Hypot(0.1*c.kind.target, 2.3*read/(1-prefill))
+	first := mean + c.deviation*math.Hypot(0.1*c.kind.target, 2.3*read/(1-prefill))
 	if s.now.Sub(c.arrived).Seconds()+first <= c.kind.target {
 		s.inTime++
 	} else {
