cluster: export the age of the configuration's confirmation

And the case half_seconds of TestStoppedDaemonAcceptsRevokedKey passed on the faulty code too: no key was accepted too late there, though confirmations were too new.

Change: the gauge lupinkeel_config_age_seconds. The test reads it from all daemons every 50 ms and checks that none takes the configuration for confirmed after the key was revoked, in addition to the requests that it checked before.

--- a/cluster/config_watch.go
+++ b/cluster/config_watch.go
@@ -133,3 +133,13 @@
 		<-watch.Done
 	}
 }
+
+// configAge returns the time since the configuration was last confirmed to be the newest, that since the
+// start if it never was.
+func (n *Node) configAge() time.Duration {
+	at := n.View().ConfirmedAt
+	if at.IsZero() {
+		at = n.startedAt
+	}
+	return n.clock.Since(at)
+}
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -161,8 +161,8 @@
 }
 
 // registerAgeMetrics registers gauges for the age of data received from other daemons: the
-// planner's updates, which are sent four times a second, and load totals, which are sent every
-// totalsInterval. It also registers gauges for the number of daemons and this node's role.
+// planner's updates, which are sent four times a second, load totals, which are sent every
+// totalsInterval, and the confirmation of the configuration. It also registers gauges for the number of daemons and this node's role.
 func (n *Node) registerAgeMetrics() {
 	n.stats.set.NewGauge("lupinkeel_planner_news_age_seconds", func() float64 {
 		if n.planning.Load() {
@@ -174,6 +174,7 @@
 		}
 		return max(0, n.clock.Since(*at).Seconds())
 	})
+	n.stats.set.NewGauge("lupinkeel_config_age_seconds", func() float64 { return n.configAge().Seconds() })
 	n.stats.set.NewGauge("lupinkeel_entries_age_seconds", func() float64 { return n.entriesAge().Seconds() })
 	n.stats.set.NewGauge("lupinkeel_load_sums_age_seconds", func() float64 {
 		if n.View().mesh() {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -65,8 +65,10 @@
 	name  string
 	flags []string
 	// env is added to the environment of the test.
-	env     []string
+	env []string
+	// addr is where it serves callers, metrics where it serves its metrics.
 	addr    string
+	metrics string
 	cmd     *exec.Cmd
 	logFile *os.File
 }
@@ -180,9 +182,9 @@
 }
 
 func (s *site) newDaemon(bin string, n int) *daemon {
-	d := &daemon{name: fmt.Sprintf("daemon-%d", n+1), addr: freeAddr(s.t)}
+	d := &daemon{name: fmt.Sprintf("daemon-%d", n+1), addr: freeAddr(s.t), metrics: freeAddr(s.t)}
 	d.flags = []string{
-		bin, "gateway", "--id", d.name, "--zone", "z", "--listen", d.addr, "--ready", freeAddr(s.t), "--metrics", freeAddr(s.t),
+		bin, "gateway", "--id", d.name, "--zone", "z", "--listen", d.addr, "--ready", freeAddr(s.t), "--metrics", d.metrics,
 		"--peer", freeAddr(s.t), "--store", strings.TrimPrefix(s.server.URL, "http://"), "--lease-min", "300ms",
 		"--instance-heartbeat", profile.HeartbeatInterval.String(), "--keys-bound", keysBound.String(), "--config-bound", "1s",
 		"--stop-grace", "3s", "--retry-slack", "1000",
--- a/soak/stopped_test.go
+++ b/soak/stopped_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,7 +50,7 @@
 			s.store.SetFaults(store.Faults{Busy: true})
 			s.configureKeys("k2")
 			revokedAt := time.Now()
-			late := s.sendRevoked(revokedAt)
+			late, early := s.sendRevoked(revokedAt), s.watchConfigAges(revokedAt)
 			time.Sleep(stopDelay)
 			for n, d := range test.stops {
 				stopped := s.daemons[0]
@@ -59,8 +62,9 @@
 				stopped.signal(syscall.SIGCONT)
 				time.Sleep(test.run)
 			}
-			accepted := late()
+			accepted, tooNew := late(), early()
 			qt.Check(t, accepted, qt.HasLen, 0, qt.Commentf("%d requests: %s", len(accepted), strings.Join(accepted, "\n")))
+			qt.Check(t, tooNew, qt.HasLen, 0, qt.Commentf("%d ages: %s", len(tooNew), strings.Join(tooNew, "\n")))
 		})
 	}
 }
@@ -73,20 +77,19 @@
 	return out
 }
 
-// sendRevoked sends requests with a revoked key to all daemons. The returned function waits for the
-// last one, and returns those that were accepted although they were sent after the bound.
-func (s *site) sendRevoked(revokedAt time.Time) func() []string {
+// eachDaemon calls the function for each daemon every revokedInterval, until requests with the revoked
+// key are no longer checked. The returned function waits for the last call, and returns all results
+// but the empty ones.
+func (s *site) eachDaemon(revokedAt time.Time, act func(*daemon) string) func() []string {
 	var mu sync.Mutex
-	var accepted []string
+	var results []string
 	var wg sync.WaitGroup
 	for _, d := range s.daemons {
 		wg.Go(func() {
-			client := &http.Client{Timeout: 4 * time.Second}
-			for sentAt := time.Now(); sentAt.Sub(revokedAt) < keysBound+lateRequests; sentAt = time.Now() {
-				r := send(client, d.addr, newRequest(kindIdempotent, ""))
-				if age := sentAt.Sub(revokedAt); age > keysBound && r.status == http.StatusOK {
+			for time.Since(revokedAt) < keysBound+lateRequests {
+				if result := act(d); result != "" {
 					mu.Lock()
-					accepted = append(accepted, fmt.Sprintf("%s accepted the key %v after its revocation", d.name, age))
+					results = append(results, result)
 					mu.Unlock()
 				}
 				time.Sleep(revokedInterval)
@@ -95,6 +98,53 @@
 	}
 	return func() []string {
 		wg.Wait()
-		return accepted
+		return results
+	}
+}
+
+// sendRevoked sends requests with a revoked key to all daemons. The returned function returns those
+// that were accepted although they were sent after the bound.
+func (s *site) sendRevoked(revokedAt time.Time) func() []string {
+	client := &http.Client{Timeout: 4 * time.Second}
+	return s.eachDaemon(revokedAt, func(d *daemon) string {
+		sentAt := time.Now()
+		r := send(client, d.addr, newRequest(kindIdempotent, ""))
+		if age := sentAt.Sub(revokedAt); age > keysBound && r.status == http.StatusOK {
+			return fmt.Sprintf("%s accepted the key %v after its revocation", d.name, age)
+		}
+		return ""
+	})
+}
+
+// watchConfigAges reads the ages of their configurations from the metrics of all daemons. The returned
+// function returns those of daemons that took the configuration for confirmed after the revocation.
+func (s *site) watchConfigAges(revokedAt time.Time) func() []string {
+	client := &http.Client{Timeout: 4 * time.Second}
+	return s.eachDaemon(revokedAt, func(d *daemon) string {
+		sentAt := time.Now()
+		age, err := configAge(client, d.metrics)
+		if err != nil {
+			return fmt.Sprintf("%s: %v", d.name, err)
+		}
+		if at := sentAt.Add(-age); at.After(revokedAt) {
+			return fmt.Sprintf("%s took the configuration for confirmed %v after the revocation", d.name, at.Sub(revokedAt))
+		}
+		return ""
+	})
+}
+
+// configAge returns the age of the configuration's confirmation at a daemon.
+func configAge(client *http.Client, addr string) (time.Duration, error) {
+	resp, err := client.Get("http://" + addr + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if text, found := strings.CutPrefix(lines.Text(), "lupinkeel_config_age_seconds "); found {
+			seconds, err := strconv.ParseFloat(text, 64)
+			return time.Duration(seconds * float64(time.Second)), err
+		}
 	}
+	return 0, errors.New("no lupinkeel_config_age_seconds among the metrics")
 }
