planner: use flapping instances where a model would have no group otherwise

Cause, traced: an instance that was away five times in ten minutes must be back for 32 s before it gets work, and nothing shortens that if all others flapped too. The storm ends after 2,000 requests; beside other load it takes longer, and the instances flap more often. In the trace a group was formed 32.0 s after its instance had returned for the eighth time, and two instances were free until then.

Ruled out: a lower bound for the hold-down, which would give flapping instances work where others are left too.

Change: instances in a longer hold-down count where the stable ones don't suffice for the replicas that models want, once they are back for 4 s, the shortest hold-down. Stable instances are taken first.

--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -49,6 +49,9 @@
 	// before it gets work. It doubles with each flap, at most maxFlapDoublings times.
 	flapHoldDown     = time.Second
 	maxFlapDoublings = 5
+	// minHoldDown is how long a flapping instance must be back before it gets work for which no
+	// other instance is left. It is that after two flaps.
+	minHoldDown = flapHoldDown << 2
 )
 
 // stable reports whether the instance may be given work: it doesn't flap, or its hold-down
@@ -61,6 +64,11 @@
 	return now.Sub(e.Returned) >= holdDown
 }
 
+// returned reports whether the instance may be given work for which no stable one is left.
+func (e Evidence) returned(now time.Time) bool {
+	return e.stable(now) || now.Sub(e.Returned) >= minHoldDown
+}
+
 // hasWeights reports whether the instance has loaded this version of the model.
 func (e Evidence) hasWeights(m models.Model) bool {
 	return e.Status.Model == m.Name && e.Status.Version == m.Version
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -58,7 +58,7 @@
 	p := newRound(in)
 	p.retireUnwanted()
 	p.replaceLoadingMembers()
-	target := assign(p.supplies(), p.wantedModels(), in.State.Policy)
+	target := p.target()
 	for _, d := range p.domains {
 		p.fillDomain(d, target[d])
 	}
@@ -66,6 +66,36 @@
 	return p.proposals
 }
 
+// target returns the number of groups of each model in each domain. If the stable instances don't suffice
+// for the replicas that models want, those in a longer hold-down count too: a group that may break again
+// serves more than none.
+func (p *round) target() Target {
+	wanted := p.wantedModels()
+	target := assign(p.supplies(), wanted, p.State.Policy)
+	short := slices.ContainsFunc(wanted, func(m models.Model) bool { return target.total(m.Name) < m.Replicas })
+	if !short || !p.anyFlapping() {
+		return target
+	}
+	p.useFlapping = true
+	return assign(p.supplies(), wanted, p.State.Policy)
+}
+
+// anyFlapping reports whether an instance could get work but for a hold-down longer than the shortest.
+func (p *round) anyFlapping() bool {
+	for id, e := range p.Evidence {
+		if !e.stable(p.Now) && p.alive(id) && e.returned(p.Now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ready reports whether an instance may be given work as far as its flaps are concerned.
+func (p *round) ready(id models.InstanceID) bool {
+	e := p.Evidence[id]
+	return e.stable(p.Now) || (p.useFlapping && e.returned(p.Now))
+}
+
 // groupHealth is the health of a replica group.
 type groupHealth uint8
 
@@ -97,10 +127,12 @@
 	provisioned map[models.ModelName]int
 	// reserved holds the instances that a proposal of this round uses, ended the groups
 	// that a proposal of this round ends.
-	reserved  map[models.InstanceID]bool
-	ended     map[models.GroupID]bool
-	formed    int
-	proposals []Proposal
+	reserved map[models.InstanceID]bool
+	ended    map[models.GroupID]bool
+	// useFlapping is set if models want more replicas than the stable instances can form.
+	useFlapping bool
+	formed      int
+	proposals   []Proposal
 }
 
 func newRound(in Input) *round {
--- a/planner/supply.go
+++ b/planner/supply.go
@@ -40,7 +40,7 @@
 	owner, owned := p.State.Owner(id)
 	switch {
 	case !owned:
-		return p.alive(id) && p.Evidence[id].stable(p.Now)
+		return p.alive(id) && p.ready(id)
 	case p.health[owner] == groupHealthy:
 		return true
 	default:
@@ -60,8 +60,8 @@
 }
 
 // freeInstances lists the engines of a domain that belong to no group and can take work.
-// Engines that have the model's weights come first, then engines with fewer flaps, then
-// by ID.
+// Stable engines come first, then engines that have the model's weights, then engines with
+// fewer flaps, then by ID.
 func (p *round) freeInstances(d models.Domain, m models.Model) []models.Instance {
 	var out []models.Instance
 	for _, i := range p.engines[d] {
@@ -72,6 +72,7 @@
 	slices.SortStableFunc(out, func(a, b models.Instance) int {
 		ea, eb := p.Evidence[a.ID], p.Evidence[b.ID]
 		return cmp.Or(
+			compareFalseFirst(!ea.stable(p.Now), !eb.stable(p.Now)),
 			compareFalseFirst(!ea.hasWeights(m), !eb.hasWeights(m)),
 			cmp.Compare(ea.Flaps, eb.Flaps),
 			cmp.Compare(a.ID, b.ID),
@@ -92,5 +93,5 @@
 }
 
 func (p *round) eligible(id models.InstanceID) bool {
-	return !p.reserved[id] && !p.leaving(id) && p.alive(id) && p.Evidence[id].stable(p.Now)
+	return !p.reserved[id] && !p.leaving(id) && p.alive(id) && p.ready(id)
 }
--- a/planner/why.go
+++ b/planner/why.go
@@ -17,9 +17,8 @@
 			return fmt.Sprintf("a change of fabric domain %s is under way", i.Domain)
 		}
 	}
-	supplies := p.supplies()
-	target := assign(supplies, p.wantedModels(), in.State.Policy)
-	if !in.Evidence[i.ID].stable(in.Now) {
+	target := p.target()
+	if !p.ready(i.ID) {
 		return "it keeps going away and coming back"
 	}
 	for _, name := range slices.Sorted(maps.Keys(in.State.Models)) {
