planner, daemon: end a retiring group only once its members said they are idle

Cause: a retiring group counted as idle unless a reachable member was known to have requests in flight. With one probe unanswered the first member was not reachable, and with an answer from before the group was retired its requests were not known; either way the group was ended, and its engine aborted what it still ran.

Change: a member's requests are known from what it said after this daemon learned of the retirement. Without that, the group is ended once the member was unreachable for the relocation grace period, 5 s.

--- a/daemon/log.go
+++ b/daemon/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/task"
@@ -74,10 +75,21 @@
 	}
 	o.joined = o.joined || selfListed
 	o.refreshPeers()
+	o.noteRetiring(time.Now())
 	o.updateProbeTargets()
 	o.updatePeerTargets()
 }
 
+// noteRetiring records when groups were found to be retiring.
+func (o *owner) noteRetiring(now time.Time) {
+	maps.DeleteFunc(o.retiringSince, func(id models.GroupID, _ time.Time) bool { return o.state.Groups[id].Retiring == 0 })
+	for id, g := range o.state.Groups {
+		if _, known := o.retiringSince[id]; g.Retiring != 0 && !known {
+			o.retiringSince[id] = now
+		}
+	}
+}
+
 func (o *owner) logOutcome(outcome state.Outcome, source string) {
 	o.d.stats.applied.Inc()
 	log := o.d.log.Info().Uint64("offset", uint64(outcome.Offset)).Str("source", source)
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -53,6 +53,8 @@
 	// silentSince is since when each silent daemon of the roster has been found silent.
 	silentSince map[models.DaemonID]time.Time
 	lastOrderAt map[models.InstanceID]time.Time
+	// retiringSince is since when each retiring group has been known to be retiring.
+	retiringSince map[models.GroupID]time.Time
 
 	engineAddrs  map[models.InstanceID]netip.AddrPort
 	serviceAddrs map[models.InstanceID]netip.AddrPort
@@ -85,6 +87,7 @@
 		wantedSince:      map[string]time.Time{},
 		silentSince:      map[models.DaemonID]time.Time{},
 		lastOrderAt:      map[models.InstanceID]time.Time{},
+		retiringSince:    map[models.GroupID]time.Time{},
 	}
 }
 
--- a/daemon/planning.go
+++ b/daemon/planning.go
@@ -33,7 +33,7 @@
 	}
 	o.needsPlan, o.plannedAt = false, now
 	in := planner.Input{
-		State: o.state, Instances: o.instances, Evidence: o.evidence, Now: now,
+		State: o.state, Instances: o.instances, Evidence: o.evidence, RetiringSince: o.retiringSince, Now: now,
 		Rules: planner.DefaultRules(o.d.cfg.ReplaceAfter, o.d.cfg.GateBound),
 	}
 	o.sendOrders(in)
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -39,8 +39,10 @@
 	// Instances is the platform's instance list.
 	Instances map[models.InstanceID]models.Instance
 	Evidence  map[models.InstanceID]Evidence
-	Now       time.Time
-	Rules     Rules
+	// RetiringSince is when this daemon learned that a group is being retired.
+	RetiringSince map[models.GroupID]time.Time
+	Now           time.Time
+	Rules         Rules
 }
 
 // Proposal is a record that the planner wants appended to the log.
@@ -181,9 +183,12 @@
 
 // missing reports whether the instance has been unreachable for longer than
 // Rules.ReplaceAfter.
-func (p *round) missing(id models.InstanceID) bool {
+func (p *round) missing(id models.InstanceID) bool { return p.goneFor(id, p.Rules.ReplaceAfter) }
+
+// goneFor reports whether the instance has been unreachable for longer than the duration.
+func (p *round) goneFor(id models.InstanceID, d time.Duration) bool {
 	e, known := p.Evidence[id]
-	return known && !p.alive(id) && e.UnreachableFor(p.Now) > p.Rules.ReplaceAfter
+	return known && !p.alive(id) && e.UnreachableFor(p.Now) > d
 }
 
 func (p *round) checkHealth(g models.Group) (groupHealth, string) {
@@ -233,10 +238,16 @@
 	return true
 }
 
-// idle reports whether no reachable member has requests in flight.
+// idle reports whether the members of a retiring group have no requests in flight. Of a member from
+// which nothing was heard since the group was retired this is not known: unless it is unreachable for the
+// relocation grace period, it may still serve streams.
 func (p *round) idle(g models.Group) bool {
 	for _, m := range g.Members {
-		if p.alive(m.ID) && p.Evidence[m.ID].Status.InFlight > 0 {
+		e, watched := p.Evidence[m.ID]
+		if !watched || p.goneFor(m.ID, relocationGraceFactor*p.Rules.ReplaceAfter) {
+			continue
+		}
+		if !p.alive(m.ID) || !e.LastSeen.After(p.RetiringSince[g.ID]) || e.Status.InFlight > 0 {
 			return false
 		}
 	}
