router, api: fill the retry budget of serve with time after a start

Change: the budget is empty at a start and grows by one retry each second until the burst of ten has been added, besides the tenth of a retry for each request. Single requests are tried again from a second after a calm start on.

Evidence: TestRestartRenewsRetries (random starts, any 10 s) finds 20 retries where 10 are allowed with a full budget at each start, none now. TestRetryBudget checks what it did, ten seconds after the start.

--- a/api/exchange.go
+++ b/api/exchange.go
@@ -101,7 +101,7 @@
 		if err != nil {
 			return errors.Join(err, lastErr)
 		}
-		if e.req.Attempts() > 0 && !e.s.budget.Withdraw() {
+		if e.req.Attempts() > 0 && !e.s.budget.Withdraw(time.Now()) {
 			return fmt.Errorf("%w: too many requests are tried again already: %w", ErrUpstreamFailed, lastErr)
 		}
 		if e.req.Attempts() > 0 {
--- a/api/server.go
+++ b/api/server.go
@@ -44,7 +44,7 @@
 	limits    *router.ConcurrencyLimits
 	admission *router.Admission
 	prefixes  *router.RecentPrefixes
-	budget    router.RetryBudget
+	budget    *router.RetryBudget
 	suspects  router.Suspects
 	stopping  atomic.Bool
 	stats     *stats
@@ -78,7 +78,8 @@
 // New creates a server and binds its addresses.
 func New(cfg config.Serve, log zerolog.Logger, d *daemon.Daemon) (*Server, error) {
 	s := &Server{
-		cfg: cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
+		budget: router.NewRetryBudget(time.Now()),
+		cfg:    cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
 		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), inFlight: newInFlightCounter(), limits: router.NewConcurrencyLimits(), admission: router.NewAdmission(), prefixes: router.NewRecentPrefixes(),
 	}
 	s.stats = newStats(d.Metrics(), s.inFlight.count)
--- a/router/limit.go
+++ b/router/limit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/planner"
@@ -65,35 +66,49 @@
 }
 
 // The retry budget is a token bucket: each request adds retryRatio of a retry, up to
-// retryBurst. The bucket is full at startup, because a daemon's first requests may be sent
-// to a group that has just failed.
+// retryBurst. It is empty at startup and filled within retryBurst times retryInterval even without
+// requests: a daemon's first requests may be sent to a group that has just failed, but a daemon
+// that starts again and again must not have the whole burst each time.
 const (
-	retryRatio = 0.1
-	retryBurst = 10
+	retryRatio    = 0.1
+	retryBurst    = 10
+	retryInterval = time.Second
 )
 
 // RetryBudget limits retries to a tenth of the requests, so that failing upstreams don't make a
-// daemon multiply its load. The zero value is a full budget.
+// daemon multiply its load.
 type RetryBudget struct {
+	startedAt time.Time
+
 	mu sync.Mutex
-	// spent is how many retries the budget is below retryBurst.
-	spent float64
+	// available is how many retries may be made, filled how many were added since the start
+	// without requests.
+	available, filled float64
 }
 
+// NewRetryBudget returns the budget of a daemon that starts now.
+func NewRetryBudget(now time.Time) *RetryBudget { return &RetryBudget{startedAt: now} }
+
 // Deposit adds the budget for one request.
 func (b *RetryBudget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(0, b.spent-retryRatio)
+	b.add(retryRatio)
 }
 
+func (b *RetryBudget) add(retries float64) { b.available = min(retryBurst, b.available+retries) }
+
 // Withdraw takes one retry from the budget. It returns false if there is none left.
-func (b *RetryBudget) Withdraw() bool {
+func (b *RetryBudget) Withdraw(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent > retryBurst-1 {
+	if filled := min(retryBurst, now.Sub(b.startedAt).Seconds()/retryInterval.Seconds()); filled > b.filled {
+		b.add(filled - b.filled)
+		b.filled = filled
+	}
+	if b.available < 1 {
 		return false
 	}
-	b.spent++
+	b.available--
 	return true
 }
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -53,16 +54,18 @@
 
 func TestRetryBudget(t *testing.T) {
 	c := qt.New(t)
-	b := &router.RetryBudget{}
+	began := time.Unix(0, 0)
+	b := router.NewRetryBudget(began)
+	now := began.Add(10 * time.Second)
 	const first = 10
 	for range first {
-		c.Assert(b.Withdraw(), qt.IsTrue)
+		c.Assert(b.Withdraw(now), qt.IsTrue)
 	}
-	c.Assert(b.Withdraw(), qt.IsFalse)
+	c.Assert(b.Withdraw(now), qt.IsFalse)
 	retries := 0
 	for range 1000 {
 		b.Deposit()
-		if b.Withdraw() {
+		if b.Withdraw(now) {
 			retries++
 		}
 	}
@@ -70,6 +73,33 @@
 	c.Assert(retries >= 95, qt.IsTrue, qt.Commentf("%d", retries))
 }
 
+// TestRestartRenewsRetries guards against daemons that have their whole burst of retries again each
+// time that they start: in no 10 s may there be more than one burst.
+func TestRestartRenewsRetries(t *testing.T) {
+	const step, window, burst = 50 * time.Millisecond, 10 * time.Second, 10
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		var retries []time.Time
+		for range rapid.IntRange(2, 30).Draw(t, "starts") {
+			b := router.NewRetryBudget(now)
+			for range rapid.IntRange(0, 60).Draw(t, "steps") {
+				now = now.Add(step)
+				for b.Withdraw(now) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for i, first := range retries {
+			n := 0
+			for ; i+n < len(retries) && retries[i+n].Sub(first) < window; n++ {
+			}
+			if n > burst {
+				t.Fatalf("%d retries from %v on", n, first)
+			}
+		}
+	})
+}
+
 // TestRequestOutcomes takes requests through sequences of steps and checks their outcomes.
 func TestRequestOutcomes(t *testing.T) {
 	type step func(*router.Request) error
