gateway: count a send as arrived before its response

Cause: a request takes a retry from the budget only once an instance may have received a part of it, which was recorded when the send returned. A hedge is sent while the first send has not returned, so each hedge before the first response was free.

Ruled out: the allowance in admission (broken before it), shares after restarts.

Change: a send counts from just before its first byte; if none could be written, it is taken back. The script hedge_without_budget failed before: the second group got the request with an empty budget.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,8 +46,8 @@
 	// when it was picked.
 	maxPause   time.Duration
 	pickedLoad int
-	// arrived is set once an instance may have received a part of the request.
-	arrived atomic.Bool
+	// arrivals is the number of sends of which an instance may have received a part.
+	arrivals atomic.Int32
 	// unanswered is set once a connection gave no response to the request.
 	unanswered atomic.Bool
 	// rejections counts the sends that instances rejected without running the request.
@@ -115,7 +115,7 @@
 // allowRetry reports whether the request may be sent once more. As long as it has not arrived anywhere,
 // the next send takes nothing from the budget, which bounds what arrives beyond each request's first.
 func (e *exchange) allowRetry(rejected bool) bool {
-	return !e.arrived.Load() || e.g.budget.allowRetry(time.Now(), e.g.node.View().Daemons, rejected)
+	return e.arrivals.Load() == 0 || e.g.budget.allowRetry(time.Now(), e.g.node.View().Daemons, rejected)
 }
 
 // unmarkTried records that the request was not sent to the instance after all.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -61,18 +61,26 @@
 		// An idle connection may have been the reason, and another one may be as well.
 		maxIdle = 0
 	}
-	sentAt := time.Now()
+	sentAt, begun := time.Now(), false
 	resp, err := e.g.conns.Do(ctx, i.Addr, h1.Request{
 		Method: e.r.Method, Target: e.r.RequestURI, Host: e.r.Host, Header: platform.ForwardHeader(e.r.Header, a), Body: e.body,
 		MaxIdleAge: maxIdle, StallPolicy: readTimeout,
-		BeforeSend: func() error { return e.checkAdmission(i, p) },
-		Matches:    func(h http.Header) bool { return platform.DecodeResponse(0, h).ID == e.head.ID },
+		BeforeSend: func() error {
+			if err := e.checkAdmission(i, p); err != nil {
+				return err
+			}
+			// A hedge may be due before there is a response.
+			begun = true
+			e.arrivals.Add(1)
+			return nil
+		},
+		Matches: func(h http.Header) bool { return platform.DecodeResponse(0, h).ID == e.head.ID },
 	})
 	if err != nil && ctx.Err() == nil && !errors.Is(err, h1.ErrStalled) && !errors.Is(err, errNotAdmitted) {
 		e.g.scheduler.addFailure(i)
 	}
-	if !errors.Is(err, h1.ErrNotSent) {
-		e.arrived.Store(true)
+	if begun && errors.Is(err, h1.ErrNotSent) {
+		e.arrivals.Add(-1)
 	}
 	if errors.Is(err, h1.ErrNoResponse) {
 		e.unanswered.Store(true)
