--- a/cluster/node.go
+++ b/cluster/node.go
@@ -162,7 +162,8 @@
 
 // registerAgeMetrics registers gauges for the age of data received from other daemons: the
 // planner's updates, which are sent four times a second, load totals, which are sent every
-// totalsInterval, and the confirmation of the configuration. It also registers gauges for the number of daemons and this node's role.
+// totalsInterval, and the confirmation of the configuration. It also registers gauges for the number
+// of daemons and this node's role.
 func (n *Node) registerAgeMetrics() {
 	n.stats.set.NewGauge("lupinkeel_planner_news_age_seconds", func() float64 {
 		if n.planning.Load() {
