--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -90,11 +90,8 @@
 			}
 		}
 		for i, first := range retries {
-			n := 0
-			for ; i+n < len(retries) && retries[i+n].Sub(first) < window; n++ {
-			}
-			if n > burst {
-				t.Fatalf("%d retries from %v on", n, first)
+			if last := i + burst; last < len(retries) && retries[last].Sub(first) < window {
+				t.Fatalf("more than %d retries in the %v from %v on", burst, window, first)
 			}
 		}
 	})
