--- a/review/standins2/callers.go
+++ b/review/standins2/callers.go
@@ -26,15 +26,19 @@
 	err      error
 }
 
+// requestSeq numbers the requests of all callers.
+var requestSeq atomic.Int64
+
 // callers send requests to daemons and keep their results.
 type callers struct {
 	s *site
 	// chooseModel returns the model of a caller's turn; nil takes both in turn.
 	chooseModel func(turn int) string
+	// route is the route of all requests, empty for the usual mix.
+	route string
 	// noPlain is set if callers send only streams.
 	noPlain  bool
 	deadline time.Duration
-	seq      atomic.Int64
 	stopped  chan struct{}
 	wg       sync.WaitGroup
 
@@ -88,9 +92,11 @@
 // send sends one request and waits for the answer until the caller's deadline. It reports whether the
 // request succeeded.
 func (c *callers) send(transport http.RoundTripper, d *daemon, turn int) bool {
-	r := request{id: fmt.Sprintf("r%08d", c.seq.Add(1)), route: "brief", daemon: d}
+	r := request{id: fmt.Sprintf("r%08d", requestSeq.Add(1)), route: "brief", daemon: d}
 	method, body := http.MethodPost, strings.Repeat("x", 700)
 	switch {
+	case c.route != "":
+		r.route = c.route
 	case c.noPlain:
 	case turn%10 == 0:
 		r.route = "ping"
@@ -108,7 +114,7 @@
 	req.Header.Set("X-Lupinkeel-Request-Id", r.id)
 	req.Header.Set("X-Lupinkeel-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Token "+callerKey)
-	if r.route == "brief" {
+	if r.route == "brief" || r.route == "draft" {
 		req.Header.Set("X-Lupinkeel-Model", c.model(turn))
 		req.Header.Set("X-Lupinkeel-Token-Count", "674,100")
 		req.Header.Set("X-Lupinkeel-Prefix-Hash", fmt.Sprintf("5c1e07a2:40,%08x:634", turn))
--- a/review/standins2/engines.go
+++ b/review/standins2/engines.go
@@ -48,18 +48,22 @@
 	engineTick  = 10 * time.Millisecond
 )
 
-// engines are the model replicas of a site that don't check fences.
+// engines are the model replicas of a site.
 type engines struct {
 	s *site
+	// fenced is set if they reject orders with an older fence than they have seen.
+	fenced bool
+
+	mu sync.Mutex
 	// lateShare is the share of orders that get no answer and are carried out late.
-	mu        sync.Mutex
 	lateShare float64
 	random    *rand.Rand
 	byID      map[string]*engine
 	// onJoin, if set, is called when an order to join has arrived at a member of another group.
 	onJoin     func()
 	violations []string
-	runs       map[string]int
+	// runs holds the services that ran each request.
+	runs       map[string][]string
 	hadRequest bool
 	stopped    chan struct{}
 }
@@ -67,13 +71,14 @@
 // engine is one model replica.
 type engine struct {
 	e                        *engines
-	id, zone, domain, addr   string
+	id, service, zone        string
+	domain, addr             string
 	server                   *http.Server
 	born                     int64
 	writes, orders           int64
 	lastWrite                time.Time
 	group, state             string
-	epoch, seenEpoch         int64
+	epoch, seenEpoch, fence  int64
 	rank                     int
 	members                  []string
 	model, joining, staging  string
@@ -85,7 +90,7 @@
 }
 
 func newEngines(s *site, seed uint64) *engines {
-	return &engines{s: s, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*engine{}, runs: map[string]int{}, stopped: make(chan struct{})}
+	return &engines{s: s, random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*engine{}, runs: map[string][]string{}, stopped: make(chan struct{})}
 }
 
 func modelNamed(name string) (engineModel, bool) {
@@ -98,7 +103,7 @@
 }
 
 // add starts an engine.
-func (e *engines) add(zone, domain string) error {
+func (e *engines) add(service, zone, domain string) error {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -106,7 +111,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i := &engine{
-		e: e, id: fmt.Sprintf("e-%03d", len(e.byID)+1), zone: zone, domain: domain, addr: l.Addr().String(), born: time.Now().UnixMilli(), cut: make(chan struct{}),
+		e: e, id: fmt.Sprintf("e-%03d", len(e.byID)+1), service: service, zone: zone, domain: domain, addr: l.Addr().String(), born: time.Now().UnixMilli(), cut: make(chan struct{}),
 	}
 	i.server = &http.Server{Handler: i, ReadHeaderTimeout: time.Minute}
 	e.byID[i.id] = i
@@ -134,6 +139,24 @@
 	e.lateShare = share
 }
 
+// waitOpen waits until a service has open groups of both models.
+func (e *engines) waitOpen(service string, timeout time.Duration) error {
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		open := map[string]bool{}
+		e.mu.Lock()
+		for _, i := range e.byID {
+			if i.state == stateOpen && i.service == service {
+				open[i.model] = true
+			}
+		}
+		e.mu.Unlock()
+		if len(open) == len(engineModels) {
+			return nil
+		}
+	}
+	return fmt.Errorf("the service %s has no open groups of both models after %v", service, timeout)
+}
+
 // status is what an engine tells of itself.
 func (i *engine) status() map[string]any {
 	out := map[string]any{"domain": i.domain, "staged": slices.Clone(i.staged), "born": i.born, "Models": []any{}}
@@ -151,7 +174,7 @@
 	i.writes++
 	i.lastWrite = time.Now()
 	entry := i.status()
-	entry["Service"], entry["Address"], entry["Zone"], entry["Slots"], entry["State"], entry["Sequence"] = "scribe", i.addr, i.zone, 26, "ready", i.writes
+	entry["Service"], entry["Address"], entry["Zone"], entry["Slots"], entry["State"], entry["Sequence"] = i.service, i.addr, i.zone, 26, "ready", i.writes
 	data, err := json.Marshal(entry)
 	if err != nil {
 		i.e.violations = append(i.e.violations, err.Error())
@@ -225,6 +248,7 @@
 	Epoch   int64    `json:"epoch"`
 	Model   string   `json:"Model"`
 	Members []string `json:"members"`
+	Fence   int64    `json:"fence"`
 }
 
 // ServeHTTP serves reports, orders and requests.
@@ -287,6 +311,10 @@
 	now := time.Now()
 	mine := i.state != "" && i.group == o.Group && i.epoch == o.Epoch
 	status := http.StatusAccepted
+	if i.e.fenced && o.Fence < i.fence {
+		return http.StatusPreconditionFailed
+	}
+	i.fence = max(i.fence, o.Fence)
 	switch {
 	case o.Op == "Stage":
 		status = i.stage(o.Model, now)
@@ -434,7 +462,7 @@
 		i.e.mu.Lock()
 		complete := i.complete()
 		if complete && !begun {
-			i.e.runs[id]++
+			i.e.runs[id] = append(i.e.runs[id], i.service)
 		}
 		i.e.mu.Unlock()
 		if !complete {
--- a/review/standins2/handover.go
+++ b/review/standins2/handover.go
@@ -12,35 +12,37 @@
 )
 
 const (
-	// The site has the sizes of bg-kafe-abonament.
+	// The site is like bg-kafe-abonament, with twice its domains.
 	handoverDaemons = 7
-	handoverDomains = 6
+	handoverDomains = 12
 	perDomain       = 8
-	// lateShare is the share of orders that are late during the disruption.
-	lateShare = 0.35
-	// shiftTime is the time between two shifts of the demand, handoverTime how long all lasts.
-	shiftTime    = 16 * time.Second
-	handoverTime = 96 * time.Second
+	// lateShare is the share of orders that are late, from the beginning of a burst until the kill.
+	lateShare = 0.5
+	// Every burstGap begins a burst of requests for m0, which lasts for burstTime, or until the daemon
+	// that gives orders is killed. All lasts for handoverTime.
+	burstGap     = 14 * time.Second
+	burstTime    = 5 * time.Second
+	handoverTime = 55 * time.Second
 	// killDelay is how long after the first order to a member of another group the daemon that gave
-	// it is killed, minKillGap the least time between two kills, restartDelay the time until a killed
-	// daemon starts again.
-	killDelay    = 100 * time.Millisecond
-	minKillGap   = 9 * time.Second
+	// it is killed, restartDelay the time until it starts again.
+	killDelay    = 500 * time.Millisecond
 	restartDelay = 2 * time.Second
-	// Callers of the model in demand and of the other one, per daemon.
-	manyCallers = 14
-	fewCallers  = 2
+	// Of callersEach callers per daemon, calmCallers ask for m0, and in a burst burstCallers.
+	callersEach  = 40
+	calmCallers  = 10
+	burstCallers = 36
 )
 
-// playHandover shifts the demand between two models, so that groups are closed and their members
-// join groups of the other model. Some orders are late, and the daemon that gives them is killed.
+// playHandover lets bursts of requests come for one of two models, so that groups of the other one are
+// closed and their members join groups of the first. Some orders are late, and the daemon that gives
+// them is killed.
 func playHandover(s *site) error {
 	s.store.Put("op", "config", fmt.Appendf(nil, handoverConfig))
 	e := newEngines(s, uint64(time.Now().UnixNano()))
 	defer e.stop()
 	for n := range handoverDomains {
 		for range perDomain {
-			if err := e.add(string(zones[n%len(zones)]), fmt.Sprintf("d%d", n)); err != nil {
+			if err := e.add("scribe", string(zones[n%len(zones)]), fmt.Sprintf("d%d", n)); err != nil {
 				return err
 			}
 		}
@@ -55,32 +57,46 @@
 			return err
 		}
 	}
-	if err := e.waitOpen(); err != nil {
+	if err := e.waitOpen("scribe", 30*time.Second); err != nil {
 		return err
 	}
 	// Hosts get the other model's weights before traffic begins.
 	time.Sleep(6 * time.Second)
-	var wanted atomic.Int64
+	var burst atomic.Bool
 	load := newCallers(s, callerDeadline)
 	load.noPlain = true
 	load.chooseModel = func(turn int) string {
-		if turn%(manyCallers+fewCallers) < fewCallers {
-			return fmt.Sprintf("m%d", 1-wanted.Load())
+		asking := calmCallers
+		if burst.Load() {
+			asking = burstCallers
 		}
-		return fmt.Sprintf("m%d", wanted.Load())
+		if turn%callersEach < asking {
+			return "m0"
+		}
+		return "m1"
 	}
 	for _, d := range s.running() {
-		load.startFixed(d, manyCallers+fewCallers, 50*time.Millisecond)
+		load.startFixed(d, callersEach, 50*time.Millisecond)
 	}
+	time.Sleep(4 * time.Second)
+	k := &killer{s: s}
 	if s.trouble {
-		e.setLate(lateShare)
-		e.setOnJoin(newKiller(s).joinArrived)
+		e.setOnJoin(k.joinArrived)
 	}
-	began := time.Now()
-	for n := 0; time.Since(began) < handoverTime; n++ {
-		wanted.Store(int64(n % 2))
-		s.note("callers want m%d", n%2)
-		time.Sleep(shiftTime)
+	for began := time.Now(); time.Since(began) < handoverTime; {
+		s.note("a burst of requests for m0 begins")
+		if s.trouble {
+			e.setLate(lateShare)
+		}
+		k.arm()
+		burst.Store(true)
+		for from := time.Now(); time.Since(from) < burstTime && !k.hasKilled(); {
+			time.Sleep(20 * time.Millisecond)
+		}
+		burst.Store(false)
+		e.setLate(0)
+		s.note("the burst ends")
+		time.Sleep(burstGap)
 	}
 	e.setOnJoin(nil)
 	load.stop()
@@ -93,24 +109,6 @@
 	e.onJoin = f
 }
 
-// waitOpen waits until both models have open groups.
-func (e *engines) waitOpen() error {
-	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
-		open := map[string]int{}
-		e.mu.Lock()
-		for _, i := range e.byID {
-			if i.state == stateOpen {
-				open[i.model]++
-			}
-		}
-		e.mu.Unlock()
-		if open["m0"] > 0 && open["m1"] > 0 {
-			return nil
-		}
-	}
-	return fmt.Errorf("no groups are open after 30 s")
-}
-
 func (e *engines) check() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -121,24 +119,34 @@
 	return nil
 }
 
-// killer kills the daemon that gave the last order.
+// killer kills the daemon that gave the last order, once after each call of arm.
 type killer struct {
-	s    *site
-	mu   sync.Mutex
-	last time.Time
+	s *site
+
+	mu            sync.Mutex
+	armed, killed bool
 }
 
-func newKiller(s *site) *killer { return &killer{s: s} }
+func (k *killer) arm() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.armed, k.killed = true, false
+}
 
-// joinArrived is called when an order has arrived at a member of another group.
+func (k *killer) hasKilled() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.killed
+}
+
+// joinArrived is called when an order to join has arrived at a member of another group.
 func (k *killer) joinArrived() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if time.Since(k.last) < minKillGap {
-		return
+	if k.armed {
+		k.armed = false
+		time.AfterFunc(killDelay, k.kill)
 	}
-	k.last = time.Now()
-	time.AfterFunc(killDelay, k.kill)
 }
 
 func (k *killer) kill() {
@@ -149,6 +157,9 @@
 	}
 	k.s.note("kill %s, which gave the last order", d.name)
 	d.signal(syscall.SIGKILL)
+	k.mu.Lock()
+	k.killed = true
+	k.mu.Unlock()
 	time.AfterFunc(restartDelay, func() {
 		if err := k.s.restart(d); err != nil {
 			k.s.note("%s does not start again: %v", d.name, err)
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*site) error{
 	"joining-daemons": playJoiningDaemons,
 	"handover":        playHandover,
+	"second-service":  playSecondService,
 }
 
 func main() {
