review: case 5, a late order of an ended planner takes a member from an open group

Cause: adopt relies on fences; nothing allows for late joins as lateOrderWindow does for late orders to open.

--- a/review/standins2/engines.go
+++ b/review/standins2/engines.go
@@ -59,7 +59,8 @@
 	lateShare float64
 	random    *rand.Rand
 	byID      map[string]*engine
-	// onJoin, if set, is called when an order to join has arrived at a member of another group.
+	// onJoin, if set, is called when an order to join another group has arrived late at every member of
+	// a group.
 	onJoin     func()
 	violations []string
 	// runs holds the services that ran each request.
@@ -70,19 +71,21 @@
 
 // engine is one model replica.
 type engine struct {
-	e                        *engines
-	id, service, zone        string
-	domain, addr             string
-	server                   *http.Server
-	born                     int64
-	writes, orders           int64
-	lastWrite                time.Time
-	group, state             string
-	epoch, seenEpoch, fence  int64
-	rank                     int
-	members                  []string
-	model, joining, staging  string
-	staged                   []string
+	e                       *engines
+	id, service, zone       string
+	domain, addr            string
+	server                  *http.Server
+	born                    int64
+	writes, orders          int64
+	lastWrite               time.Time
+	group, state            string
+	epoch, seenEpoch, fence int64
+	rank                    int
+	members                 []string
+	model, joining, staging string
+	staged                  []string
+	// lateJoin is set while an order to join another group waits to be carried out.
+	lateJoin                 bool
 	readyAt, openAt, stageAt time.Time
 	stalledSince             time.Time
 	active                   int
@@ -282,7 +285,13 @@
 	late := i.e.random.Float64() < i.e.lateShare
 	lateness := minLateness + time.Duration(i.e.random.Float64()*float64(maxLateness-minLateness))
 	moves := o.Op == "join" && i.state != "" && (i.group != o.Group || i.epoch != o.Epoch)
+	if late && moves {
+		i.lateJoin = true
+	}
 	onJoin := i.e.onJoin
+	if !i.allLate() {
+		onJoin = nil
+	}
 	status := 0
 	if !late {
 		status = i.execute(o, "")
@@ -299,6 +308,7 @@
 	time.AfterFunc(lateness, func() {
 		i.e.mu.Lock()
 		defer i.e.mu.Unlock()
+		i.lateJoin = i.lateJoin && o.Op != "join"
 		status := i.execute(o, " (late)")
 		i.e.s.note("late order %s at %s group=%s status=%d", o.Op, i.id, o.Group, status)
 	})
@@ -351,6 +361,16 @@
 	return status
 }
 
+// allLate reports whether all members of the engine's group have late orders to join another one.
+func (i *engine) allLate() bool {
+	for _, id := range i.members {
+		if m := i.e.byID[id]; m == nil || !m.lateJoin || m.group != i.group || m.epoch != i.epoch || m.state == "" {
+			return false
+		}
+	}
+	return len(i.members) > 0
+}
+
 func (i *engine) cutRequests() {
 	close(i.cut)
 	i.cut = make(chan struct{})
--- a/review/standins2/handover.go
+++ b/review/standins2/handover.go
@@ -12,33 +12,50 @@
 )
 
 const (
-	// The site is like bg-kafe-abonament, with twice its domains.
+	// The site has the sizes of bg-kafe-abonament.
 	handoverDaemons = 7
-	handoverDomains = 12
+	handoverDomains = 6
 	perDomain       = 8
 	// lateShare is the share of orders that are late, from the beginning of a burst until the kill.
 	lateShare = 0.5
-	// Every burstGap begins a burst of requests for m0, which lasts for burstTime, or until the daemon
-	// that gives orders is killed. All lasts for handoverTime.
-	burstGap     = 14 * time.Second
-	burstTime    = 5 * time.Second
-	handoverTime = 55 * time.Second
-	// killDelay is how long after the first order to a member of another group the daemon that gave
-	// it is killed, restartDelay the time until it starts again.
-	killDelay    = 500 * time.Millisecond
+	// Rounds begin for roundsTime, until one breaks the rule. In each, warmTime passes before callers
+	// come and calmBefore before a burst of requests for m0, which lasts for burstTime or until the
+	// daemon that gives orders is killed. Then all goes on for watchTime.
+	roundsTime = 88 * time.Second
+	warmTime   = 4 * time.Second
+	calmBefore = 3 * time.Second
+	burstTime  = 8 * time.Second
+	watchTime  = 8 * time.Second
+	// killDelay is how long after the orders to the members of a closed group the daemon that gave
+	// them is killed, restartDelay the time until it starts again.
+	killDelay    = 100 * time.Millisecond
 	restartDelay = 2 * time.Second
 	// Of callersEach callers per daemon, calmCallers ask for m0, and in a burst burstCallers.
-	callersEach  = 40
-	calmCallers  = 10
-	burstCallers = 36
+	callersEach  = 16
+	calmCallers  = 4
+	burstCallers = 14
 )
 
-// playHandover lets bursts of requests come for one of two models, so that groups of the other one are
-// closed and their members join groups of the first. Some orders are late, and the daemon that gives
-// them is killed.
+// playHandover plays rounds of a hand-over on sites of their own.
 func playHandover(s *site) error {
+	for n := 1; time.Since(s.began) < roundsTime; n++ {
+		s.note("round %d", n)
+		if err := s.playRound(uint64(time.Now().UnixNano())); err != nil {
+			return err
+		}
+		if err := s.reset(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// playRound lets a burst of requests come for one of two models, so that groups of the other one are
+// closed and their members join a group of the first. Some orders are late, and the daemon that gives
+// them is killed.
+func (s *site) playRound(seed uint64) error {
 	s.store.Put("op", "config", fmt.Appendf(nil, handoverConfig))
-	e := newEngines(s, uint64(time.Now().UnixNano()))
+	e := newEngines(s, seed)
 	defer e.stop()
 	for n := range handoverDomains {
 		for range perDomain {
@@ -47,11 +64,6 @@
 			}
 		}
 	}
-	for n := range 3 {
-		if _, err := s.pool.Add("feed", zones[n], ""); err != nil {
-			return err
-		}
-	}
 	for range handoverDaemons {
 		if _, err := s.startDaemon(true); err != nil {
 			return err
@@ -61,7 +73,7 @@
 		return err
 	}
 	// Hosts get the other model's weights before traffic begins.
-	time.Sleep(6 * time.Second)
+	time.Sleep(warmTime)
 	var burst atomic.Bool
 	load := newCallers(s, callerDeadline)
 	load.noPlain = true
@@ -78,27 +90,22 @@
 	for _, d := range s.running() {
 		load.startFixed(d, callersEach, 50*time.Millisecond)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(calmBefore)
 	k := &killer{s: s}
+	s.note("a burst of requests for m0 begins")
 	if s.trouble {
+		e.setLate(lateShare)
 		e.setOnJoin(k.joinArrived)
-	}
-	for began := time.Now(); time.Since(began) < handoverTime; {
-		s.note("a burst of requests for m0 begins")
-		if s.trouble {
-			e.setLate(lateShare)
-		}
 		k.arm()
-		burst.Store(true)
-		for from := time.Now(); time.Since(from) < burstTime && !k.hasKilled(); {
-			time.Sleep(20 * time.Millisecond)
-		}
-		burst.Store(false)
-		e.setLate(0)
-		s.note("the burst ends")
-		time.Sleep(burstGap)
 	}
-	e.setOnJoin(nil)
+	burst.Store(true)
+	for from := time.Now(); time.Since(from) < burstTime && !k.hasKilled(); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	burst.Store(false)
+	e.setLate(0)
+	s.note("the burst ends")
+	time.Sleep(watchTime)
 	load.stop()
 	return e.check()
 }
@@ -139,7 +146,7 @@
 	return k.killed
 }
 
-// joinArrived is called when an order to join has arrived at a member of another group.
+// joinArrived is called when the members of a group have late orders to join another one.
 func (k *killer) joinArrived() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/review/standins2/site.go
+++ b/review/standins2/site.go
@@ -73,6 +73,8 @@
 	pool    *replica.Pool
 	daemons []*daemon
 
+	// started is the number of daemons that were started, in all rounds.
+	started int
 	// closed is set once the processes are being ended.
 	closing sync.Mutex
 	closed  bool
@@ -102,16 +104,10 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
+	s := &site{binary: binary, trouble: trouble, dir: dir, began: time.Now(), file: file, record: bufio.NewWriter(file)}
+	if err := s.openStore(); err != nil {
 		return nil, err
 	}
-	s := &site{
-		binary: binary, trouble: trouble, dir: dir, began: time.Now(), store: store.New(), listen: l, file: file, record: bufio.NewWriter(file),
-	}
-	s.server = &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
-	// Serve ends when the site closes.
-	go func() { _ = s.server.Serve(l) }()
 	s.pool = replica.NewPool(profile, s.store)
 	s.note("begun trouble=%t", trouble)
 	return s, nil
@@ -193,7 +189,8 @@
 		addrs[n] = addr
 	}
 	n := len(s.running())
-	d := &daemon{name: fmt.Sprintf("front-%d", n+1), callers: addrs[0], ready: addrs[1]}
+	s.started++
+	d := &daemon{name: fmt.Sprintf("front-%d", s.started), callers: addrs[0], ready: addrs[1]}
 	d.settings = filepath.Join(s.dir, d.name+".conf")
 	text := fmt.Sprintf(settingsText, d.name, zones[n%len(zones)], addrs[0], addrs[1], addrs[2], addrs[3], s.listen.Addr(), firstStart)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
@@ -237,7 +234,7 @@
 func (s *site) restart(d *daemon) error {
 	s.closing.Lock()
 	defer s.closing.Unlock()
-	if s.closed {
+	if s.closed || !slices.Contains(s.running(), d) {
 		return nil
 	}
 	text, err := os.ReadFile(d.settings)
@@ -321,11 +318,36 @@
 	return errors.New("the site does not serve within 30 s")
 }
 
-// close ends all processes that the site started, and the stand-ins.
-func (s *site) close() error {
+// reset ends all processes that the site started, and begins with an empty store.
+func (s *site) reset() error {
 	s.closing.Lock()
-	s.closed = true
-	s.closing.Unlock()
+	defer s.closing.Unlock()
+	s.endDaemons()
+	s.mu.Lock()
+	s.daemons = nil
+	s.mu.Unlock()
+	if err := s.server.Close(); err != nil {
+		return err
+	}
+	return s.openStore()
+}
+
+// openStore starts an empty store.
+func (s *site) openStore() error {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.store, s.listen = store.New(), l
+	server := &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
+	s.server = server
+	// Serve ends when the server closes.
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// endDaemons ends all processes that the site started.
+func (s *site) endDaemons() {
 	for _, d := range s.running() {
 		d.signal(syscall.SIGCONT)
 		d.signal(syscall.SIGKILL)
@@ -333,6 +355,14 @@
 		<-exited
 		d.log.Close()
 	}
+}
+
+// close ends all processes that the site started, and the stand-ins.
+func (s *site) close() error {
+	s.closing.Lock()
+	s.closed = true
+	s.endDaemons()
+	s.closing.Unlock()
 	for _, i := range s.pool.Instances() {
 		// The case is over; errors do not matter any more.
 		_ = i.Stop()
