--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -11,10 +11,19 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
-// errBroken: the rule of the case was broken.
-var errBroken = errors.New("the rule was broken")
+var (
+	// errBroken: the rule of the case was broken.
+	errBroken = errors.New("the rule was broken")
+	// errInterrupted and errTooLong: the case did not end by itself.
+	errInterrupted = errors.New("interrupted")
+	errTooLong     = errors.New("the case takes too long")
+)
+
+// maxTime bounds the duration of a case.
+const maxTime = 117 * time.Second
 
 // Exit codes.
 const (
@@ -57,7 +66,9 @@
 	select {
 	case err = <-ended:
 	case <-signals:
-		err = errors.New("interrupted")
+		err = errInterrupted
+	case <-time.After(maxTime):
+		err = errTooLong
 	}
 	err = errors.Join(err, s.close())
 	switch {
--- a/review/standins2/site.go
+++ b/review/standins2/site.go
@@ -217,6 +217,8 @@
 	cmd, exited := exec.Command(s.binary, "gateway"), make(chan struct{})
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LUPINKEEL_NODE_FILE=" + d.settings}
 	cmd.Stdout, cmd.Stderr = d.log, d.log
+	// The daemon ends with this process, whatever ends that.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
