--- a/review/standins2/callers.go
+++ b/review/standins2/callers.go
@@ -32,7 +32,8 @@
 // callers send requests to daemons and keep their results.
 type callers struct {
 	s *site
-	// chooseModel returns the model of a caller's turn; nil takes both in turn.
+	// chooseModel returns the model of a caller's turn, empty if it sends nothing; nil takes both in
+	// turn.
 	chooseModel func(turn int) string
 	// route is the route of all requests, empty for the usual mix.
 	route string
@@ -72,6 +73,9 @@
 					return
 				case <-time.After(pause):
 				}
+				if c.chooseModel != nil && c.chooseModel(turn) == "" {
+					continue
+				}
 				if !c.send(transport, at, turn) {
 					at = c.s.otherReady(at)
 				}
