--- a/review/standins2/handover.go
+++ b/review/standins2/handover.go
@@ -16,15 +16,18 @@
 	handoverDaemons = 7
 	handoverDomains = 6
 	perDomain       = 8
-	// lateShare is the share of orders that are late, from the beginning of a burst until the kill.
+	// lateShare is the share of orders that are late in a burst until the kill, lateTime at a time with
+	// latePause between.
 	lateShare = 0.5
+	lateTime  = 5 * time.Second
+	latePause = time.Second
 	// Rounds begin for roundsTime, until one breaks the rule. In each, warmTime passes before callers
 	// come and calmBefore before a burst of requests for m0, which lasts for burstTime or until the
 	// daemon that gives orders is killed. Then all goes on for watchTime.
-	roundsTime = 88 * time.Second
+	roundsTime = 80 * time.Second
 	warmTime   = 4 * time.Second
 	calmBefore = 3 * time.Second
-	burstTime  = 5 * time.Second
+	burstTime  = 13 * time.Second
 	watchTime  = 8 * time.Second
 	// killDelay is how long after the orders to the members of a closed group the daemon that gave
 	// them is killed, restartDelay the time until it starts again.
@@ -96,12 +99,16 @@
 	k := &killer{s: s}
 	s.note("a burst of requests for m0 begins")
 	if s.trouble {
-		e.setLate(lateShare)
 		e.setOnJoin(k.joinArrived)
 		k.arm()
 	}
 	burst.Store(true)
 	for from := time.Now(); time.Since(from) < burstTime && !k.hasKilled(); {
+		if late := time.Since(from)%(lateTime+latePause) < lateTime; s.trouble && late {
+			e.setLate(lateShare)
+		} else {
+			e.setLate(0)
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	burst.Store(false)
