--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review2 ./review/standins2
+go build -o target/review3/ ./review/standins3/...
--- a/review/standins3/rig/replica.go
+++ b/review/standins3/rig/replica.go
@@ -76,6 +76,8 @@
 	born       int64
 	// lapse removes the entry of a replica that is down.
 	lapse *time.Timer
+	// active is the number of requests that the head has, cuts how often it was told to end them.
+	active, cuts int
 	// clockOffset is how far the clock of the replica's machine is ahead.
 	clockOffset time.Duration
 }
@@ -305,8 +307,14 @@
 func (r *Replica) Stream(c *Call, breakAfter int) bool {
 	p := r.pool
 	p.mu.Lock()
-	open := r.state == "open"
+	open, group, cuts := r.state == "open", r.group, r.cuts
+	if open {
+		r.active++
+	}
 	p.mu.Unlock()
+	if open {
+		defer r.endRequest()
+	}
 	if !open {
 		status := http.StatusMisdirectedRequest
 		p.mu.Lock()
@@ -323,9 +331,9 @@
 	first, started := next, false
 	for ; next <= p.site.Events; next++ {
 		time.Sleep(p.site.EventGap)
-		for !r.working() {
+		for !r.working(group, cuts) {
 			p.mu.Lock()
-			ended := r.down || r.state == "broken"
+			ended := r.down || r.state == "broken" || r.group != group || r.cuts != cuts
 			p.mu.Unlock()
 			if ended {
 				return false
@@ -335,6 +343,7 @@
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", next, c.ID)
 		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		if !started {
+			r.checkGroup(c)
 			r.Run(c)
 			started = true
 			head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
@@ -356,11 +365,23 @@
 	return err == nil
 }
 
-// working reports whether all members of the head's group are up and in it.
-func (r *Replica) working() bool {
+// working reports whether the head is still in a group that was not cut, and all its members are up and
+// in it.
+func (r *Replica) working(group groupKey, cuts int) bool {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	return r.group == group && r.cuts == cuts && !r.down && r.complete()
+}
+
+// endRequest counts a request of a head that has ended; the last one lets a closing head be ready.
+func (r *Replica) endRequest() {
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
-	return r.complete()
+	r.active--
+	if r.active == 0 && r.state == "closing" {
+		r.state = "ready"
+		r.writeEntry()
+	}
 }
 
 func (r *Replica) complete() bool {
@@ -515,7 +536,15 @@
 	case o.Op == "open":
 		r.openAt = now.Add(formTime)
 		return http.StatusAccepted
-	case o.Op == "close" && r.state == "open":
+	case o.Op == "close" && o.How == "cut" && (r.state == "open" || r.state == "closing"):
+		r.cuts++
+		r.state = "ready"
+		return http.StatusOK
+	case o.Op == "close" && (r.state == "open" || r.state == "closing"):
+		if r.active > 0 {
+			r.state = "closing"
+			return http.StatusAccepted
+		}
 		r.state = "ready"
 		return http.StatusOK
 	case o.Op == "close":
@@ -551,7 +580,7 @@
 	}
 	if r.state != "" && len(r.members) > 0 {
 		head := r.pool.replicas[r.members[0]]
-		if head != nil && !head.down && head.group == r.group && head.state == "open" {
+		if head != nil && !head.down && head.group == r.group && (head.state == "open" || head.state == "closing") {
 			r.pool.site.Record.Broken("TWO: %s joins %s while the head %s of its group %s is open", r.ID, o.Group, head.ID, r.group.name)
 		}
 	}
@@ -581,3 +610,18 @@
 	defer r.pool.mu.Unlock()
 	r.handle = handle
 }
+
+// checkGroup records a break of PARTIAL if the group of a request that begins to run is not whole.
+func (r *Replica) checkGroup(c *Call) {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	m, _ := r.pool.site.model(r.model)
+	if len(r.members) != m.Size {
+		r.pool.site.Record.Broken("PARTIAL: %s runs in %s with %d members", c.ID, r.group.name, len(r.members))
+	}
+	for _, id := range r.members {
+		if !r.pool.everReady[r.group][id] {
+			r.pool.site.Record.Broken("PARTIAL: %s runs in %s, %s was never ready", c.ID, r.group.name, id)
+		}
+	}
+}
--- a/review/standins3/rig/site.go
+++ b/review/standins3/rig/site.go
@@ -15,6 +15,8 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -144,7 +146,7 @@
 	}
 	values := map[string]string{
 		"NodeName": d.Name, "Zone": zone, "Listen.Front": d.Front, "Listen.Ready": d.Ready, "Ip": ip, "InternalPortRange.0": peerPort,
-		"Provider.Address": store, "Provider.ttl_min_ms": "1000", "HeartbeatIntervalMs": "1200", "Bootstrap": "true",
+		"Provider.Address": store, "Provider.ttl_min_ms": "1000", "HeartbeatIntervalMs": "1200", "Bootstrap": s.bootstrap(),
 		"Bounds.RevokeMs": "5000", "Bounds.StrictRevoke": "true", "Bounds.ConfigApplyMs": "2000", "Bounds.RetryBudgetRatio": "0.2",
 		"Bounds.RetrySlack": "109", "Bounds.BudgetWindowS": "10", "Bounds.GraceS": "8", "Limits.MemoryMb": "284", "Limits.CpuShare": "0.4",
 	}
@@ -172,7 +174,32 @@
 	d.cmd = exec.Command("target/lupinkeel", "gateway")
 	d.cmd.Env = append(os.Environ(), "LUPINKEEL_NODE_FILE="+d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
-	return d.cmd.Start()
+	// The daemon ends with this process, however that ends.
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	startOnce.Do(func() { go startProcesses() })
+	starts <- start{d.cmd, started}
+	return <-started
+}
+
+// start asks for a process to be started.
+type start struct {
+	cmd *exec.Cmd
+	err chan<- error
+}
+
+var (
+	starts    = make(chan start)
+	startOnce sync.Once
+)
+
+// startProcesses starts all processes from one thread, which lives as long as this process: the kernel
+// sends Pdeathsig when the thread ends that started the process.
+func startProcesses() {
+	runtime.LockOSThread()
+	for s := range starts {
+		s.err <- s.cmd.Start()
+	}
 }
 
 // Signal sends a signal to the daemon's process.
@@ -253,3 +280,10 @@
 	}
 	return fmt.Errorf("the site is not ready: %w", ctx.Err())
 }
+
+// bootstrap tells whether the whole system starts for the first time.
+func (s *Site) bootstrap() string {
+	s.Pool.mu.Lock()
+	defer s.Pool.mu.Unlock()
+	return strconv.FormatBool(!s.Pool.traffic)
+}
