review: drivers exit with 2 if they are ended or showed nothing

Seen: a driver that got SIGTERM ended with the shell's code for it and left its temporary folder; case 8 exited with 0 in a run in which its replica got no requests; replaced.sh could outlive its shell.

--- a/review/replaced.sh
+++ b/review/replaced.sh
@@ -4,6 +4,4 @@
 # 2 if it could not run. TROUBLE=0 leaves out the replacements.
 cd "$(dirname "$0")/.." || exit 2
 [ -x target/lupinkeel ] && [ -x target/review3/replaced ] || exit 2
-record=$(mktemp) || exit 2
-trap 'rm -f "$record"' EXIT
-target/review3/replaced "$record"
+exec target/review3/replaced target/review3/replaced-record.txt
--- a/review/standins3/born/main.go
+++ b/review/standins3/born/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -146,5 +147,8 @@
 	if late.Load() > 0 {
 		s.Record.Broken("DRAIN: %d requests reached %s later than %v after the store took that it is draining", late.Load(), r.ID, drainBound)
 	}
+	if before == 0 {
+		return false, errors.New("the replica got no requests before it said that it is leaving")
+	}
 	return late.Load() > 0, nil
 }
--- a/review/standins3/rig/site.go
+++ b/review/standins3/rig/site.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"runtime"
@@ -65,9 +66,20 @@
 	s.Server = httptest.NewServer(s.Store)
 	s.Pool = newPool(s)
 	s.Configure(Key)
+	go s.endOnSignal()
 	return s, nil
 }
 
+// endOnSignal ends the process on SIGTERM and SIGINT: the case could not run. The daemons end with it.
+func (s *Site) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	s.Record.close()
+	os.RemoveAll(s.dir)
+	os.Exit(2)
+}
+
 func (s *Site) model(name string) (Model, bool) {
 	for _, m := range s.Models {
 		if m.Name == name {
--- a/review/standins3/surplus/main.go
+++ b/review/standins3/surplus/main.go
@@ -132,7 +132,7 @@
 	if err := s.AwaitReady(ctx, replicas/2-1); err != nil {
 		return err
 	}
-	total := play(s, g)
+	total, whole := play(s, g)
 	breaks := s.Record.Breaks()
 	fmt.Printf("%d streams, %d answers broken off, %d surplus answers, %d breaks\n", total, g.broken, g.surplus, len(breaks))
 	for n, b := range breaks {
@@ -144,12 +144,15 @@
 		s.Close()
 		os.Exit(1)
 	}
+	if trouble := os.Getenv("TROUBLE") != "0"; 2*whole < total || trouble && (g.broken == 0 || g.surplus == 0) {
+		return fmt.Errorf("only %d of %d streams were whole, or no answer was spoiled", whole, total)
+	}
 	return nil
 }
 
-// play sends streams from all clients, and returns their number.
-func play(s *rig.Site, g *garble) int {
-	var total atomic.Int64
+// play sends streams from all clients, and returns their number and that of the whole ones.
+func play(s *rig.Site, g *garble) (sent, served int) {
+	var total, whole atomic.Int64
 	var wg sync.WaitGroup
 	end := time.Now().Add(loadTime)
 	for n := range daemons * clients {
@@ -162,6 +165,9 @@
 				r := c.Stream(model)
 				s.CheckStream(r)
 				total.Add(1)
+				if r.Complete && len(r.Events) == s.Events {
+					whole.Add(1)
+				}
 				if r.Status != http.StatusOK {
 					time.Sleep(200 * time.Millisecond)
 				}
@@ -174,5 +180,5 @@
 		g.on.Store(false)
 	}
 	wg.Wait()
-	return int(total.Load())
+	return int(total.Load()), int(whole.Load())
 }
