review: case 7 plays three sites beside each other

Change: three sites of the same size run beside each other, each with its own store, engines and daemons; doses are as before.

--- a/review/standins2/handover.go
+++ b/review/standins2/handover.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// handoverSites is the number of sites beside each other.
+	handoverSites = 3
 	// The site has the sizes of bg-kafe-abonament.
 	handoverDaemons = 7
 	handoverDomains = 6
@@ -21,7 +23,7 @@
 	lateShare = 0.5
 	lateTime  = 5 * time.Second
 	latePause = time.Second
-	// Rounds begin for roundsTime, until one breaks the rule. In each, warmTime passes before callers
+	// On each site, rounds begin for roundsTime, until one breaks the rule. In each, warmTime passes before callers
 	// come and calmBefore before a burst of requests for m0, which lasts for burstTime or until the
 	// daemon that gives orders is killed. Then all goes on for watchTime.
 	roundsTime = 80 * time.Second
@@ -39,8 +41,26 @@
 	otherCallers = 11
 )
 
-// playHandover plays rounds of a hand-over on sites of their own.
+// playHandover plays rounds of a hand-over, each on a site of its own, three sites beside each other.
 func playHandover(s *site) error {
+	ended := make(chan error, handoverSites)
+	for n := range handoverSites {
+		sister, err := s.newSister(fmt.Sprintf("site %d:", n+1))
+		if err != nil {
+			return err
+		}
+		go func() { ended <- sister.playRounds() }()
+	}
+	for range handoverSites {
+		if err := <-ended; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// playRounds plays rounds one after the other.
+func (s *site) playRounds() error {
 	for n := 1; time.Since(s.began) < roundsTime; n++ {
 		s.note("round %d", n)
 		if err := s.playRound(uint64(time.Now().UnixNano())); err != nil {
--- a/review/standins2/site.go
+++ b/review/standins2/site.go
@@ -79,9 +79,15 @@
 	closing sync.Mutex
 	closed  bool
 
-	mu     sync.Mutex
-	record *bufio.Writer
-	file   *os.File
+	// recorder is the site that writes the record, nil for itself, and label what this one's lines begin
+	// with.
+	recorder *site
+	label    string
+
+	mu      sync.Mutex
+	sisters []*site
+	record  *bufio.Writer
+	file    *os.File
 }
 
 // daemon is one process under test.
@@ -113,8 +119,29 @@
 	return s, nil
 }
 
+// newSister returns a site of its own that writes to the same record.
+func (s *site) newSister(label string) (*site, error) {
+	dir, err := os.MkdirTemp(s.dir, "")
+	if err != nil {
+		return nil, err
+	}
+	sister := &site{binary: s.binary, trouble: s.trouble, dir: dir, began: s.began, recorder: s, label: label}
+	if err := sister.openStore(); err != nil {
+		return nil, err
+	}
+	sister.pool = replica.NewPool(profile, sister.store)
+	s.mu.Lock()
+	s.sisters = append(s.sisters, sister)
+	s.mu.Unlock()
+	return sister, nil
+}
+
 // note writes a line to the record.
 func (s *site) note(format string, args ...any) {
+	if s.recorder != nil {
+		s.recorder.note(s.label+" "+format, args...)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fmt.Fprintf(s.record, "%9.3f ", time.Since(s.began).Seconds())
@@ -139,11 +166,16 @@
 	return nil
 }
 
-// nextPort is the last port that freeAddr tried, below the range for outgoing connections.
-var nextPort = 20000 + rand.IntN(6000)
+var (
+	portMu sync.Mutex
+	// nextPort is the last port that freeAddr tried, below the range for outgoing connections.
+	nextPort = 20000 + rand.IntN(6000)
+)
 
 // freeAddr returns a loopback address with a free port.
 func freeAddr() (string, error) {
+	portMu.Lock()
+	defer portMu.Unlock()
 	for range 500 {
 		nextPort++
 		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", nextPort))
@@ -180,6 +212,11 @@
 
 // startDaemon starts one more daemon.
 func (s *site) startDaemon(firstStart bool) (*daemon, error) {
+	s.closing.Lock()
+	defer s.closing.Unlock()
+	if s.closed {
+		return nil, errors.New("the site is closed")
+	}
 	var addrs [4]string
 	for n := range addrs {
 		addr, err := freeAddr()
@@ -359,18 +396,28 @@
 	}
 }
 
-// close ends all processes that the site started, and the stand-ins.
+// close ends all processes that the site and its sisters started, and the stand-ins.
 func (s *site) close() error {
 	s.closing.Lock()
 	s.closed = true
 	s.endDaemons()
 	s.closing.Unlock()
+	s.mu.Lock()
+	sisters := slices.Clone(s.sisters)
+	s.mu.Unlock()
+	var failed error
+	for _, sister := range sisters {
+		failed = errors.Join(failed, sister.close())
+	}
 	for _, i := range s.pool.Instances() {
 		// The case is over; errors do not matter any more.
 		_ = i.Stop()
 	}
-	err := s.server.Close()
+	err := errors.Join(failed, s.server.Close())
 	s.note("ended")
+	if s.recorder != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	err = errors.Join(err, s.record.Flush(), s.file.Close())
