--- a/review/standins3/replaced/main.go
+++ b/review/standins3/replaced/main.go
@@ -19,11 +19,11 @@
 	daemons, engines, plain = 6, 8, 12
 	// replacements is the number of machines that are replaced, replaceGap the time between two.
 	replacements = 33
-	replaceGap   = 700 * time.Millisecond
+	replaceGap   = 500 * time.Millisecond
 	// settleTime is longer than GraceS, in which the last machines stop, and than ContactMs.
 	settleTime = 10 * time.Second
 	// releaseTime is for how long one replica after the other is replaced, each releaseGap.
-	releaseTime = 55 * time.Second
+	releaseTime = 76 * time.Second
 	releaseGap  = 790 * time.Millisecond
 	// drainBound is DrainMs; a replica serves on for a while longer.
 	drainBound = 2 * time.Second
