gateway: log how a complete stream ended

Now the line of a request has the framing of the last response (empty if there was none) and the last event, and lupinkeel_stream_ends_total counts streams by framing; lupinkeel_upstream_peek_errors counts the errors of sockets that a peek took.

The scripts of lib/h1 show the framing itself rather than whether there is one, which is stricter. go test of doc, gateway and lib/h1 passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -126,7 +126,7 @@
 	}
 	event, err := a.events.Next()
 	switch {
-	case errors.Is(err, io.EOF) && a.lastEvent.IsZero() && !a.response.Framed:
+	case errors.Is(err, io.EOF) && a.lastEvent.IsZero() && a.response.Framing == h1.FramedByClose:
 		return event, errors.Join(errMayHaveRun, errEmptyStream)
 	case errors.Is(err, io.EOF):
 		return event, io.EOF
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,8 +124,11 @@
 	// backoffRejections counts requests rejected because all instances asked for a backoff.
 	backoffRejections *metrics.Counter
 	// rejections counts sends that instances rejected without running the request.
-	rejections  *metrics.Counter
-	resumes     *metrics.Counter
+	rejections *metrics.Counter
+	resumes    *metrics.Counter
+	// streamEnds counts complete streams by the framing of their last response; it is empty if there
+	// was none.
+	streamEnds  map[h1.Framing]*metrics.Counter
 	connsOpened *metrics.Counter
 	firstByte   *metrics.Histogram
 	verdicts    verdictCounter
@@ -137,7 +140,7 @@
 
 func newStats(set *metrics.Set) *stats {
 	s := &stats{
-		byOutcome: map[outcome]*metrics.Counter{}, retries: set.NewCounter("lupinkeel_request_repeats_total"),
+		byOutcome: map[outcome]*metrics.Counter{}, streamEnds: map[h1.Framing]*metrics.Counter{}, retries: set.NewCounter("lupinkeel_request_repeats_total"),
 		quarantineRejections: set.NewCounter("lupinkeel_quarantine_refusals_total"),
 		limitRejections:      set.NewCounter("lupinkeel_limit_refusals_total"),
 		backoffRejections:    set.NewCounter("lupinkeel_rest_refusals_total"),
@@ -147,6 +150,9 @@
 		ownZone: newByteMeter(set, "own"), otherZone: newByteMeter(set, "other"),
 	}
 	set.NewGauge("lupinkeel_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
+	for _, framing := range []h1.Framing{"", h1.FramedByLength, h1.FramedByChunks, h1.FramedByClose} {
+		s.streamEnds[framing] = set.NewCounter(fmt.Sprintf("lupinkeel_stream_ends_total{framing=%q}", string(framing)))
+	}
 	for _, o := range outcomes {
 		s.byOutcome[o] = set.NewCounter(fmt.Sprintf("lupinkeel_requests_total{outcome=%q}", string(o)))
 	}
@@ -200,6 +206,7 @@
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
+	set.NewGauge("lupinkeel_upstream_peek_errors", func() float64 { return float64(g.conns.PeekErrors()) })
 	return g
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 )
 
@@ -212,6 +213,9 @@
 	if e.digestUsed.Load() {
 		event.Stringer("digest", e.digest())
 	}
+	if end == outcomeComplete && e.route.Kind == models.RouteStream {
+		event.EmbedObject(e.end)
+	}
 	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("model", string(e.head.Model)).
 		Dur("aim", e.route.LatencyTarget).Int64("config", version).Str("workspace", string(e.owner.Workspace)).
 		Str("outcome", string(end)).Int("status", status).Str("instance", string(e.instance.ID)).Str("zone", string(e.instance.Zone)).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
@@ -232,8 +234,30 @@
 	return err
 }
 
+// streamEnd describes the end of a stream.
+type streamEnd struct {
+	// framing is that of the last attempt's response; it is empty if there was none.
+	framing h1.Framing
+	lastID  int64
+}
+
+// MarshalZerologObject adds the fields of a log line.
+func (e streamEnd) MarshalZerologObject(line *zerolog.Event) {
+	line.Str("framing", string(e.framing)).Int64("last-event", e.lastID)
+}
+
+// recordEnd records the end of a stream for the log and the metrics.
+func (s *stream) recordEnd() {
+	s.end = streamEnd{lastID: s.lastID}
+	if s.current.response != nil {
+		s.end.framing = s.current.response.Framing
+	}
+	s.g.stats.streamEnds[s.end.framing].Inc()
+}
+
 // finishStream completes the response.
 func (s *stream) finishStream() error {
+	s.recordEnd()
 	s.observeBase()
 	s.markSound()
 	if !s.headSent {
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -13,9 +13,31 @@
 	Status int
 	Header http.Header
 	Body   *Body
-	// Framed reports whether the length of the body is known or marked, so that a closed
-	// connection can't be mistaken for the end of the body.
-	Framed bool
+	// Framing tells how the body's end is marked.
+	Framing Framing
+}
+
+// Framing is how the end of a body is marked.
+type Framing string
+
+// Framings. A body that is FramedByClose ends with its connection, so that a closed connection can be
+// mistaken for its end.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	FramedByClose  Framing = "close"
+)
+
+// framing returns how the end of a response's body is marked.
+func framing(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.ContentLength >= 0:
+		return FramedByLength
+	default:
+		return FramedByClose
+	}
 }
 
 // Body is the body of a response.
--- a/lib/h1/busy_test.go
+++ b/lib/h1/busy_test.go
@@ -39,7 +39,7 @@
 	_, err = server.Write([]byte("data"))
 	c.Assert(err, qt.IsNil)
 
-	conn := newConn(nil, netip.AddrPort{}, &lateConn{TCPConn: client.(*net.TCPConn)})
+	conn := newConn(NewPool(nil, nil), netip.AddrPort{}, &lateConn{TCPConn: client.(*net.TCPConn)})
 	defer conn.close()
 	conn.stallPolicy = func(silence time.Duration) time.Duration {
 		if silence > 0 {
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -96,7 +96,11 @@
 		}
 		// A busy process runs its timers before what the network has completed, so that the deadline may
 		// pass although bytes have arrived.
-		if empty, err := c.isEmpty(); err == nil && !empty {
+		empty, socketErr, err := c.peek()
+		if socketErr != nil {
+			c.pool.peekErrors.Add(1)
+		}
+		if err == nil && !empty {
 			continue
 		}
 		wait = c.stallPolicy(time.Since(startedAt))
@@ -125,18 +129,28 @@
 }
 
 // isEmpty reports whether the socket has received nothing that has not been read.
-func (c *conn) isEmpty() (empty bool, err error) {
+func (c *conn) isEmpty() (bool, error) {
+	empty, _, err := c.peek()
+	return empty, err
+}
+
+// peek reports whether the socket has received nothing that has not been read. The error of the socket, if
+// it has one, is reported in socketErr.
+func (c *conn) peek() (empty bool, socketErr, err error) {
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
-		return false, err
+		return false, nil, err
 	}
 	err = raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
 		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = errors.Is(err, unix.EAGAIN)
+		if !empty {
+			socketErr = err
+		}
 		return true
 	})
-	return empty, err
+	return empty, socketErr, err
 }
 
 // Do sends the request and returns the response once its header has arrived. When the context
@@ -171,8 +185,7 @@
 	}
 	body := &Body{c: c, r: resp.Body, stop: stop, keepAlive: !resp.Close}
 	c.applyKeepAlive(resp.Header)
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framed: framed}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: framing(resp)}, nil
 }
 
 const (
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,9 @@
 	// nil.
 	newMeter func(netip.AddrPort) Meter
 
+	// peekErrors counts the socket errors that were found before a read.
+	peekErrors atomic.Int64
+
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
 	// maxIdle is the maximum number of idle connections to each address; nil before the first
@@ -80,6 +84,10 @@
 	return &Pool{dial: dial, newMeter: newMeter, idle: map[netip.AddrPort][]*conn{}}
 }
 
+// PeekErrors returns how many errors of sockets were found while a response was awaited, before they
+// were read from.
+func (p *Pool) PeekErrors() int64 { return p.peekErrors.Load() }
+
 // get returns a connection that has been idle for at most maxIdleAge, or a new connection.
 func (p *Pool) get(ctx context.Context, addr netip.AddrPort, maxIdleAge time.Duration) (*conn, error) {
 	for {
--- a/lib/h1/script_test.go
+++ b/lib/h1/script_test.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return errorNames(err)
 	}
-	return fmt.Sprintf("%d %s framed=%t", resp.Status, body, resp.Framed)
+	return fmt.Sprintf("%d %s framing=%s", resp.Status, body, resp.Framing)
 }
 
 // errorNames returns the names of the sentinel errors that an error wraps.
