lib/h1: keep the error of a socket that a peek takes

What callers saw: a stream that its instance reset could end as complete, if its response had no length. Cause: the kernel reports the error of a socket once. After a read deadline conn.Read peeks at the socket, which took a reset that had arrived meanwhile, and the next read returned the regular end. In a process short of processor time the deadline is what passes first. The class: a status that is reported once is taken by somebody who does not pass it on.

Evidence: a trial on loopback (peek: connection reset by peer, each read after it: EOF); TestResetLooksComplete failed before with EOF and passes.

Now the peek's error is the result of the read.

--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -46,23 +46,25 @@
 	r         io.ReadCloser
 	stop      func() bool
 	keepAlive bool
-	atEOF     bool
-	failed    bool
-	closed    bool
+	// err is what ended the body: io.EOF at its proper end.
+	err    error
+	closed bool
 }
 
-// Read reads from the body. It returns io.EOF only at the proper end of the body.
+// Read reads from the body. It returns io.EOF only at the proper end of the body, and any other error again
+// in further calls.
 func (b *Body) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		b.atEOF = true
-	case err != nil:
-		b.failed = true
+	if b.err != nil {
+		return 0, b.err
 	}
+	n, err := b.r.Read(p)
+	b.err = err
 	return n, err
 }
 
+// atEnd reports whether the body was read to its proper end.
+func (b *Body) atEnd() bool { return errors.Is(b.err, io.EOF) }
+
 // SetStallPolicy replaces the StallPolicy of the request.
 func (b *Body) SetStallPolicy(p StallPolicy) { b.c.stallPolicy = p }
 
@@ -88,7 +90,7 @@
 	}
 	b.closed = true
 	active := b.stop()
-	if !active || !b.atEOF || b.failed || !b.keepAlive || b.c.br.Buffered() > 0 {
+	if !active || !b.atEnd() || !b.keepAlive || b.c.br.Buffered() > 0 {
 		b.c.close()
 		return nil
 	}
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -40,6 +40,9 @@
 	inHead   bool
 	// meter counts the connection's bytes; it may be nil.
 	meter Meter
+	// readErr is the error of the first read that failed. A socket reports its error only once, and then
+	// the regular end.
+	readErr error
 }
 
 // readBufferLen is the length of a connection's read buffer in bytes, large enough for a response
@@ -54,6 +57,9 @@
 
 // Read reads from the connection; the current request's stall policy decides how long it waits.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
 	if c.inHead {
 		if c.headLeft == 0 {
 			return 0, ErrHeadTooLong
@@ -61,6 +67,7 @@
 		p = p[:min(len(p), c.headLeft)]
 	}
 	n, err := c.readWithStallPolicy(p)
+	c.readErr = err
 	if c.inHead {
 		c.headLeft -= n
 	}
@@ -96,11 +103,12 @@
 		}
 		// A busy process runs its timers before what the network has completed, so that the deadline may
 		// pass although bytes have arrived.
-		empty, socketErr, err := c.peek()
-		if socketErr != nil {
+		empty, err := c.isEmpty()
+		if err != nil {
 			c.pool.peekErrors.Add(1)
+			return 0, err
 		}
-		if err == nil && !empty {
+		if !empty {
 			continue
 		}
 		wait = c.stallPolicy(time.Since(startedAt))
@@ -128,29 +136,26 @@
 	return err == nil && empty
 }
 
-// isEmpty reports whether the socket has received nothing that has not been read.
-func (c *conn) isEmpty() (bool, error) {
-	empty, _, err := c.peek()
-	return empty, err
-}
-
-// peek reports whether the socket has received nothing that has not been read. The error of the socket, if
-// it has one, is reported in socketErr.
-func (c *conn) peek() (empty bool, socketErr, err error) {
+// isEmpty reports whether the socket has received nothing that has not been read. An error of the socket is
+// returned, since no later read reports it.
+func (c *conn) isEmpty() (empty bool, err error) {
 	raw, err := c.nc.SyscallConn()
 	if err != nil {
-		return false, nil, err
+		return false, err
 	}
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(err, unix.EAGAIN)
-		if !empty {
-			socketErr = err
+		peekErr = unix.EINTR
+		for errors.Is(peekErr, unix.EINTR) {
+			_, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		}
 		return true
 	})
-	return empty, socketErr, err
+	if errors.Is(peekErr, unix.EAGAIN) {
+		return true, err
+	}
+	return false, errors.Join(err, peekErr)
 }
 
 // Do sends the request and returns the response once its header has arrived. When the context
