gateway: end streams only with the end of their own body

What callers saw: a resumed stream ends as complete after event 1 to 7 of 8; a stream whose first attempt meets the same gets a closed connection without any response (a nil pointer in the log). Cause: relay took every error that wraps io.EOF for the end of the stream, also those of sending the request. readHeader joined the end of a discarded body to its error, and an ended daemon gives io.EOF while a tunnel is made. The class: a sentinel that every layer returns is tested for across several layers.

Now the end is errStreamEnd, which streamAttempt.read alone returns, after the body's own reader has reported its end; it wraps nothing, and no other error wraps it. readHeader does not return the end of a discarded body either, and says so if that body is too long. As a stream now always has a response when it ends, the log's framing is never empty.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,8 @@
 )
 
 var (
+	// errStreamEnd is the proper end of a stream. Unlike io.EOF, no other layer returns it.
+	errStreamEnd   = errors.New("the stream is complete")
 	errEmptyStream = errors.New("the stream ended before its first event")
 	// errFailureResponse: the instance answered with a status other than 200; see
 	// streamAttempt.response.
@@ -103,7 +105,7 @@
 	return nil
 }
 
-// next returns the next event, or io.EOF at the proper end of the stream.
+// next returns the next event, or errStreamEnd at the proper end of the stream.
 func (a *streamAttempt) next() (sse.Event, error) {
 	event, err := a.read()
 	if err != nil {
@@ -129,7 +131,7 @@
 	case errors.Is(err, io.EOF) && a.lastEvent.IsZero() && a.response.Framing == h1.FramedByClose:
 		return event, errors.Join(errMayHaveRun, errEmptyStream)
 	case errors.Is(err, io.EOF):
-		return event, io.EOF
+		return event, errStreamEnd
 	case err != nil:
 		return event, errors.Join(errMayHaveRun, err)
 	}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -79,7 +79,7 @@
 		c.Check(isDisconnect(cut), qt.IsTrue, qt.Commentf("%v", cut))
 	}
 	for _, other := range []error{
-		nil, io.EOF, errFailureResponse, mayHaveRun(h1.ErrStalled), mayHaveRun(net.ErrClosed), mayHaveRun(h1.ErrOtherRequest),
+		nil, errStreamEnd, io.EOF, errFailureResponse, mayHaveRun(h1.ErrStalled), mayHaveRun(net.ErrClosed), mayHaveRun(h1.ErrOtherRequest),
 		errors.Join(errNotRun, fmt.Errorf("%w: %w", h1.ErrNotSent, syscall.ECONNRESET)), errors.Join(errMayHaveRun, errEventGap),
 	} {
 		c.Check(isDisconnect(other), qt.IsFalse, qt.Commentf("%v", other))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,8 +126,7 @@
 	// rejections counts sends that instances rejected without running the request.
 	rejections *metrics.Counter
 	resumes    *metrics.Counter
-	// streamEnds counts complete streams by the framing of their last response; it is empty if there
-	// was none.
+	// streamEnds counts complete streams by the framing of their last response.
 	streamEnds  map[h1.Framing]*metrics.Counter
 	connsOpened *metrics.Counter
 	firstByte   *metrics.Histogram
@@ -150,7 +149,7 @@
 		ownZone: newByteMeter(set, "own"), otherZone: newByteMeter(set, "other"),
 	}
 	set.NewGauge("lupinkeel_requests_in_flight", func() float64 { return float64(s.inFlight.Load()) })
-	for _, framing := range []h1.Framing{"", h1.FramedByLength, h1.FramedByChunks, h1.FramedByClose} {
+	for _, framing := range []h1.Framing{h1.FramedByLength, h1.FramedByChunks, h1.FramedByClose} {
 		s.streamEnds[framing] = set.NewCounter(fmt.Sprintf("lupinkeel_stream_ends_total{framing=%q}", string(framing)))
 	}
 	for _, o := range outcomes {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -90,7 +89,7 @@
 			if err := s.forward(event); err != nil {
 				return err
 			}
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, errStreamEnd):
 			return s.finishStream()
 		case s.ctx.Err() != nil:
 			return err
@@ -236,7 +235,7 @@
 
 // streamEnd describes the end of a stream.
 type streamEnd struct {
-	// framing is that of the last attempt's response; it is empty if there was none.
+	// framing is that of the last attempt's response.
 	framing h1.Framing
 	lastID  int64
 }
@@ -248,10 +247,7 @@
 
 // recordEnd records the end of a stream for the log and the metrics.
 func (s *stream) recordEnd() {
-	s.end = streamEnd{lastID: s.lastID}
-	if s.current.response != nil {
-		s.end.framing = s.current.response.Framing
-	}
+	s.end = streamEnd{framing: s.current.response.Framing, lastID: s.lastID}
 	s.g.stats.streamEnds[s.end.framing].Inc()
 }
 
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -222,12 +222,31 @@
 		if r.Matches == nil || r.Matches(resp.Header) {
 			return resp, nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBody); !errors.Is(err, io.EOF) || resp.Close {
+		if err := discardBody(resp); err != nil {
 			return nil, errors.Join(ErrOtherRequest, err)
 		}
+		if resp.Close {
+			return nil, ErrOtherRequest
+		}
 	}
 }
 
+// discardBody reads a response's body to its end.
+func discardBody(resp *http.Response) error {
+	_, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBody)
+	switch {
+	case err == nil:
+		return errDiscardedTooLong
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
+
+// errDiscardedTooLong: a body to be discarded has maxDiscardedBody bytes or more.
+var errDiscardedTooLong = errors.New("the body of the other response is too long")
+
 // ErrOtherRequest is returned if the response belongs to another request and can't be discarded.
 var ErrOtherRequest = errors.New("the response belongs to another request")
 
