--- a/cluster/tunnel.go
+++ b/cluster/tunnel.go
@@ -171,6 +171,9 @@
 
 func (c *tunnelConn) readReply() (tunnelReply, error) {
 	kind, body, err := frame.Read(c.r)
+	if errors.Is(err, io.EOF) {
+		return tunnelReply{}, io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return tunnelReply{}, err
 	}
--- a/cluster/tunnel_test.go
+++ b/cluster/tunnel_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -203,3 +204,23 @@
 		}
 	}
 }
+
+// TestTunnelEndLooksRegular guards against a daemon that ends while it makes a tunnel, whose closed
+// connection looks like the regular end of a response.
+func TestTunnelEndLooksRegular(t *testing.T) {
+	s := newTunnelSite(t)
+	l := listen(s.c)
+	s.daemon.tunnelPeers.Store(&[]tunnelPeer{{addr: l.Addr().(*net.TCPAddr).AddrPort(), alive: true}})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _, err = frame.Read(conn)
+		_, writeErr := frame.Write(conn, frameTunnelReply, tunnelReply{Accepted: true})
+		s.c.Check(errors.Join(err, writeErr, conn.Close()), qt.IsNil)
+	}()
+	_, err := s.daemon.paths.dialTunnel(context.Background(), s.addr(), 0)
+	s.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	s.c.Assert(errors.Is(err, io.EOF), qt.IsFalse)
+}
