gateway: resume a stream whose connection was closed without an end

What callers saw: a stream whose response has no length ends as complete when its connection is closed after a whole event, which the kernel does for a killed instance as for a complete stream. Cause: streamAttempt.read took the closed connection for the end once there had been an event. The class: the absence of an error counts as a proof.

A stream that may be resumed now continues at another group after its last event. If it was complete, that response has no event and its own end. Where attempts or the retry budget do not allow that, it is broken off for its caller. The end counts as a disconnect for the detection of crashes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,6 +18,9 @@
 	// errStreamEnd is the proper end of a stream. Unlike io.EOF, no other layer returns it.
 	errStreamEnd   = errors.New("the stream is complete")
 	errEmptyStream = errors.New("the stream ended before its first event")
+	// errUnframedEnd: the connection of a response without a length was closed, which also a killed
+	// instance does.
+	errUnframedEnd = errors.New("the connection was closed, and nothing marks the end of the stream")
 	// errFailureResponse: the instance answered with a status other than 200; see
 	// streamAttempt.response.
 	errFailureResponse = errors.New("the instance answered with a failure status")
@@ -128,10 +131,8 @@
 	}
 	event, err := a.events.Next()
 	switch {
-	case errors.Is(err, io.EOF) && a.lastEvent.IsZero() && a.response.Framing == h1.FramedByClose:
-		return event, errors.Join(errMayHaveRun, errEmptyStream)
 	case errors.Is(err, io.EOF):
-		return event, errStreamEnd
+		return event, a.bodyEnd()
 	case err != nil:
 		return event, errors.Join(errMayHaveRun, err)
 	}
@@ -139,6 +140,21 @@
 	return event, nil
 }
 
+// bodyEnd returns what the end of the response's body means. A closed connection proves no end: the stream
+// continues at another group, which ends it at once if it is complete.
+func (a *streamAttempt) bodyEnd() error {
+	switch {
+	case a.response.Framing != h1.FramedByClose:
+		return errStreamEnd
+	case a.lastEvent.IsZero():
+		return errors.Join(errMayHaveRun, errEmptyStream)
+	case a.s.route.Idempotent():
+		return errors.Join(errMayHaveRun, errUnframedEnd)
+	default:
+		return errStreamEnd
+	}
+}
+
 // noteEvent records that the group makes progress and, on the first event, that the prompt has been
 // prefilled.
 func (a *streamAttempt) noteEvent() {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -221,7 +221,7 @@
 // isDisconnect reports whether an error means that the instance closed the connection before the
 // response was complete.
 func isDisconnect(err error) bool {
-	for _, end := range []error{io.ErrUnexpectedEOF, sse.ErrTruncated, errEmptyStream, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, end := range []error{io.ErrUnexpectedEOF, sse.ErrTruncated, errEmptyStream, errUnframedEnd, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, end) {
 			return !errors.Is(err, errNotRun) && !errors.Is(err, h1.ErrStalled)
 		}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -75,7 +75,7 @@
 func TestDisconnectErrors(t *testing.T) {
 	c := qt.New(t)
 	mayHaveRun := func(err error) error { return errors.Join(errMayHaveRun, fmt.Errorf("%w: %w", h1.ErrNoResponse, err)) }
-	for _, cut := range []error{mayHaveRun(io.ErrUnexpectedEOF), mayHaveRun(syscall.ECONNRESET), errors.Join(errMayHaveRun, sse.ErrTruncated), errors.Join(errMayHaveRun, errEmptyStream)} {
+	for _, cut := range []error{mayHaveRun(io.ErrUnexpectedEOF), mayHaveRun(syscall.ECONNRESET), errors.Join(errMayHaveRun, sse.ErrTruncated), errors.Join(errMayHaveRun, errEmptyStream), errors.Join(errMayHaveRun, errUnframedEnd)} {
 		c.Check(isDisconnect(cut), qt.IsTrue, qt.Commentf("%v", cut))
 	}
 	for _, other := range []error{
