gateway: pass on that only the connection's end marks a response's end

What callers saw: a unary response without a length whose connection was closed early came with a Content-Length, and a stream that may not be resumed with the final chunk, so that both looked complete; a broken stream looked complete to a caller that speaks HTTP/1.0. Cause, of the same class: the gateway claimed an end that it did not know, and a closed connection counted as 'broken off' where it is the end.

Such responses now end for the caller as they did for the gateway, with the connection. Until they are complete that is reset when it is closed (SO_LINGER of 0 s), also if the process is killed.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/admission"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
 	"github.com/lupinkeel/lupinkeel/quarantine"
@@ -37,6 +38,8 @@
 	mayHaveRun bool
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
+	// framedByClose is set if the end of the caller's connection is the end of the response.
+	framedByClose bool
 	// instance is where the request was sent last, group its group if it is a stream.
 	instance models.UpstreamInstance
 	group    models.GroupKey
@@ -146,9 +149,9 @@
 }
 
 // writeHead forwards the head of a response.
-func (e *exchange) writeHead(status int, h http.Header) {
+func (e *exchange) writeHead(resp *h1.Response) {
 	out := e.w.Header()
-	for name, values := range platform.ResponseHeader(h) {
+	for name, values := range platform.ResponseHeader(resp.Header) {
 		out[name] = values
 	}
 	for _, name := range []string{"Content-Type", "Date"} {
@@ -157,6 +160,7 @@
 			out[name] = nil
 		}
 	}
+	e.frameByClose(resp.Framing)
 	e.headSent, e.firstByte = true, time.Now()
-	e.w.WriteHeader(status)
+	e.w.WriteHeader(resp.Status)
 }
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -139,6 +139,7 @@
 func (e *exchange) finish(ctx context.Context, err error) {
 	switch {
 	case err == nil:
+		e.completeByClose()
 		e.clear()
 		e.g.entrance.Served(time.Since(e.started))
 		e.logEnd(outcomeComplete, 0, nil)
--- a/gateway/promise_test.go
+++ b/gateway/promise_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -64,7 +63,7 @@
 	go func() { i.done <- i.serve() }()
 	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
 	g := New(cfg, newFakeNode(c, promiseConfig, []*fakeInstance{i}), newScheduler(), metrics.NewSet(), zerolog.Nop())
-	front := httptest.NewServer(http.HandlerFunc(g.serve))
+	front := newFront(g)
 	defer front.Close()
 	got := sendRequest(front.URL, request)
 	l.Close()
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -59,7 +59,8 @@
 // the response of either.
 //
 // "want" holds the response to each, then the requests that the instances received, then the groups
-// that were reported as stalled. The response to HEAD is shown with its length.
+// that were reported as stalled. The response to HEAD is shown with its length, and one that ends with
+// its connection with framing=close.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	qt.Assert(t, err, qt.IsNil)
@@ -221,7 +222,7 @@
 		c.Assert(err, qt.IsNil)
 	}
 	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
-	front := httptest.NewServer(http.HandlerFunc(g.serve))
+	front := newFront(g)
 	defer front.Close()
 	for _, line := range lines(parts["base"]) {
 		name, base, _ := strings.Cut(line, " ")
@@ -254,6 +255,14 @@
 	c.Assert(got, qt.DeepEquals, lines(parts["want"]))
 }
 
+// newFront returns a started server for a gateway's callers.
+func newFront(g *Gateway) *httptest.Server {
+	front := httptest.NewUnstartedServer(http.HandlerFunc(g.serve))
+	front.Config.ConnContext = withCallerConn
+	front.Start()
+	return front
+}
+
 func newFakeNode(c *qt.C, config string, instances []*fakeInstance) *fakeNode {
 	routing, err := platform.DecodeRouting([]byte(config))
 	c.Assert(err, qt.IsNil)
@@ -365,6 +374,9 @@
 	if stamp := resp.Header.Get("X-Lupinkeel-Response-Stamp"); stamp != "" {
 		text += " by " + stamp
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && words[0] != http.MethodHead {
+		text += " framing=close"
+	}
 	if err != nil {
 		text += " cut"
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -38,7 +38,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	callers := g.newServer(http.HandlerFunc(g.serve))
 	callers.ReadHeaderTimeout, callers.MaxHeaderBytes = readHeaderTimeout, maxHeaderBytes
-	callers.ConnState = g.entrance.ConnState
+	callers.ConnState, callers.ConnContext = g.entrance.ConnState, withCallerConn
 	servers := map[netip.AddrPort]*http.Server{g.cfg.Ready: g.newServer(g.readyRoutes())}
 	if g.cfg.Admin.IsValid() {
 		servers[g.cfg.Admin] = g.newServer(g.adminRoutes())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -200,7 +200,7 @@
 // forward sends an event to the caller.
 func (s *stream) forward(event sse.Event) error {
 	if !s.headSent {
-		s.writeHead(s.current.response.Status, s.current.response.Header)
+		s.writeHead(s.current.response)
 	}
 	now := time.Now()
 	if !s.lastEvent.IsZero() {
@@ -228,7 +228,7 @@
 	if s.headSent {
 		return fmt.Errorf("%w: status %d", errMayHaveRun, resp.Status)
 	}
-	s.writeHead(resp.Status, resp.Header)
+	s.writeHead(resp)
 	_, err = s.w.Write(body)
 	return err
 }
@@ -257,7 +257,7 @@
 	s.observeBase()
 	s.markSound()
 	if !s.headSent {
-		s.writeHead(s.current.response.Status, s.current.response.Header)
+		s.writeHead(s.current.response)
 	}
 	return nil
 }
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -111,14 +111,18 @@
 		e.markSound()
 	}
 	e.setContentLength(resp, body)
-	e.writeHead(resp.Status, resp.Header)
+	e.writeHead(resp)
 	_, err = e.w.Write(body)
 	return err
 }
 
 // setContentLength sets the Content-Length for the caller. The instance's own header describes its
-// connection, except in a response to HEAD, where it is the length of the omitted body.
+// connection, except in a response to HEAD, where it is the length of the omitted body. A response that
+// ended with its connection gets none, since that may have been closed early.
 func (e *exchange) setContentLength(resp *h1.Response, body []byte) {
+	if resp.Framing == h1.FramedByClose {
+		return
+	}
 	length := strconv.Itoa(len(body))
 	if e.r.Method == http.MethodHead {
 		length = resp.Header.Get("Content-Length")
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -86,6 +86,14 @@
 	place *list.Element
 }
 
+// SetLinger sets what happens to unsent bytes when the connection is closed; see net.TCPConn.
+func (c *callerConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // moveTo moves the connection to the end of a list, or out of all if that is nil.
 func (c *callerConn) moveTo(to *list.List) {
 	if c.in != nil {
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -33,7 +33,7 @@
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return FramedByChunks
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0, r.Request.Method == http.MethodHead:
 		return FramedByLength
 	default:
 		return FramedByClose
