lib/h1: take a status that is none of HTTP's as no response

Here a status below 200 counted as informational, so that the body of a response with status 000 was read as the next head: a whole response in it, with the right request id, was passed on as the instance's. 600 and 999 were passed on as they were, and so was what follows 101. lupinkeel serve passed 000 to net/http, whose handler panics.

Final responses have 200 to 599, informational ones 100 and 102 to 199; anything else is h1.ErrInvalidStatus: the request may have run, the connection is closed.

--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -216,9 +216,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		if IsInformational(resp.StatusCode) {
 			continue
 		}
+		if err := CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if r.Matches == nil || r.Matches(resp.Header) {
 			return resp, nil
 		}
@@ -231,6 +234,26 @@
 	}
 }
 
+// ErrInvalidStatus is returned for a response whose status is not one of a final response.
+var ErrInvalidStatus = errors.New("invalid status")
+
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
+// IsInformational reports whether another response follows one with this status. After
+// 101 Switching Protocols, which no request asks for, none does.
+func IsInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// CheckStatus returns an error that wraps ErrInvalidStatus unless a final response may have the status.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%w %03d", ErrInvalidStatus, status)
+	}
+	return nil
+}
+
 // discardBody reads a response's body to its end.
 func discardBody(resp *http.Response) error {
 	_, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBody)
--- a/lib/h1/script_test.go
+++ b/lib/h1/script_test.go
@@ -174,7 +174,7 @@
 	for _, s := range []struct {
 		name string
 		err  error
-	}{{"no-answer", ErrNoResponse}, {"other-request", ErrOtherRequest}, {"stalled", ErrStalled}, {"cut", io.ErrUnexpectedEOF}} {
+	}{{"no-answer", ErrNoResponse}, {"other-request", ErrOtherRequest}, {"invalid-status", ErrInvalidStatus}, {"stalled", ErrStalled}, {"cut", io.ErrUnexpectedEOF}} {
 		if errors.Is(err, s.err) {
 			names += s.name + " "
 		}
--- a/worker/upstream/upstream.go
+++ b/worker/upstream/upstream.go
@@ -107,6 +107,10 @@
 	case err != nil:
 		return nil, errors.Join(ErrMayHaveRun, ErrNotServing, trace.Wrap(err))
 	}
+	if err := h1.CheckStatus(resp.StatusCode); err != nil {
+		resp.Body.Close()
+		return nil, errors.Join(ErrMayHaveRun, trace.Wrap(err))
+	}
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}
 	if err := checkHeader(call, response); err != nil {
 		resp.Body.Close()
