cluster: take this daemon's loads before the lock of its peers'

Cause: two locks in opposite order. peerLoads.apply called the scheduler's Loads under its lock, for totals of the whole cluster; the scheduler calls PeersLoad under its own.

Now the daemon's own loads are taken before the lock. They may be a moment older than the total that they are subtracted from, as before.

--- a/cluster/loads.go
+++ b/cluster/loads.go
@@ -38,6 +38,11 @@
 	if len(update.Loads) == 0 && !update.Full {
 		return
 	}
+	var mine map[models.InstanceID]Load
+	if update.Scope == scopeCluster {
+		// Not under the lock: own takes one that its holders keep while they call loadOn.
+		mine = own()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.byDaemon[update.From]
@@ -61,10 +66,6 @@
 			}
 		}
 	}
-	var mine map[models.InstanceID]Load
-	if update.Scope == scopeCluster {
-		mine = own()
-	}
 	for id, load := range update.Loads {
 		p.set(known, id, load.without(mine[id]))
 	}
--- a/cluster/loads_test.go
+++ b/cluster/loads_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -108,3 +109,39 @@
 	all, _ = p.totals(own)
 	c.Assert(all["i-1"].Requests, qt.Equals, 6, qt.Commentf("only loads of single daemons stay"))
 }
+
+// TestClusterTotalsDeadlock guards against two locks taken in opposite order: the gateway calls PeersLoad
+// under the lock that its Loads takes.
+func TestClusterTotalsDeadlock(t *testing.T) {
+	c := qt.New(t)
+	p := newPeerLoads()
+	var scheduler sync.Mutex
+	own := func() map[models.InstanceID]Load {
+		scheduler.Lock()
+		defer scheduler.Unlock()
+		return nil
+	}
+	const updates = 2000
+	applied, read := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(applied)
+		for n := range uint64(updates) {
+			p.apply(Update{From: "r1", Incarnation: 1, LoadsVersion: n, Scope: scopeCluster, Full: true, Loads: map[models.InstanceID]Load{"i-1": {Requests: 1}}}, "a", own)
+		}
+	}()
+	go func() {
+		defer close(read)
+		for range updates {
+			scheduler.Lock()
+			p.loadOn("i-1")
+			scheduler.Unlock()
+		}
+	}()
+	for _, done := range []chan struct{}{applied, read} {
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			c.Fatal("apply and loadOn wait for each other")
+		}
+	}
+}
