gateway: pass on in a planned stop only what can be answered before its end

A request that a stopping daemon had begun to read before its listener closed, and whose body came late, was passed on however little of the grace was left. At the end of the grace its connection was closed without an answer, also if the request may not be repeated. The instance was given the caller's whole deadline, so that it worked on.

Shown by TestLateRequestsAreCutAtTheEndOfAPlannedStop, which runs a gateway with a grace of 6 s.

Before each send of a request whose response has not begun, what is left until the end is now compared with what the request is expected to take: the long durations of its route's requests (a running percentile), its latency target at least. Without observations a plain request is expected to take its target, a stream all of its time. If that does not fit, the request is rejected as not run, with a short Retry-After, since other daemons can serve it at once. The deadline for instances ends with the stop. Retries and hedges are checked as well; a stream whose response has begun may still fail over. slow_body_short checks that short requests are served late in the grace.

Not a fault here: a request that is read after the listener closed on a silent or slow connection. net/http (Go 1.26) closes the connection without calling the handler (silent_connection, idle_connection and slow_head, which held on the code before, too).

TestReady begins the stop by its new function instead of the flag that is gone; it checks the same.

--- a/gateway/await.go
+++ b/gateway/await.go
@@ -21,6 +21,11 @@
 
 // awaitGroup waits for a group with capacity.
 func (s *stream) awaitGroup() (target, error) {
+	if !s.headSent {
+		if err := s.checkTimeLeft(); err != nil {
+			return target{}, err
+		}
+	}
 	if s.engine() == nil || s.route.LatencyTarget <= 0 || s.headSent || s.mayHaveRun || len(s.tried) > 0 || s.quarantineStatus().NeedsIsolation() {
 		return s.awaitAnyGroup()
 	}
--- a/gateway/base_latency.go
+++ b/gateway/base_latency.go
@@ -39,21 +39,26 @@
 }
 
 // observe moves the percentile up by a fraction of itself if the observation is above it, and down
-// if it is below. The two fractions balance where basePercentile of the observations are below.
+// if it is below.
 func (b *baseLatency) observe(d time.Duration) {
 	b.count++
-	if b.count == 1 {
-		b.value = max(d, minBaseLatency)
-		return
+	b.value = movePercentile(b.value, b.count, d, basePercentile)
+}
+
+// movePercentile returns a running percentile after the given number of observations, the last of which
+// is d. The steps up and down balance where this part of the observations is below.
+func movePercentile(value time.Duration, count int, d time.Duration, percentile float64) time.Duration {
+	if count == 1 {
+		return max(d, minBaseLatency)
 	}
-	step := max(baseStep, firstBaseStep/float64(b.count))
-	current := float64(b.value)
-	if d > b.value {
-		current *= 1 + step*basePercentile
+	step := max(baseStep, firstBaseStep/float64(count))
+	current := float64(value)
+	if d > value {
+		current *= 1 + step*percentile
 	} else {
-		current *= 1 - step*(1-basePercentile)
+		current *= 1 - step*(1-percentile)
 	}
-	b.value = max(time.Duration(current), minBaseLatency)
+	return max(time.Duration(current), minBaseLatency)
 }
 
 // observeBase records a stream's base latency for its model, if it was sent once and to a group
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,8 @@
 	conns            *h1.Pool
 	stats            *stats
 	set              *metrics.Set
-	stopping         atomic.Bool
+	durations        *durations
+	stop             plannedStop
 }
 
 type stats struct {
@@ -194,8 +195,8 @@
 func New(cfg Settings, node Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, scheduler: traffic.(*scheduler), stats: newStats(set), set: set,
-		buffers: newBuffers(cfg.MaxBufferedBytes, set),
-		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, time.Now(), !cfg.FirstStart), crashes: newCrashDetector(node, set, log),
+		buffers: newBuffers(cfg.MaxBufferedBytes, set), durations: newDurations(),
+		budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, time.Now(), !cfg.FirstStart), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
 	g.entrance = entrance.New(entrance.Settings{
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -141,6 +141,9 @@
 		// A request suspected of crashing instances is not sent to two at once.
 		return idlePollInterval
 	}
+	if !s.headSent && s.checkTimeLeft() != nil {
+		return idlePollInterval
+	}
 	dest, free := s.findUnlimitedGroup()
 	if !stalled && !(free && s.wouldBeInTime(dest.group)) {
 		// The first attempt may still answer as soon as any other group.
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -72,7 +72,7 @@
 	view.ConfirmedAt = time.Now().Add(-5 * time.Second)
 	c.Assert(ready(), qt.Equals, http.StatusServiceUnavailable)
 	view.ConfirmedAt = time.Now()
-	g.stopping.Store(true)
+	g.stop.begin(time.Now(), time.Second)
 	c.Assert(ready(), qt.Equals, http.StatusServiceUnavailable)
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -107,6 +107,9 @@
 	// retrying at the same time.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 500 * time.Millisecond
+	// stopRetryAfter bounds when a caller should retry that a stopping daemon rejected: others can serve
+	// it at once.
+	stopRetryAfter = 100 * time.Millisecond
 )
 
 // retryAfter returns when a caller that was rejected for this reason should retry.
@@ -114,6 +117,9 @@
 	if errors.Is(reason, errNoConfig) {
 		return typicalStartup
 	}
+	if errors.Is(reason, errStopping) {
+		return rand.N(stopRetryAfter)
+	}
 	return minRetryAfter + rand.N(retryAfterJitter)
 }
 
@@ -142,6 +148,7 @@
 		e.completeByClose()
 		e.clear()
 		e.g.entrance.Served(time.Since(e.started))
+		e.g.durations.observe(e.route.Name, time.Since(e.started))
 		e.logEnd(outcomeComplete, 0, nil)
 	case e.r.Context().Err() != nil:
 		e.logEnd(outcomeCallerGone, 0, err)
@@ -182,7 +189,7 @@
 
 // isNotRun reports whether the error means that no instance ran the request.
 func isNotRun(err error) bool {
-	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errPartQuarantined, errLastInstance} {
+	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errPartQuarantined, errLastInstance, errStopping} {
 		if errors.Is(err, reason) {
 			return true
 		}
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -129,6 +129,9 @@
 func (e *exchange) awaitInstance(ctx context.Context) (models.UpstreamInstance, permit, error) {
 	until := e.started.Add(time.Duration(queueFraction * float64(e.route.LatencyTarget)))
 	for {
+		if err := e.checkTimeLeft(); err != nil {
+			return models.UpstreamInstance{}, permit{}, err
+		}
 		i, p, found := e.pickPermittedInstance(ctx)
 		if found {
 			return i, p, nil
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -46,12 +46,17 @@
 	if !p.allows(e.g, i) {
 		return errors.Join(errNotAdmitted, errNoPermit)
 	}
+	if e.arrivals.Load() == 0 {
+		if err := e.checkTimeLeft(); err != nil {
+			return errors.Join(errNotAdmitted, err)
+		}
+	}
 	return nil
 }
 
 // sendAdmitted is send for an admitted request. It also returns the result for the circuit breaker.
 func (e *exchange) sendAdmitted(ctx context.Context, i models.UpstreamInstance, p permit, a models.Attempt, readTimeout h1.StallPolicy) (*h1.Response, breaker.Outcome, error) {
-	a.Remaining, a.Instance, a.Workspace = time.Until(e.deadline), i.ID, e.owner.Workspace
+	a.Remaining, a.Instance, a.Workspace = time.Until(e.g.stop.bound(e.deadline)), i.ID, e.owner.Workspace
 	a.Priority = rank(e.owner.Priority, e.route.Priority)
 	maxIdle := maxIdleIdempotent
 	if !e.route.Idempotent() {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -26,11 +26,6 @@
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
 	sweepInterval     = time.Second
-	// readinessDrain is how long a stopping daemon still accepts connections, so that the load
-	// balancer sees two failed readiness checks and stops sending callers.
-	readinessDrain = 2500 * time.Millisecond
-	// exitMargin is the part of StopGrace that is left for the process to exit.
-	exitMargin = 400 * time.Millisecond
 )
 
 // Run serves until the context ends and then stops gracefully: readiness checks fail first, then
@@ -91,19 +86,6 @@
 	return nil
 }
 
-// shutdown fails the readiness checks, waits until callers are sent elsewhere, and then closes the
-// listener and lets requests in flight finish.
-func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) {
-	started := time.Now()
-	g.stopping.Store(true)
-	g.log.Info().Int64("in-flight", g.stats.inFlight.Load()).Msg("stop-begun")
-	time.Sleep(min(readinessDrain, g.cfg.StopGrace/2))
-	ctx, cancel := context.WithDeadline(ctx, started.Add(g.cfg.StopGrace-exitMargin))
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
-}
-
 // sweep periodically closes idle connections and drops the state of instances that are gone.
 func (g *Gateway) sweep(ctx context.Context) error {
 	ticks := g.node.Clock().Subscribe(sweepInterval)
@@ -117,6 +99,7 @@
 			if limitsFor == nil || !sameIdleLimits(limitsFor, v) {
 				// With 3,000 instances computing the limits takes some milliseconds.
 				g.conns.SetMaxIdle(idleConnLimits(v, g.cfg.Listen))
+				g.durations.prune(v.Routing)
 				limitsFor = v
 			}
 			g.conns.Sweep(tick.At)
@@ -187,7 +170,7 @@
 
 // serveReady answers the load balancer's readiness check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.entrance.Overloaded() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
+	if g.stop.begun() || g.entrance.Overloaded() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- /dev/null
+++ b/gateway/stop.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/models"
+)
+
+const (
+	// readinessDrain is how long a stopping daemon still accepts connections, so that the load
+	// balancer sees two failed readiness checks and stops sending callers.
+	readinessDrain = 2500 * time.Millisecond
+	// exitMargin is the part of StopGrace that is left for the process to exit.
+	exitMargin = 400 * time.Millisecond
+	// answerMargin is the part of StopGrace before that in which requests are answered that have no
+	// response yet.
+	answerMargin = 200 * time.Millisecond
+)
+
+// errStopping: the daemon stops before an instance can be expected to answer the request.
+var errStopping = errors.New("the daemon stops before the request would be answered")
+
+// plannedStop is the daemon's planned stop. It is safe for concurrent use.
+type plannedStop struct {
+	// end is when requests without a response are answered; nil until the stop begins.
+	end atomic.Pointer[time.Time]
+}
+
+// begin begins a stop that may take the given time.
+func (p *plannedStop) begin(now time.Time, grace time.Duration) {
+	end := now.Add(grace - exitMargin - answerMargin)
+	p.end.Store(&end)
+}
+
+// begun reports whether the stop has begun.
+func (p *plannedStop) begun() bool { return p.end.Load() != nil }
+
+// bound returns the deadline, or the end of the stop if that comes first.
+func (p *plannedStop) bound(deadline time.Time) time.Time {
+	if end := p.end.Load(); end != nil && end.Before(deadline) {
+		return *end
+	}
+	return deadline
+}
+
+// shutdown fails the readiness checks, waits until callers are sent elsewhere, and then closes the
+// listener and lets requests in flight finish.
+func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) {
+	started := time.Now()
+	g.stop.begin(started, g.cfg.StopGrace)
+	g.log.Info().Int64("in-flight", g.stats.inFlight.Load()).Msg("stop-begun")
+	time.Sleep(min(readinessDrain, g.cfg.StopGrace/2))
+	ctx, cancel := context.WithDeadline(ctx, started.Add(g.cfg.StopGrace-exitMargin))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
+}
+
+// checkTimeLeft returns an error if the daemon stops before the request, sent to an instance now, can be
+// expected to be answered.
+func (e *exchange) checkTimeLeft() error {
+	end := e.g.stop.bound(e.deadline)
+	if end.Equal(e.deadline) || time.Until(end) >= e.expectedDuration() {
+		return nil
+	}
+	return errStopping
+}
+
+// expectedDuration returns how long the request is expected to take. Without observations that is all of
+// its time, unless its latency target is that of the whole response.
+func (e *exchange) expectedDuration() time.Duration {
+	if long, known := e.g.durations.long(e.route.Name); known {
+		return max(long, e.route.LatencyTarget)
+	}
+	if e.route.Kind != models.RouteStream && e.route.LatencyTarget > 0 {
+		return e.route.LatencyTarget
+	}
+	return time.Until(e.deadline)
+}
