gateway: answer at the end of a planned stop what has no response yet

At the end of the grace the connections of all requests in flight were closed. Callers whose request had been passed on, and had no response yet, got no answer; so did those whose request still waited for a group or for the rest of its body, which could have been told that it did not run.

0.4 s before the connections are closed, all requests without a response end now: 503, not run, if no instance has received them, else 504. A body that is still awaited is given up by the connection's read deadline. Responses that have begun go on until the connections are closed, as before (stream_goes_on).

Tests that build a Gateway by hand give it its stop; they check the same.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -74,7 +74,16 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	unblock := http.NewResponseController(e.w).SetReadDeadline
+	proceed := e.g.stop.afterEnd(func() {
+		if err := unblock(time.Now()); err != nil {
+			e.g.log.Debug().Err(err).Msg("request-not-unblocked")
+		}
+	})
 	body, err := io.ReadAll(countedReader{r: http.MaxBytesReader(e.w, e.r.Body, limit), buffers: e.g.buffers, held: &e.heldBytes})
+	if !proceed() {
+		return errStopping
+	}
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -16,7 +16,7 @@
 func TestBuffersAreBounded(t *testing.T) {
 	c := qt.New(t)
 	const limit, bodyBytes, requests = 1 << 20, 300 << 10, 10
-	g := &Gateway{buffers: newBuffers(limit, metrics.NewSet())}
+	g := &Gateway{stop: newPlannedStop(), buffers: newBuffers(limit, metrics.NewSet())}
 	var held []*exchange
 	rejected := 0
 	for range requests {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -38,6 +38,8 @@
 	mayHaveRun bool
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
+	// continueAfterEnd keeps the end of a planned stop from ending the request.
+	continueAfterEnd func() bool
 	// framedByClose is set if the end of the caller's connection is the end of the response.
 	framedByClose bool
 	// instance is where the request was sent last, group its group if it is a stream.
@@ -92,6 +94,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
 	defer cancel()
+	ctx, cut := context.WithCancelCause(ctx)
+	e.continueAfterEnd = g.stop.afterEnd(func() { cut(errStopping) })
+	defer e.continueAfterEnd()
 	if e.route.Kind == models.RouteStream {
 		err = e.serveStream(ctx)
 	} else {
@@ -162,5 +167,6 @@
 	}
 	e.frameByClose(resp.Framing)
 	e.headSent, e.firstByte = true, time.Now()
+	e.continueAfterEnd()
 	e.w.WriteHeader(resp.Status)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,7 +111,7 @@
 	stats            *stats
 	set              *metrics.Set
 	durations        *durations
-	stop             plannedStop
+	stop             *plannedStop
 }
 
 type stats struct {
@@ -195,7 +195,7 @@
 func New(cfg Settings, node Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, scheduler: traffic.(*scheduler), stats: newStats(set), set: set,
-		buffers: newBuffers(cfg.MaxBufferedBytes, set), durations: newDurations(),
+		buffers: newBuffers(cfg.MaxBufferedBytes, set), durations: newDurations(), stop: newPlannedStop(),
 		budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, time.Now(), !cfg.FirstStart), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
--- a/gateway/homes_test.go
+++ b/gateway/homes_test.go
@@ -17,7 +17,7 @@
 	c := qt.New(t)
 	node := newPickNode()
 	node.clock = timer.New(time.Now())
-	g := &Gateway{node: node, scheduler: newScheduler(), cfg: Settings{Zone: "a", Regions: map[models.Zone]models.Region{"a": "north", "b": "south", "c": "south"}}}
+	g := &Gateway{stop: newPlannedStop(), node: node, scheduler: newScheduler(), cfg: Settings{Zone: "a", Regions: map[models.Zone]models.Region{"a": "north", "b": "south", "c": "south"}}}
 	g.scheduler.zone = "a"
 	engine := &models.EngineProfile{Slots: 17, PrefillTokensPerSecond: 45900}
 	for _, test := range []struct {
@@ -64,7 +64,7 @@
 func TestEvacuatedAfterPick(t *testing.T) {
 	c := qt.New(t)
 	node := newPickNode()
-	e := &exchange{g: &Gateway{node: node}}
+	e := &exchange{g: &Gateway{node: node, stop: newPlannedStop()}}
 	i := models.UpstreamInstance{ID: "a", Zone: "a"}
 	c.Assert(e.checkAdmission(i, permit{}), qt.IsNil)
 	node.view.Evacuated = map[models.Zone]bool{"a": true}
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -160,7 +160,7 @@
 	case !e.mayHaveRun && isNotRun(err):
 		e.reject(err)
 	case ctx.Err() != nil:
-		e.logEnd(outcomeTimeout, http.StatusGatewayTimeout, err)
+		e.logEnd(outcomeTimeout, http.StatusGatewayTimeout, errors.Join(err, context.Cause(ctx)))
 		e.w.WriteHeader(http.StatusGatewayTimeout)
 	default:
 		e.logEnd(outcomeBroken, http.StatusBadGateway, err)
--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -137,7 +137,7 @@
 	now := time.Now()
 	newStream := func(target, waited time.Duration, predicted prediction) (*stream, *streamAttempt) {
 		route := models.Route{LatencyTarget: target}
-		s := &stream{exchange: &exchange{g: &Gateway{node: node, scheduler: b}, head: models.RequestHead{Model: "m"}, route: route, service: "engines", started: now.Add(-waited)}}
+		s := &stream{exchange: &exchange{g: &Gateway{stop: newPlannedStop(), node: node, scheduler: b}, head: models.RequestHead{Model: "m"}, route: route, service: "engines", started: now.Add(-waited)}}
 		return s, &streamAttempt{s: s, sentAt: now.Add(-waited), predicted: predicted}
 	}
 	known := prediction{firstEvent: 200 * time.Millisecond, spread: 40 * time.Millisecond}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -18,7 +18,7 @@
 	exitMargin = 400 * time.Millisecond
 	// answerMargin is the part of StopGrace before that in which requests are answered that have no
 	// response yet.
-	answerMargin = 200 * time.Millisecond
+	answerMargin = 400 * time.Millisecond
 )
 
 // errStopping: the daemon stops before an instance can be expected to answer the request.
@@ -28,14 +28,28 @@
 type plannedStop struct {
 	// end is when requests without a response are answered; nil until the stop begins.
 	end atomic.Pointer[time.Time]
+	// ended is done when the end has come.
+	ended  context.Context
+	setEnd context.CancelFunc
 }
 
-// begin begins a stop that may take the given time.
-func (p *plannedStop) begin(now time.Time, grace time.Duration) {
+func newPlannedStop() *plannedStop {
+	p := &plannedStop{}
+	p.ended, p.setEnd = context.WithCancel(context.Background())
+	return p
+}
+
+// begin begins a stop that may take the given time, and returns its end.
+func (p *plannedStop) begin(now time.Time, grace time.Duration) time.Time {
 	end := now.Add(grace - exitMargin - answerMargin)
 	p.end.Store(&end)
+	return end
 }
 
+// afterEnd calls a function in its own goroutine when the end has come, unless the function that it
+// returns is called before. That one reports whether it was.
+func (p *plannedStop) afterEnd(f func()) (cancel func() bool) { return context.AfterFunc(p.ended, f) }
+
 // begun reports whether the stop has begun.
 func (p *plannedStop) begun() bool { return p.end.Load() != nil }
 
@@ -48,10 +62,12 @@
 }
 
 // shutdown fails the readiness checks, waits until callers are sent elsewhere, and then closes the
-// listener and lets requests in flight finish.
+// listener and lets requests in flight finish. Those that have no response at the end are answered then,
+// the connections of the others are closed when it returns.
 func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) {
 	started := time.Now()
-	g.stop.begin(started, g.cfg.StopGrace)
+	end := g.stop.begin(started, g.cfg.StopGrace)
+	defer time.AfterFunc(time.Until(end), g.stop.setEnd).Stop()
 	g.log.Info().Int64("in-flight", g.stats.inFlight.Load()).Msg("stop-begun")
 	time.Sleep(min(readinessDrain, g.cfg.StopGrace/2))
 	ctx, cancel := context.WithDeadline(ctx, started.Add(g.cfg.StopGrace-exitMargin))
