gateway: announce in a planned stop that connections are closed

Between SIGTERM and the close of the listener, kept connections went on as usual. They were closed without notice when the listener was, so that requests on them crossed the close, and came late in the grace.

Every answer given from SIGTERM on now says Connection: close, and callers send their next request on a new connection, which the load balancer gives to another daemon once two readiness checks have failed. net/http adds the header only after the listener is closed.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -166,6 +166,7 @@
 		}
 	}
 	e.frameByClose(resp.Framing)
+	e.announceStop()
 	e.headSent, e.firstByte = true, time.Now()
 	e.continueAfterEnd()
 	e.w.WriteHeader(resp.Status)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -94,6 +94,7 @@
 		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
 	e.logEnd(outcome, status, err)
+	e.announceStop()
 	e.w.WriteHeader(status)
 }
 
@@ -143,6 +144,9 @@
 
 // finish logs the end of a request, and answers it if no response was sent.
 func (e *exchange) finish(ctx context.Context, err error) {
+	if !e.headSent {
+		e.announceStop()
+	}
 	switch {
 	case err == nil:
 		e.completeByClose()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -97,3 +97,11 @@
 	}
 	return time.Until(e.deadline)
 }
+
+// announceStop closes the caller's connection after the response if the daemon stops, so that the next
+// request is sent to another daemon and does not cross the close.
+func (e *exchange) announceStop() {
+	if e.g.stop.begun() {
+		e.w.Header().Set("Connection", "close")
+	}
+}
