gateway: expect a request to take what it takes once it was read

In a planned stop requests were rejected as not run although there was time for them: the durations of their route contained the time for which callers took to send their bodies.

Shown by TestLateRequestsAreCutAtTheEndOfAPlannedStop: after slow_body_before, whose body comes 2.8 s after its head, slow_body_after got "not-run+close" instead of "200+close", with 2.5 s left for a route of 2 s. Durations count from the end of the body now.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -93,7 +93,7 @@
 	case err != nil:
 		return errors.Join(errBodyIncomplete, err)
 	}
-	e.body = body
+	e.body, e.received = body, time.Now()
 	return nil
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,7 +30,9 @@
 	// heldBytes is the number of bytes that are held for the request and its response.
 	heldBytes int
 	started   time.Time
-	deadline  time.Time
+	// received is when the whole request was read.
+	received time.Time
+	deadline time.Time
 	// tried are the instances that the request was sent to.
 	tried []models.InstanceID
 	// mayHaveRun is set if an instance may have run the request, which then must not be
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -152,7 +152,7 @@
 		e.completeByClose()
 		e.clear()
 		e.g.entrance.Served(time.Since(e.started))
-		e.g.durations.observe(e.route.Name, time.Since(e.started))
+		e.g.durations.observe(e.route.Name, time.Since(e.received))
 		e.logEnd(outcomeComplete, 0, nil)
 	case e.r.Context().Err() != nil:
 		e.logEnd(outcomeCallerGone, 0, err)
