gateway: keep the expected duration of a route within what was observed

The percentile moves by a fraction of itself. After few observations the fraction is large, and durations that hardly differ moved it above all of them, so that a stopping daemon rejected requests too early.

TestDurationsFollowLongRequests has 20 durations of 100 to 102 ms now, and got 126.9 ms on the code before. An observation no longer moves the percentile past itself.

--- a/gateway/durations.go
+++ b/gateway/durations.go
@@ -34,7 +34,13 @@
 		d.byRoute[route] = r
 	}
 	r.count++
-	r.long = movePercentile(r.long, r.count, took, longPercentile)
+	moved := movePercentile(r.long, r.count, took, longPercentile)
+	// Durations that hardly differ must not move it beyond all of them.
+	if took > r.long {
+		r.long = min(moved, took)
+	} else {
+		r.long = max(moved, took)
+	}
 }
 
 // long returns how long the long requests of a route take, and whether it is known.
--- a/gateway/durations_test.go
+++ b/gateway/durations_test.go
@@ -27,6 +27,11 @@
 	got, known := d.long("r")
 	c.Assert(known, qt.IsTrue)
 	c.Assert(got > long/2 && got < 2*long, qt.IsTrue, qt.Commentf("%v", got))
+	for n := range 20 {
+		d.observe("even", usual+time.Duration(n%3)*time.Millisecond)
+	}
+	got, _ = d.long("even")
+	c.Assert(got >= usual && got < usual+3*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
 	d.observe("gone", usual)
 	d.prune(&models.Routing{Hosts: map[string][]models.Route{"h": {{Name: "r"}}}})
 	_, known = d.long("gone")
