gateway: give a slow instance up only while the request can be sent again

In a planned stop an idempotent request that an instance did not answer within its slow-request timeout was broken off there, was not sent to another instance because of the time left, and ended with 502 although the instance was still at work.

Shown by TestLateRequestsAreCutAtTheEndOfAPlannedStop, whose route long-again has two attempts now: slow_instance_again and silent_instance_again got 502. The slow-request timeout applies only if enough time would be left after it; else the request waits for the first instance until the end of the stop.

--- a/gateway/await.go
+++ b/gateway/await.go
@@ -22,7 +22,7 @@
 // awaitGroup waits for a group with capacity.
 func (s *stream) awaitGroup() (target, error) {
 	if !s.headSent {
-		if err := s.checkTimeLeft(); err != nil {
+		if err := s.checkTimeLeft(0); err != nil {
 			return target{}, err
 		}
 	}
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -141,7 +141,7 @@
 		// A request suspected of crashing instances is not sent to two at once.
 		return idlePollInterval
 	}
-	if !s.headSent && s.checkTimeLeft() != nil {
+	if !s.headSent && s.checkTimeLeft(0) != nil {
 		return idlePollInterval
 	}
 	dest, free := s.findUnlimitedGroup()
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -129,7 +129,7 @@
 func (e *exchange) awaitInstance(ctx context.Context) (models.UpstreamInstance, permit, error) {
 	until := e.started.Add(time.Duration(queueFraction * float64(e.route.LatencyTarget)))
 	for {
-		if err := e.checkTimeLeft(); err != nil {
+		if err := e.checkTimeLeft(0); err != nil {
 			return models.UpstreamInstance{}, permit{}, err
 		}
 		i, p, found := e.pickPermittedInstance(ctx)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,7 +47,7 @@
 		return errors.Join(errNotAdmitted, errNoPermit)
 	}
 	if e.arrivals.Load() == 0 {
-		if err := e.checkTimeLeft(); err != nil {
+		if err := e.checkTimeLeft(0); err != nil {
 			return errors.Join(errNotAdmitted, err)
 		}
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -76,11 +76,11 @@
 	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
 }
 
-// checkTimeLeft returns an error if the daemon stops before the request, sent to an instance now, can be
-// expected to be answered.
-func (e *exchange) checkTimeLeft() error {
+// checkTimeLeft returns an error if the daemon stops before the request, sent to an instance after a delay,
+// can be expected to be answered.
+func (e *exchange) checkTimeLeft(delay time.Duration) error {
 	end := e.g.stop.bound(e.deadline)
-	if end.Equal(e.deadline) || time.Until(end) >= e.expectedDuration() {
+	if end.Equal(e.deadline) || time.Until(end) >= delay+e.expectedDuration() {
 		return nil
 	}
 	return errStopping
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -28,7 +28,7 @@
 	stopConfig = `{"Version":1,"Routes":[
 {"Name":"once","Host":"api.example","PathPrefix":"/once/","RouteType":"non_idempotent","TimeoutMs":20000,"TargetLatencyMs":150,"Service":"plain","MaxAttempts":2},
 {"Name":"long-once","Host":"api.example","PathPrefix":"/long-once/","RouteType":"non_idempotent","TimeoutMs":20000,"TargetLatencyMs":2000,"Service":"plain","MaxAttempts":2},
-{"Name":"long-again","Host":"api.example","PathPrefix":"/long-again/","RouteType":"idempotent","TimeoutMs":20000,"TargetLatencyMs":2000,"Service":"plain","MaxAttempts":1},
+{"Name":"long-again","Host":"api.example","PathPrefix":"/long-again/","RouteType":"idempotent","TimeoutMs":20000,"TargetLatencyMs":2000,"Service":"plain","MaxAttempts":2},
 {"Name":"stream","Host":"api.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"engines","MaxAttempts":2,"StreamResume":false,"gap_aim_ms":20000},
 {"Name":"queued-stream","Host":"api.example","PathPrefix":"/queued-stream/","RouteType":"streaming","TimeoutMs":60000,"TargetLatencyMs":60000,"Service":"engines","MaxAttempts":2,"StreamResume":false,"gap_aim_ms":20000}],
 "Services":[{"Name":"plain","MaxConnections":10},
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -85,8 +85,9 @@
 	e.markTried(i)
 	e.g.scheduler.addLoad(i.ID, 1, 0)
 	defer e.g.scheduler.addLoad(i.ID, -1, 0)
-	if e.route.Idempotent() && !last {
-		limited, cancel := context.WithTimeoutCause(ctx, max(minSlowTimeout, time.Duration(slowTimeoutFactor*float64(e.route.LatencyTarget))), errSlow)
+	slow := max(minSlowTimeout, time.Duration(slowTimeoutFactor*float64(e.route.LatencyTarget)))
+	if e.route.Idempotent() && !last && e.checkTimeLeft(slow) == nil {
+		limited, cancel := context.WithTimeoutCause(ctx, slow, errSlow)
 		defer cancel()
 		ctx = limited
 	}
