--- a/standin/replica/pool.go
+++ b/standin/replica/pool.go
@@ -54,9 +54,11 @@
 	// runs counts how often each request ran.
 	runs       map[models.RequestID]int
 	violations []string
-	// wrong is how plain requests are answered wrongly, arrivals holds their arrivals.
-	wrong    WrongAnswers
-	arrivals []Arrival
+	// wrong is how plain requests are answered wrongly, arrivals holds their arrivals, plainTime is how
+	// long they take.
+	wrong     WrongAnswers
+	arrivals  []Arrival
+	plainTime time.Duration
 	// poisons holds the poison requests by their bodies.
 	poisons map[string]*Poison
 	places  placeRules
@@ -71,6 +73,13 @@
 	}
 }
 
+// SetPlainTime sets how long plain requests take from now on.
+func (p *Pool) SetPlainTime(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plainTime = d
+}
+
 // Violations returns the violations of invariants so far.
 func (p *Pool) Violations() []string {
 	p.mu.Lock()
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,7 +16,7 @@
 	headerRequestID   = "X-Lupinkeel-Request-Id"
 	headerStamp       = "X-Lupinkeel-Response-Stamp"
 	headerNotExecuted = "X-Lupinkeel-Not-Executed"
-	// plainRequestTime is how long a plain request takes.
+	// plainRequestTime is how long a plain request takes, unless SetPlainTime sets another time.
 	plainRequestTime = 5 * time.Millisecond
 )
 
@@ -65,11 +66,12 @@
 		i.pool.mu.Lock()
 		i.pool.runs[id]++
 		i.pool.arrivals = append(i.pool.arrivals, Arrival{ID: id, At: time.Now()})
+		took := cmp.Or(i.pool.plainTime, plainRequestTime)
 		i.pool.mu.Unlock()
 		if i.crashIfPoisoned(r, body) || i.answerEndlessly(w, id, body) {
 			return
 		}
-		time.Sleep(plainRequestTime)
+		time.Sleep(took)
 		if i.answerWrongly(w) {
 			return
 		}
