gateway: tell the end of a planned stop from a rejection by it

Requests that the end of a planned stop ended had as their cause the error of requests that were not sent because of the stop. An error that carries the cause of its context, as one of lib/h1's dials does, would have said of a stream that has run that it did not. No request was seen that got a false 503: dials are the only such place, and nothing is sent there.

The two are different errors now.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
 	defer cancel()
 	ctx, cut := context.WithCancelCause(ctx)
-	e.continueAfterEnd = g.stop.afterEnd(func() { cut(errStopping) })
+	e.continueAfterEnd = g.stop.afterEnd(func() { cut(errStopEnded) })
 	defer e.continueAfterEnd()
 	if e.route.Kind == models.RouteStream {
 		err = e.serveStream(ctx)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -21,8 +21,12 @@
 	answerMargin = 400 * time.Millisecond
 )
 
-// errStopping: the daemon stops before an instance can be expected to answer the request.
-var errStopping = errors.New("the daemon stops before the request would be answered")
+var (
+	// errStopping: the daemon stops before an instance can be expected to answer the request.
+	errStopping = errors.New("the daemon stops before the request would be answered")
+	// errStopEnded ends requests that have no response at the end of the stop. They may have run.
+	errStopEnded = errors.New("the daemon has stopped")
+)
 
 // plannedStop is the daemon's planned stop. It is safe for concurrent use.
 type plannedStop struct {
