gateway: test that nothing is sent again too late in a planned stop

late_retry_once, late_retry_again and late_retry_stream are rejected by their instance when there is no time left for another one.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -74,11 +74,11 @@
 // startStopping runs a gateway with an instance of each service.
 func startStopping(c *qt.C) *stopping {
 	s := &stopping{begun: time.Now().Add(time.Second)}
-	s.instance = &stopInstance{stopped: s.begun.Add(stopGrace), received: map[string]bool{}}
+	s.instance = &stopInstance{stopped: s.begun.Add(stopGrace), received: map[string]int{}}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	server := &http.Server{Handler: s.instance}
-	instances := []*fakeInstance{{name: "p1"}, {name: "g1"}}
+	instances := []*fakeInstance{{name: "p1"}, {name: "p2"}, {name: "g1"}, {name: "g2"}}
 	for _, i := range instances {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
@@ -115,8 +115,9 @@
 	// connect, head and body are when it connects, and sends the last bytes of head and body. body is
 	// zero if it does not send the last one.
 	connect, head, body time.Time
-	// answer is how long the instance takes.
-	answer string
+	// answer is how long the instance takes. rejects is set if it does not run the request.
+	answer  string
+	rejects bool
 }
 
 // play sends the request of a line and describes what the caller gets.
@@ -131,8 +132,8 @@
 		switch {
 		case at != nil && err == nil:
 			*at = s.begun.Add(d)
-		case name == "answer":
-			l.answer = value
+		case name == "answer", name == "reject":
+			l.answer, l.rejects = value, name == "reject"
 		case strings.HasPrefix(name, "/"):
 			l.path = name
 		}
@@ -159,7 +160,7 @@
 	if strings.HasPrefix(l.path, "/queued") {
 		model = "absent"
 	}
-	head := fmt.Sprintf("POST %[1]s HTTP/1.1\r\nHost: api.example\r\nX-Lupinkeel-Request-Id: %[1]s\r\nX-Lupinkeel-Model: %s\r\nTest-Answer: %s\r\nContent-Length: 2\r\n\r\n", l.path, model, l.answer)
+	head := fmt.Sprintf("POST %[1]s HTTP/1.1\r\nHost: api.example\r\nX-Lupinkeel-Request-Id: %[1]s\r\nX-Lupinkeel-Model: %s\r\nTest-Answer: %s\r\nTest-Rejects: %t\r\nContent-Length: 2\r\n\r\n", l.path, model, l.answer, l.rejects)
 	pieces := []struct {
 		at   time.Time
 		text string
@@ -191,9 +192,9 @@
 
 // describe names what the caller of a request got, as the script does.
 func (s *stopping) describe(path string, resp *http.Response, err error) string {
-	received := s.instance.hasReceived(path)
+	received := s.instance.receivedCount(path)
 	switch {
-	case resp == nil && received:
+	case resp == nil && received > 0:
 		return fmt.Sprintf("passed on, and no answer: %v", err)
 	case resp == nil:
 		return "closed"
@@ -201,12 +202,15 @@
 		return "broken"
 	}
 	got := strconv.Itoa(resp.StatusCode)
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" && !received {
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "" && received == 0 {
 		got = "not-run"
 	}
 	if resp.Close {
 		got += "+close"
 	}
+	if received > 1 {
+		got += fmt.Sprintf("x%d", received)
+	}
 	return got
 }
 
@@ -216,18 +220,18 @@
 	stopped time.Time
 
 	mu       sync.Mutex
-	received map[string]bool
+	received map[string]int
 	// late holds the requests, received during the stop, whose deadlines end after it.
 	late []string
 }
 
-func (i *stopInstance) hasReceived(path string) bool {
+func (i *stopInstance) receivedCount(path string) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.received[path]
 }
 
-// ServeHTTP answers after the time in Test-Answer. The stream "endless" sends events until its caller
+// ServeHTTP answers after the time in Test-Answer, or rejects the request then. The stream "endless" sends events until its caller
 // leaves.
 func (i *stopInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	i.note(r)
@@ -242,6 +246,11 @@
 	case <-time.After(wait):
 	}
 	w.Header().Set("X-Lupinkeel-Request-Id", r.Header.Get("X-Lupinkeel-Request-Id"))
+	if r.Header.Get("Test-Rejects") == "true" {
+		w.Header().Set("X-Lupinkeel-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("X-Lupinkeel-Response-Stamp", "s")
 	for n := 1; strings.HasSuffix(r.URL.Path, "/endless"); n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", n); err != nil {
@@ -260,7 +269,7 @@
 func (i *stopInstance) note(r *http.Request) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.received[r.URL.Path] = true
+	i.received[r.URL.Path]++
 	left, err := strconv.Atoi(r.Header.Get("X-Lupinkeel-Deadline-Ms"))
 	inStop := time.Now().After(i.stopped.Add(-stopGrace))
 	if ends := time.Now().Add(time.Duration(left) * time.Millisecond); err != nil || (inStop && ends.After(i.stopped)) {
