gateway: give the callers of the planned-stop test more time to arrive

The gateway of TestLateRequestsAreCutAtTheEndOfAPlannedStop had 0.6 s to listen, and callers that send slowly 0.5 s to be read before the listener closes: a busy machine could have failed it.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -73,7 +73,7 @@
 
 // startStopping runs a gateway with an instance of each service.
 func startStopping(c *qt.C) *stopping {
-	s := &stopping{begun: time.Now().Add(time.Second)}
+	s := &stopping{begun: time.Now().Add(2 * time.Second)}
 	s.instance = &stopInstance{stopped: s.begun.Add(stopGrace), received: map[string]int{}}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
