--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,7 +30,9 @@
 	// heldBytes is the number of bytes that are held for the request and its response.
 	heldBytes int
 	started   time.Time
-	deadline  time.Time
+	// received is when the whole request was read.
+	received time.Time
+	deadline time.Time
 	// tried are the instances that the request was sent to.
 	tried []models.InstanceID
 	// mayHaveRun is set if an instance may have run the request, which then must not be
@@ -38,6 +40,8 @@
 	mayHaveRun bool
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
+	// continueAfterEnd keeps the end of a planned stop from ending the request.
+	continueAfterEnd func() bool
 	// framedByClose is set if the end of the caller's connection is the end of the response.
 	framedByClose bool
 	// instance is where the request was sent last, group its group if it is a stream.
@@ -92,6 +96,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
 	defer cancel()
+	ctx, cut := context.WithCancelCause(ctx)
+	e.continueAfterEnd = g.stop.afterEnd(func() { cut(errStopEnded) })
+	defer e.continueAfterEnd()
 	if e.route.Kind == models.RouteStream {
 		err = e.serveStream(ctx)
 	} else {
@@ -161,6 +168,8 @@
 		}
 	}
 	e.frameByClose(resp.Framing)
+	e.announceStop()
 	e.headSent, e.firstByte = true, time.Now()
+	e.continueAfterEnd()
 	e.w.WriteHeader(resp.Status)
 }
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -94,6 +94,7 @@
 		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
 	e.logEnd(outcome, status, err)
+	e.announceStop()
 	e.w.WriteHeader(status)
 }
 
@@ -107,6 +108,9 @@
 	// retrying at the same time.
 	minRetryAfter    = 300 * time.Millisecond
 	retryAfterJitter = 500 * time.Millisecond
+	// stopRetryAfter bounds when a caller should retry that a stopping daemon rejected: others can serve
+	// it at once.
+	stopRetryAfter = 100 * time.Millisecond
 )
 
 // retryAfter returns when a caller that was rejected for this reason should retry.
@@ -114,6 +118,9 @@
 	if errors.Is(reason, errNoConfig) {
 		return typicalStartup
 	}
+	if errors.Is(reason, errStopping) {
+		return rand.N(stopRetryAfter)
+	}
 	return minRetryAfter + rand.N(retryAfterJitter)
 }
 
@@ -137,11 +144,15 @@
 
 // finish logs the end of a request, and answers it if no response was sent.
 func (e *exchange) finish(ctx context.Context, err error) {
+	if !e.headSent {
+		e.announceStop()
+	}
 	switch {
 	case err == nil:
 		e.completeByClose()
 		e.clear()
 		e.g.entrance.Served(time.Since(e.started))
+		e.g.durations.observe(e.route.Name, time.Since(e.received))
 		e.logEnd(outcomeComplete, 0, nil)
 	case e.r.Context().Err() != nil:
 		e.logEnd(outcomeCallerGone, 0, err)
@@ -153,7 +164,7 @@
 	case !e.mayHaveRun && isNotRun(err):
 		e.reject(err)
 	case ctx.Err() != nil:
-		e.logEnd(outcomeTimeout, http.StatusGatewayTimeout, err)
+		e.logEnd(outcomeTimeout, http.StatusGatewayTimeout, errors.Join(err, context.Cause(ctx)))
 		e.w.WriteHeader(http.StatusGatewayTimeout)
 	default:
 		e.logEnd(outcomeBroken, http.StatusBadGateway, err)
@@ -182,7 +193,7 @@
 
 // isNotRun reports whether the error means that no instance ran the request.
 func isNotRun(err error) bool {
-	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errPartQuarantined, errLastInstance} {
+	for _, reason := range []error{errNotRun, errAllFull, errRejected, errNoInstance, errAllLimited, errAllBackingOff, errQuarantined, errPartQuarantined, errLastInstance, errStopping} {
 		if errors.Is(err, reason) {
 			return true
 		}
