gateway: do not send a stream again after an event without an ID

Last-Event-Id names the last event with an ID, not the last event.

TestScripts/stream_without_ids failed before ('data: b' twice, complete) and passes: the stream is broken off.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,8 @@
 	// lastID is the ID of the last event that the caller has, if hasLast.
 	lastID  int64
 	hasLast bool
+	// unresumable is set while the last event that the caller has is one without an ID.
+	unresumable bool
 	// lastEvent is when the last event was sent to the caller.
 	lastEvent time.Time
 	// attempts counts the attempts that were started and not rejected.
@@ -191,7 +193,7 @@
 
 // mayRetry reports whether the request may be run once more.
 func (s *stream) mayRetry() bool {
-	return s.route.Idempotent() && s.attempts < s.route.MaxAttempts && s.maySend()
+	return s.route.Idempotent() && !s.unresumable && s.attempts < s.route.MaxAttempts && s.maySend()
 }
 
 // maySend reports whether the request may be sent to one more instance.
@@ -206,7 +208,7 @@
 	if !s.lastEvent.IsZero() {
 		s.maxPause = max(s.maxPause, now.Sub(s.lastEvent))
 	}
-	s.lastEvent = now
+	s.lastEvent, s.unresumable = now, !event.HasID
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return err
 	}
