gateway: end a stream when its hedge proves that it is complete

Found by the review: a group sends all events of a stream and stands still before it marks the end. A hedge that resumes after the last event answers with the end alone. This counted as a failure of the hedge, so that the stream was broken off once the first group failed, although it was complete; failOver accepts the same response as the end.

TestScripts/stream_hedge_end failed before ('cut', the group reported as stalled six times) and passes, three times with -race with all scripts of streams.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -101,7 +101,7 @@
 	if !s.hedge.done() {
 		return hedgePollInterval
 	}
-	if s.hedge.result == nil {
+	if s.hedge.result == nil || s.isComplete(s.hedge, s.hedge.result) {
 		// Ends this attempt; failOver switches to the hedge.
 		return 0
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -145,12 +145,12 @@
 	return nil
 }
 
-// adoptHedge waits for the hedge's first event and makes it the current attempt. It returns false
-// if the hedge failed too.
+// adoptHedge waits for the hedge's first event, or the end of the stream, and makes it the current attempt.
+// It returns false if the hedge failed too.
 func (s *stream) adoptHedge(cause error) bool {
 	h := s.hedge
 	s.hedge = nil
-	if err := h.wait(); err != nil {
+	if err := h.wait(); err != nil && !s.isComplete(h, err) {
 		s.noteFailure(err)
 		h.close()
 		return false
@@ -159,6 +159,12 @@
 	return true
 }
 
+// isComplete reports whether the end of a hedge's response proves that the stream is complete: the hedge
+// resumed after the last event that the caller has, and there is none after that.
+func (s *stream) isComplete(h *hedge, err error) bool {
+	return s.headSent && errors.Is(err, errStreamEnd) && h.resumed && h.resume == s.lastID
+}
+
 // noteFailure records that an attempt failed. A request that the instance did not run does not
 // count against the route's attempts.
 func (s *stream) noteFailure(err error) {
