gateway: give a failure response of a stream its own framing

Found by the review: a failure response without a length to a stream that may be resumed was passed on in chunks and looked complete, though its connection may have been closed early. Only a stream is resumed, a failure response is not.

TestScripts/stream_failure expected that; it now wants framing=close for this response, as for other responses without a length, which is stricter.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -167,7 +167,7 @@
 			out[name] = nil
 		}
 	}
-	e.frameByClose(resp.Framing)
+	e.frameByClose(resp)
 	e.announceStop()
 	e.headSent, e.firstByte = true, time.Now()
 	e.continueAfterEnd()
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -29,9 +29,9 @@
 // frameByClose makes the end of the caller's connection the end of the response, if nothing else can mark
 // it. Until completeByClose the connection is reset when it is closed, also by the kernel of a killed
 // process, so that an incomplete response does not look complete.
-func (e *exchange) frameByClose(framing h1.Framing) {
-	resumable := e.route.Kind == models.RouteStream && e.route.Idempotent()
-	chunked := e.r.ProtoAtLeast(1, 1) && (framing != h1.FramedByClose || resumable)
+func (e *exchange) frameByClose(resp *h1.Response) {
+	resumable := e.route.Kind == models.RouteStream && e.route.Idempotent() && resp.Status == http.StatusOK
+	chunked := e.r.ProtoAtLeast(1, 1) && (resp.Framing != h1.FramedByClose || resumable)
 	if chunked || e.w.Header().Get("Content-Length") != "" {
 		return
 	}
