--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,10 +99,10 @@
 	}
 	a.response = resp
 	switch {
+	case resp.Status < http.StatusMultipleChoices && !platform.DecodeResponse(resp.Status, resp.Header).Signed:
+		return errors.Join(errMayHaveRun, errUnsigned)
 	case resp.Status != http.StatusOK:
 		return errFailureResponse
-	case !platform.DecodeResponse(resp.Status, resp.Header).Signed:
-		return errors.Join(errMayHaveRun, errUnsigned)
 	}
 	a.events = sse.NewReader(resp.Body)
 	return nil
