cluster: pass a reset on through a tunnel that a write has taken

A write takes the reset, the read finds the regular end, and the end goes out as that of a complete response.

At the end of what the instance sends, the state of the socket is read: after a reset it is closed, after a regular end it waits for a close. A complete response without a length whose end is followed by a reset now counts as broken. TestTunnelWriteHidesReset failed before (no error) and passes.

--- a/cluster/tunnel_server.go
+++ b/cluster/tunnel_server.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
@@ -91,6 +93,9 @@
 				return errors.Join(writeErr, instance.Close())
 			}
 		}
+		if errors.Is(err, io.EOF) && wasReset(instance) {
+			err = syscall.ECONNRESET
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			_, err = to.Write(make([]byte, chunkHeaderLen))
@@ -103,3 +108,22 @@
 		}
 	}
 }
+
+// wasReset reports whether a connection on which the end was read was reset: a write may have taken the
+// error, which the kernel reports only once. An unknown state counts as a regular end.
+func wasReset(conn net.Conn) bool {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && reset
+}
--- a/cluster/tunnel_test.go
+++ b/cluster/tunnel_test.go
@@ -224,3 +224,27 @@
 	s.c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
 	s.c.Assert(errors.Is(err, io.EOF), qt.IsFalse)
 }
+
+// TestTunnelWriteHidesReset guards against a reset that the tunnel passes on as the regular end, because a
+// write to the instance took the error and the next read found the end.
+func TestTunnelWriteHidesReset(t *testing.T) {
+	c := qt.New(t)
+	connect := func() (dialed, accepted *net.TCPConn) {
+		l := listen(c)
+		out, err := net.Dial("tcp4", l.Addr().String())
+		c.Assert(err, qt.IsNil)
+		in, err := l.Accept()
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { out.Close(); in.Close() })
+		return out.(*net.TCPConn), in.(*net.TCPConn)
+	}
+	toInstance, instance := connect()
+	toDaemon, daemon := connect()
+	c.Assert(errors.Join(instance.SetLinger(0), instance.Close()), qt.IsNil)
+	for err := error(nil); err == nil; {
+		_, err = toInstance.Write([]byte("more of the request"))
+	}
+	c.Assert(sendChunks(toDaemon, toInstance), qt.ErrorIs, syscall.ECONNRESET)
+	_, err := daemon.Read(make([]byte, chunkHeaderLen))
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+}
