gateway: log how the last attempt of a complete stream came to its end

An instance that ends its chunks early, or answers a resumed stream with the end alone, can't be told from a complete one.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -246,16 +246,24 @@
 	// framing is that of the last attempt's response.
 	framing h1.Framing
 	lastID  int64
+	// resumed is set if the last attempt continued the stream, noEvents if it sent no event, and left is
+	// what was left of the request's time.
+	resumed, noEvents bool
+	left              time.Duration
 }
 
 // MarshalZerologObject adds the fields of a log line.
 func (e streamEnd) MarshalZerologObject(line *zerolog.Event) {
-	line.Str("framing", string(e.framing)).Int64("last-event", e.lastID)
+	line.Str("framing", string(e.framing)).Int64("last-event", e.lastID).
+		Bool("resumed", e.resumed).Bool("no-events", e.noEvents).Dur("left", e.left)
 }
 
 // recordEnd records the end of a stream for the log and the metrics.
 func (s *stream) recordEnd() {
-	s.end = streamEnd{framing: s.current.response.Framing, lastID: s.lastID}
+	s.end = streamEnd{
+		framing: s.current.response.Framing, lastID: s.lastID,
+		resumed: s.current.resumed, noEvents: s.current.lastEvent.IsZero(), left: time.Until(s.deadline),
+	}
 	s.g.stats.streamEnds[s.end.framing].Inc()
 }
 
