gateway: run a request only in groups of its route's service

Cause: groups were picked by the model's name alone; Group.Service was set, but nothing compared it.

Picks, capacities, the heads for waits and permits and the count of instances that are available now go by the service as well; queues did already. Fixtures of TestCapacityIsPredicted and of the queues name the service of their groups.

Predictions still go by the model's name: two services' base latencies, demand and pauses are mixed.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -61,12 +61,13 @@
 	return target{group: group}, found && s.g.scheduler.policy.HasCapacity(engine, load)
 }
 
-// heads returns the heads of the groups that serve the stream's model.
-func (s *stream) heads() []models.UpstreamInstance {
-	groups := s.g.node.View().Groups[s.head.Model]
-	out := make([]models.UpstreamInstance, len(groups))
-	for n, g := range groups {
-		out[n] = g.Head
+// heads returns the heads of the service's groups that serve the request's model.
+func (e *exchange) heads() []models.UpstreamInstance {
+	var out []models.UpstreamInstance
+	for _, g := range e.g.node.View().Groups[e.head.Model] {
+		if g.Service == e.service {
+			out = append(out, g.Head)
+		}
 	}
 	return out
 }
@@ -74,6 +75,8 @@
 // groupCriteria are a request's criteria for the group that is picked for it.
 type groupCriteria struct {
 	head models.RequestHead
+	// service is the one that must run the request: others may serve models of the same name.
+	service models.ServiceName
 	// latencyTarget is the time in which the first event should be sent, 0 if the request is late
 	// already; routeTarget is the latency target of its route in any case.
 	latencyTarget, routeTarget time.Duration
@@ -94,7 +97,7 @@
 // criteria returns the stream's criteria for its next group. After a failover the stream is late
 // already, wherever it continues.
 func (s *stream) criteria() groupCriteria {
-	criteria := groupCriteria{head: s.head, latencyTarget: s.route.LatencyTarget, routeTarget: s.route.LatencyTarget, tried: s.tried, isolationIndex: s.isolationIndex(), zones: s.zones}
+	criteria := groupCriteria{head: s.head, service: s.service, latencyTarget: s.route.LatencyTarget, routeTarget: s.route.LatencyTarget, tried: s.tried, isolationIndex: s.isolationIndex(), zones: s.zones}
 	if len(s.tried) > 0 {
 		criteria.latencyTarget = 0
 	}
@@ -166,7 +169,7 @@
 // locked.
 func (s *scheduler) eligible(node Node, groups []cluster.Group, criteria groupCriteria, now time.Time) []cluster.Group {
 	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
-		return !criteria.zones.permits(g.Head.Zone) || slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
+		return g.Service != criteria.service || !criteria.zones.permits(g.Head.Zone) || slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
 			(criteria.maxLoad > 0 && s.totalLoadLocked(node, g.Head.ID).Requests >= criteria.maxLoad) ||
 			(criteria.unlimitedOnly && node.Limits().Rate(g.Head, now) != models.NoRateLimit)
 	})
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -169,3 +169,32 @@
 	c.Assert(b.recentFailures(before) > 0.9, qt.IsTrue)
 	c.Assert(b.recentFailures(after), qt.Equals, 0.0)
 }
+
+// TestOtherServiceRunsRequest guards against a request that runs at another service, which serves a model
+// of the same name.
+func TestOtherServiceRunsRequest(t *testing.T) {
+	c := qt.New(t)
+	node := newPickNode()
+	node.view.Groups["m"][0].Service = "other"
+	engine := &models.EngineProfile{Slots: 17}
+	s := newScheduler()
+	for service, zones := range map[models.ServiceName]string{"": "bc", "other": "a", "third": ""} {
+		e := &exchange{g: &Gateway{node: node, scheduler: s}, service: service, head: models.RequestHead{Model: "m"}}
+		criteria, picked := groupCriteria{head: e.head, service: service}, map[models.Zone]bool{}
+		for range 50 {
+			if g, _, found := s.pickGroup(node, engine, criteria); found {
+				picked[g.Head.Zone] = true
+			}
+		}
+		heads := ""
+		for _, head := range e.heads() {
+			heads += string(head.Zone)
+		}
+		c.Assert(heads, qt.Equals, zones)
+		c.Assert(picked, qt.HasLen, len(zones))
+		for zone := range picked {
+			c.Assert(zones, qt.Contains, string(zone))
+		}
+		c.Assert(s.capacity(node, engine, criteria, horizon(time.Second)).groups, qt.Equals, len(zones))
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -96,8 +96,8 @@
 	for _, i := range v.Services[e.service] {
 		count(i)
 	}
-	for _, group := range v.Groups[e.head.Model] {
-		count(group.Head)
+	for _, head := range e.heads() {
+		count(head)
 	}
 	return n
 }
--- a/gateway/queue_failures_test.go
+++ b/gateway/queue_failures_test.go
@@ -109,7 +109,7 @@
 	var groups []cluster.Group
 	for _, zone := range zones {
 		head := models.UpstreamInstance{ID: models.InstanceID("head-" + zone), Zone: zone}
-		groups = append(groups, cluster.Group{Key: models.GroupKey{Name: models.GroupID("m." + zone)}, Head: head})
+		groups = append(groups, cluster.Group{Key: models.GroupKey{Name: models.GroupID("m." + zone)}, Service: "s", Head: head})
 		n.loads[head.ID] = 3
 	}
 	n.now.Groups = map[models.ModelName][]cluster.Group{"m": groups}
--- a/gateway/queues.go
+++ b/gateway/queues.go
@@ -126,7 +126,7 @@
 	for _, w := range gq.streams {
 		target = max(target, w.target)
 	}
-	criteria := groupCriteria{head: models.RequestHead{Model: gq.key.model}, zones: gq.zones}
+	criteria := groupCriteria{head: models.RequestHead{Model: gq.key.model}, service: gq.key.service, zones: gq.zones}
 	c := q.g.scheduler.capacity(q.g.node, routing.Services[gq.key.service].Engine, criteria, horizon(target))
 	c.Slots, c.SlotsInTime = max(0, c.Slots-gq.unsent), max(0, c.SlotsInTime-gq.unsent)
 	// A daemon knows only its own completions; those that decide by the same loads have as many.
--- a/gateway/queues_test.go
+++ b/gateway/queues_test.go
@@ -48,7 +48,7 @@
 	}
 	view := &cluster.View{
 		Routing: &models.Routing{Services: map[models.ServiceName]models.UpstreamService{"s": {Engine: engine}}},
-		Groups:  map[models.ModelName][]cluster.Group{"m": {{Key: models.GroupKey{Name: "g"}, Head: models.UpstreamInstance{ID: "g1"}}}},
+		Groups:  map[models.ModelName][]cluster.Group{"m": {{Key: models.GroupKey{Name: "g"}, Service: "s", Head: models.UpstreamInstance{ID: "g1"}}}},
 	}
 	f := &queueFixture{c: qt.New(t), node: &queueNode{fakeNode: &fakeNode{view: view, clock: timer.New(time.Now())}}}
 	f.Gateway = New(Settings{RetryWindow: time.Second}, f.node, newScheduler(), metrics.NewSet(), zerolog.New(zerolog.SyncWriter(&f.logs)))
@@ -191,7 +191,7 @@
 	f := newQueueFixture(t)
 	engine := *f.node.view.Routing.Services["s"].Engine
 	engine.Slots, engine.StepTimePerRequest = 10, 10*time.Millisecond
-	criteria := groupCriteria{head: models.RequestHead{Model: "m"}}
+	criteria := groupCriteria{head: models.RequestHead{Model: "m"}, service: "s"}
 	capacity := func(within time.Duration) [3]int {
 		c := f.scheduler.capacity(f.node, &engine, criteria, horizon(within))
 		return [3]int{int(c.FirstEvent.Milliseconds()), c.SlotsInTime, c.Slots}
