worker/upstream: bound the data of an event

What would happen: an instance of lupinkeel serve that sends data lines and never the empty line that ends an event makes the daemon keep them all until it runs out of memory. Only the length of each line was bounded. Found by reading, for the users' report of bytes without end; nobody has seen it.

An event's data is now bounded as its lines are, by maxEventLen, in the only place where it grows; the error still wraps ErrTruncated, so that the stream is resumed or ends as before.

--- a/worker/upstream/events.go
+++ b/worker/upstream/events.go
@@ -9,13 +9,18 @@
 	"strconv"
 )
 
-// ErrTruncated is returned for an event stream that ended without its [DONE] event.
-var ErrTruncated = errors.New("the stream ended without its end mark")
+// Errors of Next.
+var (
+	// ErrTruncated: the event stream ended without its [DONE] event.
+	ErrTruncated = errors.New("the stream ended without its end mark")
+	// errEventTooLong: the data of an event, or one of its lines, is longer than maxEventLen.
+	errEventTooLong = fmt.Errorf("%w: an event is longer than %d bytes", ErrTruncated, maxEventLen)
+)
 
 // doneMarker is the data of the last event of a stream.
 const doneMarker = "[DONE]"
 
-// maxEventLen is the maximum length of an event in bytes.
+// maxEventLen is the maximum length in bytes of an event's data, and of each line.
 const maxEventLen = 1 << 20
 
 // Event is one server-sent event.
@@ -64,14 +69,20 @@
 		case string(field) == "id":
 			// An ID that is not a number leaves the event without an ID.
 			event.ID, _ = strconv.Atoi(string(value))
+		case string(field) == "data" && len(event.Data)+len(value) >= maxEventLen:
+			return Event{}, errEventTooLong
 		case string(field) == "data" && event.Data != nil:
 			event.Data = append(append(event.Data, '\n'), value...)
 		case string(field) == "data":
 			event.Data = append([]byte{}, value...)
 		}
 	}
-	if err := e.lines.Err(); err != nil {
+	switch err := e.lines.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return Event{}, errEventTooLong
+	case err != nil:
 		return Event{}, fmt.Errorf("%w: %w", ErrTruncated, err)
+	default:
+		return Event{}, ErrTruncated
 	}
-	return Event{}, ErrTruncated
 }
