platform, lib/h1: take a response to a call that is too long as no response

What would happen: a report, an order response or a response of the store that is longer than its bound was cut there and the first part taken for the whole: an order counted as begun on such an answer.

h1.Body.ReadAll reads a body up to a limit or fails.

--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -62,6 +63,22 @@
 	return n, err
 }
 
+// ErrBodyTooLong is returned by ReadAll for a body that is longer than its limit.
+var ErrBodyTooLong = errors.New("the body of the response is too long")
+
+// ReadAll reads the body to its end. It returns ErrBodyTooLong if that is more than limit bytes away.
+func (b *Body) ReadAll(limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(b, limit+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(data)) > limit:
+		return nil, fmt.Errorf("%w: more than %d bytes", ErrBodyTooLong, limit)
+	default:
+		return data, nil
+	}
+}
+
 // atEnd reports whether the body was read to its proper end.
 func (b *Body) atEnd() bool { return errors.Is(b.err, io.EOF) }
 
