lib/frame: bound the bytes of messages that are being received

What would happen: a message of another daemon may announce 16 MiB, which were allocated before a byte of them arrived, on each of as many connections as there are descriptors. Found by reading, for the users' report of bytes without end.

The buffer of a message now grows as its bytes arrive, and frame.Receiver, one for each server, bounds to 32 MiB what all long messages hold before they are complete; beyond that the connection ends, and the other daemon connects again. Messages of up to 16 KiB, such as heartbeats and requests for permits and tunnels, are not counted, so that they pass in any case.

--- a/cluster/peerserver.go
+++ b/cluster/peerserver.go
@@ -19,6 +19,7 @@
 type peerServer struct {
 	n        *Node
 	listener net.Listener
+	frames   frame.Receiver
 }
 
 func listenPeers(n *Node) (*peerServer, error) {
@@ -55,7 +56,7 @@
 		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return err
 		}
-		kind, body, err := frame.Read(r)
+		kind, body, err := s.frames.Read(r)
 		switch {
 		case err != nil:
 		case kind == frameTunnel:
--- a/cluster/peerserver_test.go
+++ b/cluster/peerserver_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"net"
 	"net/netip"
+	"runtime"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/lupinkeel/lupinkeel/lib/frame"
 	"github.com/lupinkeel/lupinkeel/lib/pack"
 	"github.com/lupinkeel/lupinkeel/models"
 )
@@ -86,3 +92,43 @@
 		c.Assert(seen, qt.CmpEquals(cmp.Comparer(func(a, b ModelDemand) bool { return a == b })), full)
 	}
 }
+
+// TestLongMessagesFillMemory guards against messages that are announced as long, on many connections, and
+// fill the memory, whether or not their bytes arrive.
+func TestLongMessagesFillMemory(t *testing.T) {
+	const connections, maxGrowth = 24, 64 << 20
+	header := binary.BigEndian.AppendUint32(nil, frame.MaxLen)
+	for name, body := range map[string][]byte{"announced": {}, "sent": make([]byte, frame.MaxLen-1)} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &peerServer{n: newTestOwner(t).n}
+			before := heapBytes()
+			var serving, sending sync.WaitGroup
+			open := make([]net.Conn, connections)
+			for n := range open {
+				near, far := net.Pipe()
+				open[n] = far
+				serving.Go(func() { _ = s.serve(context.Background(), near) })
+				sending.Go(func() {
+					_, _ = far.Write(append(slices.Clone(header), byte(frameUpdate)))
+					_, _ = far.Write(body)
+				})
+			}
+			sending.Wait()
+			grown := heapBytes() - before
+			for _, conn := range open {
+				c.Check(conn.Close(), qt.IsNil)
+			}
+			serving.Wait()
+			c.Assert(grown <= maxGrowth, qt.IsTrue, qt.Commentf("%d MB", grown>>20))
+		})
+	}
+}
+
+// heapBytes returns the length of all objects in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/lib/frame/compress.go
+++ b/lib/frame/compress.go
@@ -58,19 +58,23 @@
 }
 
 // decompress returns the decompressed value of a frame.
-func decompress(body []byte) ([]byte, error) {
-	r := flateReaders.Get().(io.ReadCloser)
-	defer flateReaders.Put(r)
-	if err := r.(flate.Resetter).Reset(bytes.NewReader(body), nil); err != nil {
+func (r *Receiver) decompress(body []byte) ([]byte, error) {
+	inflated := flateReaders.Get().(io.ReadCloser)
+	defer flateReaders.Put(inflated)
+	if err := inflated.(flate.Resetter).Reset(bytes.NewReader(body), nil); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
 	}
-	var out bytes.Buffer
-	n, err := out.ReadFrom(io.LimitReader(r, MaxLen+1))
+	b := buffer{r: r}
+	defer b.release()
+	value, err := b.readUpTo(inflated, MaxLen+1)
 	switch {
+	case errors.Is(err, ErrTooMany):
+		return nil, err
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
-	case n > MaxLen:
+	case len(value) > MaxLen:
 		return nil, fmt.Errorf("%w: more than %d bytes when decompressed", ErrTooLong, MaxLen)
+	default:
+		return value, nil
 	}
-	return out.Bytes(), nil
 }
--- a/lib/frame/frame.go
+++ b/lib/frame/frame.go
@@ -60,24 +60,7 @@
 // Read reads one frame and returns its kind and its encoded value, decompressed. It returns
 // io.EOF only between two frames.
 func Read(r io.Reader) (Kind, []byte, error) {
-	var header [headerLen]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return 0, nil, err
-	}
-	n := binary.BigEndian.Uint32(header[:4])
-	if n > MaxLen {
-		return 0, nil, fmt.Errorf("%w: %d bytes", ErrTooLong, n)
-	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrFormat, io.ErrUnexpectedEOF)
-	}
-	kind := Kind(header[4])
-	if kind&compressedFlag == 0 {
-		return kind, body, nil
-	}
-	body, err := decompress(body)
-	return kind &^ compressedFlag, body, err
+	return new(Receiver).Read(r)
 }
 
 // Decode decodes the value of a frame into out.
--- a/worker/peer/server.go
+++ b/worker/peer/server.go
@@ -31,6 +31,7 @@
 	CountBytes dial.CountFunc
 
 	listener net.Listener
+	frames   frame.Receiver
 }
 
 // Listen binds the address and returns the bound address.
@@ -79,7 +80,7 @@
 	if err := conn.SetDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return err
 	}
-	kind, body, err := frame.Read(conn)
+	kind, body, err := s.frames.Read(conn)
 	if err != nil {
 		return err
 	}
