gateway, lib/sse: count long events among the bytes that are held

What would happen: events without end are bounded for each stream (128 KiB, whose buffer is 256 KiB long), but not together: a daemon with 284 MB and 4,100 descriptors lets 1,025 requests in at once, whose events may take 256 MB. Unary responses are bounded together; events were not.

Evidence: TestEndlessEventsFillMemory failed before ('60 events of 102400 bytes are held', where the daemon may hold 1 MiB) and passes, nine times more with -race.

What an event's buffer takes beyond its first 2 KiB is now reserved as the bytes of unary responses are, by the same rule (no more than what is then free), and released with the attempt. A stream that finds nothing free ends as with an event that is too long. Each attempt counts its own, since a hedge reads beside the first attempt.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,8 +43,10 @@
 	// readTimeout is called when nothing is received from the group.
 	readTimeout h1.StallPolicy
 
-	response  *h1.Response
-	events    *sse.Reader
+	response *h1.Response
+	events   *sse.Reader
+	// heldBytes is the number of bytes that are held for a long event.
+	heldBytes int
 	predicted prediction
 	// prefillTokens are the prompt's tokens that wait for prefill: all until the first event, then
 	// 0.
@@ -84,6 +86,8 @@
 			a.s.g.log.Debug().Err(err).Msg("answer-not-closed")
 		}
 	}
+	a.s.g.buffers.release(a.heldBytes)
+	a.heldBytes = 0
 	a.cancel()
 	a.s.g.scheduler.endPrediction(a.group.Key, a.predicted, false)
 	a.s.g.scheduler.addLoad(a.group.Head.ID, -1, -a.prefillTokens)
@@ -105,6 +109,16 @@
 		return errors.Join(errMayHaveRun, errUnsigned)
 	}
 	a.events = sse.NewReader(resp.Body)
+	a.events.Reserve = a.reserve
+	return nil
+}
+
+// reserve reserves n bytes for a long event.
+func (a *streamAttempt) reserve(n int) error {
+	if !a.s.g.buffers.reserveShare(n, a.heldBytes) {
+		return errBuffersFull
+	}
+	a.heldBytes += n
 	return nil
 }
 
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -1,14 +1,22 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 )
 
 // TestBuffersAreBounded checks that requests whose bodies exceed what the daemon may hold are
@@ -77,3 +85,55 @@
 type endlessBody struct{}
 
 func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestEndlessEventsFillMemory guards against many events without end that together fill the memory, each of
+// them shorter than the longest event.
+func TestEndlessEventsFillMemory(t *testing.T) {
+	c := qt.New(t)
+	const limit, streams, eventBytes = 1 << 20, 60, 100 << 10
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	instance := &fakeInstance{name: "g1", l: l}
+	node := newFakeNode(c, strings.NewReplacer(`"Slots":4`, `"Slots":100`, `"TimeoutMs":1000`, `"TimeoutMs":9000`).Replace(promiseConfig), []*fakeInstance{instance})
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryWindow: 10 * time.Second, FirstStart: true, MaxBufferedBytes: limit}
+	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
+	front := newFront(g)
+	// The connections stay open until the test ends, or the gateway closes them.
+	var received sync.WaitGroup
+	received.Add(streams)
+	var open atomic.Int32
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				open.Add(1)
+				defer open.Add(-1)
+				r := bufio.NewReader(conn)
+				id, _ := instance.readRequest(r)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Lupinkeel-Request-Id: %s\r\nX-Lupinkeel-Response-Stamp: s\r\n\r\n%s", id, strings.Repeat("a", eventBytes))
+				received.Done()
+				_, _ = r.ReadByte()
+			}()
+		}
+	}()
+	var sent sync.WaitGroup
+	for n := range streams {
+		sent.Go(func() { sendRequest(front.URL, fmt.Sprintf("POST /single/x id=%d model=big key=k1", n)) })
+	}
+	received.Wait()
+	held := int32(streams)
+	for until := time.Now().Add(time.Second); held > limit/eventBytes && time.Now().Before(until); held = open.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Check(held <= limit/eventBytes, qt.IsTrue, qt.Commentf("%d events of %d bytes are held", held, eventBytes))
+	c.Check(g.buffers.held.Load() <= limit, qt.IsTrue)
+	front.CloseClientConnections()
+	sent.Wait()
+	c.Check(l.Close(), qt.IsNil)
+	front.Close()
+	c.Check(g.buffers.held.Load(), qt.Equals, int64(0))
+}
--- a/lib/sse/reader.go
+++ b/lib/sse/reader.go
@@ -30,6 +30,10 @@
 
 // Reader reads events from an io.Reader.
 type Reader struct {
+	// Reserve, if set, is called before the buffer grows by n bytes for a long event. If it fails so does
+	// Next.
+	Reserve func(n int) error
+
 	r   io.Reader
 	buf []byte
 	// start is the index in buf at which the unread bytes start.
@@ -82,9 +86,9 @@
 		r.start = 0
 	}
 	if cap(r.buf)-len(r.buf) < initialBufferLen/2 {
-		grown := make([]byte, len(r.buf), 2*cap(r.buf))
-		copy(grown, r.buf)
-		r.buf = grown
+		if err := r.grow(); err != nil {
+			return err
+		}
 	}
 	n, err := r.r.Read(r.buf[len(r.buf):cap(r.buf)])
 	r.buf = r.buf[:len(r.buf)+n]
@@ -94,6 +98,19 @@
 	return err
 }
 
+// grow doubles the length of the buffer.
+func (r *Reader) grow() error {
+	if r.Reserve != nil {
+		if err := r.Reserve(cap(r.buf)); err != nil {
+			return err
+		}
+	}
+	grown := make([]byte, len(r.buf), 2*cap(r.buf))
+	copy(grown, r.buf)
+	r.buf = grown
+	return nil
+}
+
 func parseEvent(raw []byte) Event {
 	event := Event{Raw: raw}
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
