lib/h1: bound the number of lines in the heads of a response

What would happen: a head of 64 KiB whose lines are three bytes long has 21,000 fields, for which 2 MB and more are allocated, 30 times its length; a daemon with 284 MB counts 64 KiB for a request. By calculation a hundred such responses at once have 200 MB; no process was brought to its end in this way.

Evidence: TestManyFields/many failed before (no error for 1,000 fields) and passes.

Lines are counted as they are read, up to the empty line, so that those of bodies do not count; at 256 lines the response is no response.

TestEndlessHead now has cases for the parts that none had: one field and many without end, folded lines, an invalid status with an endless body, discarded responses.

--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -35,9 +35,8 @@
 	closed      atomic.Bool
 	// stallPolicy is the StallPolicy of the current request.
 	stallPolicy StallPolicy
-	// headLeft is how many bytes of heads may still be read, while inHead is set.
-	headLeft int
-	inHead   bool
+	// head is the budget of the current response's heads.
+	head headBudget
 	// meter counts the connection's bytes; it may be nil.
 	meter Meter
 	// readErr is the error of the first read that failed. A socket reports its error only once, and then
@@ -60,20 +59,23 @@
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
-	if c.inHead {
-		if c.headLeft == 0 {
+	if c.head.reading {
+		if c.head.bytes == 0 {
 			return 0, ErrHeadTooLong
 		}
-		p = p[:min(len(p), c.headLeft)]
+		p = p[:min(len(p), c.head.bytes)]
 	}
 	n, err := c.readWithStallPolicy(p)
 	c.readErr = err
-	if c.inHead {
-		c.headLeft -= n
-	}
 	if c.meter != nil {
 		c.meter.Received(n)
 	}
+	if c.head.reading {
+		c.head.bytes -= n
+		if err := c.head.countLines(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -193,26 +195,24 @@
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: framing(resp)}, nil
 }
 
-const (
-	// MaxHeadBytes is the maximum length in bytes of the head of a response, with those of all
-	// informational and discarded responses before it.
-	MaxHeadBytes = 64 << 10
-	// maxDiscardedBody is the maximum length in bytes of the body of a discarded response.
-	maxDiscardedBody = 1 << 20
-)
-
-// ErrHeadTooLong is returned if the heads of a response are longer than MaxHeadBytes.
-var ErrHeadTooLong = errors.New("the head of the response is too long")
+// maxDiscardedBody is the maximum length in bytes of the body of a discarded response.
+const maxDiscardedBody = 1 << 20
 
 // readHeader reads the header of the final response to the request. It skips informational (1xx)
 // responses and discards responses to other requests.
 func (c *conn) readHeader(r Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: r.Method}
-	c.headLeft = MaxHeadBytes
+	c.head = newHeadBudget()
 	for {
-		c.inHead = true
+		buffered, err := c.br.Peek(c.br.Buffered())
+		if err == nil {
+			err = c.head.begin(buffered)
+		}
+		if err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, httpReq)
-		c.inHead = false
+		c.head.reading = false
 		if err != nil {
 			return nil, err
 		}
