lib/logfmt: cut lines that are longer than 4 KiB

What would happen: net/http quotes a malformed head in its error, which the line of the request repeats for each attempt. 4,096 lines wait while standard output is slower than they come, so that garbled heads fill the memory by way of the log.

Evidence: TestLongLinesFillMemory failed before (655,500 bytes for 10 lines) and passes.

A line is cut as it is queued, so that the number of lines bounds their bytes.

--- a/lib/logfmt/bounded.go
+++ b/lib/logfmt/bounded.go
@@ -22,10 +22,20 @@
 	return &Async{out: out, lines: make(chan []byte, queueLen)}
 }
 
-// Write queues a line, or drops it if the queue is full.
+// maxLineLen is the length in bytes to which a line is cut. An error may quote whatever an upstream sent.
+const maxLineLen = 4 << 10
+
+// lineCut ends a line that was cut.
+const lineCut = "...\n"
+
+// Write queues a line, or drops it if the queue is full. A line longer than maxLineLen is cut.
 func (b *Async) Write(line []byte) (int, error) {
+	queued := bytes.Clone(line[:min(len(line), maxLineLen)])
+	if len(line) > maxLineLen {
+		copy(queued[maxLineLen-len(lineCut):], lineCut)
+	}
 	select {
-	case b.lines <- bytes.Clone(line):
+	case b.lines <- queued:
 	default:
 		b.dropped.Add(1)
 	}
