daemon: cut the reasons in the trail

What would happen at lupinkeel serve: the trail keeps 10,000 ended requests, and up to 50,000 while the log is unavailable, each with its error, and net/http's errors quote up to 64 KiB of what an upstream sent. The records of the trail grew alike.

A reason is cut to 1 KiB where it enters the trail.

--- a/daemon/trail.go
+++ b/daemon/trail.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,7 +24,10 @@
 	// maxTrailBatch is the maximum number of entries in one record.
 	maxTrailBatch = 1000
 	// maxTrailSearch is how many records at the end of the stream are searched for a request.
-	maxTrailSearch    = 5000
+	maxTrailSearch = 5000
+	// maxReasonLen is the length in bytes to which a reason is cut. An error may quote whatever an upstream
+	// sent.
+	maxReasonLen      = 1 << 10
 	finalFlushTimeout = 2 * time.Second
 )
 
@@ -46,6 +50,10 @@
 // RecordTrail adds an entry to the trail. A request may be recorded repeatedly; its last entry is
 // the one with an end.
 func (d *Daemon) RecordTrail(e models.TrailEntry) {
+	if len(e.Reason) > maxReasonLen {
+		// A clone, so that the rest is not kept.
+		e.Reason = strings.Clone(strings.ToValidUTF8(e.Reason[:maxReasonLen], ""))
+	}
 	t := d.trail
 	t.mu.Lock()
 	defer t.mu.Unlock()
