cluster, gateway: guard bounds of tunnels and failure responses

Bounds that held and that no test guarded: a daemon that makes a tunnel for another one holds nothing but what the kernel does while the other one doesn't read, and closes the instance's connection when the other one closes the tunnel; failure responses of streams are counted with the other bytes that the daemon holds.

--- a/cluster/tunnel_test.go
+++ b/cluster/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -107,6 +108,31 @@
 	}
 }
 
+// TestEndlessTunnel guards against bytes without end that a daemon keeps for another one which does not read
+// them, or that go on after the other one has closed its tunnel.
+func TestEndlessTunnel(t *testing.T) {
+	const maxGrowth, maxSent = 1 << 20, 64 << 20
+	s := newTunnelSite(t)
+	conn, instance := s.connect()
+	before := heapBytes()
+	step, sent := make([]byte, 64<<10), 0
+	s.c.Assert(instance.SetWriteDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+	var err error
+	for err == nil && sent < maxSent {
+		var n int
+		n, err = instance.Write(step)
+		sent += n
+	}
+	s.c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded, qt.Commentf("%d bytes were sent", sent))
+	s.c.Assert(heapBytes()-before <= maxGrowth, qt.IsTrue)
+	s.c.Assert(conn.Close(), qt.IsNil)
+	s.c.Assert(instance.SetWriteDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	for err = nil; err == nil; {
+		_, err = instance.Write(step)
+	}
+	s.c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("%v", err))
+}
+
 // TestTunnelOutlivesCaller guards against an instance that goes on working for a daemon that has
 // closed its tunnel.
 func TestTunnelOutlivesCaller(t *testing.T) {
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -86,9 +88,15 @@
 
 func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
 
-// TestEndlessEventsFillMemory guards against many events without end that together fill the memory, each of
-// them shorter than the longest event.
+// TestEndlessEventsFillMemory guards against many events, and many failure responses of streams, that have no
+// end and together fill the memory, each of them shorter than the longest that is read.
 func TestEndlessEventsFillMemory(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) { testEndlessStreams(t, status) })
+	}
+}
+
+func testEndlessStreams(t *testing.T, status int) {
 	c := qt.New(t)
 	const limit, streams, eventBytes = 1 << 20, 60, 100 << 10
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -114,7 +122,7 @@
 				defer open.Add(-1)
 				r := bufio.NewReader(conn)
 				id, _ := instance.readRequest(r)
-				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Lupinkeel-Request-Id: %s\r\nX-Lupinkeel-Response-Stamp: s\r\n\r\n%s", id, strings.Repeat("a", eventBytes))
+				fmt.Fprintf(conn, "HTTP/1.1 %d a\r\nX-Lupinkeel-Request-Id: %s\r\nX-Lupinkeel-Response-Stamp: s\r\n\r\n%s", status, id, strings.Repeat("a", eventBytes))
 				received.Done()
 				_, _ = r.ReadByte()
 			}()
