lib/h1: close idle connections that no request takes any more

What would happen: an instance may announce that a connection may stay idle for an hour. What the instance sends later stays in the kernel, up to its buffer for each of 64 connections to the address, and counts as the process's memory where bytes that were not read do.

A Keep-Alive header can now shorten the time, and no longer extend it over four seconds. Requests get the same connections as before, since get closes older ones.

--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -49,7 +49,7 @@
 const readBufferLen = 4 << 10
 
 func newConn(p *Pool, addr netip.AddrPort, nc Conn) *conn {
-	c := &conn{pool: p, addr: addr, nc: nc, idleTimeout: defaultIdleTimeout}
+	c := &conn{pool: p, addr: addr, nc: nc, idleTimeout: maxIdleTimeout}
 	c.br = bufio.NewReaderSize(c, readBufferLen)
 	return c
 }
@@ -280,7 +280,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			c.idleTimeout = max(0, time.Duration(seconds)*time.Second-idleMargin)
+			c.idleTimeout = min(maxIdleTimeout, max(0, time.Duration(seconds)*time.Second-idleMargin))
 		}
 	}
 }
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -29,9 +29,9 @@
 )
 
 const (
-	// defaultIdleTimeout is how long a connection stays idle in the pool if the upstream does not
-	// announce a keep-alive timeout.
-	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout is how long a connection stays idle in the pool unless the upstream announces a
+	// shorter keep-alive timeout. No request takes one that has been idle for longer.
+	maxIdleTimeout = 4 * time.Second
 	// idleMargin is how much earlier than the upstream the pool closes an idle connection, so
 	// that the upstream does not close it while a request is being sent.
 	idleMargin = 300 * time.Millisecond
