soak: play endless answers of all kinds at a daemon's memory limit

50 answers without end of one kind at a time were played. TestEndlessAnswers FillMemory/mixed plays 400 of all kinds at once at a daemon of 284 MB, also heads of short fields and failure responses, neither of which was played.

--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -19,6 +19,10 @@
 	smallMemoryMB = 184
 	// endlessAnswers is how many answers without end arrive at once.
 	endlessAnswers = 50
+	// usualMemoryMB is the memory of the users' other daemons, and mixedAnswers how many answers without end
+	// of all kinds must fit into it.
+	usualMemoryMB = 284
+	mixedAnswers  = 400
 	// endlessDuration is how long other callers send requests meanwhile, at besideRate per second.
 	endlessDuration = 2 * time.Second
 	besideRate      = 25
@@ -37,12 +41,20 @@
 func TestEndlessAnswersFillMemory(t *testing.T) {
 	bin := binary(t)
 	for _, kind := range replica.EndlessAnswers() {
-		t.Run(string(kind), func(t *testing.T) { testEndlessAnswers(t, bin, kind, endlessAnswers) })
+		t.Run(string(kind), func(t *testing.T) {
+			// Bodies are forwarded once they are complete, and may take a fixed part of the memory.
+			testEndlessAnswers(t, bin, []replica.EndlessAnswer{kind}, endlessAnswers, smallMemoryMB, kind != replica.EndlessBody)
+		})
 	}
+	t.Run("mixed", func(t *testing.T) {
+		kinds := append(replica.EndlessAnswers(), replica.EndlessFields, replica.EndlessFailure)
+		testEndlessAnswers(t, bin, kinds, mixedAnswers, usualMemoryMB, false)
+	})
 }
 
-// testEndlessAnswers lets a number of answers without end arrive at a small daemon.
-func testEndlessAnswers(t *testing.T, bin string, kind replica.EndlessAnswer, count int) {
+// testEndlessAnswers lets a number of answers without end arrive at a daemon, of some kinds in turn. The daemon
+// may use its memory, or maxPeakRatio times the usual if that is set.
+func testEndlessAnswers(t *testing.T, bin string, kinds []replica.EndlessAnswer, count, memoryMB int, usualOnly bool) {
 	c := qt.New(t)
 	s := startInstances(t, profile)
 	s.logs = t.TempDir()
@@ -50,7 +62,7 @@
 		s.add("plain", "")
 	}
 	d := s.newDaemon(bin, 0)
-	d.flags = append(d.flags, "--memory", strconv.Itoa(smallMemoryMB))
+	d.flags = append(d.flags, "--memory", strconv.Itoa(memoryMB))
 	s.daemons = append(s.daemons, d)
 	d.start(t)
 	t.Cleanup(d.kill)
@@ -61,8 +73,8 @@
 	peak := peakMemory(d, func() {
 		var endless sync.WaitGroup
 		for n := range count {
-			r := newRequest(kindNonIdempotent, "")
-			if kind == replica.EndlessEvent || n%2 == 0 && kind != replica.EndlessBody {
+			kind, r := kinds[n%len(kinds)], newRequest(kindNonIdempotent, "")
+			if kind == replica.EndlessEvent || kind == replica.EndlessFailure || n%2 == 0 && kind != replica.EndlessBody {
 				r = newRequest(kindStream, "small")
 			}
 			r.body = kind.RequestBody()
@@ -77,10 +89,9 @@
 		time.Sleep(memoryInterval)
 	}
 	t.Logf("usually %d MB, with endless answers %d MB, of which %d are still open; beside them %v", usual>>20, peak>>20, open, beside)
-	bound := maxPeakRatio * usual
-	if kind == replica.EndlessBody {
-		// Bodies are forwarded once they are complete, and may take a fixed part of the memory.
-		bound = smallMemoryMB << 20
+	bound := int64(memoryMB << 20)
+	if usualOnly {
+		bound = maxPeakRatio * usual
 	}
 	c.Check(peak <= bound, qt.IsTrue, qt.Commentf("%d MB instead of %d MB", peak>>20, usual>>20))
 	c.Check(beside.servedFraction() >= minServedBeside, qt.IsTrue, qt.Commentf("%v", beside))
--- a/soak/rules_test.go
+++ b/soak/rules_test.go
@@ -252,5 +252,6 @@
 // playEndless lets answers without end arrive at a small daemon.
 func playEndless(t *testing.T, bin string, r *rand.Rand) {
 	all := replica.EndlessAnswers()
-	testEndlessAnswers(t, bin, all[r.IntN(len(all))], 10+r.IntN(endlessAnswers))
+	kind := all[r.IntN(len(all))]
+	testEndlessAnswers(t, bin, []replica.EndlessAnswer{kind}, 10+r.IntN(endlessAnswers), smallMemoryMB, kind != replica.EndlessBody)
 }
--- a/standin/replica/endless.go
+++ b/standin/replica/endless.go
@@ -29,9 +29,12 @@
 	EndlessEvent   EndlessAnswer = "event"
 	EndlessBody    EndlessAnswer = "body"
 	EndlessSurplus EndlessAnswer = "surplus"
+	EndlessFields  EndlessAnswer = "fields"
+	EndlessFailure EndlessAnswer = "failure"
 )
 
-// EndlessAnswers returns all kinds.
+// EndlessAnswers returns all kinds but EndlessFields and EndlessFailure, which are other forms of a head and a
+// body.
 func EndlessAnswers() []EndlessAnswer {
 	return []EndlessAnswer{EndlessHead, EndlessInterim, EndlessChunk, EndlessTrailer, EndlessEvent, EndlessBody, EndlessSurplus}
 }
@@ -57,6 +60,10 @@
 		return chunked + "6\r\ndata: \r\n", chunk
 	case EndlessBody:
 		return chunked, chunk
+	case EndlessFields:
+		return head, "A:\n"
+	case EndlessFailure:
+		return strings.Replace(chunked, "200 OK", "500 Failed", 1), chunk
 	default:
 		return head + "Content-Length: 2\r\n\r\nok", "a"
 	}
