--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -74,13 +75,13 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(countedReader{r: http.MaxBytesReader(e.w, e.r.Body, limit), buffers: e.g.buffers, held: &e.heldBytes})
+	body, err := io.ReadAll(buffers.Reader{R: http.MaxBytesReader(e.w, e.r.Body, limit), Budget: e.g.buffers, Holds: &e.heldBytes})
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return errBodyTooLong
-	case errors.Is(err, errBuffersFull):
-		return errBuffersFull
+	case errors.Is(err, buffers.ErrFull):
+		return buffers.ErrFull
 	case err != nil:
 		return errors.Join(errBodyIncomplete, err)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 			a.s.g.log.Debug().Err(err).Msg("answer-not-closed")
 		}
 	}
-	a.s.g.buffers.release(a.heldBytes)
+	a.s.g.buffers.Release(a.heldBytes)
 	a.heldBytes = 0
 	a.cancel()
 	a.s.g.scheduler.endPrediction(a.group.Key, a.predicted, false)
@@ -115,8 +115,8 @@
 
 // reserve reserves n bytes for a long event.
 func (a *streamAttempt) reserve(n int) error {
-	if !a.s.g.buffers.reserveShare(n, a.heldBytes) {
-		return errBuffersFull
+	if err := a.s.g.buffers.ReserveShare(n, a.heldBytes); err != nil {
+		return err
 	}
 	a.heldBytes += n
 	return nil
--- a/gateway/buffers_test.go
+++ b/gateway/buffers_test.go
@@ -21,6 +21,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 )
 
 // TestBuffersAreBounded checks that requests whose bodies exceed what the daemon may hold are
@@ -28,7 +30,7 @@
 func TestBuffersAreBounded(t *testing.T) {
 	c := qt.New(t)
 	const limit, bodyBytes, requests = 1 << 20, 300 << 10, 10
-	g := &Gateway{buffers: newBuffers(limit, metrics.NewSet())}
+	g := &Gateway{buffers: buffers.New(limit, metrics.NewSet())}
 	var held []*exchange
 	rejected := 0
 	for range requests {
@@ -40,20 +42,20 @@
 			c.Assert(e.body, qt.HasLen, bodyBytes)
 			continue
 		}
-		c.Assert(errors.Is(err, errBuffersFull), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(errors.Is(err, buffers.ErrFull), qt.IsTrue, qt.Commentf("%v", err))
 		rejected++
 		// The part that was read is released with the request.
-		g.buffers.release(e.heldBytes)
+		g.buffers.Release(e.heldBytes)
 		e.heldBytes = 0
 	}
 	c.Assert(rejected, qt.Equals, requests-limit/bodyBytes)
-	c.Assert(g.buffers.held.Load() <= limit, qt.IsTrue)
+	c.Assert(g.buffers.Held() <= limit, qt.IsTrue)
 	for _, e := range held {
-		g.buffers.release(e.heldBytes)
+		g.buffers.Release(e.heldBytes)
 	}
-	c.Assert(g.buffers.held.Load(), qt.Equals, int64(0))
+	c.Assert(g.buffers.Held(), qt.Equals, int64(0))
 	n := 0
-	_, err := io.ReadAll(countedReader{r: bytes.NewReader(make([]byte, bodyBytes)), buffers: g.buffers, held: &n})
+	_, err := io.ReadAll(buffers.Reader{R: bytes.NewReader(make([]byte, bodyBytes)), Budget: g.buffers, Holds: &n})
 	c.Assert(err, qt.IsNil)
 }
 
@@ -62,7 +64,7 @@
 func TestEndlessResponseTakesAllBuffers(t *testing.T) {
 	c := qt.New(t)
 	const limit, responses, bodyBytes = 1 << 20, 50, 4 << 10
-	b := newBuffers(limit, metrics.NewSet())
+	b := buffers.New(limit, metrics.NewSet())
 	held := make([]int, responses)
 	ended := 0
 	for ended < responses {
@@ -70,19 +72,19 @@
 			if held[n] < 0 {
 				continue
 			}
-			r := countedReader{r: endlessBody{}, buffers: b, held: &held[n], isResponse: true}
+			r := buffers.Reader{R: endlessBody{}, Budget: b, Holds: &held[n], IsResponse: true}
 			if _, err := r.Read(make([]byte, 512)); err != nil {
-				b.release(held[n])
+				b.Release(held[n])
 				held[n] = -1
 				ended++
 			}
 		}
 		n := 0
-		_, err := io.ReadAll(countedReader{r: bytes.NewReader(make([]byte, bodyBytes)), buffers: b, held: &n})
+		_, err := io.ReadAll(buffers.Reader{R: bytes.NewReader(make([]byte, bodyBytes)), Budget: b, Holds: &n})
 		c.Assert(err, qt.IsNil)
-		b.release(n)
+		b.Release(n)
 	}
-	c.Assert(b.held.Load(), qt.Equals, int64(0))
+	c.Assert(b.Held(), qt.Equals, int64(0))
 }
 
 // endlessBody has no end.
@@ -122,11 +124,11 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	c.Check(held <= limit/eventBytes, qt.IsTrue, qt.Commentf("%d events of %d bytes are held", held, eventBytes))
-	c.Check(g.buffers.held.Load() <= limit, qt.IsTrue)
+	c.Check(g.buffers.Held() <= limit, qt.IsTrue)
 	front.CloseClientConnections()
 	sent.Wait()
 	front.Close()
-	c.Check(g.buffers.held.Load(), qt.Equals, int64(0))
+	c.Check(g.buffers.Held(), qt.Equals, int64(0))
 }
 
 // newEndlessSite returns a gateway that may hold a number of bytes, its server, and a group whose head
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,7 +81,7 @@
 	e.parts = sync.OnceValue(func() []quarantine.Digest {
 		return quarantine.PartDigests(e.owner.Workspace, e.head.Model, e.head.SharedParts)
 	})
-	defer func() { g.buffers.release(e.heldBytes) }()
+	defer func() { g.buffers.Release(e.heldBytes) }()
 	err := e.admit()
 	if err == nil {
 		err = e.checkQuarantine()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
@@ -102,7 +103,7 @@
 	scheduler *scheduler
 	budget    *retryBudget
 	queues    *queues
-	buffers   *buffers
+	buffers   *buffers.Budget
 	crashes   *crashDetector
 	entrance  *entrance.Listener
 	// stallReportsFrom is when the gateway begins to report stalled groups.
@@ -194,7 +195,7 @@
 func New(cfg Settings, node Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, scheduler: traffic.(*scheduler), stats: newStats(set), set: set,
-		buffers: newBuffers(cfg.MaxBufferedBytes, set),
+		buffers: buffers.New(cfg.MaxBufferedBytes, set),
 		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, time.Now(), !cfg.FirstStart), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -135,7 +136,7 @@
 // readResponse reads a response's body to its end.
 func (e *exchange) readResponse(resp *h1.Response) ([]byte, error) {
 	defer resp.Body.Close()
-	body, err := io.ReadAll(countedReader{r: io.LimitReader(resp.Body, maxResponseBytes+1), buffers: e.g.buffers, held: &e.heldBytes, isResponse: true})
+	body, err := io.ReadAll(buffers.Reader{R: io.LimitReader(resp.Body, maxResponseBytes+1), Budget: e.g.buffers, Holds: &e.heldBytes, IsResponse: true})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/lib/buffers/buffers.go
@@ -0,0 +1,86 @@
+// Package buffers bounds the bytes that requests hold together.
+package buffers
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// ErrFull is returned if requests and responses hold as many bytes as they may.
+var ErrFull = errors.New("too many bytes of requests and responses are held")
+
+// Budget bounds the bytes of request bodies and buffered responses that a daemon holds at once.
+// Callers or upstreams that are slow to read or send without end can't make it run out of memory. It is
+// safe for concurrent use.
+type Budget struct {
+	// limit is the maximum number of bytes; 0 sets none.
+	limit    int64
+	held     atomic.Int64
+	rejected *metrics.Counter
+}
+
+// New returns a budget of limit bytes; 0 sets no limit.
+func New(limit int64, set *metrics.Set) *Budget {
+	b := &Budget{limit: limit, rejected: set.NewCounter("lupinkeel_buffer_refusals_total")}
+	set.NewGauge("lupinkeel_buffered_bytes", func() float64 { return float64(b.Held()) })
+	return b
+}
+
+// Held returns the number of bytes that are held.
+func (b *Budget) Held() int64 { return b.held.Load() }
+
+// reserve reserves n bytes, unless that exceeds the limit.
+func (b *Budget) reserve(n int) bool {
+	if total := b.held.Add(int64(n)); b.limit == 0 || total <= b.limit {
+		return true
+	}
+	b.held.Add(int64(-n))
+	b.rejected.Inc()
+	return false
+}
+
+// ReserveShare reserves n bytes for one that holds some already. It is not to hold more than what is then
+// free, so that few that hold much leave room for many that hold little.
+func (b *Budget) ReserveShare(n, holds int) error {
+	if b.limit > 0 && int64(holds+n) > b.limit-b.Held()-int64(n) {
+		b.rejected.Inc()
+		return ErrFull
+	}
+	if !b.reserve(n) {
+		return ErrFull
+	}
+	return nil
+}
+
+// Release releases n bytes.
+func (b *Budget) Release(n int) { b.held.Add(int64(-n)) }
+
+// Reader reserves the bytes that are read, and adds them to Holds.
+type Reader struct {
+	R      io.Reader
+	Budget *Budget
+	Holds  *int
+	// IsResponse is set for responses, of which upstreams may send any number of bytes. Callers' bodies
+	// are bounded by the configuration.
+	IsResponse bool
+}
+
+// Read reads and reserves. It returns ErrFull if what was read can't be held.
+func (r Reader) Read(p []byte) (int, error) {
+	n, err := r.R.Read(p)
+	switch {
+	case n == 0:
+		return n, err
+	case r.IsResponse:
+		if full := r.Budget.ReserveShare(n, *r.Holds); full != nil {
+			return 0, full
+		}
+	case !r.Budget.reserve(n):
+		return 0, ErrFull
+	}
+	*r.Holds += n
+	return n, err
+}
