api, worker/upstream: bound the responses of lupinkeel serve together

What would happen: serve reads unary responses of up to 16 MiB each before it forwards them, and as many at once as descriptors allow. Events were bounded to 1 MiB for each stream, eight times what the gateway reads.

Responses share 128 MiB by the gateway's rule: none holds more than what is then free. One that finds no room counts as one that is too long. The longest event is 128 KiB, as at the gateway. Serve has no setting for its memory; the events of all streams, and heads of short fields, are still bounded only one by one.

--- a/api/buffered.go
+++ b/api/buffered.go
@@ -13,7 +13,7 @@
 
 // forwardBuffered reads the whole response before it sends any of it to the caller.
 func (e *exchange) forwardBuffered(_ context.Context, target router.Target, resp *upstream.Response) error {
-	data, err := resp.ReadAll(maxBufferedResponse)
+	data, err := resp.ReadAll(maxBufferedResponse, e.s.buffers, &e.heldBytes)
 	if err != nil {
 		return err
 	}
--- a/api/exchange.go
+++ b/api/exchange.go
@@ -16,20 +16,25 @@
 
 const (
 	// maxTries is the maximum number of attempts for one request.
-	maxTries            = 3
-	maxBufferedResponse = 16 << 20
-	maxPriority         = 9
-	cancelTimeout       = time.Second
+	maxTries = 3
+	// maxBufferedResponse is the maximum length in bytes of a response that is read before it is forwarded,
+	// maxBufferedResponses that of all of them together.
+	maxBufferedResponse  = 16 << 20
+	maxBufferedResponses = 128 << 20
+	maxPriority          = 9
+	cancelTimeout        = time.Second
 )
 
 // exchange is the processing of one caller's request.
 type exchange struct {
-	s          *Server
-	w          http.ResponseWriter
-	r          *http.Request
-	req        *router.Request
-	workspace  models.Workspace
-	body       []byte
+	s         *Server
+	w         http.ResponseWriter
+	r         *http.Request
+	req       *router.Request
+	workspace models.Workspace
+	body      []byte
+	// heldBytes is the number of bytes that are held for its responses.
+	heldBytes  int
 	priority   int
 	started    time.Time
 	triedAddrs []netip.AddrPort
@@ -48,6 +53,7 @@
 
 // run processes the request to its end.
 func (e *exchange) run(ctx context.Context) {
+	defer func() { e.s.buffers.Release(e.heldBytes) }()
 	err := e.claim(ctx)
 	if err == nil {
 		err = e.tryAll(ctx)
--- a/api/server.go
+++ b/api/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/lupinkeel/lupinkeel/config"
 	"github.com/lupinkeel/lupinkeel/daemon"
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/task"
@@ -45,6 +46,7 @@
 	admission *router.Admission
 	prefixes  *router.RecentPrefixes
 	budget    *router.RetryBudget
+	buffers   *buffers.Budget
 	suspects  router.Suspects
 	stopping  atomic.Bool
 	stats     *stats
@@ -78,8 +80,8 @@
 // New creates a server and binds its addresses.
 func New(cfg config.Serve, log zerolog.Logger, d *daemon.Daemon) (*Server, error) {
 	s := &Server{
-		budget: router.NewRetryBudget(time.Now()),
-		cfg:    cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
+		budget: router.NewRetryBudget(time.Now()), buffers: buffers.New(maxBufferedResponses, d.Metrics()),
+		cfg: cfg, log: log.With().Str("daemon", string(cfg.ID)).Logger(), daemon: d,
 		upstream: upstream.NewClient(dial.Dialer{Source: cfg.Source}), inFlight: newInFlightCounter(), limits: router.NewConcurrencyLimits(), admission: router.NewAdmission(), prefixes: router.NewRecentPrefixes(),
 	}
 	s.stats = newStats(d.Metrics(), s.inFlight.count)
--- a/worker/upstream/events.go
+++ b/worker/upstream/events.go
@@ -21,7 +21,7 @@
 const doneMarker = "[DONE]"
 
 // maxEventLen is the maximum length in bytes of an event's data, and of each line.
-const maxEventLen = 1 << 20
+const maxEventLen = 128 << 10
 
 // Event is one server-sent event.
 type Event struct {
--- a/worker/upstream/upstream.go
+++ b/worker/upstream/upstream.go
@@ -17,6 +17,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 	"github.com/lupinkeel/lupinkeel/lib/dial"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -158,11 +159,11 @@
 	return nil
 }
 
-// ReadAll reads the rest of the body and closes it. For a body that ends early, or is longer than
-// limit, it returns an error that wraps ErrMayHaveRun.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
+// ReadAll reads the rest of the body, takes its bytes from the budget, adds them to holds, and closes it. For a
+// body that ends early, is longer than limit or finds no room, it returns an error that wraps ErrMayHaveRun.
+func (r *Response) ReadAll(limit int64, budget *buffers.Budget, holds *int) ([]byte, error) {
 	defer r.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	data, err := io.ReadAll(buffers.Reader{R: io.LimitReader(r.Body, limit+1), Budget: budget, Holds: holds, IsResponse: true})
 	if err != nil {
 		return nil, errors.Join(ErrMayHaveRun, trace.Wrap(err))
 	}
