soak: play answers that end early, and check that none looks complete

Callers speak HTTP/1.1 and 1.0 on kept and new connections, read slowly, and resume. Checked: each event once, in order, with its text; nothing that looks complete before its end, judged by what the instance did; no second run of what may not be repeated; 408, 421, 429 and 503 only for what never ran; no panic, and no process that ends by itself.

Not played: tunnels, responses larger than socket buffers, engines as processes of their own.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -45,7 +45,8 @@
 const configText = `{"Version":%d,"Routes":[
 {"Name":"once","Host":"api.example","PathPrefix":"/once/","RouteType":"non_idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"plain","MaxAttempts":2},
 {"Name":"again","Host":"api.example","PathPrefix":"/again/","RouteType":"idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"plain","MaxAttempts":2},
-{"Name":"stream","Host":"api.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":4000,"TargetLatencyMs":400,"Service":"engines","MaxAttempts":2,"StreamResume":true,"gap_aim_ms":300}],
+{"Name":"stream","Host":"api.example","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":4000,"TargetLatencyMs":400,"Service":"engines","MaxAttempts":2,"StreamResume":true,"gap_aim_ms":300},
+{"Name":"single","Host":"api.example","PathPrefix":"/single/","RouteType":"streaming","TimeoutMs":4000,"TargetLatencyMs":400,"Service":"engines","MaxAttempts":2,"gap_aim_ms":300}],
 "Services":[{"Name":"plain","MaxConnections":100,"ColdPerS":1},{"Name":"engines","MaxConnections":100,"ColdPerS":1,"Engine":{"Slots":8,"step_ms":3,"per_seq_ms":0.1,"read_per_s":40000,"chunk":2048,"stride":5,"loads_per_s":20,"loads_at_once":12,"form_ms":60,
 "Models":[{"Name":"big","size":3,"share":0.5,"pace":1,"load_s":1.2,"WarmS":0.2},{"Name":"small","size":2,"share":0.5,"pace":0.6,"load_s":0.9,"WarmS":0.15}]}}],
 "Limits":{"MaxBodyBytes":100000},"Tenants":[{"Name":"ws","ApiKeys":[%q]}]}`
@@ -196,11 +197,13 @@
 	return d
 }
 
-func (d *daemon) start(t *testing.T) {
+func (d *daemon) start(t *testing.T) { qt.Assert(t, d.launch(), qt.IsNil) }
+
+func (d *daemon) launch() error {
 	d.cmd = exec.Command(d.flags[0], d.flags[1:]...)
 	d.cmd.Stdout, d.cmd.Stderr = d.logFile, d.logFile
 	d.cmd.Env = append(os.Environ(), d.env...)
-	qt.Assert(t, d.cmd.Start(), qt.IsNil)
+	return d.cmd.Start()
 }
 
 // signal sends a signal to the daemon's process.
@@ -211,15 +214,32 @@
 
 // kill kills the daemon's process and waits for it.
 func (d *daemon) kill() {
+	// Only end's other callers need to know whether the process had ended.
+	_ = d.end()
+}
+
+// end is kill, but returns an error if the process had ended by itself.
+func (d *daemon) end() error {
 	d.signal(syscall.SIGCONT)
 	d.signal(syscall.SIGKILL)
-	// The error only reports that the process was killed.
-	_ = d.cmd.Wait()
+	err := d.cmd.Wait()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		if status, ok := exit.Sys().(syscall.WaitStatus); ok && status.Signaled() && status.Signal() == syscall.SIGKILL {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s had ended by itself: %w", d.name, err)
 }
 
-// stop stops the daemon gracefully and waits for it.
+// stopBound is how long a daemon may take to stop.
+const stopBound = 20 * time.Second
+
+// stop stops the daemon gracefully and waits for it. One that takes too long logs its stacks, and fails.
 func (d *daemon) stop() error {
 	d.signal(syscall.SIGTERM)
+	late := time.AfterFunc(stopBound, func() { d.signal(syscall.SIGQUIT) })
+	defer late.Stop()
 	err := d.cmd.Wait()
 	var exit *exec.ExitError
 	if errors.As(err, &exit) && !exit.Exited() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -224,7 +224,7 @@
 		out.violation = fmt.Sprintf("status %d", resp.StatusCode)
 	case resp.StatusCode != http.StatusOK:
 	case r.kind == kindStream:
-		out.violation = checkEvents(string(body), r.id, err == nil)
+		out.violation = checkEvents(string(body), r.id, 0, err == nil)
 		out.complete = err == nil && out.violation == ""
 	case err != nil:
 		out.violation = "a plain response was truncated"
@@ -236,17 +236,17 @@
 	return out
 }
 
-// checkEvents checks that the events are in order, without duplicates and all of this request, and
-// that a stream that ends without an error is complete.
-func checkEvents(body, id string, complete bool) string {
+// checkEvents checks that the events are in order, without duplicates and all of this request, which asked
+// for those after an event, and that a stream that ends without an error is complete.
+func checkEvents(body, id string, after int, complete bool) string {
 	events := strings.Split(body, "\n\n")
 	for n, event := range events[:len(events)-1] {
-		if want := fmt.Sprintf("id: %d\ndata: %s", n+1, id); event != want {
-			return fmt.Sprintf("event %d is %q", n+1, event)
+		if want := fmt.Sprintf("id: %d\ndata: %s", after+n+1, id); event != want {
+			return fmt.Sprintf("event %d is %q", after+n+1, event)
 		}
 	}
-	if complete && (len(events)-1 != profile.Events || events[len(events)-1] != "") {
-		return fmt.Sprintf("a stream ended without an error after %d events", len(events)-1)
+	if last := after + len(events) - 1; complete && (last != profile.Events || events[len(events)-1] != "") {
+		return fmt.Sprintf("a stream ended without an error after event %d", last)
 	}
 	return ""
 }
--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -70,7 +70,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{Service: service, Zone: zone, Domain: domain, Addr: l.Addr().(*net.TCPAddr).AddrPort(), pool: p, cancel: cancel}
-	i.server = &http.Server{Handler: i, ReadHeaderTimeout: time.Minute}
+	i.server = &http.Server{Handler: i, ReadHeaderTimeout: time.Minute, ConnContext: withAnswerConn}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.created++
@@ -80,7 +80,7 @@
 	i.tasks = []task.Task{
 		task.Start(ctx, "serve", func(context.Context) error {
 			// Stop closes the server; the error only reports that.
-			_ = i.server.Serve(l)
+			_ = i.server.Serve(answerListener{l, i})
 			return nil
 		}),
 		task.Start(ctx, "work", i.run),
--- a/standin/replica/pool.go
+++ b/standin/replica/pool.go
@@ -57,6 +57,10 @@
 	// wrong is how plain requests are answered wrongly, arrivals holds their arrivals.
 	wrong    WrongAnswers
 	arrivals []Arrival
+	// earlyEnds is how answers end, ends holds how they ended.
+	earlyEnds EarlyEnds
+	ends      map[models.RequestID][]End
+	endCounts map[EndKind]int
 	// poisons holds the poison requests by their bodies.
 	poisons map[string]*Poison
 	places  placeRules
@@ -67,7 +71,7 @@
 	return &Pool{
 		profile: profile, store: store, instances: map[models.InstanceID]*Instance{},
 		everReady: map[models.GroupKey]map[models.InstanceID]bool{}, runs: map[models.RequestID]int{},
-		poisons: map[string]*Poison{},
+		poisons: map[string]*Poison{}, ends: map[models.RequestID][]End{}, endCounts: map[EndKind]int{},
 	}
 }
 
--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -24,6 +24,9 @@
 	i.pool.mu.Lock()
 	hung := i.hung
 	i.pool.mu.Unlock()
+	if conn, ok := r.Context().Value(answerConnKey{}).(*answerConn); ok {
+		conn.setRequest(models.RequestID(r.Header.Get(headerRequestID)))
+	}
 	if hung {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -70,13 +73,13 @@
 			return
 		}
 		time.Sleep(plainRequestTime)
-		if i.answerWrongly(w) {
+		end := i.drawEnd(r, id)
+		if i.answerWrongly(w) || end.answerInvalidStatus(w, ForgedText) {
 			return
 		}
 		i.writeSignalHeaders(w, received)
 		w.Header().Set(headerStamp, string(i.ID))
-		// The client may have disconnected.
-		_, _ = fmt.Fprintf(w, "answer to %s", id)
+		i.writePlain(w, r, end, fmt.Sprintf("answer to %s", id))
 		return
 	}
 	i.pool.mu.Lock()
@@ -92,17 +95,34 @@
 	i.stream(w, r, received)
 }
 
+// writePlain writes the body of a plain answer. One without a length is broken off only by a reset, since
+// a closed connection is its end.
+func (i *Instance) writePlain(w http.ResponseWriter, r *http.Request, end *answerEnd, body string) {
+	end.frame(w)
+	if end.broken && (!end.unframed || end.reset) {
+		// The client may have disconnected.
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		end.breakOff(r.Context(), 0)
+	}
+	// The client may have disconnected.
+	_, _ = io.WriteString(w, body)
+	end.whole(body, 0)
+}
+
 // stream sends the events of a stream; it pauses while the group lacks a member.
 func (i *Instance) stream(w http.ResponseWriter, r *http.Request, received *receivedRequest) {
 	id, next := received.id, 1
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		next = after + 1
 	}
+	first, end := next, i.drawEnd(r, id)
 	flush := http.NewResponseController(w).Flush
 	counted := false
 	for next <= i.pool.profile.Events {
 		select {
 		case <-r.Context().Done():
+			end.cut(next - 1)
 			return
 		case <-time.After(i.pool.profile.EventInterval):
 		}
@@ -117,19 +137,44 @@
 		}
 		i.pool.mu.Unlock()
 		if aborted {
+			end.note(EndClosed, next-1)
 			panic(http.ErrAbortHandler)
 		}
 		if !complete {
 			continue
 		}
-		if next == 1 || w.Header().Get(headerStamp) == "" {
-			i.writeSignalHeaders(w, received)
-			w.Header().Set(headerStamp, string(i.ID))
-			w.Header().Set("Content-Type", "text/event-stream")
+		if next == first {
+			if end.answerInvalidStatus(w, i.pool.events(next, ForgedText)) {
+				return
+			}
+			i.writeStreamHead(w, received, end)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", next, id); err != nil || flush() != nil {
+		event := eventText(next, string(id))
+		if end.broken && next > end.after {
+			if end.within {
+				event = event[:len(event)/2]
+			} else {
+				event = ""
+			}
+		}
+		if _, err := io.WriteString(w, event); err != nil || flush() != nil {
+			end.cut(next - 1)
 			return
 		}
+		if end.broken && next > end.after {
+			end.breakOff(r.Context(), next-1)
+		}
 		next++
 	}
+	if next == first {
+		i.writeStreamHead(w, received, end)
+	}
+	end.whole(i.pool.events(first, string(id)), next-1)
+}
+
+func (i *Instance) writeStreamHead(w http.ResponseWriter, received *receivedRequest, end *answerEnd) {
+	i.writeSignalHeaders(w, received)
+	w.Header().Set(headerStamp, string(i.ID))
+	w.Header().Set("Content-Type", "text/event-stream")
+	end.frame(w)
 }
