--- a/standin/replica/pool.go
+++ b/standin/replica/pool.go
@@ -59,6 +59,10 @@
 	wrong     WrongAnswers
 	arrivals  []Arrival
 	plainTime time.Duration
+	// earlyEnds is how answers end, ends holds how they ended.
+	earlyEnds EarlyEnds
+	ends      map[models.RequestID][]End
+	endCounts map[EndKind]int
 	// poisons holds the poison requests by their bodies.
 	poisons map[string]*Poison
 	places  placeRules
@@ -69,7 +73,7 @@
 	return &Pool{
 		profile: profile, store: store, instances: map[models.InstanceID]*Instance{},
 		everReady: map[models.GroupKey]map[models.InstanceID]bool{}, runs: map[models.RequestID]int{},
-		poisons: map[string]*Poison{},
+		poisons: map[string]*Poison{}, ends: map[models.RequestID][]End{}, endCounts: map[EndKind]int{},
 	}
 }
 
