gateway: refuse requests that daemons forward to daemons

An entry with the address of a daemon, under any key of the instances' topic, made daemons forward a request to that daemon, which forwarded it again: where a route needs no key, one request filled a daemon in 0.2 s.

Daemons name the expected instance in each request that they send, and a daemon is none: it now answers 421 with the request's ID, as an instance does that is not the expected one, so that the sender takes the request as not run and tries another instance.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -19,6 +19,9 @@
 
 // admit finds the route and the workspace, sets the deadline and reads the body.
 func (e *exchange) admit() error {
+	if e.head.Forwarded {
+		return errForwarded
+	}
 	v := e.g.node.View()
 	if v.Routing == nil {
 		return errNoConfig
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -31,10 +31,13 @@
 
 // Errors for requests that no instance answered.
 var (
-	errNoConfig       = errors.New("no configuration is known yet")
-	errStaleConfig    = errors.New("the keys may have changed")
-	errNoRoute        = errors.New("no route matches this host and path")
-	errUnknownKey     = errors.New("the key is unknown")
+	errNoConfig    = errors.New("no configuration is known yet")
+	errStaleConfig = errors.New("the keys may have changed")
+	errNoRoute     = errors.New("no route matches this host and path")
+	errUnknownKey  = errors.New("the key is unknown")
+	// errForwarded: the address of this daemon stands among the instances. A request that is forwarded
+	// again would go round until its deadline.
+	errForwarded      = errors.New("another daemon takes this one for an instance")
 	errBodyTooLong    = errors.New("the request body is too long")
 	errBodyIncomplete = errors.New("the request body is incomplete")
 	errNoInstance     = errors.New("no instance is available for this request")
@@ -74,6 +77,9 @@
 		status, outcome = http.StatusNotFound, outcomeUnknownRoute
 	case errors.Is(err, errUnknownKey):
 		status, outcome = http.StatusUnauthorized, outcomeForbidden
+	case errors.Is(err, errForwarded):
+		status, outcome = http.StatusMisdirectedRequest, outcomeForbidden
+		platform.SetRequestID(e.w.Header(), e.head.ID)
 	case errors.Is(err, errBodyTooLong):
 		status, outcome = http.StatusRequestEntityTooLarge, outcomeForbidden
 	case errors.Is(err, errBodyIncomplete):
--- a/models/requests.go
+++ b/models/requests.go
@@ -25,6 +25,8 @@
 	// only if HasLastEventID is true.
 	LastEventID    int64
 	HasLastEventID bool
+	// Forwarded is set if a daemon sent the request, which takes this daemon for an instance.
+	Forwarded bool
 }
 
 // Attempt holds what a daemon adds to the headers of a request that it sends to an instance.
