cluster: believe an entry written after its removal, whatever its count

After an entry with a count of writes far ahead, under the ID of a live instance, and its removal or an entry that can't be decoded, the true entries with their lower counts were taken for those of an instance that has left. It got no requests for a minute, and at the daemons that get updates for longer, as each update about it began the minute anew.

The count is only needed for a restored store, whose records may be older than the removal. Within an era a record behind those that removed the instance was written later, so daemons keep the position of the removal and compare that first.

--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -123,7 +123,7 @@
 	case read.end.Era > before.Era:
 		o.markMissing(listed, time.Now())
 	default:
-		o.removeUnlisted(listed, read.requestedAt)
+		o.removeUnlisted(listed, read.end, read.requestedAt)
 	}
 	complete := read.requestedAt
 	if read.more {
@@ -153,30 +153,31 @@
 	if r.Position.Compare(o.fleet.entries.end) < 0 {
 		return
 	}
-	id := models.InstanceID(r.Key)
+	id, end := models.InstanceID(r.Key), models.Position{Era: r.Position.Era, Offset: r.Position.Offset + 1}
 	if len(r.Value) == 0 {
 		delete(o.fleet.unreadable, id)
-		o.handleEntryGone(id)
+		o.handleEntryRemoved(id, end)
 		return
 	}
 	i, err := platform.DecodeInstance(r.Key, r.Value)
 	if err != nil {
 		// Another writer wrote this record: it describes no instance, even if an earlier one did.
 		o.reportUnreadable(id, r.Value, err)
-		o.handleEntryGone(id)
+		o.handleEntryRemoved(id, end)
 		return
 	}
 	delete(o.fleet.unreadable, id)
+	o.fleet.forgetRemoved(id, end)
 	o.applyEntry(i, requestedAt)
-	o.fleet.markListed(id, models.Position{Era: r.Position.Era, Offset: r.Position.Offset + 1}, time.Time{})
+	o.fleet.markListed(id, end, time.Time{})
 }
 
 // removeUnlisted removes the instances that a snapshot of the store lacks, and broadcasts their
-// removal, because no record of the read does.
-func (o *owner) removeUnlisted(listed map[models.InstanceID]bool, requestedAt time.Time) {
+// removal, because no record of the read does. end is the end of the records that the snapshot covers.
+func (o *owner) removeUnlisted(listed map[models.InstanceID]bool, end models.Position, requestedAt time.Time) {
 	for id := range o.fleet.instances {
 		if !listed[id] {
-			o.handleEntryGone(id)
+			o.handleEntryRemoved(id, end)
 			o.queueUpdates(o.fleet.goneUpdate(id, requestedAt))
 		}
 	}
--- a/cluster/incarnations.go
+++ b/cluster/incarnations.go
@@ -97,6 +97,8 @@
 	// heartbeat is the number of writes of its entry, 0 if unknown.
 	heartbeat int64
 	at        time.Time
+	// knownThrough is the position up to which the store's records were known that removed it.
+	knownThrough models.Position
 }
 
 // hasEnded reports whether an entry or update belongs to a removed incarnation that has written
@@ -114,7 +116,24 @@
 // markEnded records the write count of a removed instance.
 func (f *fleetState) markEnded(i models.UpstreamInstance, now time.Time) {
 	e := f.ended[i.ID]
-	f.ended[i.ID] = endedInstance{startedAt: i.StartedAt, heartbeat: max(e.heartbeat, i.HeartbeatSeq), at: now}
+	f.ended[i.ID] = endedInstance{startedAt: i.StartedAt, heartbeat: max(e.heartbeat, i.HeartbeatSeq), at: now, knownThrough: e.knownThrough}
+}
+
+// markRemoved records that the store's records before end removed an instance.
+func (f *fleetState) markRemoved(id models.InstanceID, end models.Position) {
+	if e, ended := f.ended[id]; ended && e.knownThrough.Compare(end) < 0 {
+		e.knownThrough = end
+		f.ended[id] = e
+	}
+}
+
+// forgetRemoved forgets a removed instance that the store's records before end list again, unless they
+// may be those of a restored store. The write count of such an instance proves nothing: another writer
+// may have set it.
+func (f *fleetState) forgetRemoved(id models.InstanceID, end models.Position) {
+	if e, ended := f.ended[id]; ended && e.knownThrough.Era == end.Era && e.knownThrough.Compare(end) < 0 && e.knownThrough != (models.Position{}) {
+		delete(f.ended, id)
+	}
 }
 
 // pruneEnded drops instances that were removed more than endedRetention ago.
--- a/cluster/unlisted.go
+++ b/cluster/unlisted.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// handleEntryRemoved handles the removal of an instance's entry by the store's records before end.
+func (o *owner) handleEntryRemoved(id models.InstanceID, end models.Position) {
+	o.handleEntryGone(id)
+	o.fleet.markRemoved(id, end)
+}
+
 // removeInstance removes an instance from the state.
 func (o *owner) removeInstance(i *knownInstance) {
 	o.n.log.Info().Str("instance", string(i.ID)).Str("group", string(i.Group.Key.Name)).Msg("instance-gone")
--- a/cluster/updates.go
+++ b/cluster/updates.go
@@ -114,6 +114,9 @@
 			o.applyGone(u, m, now)
 			continue
 		}
+		if m.entries != nil {
+			o.fleet.forgetRemoved(u.Instance.ID, m.entries.End)
+		}
 		o.applyInstance(u, m.stateAt(u), now)
 		if k := o.fleet.instances[u.Instance.ID]; k != nil && k.CompareIncarnation(u.Instance.StartedAt) != models.EarlierIncarnation {
 			o.observeCold(k, u.Instance.ColdFor, now)
@@ -168,6 +171,9 @@
 	if _, stillKnown := o.fleet.instances[id]; !stillKnown && u.Instance.HeartbeatSeq > 0 {
 		o.fleet.markEnded(u.Instance, now)
 	}
+	if m.entries != nil {
+		o.fleet.markRemoved(id, m.entries.End)
+	}
 }
 
 // missingSince returns since when a restored store has lacked the instance's entry.
