cluster: follow the entries of an instance whose start time was overstated

Entries with an earlier start time than the known one are ignored, since they may be late or a restored store's. An entry of another writer with a start time far ahead, under the ID of a live instance, therefore hid that instance's own entries for good: requests went to the other writer's address, and that the instance left was not seen. The planner's probe of that address could not correct it. Where a probe did correct a start time, because an instance's clock was set back, only the planner knew.

An instance that goes on writing under an earlier start time is alive. A record behind those from which its state is known, and another at least two writes later in a later read, now begin that incarnation. A single record may have been under way; old ones of a restored store don't advance. Limits and signals that were observed of the start that never was are forgotten.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -325,6 +325,9 @@
 	return n
 }
 
+// Forget drops the breaker of an instance. Outcomes of requests admitted before are ignored.
+func (b *Breakers) Forget(id models.InstanceID) { delete(b.breakers, id) }
+
 // Prune drops backoffs that ended long ago, and instances that left and are no longer listed. It
 // returns the instances whose backoff ended since the last call.
 func (b *Breakers) Prune(listed func(models.InstanceID) bool, now time.Time) []models.InstanceID {
--- a/cluster/breakers.go
+++ b/cluster/breakers.go
@@ -159,6 +159,14 @@
 	return b.breakers.AdmitReport(i, time.Now())
 }
 
+// Forget drops the signals of an instance.
+func (b *Breakers) Forget(id models.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breakers.Forget(id)
+	b.nonEmpty.Store(!b.breakers.Empty())
+}
+
 // Prune drops the signals of removed instances and those that have expired.
 func (b *Breakers) Prune(listed map[models.InstanceID]models.UpstreamInstance) {
 	if !b.Any() {
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -168,6 +168,7 @@
 	}
 	delete(o.fleet.unreadable, id)
 	o.fleet.forgetRemoved(id, end)
+	o.observeContradiction(i, end, requestedAt)
 	o.applyEntry(i, requestedAt)
 	o.fleet.markListed(id, end, time.Time{})
 }
@@ -324,7 +325,9 @@
 func (k *knownInstance) toUpdate(at time.Time) queuedUpdate {
 	i := k.UpstreamInstance
 	i.ColdFor = max(0, time.Until(k.coldUntil))
-	return queuedUpdate{InstanceUpdate{Instance: i, Lost: !k.lostSince.IsZero(), Missing: k.missingFor(time.Now())}, at}
+	return queuedUpdate{InstanceUpdate{
+		Instance: i, Lost: !k.lostSince.IsZero(), Missing: k.missingFor(time.Now()), CorrectedThrough: k.correctedThrough,
+	}, at}
 }
 
 // queuedUpdate is the state of an instance at a time. Its age is set when it is encoded, since the
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -89,6 +89,10 @@
 	// knownThrough is the position up to which the source of this state knew the store's entry
 	// records, including this instance's.
 	knownThrough models.Position
+	// contradicted is the first of the entries that contradict this state, zero if none do.
+	// correctedThrough is the position up to which the store's records were known that last corrected it.
+	contradicted     contradiction
+	correctedThrough models.Position
 	// missingSince is since when a restored store has lacked the entry.
 	missingSince time.Time
 	// probedAt is when the instance was last probed, probeQueued is set while a probe is queued.
--- a/cluster/incarnations.go
+++ b/cluster/incarnations.go
@@ -18,6 +18,8 @@
 //     the current incarnation. If its StartedAt is earlier, the instance's clock was set back.
 //   - Entries and updates without StartedAt, which older versions send, are attributed to the known
 //     incarnation.
+//   - An instance that keeps writing entries with an earlier StartedAt is alive, and the later one was
+//     not its own: another writer may have left an entry under its ID. See contradiction.
 
 // observeIncarnation begins a new incarnation of the instance if an entry or update, as of a time,
 // shows one. It returns false if they show an earlier incarnation and are to be ignored.
@@ -36,12 +38,75 @@
 // observeReportedIncarnation is observeIncarnation for the instance's own response to a probe.
 func (o *owner) observeReportedIncarnation(k *knownInstance, startedAt, requestedAt time.Time) bool {
 	if k.CompareIncarnation(startedAt) == models.EarlierIncarnation && requestedAt.After(k.incarnationKnownAt) {
-		o.beginIncarnation(k, startedAt, requestedAt)
+		o.correct(k, startedAt, o.fleet.entries.end, requestedAt)
 		return true
 	}
 	return o.observeIncarnation(k, startedAt, requestedAt)
 }
 
+// contradiction is the first of the entries that contradict what an entry before them said for the rest
+// of the incarnation.
+type contradiction struct {
+	startedAt time.Time
+	heartbeat int64
+	// requestedAt is when the read was requested that returned it.
+	requestedAt time.Time
+}
+
+// observeContradiction corrects what is known of an instance once its entries have contradicted it
+// for writesToRecover writes, in a later read. A single entry may have been under way.
+func (o *owner) observeContradiction(i models.UpstreamInstance, end models.Position, requestedAt time.Time) {
+	k, known := o.fleet.instances[i.ID]
+	switch {
+	case !known, end.Era != k.knownThrough.Era, end.Compare(k.knownThrough) <= 0:
+		return
+	case !k.isContradictedBy(i):
+		k.contradicted = contradiction{}
+		return
+	}
+	first := k.contradicted
+	if first.requestedAt.IsZero() || !first.startedAt.Equal(i.StartedAt) || i.HeartbeatSeq < first.heartbeat {
+		k.contradicted = contradiction{startedAt: i.StartedAt, heartbeat: i.HeartbeatSeq, requestedAt: requestedAt}
+		return
+	}
+	if i.HeartbeatSeq >= first.heartbeat+writesToRecover && requestedAt.After(first.requestedAt) {
+		o.correct(k, i.StartedAt, end, requestedAt)
+	}
+}
+
+// isContradictedBy reports whether an entry is of an earlier incarnation than the known one.
+func (k *knownInstance) isContradictedBy(i models.UpstreamInstance) bool {
+	return k.CompareIncarnation(i.StartedAt) == models.EarlierIncarnation
+}
+
+// correct begins the incarnation that an instance's own entries or report show, as of the store's
+// records before end.
+func (o *owner) correct(k *knownInstance, startedAt time.Time, end models.Position, at time.Time) {
+	o.n.log.Warn().Str("instance", string(k.ID)).Time("born", startedAt).Time("was-born", k.StartedAt).Msg("instance-corrected")
+	o.beginIncarnation(k, startedAt, at)
+	k.correctedThrough = end
+	// What was observed of the incarnation that never was would count as newer.
+	o.n.limits.Forget(k.ID)
+	o.n.breakers.Forget(k.ID)
+}
+
+// applyCorrection applies the correction that the source of an update has made, unless this daemon knows
+// more of the store's records.
+func (o *owner) applyCorrection(u InstanceUpdate, end models.Position, at time.Time) {
+	k, known := o.fleet.instances[u.Instance.ID]
+	if known && k.knownThrough.Compare(end) <= 0 && k.correctedThrough.Compare(u.CorrectedThrough) < 0 && k.isContradictedBy(u.Instance) {
+		o.correct(k, u.Instance.StartedAt, u.CorrectedThrough, at)
+	}
+}
+
+// markCorrected takes over the mark of a correction, which other daemons get from this one.
+func (f *fleetState) markCorrected(u InstanceUpdate) {
+	k, known := f.instances[u.Instance.ID]
+	if known && k.StartedAt.Equal(u.Instance.StartedAt) && k.correctedThrough.Compare(u.CorrectedThrough) < 0 {
+		k.correctedThrough = u.CorrectedThrough
+	}
+}
+
 // learnStartTime sets StartedAt if it was not known.
 func (o *owner) learnStartTime(k *knownInstance, startedAt, at time.Time) {
 	if k.StartedAt.IsZero() && !startedAt.IsZero() {
@@ -62,7 +127,9 @@
 	}
 	i := k.UpstreamInstance
 	i.StartedAt, i.Group, i.LoadedModel, i.HeartbeatSeq, i.Draining = startedAt, models.Membership{}, "", 0, false
-	*k = knownInstance{UpstreamInstance: i, incarnationKnownAt: at, unlisted: k.unlisted, lastBroadcast: k.lastBroadcast}
+	*k = knownInstance{
+		UpstreamInstance: i, incarnationKnownAt: at, unlisted: k.unlisted, lastBroadcast: k.lastBroadcast, correctedThrough: k.correctedThrough,
+	}
 	o.fleetStale, o.fleet.listStale = true, true
 }
 
--- a/cluster/limits.go
+++ b/cluster/limits.go
@@ -124,6 +124,15 @@
 	return changed
 }
 
+// Forget drops what is known of an instance.
+func (l *Limits) Forget(id models.InstanceID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits.Forget(id)
+	l.cold.Forget(id)
+	l.updateNonEmpty()
+}
+
 // Prune drops limits that ended long ago, and those of removed instances.
 func (l *Limits) Prune(there map[models.InstanceID]models.UpstreamInstance) {
 	if !l.Any() {
--- a/cluster/odd_entries_test.go
+++ b/cluster/odd_entries_test.go
@@ -24,6 +24,7 @@
 //	unreadable ID          another writer writes one that can't be decoded
 //	remove ID              the entry is removed
 //	restore                the store is restored, and then holds what is written next
+//	report ID FIELDS       the instance answers a probe of the planner
 //	leaving ID             a response of the instance says that it leaves
 //	expect ID FIELDS       checks what is known of the instance; "gone" that it is not known
 //
@@ -85,6 +86,14 @@
 		s.write(id, []byte(`{"Address":"127.0.0.1:99999"}`))
 	case "remove":
 		s.write(id, nil)
+	case "report":
+		var entry struct {
+			Born int64 `json:"born"`
+		}
+		s.c.Assert(json.Unmarshal(s.encode(words[2:]), &entry), qt.IsNil, s.line)
+		report := models.UpstreamInstance{ID: models.InstanceID(id), StartedAt: time.UnixMilli(entry.Born)}
+		planner := s.daemons["planner"]
+		s.update(func() { planner.handleProbeResult(probeFinished{instance: report, sentAt: time.Now()}) })
 	case "leaving":
 		for _, o := range s.daemons {
 			o.n.breakers.ObserveHead(models.InstanceID(id), o.fleet.instances[models.InstanceID(id)].StartedAt, models.ResponseHead{Leaving: true})
@@ -140,21 +149,24 @@
 	record := platform.KeyedRecord{Key: id, Value: value, Position: s.end}
 	s.end.Offset++
 	read := readResult{records: []platform.KeyedRecord{record}, end: s.end, requestedAt: time.Now()}
-	planner, updated := s.daemons["planner"], s.daemons["updated"]
-	since := planner.fleet.broadcastEnd
-	sent := planner.fleet.updateSeq
-	// The updates are broadcast while the read is handled, unless they are queued before it.
+	s.update(func() { s.daemons["planner"].handleEntries(read, s.snapshot) })
+	s.daemons["reader"].handleEntries(read, s.snapshot)
+	s.snapshot = false
+}
+
+// update has the planner handle something, and sends what has changed to the daemon that gets updates.
+func (s *oddEntryScript) update(handle func()) {
+	planner := s.daemons["planner"]
+	since, sent := planner.fleet.broadcastEnd, planner.fleet.updateSeq
+	handle()
 	var updates []InstanceUpdate
-	planner.handleEntries(read, s.snapshot)
 	for _, u := range planner.fleet.pendingUpdates {
 		updates = append(updates, u.asOf(time.Now()))
 	}
 	if planner.fleet.updateSeq == sent {
 		planner.broadcastUpdates()
 	}
-	updated.handleUpdate(updateReceived{
+	s.daemons["updated"].handleUpdate(updateReceived{
 		term: 1, seq: planner.fleet.updateSeq, instances: updates, entries: planner.entriesSince(since), receivedAt: time.Now(), writtenAfter: time.Now(),
 	})
-	s.daemons["reader"].handleEntries(read, s.snapshot)
-	s.snapshot = false
 }
--- a/cluster/updates.go
+++ b/cluster/updates.go
@@ -116,8 +116,10 @@
 		}
 		if m.entries != nil {
 			o.fleet.forgetRemoved(u.Instance.ID, m.entries.End)
+			o.applyCorrection(u, m.entries.End, m.stateAt(u))
 		}
 		o.applyInstance(u, m.stateAt(u), now)
+		o.fleet.markCorrected(u)
 		if k := o.fleet.instances[u.Instance.ID]; k != nil && k.CompareIncarnation(u.Instance.StartedAt) != models.EarlierIncarnation {
 			o.observeCold(k, u.Instance.ColdFor, now)
 		}
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -233,4 +233,7 @@
 	// Missing is the time for which a restored store has lacked the instance's entry; 0 if the
 	// store has it.
 	Missing time.Duration `msgpack:"m,omitempty"`
+	// CorrectedThrough is the position up to which the sender knew the store's entry records when they
+	// last corrected the instance's start time to an earlier one; zero if they never did.
+	CorrectedThrough models.Position `msgpack:"c,omitempty"`
 }
--- a/ratelimit/cold.go
+++ b/ratelimit/cold.go
@@ -73,6 +73,9 @@
 // Empty reports whether no cold instance has a rate.
 func (c *Cold) Empty() bool { return len(c.instances) == 0 || len(c.rates) == 0 }
 
+// Forget drops an instance.
+func (c *Cold) Forget(id models.InstanceID) { delete(c.instances, id) }
+
 // Prune drops the instances that are not cold any more.
 func (c *Cold) Prune(now time.Time) {
 	maps.DeleteFunc(c.instances, func(_ models.InstanceID, k coldInstance) bool { return !now.Before(k.until) })
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -265,6 +265,9 @@
 	return out, l.version
 }
 
+// Forget drops the limit of an instance.
+func (l *Limits) Forget(id models.InstanceID) { delete(l.limits, id) }
+
 // Prune drops instances that are gone, and limits that ended longer than endedRetention ago.
 func (l *Limits) Prune(gone func(models.InstanceID) bool, now time.Time) {
 	for id, lim := range l.limits {
