cluster: let an instance end what another writer's entry said of leaving

Once an entry said that an instance leaves, it got no requests until its entry was removed, although its own entries went on saying that it is ready: leaving is never taken back, because a late read must not undo it.

Entries behind the one in question that lack it, two writes apart and in two reads, now correct it, like a start time. A leaving signal of its responses stays, whatever its entries say.

--- a/cluster/breakers.go
+++ b/cluster/breakers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -247,6 +248,13 @@
 // Breakers returns the circuit breakers of instances.
 func (n *Node) Breakers() *Breakers { return n.breakers }
 
+// hasLeavingSignal reports whether an instance that leaves has signaled it in a response.
+func (o *owner) hasLeavingSignal(k *knownInstance) bool {
+	return k.Draining && slices.ContainsFunc(o.n.breakers.leavingInstances(), func(s breaker.Signal) bool {
+		return s.Instance == k.ID && k.CompareIncarnation(s.StartedAt) == models.SameIncarnation
+	})
+}
+
 // applyLeavingSignals marks instances as leaving that signaled it in responses. Their entries may
 // show it later, never, or may contradict it.
 func (o *owner) applyLeavingSignals(now time.Time) {
--- a/cluster/incarnations.go
+++ b/cluster/incarnations.go
@@ -60,7 +60,7 @@
 	switch {
 	case !known, end.Era != k.knownThrough.Era, end.Compare(k.knownThrough) <= 0:
 		return
-	case !k.isContradictedBy(i):
+	case !k.isContradictedBy(i), o.hasLeavingSignal(k):
 		k.contradicted = contradiction{}
 		return
 	}
@@ -74,20 +74,27 @@
 	}
 }
 
-// isContradictedBy reports whether an entry is of an earlier incarnation than the known one.
+// isContradictedBy reports whether an entry is of an earlier incarnation than the known one, or lacks
+// that it leaves.
 func (k *knownInstance) isContradictedBy(i models.UpstreamInstance) bool {
-	return k.CompareIncarnation(i.StartedAt) == models.EarlierIncarnation
+	return k.CompareIncarnation(i.StartedAt) == models.EarlierIncarnation || k.Draining && !i.Draining
 }
 
 // correct begins the incarnation that an instance's own entries or report show, as of the store's
-// records before end.
+// records before end, or records that the known one does not leave.
 func (o *owner) correct(k *knownInstance, startedAt time.Time, end models.Position, at time.Time) {
 	o.n.log.Warn().Str("instance", string(k.ID)).Time("born", startedAt).Time("was-born", k.StartedAt).Msg("instance-corrected")
-	o.beginIncarnation(k, startedAt, at)
 	k.correctedThrough = end
-	// What was observed of the incarnation that never was would count as newer.
-	o.n.limits.Forget(k.ID)
-	o.n.breakers.Forget(k.ID)
+	if k.CompareIncarnation(startedAt) == models.EarlierIncarnation {
+		o.beginIncarnation(k, startedAt, at)
+		// What was observed of the incarnation that never was would count as newer.
+		o.n.limits.Forget(k.ID)
+		o.n.breakers.Forget(k.ID)
+		return
+	}
+	k.Draining, k.contradicted, o.fleet.listStale = false, contradiction{}, true
+	// Its responses may have said so as well.
+	o.applyLeavingSignals(time.Now())
 }
 
 // applyCorrection applies the correction that the source of an update has made, unless this daemon knows
