--- a/standin/store/records.go
+++ b/standin/store/records.go
@@ -130,6 +130,9 @@
 	out := binary.BigEndian.AppendUint64(nil, uint64(p.endOffset()))
 	out = binary.BigEndian.AppendUint64(out, uint64(p.firstOffset))
 	for _, record := range p.records[min(int64(len(p.records)), from-p.firstOffset):] {
+		if len(out)+len(record) > maxPageBytes {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
 		out = append(out, record...)
 	}
@@ -157,15 +160,16 @@
 		More    bool    `json:"more"`
 		End     int64   `json:"end"`
 	}{Entries: []entry{}, End: p.endOffset()}
-	after := r.URL.Query().Get("After")
+	after, bytes := r.URL.Query().Get("After"), 0
 	for _, key := range slices.Sorted(maps.Keys(p.newest)) {
 		if key <= after && after != "" {
 			continue
 		}
-		if len(page.Entries) == maxPageKeys {
+		if len(page.Entries) == maxPageKeys || bytes+len(p.newest[key].value) > maxPageBytes && len(page.Entries) > 0 {
 			page.More = true
 			break
 		}
+		bytes += len(p.newest[key].value)
 		page.Entries = append(page.Entries, entry{Key: key, Value: p.newest[key].value, Offset: p.newest[key].offset})
 	}
 	return writeJSON(w, page)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -16,9 +16,10 @@
 
 const (
 	partitionsPerTopic = 24
-	// maxPageKeys is the maximum number of keys in a response, maxBodyBytes the maximum size of a
-	// request body.
+	// maxPageKeys is the maximum number of keys in a response, maxPageBytes the maximum size of its
+	// records, maxBodyBytes the maximum size of a request body.
 	maxPageKeys  = 500
+	maxPageBytes = 1 << 20
 	maxBodyBytes = 2 << 20
 	// maxWait is the maximum time that a read waits for records, pollInterval the interval at which
 	// it checks for them.
