--- a/cluster/follow.go
+++ b/cluster/follow.go
@@ -48,6 +48,9 @@
 			return err
 		}
 	}
+	if scan.Incomplete {
+		n.log.Error().Str("topic", topic).Int("records", len(scan.Records)).Msg("keys-unreadable")
+	}
 	return nil
 }
 
