cluster: leave out roster entries that no daemon wrote

An entry of another writer in the roster counted as a registered daemon although its address could not be read, and one with a processor power that is no number made daemons rank each other differently, by which they choose relays and the planner.

Values that are no msgpack, nested or of other types were left out before.

Entries are checked before they count.

--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -56,16 +58,38 @@
 		}
 		var entry rosterEntry
 		err := pack.Unmarshal(r.Value, &entry)
+		if err == nil {
+			err = entry.check(r.Key)
+		}
 		if err == nil {
 			err = o.addPeer(models.DaemonID(r.Key), entry)
-			o.peers.roster.AddRegistered(membership.Daemon{ID: models.DaemonID(r.Key), Zone: entry.Zone, CPUCores: entry.CPUCores})
 		}
 		if err != nil {
 			o.n.log.Error().Err(err).Str("peer", r.Key).Msg("roster-entry-unreadable")
+			continue
 		}
+		o.peers.roster.AddRegistered(membership.Daemon{ID: models.DaemonID(r.Key), Zone: entry.Zone, CPUCores: entry.CPUCores})
 	}
 }
 
+// maxCPUCores bounds the cores of a daemon, by which daemons rank each other.
+const maxCPUCores = 1 << 16
+
+// errOddRosterEntry: no daemon wrote the entry.
+var errOddRosterEntry = errors.New("no entry of a daemon")
+
+// check returns an error for a roster entry that no daemon wrote.
+func (e rosterEntry) check(id string) error {
+	addr, err := netip.ParseAddrPort(e.Addr)
+	switch {
+	case err != nil:
+		return errors.Join(errOddRosterEntry, err)
+	case id == "", addr.Port() == 0, addr.Addr().IsUnspecified(), addr.Addr().IsMulticast(), e.Incarnation < 0, !(e.CPUCores >= 0 && e.CPUCores <= maxCPUCores):
+		return fmt.Errorf("%w: address %s, start %d, %g cores", errOddRosterEntry, addr, e.Incarnation, e.CPUCores)
+	}
+	return nil
+}
+
 // markRosterReady releases the loops that wait to know whether this node uses a relay.
 func (o *owner) markRosterReady() {
 	select {
