cluster: use the address in a daemon's heartbeats over an odd roster entry

A roster entry of another writer under the ID of a daemon, with a start time far ahead, replaced the daemon's address for good: its heartbeats, which name its own, count as those of an earlier start. Nothing was sent to it any more.

TestOddRosterEntryHidesDaemon failed with and without heartbeats before the entry (4 of 5 checks). TestLateHeartbeatHidesRestart, a guard, held before: a daemon that starts again registers, and a heartbeat of the process before may still arrive.

Heartbeats that arrive three seconds after a later start became known are those of a running process, so that the later start is none of its own.

--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -44,6 +44,8 @@
 	addr        netip.AddrPort
 	zone        models.Zone
 	incarnation int64
+	// learnedAt is when the incarnation became known.
+	learnedAt time.Time
 	// acceptsCompressed is set if it reads compressed frames.
 	acceptsCompressed bool
 }
@@ -64,6 +66,10 @@
 	}
 }
 
+// lateHeartbeatBound is how long after a later incarnation of a daemon became known heartbeats of an
+// earlier one may arrive that was replaced by it.
+const lateHeartbeatBound = 3 * time.Second
+
 // handleHeartbeat applies a heartbeat, unless one of a later incarnation of the daemon was
 // received.
 func (o *owner) handleHeartbeat(m heartbeatReceived) {
@@ -75,7 +81,15 @@
 	if !known || before.heartbeat.Incarnation != b.Incarnation {
 		o.n.log.Info().Str("peer", string(b.From)).Int64("incarnation", b.Incarnation).Msg("peer-seen")
 	}
-	if !known || before.heartbeat.Addr != b.Addr || before.heartbeat.Incarnation != b.Incarnation {
+	a := o.peers.addrs[b.From]
+	overstated := a.incarnation > b.Incarnation && m.receivedAt.Sub(a.learnedAt) >= lateHeartbeatBound
+	if overstated {
+		// The process of this heartbeat still runs. Another writer may have left the roster entry.
+		o.n.log.Warn().Str("peer", string(b.From)).Int64("incarnation", b.Incarnation).Int64("listed", a.incarnation).Msg("peer-corrected")
+		a.incarnation = b.Incarnation
+		o.peers.addrs[b.From] = a
+	}
+	if overstated || !known || before.heartbeat.Addr != b.Addr || before.heartbeat.Incarnation != b.Incarnation {
 		err := o.addPeer(b.From, rosterEntry{Zone: b.Zone, Addr: b.Addr, Incarnation: b.Incarnation, CPUCores: b.CPUCores, AcceptsCompressed: b.AcceptsCompressed})
 		if err != nil {
 			o.n.log.Error().Err(err).Str("peer", string(b.From)).Msg("heartbeat-unreadable")
--- a/cluster/roster_test.go
+++ b/cluster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -51,3 +52,44 @@
 		c.Check(o.peers.roster.Knows("d2"), qt.IsTrue, qt.Commentf("%s", name))
 	}
 }
+
+// TestOddRosterEntryHidesDaemon guards against a record of another writer, with a start time far ahead
+// under the ID of a daemon, whose address is kept although the daemon sends heartbeats from its own.
+func TestOddRosterEntryHidesDaemon(t *testing.T) {
+	c := qt.New(t)
+	for _, heardBefore := range []bool{false, true} {
+		o := newTestOwner(t)
+		c.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
+		now := time.Now()
+		hear := func(incarnation int64, addr string, at time.Time) {
+			o.handleHeartbeat(heartbeatReceived{heartbeat: Heartbeat{From: "d2", Incarnation: incarnation, Addr: addr, Zone: "z", CPUCores: 1}, receivedAt: at})
+		}
+		known := func() string { return o.peers.addrs["d2"].addr.String() }
+		if heardBefore {
+			hear(5, "127.0.0.1:2", now)
+			c.Check(known(), qt.Equals, "127.0.0.1:2")
+		}
+		o.handleRoster([]platform.KeyedRecord{rosterRecord(c, "d2", rosterEntry{Zone: "z", Addr: "127.0.0.1:9", Incarnation: math.MaxInt64, CPUCores: 1})})
+		for at := now; at.Before(now.Add(6 * time.Second)); at = at.Add(heartbeatInterval) {
+			hear(5, "127.0.0.1:2", at)
+		}
+		c.Check(known(), qt.Equals, "127.0.0.1:2", qt.Commentf("heard before: %t", heardBefore))
+		hear(6, "127.0.0.1:3", now.Add(9*time.Second))
+		c.Check(known(), qt.Equals, "127.0.0.1:3")
+	}
+}
+
+// TestLateHeartbeatHidesRestart checks that a daemon that has started again, at another address, is not
+// hidden by a late heartbeat of the process before.
+func TestLateHeartbeatHidesRestart(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	c.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
+	hear := func() {
+		o.handleHeartbeat(heartbeatReceived{heartbeat: Heartbeat{From: "d2", Incarnation: 5, Addr: "127.0.0.1:2", Zone: "z", CPUCores: 1}, receivedAt: time.Now()})
+	}
+	hear()
+	o.handleRoster([]platform.KeyedRecord{rosterRecord(c, "d2", rosterEntry{Zone: "z", Addr: "127.0.0.1:3", Incarnation: 6, CPUCores: 1})})
+	hear()
+	c.Check(o.peers.addrs["d2"].addr.String(), qt.Equals, "127.0.0.1:3")
+}
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -120,10 +120,15 @@
 	if id == o.n.cfg.ID || entry.Incarnation < o.peers.addrs[id].incarnation {
 		return nil
 	}
-	if _, known := o.peers.addrs[id]; !known {
+	before, known := o.peers.addrs[id]
+	learnedAt := before.learnedAt
+	if !known {
 		o.peers.lastJoinAt = time.Now()
 	}
-	o.peers.addrs[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation, acceptsCompressed: entry.AcceptsCompressed}
+	if !known || before.incarnation != entry.Incarnation {
+		learnedAt = time.Now()
+	}
+	o.peers.addrs[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation, learnedAt: learnedAt, acceptsCompressed: entry.AcceptsCompressed}
 	o.peers.roster.Add(membership.Daemon{ID: id, Zone: entry.Zone, CPUCores: entry.CPUCores})
 	o.peers.topologyStale = true
 	return nil
