fleet: count no instance as a member of a complete group of others

An entry of another writer that named a serving group's key made the planner end that group, as it no longer had just its members, and gave or took the group's requests at the daemons: with the head's rank they went to the entry's address, and once that was found lost the group counted as unhealthy.

A group with other members never has the same key. Once a group was seen complete, its members are known for good, and other instances that name its key are not counted. What remains: before a daemon has seen a group complete, such an entry still counts.

--- a/cluster/groups.go
+++ b/cluster/groups.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/fleet"
 	"github.com/lupinkeel/lupinkeel/models"
@@ -18,6 +19,8 @@
 	byKey map[models.GroupKey]map[models.InstanceID]bool
 	// healthy holds the groups that serve.
 	healthy map[models.GroupKey]Group
+	// sealed are the members of the groups that have been complete.
+	sealed fleet.Members
 	// plain holds the instances of plain services.
 	plain map[models.InstanceID]bool
 }
@@ -61,6 +64,9 @@
 			delete(f.groups.healthy, key)
 		}
 	}
+	if len(changed) > 0 {
+		f.groups.sealed.Prune(func(key models.GroupKey) bool { return f.groups.byKey[key] != nil }, time.Now())
+	}
 	return f.groups.byModel()
 }
 
@@ -138,7 +144,7 @@
 	g := fleet.GroupsOf(func(yield func(models.InstanceID, models.Membership) bool) {
 		// Sorted, so that of two members with the same rank it is always the same one that counts.
 		for _, id := range slices.Sorted(maps.Keys(f.groups.byKey[key])) {
-			if !yield(id, f.groups.members[id].membership) {
+			if f.groups.sealed.Includes(key, id) && !yield(id, f.groups.members[id].membership) {
 				return
 			}
 		}
@@ -150,6 +156,7 @@
 	if !there || !head.usable() {
 		return Group{}, false
 	}
+	f.sealGroup(g, head.Service)
 	members := make([]models.InstanceID, 0, len(g.Members))
 	for id := range maps.Values(g.Members) {
 		members = append(members, id)
@@ -159,3 +166,14 @@
 	}
 	return Group{Key: g.Key, Model: g.Model, Service: head.Service, Head: head.UpstreamInstance, Members: members}, true
 }
+
+// sealGroup records the members of a complete group.
+func (f *fleetState) sealGroup(g *fleet.Group, service models.ServiceName) {
+	engine := f.services[service].Engine
+	if engine == nil {
+		return
+	}
+	if profile, known := engine.Model(g.Model); known {
+		f.groups.sealed.Observe(g, profile.GroupSize, time.Now())
+	}
+}
--- a/cluster/groups_test.go
+++ b/cluster/groups_test.go
@@ -69,3 +69,39 @@
 	})
 	c.Assert(t.Failed(), qt.IsFalse)
 }
+
+// TestOddMemberTakesRequests guards against an entry of another writer that claims to be a member of a
+// serving group, and so gets its requests or keeps it from getting any.
+func TestOddMemberTakesRequests(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	key := models.GroupKey{Name: "m.1", Epoch: 1}
+	member := func(id models.InstanceID, rank int, state models.MemberState) models.UpstreamInstance {
+		return models.UpstreamInstance{ID: id, Service: "engines", Group: models.Membership{Key: key, Rank: rank, State: state}}
+	}
+	for _, rank := range []int{0, 1, 2, 7} {
+		for _, state := range []models.MemberState{models.MemberReady, models.MemberOpen, models.MemberBroken} {
+			for _, lost := range []bool{false, true} {
+				o := newTestOwner(t)
+				c.Cleanup(func() { c.Check(o.n.links.stopAndWait(), qt.IsNil) })
+				o.fleet.services = map[models.ServiceName]models.UpstreamService{
+					"engines": {Name: "engines", Engine: &models.EngineProfile{Models: []models.ModelProfile{{Name: "m", GroupSize: 2}}}},
+				}
+				o.applyEntry(member("i-1", 0, models.MemberOpen), now)
+				o.applyEntry(member("i-2", 1, models.MemberReady), now)
+				c.Assert(o.fleet.healthyGroups()["m"], qt.HasLen, 1)
+				o.applyEntry(member("odd", rank, state), now)
+				if lost {
+					o.fleet.instances["odd"].lostSince = now
+				}
+				groups := o.fleet.healthyGroups()["m"]
+				comment := qt.Commentf("rank %d, %s, lost: %t", rank, state, lost)
+				c.Assert(groups, qt.HasLen, 1, comment)
+				c.Check(groups[0].Head.ID, qt.Equals, models.InstanceID("i-1"), comment)
+				c.Check(groups[0].Members, qt.HasLen, 2, comment)
+				o.fleet.instances["i-2"].lostSince = now
+				c.Check(o.fleet.healthyGroups()["m"], qt.HasLen, 0, qt.Commentf("a true member is lost"))
+			}
+		}
+	}
+}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -91,6 +91,8 @@
 	// forming holds the groups that are being formed, ending the groups that are being dissolved.
 	forming map[models.GroupKey]*formation
 	ending  map[models.GroupKey]*ending
+	// members are those of the groups that have been complete.
+	members Members
 	// unansweredOpens is when an order to open a group last got no response.
 	unansweredOpens map[models.GroupKey]time.Time
 	// sent holds the last order to each instance.
@@ -182,7 +184,7 @@
 	if s.Profile == nil || len(s.Profile.Models) == 0 {
 		return nil
 	}
-	r := &round{Planner: p, Snapshot: s, groups: Groups(s.Instances), reserved: map[models.InstanceID]bool{}, assigned: supply{}, assignedByDomain: map[models.Domain]supply{}}
+	r := &round{Planner: p, Snapshot: s, groups: p.groupsOf(s), reserved: map[models.InstanceID]bool{}, assigned: supply{}, assignedByDomain: map[models.Domain]supply{}}
 	r.arrivals.observe(s.Instances, s.Now)
 	r.detectRestarts()
 	r.pruneState()
