--- a/cluster/breakers.go
+++ b/cluster/breakers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,6 +160,14 @@
 	return b.breakers.AdmitReport(i, time.Now())
 }
 
+// Forget drops the signals of an instance.
+func (b *Breakers) Forget(id models.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breakers.Forget(id)
+	b.nonEmpty.Store(!b.breakers.Empty())
+}
+
 // Prune drops the signals of removed instances and those that have expired.
 func (b *Breakers) Prune(listed map[models.InstanceID]models.UpstreamInstance) {
 	if !b.Any() {
@@ -239,6 +248,13 @@
 // Breakers returns the circuit breakers of instances.
 func (n *Node) Breakers() *Breakers { return n.breakers }
 
+// hasLeavingSignal reports whether an instance that leaves has signaled it in a response.
+func (o *owner) hasLeavingSignal(k *knownInstance) bool {
+	return k.Draining && slices.ContainsFunc(o.n.breakers.leavingInstances(), func(s breaker.Signal) bool {
+		return s.Instance == k.ID && k.CompareIncarnation(s.StartedAt) == models.SameIncarnation
+	})
+}
+
 // applyLeavingSignals marks instances as leaving that signaled it in responses. Their entries may
 // show it later, never, or may contradict it.
 func (o *owner) applyLeavingSignals(now time.Time) {
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -56,14 +58,36 @@
 		}
 		var entry rosterEntry
 		err := pack.Unmarshal(r.Value, &entry)
+		if err == nil {
+			err = entry.check(r.Key)
+		}
 		if err == nil {
 			err = o.addPeer(models.DaemonID(r.Key), entry)
-			o.peers.roster.AddRegistered(membership.Daemon{ID: models.DaemonID(r.Key), Zone: entry.Zone, CPUCores: entry.CPUCores})
 		}
 		if err != nil {
 			o.n.log.Error().Err(err).Str("peer", r.Key).Msg("roster-entry-unreadable")
+			continue
 		}
+		o.peers.roster.AddRegistered(membership.Daemon{ID: models.DaemonID(r.Key), Zone: entry.Zone, CPUCores: entry.CPUCores})
+	}
+}
+
+// maxCPUCores bounds the cores of a daemon, by which daemons rank each other.
+const maxCPUCores = 1 << 16
+
+// errOddRosterEntry: no daemon wrote the entry.
+var errOddRosterEntry = errors.New("no entry of a daemon")
+
+// check returns an error for a roster entry that no daemon wrote.
+func (e rosterEntry) check(id string) error {
+	addr, err := netip.ParseAddrPort(e.Addr)
+	switch {
+	case err != nil:
+		return errors.Join(errOddRosterEntry, err)
+	case id == "", addr.Port() == 0, addr.Addr().IsUnspecified(), addr.Addr().IsMulticast(), e.Incarnation < 0, !(e.CPUCores >= 0 && e.CPUCores <= maxCPUCores):
+		return fmt.Errorf("%w: address %s, start %d, %g cores", errOddRosterEntry, addr, e.Incarnation, e.CPUCores)
 	}
+	return nil
 }
 
 // markRosterReady releases the loops that wait to know whether this node uses a relay.
@@ -96,10 +120,15 @@
 	if id == o.n.cfg.ID || entry.Incarnation < o.peers.addrs[id].incarnation {
 		return nil
 	}
-	if _, known := o.peers.addrs[id]; !known {
+	before, known := o.peers.addrs[id]
+	learnedAt := before.learnedAt
+	if !known {
 		o.peers.lastJoinAt = time.Now()
 	}
-	o.peers.addrs[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation, acceptsCompressed: entry.AcceptsCompressed}
+	if !known || before.incarnation != entry.Incarnation {
+		learnedAt = time.Now()
+	}
+	o.peers.addrs[id] = peerAddr{addr: addr, zone: entry.Zone, incarnation: entry.Incarnation, learnedAt: learnedAt, acceptsCompressed: entry.AcceptsCompressed}
 	o.peers.roster.Add(membership.Daemon{ID: id, Zone: entry.Zone, CPUCores: entry.CPUCores})
 	o.peers.topologyStale = true
 	return nil
