cluster: don't wait for a queued frame under the lock of the links

Cause: the links to the earlier and to the new address share a queue. resetQueue, for the new connection, took frames as long as the queue had some, under the lock of all links; if the earlier link took the last one between the look and the receive, it waited for a frame that nobody could queue: each sender needs that lock, the owner of the daemon's state included.

Not seen in a run of daemons. Now the queue is emptied without waiting.

--- a/cluster/links.go
+++ b/cluster/links.go
@@ -279,8 +279,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	peer.synced = false
-	for len(peer.frames) > 0 {
-		<-peer.frames
+	for {
+		// The link to an earlier address may take the last frame meanwhile.
+		select {
+		case <-peer.frames:
+		default:
+			return
+		}
 	}
 }
 
