--- a/cluster/breakers_test.go
+++ b/cluster/breakers_test.go
@@ -53,13 +53,13 @@
 		}}
 	}
 	engine := &models.EngineProfile{Slots: 8, Models: []models.ModelProfile{{Name: "m", GroupSize: 1}}}
-	_, withheld := o.requestsInFlight(engine, time.Now())
+	_, withheld := o.requestsInFlight("s", engine, time.Now())
 	c.Assert(withheld["m"], qt.Equals, 0.0)
-	o.fleet.inFlight = nil
+	clear(o.fleet.averages)
 	o.n.breakers.Observe(breaker.Signal{Instance: "i1", ReceivedAt: time.Now(), Backoff: time.Minute})
-	_, withheld = o.requestsInFlight(engine, time.Now())
+	_, withheld = o.requestsInFlight("s", engine, time.Now())
 	c.Assert(withheld["m"], qt.Equals, 8.0)
-	c.Assert(o.fleet.serving(time.Now())["m"], qt.HasLen, 2)
+	c.Assert(o.fleet.serving(time.Now())[served("s")], qt.HasLen, 2)
 }
 
 // TestProbesDuringBackoff checks that an instance that backs off is probed once, and again
--- a/cluster/candidacy.go
+++ b/cluster/candidacy.go
@@ -57,7 +57,7 @@
 	ahead, stronger, eligible := o.rank()
 	silence := o.plannerSilence(now)
 	switch {
-	case o.fleet.planner != nil:
+	case o.fleet.planners != nil:
 		return eligible && stronger < enoughStronger
 	case !eligible, ahead >= maxCandidates, o.isSettling(now, silence):
 		return false
@@ -110,7 +110,7 @@
 // plannerSilence returns how long there has been no sign of a planner.
 func (o *owner) plannerSilence(now time.Time) time.Duration {
 	switch {
-	case o.fleet.planner != nil:
+	case o.fleet.planners != nil:
 		return 0
 	case o.peers.plannerSeenAt.IsZero():
 		return o.uptime(now)
--- a/cluster/demand.go
+++ b/cluster/demand.go
@@ -18,12 +18,15 @@
 	minDemand = 0.5
 )
 
-// demandShares returns the share of all instances that each model needs.
-func (o *owner) demandShares(engine *models.EngineProfile) map[models.ModelName]float64 {
-	demand := o.clusterDemand()
+// demandShares returns the share of a service's instances that each model needs.
+func (o *owner) demandShares(service models.ServiceName, engine *models.EngineProfile) map[models.ModelName]float64 {
+	demand, averages := o.clusterDemand(), o.fleet.averagesOf(service)
+	work := func(m models.ModelProfile) float64 {
+		return float64(demand[models.ServedModel{Service: service, Model: m.Name}].Work) * float64(m.GroupSize)
+	}
 	total := 0.0
 	for _, m := range engine.Models {
-		total += float64(demand[m.Name].Work) * float64(m.GroupSize)
+		total += work(m)
 	}
 	if total > 0 {
 		o.fleet.hasTraffic = true
@@ -32,23 +35,24 @@
 	for _, m := range engine.Models {
 		want[m.Name] = m.Share
 		if total > minDemand {
-			want[m.Name] = float64(demand[m.Name].Work) * float64(m.GroupSize) / total
+			want[m.Name] = work(m) / total
 		}
 	}
-	if o.fleet.demandShares == nil || total <= minDemand {
-		o.fleet.demandShares = want
+	if averages.demandShares == nil || total <= minDemand {
+		averages.demandShares = want
 	}
 	for name, w := range want {
-		o.fleet.demandShares[name] = demandSmoothing*o.fleet.demandShares[name] + (1-demandSmoothing)*w
+		averages.demandShares[name] = demandSmoothing*averages.demandShares[name] + (1-demandSmoothing)*w
 	}
-	return maps.Clone(o.fleet.demandShares)
+	return maps.Clone(averages.demandShares)
 }
 
-// meanDemand returns the demand of all daemons' callers, as means over the requests for each model.
-func (o *owner) meanDemand() map[models.ModelName]fleet.Demand {
+// meanDemand returns the demand of all daemons' callers for a service, as means over the requests for
+// each model.
+func (o *owner) meanDemand(service models.ServiceName) map[models.ModelName]fleet.Demand {
 	out := map[models.ModelName]fleet.Demand{}
-	for model, d := range o.clusterDemand() {
-		if d.Requests <= 0 {
+	for served, d := range o.clusterDemand() {
+		if served.Service != service || d.Requests <= 0 {
 			continue
 		}
 		mean := fleet.Demand{
@@ -58,7 +62,7 @@
 		if d.Observed > 0 {
 			mean.Base = seconds(d.Base / d.Observed)
 		}
-		out[model] = mean
+		out[served.Model] = mean
 	}
 	return out
 }
@@ -69,17 +73,14 @@
 // is updated at each planning round, twenty times a second: it follows changes within two seconds.
 const inFlightSmoothing = 0.97
 
-// requestsInFlight returns, by model, moving averages of the requests in flight at its groups and
-// of the slots that rate limits and backoff withhold.
-func (o *owner) requestsInFlight(engine *models.EngineProfile, now time.Time) (inFlight, withheld map[models.ModelName]float64) {
-	if o.fleet.inFlight == nil {
-		o.fleet.inFlight, o.fleet.withheld = map[models.ModelName]float64{}, map[models.ModelName]float64{}
-	}
-	groups := o.fleet.serving(now)
+// requestsInFlight returns, by a service's models, moving averages of the requests in flight at their
+// groups and of the slots that rate limits and backoff withhold.
+func (o *owner) requestsInFlight(service models.ServiceName, engine *models.EngineProfile, now time.Time) (inFlight, withheld map[models.ModelName]float64) {
+	groups, averages := o.fleet.serving(now), o.fleet.averagesOf(service)
 	own := o.n.traffic.Loads()
 	for _, m := range engine.Models {
 		sum, unusable := 0, 0
-		for _, g := range groups[m.Name] {
+		for _, g := range groups[models.ServedModel{Service: service, Model: m.Name}] {
 			requests := own[g.Head.ID].Requests + o.n.PeersLoad(g.Head.ID).Requests
 			sum += requests
 			rate := o.n.limits.Rate(g.Head, now)
@@ -88,10 +89,10 @@
 			}
 			unusable += engine.Slots - usableSlots(engine, rate, requests)
 		}
-		updateAverage(o.fleet.inFlight, m.Name, sum)
-		updateAverage(o.fleet.withheld, m.Name, unusable)
+		updateAverage(averages.inFlight, m.Name, sum)
+		updateAverage(averages.withheld, m.Name, unusable)
 	}
-	return maps.Clone(o.fleet.inFlight), maps.Clone(o.fleet.withheld)
+	return maps.Clone(averages.inFlight), maps.Clone(averages.withheld)
 }
 
 // typicalRequestTime is roughly how long a request occupies a slot.
@@ -124,23 +125,24 @@
 // supplyLogInterval is how often the planner logs supply and demand.
 const supplyLogInterval = 2 * time.Second
 
-// logSupply logs the groups and the demand of each model, and the planner's queues.
-func (o *owner) logSupply(engine *models.EngineProfile, w fleet.Snapshot) {
-	if w.Now.Sub(o.fleet.supplyLoggedAt) < supplyLogInterval {
+// logSupply logs the groups and the demand of each model of a service, and its planner's queues.
+func (o *owner) logSupply(service models.ServiceName, engine *models.EngineProfile, w fleet.Snapshot) {
+	averages, planner := o.fleet.averagesOf(service), o.fleet.planners.Of(service)
+	if w.Now.Sub(averages.loggedAt) < supplyLogInterval {
 		return
 	}
-	o.fleet.supplyLoggedAt = w.Now
+	averages.loggedAt = w.Now
 	groups := o.fleet.serving(w.Now)
-	demand, supply := o.clusterDemand(), o.fleet.planner.Supply()
+	demand, supply := o.clusterDemand(), planner.Supply()
 	for _, m := range engine.Models {
-		busy, s := int(w.InFlight[m.Name]), supply[m.Name]
-		o.n.log.Info().Str("model", string(m.Name)).Int("groups", len(groups[m.Name])).Int("size", m.GroupSize).Int("in-flight", busy).
-			Float64("demand", w.DemandShares[m.Name]).Float32("work", demand[m.Name].Work).Int("instances", len(w.Instances)).
+		busy, s, served := int(w.InFlight[m.Name]), supply[m.Name], models.ServedModel{Service: service, Model: m.Name}
+		o.n.log.Info().Str("service", string(service)).Str("model", string(m.Name)).Int("groups", len(groups[served])).Int("size", m.GroupSize).Int("in-flight", busy).
+			Float64("demand", w.DemandShares[m.Name]).Float32("work", demand[served].Work).Int("instances", len(w.Instances)).
 			Int("lost", len(w.Unreachable)).Float64("rate", w.Demand[m.Name].Rate).Int("target", s.Target).Int("reached", s.Reached).
 			Float64("late", s.Late).Dur("base", s.Base).Float64("length", s.OutputTokens).Str("held", string(s.Held)).Msg("supply")
 	}
-	c, conversions := o.fleet.planner.Counts(), o.fleet.planner.Conversions()
-	o.n.log.Info().Int("forming", c.Forming).Int("ending", c.Ending).Int("staging", c.Staging).Int("loading", c.Loading).
+	c, conversions := planner.Counts(), planner.Conversions()
+	o.n.log.Info().Str("service", string(service)).Int("forming", c.Forming).Int("ending", c.Ending).Int("staging", c.Staging).Int("loading", c.Loading).
 		Int("free", c.Free).Int("orders", o.fleet.ordersInFlight).Int("questions", o.fleet.probesInFlight).Int("calls-most", o.fleet.callLimit.Max()).
 		Int("conversions-begun", conversions.Begun).Int("conversions-completed", conversions.Completed).Int("conversions-given-up", conversions.GivenUp).Msg("plan")
 }
--- a/cluster/entries.go
+++ b/cluster/entries.go
@@ -140,7 +140,7 @@
 	o.markResynced(time.Now())
 	// Even without updates this shows the other daemons that the planner reads entries.
 	o.queueUpdates(o.fleet.updatesFor(read.records, read.requestedAt)...)
-	if o.fleet.planner != nil && len(o.fleet.pendingUpdates) == 0 {
+	if o.fleet.planners != nil && len(o.fleet.pendingUpdates) == 0 {
 		o.broadcastUpdates()
 	}
 	o.fleetStale = o.fleetStale || len(read.records) > 0
@@ -235,7 +235,7 @@
 	if stale {
 		i.Group, i.LoadedModel, i.StagedModels = k.Group, k.LoadedModel, k.StagedModels
 	}
-	if o.fleet.planner == nil && i.HeartbeatSeq >= k.HeartbeatSeq+writesToRecover {
+	if o.fleet.planners == nil && i.HeartbeatSeq >= k.HeartbeatSeq+writesToRecover {
 		// The update that ended the loss was missed.
 		k.lostSince = time.Time{}
 	}
@@ -258,7 +258,7 @@
 	if i.Group == k.Group || i.Group.Follows(k.Group) {
 		return false
 	}
-	return o.fleet.planner != nil || requestedAt.Before(k.stateAt.Add(entryLag))
+	return o.fleet.planners != nil || requestedAt.Before(k.stateAt.Add(entryLag))
 }
 
 // merge replaces the state of the instance in this incarnation, except that it keeps the last
@@ -280,7 +280,7 @@
 
 // updatesFor returns the instances of these records whose current state has not been broadcast.
 func (f *fleetState) updatesFor(records []platform.KeyedRecord, requestedAt time.Time) []queuedUpdate {
-	if f.planner == nil {
+	if f.planners == nil {
 		return nil
 	}
 	var out []queuedUpdate
--- a/cluster/evacuations.go
+++ b/cluster/evacuations.go
@@ -50,11 +50,11 @@
 }
 
 // withoutZones returns the groups whose heads are in other zones.
-func withoutZones(groups map[models.ModelName][]Group, zones map[models.Zone]bool) map[models.ModelName][]Group {
+func withoutZones(groups map[models.ServedModel][]Group, zones map[models.Zone]bool) map[models.ServedModel][]Group {
 	if len(zones) == 0 {
 		return groups
 	}
-	out := make(map[models.ModelName][]Group, len(groups))
+	out := make(map[models.ServedModel][]Group, len(groups))
 	for model, all := range groups {
 		out[model] = slices.DeleteFunc(slices.Clone(all), func(g Group) bool { return zones[g.Head.Zone] })
 	}
--- a/cluster/evacuations_test.go
+++ b/cluster/evacuations_test.go
@@ -30,7 +30,7 @@
 		o.publish()
 	}
 	serving := func(o *owner) (zones []models.Zone) {
-		for _, g := range o.n.View().Groups["m"] {
+		for _, g := range o.n.View().Groups[served("engines")] {
 			zones = append(zones, g.Head.Zone)
 		}
 		for _, i := range o.n.View().Services["plain"] {
--- a/cluster/fleet.go
+++ b/cluster/fleet.go
@@ -33,8 +33,8 @@
 	scannedAt time.Time
 	// listStale is set if instances were added or removed, or began to leave, since the last view.
 	listStale bool
-	// planner is set while this node is the planner, which its lease allows until leaseUntil.
-	planner    *fleet.Planner
+	// planners is set while this node is the planner, which its lease allows until leaseUntil.
+	planners   *fleet.Planners
 	leaseUntil time.Time
 	// heldTerm is the term of the lease.
 	heldTerm int64
@@ -61,14 +61,29 @@
 	// updateSeq numbers the broadcasts, lastBroadcastAt is the time of the last one.
 	updateSeq       int64
 	lastBroadcastAt time.Time
-	// supplyLoggedAt is when the supply was last logged.
-	supplyLoggedAt time.Time
-	// demandShares is the share of all instances that each model needs, inFlight the number of
-	// requests at its groups, withheld the number of their slots that rate limits and backoff
-	// withhold. All three are moving averages.
+	// averages are those of each service of engines.
+	averages map[models.ServiceName]*serviceAverages
+}
+
+// serviceAverages are moving averages of what the planner is told of a service of engines, by model.
+type serviceAverages struct {
+	// demandShares is the share of the service's instances that a model needs.
 	demandShares map[models.ModelName]float64
-	inFlight     map[models.ModelName]float64
-	withheld     map[models.ModelName]float64
+	// inFlight is the number of requests at a model's groups, withheld the number of their slots that
+	// rate limits and backoff withhold.
+	inFlight, withheld map[models.ModelName]float64
+	// loggedAt is when the supply was last logged.
+	loggedAt time.Time
+}
+
+// averagesOf returns the averages of a service.
+func (f *fleetState) averagesOf(service models.ServiceName) *serviceAverages {
+	a := f.averages[service]
+	if a == nil {
+		a = &serviceAverages{inFlight: map[models.ModelName]float64{}, withheld: map[models.ModelName]float64{}}
+		f.averages[service] = a
+	}
+	return a
 }
 
 // knownInstance is an upstream instance, with the ages of what is known of it.
@@ -114,13 +129,14 @@
 		unreadable: map[models.InstanceID]uint64{},
 		suspects:   map[models.InstanceID]suspicion{},
 		probeAt:    map[models.InstanceID]time.Time{},
+		averages:   map[models.ServiceName]*serviceAverages{},
 		callLimit:  inflight.New(minCalls, maxCalls, maxCallQueueing),
 	}
 }
 
 // term returns the term in which this node is planner, 0 if it is not.
 func (f *fleetState) term() int64 {
-	if f.planner == nil {
+	if f.planners == nil {
 		return 0
 	}
 	return f.heldTerm
@@ -135,8 +151,8 @@
 	return out
 }
 
-// serving returns the groups that accept requests, by model, without suspects.
-func (f *fleetState) serving(now time.Time) map[models.ModelName][]Group {
+// serving returns the groups that accept requests without suspects.
+func (f *fleetState) serving(now time.Time) map[models.ServedModel][]Group {
 	groups := f.healthyGroups()
 	return withoutSuspects(groups, f.suspectedHeads(groups, now))
 }
--- a/cluster/groups.go
+++ b/cluster/groups.go
@@ -51,8 +51,8 @@
 	return s
 }
 
-// healthyGroups returns the serving groups, by model, that have no lost or restarted member.
-func (f *fleetState) healthyGroups() map[models.ModelName][]Group {
+// healthyGroups returns the serving groups that have no lost or restarted member.
+func (f *fleetState) healthyGroups() map[models.ServedModel][]Group {
 	changed := f.updateIndex()
 	for key := range f.restarted {
 		changed[key] = true
@@ -71,17 +71,17 @@
 }
 
 // byModel returns the healthy groups by model.
-func (x *groupIndex) byModel() map[models.ModelName][]Group {
-	counts := map[models.ModelName]int{}
+func (x *groupIndex) byModel() map[models.ServedModel][]Group {
+	counts := map[models.ServedModel]int{}
 	for _, g := range x.healthy {
-		counts[g.Model]++
+		counts[g.served()]++
 	}
-	groups := make(map[models.ModelName][]Group, len(counts))
+	groups := make(map[models.ServedModel][]Group, len(counts))
 	for model, n := range counts {
 		groups[model] = make([]Group, 0, n)
 	}
 	for _, g := range x.healthy {
-		groups[g.Model] = append(groups[g.Model], g)
+		groups[g.served()] = append(groups[g.served()], g)
 	}
 	return groups
 }
--- a/cluster/groups_test.go
+++ b/cluster/groups_test.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleetState()
-		shown := func(groups map[models.ModelName][]Group) string {
+		shown := func(groups map[models.ServedModel][]Group) string {
 			var out []string
 			for model, all := range groups {
 				for _, g := range all {
@@ -89,19 +89,24 @@
 				}
 				o.applyEntry(member("i-1", 0, models.MemberOpen), now)
 				o.applyEntry(member("i-2", 1, models.MemberReady), now)
-				c.Assert(o.fleet.healthyGroups()["m"], qt.HasLen, 1)
+				c.Assert(o.fleet.healthyGroups()[served("engines")], qt.HasLen, 1)
 				o.applyEntry(member("odd", rank, state), now)
 				if lost {
 					o.fleet.instances["odd"].lostSince = now
 				}
-				groups := o.fleet.healthyGroups()["m"]
+				groups := o.fleet.healthyGroups()[served("engines")]
 				comment := qt.Commentf("rank %d, %s, lost: %t", rank, state, lost)
 				c.Assert(groups, qt.HasLen, 1, comment)
 				c.Check(groups[0].Head.ID, qt.Equals, models.InstanceID("i-1"), comment)
 				c.Check(groups[0].Members, qt.HasLen, 2, comment)
 				o.fleet.instances["i-2"].lostSince = now
-				c.Check(o.fleet.healthyGroups()["m"], qt.HasLen, 0, qt.Commentf("a true member is lost"))
+				c.Check(o.fleet.healthyGroups()[served("engines")], qt.HasLen, 0, qt.Commentf("a true member is lost"))
 			}
 		}
 	}
 }
+
+// served returns the model m of a service.
+func served(service models.ServiceName) models.ServedModel {
+	return models.ServedModel{Service: service, Model: "m"}
+}
--- a/cluster/incarnations_test.go
+++ b/cluster/incarnations_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -113,7 +115,7 @@
 		s.o.fleet.services = map[models.ServiceName]models.UpstreamService{models.ServiceName(words[1]): {}}
 		return
 	case "serving":
-		s.c.Assert(fmt.Sprint(len(s.o.fleet.healthyGroups()["m"])), qt.Equals, words[1], comment)
+		s.c.Assert(fmt.Sprint(len(slices.Concat(slices.Collect(maps.Values(s.o.fleet.healthyGroups()))...))), qt.Equals, words[1], comment)
 		return
 	}
 	f := s.parse(words[1:2])
--- a/cluster/lease_test.go
+++ b/cluster/lease_test.go
@@ -17,7 +17,7 @@
 func (noTraffic) Loads() map[models.InstanceID]Load                      { return nil }
 func (noTraffic) LoadsSince(uint64) (map[models.InstanceID]Load, uint64) { return nil, 0 }
 func (noTraffic) Changed() <-chan struct{}                               { return nil }
-func (noTraffic) Demand() map[models.ModelName]ModelDemand               { return nil }
+func (noTraffic) Demand() map[models.ServedModel]ModelDemand             { return nil }
 
 func newTestOwner(t *testing.T) *owner {
 	n := New(Settings{ID: "d1", InstanceHeartbeat: time.Second, LeaseMin: time.Second}, noTraffic{}, metrics.NewSet(), zerolog.Nop())
@@ -35,13 +35,13 @@
 	o := newTestOwner(t)
 	until := time.Now().Add(time.Minute)
 	o.handleLease(leaseHeld{term: 5, until: until})
-	c.Assert(o.fleet.planner, qt.IsNotNil)
+	c.Assert(o.fleet.planners, qt.IsNotNil)
 	o.stopPlanning("the lease ended")
 	o.handleLease(leaseHeld{term: 5, until: until})
-	c.Assert(o.fleet.planner, qt.IsNil)
+	c.Assert(o.fleet.planners, qt.IsNil)
 	c.Assert(o.n.lastEndedTerm.Load(), qt.Equals, int64(5))
 	o.handleLease(leaseHeld{term: 6, until: until})
-	c.Assert(o.fleet.planner, qt.IsNotNil)
+	c.Assert(o.fleet.planners, qt.IsNotNil)
 }
 
 // TestPlannerStopsWithoutLease checks that a planner that could not renew its lease stops as soon
--- a/cluster/missed_updates.go
+++ b/cluster/missed_updates.go
@@ -149,7 +149,7 @@
 		return false
 	}
 	term, seq := o.peers.updateTerm, o.peers.updateSeq
-	if o.fleet.planner != nil {
+	if o.fleet.planners != nil {
 		term, seq = o.fleet.heldTerm, o.fleet.updateSeq
 	} else if o.n.missedUpdates.pending() {
 		return false
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -55,7 +55,7 @@
 	// Changed receives a value after loads have changed.
 	Changed() <-chan struct{}
 	// Demand returns the demand of this daemon's callers for each model. The caller may keep the map.
-	Demand() map[models.ModelName]ModelDemand
+	Demand() map[models.ServedModel]ModelDemand
 }
 
 const (
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -213,7 +213,7 @@
 		v.Daemons = v.Topology.Size
 	}
 	v.zoneDemand = o.zoneDemandUpdate()
-	v.Planner, v.Term = o.fleet.planner != nil, max(o.peers.term, o.fleet.term())
+	v.Planner, v.Term = o.fleet.planners != nil, max(o.peers.term, o.fleet.term())
 	v.eligible, v.candidate = o.isEligible(), o.isCandidate(now)
 	v.configSource, v.configRequesters = o.peers.configSource, map[models.DaemonID]bool{}
 	for id, p := range o.peers.seen {
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -155,7 +155,7 @@
 		Clock: n.echoes.own.Read(now), Echo: n.echoes.echo(to, now),
 		From: n.cfg.ID, Incarnation: n.incarnation(), Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(), Overloaded: n.overloaded.Load(),
-		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Demand: n.traffic.Demand(), Stalled: v.stalled,
+		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Stalled: v.stalled,
 		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
 		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
 		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
@@ -163,8 +163,9 @@
 	if every := n.heartbeatIntervalFor(l); every != heartbeatInterval {
 		b.Interval = every
 	}
+	b.Demand, b.ServiceDemand = demandToSend(n.traffic.Demand(), v.Routing)
 	if l.CrossZone {
-		b.ZoneDemand = v.zoneDemand
+		b.ZoneDemand, b.ZoneServiceDemand = demandToSend(v.zoneDemand, v.Routing)
 	}
 	if n.limits.Any() {
 		b.Grants = v.votes[to]
--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -35,11 +35,12 @@
 		return
 	}
 	f.leaseUntil = m.until
-	if f.planner != nil && f.heldTerm == m.term {
+	if f.planners != nil && f.heldTerm == m.term {
 		return
 	}
 	f.termBegan = time.Now()
-	f.planner, f.heldTerm, f.inFlight, f.updateSeq = fleet.NewPlanner(m.term, f.termBegan), m.term, nil, 0
+	f.planners, f.heldTerm, f.updateSeq = fleet.NewPlanners(m.term, f.termBegan), m.term, 0
+	clear(f.averages)
 	// Updates pending from an earlier term are outdated.
 	f.pendingUpdates, f.broadcastEnd = nil, f.entries.end
 	for _, i := range f.instances {
@@ -57,12 +58,12 @@
 
 // stopPlanning ends the term permanently: its fences must not be used again.
 func (o *owner) stopPlanning(reason string) {
-	if o.fleet.planner == nil {
+	if o.fleet.planners == nil {
 		return
 	}
 	o.n.log.Info().Int64("term", o.fleet.heldTerm).Str("reason", reason).Msg("planning-ended")
 	o.n.links.broadcast(Update{From: o.n.cfg.ID, Term: o.fleet.heldTerm, TermEnded: true})
-	o.fleet.planner, o.fleet.orders, o.fleet.probes = nil, nil, nil
+	o.fleet.planners, o.fleet.orders, o.fleet.probes = nil, nil, nil
 	for _, k := range o.fleet.instances {
 		k.probeQueued = false
 	}
@@ -76,7 +77,7 @@
 // planGroups runs a planning round, if this node is the planner and a round is due.
 func (o *owner) planGroups(now time.Time) {
 	f := &o.fleet
-	if f.planner == nil || o.config.routing == nil || len(f.orders) > 0 || !f.lastPlan.ready(now, minPlanInterval) {
+	if f.planners == nil || o.config.routing == nil || len(f.orders) > 0 || !f.lastPlan.ready(now, minPlanInterval) {
 		return
 	}
 	started := time.Now()
@@ -85,7 +86,7 @@
 		o.stopPlanning("the lease ended")
 		return
 	}
-	if f.planner.Superseded() {
+	if f.planners.Superseded() {
 		o.stopPlanning("an instance has seen a newer term")
 		return
 	}
@@ -140,16 +141,17 @@
 	o.probeUnverified(name, now)
 	snapshot := o.planningSnapshot(name, engine, now)
 	o.n.stats.plans.Inc()
-	before := f.planner.Conversions()
-	f.orders = append(f.orders, f.planner.Step(snapshot)...)
-	o.n.stats.countConversions(before, f.planner.Conversions())
-	o.logSupply(engine, snapshot)
+	planner := f.planners.Of(name)
+	before := planner.Conversions()
+	f.orders = append(f.orders, planner.Step(snapshot)...)
+	o.n.stats.countConversions(before, planner.Conversions())
+	o.logSupply(name, engine, snapshot)
 	o.sendOrders()
 }
 
 // sendOrders sends queued orders, unless the lease has ended.
 func (o *owner) sendOrders() {
-	if o.fleet.planner != nil && o.leaseExpired(time.Now()) {
+	if o.fleet.planners != nil && o.leaseExpired(time.Now()) {
 		o.stopPlanning("the lease ended")
 	}
 	o.startCalls()
@@ -196,15 +198,17 @@
 
 // planningSnapshot returns the planner's input for one service.
 func (o *owner) planningSnapshot(name models.ServiceName, engine *models.EngineProfile, now time.Time) fleet.Snapshot {
-	inFlight, withheld := o.requestsInFlight(engine, now)
+	inFlight, withheld := o.requestsInFlight(name, engine, now)
 	w := fleet.Snapshot{
-		Now: now, Profile: engine, DemandShares: o.demandShares(engine), InFlight: inFlight, LimitedSlots: withheld,
+		Now: now, Profile: engine, DemandShares: o.demandShares(name, engine), InFlight: inFlight, LimitedSlots: withheld,
 		Instances: map[models.InstanceID]models.UpstreamInstance{}, Unreachable: map[models.InstanceID]bool{},
 		Unverified: map[models.InstanceID]bool{}, Unlisted: map[models.InstanceID]bool{}, Evacuated: o.evacuated(),
 	}
-	w.Demand, w.Serving = o.meanDemand(), map[models.ModelName]int{}
-	for model, groups := range o.fleet.serving(now) {
-		w.Serving[model] = len(groups)
+	w.Demand, w.Serving = o.meanDemand(name), map[models.ModelName]int{}
+	for served, groups := range o.fleet.serving(now) {
+		if served.Service == name {
+			w.Serving[served.Model] = len(groups)
+		}
 	}
 	// demandShares has updated hasTraffic.
 	w.HasTraffic = o.fleet.hasTraffic
@@ -247,7 +251,7 @@
 	o.fleet.ordersInFlight--
 	o.fleet.callLimit.Observe(m.took)
 	o.sendOrders()
-	if p := o.fleet.planner; p != nil && fleet.TermOf(m.order.Fence) == o.fleet.heldTerm {
+	if p := o.fleet.planners; p != nil && fleet.TermOf(m.order.Fence) == o.fleet.heldTerm {
 		p.RecordOutcome(m.order, m.outcome, m.finishedAt)
 	}
 	k := o.fleet.instances[m.order.Instance]
--- a/cluster/planning_test.go
+++ b/cluster/planning_test.go
@@ -104,13 +104,13 @@
 	o.publish()
 	o.applyEntry(models.UpstreamInstance{ID: "i1"}, time.Now())
 	o.planGroups(time.Now())
-	c.Assert(o.fleet.planner, qt.IsNotNil)
+	c.Assert(o.fleet.planners, qt.IsNotNil)
 
 	suspended = 5 * time.Second
 	o.fleet.orders = []types.GroupOrder{{Kind: types.GroupLeave, Instance: "i1"}}
 	o.sendOrders()
 	c.Assert(o.fleet.ordersInFlight, qt.Equals, 0)
-	c.Assert(o.fleet.planner, qt.IsNil)
+	c.Assert(o.fleet.planners, qt.IsNil)
 	c.Assert(o.n.heartbeat("other", membership.Link{}).ConfigAge >= suspended, qt.IsTrue)
 }
 
--- a/cluster/probes.go
+++ b/cluster/probes.go
@@ -101,7 +101,7 @@
 		}
 		o.fleetStale = true
 	}
-	if o.fleet.planner == nil {
+	if o.fleet.planners == nil {
 		return
 	}
 	for _, i := range o.fleet.instances {
@@ -135,10 +135,10 @@
 // isOrderUnfinished reports whether the instance has yet to finish an order whose expected duration
 // is over.
 func (o *owner) isOrderUnfinished(k *knownInstance) bool {
-	if o.fleet.planner == nil {
+	if o.fleet.planners == nil {
 		return false
 	}
-	switch o.fleet.planner.OrderInProgress(k.ID) {
+	switch o.fleet.planners.Of(k.Service).OrderInProgress(k.ID) {
 	case types.GroupJoin:
 		return k.Group.State == models.MemberJoining && joinedWarm(k.UpstreamInstance)
 	case types.GroupOpen:
@@ -161,7 +161,7 @@
 			continue
 		}
 		delete(o.fleet.probeAt, id)
-		if k := o.fleet.instances[id]; k != nil && o.fleet.planner != nil {
+		if k := o.fleet.instances[id]; k != nil && o.fleet.planners != nil {
 			o.queueProbe(k, probeTimeout)
 		}
 	}
--- a/cluster/reports.go
+++ b/cluster/reports.go
@@ -9,7 +9,7 @@
 
 // probeIfPlanner probes the instance if this node is the planner.
 func (o *owner) probeIfPlanner(k *knownInstance, now time.Time) {
-	if o.fleet.planner != nil {
+	if o.fleet.planners != nil {
 		o.probe(k, now, probeTimeout)
 	}
 }
@@ -96,7 +96,7 @@
 // broadcastInstance queues the instance's state as of a time. Other daemons regard an instance
 // without an entry as removed.
 func (o *owner) broadcastInstance(k *knownInstance, at time.Time) {
-	if k.unlisted || o.fleet.planner == nil {
+	if k.unlisted || o.fleet.planners == nil {
 		return
 	}
 	k.markBroadcast()
--- a/cluster/suspicions.go
+++ b/cluster/suspicions.go
@@ -47,7 +47,7 @@
 const maxSuspectShare = 0.4
 
 // suspectedHeads returns the suspected heads of these groups.
-func (f *fleetState) suspectedHeads(groups map[models.ModelName][]Group, now time.Time) map[models.InstanceID]bool {
+func (f *fleetState) suspectedHeads(groups map[models.ServedModel][]Group, now time.Time) map[models.InstanceID]bool {
 	out := map[models.InstanceID]bool{}
 	for _, of := range groups {
 		var heads []models.InstanceID
@@ -67,11 +67,11 @@
 }
 
 // withoutSuspects filters out the groups whose heads are suspected.
-func withoutSuspects(groups map[models.ModelName][]Group, suspects map[models.InstanceID]bool) map[models.ModelName][]Group {
+func withoutSuspects(groups map[models.ServedModel][]Group, suspects map[models.InstanceID]bool) map[models.ServedModel][]Group {
 	if len(suspects) == 0 {
 		return groups
 	}
-	out := make(map[models.ModelName][]Group, len(groups))
+	out := make(map[models.ServedModel][]Group, len(groups))
 	for model, of := range groups {
 		for _, g := range of {
 			if !suspects[g.Head.ID] {
--- a/cluster/suspicions_test.go
+++ b/cluster/suspicions_test.go
@@ -31,7 +31,7 @@
 	shown := func() (serving, suspects int) {
 		o.publish()
 		v := o.n.View()
-		return len(v.Groups["m"]), len(v.Suspects)
+		return len(v.Groups[served("")]), len(v.Suspects)
 	}
 	for n := range 4 {
 		o.handleStalled(stallDetected{group: key(n), head: head(n), from: "d2"})
--- a/cluster/throttle_test.go
+++ b/cluster/throttle_test.go
@@ -53,7 +53,7 @@
 	now := time.Now()
 	h.postHeld(t.Context(), leaseHeld{term: 5, until: now.Add(50 * time.Millisecond)})
 	o.handle(<-o.n.inbox)
-	c.Assert(o.fleet.planner, qt.IsNotNil)
+	c.Assert(o.fleet.planners, qt.IsNotNil)
 	o.config.routing = &models.Routing{}
 
 	for range inboxLen {
@@ -61,10 +61,10 @@
 	}
 	h.postHeld(t.Context(), leaseHeld{term: 5, until: now.Add(time.Minute)})
 	o.planGroups(now.Add(time.Second))
-	c.Assert(o.fleet.planner, qt.IsNotNil, qt.Commentf("the lease was renewed"))
+	c.Assert(o.fleet.planners, qt.IsNotNil, qt.Commentf("the lease was renewed"))
 
 	o.planGroups(now.Add(2 * time.Minute))
-	c.Assert(o.fleet.planner, qt.IsNil, qt.Commentf("the lease has expired"))
+	c.Assert(o.fleet.planners, qt.IsNil, qt.Commentf("the lease has expired"))
 }
 
 // TestLeaseRenewedDuringPlanning checks that a planner does not give up a lease that was renewed
@@ -78,5 +78,5 @@
 	time.Sleep(30 * time.Millisecond)
 	h.postHeld(t.Context(), leaseHeld{term: 5, until: time.Now().Add(time.Minute)})
 	o.sendOrders()
-	c.Assert(o.fleet.planner, qt.IsNotNil, qt.Commentf("the lease was renewed"))
+	c.Assert(o.fleet.planners, qt.IsNotNil, qt.Commentf("the lease was renewed"))
 }
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -30,7 +30,7 @@
 
 // clockStep returns the interval of periodic checks.
 func (o *owner) clockStep() time.Duration {
-	if t := o.peers.topology; t.IsMesh || t.IsRelay || o.fleet.planner != nil {
+	if t := o.peers.topology; t.IsMesh || t.IsRelay || o.fleet.planners != nil {
 		return timer.Step
 	}
 	return relayedClockStep
--- a/cluster/unlisted.go
+++ b/cluster/unlisted.go
@@ -34,7 +34,7 @@
 		case !i.unlisted:
 		case !o.fleet.isNeededMember(i):
 			o.removeInstance(i)
-		case o.fleet.planner != nil && now.Sub(i.probedAt) >= unlistedProbeInterval:
+		case o.fleet.planners != nil && now.Sub(i.probedAt) >= unlistedProbeInterval:
 			o.probe(i, now, probeTimeout)
 		}
 	}
--- a/cluster/unlisted_test.go
+++ b/cluster/unlisted_test.go
@@ -30,7 +30,7 @@
 		o.handleEntries(readResult{records: []platform.KeyedRecord{{Key: id}}, requestedAt: now}, false)
 	}
 	serving := func() int {
-		return len(o.fleet.serving(now)["m"])
+		return len(o.fleet.serving(now)[served("")])
 	}
 	known := func(id models.InstanceID) bool { return o.fleet.instances[id] != nil }
 
@@ -77,7 +77,7 @@
 	o.handleProbeResult(probeFinished{sentAt: now, instance: models.UpstreamInstance{
 		ID: "second", Group: models.Membership{Key: late, State: models.MemberOpen},
 	}})
-	for _, g := range o.fleet.serving(now)["m"] {
+	for _, g := range o.fleet.serving(now)[served("")] {
 		c.Assert(string(g.Head.ID), qt.Equals, "head")
 	}
 }
--- a/cluster/updates.go
+++ b/cluster/updates.go
@@ -25,7 +25,7 @@
 
 // queueUpdates queues updates for the next broadcast, if this node is the planner.
 func (o *owner) queueUpdates(updates ...queuedUpdate) {
-	if o.fleet.planner == nil {
+	if o.fleet.planners == nil {
 		return
 	}
 	o.fleet.pendingUpdates = append(o.fleet.pendingUpdates, updates...)
@@ -61,7 +61,7 @@
 func (o *owner) handleUpdate(m updateReceived) {
 	p := &o.peers
 	switch {
-	case m.term < p.term || o.fleet.planner != nil:
+	case m.term < p.term || o.fleet.planners != nil:
 		return
 	case m.termEnded:
 		p.term, p.plannerSeenAt = m.term, m.receivedAt.Add(-electionTimeout)
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -13,8 +13,8 @@
 	Routing *models.Routing
 	// ConfirmedAt is the time as of which Routing was last confirmed to be the newest.
 	ConfirmedAt time.Time
-	// Groups are the replica groups that accept requests, by model.
-	Groups map[models.ModelName][]Group
+	// Groups are the replica groups that accept requests.
+	Groups map[models.ServedModel][]Group
 	// Services are the instances of plain services that accept requests.
 	Services map[models.ServiceName][]models.UpstreamInstance
 	// Suspects are the heads that this or another daemon found stalled.
@@ -47,7 +47,7 @@
 	configSource     models.DaemonID
 	configRequesters map[models.DaemonID]bool
 	// zoneDemand is the demand of this node's zone that it sends to other zones, if it is a relay.
-	zoneDemand map[models.ModelName]ModelDemand
+	zoneDemand map[models.ServedModel]ModelDemand
 	// shouldRegister is set if this daemon has to be registered in the roster.
 	shouldRegister bool
 	// hasPeers is set while heartbeats of other daemons arrive.
@@ -111,3 +111,8 @@
 	Head    models.UpstreamInstance
 	Members []models.InstanceID
 }
+
+// served returns the model that the group serves.
+func (g Group) served() models.ServedModel {
+	return models.ServedModel{Service: g.Service, Model: g.Model}
+}
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -96,6 +96,10 @@
 	// ZoneDemand is the total Demand of all daemons in the sender's zone. Relays send it to relays of
 	// other zones.
 	ZoneDemand map[models.ModelName]ModelDemand `msgpack:"zd,omitempty"`
+	// ServiceDemand and ZoneServiceDemand are the same by service. They are sent if several services
+	// have engines.
+	ServiceDemand     serviceDemand `msgpack:"sd,omitempty"`
+	ZoneServiceDemand serviceDemand `msgpack:"zsd,omitempty"`
 	// Grants is, by zone of the instances, the number of daemons for which the sender requests
 	// permits from the receiver. Granters are the granters of permits as the sender, a relay, knows
 	// them. Both are sent only while some instance has a rate limit.
--- a/cluster/zone_demand.go
+++ b/cluster/zone_demand.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"iter"
 	"maps"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -45,9 +46,12 @@
 	}
 }
 
+// serviceDemand is the demand for each model of each service.
+type serviceDemand map[models.ServiceName]map[models.ModelName]ModelDemand
+
 // clusterDemand returns the demand of all daemons' callers for each model. The demand of another
 // zone comes from the first of its relays that sends it.
-func (o *owner) clusterDemand() map[models.ModelName]ModelDemand {
+func (o *owner) clusterDemand() map[models.ServedModel]ModelDemand {
 	sum := o.zoneDemand()
 	if o.peers.topology.IsMesh {
 		return sum
@@ -59,34 +63,79 @@
 			continue
 		}
 		counted[d.Zone] = true
-		addDemand(sum, p.heartbeat.ZoneDemand)
+		o.addDemand(sum, p.heartbeat.ZoneServiceDemand, p.heartbeat.ZoneDemand)
 	}
 	return sum
 }
 
 // zoneDemand returns the demand of the callers of this zone's daemons for each model; in a mesh, of
 // all daemons.
-func (o *owner) zoneDemand() map[models.ModelName]ModelDemand {
+func (o *owner) zoneDemand() map[models.ServedModel]ModelDemand {
 	sum := maps.Clone(o.n.traffic.Demand())
 	if sum == nil {
-		sum = map[models.ModelName]ModelDemand{}
+		sum = map[models.ServedModel]ModelDemand{}
 	}
 	for _, p := range o.peers.seen {
 		if o.peers.topology.IsMesh || p.heartbeat.Zone == o.n.cfg.Zone {
-			addDemand(sum, p.heartbeat.Demand)
+			o.addDemand(sum, p.heartbeat.ServiceDemand, p.heartbeat.Demand)
 		}
 	}
 	return sum
 }
 
-func addDemand(sum, demand map[models.ModelName]ModelDemand) {
-	for model, d := range demand {
-		sum[model] = sum[model].Add(d)
+// addDemand adds the demand that another daemon sent. Without the demand by service, that for a model
+// counts for each service that serves it: there is one, or the sender has an older version or
+// configuration.
+func (o *owner) addDemand(sum map[models.ServedModel]ModelDemand, byService serviceDemand, byModel map[models.ModelName]ModelDemand) {
+	if len(byService) == 0 {
+		byService = serviceDemand{}
+		for service := range engineServices(o.config.routing) {
+			byService[service] = byModel
+		}
+	}
+	for service, demand := range byService {
+		for model, d := range demand {
+			served := models.ServedModel{Service: service, Model: model}
+			sum[served] = sum[served].Add(d)
+		}
+	}
+}
+
+// engineServices yields the services that have engines.
+func engineServices(routing *models.Routing) iter.Seq[models.ServiceName] {
+	return func(yield func(models.ServiceName) bool) {
+		if routing == nil {
+			return
+		}
+		for name, service := range routing.Services {
+			if service.Engine != nil && !yield(name) {
+				return
+			}
+		}
+	}
+}
+
+// demandToSend returns demand as it is sent to other daemons: by model, and by service as well if
+// several have engines.
+func demandToSend(demand map[models.ServedModel]ModelDemand, routing *models.Routing) (map[models.ModelName]ModelDemand, serviceDemand) {
+	byModel, byService := map[models.ModelName]ModelDemand{}, serviceDemand{}
+	for service := range engineServices(routing) {
+		byService[service] = map[models.ModelName]ModelDemand{}
+	}
+	for served, d := range demand {
+		byModel[served.Model] = byModel[served.Model].Add(d)
+		if of := byService[served.Service]; of != nil {
+			of[served.Model] = d
+		}
+	}
+	if len(byService) < 2 {
+		return byModel, nil
 	}
+	return byModel, byService
 }
 
 // zoneDemandUpdate returns the zone's demand to be sent to other zones, if this daemon is a relay.
-func (o *owner) zoneDemandUpdate() map[models.ModelName]ModelDemand {
+func (o *owner) zoneDemandUpdate() map[models.ServedModel]ModelDemand {
 	if o.peers.topology.IsMesh || !o.peers.topology.IsRelay {
 		return nil
 	}
--- a/cluster/zone_demand_test.go
+++ b/cluster/zone_demand_test.go
@@ -12,10 +12,10 @@
 // demandTraffic is the Traffic of a daemon with this demand.
 type demandTraffic struct {
 	noTraffic
-	demand map[models.ModelName]ModelDemand
+	demand map[models.ServedModel]ModelDemand
 }
 
-func (d demandTraffic) Demand() map[models.ModelName]ModelDemand { return d.demand }
+func (d demandTraffic) Demand() map[models.ServedModel]ModelDemand { return d.demand }
 
 // TestMeanDemand checks that means are taken over the requests of all daemons, and that the base
 // latency is the mean over those requests only for which one is known: a daemon that has just
@@ -23,12 +23,13 @@
 func TestMeanDemand(t *testing.T) {
 	c := qt.New(t)
 	o := newTestOwner(t)
-	o.n.traffic = demandTraffic{demand: map[models.ModelName]ModelDemand{"m": {Requests: 10, Prompt: 1000, Output: 500, Target: 5}}}
+	o.n.traffic = demandTraffic{demand: map[models.ServedModel]ModelDemand{served("s"): {Requests: 10, Prompt: 1000, Output: 500, Target: 5}}}
 	o.peers.topology.IsMesh = true
+	o.config.routing = &models.Routing{Services: map[models.ServiceName]models.UpstreamService{"s": {Engine: &models.EngineProfile{}}}}
 	o.peers.seen["d2"] = peerStatus{heartbeat: Heartbeat{Demand: map[models.ModelName]ModelDemand{
 		"m": {Requests: 30, Prompt: 9000, Output: 1500, Target: 7.5, Base: 3.75, Observed: 30}, "unrequested": {},
 	}}}
-	means := o.meanDemand()
+	means := o.meanDemand("s")
 	c.Assert(means, qt.HasLen, 1)
 	got := means["m"]
 	c.Assert([]float64{got.Rate, got.Prompt, got.Output}, qt.DeepEquals, []float64{40, 250, 50})
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -84,10 +84,16 @@
 // round.
 const maxOrders = 1<<termBits - 1<<12
 
-// Planner issues the orders of one term. It is not safe for concurrent use.
+// numbering numbers the orders of a term.
+type numbering struct{ term, seq int64 }
+
+// usedUp reports whether the next order needs a new term.
+func (n *numbering) usedUp() bool { return n.seq >= maxOrders }
+
+// Planner issues the orders of one term to the instances of one service. It is not safe for
+// concurrent use.
 type Planner struct {
-	term int64
-	seq  int64
+	*numbering
 	// forming holds the groups that are being formed, ending the groups that are being dissolved.
 	forming map[models.GroupKey]*formation
 	ending  map[models.GroupKey]*ending
@@ -137,8 +143,12 @@
 
 // NewPlanner returns the planner of a term that starts now. Terms must increase.
 func NewPlanner(term int64, now time.Time) *Planner {
+	return newPlanner(&numbering{term: term}, now)
+}
+
+func newPlanner(n *numbering, now time.Time) *Planner {
 	return &Planner{
-		term: term, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
+		numbering: n, forming: map[models.GroupKey]*formation{}, ending: map[models.GroupKey]*ending{},
 		sent: map[models.InstanceID]*sentOrder{}, startTimes: map[models.InstanceID]time.Time{}, unansweredOpens: map[models.GroupKey]time.Time{}, backoffUntil: map[models.InstanceID]time.Time{},
 		staging: map[models.InstanceID]staging{}, began: now, converting: map[models.Domain]*conversion{}, converted: map[models.Domain]time.Time{},
 		warming: map[models.InstanceID]warming{}, arrivals: newArrivals(), calibration: newCalibration(),
@@ -147,7 +157,7 @@
 
 // Superseded reports whether a planner of a newer term issues orders, or must take over because the
 // fences of this term are used up.
-func (p *Planner) Superseded() bool { return p.superseded || p.seq >= maxOrders }
+func (p *Planner) Superseded() bool { return p.superseded || p.usedUp() }
 
 // nextFence returns a number that increases with each call and with each term. It serves as fence
 // and as epoch.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,7 +92,7 @@
 	a.s.g.scheduler.endPrediction(a.group.Key, a.predicted, false)
 	a.s.g.scheduler.addLoad(a.group.Head.ID, -1, -a.prefillTokens)
 	a.prefillTokens = 0
-	a.s.g.queues.requestEnded(a.s.head.Model)
+	a.s.g.queues.requestEnded(a.s.servedModel())
 }
 
 // open sends the request and reads the head of the response.
@@ -180,7 +180,7 @@
 		balance.addLoad(head, 0, -a.prefillTokens)
 		a.prefillTokens, a.firstEvent = 0, now
 	} else {
-		balance.addPause(a.s.head.Model, now.Sub(a.lastEvent), a.expectedPass)
+		balance.addPause(a.s.servedModel(), now.Sub(a.lastEvent), a.expectedPass)
 	}
 	a.lastEvent, a.expectedPass = now, a.passTime()
 	if !a.proven && now.Sub(a.firstEvent) >= soundAfter {
@@ -213,10 +213,10 @@
 // first event it is at least the failoverSlack.
 func (a *streamAttempt) stallTimeout() time.Duration {
 	if a.lastEvent.IsZero() {
-		return a.s.g.scheduler.stallTimeout(a.s.head.Model, a.passTime())
+		return a.s.g.scheduler.stallTimeout(a.s.servedModel(), a.passTime())
 	}
 	expected := currentPassTime(a.expectedPass, a.passTime(), a.s.g.node.View().LoadsAge())
-	timeout := a.s.g.scheduler.stallTimeout(a.s.head.Model, expected)
+	timeout := a.s.g.scheduler.stallTimeout(a.s.servedModel(), expected)
 	if engine, model, known := a.profile(); known {
 		timeout = max(timeout, failoverSlack(engine, model, a.s.head.PromptTokens, a.s.route.EventGapTarget))
 	}
--- a/gateway/base_latency.go
+++ b/gateway/base_latency.go
@@ -73,7 +73,7 @@
 	if !known || float64(s.pickedLoad) > maxBaseLoad*float64(engine.Slots) {
 		return
 	}
-	s.g.scheduler.observeBase(model.Name, s.firstByte.Sub(s.started)-passesBeforeFirst(engine, model, s.pickedLoad))
+	s.g.scheduler.observeBase(s.servedModel(), s.firstByte.Sub(s.started)-passesBeforeFirst(engine, model, s.pickedLoad))
 }
 
 // passesBeforeFirst returns the part of the time to the first event that the passes of a group with
@@ -84,7 +84,7 @@
 }
 
 // observeBase adds an observation to the base latency of a model.
-func (s *scheduler) observeBase(model models.ModelName, d time.Duration) {
+func (s *scheduler) observeBase(model models.ServedModel, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bases[model]
@@ -96,7 +96,7 @@
 }
 
 // baseLatency returns the base latency of a model, and whether it is known.
-func (s *scheduler) baseLatency(model models.ModelName) (time.Duration, bool) {
+func (s *scheduler) baseLatency(model models.ServedModel) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bases[model]
--- a/gateway/base_latency_test.go
+++ b/gateway/base_latency_test.go
@@ -19,7 +19,7 @@
 func TestBaseLatencyIsPercentile(t *testing.T) {
 	c := qt.New(t)
 	s, random := newScheduler(), rand.New(rand.NewPCG(1, 2))
-	_, known := s.baseLatency("m")
+	_, known := s.baseLatency(served("s"))
 	c.Assert(known, qt.IsFalse)
 	observe := func(n int, queued float64) time.Duration {
 		sum := time.Duration(0)
@@ -28,14 +28,14 @@
 			if random.Float64() < queued {
 				d += time.Second
 			}
-			s.observeBase("m", d)
-			base, known := s.baseLatency("m")
+			s.observeBase(served("s"), d)
+			base, known := s.baseLatency(served("s"))
 			c.Assert(known, qt.IsTrue)
 			sum += base
 		}
 		return sum / time.Duration(n)
 	}
-	s.observeBase("m", 400*time.Millisecond)
+	s.observeBase(served("s"), 400*time.Millisecond)
 	observe(500, 0)
 	settled := observe(2000, 0)
 	c.Assert(settled > 125*time.Millisecond && settled < 145*time.Millisecond, qt.IsTrue, qt.Commentf("%s", settled))
@@ -50,14 +50,14 @@
 	c := qt.New(t)
 	s := newScheduler()
 	for range 1000 {
-		s.observeBase("m", -20*time.Millisecond)
+		s.observeBase(served("s"), -20*time.Millisecond)
 	}
-	base, _ := s.baseLatency("m")
+	base, _ := s.baseLatency(served("s"))
 	c.Assert(base, qt.Equals, minBaseLatency)
 	for range 1000 {
-		s.observeBase("m", 100*time.Millisecond)
+		s.observeBase(served("s"), 100*time.Millisecond)
 	}
-	base, _ = s.baseLatency("m")
+	base, _ = s.baseLatency(served("s"))
 	c.Assert(base > 95*time.Millisecond && base < 102*time.Millisecond, qt.IsTrue, qt.Commentf("%s", base))
 }
 
@@ -94,7 +94,7 @@
 			}}
 			test.change(s.exchange)
 			s.observeBase()
-			base, known := g.scheduler.baseLatency(s.head.Model)
+			base, known := g.scheduler.baseLatency(s.servedModel())
 			c.Assert(known, qt.Equals, test.observed)
 			if known {
 				// Two passes of 0.5 x 5 x 17 ms, of which 0.85 is left for decoding.
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -23,15 +23,15 @@
 // capacity returns what the groups that may run a request with these criteria can take now. Without
 // a known base latency nothing is predicted, and slots alone count.
 func (s *scheduler) capacity(node Node, engine *models.EngineProfile, criteria groupCriteria, within horizon) groupsCapacity {
-	now, name := time.Now(), criteria.head.Model
-	base, known := s.baseLatency(name)
+	now, served := time.Now(), criteria.servedModel()
+	base, known := s.baseLatency(served)
 	view := node.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: node.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.demand[name].requests(now)}}
-	model, profiled := engine.Model(name)
+	out := groupsCapacity{Capacity: admission.Capacity{LoadsAge: node.LoadsAge(), Deciders: max(1, view.LoadSharers()), Rate: s.demand[served].requests(now)}}
+	model, profiled := engine.Model(served.Model)
 	predicts := known && profiled && engine.StepTime > 0 && engine.PrefillTokensPerSecond > 0
-	for _, g := range s.eligible(node, view.Groups[name], criteria, now) {
+	for _, g := range s.eligible(node, view.Groups[served], criteria, now) {
 		c := s.candidate(node, g, now)
 		free := max(0, engine.Slots+s.policy.ExtraSlots-c.Requests)
 		if out.groups++; out.groups == 1 || c.Requests < out.load {
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -32,23 +32,23 @@
 }
 
 // Demand returns the demand of this daemon's callers for each model.
-func (s *scheduler) Demand() map[models.ModelName]cluster.ModelDemand {
+func (s *scheduler) Demand() map[models.ServedModel]cluster.ModelDemand {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[models.ModelName]cluster.ModelDemand, len(s.demand))
-	for model, rates := range s.demand {
+	out := make(map[models.ServedModel]cluster.ModelDemand, len(s.demand))
+	for served, rates := range s.demand {
 		d := rates.decayed(now)
-		if base := s.bases[model]; base != nil {
+		if base := s.bases[served]; base != nil {
 			d.Observed, d.Base = d.Requests, d.Requests*float32(base.value.Seconds())
 		}
-		out[model] = d
+		out[served] = d
 	}
 	return out
 }
 
 // addDemand adds a request to the demand for a model.
-func (s *scheduler) addDemand(model models.ModelName, request cluster.ModelDemand) {
+func (s *scheduler) addDemand(model models.ServedModel, request cluster.ModelDemand) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,7 +74,7 @@
 	if !known {
 		return
 	}
-	e.g.scheduler.addDemand(e.head.Model, cluster.ModelDemand{
+	e.g.scheduler.addDemand(e.servedModel(), cluster.ModelDemand{
 		Work: float32(groupSeconds(service.Engine, profile, e.head)), Requests: 1,
 		Prompt: float32(e.head.PromptTokens), Output: float32(e.head.OutputTokens), Target: float32(e.route.LatencyTarget.Seconds()),
 	})
--- a/gateway/demand_test.go
+++ b/gateway/demand_test.go
@@ -37,12 +37,12 @@
 func TestDemandHasBase(t *testing.T) {
 	c := qt.New(t)
 	s := newScheduler()
-	s.addDemand("m", cluster.ModelDemand{Requests: 1, Target: 0.5})
-	d := s.Demand()["m"]
+	s.addDemand(served("s"), cluster.ModelDemand{Requests: 1, Target: 0.5})
+	d := s.Demand()[served("s")]
 	c.Assert(d.Requests > 0.5, qt.IsTrue)
 	c.Assert(d.Observed, qt.Equals, float32(0))
-	s.observeBase("m", 120*time.Millisecond)
-	d = s.Demand()["m"]
+	s.observeBase(served("s"), 120*time.Millisecond)
+	d = s.Demand()[served("s")]
 	c.Assert(d.Observed, qt.Equals, d.Requests)
 	base := d.Base / d.Observed
 	c.Assert(base > 0.119 && base < 0.121, qt.IsTrue, qt.Commentf("%v", base))
--- a/gateway/pauses.go
+++ b/gateway/pauses.go
@@ -115,7 +115,7 @@
 	return min(maxStallTimeout, max(minStallTimeout, timeout))
 }
 
-func (s *scheduler) addPause(model models.ModelName, pause, pass time.Duration) {
+func (s *scheduler) addPause(model models.ServedModel, pause, pass time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pauses[model]
@@ -128,7 +128,7 @@
 
 // stallTimeout returns how long a head of one of the model's groups may be silent whose pass has
 // this expected duration.
-func (s *scheduler) stallTimeout(model models.ModelName, pass time.Duration) time.Duration {
+func (s *scheduler) stallTimeout(model models.ServedModel, pass time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.pauses[model].stallTimeout(pass)
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -114,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []cluster.Group
-	for _, g := range s.eligible(node, node.View().Groups[criteria.head.Model], criteria, now) {
+	for _, g := range s.eligible(node, node.View().Groups[criteria.servedModel()], criteria, now) {
 		limited := node.Limits().Rate(g.Head, now) != models.NoRateLimit
 		if len(out) < maxPermitCandidates-1 && limited && g.Head.ID != picked.Head.ID && g.Head.Zone == picked.Head.Zone &&
 			s.policy.HasCapacity(engine, s.totalLoadLocked(node, g.Head.ID).Requests) {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -64,10 +64,8 @@
 // heads returns the heads of the service's groups that serve the request's model.
 func (e *exchange) heads() []models.UpstreamInstance {
 	var out []models.UpstreamInstance
-	for _, g := range e.g.node.View().Groups[e.head.Model] {
-		if g.Service == e.service {
-			out = append(out, g.Head)
-		}
+	for _, g := range e.g.node.View().Groups[e.servedModel()] {
+		out = append(out, g.Head)
 	}
 	return out
 }
@@ -94,6 +92,16 @@
 	zones zoneFilter
 }
 
+// servedModel returns the model that must run the request.
+func (c groupCriteria) servedModel() models.ServedModel {
+	return models.ServedModel{Service: c.service, Model: c.head.Model}
+}
+
+// servedModel returns the model that must run the request.
+func (e *exchange) servedModel() models.ServedModel {
+	return models.ServedModel{Service: e.service, Model: e.head.Model}
+}
+
 // criteria returns the stream's criteria for its next group. After a failover the stream is late
 // already, wherever it continues.
 func (s *stream) criteria() groupCriteria {
@@ -110,13 +118,13 @@
 // pickGroup returns a group that was not tried and is expected to answer soon, and how many
 // requests it has.
 func (s *scheduler) pickGroup(node Node, engine *models.EngineProfile, criteria groupCriteria) (cluster.Group, int, bool) {
-	head, tried, now := criteria.head, criteria.tried, time.Now()
-	base, model, _ := s.baseOf(engine, head.Model)
+	head, served, tried, now := criteria.head, criteria.servedModel(), criteria.tried, time.Now()
+	base, model, _ := s.baseOf(engine, served)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := node.View()
-	s.noteGroups(head.Model, view.Groups[head.Model], now)
-	groups := s.eligible(node, view.Groups[head.Model], criteria, now)
+	s.noteGroups(served, view.Groups[served], now)
+	groups := s.eligible(node, view.Groups[served], criteria, now)
 	if len(groups) == 0 {
 		return cluster.Group{}, 0, false
 	}
@@ -133,7 +141,7 @@
 		// Its other requests fail over as well.
 		req.Displaced = max(req.Displaced, s.totalLoadLocked(node, id).Requests)
 	}
-	staleness := placement.Staleness{Age: view.LoadsAge(), Daemons: view.LoadSharers(), RequestRate: s.demand[head.Model].requests(now)}
+	staleness := placement.Staleness{Age: view.LoadsAge(), Daemons: view.LoadSharers(), RequestRate: s.demand[served].requests(now)}
 	index := s.policy.Pick(engine, candidates, req, staleness, s.random)
 	return groups[index], candidates[index].Requests, true
 }
@@ -169,7 +177,7 @@
 // locked.
 func (s *scheduler) eligible(node Node, groups []cluster.Group, criteria groupCriteria, now time.Time) []cluster.Group {
 	return slices.DeleteFunc(slices.Clone(groups), func(g cluster.Group) bool {
-		return g.Service != criteria.service || !criteria.zones.permits(g.Head.Zone) || slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
+		return !criteria.zones.permits(g.Head.Zone) || slices.Contains(criteria.tried, g.Head.ID) || s.isExcluded(node, g.Head, now) ||
 			(criteria.maxLoad > 0 && s.totalLoadLocked(node, g.Head.ID).Requests >= criteria.maxLoad) ||
 			(criteria.unlimitedOnly && node.Limits().Rate(g.Head, now) != models.NoRateLimit)
 	})
--- a/gateway/pick_test.go
+++ b/gateway/pick_test.go
@@ -17,13 +17,18 @@
 
 func (idlePeersNode) PeersLoad(models.InstanceID) cluster.Load { return cluster.Load{} }
 
+// served returns the model m of a service.
+func served(service models.ServiceName) models.ServedModel {
+	return models.ServedModel{Service: service, Model: "m"}
+}
+
 // newPickNode returns a node with three groups of one model, each in its own zone, and as many
 // instances of a plain service.
 func newPickNode() idlePeersNode {
-	view := &cluster.View{Groups: map[models.ModelName][]cluster.Group{}, Services: map[models.ServiceName][]models.UpstreamInstance{}}
+	view := &cluster.View{Groups: map[models.ServedModel][]cluster.Group{}, Services: map[models.ServiceName][]models.UpstreamInstance{}}
 	for _, zone := range []models.Zone{"a", "b", "c"} {
 		i := models.UpstreamInstance{ID: models.InstanceID(zone), Zone: zone}
-		view.Groups["m"] = append(view.Groups["m"], cluster.Group{Head: i})
+		view.Groups[served("")] = append(view.Groups[served("")], cluster.Group{Head: i})
 		view.Services["s"] = append(view.Services["s"], i)
 	}
 	return idlePeersNode{&fakeNode{view: view, clock: timer.New(time.Now())}}
@@ -175,7 +180,8 @@
 func TestOtherServiceRunsRequest(t *testing.T) {
 	c := qt.New(t)
 	node := newPickNode()
-	node.view.Groups["m"][0].Service = "other"
+	groups := node.view.Groups[served("")]
+	node.view.Groups[served("")], node.view.Groups[served("other")] = groups[1:], groups[:1]
 	engine := &models.EngineProfile{Slots: 17}
 	s := newScheduler()
 	for service, zones := range map[models.ServiceName]string{"": "bc", "other": "a", "third": ""} {
--- a/gateway/queue_failures_test.go
+++ b/gateway/queue_failures_test.go
@@ -30,7 +30,7 @@
 // nevertheless reject those whose deadline is past, as not run, and send the others.
 func TestSuspendedWithWaitingRequests(t *testing.T) {
 	f := newQueueFixture(t)
-	f.scheduler.observeBase("m", 20*time.Millisecond)
+	f.scheduler.observeBase(served("s"), 20*time.Millisecond)
 	f.node.others.Store(3)
 	waiting := map[string]<-chan admitted{}
 	for name, deadline := range map[string]time.Duration{"past": 600 * time.Millisecond, "past too": 700 * time.Millisecond, "in time": time.Minute} {
@@ -90,7 +90,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.now.Evacuated = map[models.Zone]bool{zone: true}
-	n.now.Groups = map[models.ModelName][]cluster.Group{"m": slices.DeleteFunc(slices.Clone(n.now.Groups["m"]), func(g cluster.Group) bool {
+	n.now.Groups = map[models.ServedModel][]cluster.Group{served("s"): slices.DeleteFunc(slices.Clone(n.now.Groups[served("s")]), func(g cluster.Group) bool {
 		return g.Head.Zone == zone
 	})}
 }
@@ -112,7 +112,7 @@
 		groups = append(groups, cluster.Group{Key: models.GroupKey{Name: models.GroupID("m." + zone)}, Service: "s", Head: head})
 		n.loads[head.ID] = 3
 	}
-	n.now.Groups = map[models.ModelName][]cluster.Group{"m": groups}
+	n.now.Groups = map[models.ServedModel][]cluster.Group{served("s"): groups}
 	f.Gateway.node = n
 	return f, n
 }
--- a/gateway/queues.go
+++ b/gateway/queues.go
@@ -29,7 +29,7 @@
 	mu          sync.Mutex
 	random      *rand.Rand
 	byKey       map[queueKey]*groupQueue
-	completions map[models.ModelName]*decayingRate
+	completions map[models.ServedModel]*decayingRate
 	lastID      uint64
 	// waiters are the streams that wait for any change and are in no queue.
 	waiters map[*waiter]struct{}
@@ -37,8 +37,7 @@
 
 // queueKey identifies a queue: requests that may use different groups compete for different slots.
 type queueKey struct {
-	service models.ServiceName
-	model   models.ModelName
+	served models.ServedModel
 	// homes are those of the request, empty if all zones may run it.
 	homes string
 }
@@ -71,13 +70,13 @@
 func newQueues(g *Gateway) *queues {
 	return &queues{
 		g: g, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), byKey: map[queueKey]*groupQueue{},
-		completions: map[models.ModelName]*decayingRate{}, waiters: map[*waiter]struct{}{},
+		completions: map[models.ServedModel]*decayingRate{}, waiters: map[*waiter]struct{}{},
 	}
 }
 
 // queueKey returns the key of the stream's queue.
 func (s *stream) queueKey() queueKey {
-	key := queueKey{service: s.service, model: s.head.Model}
+	key := queueKey{served: s.servedModel()}
 	if s.zones != nil {
 		key.homes = fmt.Sprintf("%q %q", s.route.Homes, s.owner.Homes)
 	}
@@ -100,7 +99,7 @@
 	}
 	if q.byKey[key] == nil {
 		q.byKey[key] = gq
-		q.addGauge(key.model)
+		q.addGauge(key.served.Model)
 	}
 	q.lastID++
 	// The verdict replaces the timer's first time.
@@ -119,18 +118,18 @@
 func (q *queues) refresh(gq *groupQueue, target time.Duration) {
 	gq.capacity = groupsCapacity{}
 	routing := q.g.node.View().Routing
-	if routing == nil || routing.Services[gq.key.service].Engine == nil {
+	if routing == nil || routing.Services[gq.key.served.Service].Engine == nil {
 		return
 	}
 	now := time.Now()
 	for _, w := range gq.streams {
 		target = max(target, w.target)
 	}
-	criteria := groupCriteria{head: models.RequestHead{Model: gq.key.model}, service: gq.key.service, zones: gq.zones}
-	c := q.g.scheduler.capacity(q.g.node, routing.Services[gq.key.service].Engine, criteria, horizon(target))
+	criteria := groupCriteria{head: models.RequestHead{Model: gq.key.served.Model}, service: gq.key.served.Service, zones: gq.zones}
+	c := q.g.scheduler.capacity(q.g.node, routing.Services[gq.key.served.Service].Engine, criteria, horizon(target))
 	c.Slots, c.SlotsInTime = max(0, c.Slots-gq.unsent), max(0, c.SlotsInTime-gq.unsent)
 	// A daemon knows only its own completions; those that decide by the same loads have as many.
-	c.Completions = q.completions[gq.key.model].decayed(now) * float64(c.Deciders)
+	c.Completions = q.completions[gq.key.served].decayed(now) * float64(c.Deciders)
 	gq.capacity = c
 }
 
@@ -197,7 +196,7 @@
 }
 
 // requestEnded is called after a request of the daemon's has ended at a group of the model.
-func (q *queues) requestEnded(model models.ModelName) {
+func (q *queues) requestEnded(model models.ServedModel) {
 	q.mu.Lock()
 	rate := q.completions[model]
 	if rate == nil {
@@ -270,7 +269,7 @@
 	defer q.mu.Unlock()
 	n := 0
 	for key, gq := range q.byKey {
-		if key.model == model {
+		if key.served.Model == model {
 			n += len(gq.streams)
 		}
 	}
--- a/gateway/queues_test.go
+++ b/gateway/queues_test.go
@@ -48,7 +48,7 @@
 	}
 	view := &cluster.View{
 		Routing: &models.Routing{Services: map[models.ServiceName]models.UpstreamService{"s": {Engine: engine}}},
-		Groups:  map[models.ModelName][]cluster.Group{"m": {{Key: models.GroupKey{Name: "g"}, Service: "s", Head: models.UpstreamInstance{ID: "g1"}}}},
+		Groups:  map[models.ServedModel][]cluster.Group{served("s"): {{Key: models.GroupKey{Name: "g"}, Service: "s", Head: models.UpstreamInstance{ID: "g1"}}}},
 	}
 	f := &queueFixture{c: qt.New(t), node: &queueNode{fakeNode: &fakeNode{view: view, clock: timer.New(time.Now())}}}
 	f.Gateway = New(Settings{RetryWindow: time.Second}, f.node, newScheduler(), metrics.NewSet(), zerolog.New(zerolog.SyncWriter(&f.logs)))
@@ -105,7 +105,7 @@
 			f := newQueueFixture(t)
 			f.node.others.Store(2)
 			occupant := f.stream(t.Context(), time.Minute)
-			attempt := occupant.newAttempt(target{group: f.node.view.Groups["m"][0]})
+			attempt := occupant.newAttempt(target{group: f.node.view.Groups[served("s")][0]})
 			s := f.stream(t.Context(), time.Minute)
 			prepare(s)
 			done := f.await(s)
@@ -198,7 +198,7 @@
 	}
 	f.node.others.Store(3)
 	f.c.Assert(capacity(time.Second), qt.Equals, [3]int{0, 9, 9}, qt.Commentf("slots + 2 without a base"))
-	f.scheduler.observeBase("m", 100*time.Millisecond)
+	f.scheduler.observeBase(served("s"), 100*time.Millisecond)
 	// Each running request adds 23.5 ms, and first events may be late by a tenth of the target.
 	f.c.Assert(capacity(2*time.Second), qt.Equals, [3]int{172, 9, 9})
 	f.c.Assert(capacity(400*time.Millisecond), qt.Equals, [3]int{172, 7, 7})
@@ -214,7 +214,7 @@
 // caller gets the decision's Retry-After, and that waits and verdicts are counted.
 func TestRejectionIsReported(t *testing.T) {
 	f := newQueueFixture(t)
-	f.scheduler.observeBase("m", 300*time.Millisecond)
+	f.scheduler.observeBase(served("s"), 300*time.Millisecond)
 	f.node.others.Store(3)
 	s := f.stream(t.Context(), 100*time.Millisecond)
 	w := httptest.NewRecorder()
@@ -230,7 +230,7 @@
 
 	// A wait of over an eighth of the target.
 	f.node.others.Store(2)
-	occupant := f.stream(t.Context(), time.Minute).newAttempt(target{group: f.node.view.Groups["m"][0]})
+	occupant := f.stream(t.Context(), time.Minute).newAttempt(target{group: f.node.view.Groups[served("s")][0]})
 	done := f.await(f.stream(t.Context(), 900*time.Millisecond))
 	f.awaitWaiting(1)
 	time.Sleep(20 * time.Millisecond)
@@ -251,7 +251,7 @@
 // cancelled, are rejected and end at the same time.
 func TestConcurrentWaits(t *testing.T) {
 	f := newQueueFixture(t)
-	f.scheduler.observeBase("m", 5*time.Millisecond)
+	f.scheduler.observeBase(served("s"), 5*time.Millisecond)
 	var all sync.WaitGroup
 	var ran, over atomic.Int64
 	for n := range 200 {
--- a/gateway/scheduler.go
+++ b/gateway/scheduler.go
@@ -30,22 +30,22 @@
 	// changeSeqs holds the sequence number of the last change of each instance's load.
 	changeSeqs map[models.InstanceID]uint64
 	lastSeq    uint64
-	demand     map[models.ModelName]*demandRates
+	demand     map[models.ServedModel]*demandRates
 	// lastEvents holds when the last event was received from each group's head.
 	lastEvents map[models.InstanceID]time.Time
 	// excludedUntil holds until when rate-limited instances must not be picked.
 	excludedUntil map[models.InstanceID]time.Time
 	// failures holds the recent failures of instances.
 	failures map[models.InstanceID]failureCount
-	pauses   map[models.ModelName]*pauseHistogram
+	pauses   map[models.ServedModel]*pauseHistogram
 	// bases holds the observed base latency of each model.
-	bases map[models.ModelName]*baseLatency
+	bases map[models.ServedModel]*baseLatency
 	// slowness holds the observed slowness of each group.
 	slowness map[models.GroupKey]*placement.Slowness
 	// groupsSeenAt holds when each group was first seen, zero for those that were there when the
 	// first group of their model was seen; modelsSeen are these models.
 	groupsSeenAt map[models.GroupKey]time.Time
-	modelsSeen   map[models.ModelName]bool
+	modelsSeen   map[models.ServedModel]bool
 	changed      chan struct{}
 }
 
@@ -53,8 +53,8 @@
 	return &scheduler{
 		policy: placement.DefaultPolicy(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		loads: map[models.InstanceID]cluster.Load{}, changeSeqs: map[models.InstanceID]uint64{},
-		demand: map[models.ModelName]*demandRates{}, lastEvents: map[models.InstanceID]time.Time{}, failures: map[models.InstanceID]failureCount{},
-		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ModelName]*pauseHistogram{}, bases: map[models.ModelName]*baseLatency{}, slowness: map[models.GroupKey]*placement.Slowness{}, groupsSeenAt: map[models.GroupKey]time.Time{}, modelsSeen: map[models.ModelName]bool{}, changed: make(chan struct{}, 1),
+		demand: map[models.ServedModel]*demandRates{}, lastEvents: map[models.InstanceID]time.Time{}, failures: map[models.InstanceID]failureCount{},
+		excludedUntil: map[models.InstanceID]time.Time{}, pauses: map[models.ServedModel]*pauseHistogram{}, bases: map[models.ServedModel]*baseLatency{}, slowness: map[models.GroupKey]*placement.Slowness{}, groupsSeenAt: map[models.GroupKey]time.Time{}, modelsSeen: map[models.ServedModel]bool{}, changed: make(chan struct{}, 1),
 	}
 }
 
@@ -116,7 +116,7 @@
 }
 
 // prune drops the state of instances and groups that are gone.
-func (s *scheduler) prune(known map[models.InstanceID]models.UpstreamInstance, groups map[models.ModelName][]cluster.Group) {
+func (s *scheduler) prune(known map[models.InstanceID]models.UpstreamInstance, groups map[models.ServedModel][]cluster.Group) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gone := func(id models.InstanceID) bool {
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -228,7 +228,7 @@
 		name, base, _ := strings.Cut(line, " ")
 		d, err := time.ParseDuration(base)
 		c.Assert(err, qt.IsNil)
-		g.scheduler.observeBase(models.ModelName(name), d)
+		g.scheduler.observeBase(models.ServedModel{Service: "engines", Model: models.ModelName(name)}, d)
 	}
 	got := sendRequests(c, front.URL, lines(parts["ask"]), map[string]func() int{
 		"@running": func() int {
@@ -267,7 +267,7 @@
 	routing, err := platform.DecodeRouting([]byte(config))
 	c.Assert(err, qt.IsNil)
 	v := &cluster.View{
-		Routing: routing, ConfirmedAt: time.Now(), Groups: map[models.ModelName][]cluster.Group{},
+		Routing: routing, ConfirmedAt: time.Now(), Groups: map[models.ServedModel][]cluster.Group{},
 		Services: map[models.ServiceName][]models.UpstreamInstance{}, Daemons: 1,
 		Instances: map[models.InstanceID]models.UpstreamInstance{},
 	}
@@ -281,7 +281,8 @@
 			continue
 		}
 		u.Service = "engines"
-		v.Groups["big"] = append(v.Groups["big"], cluster.Group{Key: models.GroupKey{Name: models.GroupID(i.name), Epoch: 1}, Model: "big", Service: "engines", Head: u})
+		big := models.ServedModel{Service: "engines", Model: "big"}
+		v.Groups[big] = append(v.Groups[big], cluster.Group{Key: models.GroupKey{Name: models.GroupID(i.name), Epoch: 1}, Model: "big", Service: "engines", Head: u})
 	}
 	return &fakeNode{view: v, clock: timer.New(time.Now()), quarantine: emptyQuarantine(), breakers: closedBreakers()}
 }
--- a/gateway/slowness.go
+++ b/gateway/slowness.go
@@ -27,7 +27,7 @@
 // predictFirstEvent returns the predicted time to the first event of a request that is sent to a
 // group now.
 func (s *scheduler) predictFirstEvent(node Node, engine *models.EngineProfile, group cluster.Group, name models.ModelName) (time.Duration, bool) {
-	base, model, known := s.baseOf(engine, name)
+	base, model, known := s.baseOf(engine, models.ServedModel{Service: group.Service, Model: name})
 	if !known {
 		return 0, false
 	}
@@ -49,7 +49,7 @@
 // predict predicts the first event of a request that is sent to a group now, and begins its
 // observation.
 func (s *scheduler) predict(node Node, engine *models.EngineProfile, group cluster.Group, req models.RequestHead, latencyTarget time.Duration) prediction {
-	base, model, known := s.baseOf(engine, req.Model)
+	base, model, known := s.baseOf(engine, models.ServedModel{Service: group.Service, Model: req.Model})
 	if !known {
 		return prediction{}
 	}
@@ -68,12 +68,12 @@
 
 // baseOf returns the base latency and the profile of a model, if both are known. The scheduler must
 // not be locked.
-func (s *scheduler) baseOf(engine *models.EngineProfile, name models.ModelName) (time.Duration, models.ModelProfile, bool) {
+func (s *scheduler) baseOf(engine *models.EngineProfile, served models.ServedModel) (time.Duration, models.ModelProfile, bool) {
 	if engine == nil {
 		return 0, models.ModelProfile{}, false
 	}
-	model, profiled := engine.Model(name)
-	base, known := s.baseLatency(name)
+	model, profiled := engine.Model(served.Model)
+	base, known := s.baseLatency(served)
 	return base, model, profiled && known && base > 0
 }
 
@@ -94,7 +94,7 @@
 }
 
 // pruneGroups drops the state of groups that are gone. The scheduler must be locked.
-func (s *scheduler) pruneGroups(groups map[models.ModelName][]cluster.Group) {
+func (s *scheduler) pruneGroups(groups map[models.ServedModel][]cluster.Group) {
 	there := map[models.GroupKey]bool{}
 	for _, of := range groups {
 		for _, g := range of {
@@ -114,7 +114,7 @@
 // noteGroups records when groups of a model are first seen. The epoch of a group tells the order in
 // which groups were formed, but not when. The groups that a daemon sees first may be old. The
 // scheduler must be locked.
-func (s *scheduler) noteGroups(model models.ModelName, groups []cluster.Group, now time.Time) {
+func (s *scheduler) noteGroups(model models.ServedModel, groups []cluster.Group, now time.Time) {
 	seenAt := now
 	if !s.modelsSeen[model] {
 		seenAt = time.Time{}
--- a/gateway/slowness_test.go
+++ b/gateway/slowness_test.go
@@ -21,9 +21,9 @@
 // latency and a first event from each group.
 func newSlownessNode() (idlePeersNode, *scheduler) {
 	node, b := newPickNode(), newScheduler()
-	b.observeBase("m", 100*time.Millisecond)
-	for i := range node.view.Groups["m"] {
-		g := &node.view.Groups["m"][i]
+	b.observeBase(served(""), 100*time.Millisecond)
+	for i := range node.view.Groups[served("")] {
+		g := &node.view.Groups[served("")][i]
 		g.Key = models.GroupKey{Name: models.GroupID(g.Head.ID), Epoch: 1}
 		b.addFirstEvents(g.Key, 1, 1)
 	}
@@ -56,7 +56,7 @@
 		return g.Head.ID
 	}
 	c.Assert(pick(), qt.Equals, models.InstanceID("a"))
-	key := node.view.Groups["m"][0].Key
+	key := node.view.Groups[served("")][0].Key
 	b.addFirstEvents(key, 2, 1)
 	c.Assert(pick(), qt.Equals, models.InstanceID("a"), qt.Commentf("one late first event"))
 	b.addFirstEvents(key, 4, 4)
@@ -64,7 +64,7 @@
 
 	b.prune(node.view.Instances, node.view.Groups)
 	c.Assert(pick(), qt.Not(qt.Equals), models.InstanceID("a"))
-	node.view.Groups["m"][0].Key.Epoch = 2
+	node.view.Groups[served("")][0].Key.Epoch = 2
 	c.Assert(pick(), qt.Equals, models.InstanceID("a"), qt.Commentf("another group with the same head"))
 	b.prune(node.view.Instances, node.view.Groups)
 	_, kept := b.slowness[key]
@@ -76,7 +76,7 @@
 func TestPredictionOfAttempt(t *testing.T) {
 	c := qt.New(t)
 	node, b := newSlownessNode()
-	group := node.view.Groups["m"][0]
+	group := node.view.Groups[served("")][0]
 	head := models.RequestHead{Model: "m"}
 	p := b.predict(node, slownessEngine, group, head, 300*time.Millisecond)
 	c.Assert(p.known(), qt.IsTrue)
@@ -104,7 +104,7 @@
 	node, b := newSlownessNode()
 	node.limits = emptyLimits()
 	now := time.Now()
-	group := node.view.Groups["m"][0]
+	group := node.view.Groups[served("")][0]
 	unproven := func(g cluster.Group) bool { return b.candidate(node, g, now).Unproven }
 	c.Assert(unproven(group), qt.IsFalse)
 	node.limits.SetCold(group.Head, now.Add(time.Second), now)
@@ -113,16 +113,16 @@
 	c.Assert(unproven(group), qt.IsFalse)
 
 	// The groups that a daemon sees first are not new, later ones are for a while.
-	b.noteGroups("m", node.view.Groups["m"], now.Add(-time.Minute))
+	b.noteGroups(served(""), node.view.Groups[served("")], now.Add(-time.Minute))
 	group.Key.Epoch++
-	b.noteGroups("m", []cluster.Group{group}, now)
+	b.noteGroups(served(""), []cluster.Group{group}, now)
 	c.Assert(unproven(group), qt.IsTrue)
 	c.Assert(b.candidate(node, group, now.Add(newGroupTime)).Unproven, qt.IsFalse)
 	b.addFirstEvents(group.Key, 1, 1)
 	c.Assert(unproven(group), qt.IsFalse)
-	old := node.view.Groups["m"][1]
+	old := node.view.Groups[served("")][1]
 	old.Key = models.GroupKey{Name: "other", Epoch: 1}
-	b.noteGroups("other", []cluster.Group{old}, now)
+	b.noteGroups(models.ServedModel{Model: "other"}, []cluster.Group{old}, now)
 	c.Assert(unproven(old), qt.IsFalse)
 }
 
@@ -159,9 +159,9 @@
 		c.Check(s.isOverdue(a, now), qt.Equals, test.overdue, qt.Commentf(test.name))
 	}
 	s, _ := newStream(time.Second, 290*time.Millisecond, known)
-	c.Check(s.wouldBeInTime(node.view.Groups["m"][1]), qt.IsTrue)
+	c.Check(s.wouldBeInTime(node.view.Groups[served("")][1]), qt.IsTrue)
 	s, _ = newStream(400*time.Millisecond, 290*time.Millisecond, known)
-	c.Check(s.wouldBeInTime(node.view.Groups["m"][1]), qt.IsFalse, qt.Commentf("110 ms are left, and 120 predicted"))
+	c.Check(s.wouldBeInTime(node.view.Groups[served("")][1]), qt.IsFalse, qt.Commentf("110 ms are left, and 120 predicted"))
 	s, a := newStream(time.Second, 290*time.Millisecond, known)
 	a.lastEvent = now
 	c.Check(s.isOverdue(a, now), qt.IsFalse, qt.Commentf("its first event has arrived"))
--- a/gateway/stale_loads_test.go
+++ b/gateway/stale_loads_test.go
@@ -42,9 +42,9 @@
 		f.Gateway.node = &silentNode{f.node, since}
 		f.node.view.Topology = &membership.Topology{Size: 3 * staleDaemons, ZoneSize: staleDaemons}
 		f.node.view.Routing.Services["s"].Engine.Slots = 20
-		f.scheduler.observeBase("m", 20*time.Millisecond)
+		f.scheduler.observeBase(served("s"), 20*time.Millisecond)
 		f.node.others.Store(20 + int64(f.scheduler.policy.ExtraSlots) - staleSlots)
-		f.scheduler.addDemand("m", cluster.ModelDemand{Requests: float32(staleRate * averagingPeriod.Seconds())})
+		f.scheduler.addDemand(served("s"), cluster.ModelDemand{Requests: float32(staleRate * averagingPeriod.Seconds())})
 		const interval = time.Second / staleRate
 		offset := time.Duration(rand.Int64N(int64(interval)))
 		for n := range int(staleTime / interval) {
@@ -106,7 +106,7 @@
 	f.node.others.Store(0)
 	for _, base := range []bool{false, true} {
 		if base {
-			f.scheduler.observeBase("m", 20*time.Millisecond)
+			f.scheduler.observeBase(served("s"), 20*time.Millisecond)
 		}
 		ran, waits := 0, []<-chan admitted(nil)
 		for range 8 {
--- a/models/routing.go
+++ b/models/routing.go
@@ -167,3 +167,10 @@
 	}
 	return Route{}, false
 }
+
+// ServedModel is a model as one service serves it: others may serve a model of the same name on other
+// instances, at another speed.
+type ServedModel struct {
+	Service ServiceName
+	Model   ModelName
+}
