fleet: open no group from which late orders can take a member

Three causes, each traced in the model of planners and instances:

- A closed group of an earlier term was adopted and opened under its old epoch.
Its planner had closed it so that its members join another group, of a newer epoch, and those orders can be executed 12 s later.
For 13 s from the start of a term such a group is dissolved now, and its members form one of the new term; one that is still loading is dissolved once it is ready, if that is too soon.
- A group was adopted although a member was assigned to a formation of the planner's own, which then took it.
- Late orders to join and to open brought the head of a dissolved group back while its members were on their way out.
The former head joins a group of a newer epoch first now, and a head that has come back leaves again.

A group that is closed at a change of planner serves some 0.2 s later than before.

--- a/fleet/ending.go
+++ b/fleet/ending.go
@@ -64,6 +64,10 @@
 			delete(r.ending, key)
 			continue
 		}
+		if i := r.Instances[e.head]; e.kind == types.GroupLeave && i.Group.Key == key && (i.Group.State == models.MemberOpen || i.Group.State == models.MemberClosing) {
+			// Orders of another planner have brought it back.
+			e.closed = false
+		}
 		if e.closed {
 			continue
 		}
--- a/fleet/evaluate.go
+++ b/fleet/evaluate.go
@@ -46,8 +46,8 @@
 	actionAdopt
 	// actionCut: the group serves and can't go on.
 	actionCut
-	// actionDissolve: the group does not serve, can't be completed, and may have been ordered to
-	// open by another planner.
+	// actionDissolve: the group does not serve, can't be completed or adopted, and may have been
+	// ordered to open by another planner.
 	actionDissolve
 	// actionFinish: a member is draining; requests in flight may end.
 	actionFinish
@@ -84,6 +84,8 @@
 		return actionKeep
 	case g.State == models.MemberClosing:
 		return actionCut
+	case !r.mayAdopt(g):
+		return actionDissolve
 	default:
 		return actionAdopt
 	}
--- a/fleet/form.go
+++ b/fleet/form.go
@@ -157,8 +157,14 @@
 	if len(sorted) < model.GroupSize {
 		return candidate{}, false
 	}
+	rank := func(id models.InstanceID) int {
+		if r.isFormerHead(id) {
+			return 0
+		}
+		return 1
+	}
 	slices.SortStableFunc(sorted, func(a, b models.InstanceID) int {
-		return cmp.Compare(r.joinTime(a, model), r.joinTime(b, model))
+		return cmp.Or(cmp.Compare(r.joinTime(a, model), r.joinTime(b, model)), cmp.Compare(rank(a), rank(b)))
 	})
 	c := candidate{model: model, members: sorted[:model.GroupSize:model.GroupSize], loading: map[models.InstanceID]bool{}}
 	for _, id := range c.members {
--- a/fleet/formation.go
+++ b/fleet/formation.go
@@ -26,7 +26,7 @@
 func (r *round) advanceFormations() {
 	for _, key := range sortedKeys(r.forming) {
 		f := r.forming[key]
-		if !r.viable(f) || r.Now.After(f.deadline) {
+		if !r.viable(f) || r.Now.After(f.deadline) || r.isReadyTooSoon(f) {
 			delete(r.forming, key)
 			if f.openOrdered {
 				// A head that is about to open ignores an order to close, so it is ordered to
@@ -60,6 +60,50 @@
 	return true
 }
 
+// lateJoinsPossible reports whether orders of the planner that formed a group may still be executed. If
+// it closed the group, its members may yet get an order to join another one, of a newer epoch; unless
+// they check fences, they execute it, also while the group is open again.
+func (r *round) lateJoinsPossible(key models.GroupKey) bool {
+	return TermOf(key.Epoch) != r.term && r.Now.Sub(r.began) < lateOrderWindow
+}
+
+// headMayReturn reports whether late orders may bring the head of the group that an instance was in back
+// into it and open it. They can't once the head has joined a group of a newer epoch.
+func (r *round) headMayReturn(f *formation, id models.InstanceID) bool {
+	m := r.Instances[id].Group
+	if m.State == models.MemberNone || m.Key == f.key || !r.lateJoinsPossible(m.Key) {
+		return false
+	}
+	head := r.ending[m.Key].head
+	i, present := r.Instances[head]
+	return id != head && present && !r.Unreachable[head] && !f.joined[head] && i.Group.Key.Epoch <= m.Key.Epoch
+}
+
+// isFormerHead reports whether other instances can't join a group before this one does, by headMayReturn.
+func (r *round) isFormerHead(id models.InstanceID) bool {
+	for key, e := range r.ending {
+		if e.head == id && r.lateJoinsPossible(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// isReadyTooSoon reports whether a formation is only to be opened, while late orders may take members
+// from the open group. Its members then form a group of this term, whose epoch makes them reject such
+// orders: that takes a fraction of a second, since they have the weights.
+func (r *round) isReadyTooSoon(f *formation) bool {
+	if !r.lateJoinsPossible(f.key) {
+		return false
+	}
+	for _, id := range f.members {
+		if !r.memberReady(f, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // assignMembers counts the members of a formation as assigned to its model.
 func (r *round) assignMembers(f *formation) {
 	r.assign(f.model, f.members)
@@ -87,6 +131,13 @@
 		if (f.joined[id] && m.Key == f.key) || !r.orderDue(id, types.GroupJoin, f.key) {
 			continue
 		}
+		if m.Key != f.key && !r.released(id) {
+			// Another planner has used it, and the head of its group may be open.
+			continue
+		}
+		if r.headMayReturn(f, id) {
+			continue
+		}
 		r.issue(types.GroupOrder{Kind: types.GroupJoin, Instance: id, Group: f.key, Model: f.model, Members: f.members})
 	}
 	head := f.members[0]
@@ -96,9 +147,23 @@
 	}
 }
 
+// mayAdopt reports whether a group that does not serve may be opened by this planner: no member is to
+// join another group, and late orders can't take one, at the latest when those that are joining now are
+// ready.
+func (r *round) mayAdopt(g *Group) bool {
+	joining := false
+	for _, id := range g.Members {
+		if r.reserved[id] {
+			return false
+		}
+		joining = joining || r.Instances[id].Group.State == models.MemberJoining
+	}
+	return joining || !r.lateJoinsPossible(g.Key)
+}
+
 // adopt turns a group that another planner began to form into a formation. Its members are ordered
-// to join again. That takes no time, and the newer fence makes them reject orders of the other
-// planner before the group is opened.
+// to join again. That takes no time, and the newer fence makes those that check fences reject orders of
+// the other planner before the group is opened.
 func (r *round) adopt(g *Group, profile models.ModelProfile) {
 	f := &formation{
 		key: g.Key, model: g.Model, openOrdered: true, joined: map[models.InstanceID]bool{}, loading: map[models.InstanceID]bool{},
