membership, cluster: forget daemons that stop as planned

Causes: the roster in the store kept an entry of each replaced daemon, so that the site took itself for one of more than 20, which uses relays; dead daemons were chosen as relays again 6 s after each time that they were found silent; and the number of daemons never shrank, since each reported what others reported.

A daemon that stops as planned removes its entry when the stop begins, and its last heartbeats say that it ends. Entries of killed ones are removed after 2 h of silence. Silent daemons are relays only if no other one can be; they are linked in addition each 6 s, so that they are found again. Daemons report what they and relays know themselves.

In the simulation's scripts a daemon that starts finds all that run; so far it only found those listed before it, since no other daemon was ever forgotten. What killed daemons cost until they are removed was not measured.

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -222,6 +222,7 @@
 		}
 	}
 	v.shouldRegister = o.peers.listed || o.peers.roster.ShouldRegister(now)
+	v.gone = o.peers.roster.Gone(v.Topology, now)
 	v.hasPeers = len(o.peers.seen) > 0
 	v.configBehind = !o.peers.configBehindSince.IsZero() && now.Sub(o.peers.configBehindSince) > configFetchDelay
 	v.granters, v.votes, v.shares = nil, nil, nil
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -78,6 +78,10 @@
 	if known && b.Incarnation < before.heartbeat.Incarnation {
 		return
 	}
+	if b.Leaving {
+		o.forgetPeer(b.From)
+		return
+	}
 	if !known || before.heartbeat.Incarnation != b.Incarnation {
 		o.n.log.Info().Str("peer", string(b.From)).Int64("incarnation", b.Incarnation).Msg("peer-seen")
 	}
@@ -119,6 +123,26 @@
 	o.viewStale = true
 }
 
+// forgetPeer forgets a daemon that has announced its end. One that only became silent stays known: it may be
+// cut off.
+func (o *owner) forgetPeer(id models.DaemonID) {
+	if !o.peers.roster.Knows(id) {
+		return
+	}
+	o.n.log.Info().Str("peer", string(id)).Msg("peer-left")
+	o.peers.roster.Forget(id)
+	o.dropPeer(id)
+}
+
+// dropPeer drops what was known of a daemon that is silent or has left.
+func (o *owner) dropPeer(id models.DaemonID) {
+	delete(o.peers.seen, id)
+	o.n.echoes.forget(id)
+	o.updateTunnelPeers()
+	o.n.peerLoads.remove(id)
+	o.viewStale, o.peers.topologyStale = true, true
+}
+
 // confirmConfigBy confirms the configuration by a heartbeat with the same version, and requests a
 // newer one if the heartbeat has a newer version.
 func (o *owner) confirmConfigBy(m heartbeatReceived) {
@@ -137,11 +161,7 @@
 func (o *owner) removeTimedOutPeers(now time.Time) {
 	for _, id := range o.peers.roster.MarkSilent(now) {
 		o.n.log.Warn().Str("peer", string(id)).Dur("silent", now.Sub(o.peers.seen[id].receivedAt)).Msg("peer-silent")
-		delete(o.peers.seen, id)
-		o.n.echoes.forget(id)
-		o.updateTunnelPeers()
-		o.n.peerLoads.remove(id)
-		o.viewStale, o.peers.topologyStale = true, true
+		o.dropPeer(id)
 	}
 	o.n.peerLoads.prune(now)
 }
@@ -156,9 +176,9 @@
 		From: n.cfg.ID, Incarnation: n.incarnation(), Addr: n.cfg.Peer.String(), Zone: n.cfg.Zone, Term: v.Term,
 		IsPlanner: n.planning.Load(), Partitioned: n.paths.partitioned(), Overloaded: n.overloaded.Load(),
 		CPUCores: n.cfg.CPUCores, AcceptsCompressed: true, ConfigSource: v.configSource, Stalled: v.stalled,
-		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.Daemons, ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
+		UsesRelay: l.UsesRelay, UsesLoads: l.UsesLoads, Size: v.reportedSize(), ZoneSize: v.relayedZoneSize(), Registered: n.registered.Load(),
 		Evacuated: v.evacuated, OperatorsEnd: v.operatorsEnd,
-		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(),
+		MissedUpdates: n.missedUpdates.pending() && n.requestsSnapshotFrom(to, l), EntriesAge: n.entriesAge(), Era: n.era.Load(), Leaving: n.leaving.Load(),
 	}
 	if every := n.heartbeatIntervalFor(l); every != heartbeatInterval {
 		b.Interval = every
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -8,6 +8,7 @@
 
 	"github.com/lupinkeel/lupinkeel/lib/pack"
 	"github.com/lupinkeel/lupinkeel/membership"
+	"github.com/lupinkeel/lupinkeel/models"
 )
 
 // rosterTopic is the store's topic in which daemons register.
@@ -58,6 +59,9 @@
 		if err := f.pause(ctx); err != nil {
 			return err
 		}
+		if err := f.unregisterEnded(ctx); err != nil {
+			return err
+		}
 		if f.inFlux = f.n.mustRegister(); f.inFlux {
 			// Daemons that lost their relays at the same time notice it at the same time.
 			if err := sleep(ctx, rand.N(f.policy.RegistrationSpread)); err != nil {
@@ -71,9 +75,16 @@
 }
 
 // start reads the roster for the first time. The entries of a cluster that was running before are
-// used at once; at the first start of all daemons, there are none until some have registered.
+// used at once; at the first start of all daemons, or if all were stopped as planned, there are none until
+// some have registered.
 func (f *rosterFollower) start(ctx context.Context) error {
-	if f.inFlux = f.n.cfg.FirstStart; f.inFlux {
+	if f.inFlux = f.n.cfg.FirstStart; !f.inFlux {
+		if err := f.read(ctx); err != nil {
+			return err
+		}
+		f.inFlux = f.n.View().Daemons <= 1
+	}
+	if f.inFlux {
 		if err := sleep(ctx, f.policy.RegistrationPause(f.n.cfg.CPUCores, rand.Float64())); err != nil {
 			return err
 		}
@@ -120,11 +131,11 @@
 	return f.read(ctx)
 }
 
-// pause waits until the roster is to be read again: after an interval, once the node has to
-// register, or once the store has been restored.
+// pause waits until the roster is to be read again: after an interval, once the node has to register
+// or its process is stopping, or once the store has been restored.
 func (f *rosterFollower) pause(ctx context.Context) error {
 	for waited := time.Duration(0); waited < f.rereadInterval() && f.next.Era >= f.n.era.Load(); waited += f.n.pollStep() {
-		if f.n.mustRegister() {
+		if f.n.mustRegister() || f.n.mustUnregister() {
 			return nil
 		}
 		if err := sleep(ctx, f.n.pollStep()); err != nil {
@@ -145,9 +156,57 @@
 	}
 }
 
+// goodbyeTime is how long a daemon that ends waits for its last heartbeats to be sent.
+const goodbyeTime = 30 * time.Millisecond
+
+// Leave tells the other daemons that this one ends now, as planned: it may never come back, so that they
+// forget it rather than wait for it. It is called once no requests are in flight any more.
+func (n *Node) Leave(ctx context.Context) error {
+	n.leaving.Store(true)
+	n.links.sendHeartbeat("")
+	return sleep(ctx, goodbyeTime)
+}
+
+// mustUnregister reports whether the node is registered although its process is stopping.
+func (n *Node) mustUnregister() bool { return n.registered.Load() && n.resigned.Load() }
+
+// unregister removes a daemon's entry from the roster. The entry of one that has ended costs those that
+// start later: they look for it, and count it as one of them.
+func (n *Node) unregister(ctx context.Context, id models.DaemonID) error {
+	n.stats.storeCalls(rosterTopic).Inc()
+	limited, cancel := context.WithTimeout(ctx, responseSlack)
+	defer cancel()
+	err := n.store.Put(limited, rosterTopic, string(id), nil)
+	n.log.Info().Str("peer", string(id)).Err(err).Msg("roster-entry-removed")
+	return err
+}
+
+// unregisterEnded removes the entries of daemons that ended long ago without announcing it, and that of
+// this node if its process is stopping.
+func (f *rosterFollower) unregisterEnded(ctx context.Context) error {
+	for _, id := range f.n.View().gone {
+		if err := f.n.unregister(ctx, id); err != nil {
+			// The next look at the roster tries again.
+			break
+		}
+	}
+	for f.n.mustUnregister() {
+		if err := f.n.unregister(ctx, f.n.cfg.ID); err == nil {
+			f.n.registered.Store(false)
+			return nil
+		}
+		if err := sleep(ctx, minRetryBackoff); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // mustRegister reports whether this incarnation of the node is not registered and has to be: the
 // roster holds an earlier incarnation of it, or too few daemons that may be its relays.
-func (n *Node) mustRegister() bool { return !n.registered.Load() && n.View().shouldRegister }
+func (n *Node) mustRegister() bool {
+	return !n.registered.Load() && !n.resigned.Load() && n.View().shouldRegister
+}
 
 // register writes the node's roster entry, and retries until the store accepts it.
 func (n *Node) register(ctx context.Context) error {
--- a/cluster/topology.go
+++ b/cluster/topology.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -53,7 +54,12 @@
 func (o *owner) handleRoster(records []platform.KeyedRecord) {
 	for _, r := range records {
 		if models.DaemonID(r.Key) == o.n.cfg.ID {
-			o.peers.listed = true
+			o.handleOwnRosterEntry(r.Value)
+			continue
+		}
+		if len(r.Value) == 0 {
+			o.peers.roster.RemoveRegistered(models.DaemonID(r.Key))
+			o.peers.topologyStale = true
 			continue
 		}
 		var entry rosterEntry
@@ -72,6 +78,15 @@
 	}
 }
 
+// handleOwnRosterEntry applies the entry of this daemon. Another daemon removes it if this one has been
+// silent for long, or a late call of an earlier process does; the daemon then registers again.
+func (o *owner) handleOwnRosterEntry(value []byte) {
+	o.peers.listed = len(value) > 0
+	if !o.peers.listed {
+		o.n.registered.Store(false)
+	}
+}
+
 // maxCPUCores bounds the cores of a daemon, by which daemons rank each other.
 const maxCPUCores = 1 << 16
 
@@ -146,14 +161,15 @@
 // updateTopology computes the topology and opens and closes links accordingly.
 func (o *owner) updateTopology(now time.Time) {
 	p := &o.peers
-	if o.n.registered.Load() && !p.roster.IsRegistered() {
-		p.roster.MarkRegistered()
+	if registered := o.n.registered.Load(); registered != p.roster.IsRegistered() {
+		p.roster.SetRegistered(registered)
 		p.topologyStale = true
 	}
 	if !p.topologyStale && now.Sub(p.topologyAt) < topologyInterval {
 		return
 	}
 	a := p.roster.Topology(now)
+	maps.DeleteFunc(p.addrs, func(id models.DaemonID, _ peerAddr) bool { return !p.roster.Knows(id) })
 	if a.LoadRelay != p.topology.LoadRelay || a.IsRelay != p.topology.IsRelay || a.IsMesh != p.topology.IsMesh {
 		o.n.log.Info().Str("first", string(a.LoadRelay)).Bool("relay", a.IsRelay).Bool("mesh", a.IsMesh).Int("daemons", a.Size).Msg("arranged")
 	}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -46,6 +46,8 @@
 	// ask this node.
 	configSource     models.DaemonID
 	configRequesters map[models.DaemonID]bool
+	// gone are the daemons whose roster entries this one is to remove.
+	gone []models.DaemonID
 	// zoneDemand is the demand of this node's zone that it sends to other zones, if it is a relay.
 	zoneDemand map[models.ServedModel]ModelDemand
 	// shouldRegister is set if this daemon has to be registered in the roster.
@@ -116,3 +118,11 @@
 func (g Group) served() models.ServedModel {
 	return models.ServedModel{Service: g.Service, Model: g.Model}
 }
+
+// reportedSize returns the number of daemons that this one reports to others.
+func (v *View) reportedSize() int {
+	if v.Daemons == 0 {
+		return 0
+	}
+	return v.Topology.Known
+}
--- a/cluster/wire.go
+++ b/cluster/wire.go
@@ -88,6 +88,8 @@
 	// Overloaded is set if the sender refuses connections of callers for a considerable part of the
 	// time.
 	Overloaded bool `msgpack:"ol,omitempty"`
+	// Leaving is set if the sender's process is about to end as planned.
+	Leaving bool `msgpack:"lv,omitempty"`
 	// Stalled are the heads that the sender found stalled.
 	Stalled []StalledHead `msgpack:"s,omitempty"`
 	// Demand is the demand of the sender's callers for each model. Older versions send and expect a
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -108,6 +108,9 @@
 		cancel()
 	}
 	err = errors.Join(err, task.Wait(serving))
+	if ctx.Err() != nil && err == nil {
+		err = node.Leave(background)
+	}
 	cancel()
 	err = errors.Join(err, task.Wait(running, sizing, reloading))
 	log.Info().Err(err).Msg("stopped")
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -38,11 +38,11 @@
 	// first. RegistrationSpread is the time over which daemons register that find at the same moment
 	// that too few are registered: the later ones then see the earlier ones and do not register.
 	FirstStartDelay, RegistrationSpread time.Duration
-	// SilentBackoff is how long a daemon that became silent is skipped.
+	// SilentBackoff is how long a daemon that became silent is skipped. After that it is looked for again.
 	SilentBackoff time.Duration
-	// SilentRetention is how long after that a daemon is forgotten that is not in the store's roster.
-	// It exceeds the duration of partitions: a granter of permits that forgets the daemons on the
-	// other side grants what a granter there grants as well.
+	// SilentRetention is how long a daemon may be silent until it is forgotten or, if it is in the
+	// store's roster, is to be removed from it. It exceeds the duration of partitions: a granter of
+	// permits that forgets the daemons on the other side grants what a granter there grants as well.
 	SilentRetention time.Duration
 }
 
@@ -65,7 +65,7 @@
 		MaxMissedHeartbeats:   4,
 		// Longer than a daemon takes to restart, which is 0.6 to 4 s.
 		SilentBackoff:   6 * time.Second,
-		SilentRetention: time.Hour,
+		SilentRetention: 2 * time.Hour,
 	}
 }
 
@@ -103,7 +103,7 @@
 	// UsesRelay is set if the sender uses this daemon as a relay, UsesLoads if it uses this daemon's
 	// load totals.
 	UsesRelay, UsesLoads bool
-	// Size is the number of daemons that the sender knows, itself included.
+	// Size is the sender's Topology.Known.
 	Size int
 	// ZoneSize is the number of daemons in the sender's zone, if the sender is a relay; 0 otherwise.
 	ZoneSize int
@@ -135,10 +135,16 @@
 	// expectedSince is when it was first expected to send heartbeats to this daemon, zero if none
 	// are expected.
 	expectedSince time.Time
-	// skipUntil is how long the daemon is skipped as a relay after it became silent.
-	skipUntil time.Time
+	// silentSince is when it became silent, zero if it has not since its last heartbeat. skipUntil is
+	// until when it is then not expected to send heartbeats.
+	silentSince, skipUntil time.Time
+	// removed is set if it was removed from the store's roster and has not registered again.
+	removed bool
 }
 
+// isSilent reports whether the daemon has become silent since its last heartbeat.
+func (m *member) isSilent() bool { return !m.silentSince.IsZero() }
+
 // NewRoster returns a roster without other daemons.
 func NewRoster(self Daemon, p Policy) *Roster {
 	return &Roster{self: self, policy: p, members: map[models.DaemonID]*member{}}
@@ -160,12 +166,28 @@
 func (r *Roster) AddRegistered(d Daemon) {
 	r.Add(d)
 	if m := r.members[d.ID]; m != nil {
-		m.Registered = true
+		m.Registered, m.removed = true, false
+	}
+}
+
+// RemoveRegistered records that a daemon is not in the store's roster any more. It is forgotten unless it
+// is live, and then once it becomes silent.
+func (r *Roster) RemoveRegistered(id models.DaemonID) {
+	m := r.members[id]
+	switch {
+	case m == nil:
+	case m.lastHeartbeat.IsZero():
+		delete(r.members, id)
+	default:
+		m.Registered, m.removed = false, true
 	}
 }
 
-// MarkRegistered records that this daemon is in the store's roster.
-func (r *Roster) MarkRegistered() { r.registered = true }
+// Forget forgets a daemon that has announced its end.
+func (r *Roster) Forget(id models.DaemonID) { delete(r.members, id) }
+
+// SetRegistered records whether this daemon is in the store's roster.
+func (r *Roster) SetRegistered(registered bool) { r.registered = registered }
 
 // IsRegistered reports whether this daemon is in the store's roster.
 func (r *Roster) IsRegistered() bool { return r.registered }
@@ -206,8 +228,9 @@
 	m := r.members[b.ID]
 	changed := m.lastHeartbeat.IsZero() || m.UsesRelay != b.UsesRelay || m.UsesLoads != b.UsesLoads || m.Size != b.Size || m.ZoneSize != b.ZoneSize || m.Registered != b.Registered ||
 		!maps.Equal(m.Granters, b.Granters)
+	m.removed = m.removed && !b.Registered
 	b.Registered = b.Registered || m.Registered
-	m.Heartbeat, m.lastHeartbeat, m.skipUntil = b, at, time.Time{}
+	m.Heartbeat, m.lastHeartbeat, m.silentSince, m.skipUntil = b, at, time.Time{}, time.Time{}
 	return changed
 }
 
@@ -224,6 +247,9 @@
 		}
 		m.lastHeartbeat, m.expectedSince = time.Time{}, time.Time{}
 		m.UsesRelay, m.UsesLoads, m.Votes, m.Granters = false, false, nil, nil
+		if !m.isSilent() {
+			m.silentSince = now
+		}
 		m.skipUntil = now.Add(r.policy.SilentBackoff)
 	}
 	r.removeGone(now)
@@ -231,9 +257,30 @@
 }
 
 // removeGone forgets the daemons that are not in the store's roster and have been silent for
-// SilentRetention.
+// SilentRetention, or are silent after they were removed from it.
 func (r *Roster) removeGone(now time.Time) {
 	maps.DeleteFunc(r.members, func(_ models.DaemonID, m *member) bool {
-		return !m.Registered && m.lastHeartbeat.IsZero() && !m.skipUntil.IsZero() && now.Sub(m.skipUntil) > r.policy.SilentRetention
+		return !m.Registered && (r.isGone(m, now) || (m.removed && m.isSilent()))
 	})
 }
+
+// isGone reports whether a daemon has been silent for SilentRetention.
+func (r *Roster) isGone(m *member, now time.Time) bool {
+	return m.isSilent() && now.Sub(m.silentSince) > r.policy.SilentRetention
+}
+
+// Gone returns the daemons that have been silent for SilentRetention and are to be removed from the
+// store's roster, if this daemon is to remove them: the first candidate for planner in a mesh, otherwise
+// the load relay of its zone.
+func (r *Roster) Gone(t *Topology, now time.Time) []models.DaemonID {
+	if t.LoadRelay != r.self.ID && !(t.IsMesh && t.PlannerCandidates[0].ID == r.self.ID) {
+		return nil
+	}
+	var gone []models.DaemonID
+	for id, m := range r.members {
+		if m.Registered && r.isGone(m, now) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -66,7 +66,11 @@
 //	kill all               kill all daemons
 //	stop ZONE N            stop the processes of the N highest-ranked running daemons of a zone
 //	continue               continue all stopped processes; they receive what waited for them
+//	leave ZONE N           stop the N highest-ranked running daemons of a zone as planned
 //	cut ZONE, heal ZONE    partition the zone from all others, or end that
+//	relayed DURATION       advance the time; check that the relay whose load totals a daemon uses
+//	                       always runs
+//	mesh                   check that all daemons form a mesh
 //	links MOST             check the number of links
 //	reach                  check that a broadcast of each daemon reaches all others
 //	loads                  check that the daemons of each zone use the same load totals
@@ -118,6 +122,21 @@
 		for range s.number(args[1]) {
 			s.highestRanked(models.Zone(args[0])).stopped = true
 		}
+	case "leave":
+		for range s.number(args[1]) {
+			s.leave(s.highestRanked(models.Zone(args[0])))
+		}
+	case "relayed":
+		d, err := time.ParseDuration(args[0])
+		s.c.Assert(err, qt.IsNil)
+		for end := s.now.Add(d); s.now.Before(end); {
+			s.step()
+			s.checkRelayed()
+		}
+	case "mesh":
+		for _, d := range s.daemons {
+			s.c.Check(!d.up || d.topology.IsMesh, qt.IsTrue, qt.Commentf("%s counts %d daemons", d.ID, d.topology.Size))
+		}
 	case "continue":
 		s.continueAll()
 	case "cut", "heal":
@@ -165,6 +184,10 @@
 // start starts all daemons that are down. Each registers in the store's roster and then reads it,
 // so that of any two daemons the later one finds the other.
 func (s *simulation) start() {
+	running := map[models.DaemonID]bool{}
+	for _, d := range s.daemons {
+		running[d.ID] = d.up
+	}
 	for i, d := range s.daemons {
 		if d.up {
 			continue
@@ -172,11 +195,11 @@
 		d.up, d.stopped, d.waiting, d.lastSent = true, false, nil, map[models.DaemonID]time.Time{}
 		d.roster = membership.NewRoster(d.Daemon, membership.DefaultPolicy())
 		for n, other := range s.daemons {
-			if n < i || s.registered[other.ID] {
+			if n < i || running[other.ID] || s.registered[other.ID] {
 				d.roster.AddRegistered(other.Daemon)
 			}
 		}
-		d.roster.MarkRegistered()
+		d.roster.SetRegistered(true)
 		d.topology, d.topologyAt = d.roster.Topology(s.now), s.now
 	}
 	for _, d := range s.daemons {
@@ -200,6 +223,32 @@
 	}
 }
 
+// leave stops a daemon as planned: it tells those that it sends heartbeats to, and removes itself from the
+// store's roster, from which the others learn it too.
+func (s *simulation) leave(d *daemon) {
+	links := d.links()
+	d.up = false
+	for _, other := range s.daemons {
+		if !other.up {
+			continue
+		}
+		if _, linked := links[other.ID]; linked {
+			other.roster.Forget(d.ID)
+		}
+		other.roster.RemoveRegistered(d.ID)
+		other.stale = true
+	}
+}
+
+// checkRelayed checks that the load relay of each running daemon runs.
+func (s *simulation) checkRelayed() {
+	for _, d := range s.daemons {
+		if d.up && d.topology.LoadRelay != "" {
+			s.c.Assert(s.byID[d.topology.LoadRelay].up, qt.IsTrue, qt.Commentf("%s uses %s", d.ID, d.topology.LoadRelay))
+		}
+	}
+}
+
 // highestRanked returns the highest-ranked running daemon of a zone.
 func (s *simulation) highestRanked(zone models.Zone) *daemon {
 	var first *daemon
@@ -241,7 +290,7 @@
 			}
 			d.lastSent[id] = s.now
 			b := membership.Heartbeat{
-				Daemon: d.Daemon, Interval: every, UsesRelay: link.UsesRelay, UsesLoads: link.UsesLoads, Size: d.topology.Size, ZoneSize: d.topology.RelayedZoneSize(), Registered: d.roster.IsRegistered(),
+				Daemon: d.Daemon, Interval: every, UsesRelay: link.UsesRelay, UsesLoads: link.UsesLoads, Size: d.topology.Known, ZoneSize: d.topology.RelayedZoneSize(), Registered: d.roster.IsRegistered(),
 				Votes: d.roster.Votes(d.topology, id), Granters: d.topology.Granters,
 			}
 			if to.stopped {
--- a/membership/start_test.go
+++ b/membership/start_test.go
@@ -146,7 +146,7 @@
 	if !listed {
 		s.registeredAt[d.ID] = now.Add(s.latency)
 	}
-	d.roster.MarkRegistered()
+	d.roster.SetRegistered(true)
 	add(now.Add(settleTime), func(now time.Time) { s.readRoster(d, now) })
 }
 
--- a/membership/topology.go
+++ b/membership/topology.go
@@ -9,8 +9,10 @@
 
 // Topology is the communication topology as one daemon sees it. It is immutable.
 type Topology struct {
-	// Size is the number of daemons, this daemon included.
-	Size int
+	// Size is the number of daemons, this daemon included. Known is the part of them that this daemon or
+	// the relays of their zones know themselves, which is what it reports to others: if they reported what
+	// others report, none would ever count less.
+	Size, Known int
 	// ZoneSize is the number of daemons in this daemon's zone, itself included.
 	ZoneSize int
 	// IsMesh reports whether there is a full mesh: every daemon sends heartbeats to every other
@@ -65,13 +67,14 @@
 
 // Topology returns the current topology.
 func (r *Roster) Topology(now time.Time) *Topology {
-	t := &Topology{Size: r.clusterSize(), ZoneSize: r.zoneSizes()[r.self.Zone], zoneKnown: r.knownByZone()[r.self.Zone], Links: map[models.DaemonID]Link{}}
+	t := &Topology{Size: r.clusterSize(), Known: r.knownSize(), ZoneSize: r.zoneSizes()[r.self.Zone], zoneKnown: r.knownByZone()[r.self.Zone], Links: map[models.DaemonID]Link{}}
 	relays := map[models.Zone][]Daemon{}
 	if t.IsMesh = t.Size <= r.policy.MaxMeshSize; t.IsMesh {
 		r.linkAll(t)
 	} else {
 		relays = r.selectRelays(now)
 		r.linkRelays(t, relays)
+		r.linkSilent(t, now)
 	}
 	r.isRelay = t.IsRelay
 	slices.SortFunc(t.PlannerCandidates, func(x, y Daemon) int {
@@ -114,13 +117,19 @@
 	return sizes
 }
 
-// clusterSize is the number of daemons: the sum of the zones, or, if that is greater, the size that
-// a relay of this daemon's zone reports. Any other report only tells that the daemons form no mesh.
-func (r *Roster) clusterSize() int {
+// knownSize is the sum of the zones.
+func (r *Roster) knownSize() int {
 	size := 0
 	for _, n := range r.zoneSizes() {
 		size += n
 	}
+	return size
+}
+
+// clusterSize is the number of daemons: the sum of the zones, or, if that is greater, the size that
+// a relay of this daemon's zone reports. Any other report only tells that the daemons form no mesh.
+func (r *Roster) clusterSize() int {
+	size := r.knownSize()
 	for _, m := range r.members {
 		switch {
 		case m.lastHeartbeat.IsZero():
@@ -144,15 +153,16 @@
 	}
 }
 
-// selectRelays returns the relays of each zone: the highest-ranked of the live daemons that are in the
-// store's roster. If there are not enough, other live daemons follow, and then skipped ones. A daemon
-// that is not in the roster is known to few others, so that it can't be a relay while others can.
+// selectRelays returns the relays of each zone: the highest-ranked of the daemons that are in the
+// store's roster and not silent. If there are not enough, other live daemons follow, and then silent ones,
+// first those that are not skipped. A daemon that is not in the roster is known to few others, so that it
+// can't be a relay while others can.
 func (r *Roster) selectRelays(now time.Time) map[models.Zone][]Daemon {
-	const registered, live, skipped = 0, 1, 2
-	classes := map[models.Zone]*[3][]Daemon{}
+	const registered, live, silent, skipped = 0, 1, 2, 3
+	classes := map[models.Zone]*[4][]Daemon{}
 	add := func(d Daemon, class int) {
 		if classes[d.Zone] == nil {
-			classes[d.Zone] = &[3][]Daemon{}
+			classes[d.Zone] = &[4][]Daemon{}
 		}
 		classes[d.Zone][class] = append(classes[d.Zone][class], d)
 	}
@@ -160,6 +170,8 @@
 		switch {
 		case now.Before(m.skipUntil):
 			add(m.Daemon, skipped)
+		case m.isSilent():
+			add(m.Daemon, silent)
 		case m.Registered:
 			add(m.Daemon, registered)
 		default:
@@ -232,3 +244,16 @@
 		}
 	}
 }
+
+// linkSilent links this daemon to silent ones that are not skipped and may be its relays, besides the
+// relays that it has. They are relays again once they send heartbeats: those that use this daemon's
+// links alone would else not be found again.
+func (r *Roster) linkSilent(t *Topology, now time.Time) {
+	for id, m := range r.members {
+		own := m.Zone == r.self.Zone
+		if _, linked := t.Links[id]; linked || !m.Registered || !m.isSilent() || now.Before(m.skipUntil) || (!own && !t.IsRelay) {
+			continue
+		}
+		t.Links[id] = Link{Frequent: !own, UsesRelay: true, CrossZone: !own}
+	}
+}
