cluster: notice a daemon that hangs, and end it

A watchdog counts the turns of the owner of a daemon's state.

Not played with real processes, none of which has hung since.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -110,6 +110,9 @@
 	lease atomic.Pointer[leaseHeld]
 	// resigned is set once this node must not be planner any more, because the process is stopping.
 	resigned atomic.Bool
+	// turns counts the turns of the owner; hangs is set while it takes none.
+	turns atomic.Uint64
+	hangs atomic.Bool
 	// leaving is set once the process ends as planned.
 	leaving atomic.Bool
 	// overloaded is set while this daemon refuses connections of callers for a considerable part of
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -38,6 +38,7 @@
 	publishDue := time.NewTimer(0)
 	defer publishDue.Stop()
 	for {
+		o.n.turns.Add(1)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -103,16 +103,21 @@
 	serving := task.Start(ctx, "gateway", g.Run)
 	sizing := task.Start(background, "heap", func(ctx context.Context) error { return tuneGC(ctx, node) })
 	reloading := task.Start(background, "reload", func(ctx context.Context) error { return reload(ctx, s, explicit, log) })
-	err = task.WaitAny(ctx, running, serving)
+	watching := task.Start(background, "watchdog", node.Watch)
+	err = task.WaitAny(ctx, running, serving, watching)
 	if err != nil {
 		cancel()
 	}
+	if err != nil && node.Hangs() {
+		// Its goroutines don't end.
+		return errors.Join(cluster.ErrHangs, err)
+	}
 	err = errors.Join(err, task.Wait(serving))
 	if ctx.Err() != nil && err == nil {
 		err = node.Leave(background)
 	}
 	cancel()
-	err = errors.Join(err, task.Wait(running, sizing, reloading))
+	err = errors.Join(err, task.Wait(running, sizing, reloading, watching))
 	log.Info().Err(err).Msg("stopped")
 	return err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// SetOverloaded tells the cluster whether this daemon refuses connections of callers for a
 	// considerable part of the time.
 	SetOverloaded(overloaded bool)
+	// Hangs reports whether the node takes no notice of anything any more.
+	Hangs() bool
 	Clock() *timer.Service
 }
 
--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -94,9 +94,13 @@
 func (f *fakeNode) LoadsAge() time.Duration { return f.view.LoadsAge() }
 func (f *fakeNode) Clock() *timer.Service   { return f.clock }
 
-// CheckPath does nothing.
+// SetOverloaded does nothing.
 func (f *fakeNode) SetOverloaded(bool) {}
 
+// Hangs returns false.
+func (f *fakeNode) Hangs() bool { return false }
+
+// CheckPath does nothing.
 func (f *fakeNode) CheckPath(context.Context, netip.AddrPort) {}
 
 // DialInstance connects over TCP.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -170,7 +170,7 @@
 
 // serveReady answers the load balancer's readiness check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.stop.begun() || g.entrance.Overloaded() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
+	if g.stop.begun() || g.entrance.Overloaded() || g.node.Hangs() || !g.isCurrent(g.node.View(), g.cfg.MaxKeysProofAge) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
