state: give a key that is claimed again a new place in the order of expiry

Cause: the order of expiry listed keys, and a released key stayed in it. Claimed again, it had its first place, whose new time kept older claims behind it from expiring; a checkpoint lists claims only, so that a restored state put it at its end.

The order lists claims now, told apart by a number that is not encoded; the place of a released one is empty. Checkpoints keep their encoding.

--- a/state/claim.go
+++ b/state/claim.go
@@ -13,6 +13,15 @@
 	Request models.RequestID `msgpack:"r"`
 	// At is when the claim was proposed, by the author's clock.
 	At time.Time `msgpack:"t"`
+	// number tells the claims of a key apart. It is not encoded.
+	number uint64
+}
+
+// claimSlot is the place of a claim in the order in which claims were applied. Once the claim is
+// released, the slot is empty, also if its key is claimed again.
+type claimSlot struct {
+	key    string
+	number uint64
 }
 
 // ClaimKeys claims a batch of keys. The first claim of each key wins; later ones are
@@ -41,8 +50,7 @@
 			s.latestClaimTime = c.At
 		}
 		if _, claimed := s.Claims[c.Key]; !claimed {
-			s.Claims[c.Key] = c
-			s.claimKeys = append(s.claimKeys, c.Key)
+			s.addClaim(c)
 		}
 		event.Holders = append(event.Holders, s.Claims[c.Key].Request)
 	}
@@ -50,13 +58,25 @@
 	return []Event{event}
 }
 
+// addClaim adds a claim of a key that is not claimed.
+func (s *State) addClaim(c Claim) {
+	s.lastClaim++
+	c.number = s.lastClaim
+	s.Claims[c.Key] = c
+	s.claimSlots = append(s.claimSlots, claimSlot{key: c.Key, number: c.number})
+}
+
+// claimIn returns the claim in a slot, and false if the slot is empty.
+func (s *State) claimIn(slot claimSlot) (Claim, bool) {
+	c, claimed := s.Claims[slot.key]
+	return c, claimed && c.number == slot.number
+}
+
 // orderedClaims lists the claims in the order in which they expire.
 func (s *State) orderedClaims() []Claim {
 	out := make([]Claim, 0, len(s.Claims))
-	listed := make(map[string]bool, len(s.Claims))
-	for _, key := range s.claimKeys {
-		if c, claimed := s.Claims[key]; claimed && !listed[key] {
-			listed[key] = true
+	for _, slot := range s.claimSlots {
+		if c, claimed := s.claimIn(slot); claimed {
 			out = append(out, c)
 		}
 	}
@@ -72,13 +92,15 @@
 // expireClaims removes expired claims. It goes by the order in which the claims were applied,
 // which is that of their times except for clock skew between the authors.
 func (s *State) expireClaims() {
-	for len(s.claimKeys) > 0 {
-		oldest, claimed := s.Claims[s.claimKeys[0]]
+	for len(s.claimSlots) > 0 {
+		oldest, claimed := s.claimIn(s.claimSlots[0])
 		if claimed && s.latestClaimTime.Sub(oldest.At) <= ClaimRetention {
 			return
 		}
-		delete(s.Claims, s.claimKeys[0])
-		s.claimKeys = s.claimKeys[1:]
+		if claimed {
+			delete(s.Claims, oldest.Key)
+		}
+		s.claimSlots = s.claimSlots[1:]
 	}
 }
 
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -291,3 +291,45 @@
 		}
 	})
 }
+
+// TestReleasedKeyKeepsItsPlace guards against a key that is claimed again after its release and takes the
+// place of its first claim in the order of expiry, unless a checkpoint was restored in between.
+func TestReleasedKeyKeepsItsPlace(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1_000_000, 0).UTC()
+	claim := func(key, request string, at time.Duration) []state.Claim {
+		return []state.Claim{{Key: key, Request: models.RequestID(request), At: start.Add(at)}}
+	}
+	bodies := []state.Body{
+		state.ClaimKeys{Claims: claim("k", "r1", 0)},
+		state.ClaimKeys{Claims: claim("l", "r2", time.Second)},
+		state.ReleaseKeys{Claims: claim("k", "r1", 0)},
+		state.ClaimKeys{Claims: claim("k", "r3", 10*time.Minute)},
+		state.ClaimKeys{Claims: claim("m", "r4", 16*time.Minute)},
+	}
+	apply := func(s *state.State, from, to int) {
+		for n := from; n < to; n++ {
+			data, err := state.Encode(state.Record{ID: models.RecordID(fmt.Sprint(n)), Author: "d1", At: start, Body: bodies[n]})
+			c.Assert(err, qt.IsNil)
+			_, err = s.Apply(models.Offset(n+1), data)
+			c.Assert(err, qt.IsNil)
+		}
+	}
+	full := state.New()
+	apply(full, 0, len(bodies))
+	c.Assert(full.Claims, qt.HasLen, 2, qt.Commentf("l is older than 15 minutes"))
+	want, err := full.Digest()
+	c.Assert(err, qt.IsNil)
+	for cut := range len(bodies) + 1 {
+		partial := state.New()
+		apply(partial, 0, cut)
+		data, err := partial.Marshal()
+		c.Assert(err, qt.IsNil)
+		restored, err := state.Restore(models.Offset(cut), data)
+		c.Assert(err, qt.IsNil)
+		apply(restored, cut, len(bodies))
+		got, err := restored.Digest()
+		c.Assert(err, qt.IsNil)
+		c.Check(got, qt.Equals, want, qt.Commentf("restored after record %d", cut))
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -43,9 +43,10 @@
 	// Claims holds the claims of idempotency keys, by key. A clone has none.
 	Claims map[string]Claim
 
-	// claimKeys lists the claimed keys in the order in which they were applied.
-	// latestClaimTime is the latest time in any claim.
-	claimKeys       []string
+	// claimSlots lists the claims in the order in which they were applied, lastClaim is the number of
+	// the last one. latestClaimTime is the latest time in any claim.
+	claimSlots      []claimSlot
+	lastClaim       uint64
 	latestClaimTime time.Time
 
 	// owner maps instances to their groups. It is derived from Groups.
@@ -93,7 +94,7 @@
 	c.Audit = slices.Clip(s.Audit)
 	c.recentIDs = slices.Clip(s.recentIDs)
 	c.seenIDs = nil
-	c.Claims, c.claimKeys = nil, nil
+	c.Claims, c.claimSlots = nil, nil
 	return &c
 }
 
@@ -175,8 +176,7 @@
 	s.latestClaimTime = snap.LatestClaimTime.UTC()
 	for _, c := range snap.Claims {
 		c.At = c.At.UTC()
-		s.Claims[c.Key] = c
-		s.claimKeys = append(s.claimKeys, c.Key)
+		s.addClaim(c)
 	}
 	for _, id := range snap.RecentIDs {
 		s.rememberID(id)
