--- a/cluster/watchdog.go
+++ b/cluster/watchdog.go
@@ -15,7 +15,7 @@
 	watchInterval = 500 * time.Millisecond
 	// hangTimeout is how long the owner may take no turn until the daemon isn't ready any more, and
 	// hangEndTimeout until its process ends.
-	hangTimeout    = 3 * time.Second
+	hangTimeout    = 1500 * time.Millisecond
 	hangEndTimeout = 30 * time.Second
 	// maxStackBytes bounds the stacks of goroutines that are logged.
 	maxStackBytes = 64 << 10
