fleet: count a head as back in its group only after it was seen outside

Cause: an ending whose head had left began anew if the head's entry showed it in the group, also an entry from before its leaving, so that members of all groups closed by a new planner stayed unused for 0.6 s and more.

--- a/fleet/ending.go
+++ b/fleet/ending.go
@@ -17,6 +17,8 @@
 	// closed is set once the head takes no requests and can't open again, so that the members may
 	// join other groups.
 	closed bool
+	// left is set once the head has been seen outside the group.
+	left bool
 }
 
 // lateOrderWindow is how long an unanswered order may still be executed.
@@ -64,10 +66,7 @@
 			delete(r.ending, key)
 			continue
 		}
-		if i := r.Instances[e.head]; e.kind == types.GroupLeave && i.Group.Key == key && (i.Group.State == models.MemberOpen || i.Group.State == models.MemberClosing) {
-			// Orders of another planner have brought it back.
-			e.closed = false
-		}
+		r.noteReturn(e)
 		if e.closed {
 			continue
 		}
@@ -81,6 +80,19 @@
 	}
 }
 
+// noteReturn notes that orders of another planner have brought the head of a closed group back into it. An
+// entry that is older than its leaving doesn't count.
+func (r *round) noteReturn(e *ending) {
+	i, present := r.Instances[e.head]
+	switch inside := present && i.Group.Key == e.key; {
+	case e.kind != types.GroupLeave || !e.closed:
+	case !inside:
+		e.left = true
+	case e.left:
+		e.closed, e.left = false, false
+	}
+}
+
 // usableHead reports whether the head can be ordered to close.
 func (r *round) usableHead(head models.InstanceID, key models.GroupKey) bool {
 	i, present := r.Instances[head]
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -143,3 +143,36 @@
 	c.Assert(s.violations, qt.HasLen, 0)
 	c.Assert(s.serving("small"), qt.Equals, 1)
 }
+
+// TestOldEntryBringsHeadBack guards against a head that counts as back in the group that it has left, because
+// its entry is older than its leaving: its members would stay unused.
+func TestOldEntryBringsHeadBack(t *testing.T) {
+	c := qt.New(t)
+	key := models.GroupKey{Name: "small.1", Epoch: 1}
+	w := Snapshot{Now: time.Now(), Profile: testProfile(), HasTraffic: true, Instances: map[models.InstanceID]models.UpstreamInstance{}}
+	for rank, id := range []models.InstanceID{"i-1", "i-2"} {
+		w.Instances[id] = models.UpstreamInstance{
+			ID: id, Domain: "a", LoadedModel: "small", StagedModels: []models.ModelName{"small"}, Draining: rank == 1,
+			Group: models.Membership{Key: key, Rank: rank, State: []models.MemberState{models.MemberOpen, models.MemberReady}[rank]},
+		}
+	}
+	p := NewPlanner(1, w.Now)
+	for _, kind := range []types.GroupOrderKind{types.GroupDrain, types.GroupLeave} {
+		orders := p.Step(w)
+		c.Assert(orders, qt.HasLen, 1)
+		c.Assert(orders[0].Kind, qt.Equals, kind)
+		p.RecordOutcome(orders[0], types.OrderDone, w.Now)
+	}
+	step := func(i models.UpstreamInstance) (closed bool) {
+		w.Instances["i-1"] = i
+		w.Now = w.Now.Add(50 * time.Millisecond)
+		p.Step(w)
+		return p.ending[key].closed
+	}
+	old := w.Instances["i-1"]
+	c.Assert(step(old), qt.IsTrue, qt.Commentf("the entry is as before its leaving"))
+	outside := old
+	outside.Group = models.Membership{}
+	c.Assert(step(outside), qt.IsTrue)
+	c.Assert(step(old), qt.IsFalse, qt.Commentf("late orders have brought it back"))
+}
