cluster: log the stacks of a hanging daemon in lines that are not cut

owner-hangs is followed by a line `goroutine` for each of up to 64 stacks now, the owner and those that wait for a mutex first, each under 4 KiB.

--- a/cluster/watchdog.go
+++ b/cluster/watchdog.go
@@ -1,9 +1,12 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"runtime"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/timer"
@@ -17,8 +20,11 @@
 	// hangEndTimeout until its process ends.
 	hangTimeout    = 1500 * time.Millisecond
 	hangEndTimeout = 30 * time.Second
-	// maxStackBytes bounds the stacks of goroutines that are logged.
-	maxStackBytes = 64 << 10
+	// maxStackBytes bounds the stacks of all goroutines that are looked at, maxStacks the number of those
+	// that are logged, and maxStackLen the length of each in bytes: log lines are bounded.
+	maxStackBytes = 1 << 20
+	maxStacks     = 64
+	maxStackLen   = 3 << 10
 )
 
 // ErrHangs means that the owner of a daemon's state has taken no turn for long: a deadlock, or a call that
@@ -43,7 +49,7 @@
 	return w.stuck
 }
 
-// Watch logs when the owner hangs, with the stacks of all goroutines, and returns ErrHangs if it does so for
+// Watch logs when the owner hangs, with the stacks of goroutines, and returns ErrHangs if it does so for
 // hangEndTimeout: the process is to end then, since the platform starts it again.
 func (n *Node) Watch(ctx context.Context) error {
 	ticks := n.clock.Subscribe(watchInterval)
@@ -72,9 +78,30 @@
 		n.log.Warn().Msg("owner-resumed")
 		return
 	}
-	stacks := make([]byte, maxStackBytes)
-	stacks = stacks[:runtime.Stack(stacks, true)]
-	n.log.Error().Dur("for", stuck).Str("stacks", string(stacks)).Msg("owner-hangs")
+	all := make([]byte, maxStackBytes)
+	stacks := blockedFirst(string(all[:runtime.Stack(all, true)]))
+	n.log.Error().Dur("for", stuck).Int("goroutines", len(stacks)).Msg("owner-hangs")
+	for _, stack := range stacks[:min(len(stacks), maxStacks)] {
+		n.log.Error().Str("stack", stack[:min(len(stack), maxStackLen)]).Msg("goroutine")
+	}
+}
+
+// blockedFirst splits the stacks of goroutines, and puts those first that may be part of a deadlock: the
+// owner, then those that wait for a mutex.
+func blockedFirst(text string) []string {
+	rank := func(stack string) int {
+		switch {
+		case strings.Contains(stack, "(*owner).run"):
+			return 0
+		case strings.Contains(stack, "sync.(*Mutex).Lock"), strings.Contains(stack, "sync.(*RWMutex)"):
+			return 1
+		default:
+			return 2
+		}
+	}
+	stacks := strings.Split(strings.TrimSpace(text), "\n\n")
+	slices.SortStableFunc(stacks, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return stacks
 }
 
 // Hangs reports whether the owner of the node's state hangs, so that the daemon is not ready.
