membership: bound the links to silent daemons, and look only for relays

Found in reading again. With relays, a daemon linked all silent registered daemons every 6 s: those that were killed, whose number grows until they are removed after 2 h, and live ones that had been relays for a while and are silent since nobody relies on them. What operators would see: connections that grow with each replaced daemon, at every daemon.

Linked are only those that would be relays if they sent heartbeats, and of each zone as many as a daemon needs to know there (MinRegistered, four).

--- a/membership/gone_test.go
+++ b/membership/gone_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,3 +46,35 @@
 	c.Assert(gone(time.Second), qt.HasLen, 0)
 	c.Assert(r.Topology(now).Size, qt.Equals, 3)
 }
+
+// TestLinksGrowWithDeadDaemons guards against links that grow with the number of daemons that were killed and
+// are still in the roster.
+func TestLinksGrowWithDeadDaemons(t *testing.T) {
+	c := qt.New(t)
+	policy := membership.DefaultPolicy()
+	most := func(dead int) int {
+		now := time.Unix(1_000_000, 0)
+		// The daemon ranks below the two relays of its zone.
+		r := membership.NewRoster(membership.Daemon{ID: "self", Zone: "z", CPUCores: 0.1}, policy)
+		hear := func() {
+			for n := range 2 {
+				r.RecordHeartbeat(membership.Heartbeat{
+					Daemon: membership.Daemon{ID: models.DaemonID(fmt.Sprint("relay", n)), Zone: "z", CPUCores: 1}, Interval: 300 * time.Millisecond, Registered: true, Size: 30, ZoneSize: 30,
+				}, now)
+			}
+		}
+		for n := range dead {
+			r.AddRegistered(membership.Daemon{ID: models.DaemonID(fmt.Sprint("dead", n)), Zone: "z", CPUCores: 2})
+		}
+		links, settled := 0, now.Add(time.Duration(dead)*policy.FirstHeartbeatTimeout)
+		for ; now.Before(settled.Add(20 * time.Second)); now = now.Add(300 * time.Millisecond) {
+			hear()
+			r.MarkSilent(now)
+			links = max(links, len(r.Topology(now).Links))
+		}
+		c.Assert(string(r.Topology(now).LoadRelay), qt.Contains, "relay", qt.Commentf("%d dead", dead))
+		return links
+	}
+	c.Assert(most(33), qt.Equals, most(100))
+	c.Assert(most(1000) <= policy.RelaysPerZone+policy.MinRegistered, qt.IsTrue, qt.Commentf("%d", most(1000)))
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -41,7 +41,7 @@
 	// SilentBackoff is how long a daemon that became silent is skipped. After that it is looked for again.
 	SilentBackoff time.Duration
 	// SilentRetention is how long a daemon may be silent until it is forgotten or, if it is in the
-	// store's roster, is to be removed from it. It exceeds the duration of partitions: a granter of
+	// store's roster, is to be removed from it. It exceeds the duration of partitions, an hour: a granter of
 	// permits that forgets the daemons on the other side grants what a granter there grants as well.
 	SilentRetention time.Duration
 }
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -72,6 +72,8 @@
 //	                       always runs
 //	mesh                   check that all daemons form a mesh
 //	links MOST             check the number of links
+//	most-links DURATION MOST
+//	                       advance the time, and check the number of links at each step
 //	reach                  check that a broadcast of each daemon reaches all others
 //	loads                  check that the daemons of each zone use the same load totals
 //	permits LEAST          check that all running daemons of reachable zones ask the same
@@ -133,6 +135,13 @@
 			s.step()
 			s.checkRelayed()
 		}
+	case "most-links":
+		d, err := time.ParseDuration(args[0])
+		s.c.Assert(err, qt.IsNil)
+		for end := s.now.Add(d); s.now.Before(end); {
+			s.step()
+			s.c.Assert(s.countLinks() <= s.number(args[1]), qt.IsTrue, qt.Commentf("%d links after %v", s.countLinks(), s.now.Sub(time.Unix(1_000_000, 0))))
+		}
 	case "mesh":
 		for _, d := range s.daemons {
 			s.c.Check(!d.up || d.topology.IsMesh, qt.IsTrue, qt.Commentf("%s counts %d daemons", d.ID, d.topology.Size))
--- a/membership/topology.go
+++ b/membership/topology.go
@@ -74,7 +74,7 @@
 	} else {
 		relays = r.selectRelays(now)
 		r.linkRelays(t, relays)
-		r.linkSilent(t, now)
+		r.linkSilent(t, relays, now)
 	}
 	r.isRelay = t.IsRelay
 	slices.SortFunc(t.PlannerCandidates, func(x, y Daemon) int {
@@ -245,15 +245,31 @@
 	}
 }
 
-// linkSilent links this daemon to silent ones that are not skipped and may be its relays, besides the
-// relays that it has. They are relays again once they send heartbeats: those that use this daemon's
-// links alone would else not be found again.
-func (r *Roster) linkSilent(t *Topology, now time.Time) {
+// linkSilent links this daemon to silent ones that would be its relays if they sent heartbeats, besides the
+// relays that it has: those that it does not link would else not be found again. Others are silent because
+// nobody relies on them. Of each zone it links the highest-ranked that are not skipped, as many as a daemon
+// needs to know there (MinRegistered), so that the links do not grow with the number of dead daemons.
+func (r *Roster) linkSilent(t *Topology, relays map[models.Zone][]Daemon, now time.Time) {
+	silent := map[models.Zone][]Daemon{}
 	for id, m := range r.members {
-		own := m.Zone == r.self.Zone
-		if _, linked := t.Links[id]; linked || !m.Registered || !m.isSilent() || now.Before(m.skipUntil) || (!own && !t.IsRelay) {
-			continue
+		_, linked := t.Links[id]
+		if !linked && m.isSilent() && !now.Before(m.skipUntil) && (m.Zone == r.self.Zone || t.IsRelay) && r.wouldRelay(m, relays[m.Zone]) {
+			silent[m.Zone] = append(silent[m.Zone], m.Daemon)
+		}
+	}
+	for zone, daemons := range silent {
+		own := zone == r.self.Zone
+		for _, d := range topRanked(daemons, r.policy.MinRegistered) {
+			t.Links[d.ID] = Link{Frequent: !own, UsesRelay: true, CrossZone: !own}
 		}
-		t.Links[id] = Link{Frequent: !own, UsesRelay: true, CrossZone: !own}
 	}
 }
+
+// wouldRelay reports whether a daemon would replace one of the relays of its zone if it were not silent.
+func (r *Roster) wouldRelay(m *member, relays []Daemon) bool {
+	return m.Registered && slices.ContainsFunc(relays, func(d Daemon) bool {
+		other := r.members[d.ID]
+		registered := (other != nil && other.Registered) || (d.ID == r.self.ID && r.registered)
+		return !registered || m.RanksBefore(d)
+	})
+}
