cluster: drop planners of removed services, and what reads badly

Found in reading again: the planner of a service stayed for the whole term after operators had removed the service, with all that it knew of its instances, and could end the term as superseded. Planners and averages are kept for services that have engines. TestRemovedServicesFillMemory failed before (a second service, two planners).

Names: lastHeartbeatTime (before, goodbyeTime). lockorder tests for the two methods that it follows rather than for suffixes. No change in what either does.

--- a/cluster/planning.go
+++ b/cluster/planning.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/fleet"
@@ -90,10 +91,11 @@
 		o.stopPlanning("an instance has seen a newer term")
 		return
 	}
-	for name, service := range o.config.routing.Services {
-		if service.Engine != nil {
-			o.planService(name, service.Engine, now)
-		}
+	hasEngines := func(service models.ServiceName) bool { return o.config.routing.Services[service].Engine != nil }
+	f.planners.Retain(hasEngines)
+	maps.DeleteFunc(f.averages, func(service models.ServiceName, _ *serviceAverages) bool { return !hasEngines(service) })
+	for name := range engineServices(o.config.routing) {
+		o.planService(name, o.config.routing.Services[name].Engine, now)
 	}
 	f.lastPlan.took = time.Since(started)
 }
--- a/cluster/roster.go
+++ b/cluster/roster.go
@@ -156,15 +156,15 @@
 	}
 }
 
-// goodbyeTime is how long a daemon that ends waits for its last heartbeats to be sent.
-const goodbyeTime = 30 * time.Millisecond
+// lastHeartbeatTime is how long a daemon that ends waits for its last heartbeats to be sent.
+const lastHeartbeatTime = 30 * time.Millisecond
 
 // Leave tells the other daemons that this one ends now, as planned: it may never come back, so that they
 // forget it rather than wait for it. It is called once no requests are in flight any more.
 func (n *Node) Leave(ctx context.Context) error {
 	n.leaving.Store(true)
 	n.links.sendHeartbeat("")
-	return sleep(ctx, goodbyeTime)
+	return sleep(ctx, lastHeartbeatTime)
 }
 
 // mustUnregister reports whether the node is registered although its process is stopping.
--- a/cluster/services_test.go
+++ b/cluster/services_test.go
@@ -95,3 +95,23 @@
 	c.Check(o.meanDemand("s")["m"].Rate, qt.Equals, 40.0)
 	c.Check(o.meanDemand("t")["m"].Rate, qt.Equals, 30.0)
 }
+
+// TestRemovedServicesFillMemory guards against what a planner keeps of services that operators have removed, and
+// against a planner of such a service whose superseded orders end the term.
+func TestRemovedServicesFillMemory(t *testing.T) {
+	c := qt.New(t)
+	o := newTestOwner(t)
+	now := time.Now()
+	o.handleLease(leaseHeld{term: firstTerm, until: now.Add(time.Minute)})
+	for n := range 10 {
+		name := models.ServiceName(fmt.Sprint("s", n))
+		o.config.routing = &models.Routing{Services: map[models.ServiceName]models.UpstreamService{name: {Name: name, Engine: twoServices().Services["s"].Engine}}}
+		now = now.Add(time.Second)
+		o.fleet.lastPlan = throttle{}
+		o.planGroups(now)
+		kept := 0
+		o.fleet.planners.Retain(func(models.ServiceName) bool { kept++; return true })
+		c.Assert(kept, qt.Equals, 1, qt.Commentf("after %d services", n+1))
+		c.Assert(o.fleet.averages, qt.HasLen, 1)
+	}
+}
--- a/fleet/planners.go
+++ b/fleet/planners.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/models"
@@ -32,6 +33,11 @@
 	return planner
 }
 
+// Retain drops the planners of services for which keep returns false.
+func (p *Planners) Retain(keep func(models.ServiceName) bool) {
+	maps.DeleteFunc(p.byService, func(service models.ServiceName, _ *Planner) bool { return !keep(service) })
+}
+
 // Superseded reports whether any of the planners is superseded.
 func (p *Planners) Superseded() bool {
 	for _, planner := range p.byService {
--- a/lib/lockorder/lockorder.go
+++ b/lib/lockorder/lockorder.go
@@ -168,7 +168,7 @@
 	case *ssa.Call, *ssa.Defer:
 		site := instr.(ssa.CallInstruction)
 		if m, op := mutexCall(site.Common()); op != "" {
-			if strings.HasSuffix(op, "Lock") && !strings.HasSuffix(op, "nlock") && !strings.HasPrefix(op, "Try") {
+			if op == "Lock" || op == "RLock" {
 				want(m)
 			}
 			return
