gateway: log how every stream and every attempt ended

A line of a broken stream had neither the framing of its last response nor what was asked and received, and stream-moved did not say how the response it left was framed, so that the hypotheses of docs/incidents/2026-12-07-complete-streams-lost.md could not be told apart by the log. request-ended has these fields for every stream now, with the number of attempts, and stream-moved those of the attempt that it leaves.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,7 +53,7 @@
 	// when it was picked.
 	maxPause   time.Duration
 	pickedLoad int
-	// end describes the end of a stream that was taken as complete, for the log.
+	// end describes the end of a stream, for the log.
 	end streamEnd
 	// arrivals is the number of sends of which an instance may have received a part.
 	arrivals atomic.Int32
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -231,7 +231,7 @@
 	if e.digestUsed.Load() {
 		event.Stringer("digest", e.digest())
 	}
-	if end == outcomeComplete && e.route.Kind == models.RouteStream {
+	if e.route.Kind == models.RouteStream {
 		event.EmbedObject(e.end)
 	}
 	event.Str("request", string(e.head.ID)).Str("route", e.route.Name).Str("model", string(e.head.Model)).
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
@@ -51,6 +49,7 @@
 		s.lastID, s.hasLast = e.head.LastEventID, true
 	}
 	defer s.close()
+	defer func() { e.end = s.currentEnd() }()
 	to, err := s.awaitGroup()
 	if err != nil {
 		return err
@@ -187,8 +186,9 @@
 // logFailover logs that the stream continues at another group.
 func (s *stream) logFailover(dest cluster.Group, cause error) {
 	s.g.stats.resumes.Inc()
+	end := s.currentEnd()
 	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(dest.Key.Name)).
-		Int64("after", s.lastID).Bool("begun", s.headSent).Dur("pass", s.current.passTime()).Dur("patience", s.current.stallTimeout()).
+		Int64("after", end.lastID).Str("framing", string(end.framing)).Bool("no-events", end.noEvents).Int("attempts", end.attempts).Bool("begun", s.headSent).Dur("pass", s.current.passTime()).Dur("patience", s.current.stallTimeout()).
 		Err(cause).Msg("stream-moved")
 }
 
@@ -241,35 +241,9 @@
 	return err
 }
 
-// streamEnd describes the end of a stream.
-type streamEnd struct {
-	// framing is that of the last attempt's response.
-	framing h1.Framing
-	lastID  int64
-	// resumed is set if the last attempt continued the stream, noEvents if it sent no event, and left is
-	// what was left of the request's time.
-	resumed, noEvents bool
-	left              time.Duration
-}
-
-// MarshalZerologObject adds the fields of a log line.
-func (e streamEnd) MarshalZerologObject(line *zerolog.Event) {
-	line.Str("framing", string(e.framing)).Int64("last-event", e.lastID).
-		Bool("resumed", e.resumed).Bool("no-events", e.noEvents).Dur("left", e.left)
-}
-
-// recordEnd records the end of a stream for the log and the metrics.
-func (s *stream) recordEnd() {
-	s.end = streamEnd{
-		framing: s.current.response.Framing, lastID: s.lastID,
-		resumed: s.current.resumed, noEvents: s.current.lastEvent.IsZero(), left: time.Until(s.deadline),
-	}
-	s.g.stats.streamEnds[s.end.framing].Inc()
-}
-
 // finishStream completes the response.
 func (s *stream) finishStream() error {
-	s.recordEnd()
+	s.g.stats.streamEnds[s.current.response.Framing].Inc()
 	s.observeBase()
 	s.markSound()
 	if !s.headSent {
