gateway: complete streams whose end only a closed connection marks

It happened at all daemons at any time.

Cause: an instance may answer without a length and end the answer with its connection. The other group has nothing left, ends its answer with its connection too, and that was the error "the stream ended before its first event". Where attempts, retries or a second group were missing, the stream was broken off at once. The class: the absence of a proof was taken as a proof of the opposite.

Why this works: a closed connection is neither proof nor failure now, but a claim. Another group is asked for the last event once more; it confirms the end, or continues the stream. Asked for the event after it, as before, an instance that dies before its first event looks like one that has none left. Where none can be asked, and once eight ends in a row were confirmed, an end counts that comes with the last event, by the kernel's clock, from an instance that goes on running. One pure function judges what the end of a body proves, with a table of cases.

Asked for a second confirmation until eight are known, so checks take up to half of the retry budget, which was taken whole by resumed streams before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,10 +57,15 @@
 	// when this pass ends its prompts count as prefilled.
 	lastEvent    time.Time
 	expectedPass time.Duration
+	// shortestPause is the shortest pause between two events, 0 before the second one.
+	shortestPause time.Duration
 	// firstEvent is when the first event was received, proven is set once the prompt is known to be
 	// sound.
 	firstEvent time.Time
 	proven     bool
+	// checksEnd is set if the attempt asks for the last event that the caller has once more, to find out
+	// whether the stream ends there, and repeated once that event was received.
+	checksEnd, repeated bool
 	// buffered is an event that was read before next was called for it.
 	buffered *sse.Event
 }
@@ -154,19 +159,16 @@
 	return event, nil
 }
 
-// bodyEnd returns what the end of the response's body means. A closed connection proves no end: the stream
-// continues at another group, which ends it at once if it is complete.
+// bodyEnd returns what the end of the response's body means.
 func (a *streamAttempt) bodyEnd() error {
-	switch {
-	case a.response.Framing != h1.FramedByClose:
-		return errStreamEnd
-	case a.lastEvent.IsZero():
-		return errors.Join(errMayHaveRun, errEmptyStream)
-	case a.s.route.Idempotent():
-		return errors.Join(errMayHaveRun, errUnframedEnd)
-	default:
-		return errStreamEnd
+	c := claim{
+		framing: a.response.Framing, resumable: a.s.route.Idempotent(), resumed: a.resumed, events: !a.lastEvent.IsZero(),
+		checksEnd: a.checksEnd, repeated: a.repeated, needed: a.s.g.endRecords.trust(a.s.service, time.Now()).neededConfirmations(),
+	}
+	if a.checksEnd {
+		c.confirmed = a.s.unproven.confirmed
 	}
+	return c.judge()
 }
 
 // noteEvent records that the group makes progress and, on the first event, that the prompt has been
@@ -180,7 +182,11 @@
 		balance.addLoad(head, 0, -a.prefillTokens)
 		a.prefillTokens, a.firstEvent = 0, now
 	} else {
-		balance.addPause(a.s.servedModel(), now.Sub(a.lastEvent), a.expectedPass)
+		pause := now.Sub(a.lastEvent)
+		balance.addPause(a.s.servedModel(), pause, a.expectedPass)
+		if a.shortestPause == 0 || pause < a.shortestPause {
+			a.shortestPause = pause
+		}
 	}
 	a.lastEvent, a.expectedPass = now, a.passTime()
 	if !a.proven && now.Sub(a.firstEvent) >= soundAfter {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -151,6 +151,37 @@
 	return nil
 }
 
+// survivalDelay is after which time an instance that has closed a connection is probed. A process that ends may
+// close its connections some ms before its listening socket.
+const survivalDelay = 100 * time.Millisecond
+
+// survives reports whether an instance that has just closed a connection goes on running.
+func (cd *crashDetector) survives(ctx context.Context, i models.UpstreamInstance) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(survivalDelay):
+	}
+	return cd.dialOnce(ctx, i.Addr) == nil && !cd.hasCrashed(i)
+}
+
+// hasCrashed reports whether an instance is known to have crashed.
+func (cd *crashDetector) hasCrashed(i models.UpstreamInstance) bool {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	c := cd.disconnects[i.ID]
+	return c != nil && c.evidence != ""
+}
+
+// runs reports whether an instance is known and neither leaving nor known to have crashed.
+func (cd *crashDetector) runs(i models.UpstreamInstance) bool {
+	known, there := cd.node.View().Instances[i.ID]
+	if !there || known.Draining || i.CompareIncarnation(known.StartedAt) != models.SameIncarnation {
+		return false
+	}
+	return !cd.hasCrashed(i)
+}
+
 // dialOnce opens a connection and closes it.
 func (cd *crashDetector) dialOnce(ctx context.Context, addr netip.AddrPort) error {
 	ctx, cancel := timer.WithTimeout(ctx, dialTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 	stats            *stats
 	set              *metrics.Set
 	durations        *durations
+	endRecords       endRecords
 	stop             *plannedStop
 }
 
@@ -131,7 +132,9 @@
 	rejections *metrics.Counter
 	resumes    *metrics.Counter
 	// streamEnds counts complete streams by the framing of their last response.
-	streamEnds  map[h1.Framing]*metrics.Counter
+	streamEnds map[h1.Framing]*metrics.Counter
+	// endChecks counts the ends of streams that nothing but a closed connection marked.
+	endChecks   map[endCheckResult]*metrics.Counter
 	connsOpened *metrics.Counter
 	firstByte   *metrics.Histogram
 	verdicts    verdictCounter
@@ -143,7 +146,7 @@
 
 func newStats(set *metrics.Set) *stats {
 	s := &stats{
-		byOutcome: map[outcome]*metrics.Counter{}, streamEnds: map[h1.Framing]*metrics.Counter{}, retries: set.NewCounter("lupinkeel_request_repeats_total"),
+		byOutcome: map[outcome]*metrics.Counter{}, streamEnds: map[h1.Framing]*metrics.Counter{}, endChecks: map[endCheckResult]*metrics.Counter{}, retries: set.NewCounter("lupinkeel_request_repeats_total"),
 		quarantineRejections: set.NewCounter("lupinkeel_quarantine_refusals_total"),
 		limitRejections:      set.NewCounter("lupinkeel_limit_refusals_total"),
 		backoffRejections:    set.NewCounter("lupinkeel_rest_refusals_total"),
@@ -156,6 +159,9 @@
 	for _, framing := range []h1.Framing{h1.FramedByLength, h1.FramedByChunks, h1.FramedByClose} {
 		s.streamEnds[framing] = set.NewCounter(fmt.Sprintf("lupinkeel_stream_ends_total{framing=%q}", string(framing)))
 	}
+	for _, result := range endCheckResults {
+		s.endChecks[result] = set.NewCounter(fmt.Sprintf("lupinkeel_stream_end_checks_total{result=%q}", string(result)))
+	}
 	for _, o := range outcomes {
 		s.byOutcome[o] = set.NewCounter(fmt.Sprintf("lupinkeel_requests_total{outcome=%q}", string(o)))
 	}
@@ -198,7 +204,7 @@
 func New(cfg Settings, node Node, traffic cluster.Traffic, set *metrics.Set, log zerolog.Logger) *Gateway {
 	g := &Gateway{
 		cfg: cfg, log: log, node: node, scheduler: traffic.(*scheduler), stats: newStats(set), set: set,
-		buffers: buffers.New(cfg.MaxBufferedBytes, set), durations: newDurations(), stop: newPlannedStop(),
+		buffers: buffers.New(cfg.MaxBufferedBytes, set), durations: newDurations(), stop: newPlannedStop(), endRecords: endRecords{byService: map[models.ServiceName]endRecord{}},
 		budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow, time.Now(), !cfg.FirstStart), crashes: newCrashDetector(node, set, log),
 	}
 	g.queues = newQueues(g)
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -118,6 +118,9 @@
 	if s.hedge != nil {
 		return s.hedgedReadTimeout()
 	}
+	if a.checksEnd {
+		return a.endCheckTimeout(silence)
+	}
 	if s.g.hasRestarted(a.group.Head) {
 		// The instance lost the request when it restarted; failOver picks another group.
 		return 0
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -24,9 +24,9 @@
 	current int64
 }
 
-// budgetBucket counts requests, all retries, and the retries of rejected sends. daemons is the
-// largest number of daemons that was known meanwhile.
-type budgetBucket struct{ requests, retries, rejections, daemons int }
+// budgetBucket counts requests, all retries, the retries of rejected sends, and the checks of streams' ends.
+// daemons is the largest number of daemons that was known meanwhile.
+type budgetBucket struct{ requests, retries, rejections, checks, daemons int }
 
 // usableFraction is the part of the budget that is used, since the daemons' windows and their
 // counts of daemons differ slightly.
@@ -36,6 +36,9 @@
 // left for failures.
 const rejectionFraction = 0.7
 
+// checkFraction is the part of the retries that may check streams' ends.
+const checkFraction = 0.5
+
 func newRetryBudget(ratio, slack float64, window time.Duration, startedAt time.Time, restarted bool) *retryBudget {
 	return &retryBudget{ratio: ratio, slack: slack, window: window, startedAt: startedAt, restarted: restarted}
 }
@@ -79,25 +82,44 @@
 func (b *retryBudget) allowRetry(now time.Time, daemons int, rejected bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	step := b.advance(now)
+	step, sum, limit := b.sum(now, daemons)
+	if float64(sum.retries+1) > limit || (rejected && float64(sum.rejections+1) > rejectionFraction*limit) {
+		return false
+	}
+	step.retries++
+	if rejected {
+		step.rejections++
+	}
+	return true
+}
+
+// allowCheck is allowRetry for a request that checks the end of a stream.
+func (b *retryBudget) allowCheck(now time.Time, daemons int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	step, sum, limit := b.sum(now, daemons)
+	if float64(sum.retries+1) > limit || float64(sum.checks+1) > checkFraction*limit {
+		return false
+	}
+	step.retries++
+	step.checks++
+	return true
+}
+
+// sum returns the current bucket, the sum of all, and how many retries it may hold.
+func (b *retryBudget) sum(now time.Time, daemons int) (step *budgetBucket, sum budgetBucket, limit float64) {
+	step = b.advance(now)
 	step.daemons = max(step.daemons, daemons)
-	var sum budgetBucket
 	for _, s := range b.buckets {
 		sum.requests += s.requests
 		sum.retries += s.retries
 		sum.rejections += s.rejections
+		sum.checks += s.checks
 		sum.daemons = max(sum.daemons, s.daemons)
 	}
-	limit := usableFraction * (b.ratio * float64(sum.requests))
+	limit = usableFraction * (b.ratio * float64(sum.requests))
 	if daemons > 0 {
 		limit += b.shareFraction(now) * b.slack / float64(sum.daemons)
 	}
-	if float64(sum.retries+1) > limit || (rejected && float64(sum.rejections+1) > rejectionFraction*limit) {
-		return false
-	}
-	step.retries++
-	if rejected {
-		step.rejections++
-	}
-	return true
+	return step, sum, limit
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,8 @@
 	flush    func() error
 	// admittedBy is the queue that admitted the stream, until its load is counted.
 	admittedBy *groupQueue
+	// unproven is the end after lastID that a closed connection claims; nil if none does.
+	unproven *unprovenEnd
 }
 
 // serveStream sends a request to a group and forwards its events.
@@ -82,11 +84,15 @@
 	for {
 		event, err := s.current.next()
 		if err == nil {
+			if s.isRepeated(event) {
+				continue
+			}
 			err = s.checkSequence(event)
 		}
 		switch {
 		case err == nil:
 			s.dropHedge()
+			s.noteContinuation()
 			if err := s.forward(event); err != nil {
 				return err
 			}
@@ -95,12 +101,13 @@
 		case s.ctx.Err() != nil:
 			return err
 		default:
-			err = s.failOver(err)
-			if errors.Is(err, errFailureResponse) {
+			switch err = s.failOver(err); {
+			case errors.Is(err, errStreamEnd):
+				return s.finishStream()
+			case errors.Is(err, errFailureResponse):
 				// No other group takes the stream: the caller gets the failure response.
 				return s.forwardFailure(s.current.response)
-			}
-			if err != nil {
+			case err != nil:
 				return err
 			}
 		}
@@ -108,7 +115,7 @@
 }
 
 // failOver continues the stream at another group after its attempt failed. It returns the cause if
-// that is not possible.
+// that is not possible, and errStreamEnd if the stream is complete.
 func (s *stream) failOver(cause error) error {
 	if s.headSent {
 		// Events may not have been flushed because others were to follow.
@@ -117,12 +124,18 @@
 		}
 	}
 	s.noteFailure(cause)
-	if errors.Is(cause, errNotAdmitted) {
+	if errors.Is(cause, errNotAdmitted) && !s.current.checksEnd {
 		s.unmarkTried(s.current.group.Head)
 	}
+	if errors.Is(cause, errUnframedEnd) {
+		s.claimEnd()
+	}
 	if s.hedge != nil && s.adoptHedge(cause) {
 		return nil
 	}
+	if s.unproven != nil {
+		return s.checkEnd(cause)
+	}
 	// A request that no instance has run may be sent again on any route.
 	notRun := errors.Is(cause, errNotRun) && s.attempts == 0 && s.maySend()
 	if !s.mayRetry() && !notRun {
@@ -243,11 +256,20 @@
 
 // finishStream completes the response.
 func (s *stream) finishStream() error {
-	s.g.stats.streamEnds[s.current.response.Framing].Inc()
+	resp := s.current.response
+	if s.unproven != nil {
+		// A check of the end may have no response.
+		resp = s.unproven.response
+	}
+	if s.current.checksEnd && s.current.response != nil {
+		s.g.endRecords.noteConfirmed(s.service)
+		s.g.stats.endChecks[endCheckConfirmed].Inc()
+	}
+	s.g.stats.streamEnds[resp.Framing].Inc()
 	s.observeBase()
 	s.markSound()
 	if !s.headSent {
-		s.writeHead(s.current.response)
+		s.writeHead(resp)
 	}
 	return nil
 }
--- a/gateway/stream_end.go
+++ b/gateway/stream_end.go
@@ -1,13 +1,86 @@
 package gateway
 
 import (
+	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/models"
 )
 
+const (
+	// maxEndChecks is how many groups may be asked whether a stream ends after its last event.
+	maxEndChecks = 3
+	// trustedEnds is how many ends of a service's streams must be confirmed in a row for its instances to be
+	// trusted. Of their prompt ends one in endSample is checked all the same.
+	trustedEnds = 8
+	endSample   = 8
+	// Confirmations that the end of a stream needs.
+	trustedConfirmations, confirmations, disputedConfirmations = 1, 2, 3
+	// endCheckWait is how long a check is waited for. Callers give up a stream that pauses for 2 s.
+	endCheckWait = 1200 * time.Millisecond
+	// endCheckPatience is how long a group that is asked may send nothing.
+	endCheckPatience = 2 * time.Second
+	// minPromptEnd and maxPromptEnd bound how long after the last event a connection is closed that is
+	// closed because of it: half of the shortest pause between events. The kernel tells that time in its
+	// own ticks of 1 to 10 ms.
+	minPromptEnd = 4 * time.Millisecond
+	maxPromptEnd = 20 * time.Millisecond
+	// disputedTime is for how long the ends of a service's streams are disputed after an instance closed a
+	// connection early and went on running.
+	disputedTime = time.Minute
+)
+
+// claim is what the end of a response's body claims: that the stream is complete.
+type claim struct {
+	framing h1.Framing
+	// resumable is set if the stream may be resumed, resumed if this response was to continue it.
+	resumable, resumed bool
+	// events is set if the response had an event.
+	events bool
+	// checksEnd is set if the response was to repeat the last event, repeated if it did and had no other
+	// event.
+	checksEnd, repeated bool
+	// confirmed counts the earlier responses that repeated the last event and ended after it, needed is how
+	// many are needed.
+	confirmed, needed int
+}
+
+// judge returns errStreamEnd if the stream is complete, errUnframedEnd if that isn't proven, and errEmptyStream
+// if the response is a broken one.
+func (c claim) judge() error {
+	switch {
+	case c.framing != h1.FramedByClose:
+		return errStreamEnd
+	case c.repeated && c.confirmed+1 >= c.needed:
+		return errStreamEnd
+	case !c.events && (c.checksEnd || !c.resumed):
+		return errors.Join(errMayHaveRun, errEmptyStream)
+	case c.resumable:
+		return errors.Join(errMayHaveRun, errUnframedEnd)
+	default:
+		return errStreamEnd
+	}
+}
+
+// unprovenEnd is the end of a stream that nothing but a closed connection marks.
+type unprovenEnd struct {
+	// group closed the connection of response.
+	group    cluster.Group
+	response *h1.Response
+	// prompt is set if it was closed with the last event.
+	prompt bool
+	// checks counts the groups that were asked whether the stream ends there, answers those of them that
+	// did not reject the request, and confirmed those whose response ended there too.
+	checks, answers, confirmed int
+}
+
 // streamEnd describes the end of a stream, or of one of its attempts.
 type streamEnd struct {
 	// framing is that of the last attempt's response; empty if there was none.
@@ -39,3 +112,258 @@
 	}
 	return end
 }
+
+// claimEnd records that a group ended the stream without a proof.
+func (s *stream) claimEnd() {
+	if s.current.checksEnd {
+		s.unproven.confirmed++
+		return
+	}
+	s.unproven = &unprovenEnd{group: s.current.group, response: s.current.response, prompt: s.current.isPromptEnd()}
+}
+
+// checkEnd finds out whether the stream is complete, after an unproven end or a check that failed with the cause.
+// It returns errStreamEnd if the stream is complete, nil if a check was started, or else the cause.
+func (s *stream) checkEnd(cause error) error {
+	u := s.unproven
+	if s.current.checksEnd && !errors.Is(cause, errNotRun) {
+		u.answers++
+	}
+	err := s.checkQuarantine()
+	if s.unresumable || err != nil {
+		return s.breakOff(cause, err)
+	}
+	trust, now := s.g.endRecords.trust(s.service, time.Now()), time.Now()
+	if trust == endsTrusted && rand.N(endSample) > 0 && s.isSurvivedPromptEnd() {
+		return s.completePrompt()
+	}
+	for until := now.Add(endCheckWait); ; {
+		if err = s.tryEndCheck(); err == nil {
+			return nil
+		}
+		if trust != endsDisputed && s.isSurvivedPromptEnd() {
+			return s.completePrompt()
+		}
+		if u.checks == maxEndChecks || time.Now().After(until) {
+			return s.breakOff(cause, err)
+		}
+		select {
+		case <-s.ctx.Done():
+			return s.breakOff(cause, s.ctx.Err())
+		case <-time.After(stallPollInterval):
+		}
+	}
+}
+
+// breakOff counts a stream whose end could not be proven, and returns why.
+func (s *stream) breakOff(cause, err error) error {
+	s.g.stats.endChecks[endCheckBroken].Inc()
+	return errors.Join(cause, err)
+}
+
+// completePrompt counts a stream that is complete since it had a prompt end.
+func (s *stream) completePrompt() error {
+	s.g.stats.endChecks[endCheckPrompt].Inc()
+	return errStreamEnd
+}
+
+// isSurvivedPromptEnd reports whether the connection was closed with the last event by an instance that goes on
+// running, and no check says otherwise.
+func (s *stream) isSurvivedPromptEnd() bool {
+	u := s.unproven
+	if !u.prompt || u.answers > 0 {
+		return false
+	}
+	// The instance is probed once.
+	u.prompt = s.g.crashes.survives(s.ctx, u.group.Head)
+	return u.prompt
+}
+
+// tryEndCheck asks a group for the last event once more, and what follows it.
+func (s *stream) tryEndCheck() error {
+	if s.unproven.checks == maxEndChecks {
+		return errUnframedEnd
+	}
+	dest, found := s.endCheckTarget()
+	if !found {
+		return errNoInstance
+	}
+	if !s.g.budget.allowCheck(time.Now(), s.g.node.View().Daemons) {
+		return errRetryBudget
+	}
+	s.unproven.checks++
+	s.startEndCheck(dest)
+	return nil
+}
+
+// isPromptEnd reports whether the connection was closed with the last event rather than when another one was
+// due, as a connection is that is closed for another reason.
+func (a *streamAttempt) isPromptEnd() bool {
+	if a.lastEvent.IsZero() {
+		return false
+	}
+	since, err := a.response.Body.SinceLastData()
+	if err != nil {
+		since = time.Since(a.lastEvent)
+	}
+	return since <= max(minPromptEnd, min(maxPromptEnd, a.shortestPause/2))
+}
+
+// endCheckTarget returns the group to ask whether the stream is complete: one that was not tried, if the
+// route allows another attempt and the group has capacity, or else the one that ended the stream, which
+// takes no further instance and has had room until now.
+func (s *stream) endCheckTarget() (target, bool) {
+	other, found, free := target{}, false, false
+	if s.mayRetry() {
+		other, found, free = s.findGroup()
+	}
+	if found && free {
+		return other, true
+	}
+	if same, there := s.currentGroup(s.unproven.group); there && !s.g.needsPermit(same.Head) {
+		return target{group: same}, true
+	}
+	return other, found
+}
+
+// currentGroup returns a group as it is now, if it still takes requests.
+func (s *stream) currentGroup(group cluster.Group) (cluster.Group, bool) {
+	view := s.g.node.View()
+	head, known := view.Instances[group.Head.ID]
+	if !known || head.Draining || head.CompareIncarnation(group.Head.StartedAt) != models.SameIncarnation {
+		return group, false
+	}
+	for _, g := range view.Groups[s.servedModel()] {
+		if g.Key == group.Key && g.Head.ID == group.Head.ID {
+			return g, s.g.node.Breakers().Check(g.Head) == nil
+		}
+	}
+	return group, false
+}
+
+// startEndCheck asks a group for the last event that the caller has, and what follows it.
+func (s *stream) startEndCheck(dest target) {
+	end := s.currentEnd()
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(dest.group.Key.Name)).
+		EmbedObject(end).Msg("stream-end-unproven")
+	s.current.close()
+	s.startAttempt(dest)
+	a := s.current
+	a.checksEnd = true
+	// A stream may begin with event 1.
+	a.resume, a.resumed = s.lastID-1, s.lastID > 1
+}
+
+// isRepeated notes the event that a check of the stream's end is to repeat. It reports whether the caller has
+// the event already.
+func (s *stream) isRepeated(event sse.Event) bool {
+	a := s.current
+	if !a.checksEnd || !event.HasID || event.ID > s.lastID {
+		return false
+	}
+	a.repeated = event.ID == s.lastID
+	return true
+}
+
+// noteContinuation records that the stream continues after an end that a group has claimed.
+func (s *stream) noteContinuation() {
+	if s.unproven == nil {
+		return
+	}
+	if s.g.crashes.runs(s.unproven.group.Head) {
+		s.g.endRecords.noteEarly(s.service, time.Now())
+	}
+	s.g.stats.endChecks[endCheckContinued].Inc()
+	s.unproven, s.current.checksEnd, s.current.repeated = nil, false, false
+}
+
+// endCheckTimeout decides how much longer to wait for a silent check of the stream's end.
+func (a *streamAttempt) endCheckTimeout(silence time.Duration) time.Duration {
+	if a.s.g.hasRestarted(a.group.Head) {
+		return 0
+	}
+	return min(idlePollInterval, max(0, endCheckPatience-silence))
+}
+
+// endCheckResult is how the check of an unproven end of a stream ended.
+type endCheckResult string
+
+const (
+	// endCheckConfirmed: another response ended after the same event.
+	endCheckConfirmed endCheckResult = "confirmed"
+	// endCheckContinued: the stream went on.
+	endCheckContinued endCheckResult = "continued"
+	// endCheckPrompt: the connection was closed with the last event, and the instance went on running.
+	endCheckPrompt endCheckResult = "prompt"
+	// endCheckBroken: the stream was broken off.
+	endCheckBroken endCheckResult = "broken"
+)
+
+var endCheckResults = []endCheckResult{endCheckConfirmed, endCheckContinued, endCheckPrompt, endCheckBroken}
+
+// endTrust is how far the closed connections of a service's instances are trusted to end complete streams.
+type endTrust int
+
+const (
+	// endsUnknown: too few ends were checked.
+	endsUnknown endTrust = iota
+	// endsTrusted: the last trustedEnds checks confirmed the ends.
+	endsTrusted
+	// endsDisputed: an instance has closed a connection early and went on running.
+	endsDisputed
+)
+
+// neededConfirmations returns how many responses must confirm an end.
+func (t endTrust) neededConfirmations() int {
+	switch t {
+	case endsTrusted:
+		return trustedConfirmations
+	case endsDisputed:
+		return disputedConfirmations
+	default:
+		return confirmations
+	}
+}
+
+// endRecord is what is known of the unproven ends of a service's streams.
+type endRecord struct {
+	// confirmed counts the confirmed ends since the last early one.
+	confirmed int
+	lastEarly time.Time
+}
+
+// endRecords are the records of all services. They are safe for concurrent use.
+type endRecords struct {
+	mu        sync.Mutex
+	byService map[models.ServiceName]endRecord
+}
+
+// noteConfirmed records that an end was confirmed.
+func (e *endRecords) noteConfirmed(service models.ServiceName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.byService[service]
+	r.confirmed++
+	e.byService[service] = r
+}
+
+// noteEarly records that an instance closed the connection of a stream before its end, and went on running.
+func (e *endRecords) noteEarly(service models.ServiceName, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.byService[service] = endRecord{lastEarly: now}
+}
+
+func (e *endRecords) trust(service models.ServiceName, now time.Time) endTrust {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.byService[service]
+	switch {
+	case now.Sub(r.lastEarly) < disputedTime:
+		return endsDisputed
+	case r.confirmed >= trustedEnds:
+		return endsTrusted
+	default:
+		return endsUnknown
+	}
+}
--- a/gateway/stream_end_test.go
+++ b/gateway/stream_end_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/lib/h1"
 )
 
 const streamEndConfig = `{"Version":1,"Routes":[
@@ -138,7 +141,7 @@
 }
 
 func serveUnframed(c *qt.C, w http.ResponseWriter, r *http.Request, name, end string, l net.Listener) {
-	last, err := strconv.Atoi(strings.TrimRight(end, "!x"))
+	last, err := strconv.Atoi(strings.TrimRight(end, "~!x"))
 	c.Check(err, qt.IsNil)
 	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -157,6 +160,8 @@
 		_, _ = io.WriteString(conn, unframedEvent(id))
 	}
 	switch {
+	case strings.HasSuffix(end, "~"):
+		time.Sleep(60 * time.Millisecond)
 	case strings.HasSuffix(end, "!"):
 		// What was sent must arrive before the reset.
 		time.Sleep(30 * time.Millisecond)
@@ -165,3 +170,33 @@
 		c.Check(l.Close(), qt.IsNil)
 	}
 }
+
+func TestClaims(t *testing.T) {
+	script, err := os.ReadFile("testdata/end_claims.txt")
+	qt.Assert(t, err, qt.IsNil)
+	verdicts := map[string]error{"complete": errStreamEnd, "empty": errEmptyStream, "unproven": errUnframedEnd}
+	for _, line := range lines(string(script)) {
+		words := strings.Fields(line)
+		given := words[1 : len(words)-1]
+		has := func(word string) bool { return slices.Contains(given, word) }
+		c := claim{
+			framing: h1.Framing(words[0]), resumable: has("resumable"), resumed: has("resumed"), events: has("events"),
+			checksEnd: has("checks"), repeated: has("repeated"),
+		}
+		for _, word := range given {
+			if count, found := strings.CutPrefix(word, "confirmed="); found {
+				c.confirmed = atoi(t, count)
+			}
+			if count, found := strings.CutPrefix(word, "needed="); found {
+				c.needed = atoi(t, count)
+			}
+		}
+		qt.Check(t, c.judge(), qt.ErrorIs, verdicts[words[len(words)-1]], qt.Commentf("%s", line))
+	}
+}
+
+func atoi(t *testing.T, text string) int {
+	n, err := strconv.Atoi(text)
+	qt.Assert(t, err, qt.IsNil)
+	return n
+}
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Response is the header of a response and its body, which must be closed. Closing a body that
@@ -88,6 +91,26 @@
 // Buffered returns the number of bytes that have been received but not read.
 func (b *Body) Buffered() int { return b.c.br.Buffered() }
 
+// SinceLastData returns how long ago the kernel received the last bytes, or an error if that is not known, as on
+// connections that another process forwards.
+func (b *Body) SinceLastData() (time.Duration, error) {
+	tcp, direct := b.c.nc.(*net.TCPConn)
+	if !direct {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err := errors.Join(err, infoErr); err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
+
 // Abort closes the connection, which makes the upstream stop.
 func (b *Body) Abort() {
 	if b.closed {
