--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,7 +57,8 @@
 	// when this pass ends its prompts count as prefilled.
 	lastEvent    time.Time
 	expectedPass time.Duration
-	// shortestPause is the shortest pause between two events that did not come together, 0 if there is none.
+	// pauses counts the pauses between events, shortestPause is the shortest of them.
+	pauses        int
 	shortestPause time.Duration
 	// firstEvent is when the first event was received, proven is set once the prompt is known to be
 	// sound.
@@ -153,7 +154,6 @@
 			return sse.Event{}, err
 		}
 	}
-	together := a.events.Pending()
 	event, err := a.events.Next()
 	switch {
 	case errors.Is(err, io.EOF):
@@ -161,7 +161,7 @@
 	case err != nil:
 		return event, errors.Join(errMayHaveRun, err)
 	}
-	a.noteEvent(together)
+	a.noteEvent()
 	return event, nil
 }
 
@@ -174,8 +174,8 @@
 }
 
 // noteEvent records that the group makes progress and, on the first event, that the prompt has been
-// prefilled. An event that came together with the one before it tells nothing of the pause between them.
-func (a *streamAttempt) noteEvent(together bool) {
+// prefilled.
+func (a *streamAttempt) noteEvent() {
 	balance, head := a.s.g.scheduler, a.group.Head.ID
 	balance.noteEvent(head)
 	now := time.Now()
@@ -186,7 +186,7 @@
 	} else {
 		pause := now.Sub(a.lastEvent)
 		balance.addPause(a.s.servedModel(), pause, a.expectedPass)
-		if !together && (a.shortestPause == 0 || pause < a.shortestPause) {
+		if a.pauses++; a.pauses == 1 || pause < a.shortestPause {
 			a.shortestPause = pause
 		}
 	}
--- a/gateway/stream_end.go
+++ b/gateway/stream_end.go
@@ -33,10 +33,11 @@
 	// endCheckPatience is how long a group that is asked may send nothing.
 	endCheckPatience = 2 * time.Second
 	// minPromptEnd and maxPromptEnd bound how long after the last event a connection is closed that is
-	// closed because of it: half of the shortest pause between events. The kernel tells that time in its
-	// own ticks of 1 to 10 ms.
+	// closed because of it: half of the shortest pause between events, of which minPauses must be known. The
+	// kernel tells that time in its own ticks of 1 to 10 ms.
 	minPromptEnd = 4 * time.Millisecond
 	maxPromptEnd = 20 * time.Millisecond
+	minPauses    = 4
 )
 
 // claim is what the end of a response's body claims: that the stream is complete.
@@ -236,6 +237,9 @@
 	if err != nil {
 		since = time.Since(a.lastEvent)
 	}
+	if a.pauses < minPauses {
+		return since <= minPromptEnd
+	}
 	return since <= max(minPromptEnd, min(maxPromptEnd, a.shortestPause/2))
 }
 
