--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/quarantine"
 	"github.com/lupinkeel/lupinkeel/ratelimit"
 )
@@ -129,6 +131,29 @@
 	}
 }
 
+// forwardedConn is a connection whose bytes another process forwards.
+type forwardedConn struct{ h1.Conn }
+
+// forwardingNode is a fakeNode that connects to instances through another daemon.
+type forwardingNode struct{ *fakeNode }
+
+// DialInstance returns a forwardedConn.
+func (n forwardingNode) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	conn, err := n.fakeNode.DialInstance(ctx, addr)
+	return forwardedConn{conn}, err
+}
+
+// TestForwardedEndLooksPrompt guards against ends that come with the last event only because the daemon that forwards
+// both was paused.
+func TestForwardedEndLooksPrompt(t *testing.T) {
+	c := qt.New(t)
+	g1 := startUnframed(c, "g1", []string{"3"}, &askedIDs{})
+	node := forwardingNode{newFakeNode(c, streamEndConfig, []*fakeInstance{g1})}
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryWindow: 10 * time.Second, FirstStart: true}
+	front := newFront(New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop()))
+	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3 cut")
+}
+
 // TestEndedStreamIsNoLoad guards against streams that count as load of the group that ended them while they wait for
 // a check.
 func TestEndedStreamIsNoLoad(t *testing.T) {
--- a/gateway/stream_end.go
+++ b/gateway/stream_end.go
@@ -234,7 +234,11 @@
 		return false
 	}
 	since, err := a.response.Body.SinceLastData()
-	if err != nil {
+	switch {
+	case errors.Is(err, h1.ErrForwarded):
+		// A pause of the process that forwards the bytes would be taken for none.
+		return false
+	case err != nil:
 		since = time.Since(a.lastEvent)
 	}
 	if a.pauses < minPauses {
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -91,12 +91,15 @@
 // Buffered returns the number of bytes that have been received but not read.
 func (b *Body) Buffered() int { return b.c.br.Buffered() }
 
-// SinceLastData returns how long ago the kernel received the last bytes, or an error if that is not known, as on
-// connections that another process forwards.
+// ErrForwarded is returned for a connection whose bytes another process forwards.
+var ErrForwarded = errors.New("the connection is forwarded")
+
+// SinceLastData returns how long ago the kernel received the last bytes, however long this process was paused since
+// then. The error wraps ErrForwarded if the kernel can't know that.
 func (b *Body) SinceLastData() (time.Duration, error) {
 	tcp, direct := b.c.nc.(*net.TCPConn)
 	if !direct {
-		return 0, errors.ErrUnsupported
+		return 0, ErrForwarded
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
