soak: test that complete streams aren't lost around planned work

TestEarlyEnds checks only that nothing broken looks complete; what instances sent whole and callers got broken was counted nowhere.

Daemons are stopped and restarted, told to reload before and during the stop, time-outs, idle times, attempts and routes change, and instances are silent for 1 to 1.3 s, in series and overlapping; nothing crashes. Callers keep connections until the daemon closes them. Not counted: requests that no instance ran, those given up at a time-out, and those that an instance was still answering in the last sixth of the stop grace.

Instances that are silent send nothing and close nothing. rawCaller notes the daemon and the times of a request, and whether its response was received whole; TestEarlyEnds checks what it did.

--- a/soak/early_ends_test.go
+++ b/soak/early_ends_test.go
@@ -65,7 +65,7 @@
 	s.pool.SetEarlyEnds(doses)
 	ctx, cancel := context.WithTimeout(t.Context(), earlyEndsTime)
 	defer cancel()
-	calls := startRawCallers(ctx, s, seed)
+	calls := startRawCallers(ctx, s, seed, false)
 	violations := <-s.disturb(ctx, seed)
 	replies := <-calls
 	for _, d := range s.daemons {
@@ -101,7 +101,7 @@
 }
 
 // startEarlyEndsSite starts a site whose daemons may be short of processor time.
-func startEarlyEndsSite(t *testing.T, bin, logs string, seed uint64, r *rand.Rand) *site {
+func startEarlyEndsSite(t *testing.T, bin, logs string, seed uint64, r *rand.Rand, flags ...string) *site {
 	p := profile
 	p.EventInterval = between(r, 5*time.Millisecond, 60*time.Millisecond)
 	s := startInstances(t, p)
@@ -116,6 +116,7 @@
 	short := r.IntN(2) == 0
 	for n := range count {
 		d := s.newDaemon(bin, n)
+		d.flags = append(d.flags, flags...)
 		if short {
 			d.env = []string{"GOMAXPROCS=1"}
 		}
@@ -136,6 +137,11 @@
 	} else {
 		plays = append(plays, func(r *rand.Rand) error { return s.daemons[r.IntN(len(s.daemons))].disturb(r) })
 	}
+	return playAll(ctx, seed, plays)
+}
+
+// playAll plays each of the faults again and again until the context ends, and then returns what went wrong.
+func playAll(ctx context.Context, seed uint64, plays []func(*rand.Rand) error) <-chan []string {
 	var wg sync.WaitGroup
 	errs := make([]error, len(plays))
 	for n, play := range plays {
@@ -241,23 +247,32 @@
 	framing string
 	// early describes a response that looks complete before its end.
 	early string
+	// daemon is the one that the request was sent to, at sent; its answer or connection ended at ended.
+	daemon      *daemon
+	sent, ended time.Time
+	// answered is set if a whole response was received, whatever its status.
+	answered bool
 }
 
 // rawCaller sends requests over connections that it keeps until they end.
 type rawCaller struct {
-	s    *site
-	r    *rand.Rand
-	conn net.Conn
-	br   *bufio.Reader
+	s      *site
+	r      *rand.Rand
+	daemon *daemon
+	conn   net.Conn
+	br     *bufio.Reader
+	// keeps is set if the caller keeps its connections until the daemon closes them, also when a response
+	// says that it will.
+	keeps bool
 }
 
 // startRawCallers starts callers that send requests until the context ends, and then returns their replies.
-func startRawCallers(ctx context.Context, s *site, seed uint64) <-chan []rawReply {
+func startRawCallers(ctx context.Context, s *site, seed uint64, keep bool) <-chan []rawReply {
 	var mu sync.Mutex
 	var replies []rawReply
 	var wg sync.WaitGroup
 	for n := range earlyEndsCallers * len(s.daemons) {
-		c := &rawCaller{s: s, r: rand.New(rand.NewPCG(seed, 1000+uint64(n)))}
+		c := &rawCaller{s: s, r: rand.New(rand.NewPCG(seed, 1000+uint64(n))), keeps: keep}
 		wg.Go(func() {
 			defer c.close()
 			after := 0
@@ -299,16 +314,17 @@
 	if c.conn != nil {
 		return nil
 	}
-	conn, err := net.DialTimeout("tcp4", c.s.daemons[c.r.IntN(len(c.s.daemons))].addr, time.Second)
+	d := c.s.daemons[c.r.IntN(len(c.s.daemons))]
+	conn, err := net.DialTimeout("tcp4", d.addr, time.Second)
 	if err != nil {
 		return err
 	}
-	c.conn, c.br = conn, bufio.NewReader(conn)
+	c.daemon, c.conn, c.br = d, conn, bufio.NewReader(conn)
 	return nil
 }
 
 // call sends a request; after an event, one that resumes a stream.
-func (c *rawCaller) call(after int) rawReply {
+func (c *rawCaller) call(after int) (out rawReply) {
 	kinds := []kind{kindStream, kindStream, kindStream, kindSingleStream, kindSingleStream, kindNonIdempotent, kindIdempotent}
 	k, extra := kinds[c.r.IntN(len(kinds))], ""
 	if after > 0 {
@@ -317,16 +333,18 @@
 	if k == kindStream || k == kindSingleStream {
 		extra += "X-Lupinkeel-Token-Count: 100,60\r\nX-Lupinkeel-Model: " + []string{"big", "small"}[c.r.IntN(2)] + "\r\n"
 	}
-	out := rawReply{reply: reply{request: newRequest(k, "")}, proto: "HTTP/1.1", after: after}
+	out = rawReply{reply: reply{request: newRequest(k, "")}, proto: "HTTP/1.1", after: after}
 	if c.r.IntN(5) == 0 {
 		out.proto = "HTTP/1.0"
 	}
 	if c.connect() != nil {
 		return out
 	}
-	if c.r.IntN(4) == 0 || out.proto == "HTTP/1.0" {
+	if c.r.IntN(4) == 0 && !c.keeps || out.proto == "HTTP/1.0" {
 		defer c.close()
 	}
+	out.daemon, out.sent = c.daemon, time.Now()
+	defer func() { out.ended = time.Now() }()
 	keep := false
 	defer func() {
 		if !keep {
@@ -354,7 +372,8 @@
 		out.framing = "length"
 	}
 	body, err := io.ReadAll(c.slow(resp.Body))
-	keep = err == nil && !resp.Close
+	out.answered = err == nil
+	keep = err == nil && (!resp.Close || c.keeps && out.framing != "")
 	c.check(&out, string(body), resp.Header.Get("X-Lupinkeel-Request-Id"), err == nil)
 	if out.violation == "" && keep && c.br.Buffered() > 0 {
 		out.violation = "bytes follow the response"
--- a/standin/replica/early_ends.go
+++ b/standin/replica/early_ends.go
@@ -64,6 +64,8 @@
 	Unframed bool
 	// LastEvent is the ID of a stream's last whole event.
 	LastEvent int
+	// At is when the instance ended the answer, or noticed that the daemon did.
+	At time.Time
 }
 
 // SetEarlyEnds sets how all instances of the pool end their answers from now on.
@@ -149,7 +151,7 @@
 }
 
 func (e *answerEnd) note(kind EndKind, lastEvent int) {
-	e.i.pool.noteEnd(e.id, End{e.i.ID, kind, e.unframed, lastEvent})
+	e.i.pool.noteEnd(e.id, End{Instance: e.i.ID, Kind: kind, Unframed: e.unframed, LastEvent: lastEvent, At: time.Now()})
 }
 
 // cut records that the connection was closed, by the daemon unless the instance has stopped.
@@ -166,6 +168,7 @@
 
 // whole records that the whole answer was sent, which may come once more.
 func (e *answerEnd) whole(body string, lastEvent int) {
+	e.i.awaitVoice()
 	e.note(EndWhole, lastEvent)
 	if e.surplus && !e.unframed && e.conn != nil {
 		e.conn.setSurplus(surplusAnswer(e.id, e.i.ID, body))
@@ -294,6 +297,7 @@
 }
 
 func (c *answerConn) Write(p []byte) (int, error) {
+	c.i.awaitVoice()
 	c.mu.Lock()
 	text, closes, request := c.surplus, c.closes, c.request
 	if !c.due {
@@ -305,7 +309,7 @@
 	if text == "" {
 		return c.Conn.Write(p)
 	}
-	end := End{Instance: c.i.ID, Kind: EndSurplus}
+	end := End{Instance: c.i.ID, Kind: EndSurplus, At: time.Now()}
 	if closes {
 		end.Kind = EndSurplusClosed
 	}
@@ -318,3 +322,9 @@
 	}
 	return c.Conn.Write(p)
 }
+
+// Close waits for the end of a silence, in which the instance sends no end of its connections either.
+func (c *answerConn) Close() error {
+	c.i.awaitVoice()
+	return c.Conn.Close()
+}
--- a/standin/replica/instance.go
+++ b/standin/replica/instance.go
@@ -43,6 +43,8 @@
 	hung             bool
 	draining         bool
 	storeUnreachable bool
+	// silentUntil is until when the instance sends nothing.
+	silentUntil time.Time
 
 	fence        int64
 	epoch        int64
