--- a/standin/replica/serve.go
+++ b/standin/replica/serve.go
@@ -81,7 +81,7 @@
 		}
 		i.writeSignalHeaders(w, received)
 		w.Header().Set(headerStamp, string(i.ID))
-		i.writePlain(w, r, end, fmt.Sprintf("answer to %s", id))
+		i.writePlain(w, r, end, fmt.Sprintf("answer to %s%s", id, padding(body)))
 		return
 	}
 	i.pool.mu.Lock()
