gateway: give a slow instance up only for another one that gets the request

Callers of repeatable plain requests got a 502 while their instance was silent for longer than 1.5 times the latency target and would have answered, when the budget for retries was used up or no other instance was available. The log line was "no response to the request: ... use of closed network connection" with the outcome "broken".

Cause: the attempt's context ended at that time, which closed the connection, and only then it was found out whether the request could be sent again.

An attempt now ends by a stall policy, as those of streams do: once it is slow, it asks for another instance with its permit and for a retry of the budget, and ends only if it has both, which the next attempt then uses. Until then it goes on waiting for the answer. The time to connect stays bounded by the time-out of connections.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -35,6 +35,8 @@
 	deadline time.Time
 	// tried are the instances that the request was sent to.
 	tried []models.InstanceID
+	// reserved is where a plain request is sent next, if an attempt was given up for it.
+	reserved *reservedInstance
 	// mayHaveRun is set if an instance may have run the request, which then must not be
 	// rejected with a status that promises the opposite.
 	mayHaveRun bool
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -29,7 +29,6 @@
 var (
 	errResponseTooLong = errors.New("the response is too long")
 	errUnsigned        = errors.New("the response is not signed")
-	errSlow            = errors.New("the instance exceeded the slow-request timeout")
 )
 
 // serveUnary sends a request to an instance of a plain service and forwards the response once it is
@@ -38,7 +37,7 @@
 	e.g.budget.addRequest(e.started, e.g.node.View().Daemons)
 	var err error
 	for {
-		i, p, none := e.awaitInstance(ctx)
+		i, p, none := e.nextInstance(ctx)
 		if none != nil {
 			return errors.Join(err, none)
 		}
@@ -60,7 +59,7 @@
 		if quarantined := e.checkQuarantine(); quarantined != nil {
 			return errors.Join(err, quarantined)
 		}
-		if !e.allowRetry(isRejected(err)) {
+		if e.reserved == nil && !e.allowRetry(isRejected(err)) {
 			return errors.Join(err, errRetryBudget)
 		}
 		e.g.stats.retries.Inc()
@@ -86,13 +85,11 @@
 	e.markTried(i)
 	e.g.scheduler.addLoad(i.ID, 1, 0)
 	defer e.g.scheduler.addLoad(i.ID, -1, 0)
-	slow := max(minSlowTimeout, time.Duration(slowTimeoutFactor*float64(e.route.LatencyTarget)))
-	if e.route.Idempotent() && !last && e.checkTimeLeft(slow) == nil {
-		limited, cancel := context.WithTimeoutCause(ctx, slow, errSlow)
-		defer cancel()
-		ctx = limited
+	var readTimeout h1.StallPolicy
+	if e.route.Idempotent() && !last {
+		readTimeout = e.slowTimeout(ctx)
 	}
-	resp, err := e.send(ctx, i, p, models.Attempt{}, nil)
+	resp, err := e.send(ctx, i, p, models.Attempt{}, readTimeout)
 	if err != nil {
 		return err
 	}
@@ -118,6 +115,50 @@
 	return err
 }
 
+// reservedInstance is the instance that a request is sent to next, with its permit and a retry of the budget.
+type reservedInstance struct {
+	instance models.UpstreamInstance
+	permit   permit
+}
+
+// slowTimeout returns the policy of an attempt that is given up if it is slow and the request can be sent to
+// another instance.
+func (e *exchange) slowTimeout(ctx context.Context) h1.StallPolicy {
+	slowAt := time.Now().Add(max(minSlowTimeout, time.Duration(slowTimeoutFactor*float64(e.route.LatencyTarget))))
+	return func(time.Duration) time.Duration {
+		switch left := time.Until(slowAt); {
+		case left > 0:
+			return left
+		case e.reserve(ctx):
+			return 0
+		default:
+			return stallPollInterval
+		}
+	}
+}
+
+// reserve reserves another instance for the request, and reports whether there is one.
+func (e *exchange) reserve(ctx context.Context) bool {
+	if e.checkTimeLeft(0) != nil || e.checkQuarantine() != nil {
+		return false
+	}
+	i, p, found := e.pickPermittedInstance(ctx)
+	if !found || !e.allowRetry(false) {
+		return false
+	}
+	e.reserved = &reservedInstance{i, p}
+	return true
+}
+
+// nextInstance returns the reserved instance, or else waits for one.
+func (e *exchange) nextInstance(ctx context.Context) (models.UpstreamInstance, permit, error) {
+	if r := e.reserved; r != nil {
+		e.reserved = nil
+		return r.instance, r.permit, nil
+	}
+	return e.awaitInstance(ctx)
+}
+
 // setContentLength sets the Content-Length for the caller. The instance's own header describes its
 // connection, except in a response to HEAD, where it is the length of the omitted body. A response that
 // ended with its connection gets none, since that may have been closed early.
