--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -50,7 +50,9 @@
 // "restarted" names instances that are known to have restarted since their groups were published.
 // "base" holds lines of a model and its base latency, which is unknown for others.
 // "unreachable" names instances that refuse connections. "retries" is how many retries the budget
-// allows; there are plenty if it is not given. "settle" is how long the gateway reports no stalled groups. "ask" holds requests, one per line:
+// allows; there are plenty if it is not given. "settle" is how long the gateway reports no stalled groups.
+// "stop" holds when the daemon's planned stop begins, counted from the first request, and its grace. "ask"
+// holds requests, one per line:
 //
 //	[@DELAY | @running=N | @queued=N] METHOD PATH [NAME=VALUE...]
 //
@@ -187,7 +189,7 @@
 	var instances []*fakeInstance
 	for _, f := range archive.Files {
 		parts[f.Name] = string(f.Data)
-		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "base" || f.Name == "restarted" || f.Name == "unreachable" || f.Name == "retries" || f.Name == "ask" || f.Name == "want" {
+		if f.Name == "config" || f.Name == "settle" || f.Name == "busy" || f.Name == "base" || f.Name == "restarted" || f.Name == "unreachable" || f.Name == "retries" || f.Name == "stop" || f.Name == "ask" || f.Name == "want" {
 			continue
 		}
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -225,6 +227,14 @@
 		cfg.RetrySlack, err = strconv.ParseFloat(lines(retries)[0], 64)
 		c.Assert(err, qt.IsNil)
 	}
+	var stopAfter time.Duration
+	if stop, given := parts["stop"]; given {
+		after, grace, _ := strings.Cut(lines(stop)[0], " ")
+		stopAfter, err = time.ParseDuration(after)
+		c.Assert(err, qt.IsNil)
+		cfg.StopGrace, err = time.ParseDuration(grace)
+		c.Assert(err, qt.IsNil)
+	}
 	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
 	front := newFront(g)
 	defer front.Close()
@@ -234,6 +244,13 @@
 		c.Assert(err, qt.IsNil)
 		g.scheduler.observeBase(models.ServedModel{Service: "engines", Model: models.ModelName(name)}, d)
 	}
+	var stopping sync.WaitGroup
+	if cfg.StopGrace > 0 {
+		stopping.Go(func() {
+			time.Sleep(stopAfter)
+			g.shutdown(context.Background(), front.Config)
+		})
+	}
 	got := sendRequests(c, front.URL, lines(parts["ask"]), map[string]func() int{
 		"@running": func() int {
 			n := 0
@@ -246,6 +263,7 @@
 		},
 		"@queued": func() int { return g.queues.length("big") },
 	})
+	stopping.Wait()
 	for _, i := range instances {
 		i.l.Close()
 		c.Assert(<-i.done, qt.IsNil)
