gateway: answer requests that arrive while a planned stop closes connections

Cause: http.Server.Shutdown closes a kept connection as idle until the whole head of its next request was read, and drops without an answer every request whose head was read after Shutdown has begun, also on new connections.

The listener for callers now drains itself: it refuses new connections and closes those on which nothing has arrived since their last request; what is read from a connection after that is dropped, so that no request is passed on whose connection is closed. On the others the server goes on as usual: requests are answered, or rejected if the stop leaves no time for them, and each answer closes its connection. The stop ends when no connection is left, or at the end of its grace as before.

--- a/gateway/script_test.go
+++ b/gateway/script_test.go
@@ -234,9 +234,13 @@
 		c.Assert(err, qt.IsNil)
 		cfg.StopGrace, err = time.ParseDuration(grace)
 		c.Assert(err, qt.IsNil)
+		cfg.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 	}
 	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
 	front := newFront(g)
+	if cfg.StopGrace > 0 {
+		front = newEntrance(c, g)
+	}
 	defer front.Close()
 	for _, line := range lines(parts["base"]) {
 		name, base, _ := strings.Cut(line, " ")
@@ -248,7 +252,7 @@
 	if cfg.StopGrace > 0 {
 		stopping.Go(func() {
 			time.Sleep(stopAfter)
-			g.shutdown(context.Background(), front.Config)
+			g.shutdown()
 		})
 	}
 	got := sendRequests(c, front.URL, lines(parts["ask"]), map[string]func() int{
@@ -285,6 +289,17 @@
 	return front
 }
 
+// newEntrance is newFront for a gateway that stops, whose listener it uses.
+func newEntrance(c *qt.C, g *Gateway) *httptest.Server {
+	c.Assert(g.entrance.Open(), qt.IsNil)
+	front := httptest.NewUnstartedServer(http.HandlerFunc(g.serve))
+	c.Assert(front.Listener.Close(), qt.IsNil)
+	front.Listener = g.entrance
+	front.Config.ConnState, front.Config.ConnContext = g.entrance.ConnState, withCallerConn
+	front.Start()
+	return front
+}
+
 func newFakeNode(c *qt.C, config string, instances []*fakeInstance) *fakeNode {
 	routing, err := platform.DecodeRouting([]byte(config))
 	c.Assert(err, qt.IsNil)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -56,7 +56,7 @@
 	}
 	err := task.WaitAny(ctx, tasks...)
 	if err == nil {
-		g.shutdown(background, callers)
+		g.shutdown()
 	}
 	callers.Close()
 	for _, server := range servers {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -27,6 +25,8 @@
 	errStopping = errors.New("the daemon stops before the request would be answered")
 	// errStopEnded ends requests that have no response at the end of the stop. They may have run.
 	errStopEnded = errors.New("the daemon has stopped")
+	// errNotDrained: callers still have connections at the end of the stop.
+	errNotDrained = errors.New("connections are still open")
 )
 
 // plannedStop is the daemon's planned stop. It is safe for concurrent use.
@@ -67,24 +67,36 @@
 }
 
 // shutdown fails the readiness checks, waits until callers are sent elsewhere, and then closes the
-// listener and lets requests in flight finish. Those that have no response at the end are answered then,
-// the connections of the others are closed when it returns.
-func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) {
+// listener and lets requests in flight finish, also those of which only a part has arrived. Those that have
+// no response at the end are answered then, the connections of the others are closed when it returns.
+//
+// http.Server.Shutdown would close connections while a request arrives on them.
+func (g *Gateway) shutdown() {
 	started := time.Now()
 	end := g.stop.begin(started, g.cfg.StopGrace)
 	defer time.AfterFunc(time.Until(end), g.stop.setEnd).Stop()
 	g.log.Info().Int64("in-flight", g.stats.inFlight.Load()).Msg("stop-begun")
 	time.Sleep(min(readinessDrain, g.cfg.StopGrace/2))
-	err := callers.Shutdown(g.stop.ended)
+	drained := g.entrance.Drain()
+	err := awaitDrained(drained, g.stop.ended.Done())
 	if err != nil {
 		// A paused process must get to answer before the connections are closed.
-		answering, cancel := timer.WithTimeout(ctx, answerMargin)
-		defer cancel()
-		err = callers.Shutdown(answering)
+		err = awaitDrained(drained, time.After(answerMargin))
 	}
 	g.log.Info().Int64("cut-off", g.stats.inFlight.Load()).Err(err).Msg("stop-ended")
 }
 
+// awaitDrained waits until callers have no connection any more. It returns errNotDrained if the limit comes
+// first.
+func awaitDrained[T any](drained <-chan struct{}, limit <-chan T) error {
+	select {
+	case <-drained:
+		return nil
+	case <-limit:
+		return errNotDrained
+	}
+}
+
 // checkTimeLeft returns an error if the daemon stops before the request, sent to an instance after a delay,
 // can be expected to be answered.
 func (e *exchange) checkTimeLeft(delay time.Duration) error {
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -61,6 +62,10 @@
 	// changed is closed and replaced when the listener opens or ends.
 	changed chan struct{}
 	ended   bool
+	// draining is set once no connections are accepted any more, drained is closed when the last one has
+	// ended after that.
+	draining bool
+	drained  chan struct{}
 	// active is the number of connections with a request in progress, or so new that their first
 	// request is still to come; open is the number of all connections.
 	active, open int
@@ -74,9 +79,22 @@
 	state   *overload.State
 }
 
+// arrival is whether a part of the next request has arrived on a connection.
+type arrival = int32
+
+const (
+	// arrivalNone: nothing was read from the connection.
+	arrivalNone arrival = iota
+	// arrivalBegun: a part of a request was read, so that its caller awaits an answer.
+	arrivalBegun
+	// arrivalClosed: the connection was closed before anything was read, and what is read later is dropped.
+	arrivalClosed
+)
+
 // callerConn is a connection of a caller. The listener's lock guards its state.
 type callerConn struct {
 	net.Conn
+	arrival    atomic.Int32
 	acceptedAt time.Time
 	active     bool
 	// counted is set while the connection counts as open.
@@ -86,6 +104,16 @@
 	place *list.Element
 }
 
+// Read reads from the connection. Nothing is read from one that was closed before a request began, since it
+// could not be answered.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.arrival.CompareAndSwap(arrivalNone, arrivalBegun) && c.arrival.Load() == arrivalClosed {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
 // SetLinger sets what happens to unsent bytes when the connection is closed; see net.TCPConn.
 func (c *callerConn) SetLinger(seconds int) error {
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
@@ -108,7 +136,7 @@
 func New(cfg Settings, set *metrics.Set, log zerolog.Logger) *Listener {
 	now := time.Now()
 	l := &Listener{
-		cfg: cfg, log: log, clock: timer.New(now), changed: make(chan struct{}),
+		cfg: cfg, log: log, clock: timer.New(now), changed: make(chan struct{}), drained: make(chan struct{}),
 		fresh: list.New(), idle: list.New(), evicted: set.NewCounter("lupinkeel_caller_connections_evicted_total"),
 		accepted: set.NewCounter("lupinkeel_caller_connections_accepted_total"), closings: set.NewCounter("lupinkeel_entrance_closings_total"),
 		delay: newRunDelay(), limit: overload.NewLimit(cfg.Policy, now), state: overload.NewState(now),
@@ -184,6 +212,43 @@
 	return l.closeSocket()
 }
 
+// Drain refuses new connections and closes those on which no request has begun to arrive, and others as soon
+// as that is true of them. The channel that it returns is closed when no connection is left.
+func (l *Listener) Drain() (drained <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	if err := l.closeSocket(); err != nil {
+		l.log.Warn().Err(err).Msg("entrance-not-closed")
+	}
+	l.drain()
+	return l.drained
+}
+
+// drain closes the idle connections of a draining listener.
+func (l *Listener) drain() {
+	if !l.draining {
+		return
+	}
+	for place := l.idle.Front(); place != nil; place = place.Next() {
+		c := place.Value.(*callerConn)
+		if !c.arrival.CompareAndSwap(arrivalNone, arrivalClosed) {
+			continue
+		}
+		if err := c.Conn.Close(); err != nil {
+			l.log.Debug().Err(err).Msg("connection-not-closed")
+		}
+	}
+	if l.open > 0 {
+		return
+	}
+	select {
+	case <-l.drained:
+	default:
+		close(l.drained)
+	}
+}
+
 // Addr returns the address for callers.
 func (l *Listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.cfg.Addr) }
 
@@ -208,6 +273,7 @@
 		c.moveTo(nil)
 		l.setActive(c, true)
 	case http.StateIdle:
+		c.arrival.CompareAndSwap(arrivalBegun, arrivalNone)
 		c.moveTo(l.idle)
 		l.setActive(c, false)
 	case http.StateClosed, http.StateHijacked:
@@ -217,6 +283,7 @@
 	}
 	l.evict()
 	l.update()
+	l.drain()
 }
 
 func (l *Listener) setActive(c *callerConn, active bool) {
@@ -273,7 +340,7 @@
 	limit := l.limit.Max()
 	l.reached = l.reached || l.active >= limit
 	switch {
-	case l.ended:
+	case l.ended, l.draining:
 	case l.socket != nil && (l.active >= limit || l.open >= l.cfg.MaxConnections):
 		l.closings.Inc()
 		if err := l.closeSocket(); err != nil {
@@ -337,11 +404,12 @@
 	l.limit.Observe(tick.At, delay, l.active, l.reached)
 	l.reached = false
 	l.update()
+	l.drain()
 	l.clock.SetStep(restInterval)
 	if busy {
 		l.clock.SetStep(delayInterval)
 	}
-	if l.ended {
+	if l.ended || l.draining {
 		return
 	}
 	was := l.state.Overloaded()
--- a/lib/entrance/entrance_test.go
+++ b/lib/entrance/entrance_test.go
@@ -190,3 +190,47 @@
 	time.Sleep(500 * time.Millisecond)
 	e.c.Assert(e.Overloaded(), qt.IsFalse)
 }
+
+// TestDrainKeepsRequestsThatArrive guards against connections that are closed while a request arrives on
+// them: idle ones are closed, the others once they are answered.
+func TestDrainKeepsRequestsThatArrive(t *testing.T) {
+	e := startListener(t, 10, 10)
+	idle, err := e.connect()
+	e.c.Assert(err, qt.IsNil)
+	status, err := e.request(idle, "/")
+	e.c.Assert(err, qt.IsNil)
+	e.c.Assert(status, qt.Equals, http.StatusOK)
+	arriving, err := e.connect()
+	e.c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(arriving, "GET / HT")
+	e.c.Assert(err, qt.IsNil)
+	e.await("the begin of the request", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.fresh.Len() == 1 && e.fresh.Front().Value.(*callerConn).arrival.Load() == arrivalBegun
+	})
+	drained := e.Drain()
+	e.c.Check(idle.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	_, err = idle.Read(make([]byte, 1))
+	e.c.Check(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	// The connection counts as idle by then.
+	time.Sleep(2 * silentTime)
+	e.c.Check(isClosed(drained), qt.IsFalse)
+	_, err = io.WriteString(arriving, "TP/1.1\r\nHost: x\r\n\r\n")
+	e.c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(arriving), nil)
+	e.c.Assert(err, qt.IsNil)
+	e.c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	e.await("the end of all connections", func() bool { return isClosed(drained) })
+	_, err = e.connect()
+	e.c.Check(err, qt.IsNotNil)
+}
+
+func isClosed(ended <-chan struct{}) bool {
+	select {
+	case <-ended:
+		return true
+	default:
+		return false
+	}
+}
