gateway: continue a stream at the group of an earlier hedge

Cause: a hedge that is dropped, since the first group goes on, counts as an attempt, and a route with two allows no third.

MaxAttempts bounds the instances that a request may go to. The group of the dropped hedge has received the request already, so that continuing there takes no further instance, only a retry of the budget; the check of a stream's end goes to such a group for the same reason. It is tried once.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -93,7 +93,7 @@
 		return
 	}
 	s.hedge.cancelAndClose()
-	s.hedge = nil
+	s.spare, s.hedge = &s.hedge.group, nil
 }
 
 // hedgedReadTimeout is readTimeout for an attempt that has a hedge.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,7 +35,9 @@
 	attempts int
 	current  *streamAttempt
 	hedge    *hedge
-	flush    func() error
+	// spare is the group of a hedge that was not needed; nil if there was none.
+	spare *cluster.Group
+	flush func() error
 	// admittedBy is the queue that admitted the stream, until its load is counted.
 	admittedBy *groupQueue
 	// unproven is the end after lastID that a closed connection claims; nil if none does.
@@ -139,7 +141,7 @@
 	// A request that no instance has run may be sent again on any route.
 	notRun := errors.Is(cause, errNotRun) && s.attempts == 0 && s.maySend()
 	if !s.mayRetry() && !notRun {
-		return cause
+		return s.resumeAtSpare(cause)
 	}
 	if err := s.checkQuarantine(); err != nil {
 		return errors.Join(cause, err)
@@ -157,6 +159,29 @@
 	return nil
 }
 
+// resumeAtSpare continues the stream at the spare group, which takes no further instance of those that the
+// route allows. It returns the cause if that is not possible.
+func (s *stream) resumeAtSpare(cause error) error {
+	if s.spare == nil || !s.route.Idempotent() || s.unresumable || !s.maySend() {
+		return cause
+	}
+	group, there := s.currentGroup(*s.spare)
+	s.spare = nil
+	if !there || s.g.needsPermit(group.Head) {
+		return cause
+	}
+	if err := s.checkQuarantine(); err != nil {
+		return errors.Join(cause, err)
+	}
+	if !s.allowRetry(isRejected(cause)) {
+		return errors.Join(cause, errRetryBudget)
+	}
+	s.logFailover(group, cause)
+	s.current.close()
+	s.startAttempt(target{group: group})
+	return nil
+}
+
 // adoptHedge waits for the hedge's first event, or the end of the stream, and makes it the current attempt.
 // It returns false if the hedge failed too.
 func (s *stream) adoptHedge(cause error) bool {
