entrance: test that draining keeps requests that were not read yet

Callers get a closed connection and no answer if their request arrives on a kept connection just before a stopping daemon closes it. The test fails.

--- a/lib/entrance/entrance_test.go
+++ b/lib/entrance/entrance_test.go
@@ -234,3 +234,28 @@
 		return false
 	}
 }
+
+// TestDrainKeepsUnreadRequests guards against connections that are closed although a request has arrived on
+// them that the server has not read yet.
+func TestDrainKeepsUnreadRequests(t *testing.T) {
+	c := qt.New(t)
+	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: overload.Policy{Min: 10, Initial: 10, Max: 10}, MaxConnections: 10}, metrics.NewSet(), zerolog.Nop())
+	c.Assert(l.Open(), qt.IsNil)
+	defer l.Close()
+	caller, err := net.DialTimeout("tcp4", l.Addr().String(), time.Second)
+	c.Assert(err, qt.IsNil)
+	defer caller.Close()
+	conn, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	l.ConnState(conn, http.StateIdle)
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	_, err = io.WriteString(caller, request)
+	c.Assert(err, qt.IsNil)
+	time.Sleep(50 * time.Millisecond)
+	l.Drain()
+	got := make([]byte, len(request))
+	_, err = io.ReadFull(conn, got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, request)
+}
