entrance: keep draining connections on which a request has just arrived

Cause: the connection was closed while the kernel already held the request.

Before it closes a connection the listener now looks for bytes that were not read, and a read that is faster than the close keeps the connection. What arrives later is not read by the daemon at all, and its caller can send the request again.

--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -11,10 +11,12 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
@@ -87,6 +89,8 @@
 	arrivalNone arrival = iota
 	// arrivalBegun: a part of a request was read, so that its caller awaits an answer.
 	arrivalBegun
+	// arrivalClosing: the connection is to be closed unless a request turns out to have arrived.
+	arrivalClosing
 	// arrivalClosed: the connection was closed before anything was read, and what is read later is dropped.
 	arrivalClosed
 )
@@ -108,12 +112,61 @@
 // could not be answered.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.arrival.CompareAndSwap(arrivalNone, arrivalBegun) && c.arrival.Load() == arrivalClosed {
+	if n > 0 && !c.begin() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// begin records that a part of a request was read. It reports whether the request may be served.
+func (c *callerConn) begin() bool {
+	for {
+		was := c.arrival.Load()
+		if was == arrivalClosed {
+			return false
+		}
+		if c.arrival.CompareAndSwap(was, arrivalBegun) {
+			return true
+		}
+	}
+}
+
+// closeUnused closes the connection unless a part of a request has arrived on it.
+func (c *callerConn) closeUnused() error {
+	if !c.arrival.CompareAndSwap(arrivalNone, arrivalClosing) {
+		return nil
+	}
+	arrived, err := c.hasArrived()
+	if err == nil && arrived {
+		c.arrival.CompareAndSwap(arrivalClosing, arrivalNone)
+		return nil
+	}
+	if !c.arrival.CompareAndSwap(arrivalClosing, arrivalClosed) {
+		return nil
+	}
+	return errors.Join(err, c.Conn.Close())
+}
+
+// hasArrived reports whether bytes have arrived that were not read.
+func (c *callerConn) hasArrived() (bool, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false, nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	n := 0
+	// Unlike Read, Control doesn't wait for the server's pending read.
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		// An error means that nothing has arrived.
+		n, _, _ = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0, err
+}
+
 // SetLinger sets what happens to unsent bytes when the connection is closed; see net.TCPConn.
 func (c *callerConn) SetLinger(seconds int) error {
 	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
@@ -231,11 +284,7 @@
 		return
 	}
 	for place := l.idle.Front(); place != nil; place = place.Next() {
-		c := place.Value.(*callerConn)
-		if !c.arrival.CompareAndSwap(arrivalNone, arrivalClosed) {
-			continue
-		}
-		if err := c.Conn.Close(); err != nil {
+		if err := place.Value.(*callerConn).closeUnused(); err != nil {
 			l.log.Debug().Err(err).Msg("connection-not-closed")
 		}
 	}
