entrance: hold memory for the heads of requests while they are read

What clients could do: heads of very short fields, 60 KiB each and legal in size up to the limit, took a daemon far over its memory, also unfinished ones.

Cause: a head is parsed before a handler sees the request, and what its fields take then, some hundred bytes each however short they are, was bounded by nothing: the entrance counts 64 KiB a request, and only bodies and responses took from the budget of bytes.

Connections count the lines of a head as they are read and hold 256 bytes for each beside its length in the budget that bodies use; without room the connection is closed, before anything is parsed. A head that holds much gets no more than is then free, and the last sixteenth of the budget is for requests that hold at most 16 KiB, so that ordinary ones get in beside a crowd. What a head holds is released with its response.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/buffers"
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -98,6 +99,7 @@
 		return errors.Join(errBodyIncomplete, err)
 	}
 	e.body, e.received = body, time.Now()
+	entrance.Received(e.r.Context())
 	return nil
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/admission"
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -80,6 +81,7 @@
 
 // serve handles one request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	entrance.HeadReceived(r.Context())
 	g.stats.inFlight.Add(1)
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, started: time.Now(), head: platform.DecodeRequest(r.Header)}
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/models"
 )
@@ -14,7 +15,7 @@
 
 // withCallerConn adds a caller's connection to the contexts of its requests.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+	return context.WithValue(entrance.ConnContext(ctx, c), callerConnKey{}, c)
 }
 
 // lingerer is a connection that is reset when it is closed, while it lingers for 0 seconds.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,7 +210,7 @@
 	g.queues = newQueues(g)
 	g.entrance = entrance.New(entrance.Settings{
 		Addr: cfg.Listen, Policy: overload.DefaultPolicy(cfg.CPUCores, cmp.Or(cfg.MaxRequests, math.MaxInt32)),
-		MaxConnections: cmp.Or(cfg.MaxConnections, math.MaxInt32), Notify: node.SetOverloaded,
+		MaxConnections: cmp.Or(cfg.MaxConnections, math.MaxInt32), Notify: node.SetOverloaded, Memory: g.buffers,
 	}, set, log)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
--- a/lib/buffers/buffers.go
+++ b/lib/buffers/buffers.go
@@ -12,7 +12,14 @@
 // ErrFull is returned if requests and responses hold as many bytes as they may.
 var ErrFull = errors.New("too many bytes of requests and responses are held")
 
-// Budget bounds the bytes of request bodies and buffered responses that a daemon holds at once.
+const (
+	// smallHolder is how many bytes a holder may have and still count as a small one. The last part of the
+	// budget, a smallFraction of it, is for these.
+	smallHolder   = 16 << 10
+	smallFraction = 1.0 / 16
+)
+
+// Budget bounds the bytes of requests and buffered responses that a daemon holds at once.
 // Callers or upstreams that are slow to read or send without end can't make it run out of memory. It is
 // safe for concurrent use.
 type Budget struct {
@@ -32,26 +39,47 @@
 // Held returns the number of bytes that are held.
 func (b *Budget) Held() int64 { return b.held.Load() }
 
-// reserve reserves n bytes, unless that exceeds the limit.
-func (b *Budget) reserve(n int) bool {
-	if total := b.held.Add(int64(n)); b.limit == 0 || total <= b.limit {
+// reserve reserves n bytes if that leaves a number of them free.
+func (b *Budget) reserve(n int, free int64) bool {
+	if total := b.held.Add(int64(n)); b.limit == 0 || total <= b.limit-free {
 		return true
 	}
 	b.held.Add(int64(-n))
-	b.rejected.Inc()
 	return false
 }
 
-// ReserveShare reserves n bytes for one that holds some already. It is not to hold more than what is then
+// ReserveBody reserves n bytes for a request's body that holds some already. The last part of the budget is for
+// small ones.
+func (b *Budget) ReserveBody(n, holds int) error {
+	free := int64(0)
+	if holds+n > smallHolder {
+		free = int64(smallFraction * float64(b.limit))
+	}
+	return b.reserveOrReject(n, free)
+}
+
+// ReserveHead reserves n bytes for a request's head that holds some already. One that is not small may hold as much
+// as is then free, so that few that hold much leave room for many that hold little.
+func (b *Budget) ReserveHead(n, holds int) error {
+	free := int64(0)
+	if holds+n > smallHolder {
+		free = int64(holds + n)
+	}
+	return b.reserveOrReject(n, free)
+}
+
+// ReserveShare reserves n bytes for a response that holds some already. It is not to hold more than what is then
 // free, so that few that hold much leave room for many that hold little.
 func (b *Budget) ReserveShare(n, holds int) error {
-	if b.limit > 0 && int64(holds+n) > b.limit-b.Held()-int64(n) {
+	return b.reserveOrReject(n, int64(holds+n))
+}
+
+// reserveOrReject reserves n bytes if that leaves a number of them free.
+func (b *Budget) reserveOrReject(n int, free int64) error {
+	if !b.reserve(n, free) {
 		b.rejected.Inc()
 		return ErrFull
 	}
-	if !b.reserve(n) {
-		return ErrFull
-	}
 	return nil
 }
 
@@ -78,8 +106,10 @@
 		if full := r.Budget.ReserveShare(n, *r.Holds); full != nil {
 			return 0, full
 		}
-	case !r.Budget.reserve(n):
-		return 0, ErrFull
+	default:
+		if full := r.Budget.ReserveBody(n, *r.Holds); full != nil {
+			return 0, full
+		}
 	}
 	*r.Holds += n
 	return n, err
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -10,14 +10,12 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/lib/timer"
 	"github.com/lupinkeel/lupinkeel/overload"
@@ -43,6 +41,8 @@
 	MaxConnections int
 	// Notify, if set, is called when an overload begins and ends.
 	Notify func(overloaded bool)
+	// Memory, if set, holds the heads of requests.
+	Memory *buffers.Budget
 }
 
 // Listener is a listener for callers. It bounds the requests in progress by what the daemon can
@@ -81,110 +81,6 @@
 	state   *overload.State
 }
 
-// arrival is whether a part of the next request has arrived on a connection.
-type arrival = int32
-
-const (
-	// arrivalNone: nothing was read from the connection.
-	arrivalNone arrival = iota
-	// arrivalBegun: a part of a request was read, so that its caller awaits an answer.
-	arrivalBegun
-	// arrivalClosing: the connection is to be closed unless a request turns out to have arrived.
-	arrivalClosing
-	// arrivalClosed: the connection was closed before anything was read, and what is read later is dropped.
-	arrivalClosed
-)
-
-// callerConn is a connection of a caller. The listener's lock guards its state.
-type callerConn struct {
-	net.Conn
-	arrival    atomic.Int32
-	acceptedAt time.Time
-	active     bool
-	// counted is set while the connection counts as open.
-	counted bool
-	// in is the list that holds the connection at place; nil if none does.
-	in    *list.List
-	place *list.Element
-}
-
-// Read reads from the connection. Nothing is read from one that was closed before a request began, since it
-// could not be answered.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.begin() {
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-// begin records that a part of a request was read. It reports whether the request may be served.
-func (c *callerConn) begin() bool {
-	for {
-		was := c.arrival.Load()
-		if was == arrivalClosed {
-			return false
-		}
-		if c.arrival.CompareAndSwap(was, arrivalBegun) {
-			return true
-		}
-	}
-}
-
-// closeUnused closes the connection unless a part of a request has arrived on it.
-func (c *callerConn) closeUnused() error {
-	if !c.arrival.CompareAndSwap(arrivalNone, arrivalClosing) {
-		return nil
-	}
-	arrived, err := c.hasArrived()
-	if err == nil && arrived {
-		c.arrival.CompareAndSwap(arrivalClosing, arrivalNone)
-		return nil
-	}
-	if !c.arrival.CompareAndSwap(arrivalClosing, arrivalClosed) {
-		return nil
-	}
-	return errors.Join(err, c.Conn.Close())
-}
-
-// hasArrived reports whether bytes have arrived that were not read.
-func (c *callerConn) hasArrived() (bool, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false, nil
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false, err
-	}
-	n := 0
-	// Unlike Read, Control doesn't wait for the server's pending read.
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		// An error means that nothing has arrived.
-		n, _, _ = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return n > 0, err
-}
-
-// SetLinger sets what happens to unsent bytes when the connection is closed; see net.TCPConn.
-func (c *callerConn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
-		return l.SetLinger(seconds)
-	}
-	return nil
-}
-
-// moveTo moves the connection to the end of a list, or out of all if that is nil.
-func (c *callerConn) moveTo(to *list.List) {
-	if c.in != nil {
-		c.in.Remove(c.place)
-	}
-	if c.in = to; to != nil {
-		c.place = to.PushBack(c)
-	}
-}
-
 // New returns a listener that is not open yet.
 func New(cfg Settings, set *metrics.Set, log zerolog.Logger) *Listener {
 	now := time.Now()
@@ -247,7 +143,7 @@
 			return nil, err
 		}
 		l.accepted.Inc()
-		c := &callerConn{Conn: conn, acceptedAt: time.Now()}
+		c := &callerConn{Conn: conn, receiver: receiver{budget: l.cfg.Memory}, acceptedAt: time.Now()}
 		l.setState(c, http.StateNew)
 		return c, nil
 	}
@@ -323,9 +219,11 @@
 		l.setActive(c, true)
 	case http.StateIdle:
 		c.arrival.CompareAndSwap(arrivalBegun, arrivalNone)
+		c.receiver.reset()
 		c.moveTo(l.idle)
 		l.setActive(c, false)
 	case http.StateClosed, http.StateHijacked:
+		c.receiver.reset()
 		l.setCounted(c, false)
 		c.moveTo(nil)
 		l.setActive(c, false)
--- /dev/null
+++ b/lib/entrance/receiver.go
@@ -0,0 +1,119 @@
+package entrance
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
+)
+
+// fieldBytes is what a field of a head takes in memory beside its text: strings for name and value, a slice, a slot
+// of a map, and the same again in the request that is passed on.
+const fieldBytes = 256
+
+// errNoMemory ends the reading of a head for which there is no memory.
+var errNoMemory = errors.New("the head of the request does not fit into the memory for requests")
+
+// phase is the part of a request that is received next on a connection.
+type phase int
+
+const (
+	phaseHead phase = iota
+	phaseBody
+	// phaseReceived: the whole request was received.
+	phaseReceived
+)
+
+// receiver follows the requests that are received on a connection, and holds memory for their heads.
+type receiver struct {
+	budget *buffers.Budget
+
+	mu    sync.Mutex
+	phase phase
+	// inLine is set if a part of a line of the head was received.
+	inLine bool
+	// held is the number of bytes that are held for the head.
+	held int
+}
+
+// note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held.
+func (r *receiver) note(read []byte) error {
+	n, holds := r.count(read)
+	if n == 0 || r.budget == nil {
+		return nil
+	}
+	if err := r.budget.ReserveHead(n, holds); err != nil {
+		return errors.Join(errNoMemory, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held += n
+	return nil
+}
+
+// count counts bytes that were received, and returns how many bytes must be held for the part of the head that is
+// among them, and how many are held for it already.
+func (r *receiver) count(read []byte) (n, holds int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(read) == 0 || r.phase == phaseReceived {
+		return 0, 0
+	}
+	for r.phase == phaseHead && len(read) > 0 {
+		line, rest, complete := bytes.Cut(read, []byte("\n"))
+		isEmpty := !r.inLine && (len(line) == 0 || string(line) == "\r")
+		r.inLine = !complete && !isEmpty
+		n += len(read) - len(rest)
+		if complete {
+			n += fieldBytes
+		}
+		if complete && isEmpty {
+			r.phase = phaseBody
+		}
+		read = rest
+	}
+	return n, r.held
+}
+
+// setPhase sets which part of the request is received next.
+func (r *receiver) setPhase(p phase) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.phase = p
+}
+
+// reset prepares for the next request, and releases what was held for the last one.
+func (r *receiver) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.budget != nil {
+		r.budget.Release(r.held)
+	}
+	r.phase, r.inLine, r.held = phaseHead, false, 0
+}
+
+// connKey is the key of a callerConn in the contexts of its requests.
+type connKey struct{}
+
+// ConnContext must be called by the server for each connection.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// HeadReceived tells the listener that the head of the context's request was received. Otherwise it would take the
+// body for the head if both came with an earlier request.
+func HeadReceived(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		c.receiver.setPhase(phaseBody)
+	}
+}
+
+// Received tells the listener that the whole request was received.
+func Received(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		c.receiver.setPhase(phaseReceived)
+	}
+}
--- /dev/null
+++ b/lib/entrance/receiver_test.go
@@ -0,0 +1,62 @@
+package entrance
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
+)
+
+func TestHeadsAreCounted(t *testing.T) {
+	script, err := os.ReadFile("testdata/heads.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(script)) {
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		var fields, text int
+		_, err := fmt.Sscanf(words[len(words)-1], "held=%d+%d", &fields, &text)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", line))
+		budget := buffers.New(1<<20, metrics.NewSet())
+		r := receiver{budget: budget}
+		for _, word := range words[:len(words)-1] {
+			switch word {
+			case "|head":
+				r.setPhase(phaseBody)
+			case "|done":
+				r.setPhase(phaseReceived)
+			case "|idle":
+				r.reset()
+			default:
+				read := strings.NewReplacer(`\r`, "\r", `\n`, "\n", "_", " ").Replace(word)
+				qt.Assert(t, r.note([]byte(read)), qt.IsNil)
+			}
+		}
+		qt.Check(t, budget.Held(), qt.Equals, int64(fields*fieldBytes+text), qt.Commentf("%s", line))
+	}
+}
+
+// TestShortFieldsFillMemory guards against heads of very short fields, which take far more memory than their length.
+func TestShortFieldsFillMemory(t *testing.T) {
+	const limit, headLen, heads = 8 << 20, 60 << 10, 100
+	budget := buffers.New(limit, metrics.NewSet())
+	head := []byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", headLen/4))
+	ended := 0
+	for range heads {
+		r := receiver{budget: budget}
+		if r.note(head) != nil {
+			ended++
+		}
+		small := receiver{budget: budget}
+		qt.Assert(t, small.note([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")), qt.IsNil)
+		small.reset()
+	}
+	qt.Assert(t, ended > heads*9/10, qt.IsTrue, qt.Commentf("%d", ended))
+	qt.Assert(t, budget.Held() <= limit, qt.IsTrue)
+}
