entrance: close the slowest senders when others have no room

What clients could do: bodies that stop short of their end, or come a byte at a time, kept their places for as long as their connections stayed open. Others were rejected with 503, or found the listener closed.

Cause: a request counts as one in progress, and its body holds memory, from its first byte on, and nothing ended that but a planned stop.

When a reservation does not fit, or the listener is closed because of requests in progress, the connection is closed whose request has been received for a second at least and came most slowly on average. Requests that were received completely are never closed so; without need no connection is, however slow. A reservation waits up to 100 ms for the bytes of the closed one.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -212,6 +212,7 @@
 		Addr: cfg.Listen, Policy: overload.DefaultPolicy(cfg.CPUCores, cmp.Or(cfg.MaxRequests, math.MaxInt32)),
 		MaxConnections: cmp.Or(cfg.MaxConnections, math.MaxInt32), Notify: node.SetOverloaded, Memory: g.buffers,
 	}, set, log)
+	g.buffers.SetReclaim(g.entrance.Reclaim)
 	g.scheduler.zone = cfg.Zone
 	g.stallReportsFrom = time.Now().Add(cfg.StallReportDelay)
 	g.conns = h1.NewPool(g.dialInstance, g.connOpened)
--- a/lib/buffers/buffers.go
+++ b/lib/buffers/buffers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -17,6 +18,10 @@
 	// budget, a smallFraction of it, is for these.
 	smallHolder   = 16 << 10
 	smallFraction = 1.0 / 16
+	// reclaimWait is how long a reservation waits for bytes that are about to be released, reclaimPoll how
+	// often it looks for them.
+	reclaimWait = 100 * time.Millisecond
+	reclaimPoll = 5 * time.Millisecond
 )
 
 // Budget bounds the bytes of requests and buffered responses that a daemon holds at once.
@@ -27,6 +32,8 @@
 	limit    int64
 	held     atomic.Int64
 	rejected *metrics.Counter
+	// reclaim, if set, makes a holder release its bytes soon. It reports whether there is one.
+	reclaim func() bool
 }
 
 // New returns a budget of limit bytes; 0 sets no limit.
@@ -36,6 +43,10 @@
 	return b
 }
 
+// SetReclaim sets a function that makes a holder release its bytes soon, and reports whether there is one that
+// can. It is called when a reservation does not fit, and must be set before the first one.
+func (b *Budget) SetReclaim(f func() bool) { b.reclaim = f }
+
 // Held returns the number of bytes that are held.
 func (b *Budget) Held() int64 { return b.held.Load() }
 
@@ -48,6 +59,18 @@
 	return false
 }
 
+// reserveOrReclaim reserves n bytes if that leaves a number of them free. If it does not, other holders are made to
+// release theirs.
+func (b *Budget) reserveOrReclaim(n int, free int64) error {
+	for end := time.Now().Add(reclaimWait); !b.reserve(n, free); time.Sleep(reclaimPoll) {
+		if b.reclaim == nil || time.Now().After(end) || !b.reclaim() {
+			b.rejected.Inc()
+			return ErrFull
+		}
+	}
+	return nil
+}
+
 // ReserveBody reserves n bytes for a request's body that holds some already. The last part of the budget is for
 // small ones.
 func (b *Budget) ReserveBody(n, holds int) error {
@@ -55,7 +78,7 @@
 	if holds+n > smallHolder {
 		free = int64(smallFraction * float64(b.limit))
 	}
-	return b.reserveOrReject(n, free)
+	return b.reserveOrReclaim(n, free)
 }
 
 // ReserveHead reserves n bytes for a request's head that holds some already. One that is not small may hold as much
@@ -65,18 +88,13 @@
 	if holds+n > smallHolder {
 		free = int64(holds + n)
 	}
-	return b.reserveOrReject(n, free)
+	return b.reserveOrReclaim(n, free)
 }
 
 // ReserveShare reserves n bytes for a response that holds some already. It is not to hold more than what is then
 // free, so that few that hold much leave room for many that hold little.
 func (b *Budget) ReserveShare(n, holds int) error {
-	return b.reserveOrReject(n, int64(holds+n))
-}
-
-// reserveOrReject reserves n bytes if that leaves a number of them free.
-func (b *Budget) reserveOrReject(n int, free int64) error {
-	if !b.reserve(n, free) {
+	if !b.reserve(n, int64(holds+n)) {
 		b.rejected.Inc()
 		return ErrFull
 	}
--- a/lib/entrance/conn.go
+++ b/lib/entrance/conn.go
@@ -46,7 +46,7 @@
 	if n > 0 && !c.begin() {
 		return 0, net.ErrClosed
 	}
-	if full := c.receiver.note(p[:n]); full != nil {
+	if full := c.receiver.note(p[:n], time.Now()); full != nil {
 		// net/http closes the connection without a response after this error.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: full}
 	}
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -6,6 +6,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,8 +56,8 @@
 	log                zerolog.Logger
 	clock              *timer.Service
 	accepted, closings *metrics.Counter
-	// evicted counts idle connections that were closed to make room.
-	evicted *metrics.Counter
+	// evicted counts idle connections that were closed to make room, reclaimed those that sent a request slowly.
+	evicted, reclaimed *metrics.Counter
 
 	mu sync.Mutex
 	// socket is the listening socket, nil while the listener is closed.
@@ -74,6 +75,10 @@
 	// fresh holds the connections on which nothing has arrived for less than silentTime, and idle
 	// those without a request in progress. Both are in the order in which they were added.
 	fresh, idle *list.List
+	// conns holds all connections.
+	conns map[*callerConn]struct{}
+	// reclaimAt is when a slow connection is looked for again, after none was found.
+	reclaimAt time.Time
 	// reached is set if the limit was reached since the last measurement.
 	reached bool
 	delay   *runDelay
@@ -86,7 +91,8 @@
 	now := time.Now()
 	l := &Listener{
 		cfg: cfg, log: log, clock: timer.New(now), changed: make(chan struct{}), drained: make(chan struct{}),
-		fresh: list.New(), idle: list.New(), evicted: set.NewCounter("lupinkeel_caller_connections_evicted_total"),
+		fresh: list.New(), idle: list.New(), conns: map[*callerConn]struct{}{},
+		evicted: set.NewCounter("lupinkeel_caller_connections_evicted_total"), reclaimed: set.NewCounter("lupinkeel_caller_connections_reclaimed_total"),
 		accepted: set.NewCounter("lupinkeel_caller_connections_accepted_total"), closings: set.NewCounter("lupinkeel_entrance_closings_total"),
 		delay: newRunDelay(), limit: overload.NewLimit(cfg.Policy, now), state: overload.NewState(now),
 	}
@@ -211,6 +217,7 @@
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
+		l.conns[c] = struct{}{}
 		l.setCounted(c, true)
 		c.moveTo(l.fresh)
 		l.setActive(c, true)
@@ -224,6 +231,7 @@
 		l.setActive(c, false)
 	case http.StateClosed, http.StateHijacked:
 		c.receiver.reset()
+		delete(l.conns, c)
 		l.setCounted(c, false)
 		c.moveTo(nil)
 		l.setActive(c, false)
@@ -270,6 +278,44 @@
 	}
 }
 
+const (
+	// receivePatience is how long a request may be received before its connection can be reclaimed.
+	receivePatience = time.Second
+	// reclaimPause is after which time a slow connection is looked for again when there was none.
+	reclaimPause = 10 * time.Millisecond
+)
+
+// Reclaim closes the connection whose request is received most slowly, to make room for others. It reports whether
+// there is one whose request has been received for some time, but not completely.
+func (l *Listener) Reclaim() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reclaim(time.Now())
+}
+
+func (l *Listener) reclaim(now time.Time) bool {
+	if now.Before(l.reclaimAt) {
+		return false
+	}
+	var slowest *callerConn
+	lowest := math.Inf(1)
+	for c := range l.conns {
+		if rate, age, receives := c.receiver.rate(now); receives && age >= receivePatience && rate < lowest {
+			slowest, lowest = c, rate
+		}
+	}
+	if slowest == nil {
+		l.reclaimAt = now.Add(reclaimPause)
+		return false
+	}
+	delete(l.conns, slowest)
+	l.reclaimed.Inc()
+	if err := slowest.Conn.Close(); err != nil {
+		l.log.Debug().Err(err).Msg("connection-not-closed")
+	}
+	return true
+}
+
 // expireFresh counts connections on which nothing has arrived for silentTime as idle.
 func (l *Listener) expireFresh(now time.Time) {
 	for first := l.fresh.Front(); first != nil; first = l.fresh.Front() {
@@ -349,6 +395,11 @@
 	busy := float64(l.active) >= busyFraction*float64(l.limit.Max())
 	delay := l.delay.measure(tick.At, tick.Late, busy)
 	l.limit.Observe(tick.At, delay, l.active, l.reached)
+	if l.socket == nil && !l.ended && !l.draining {
+		// Requests that are slow to come must not keep others out.
+		for surplus := float64(l.active) - reopenFraction*float64(l.limit.Max()); surplus > 0 && l.reclaim(tick.At); surplus-- {
+		}
+	}
 	l.reached = false
 	l.update()
 	l.drain()
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/lupinkeel/lupinkeel/lib/buffers"
 )
@@ -37,14 +38,18 @@
 	inLine bool
 	// held is the number of bytes that are held for the head.
 	held int
+	// received counts the bytes of the request, since is when the first of them came.
+	received int
+	since    time.Time
 }
 
 // note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held.
-func (r *receiver) note(read []byte) error {
-	n, holds := r.count(read)
+func (r *receiver) note(read []byte, now time.Time) error {
+	n, holds := r.count(read, now)
 	if n == 0 || r.budget == nil {
 		return nil
 	}
+	// The budget may ask all receivers how fast they are.
 	if err := r.budget.ReserveHead(n, holds); err != nil {
 		return errors.Join(errNoMemory, err)
 	}
@@ -56,12 +61,16 @@
 
 // count counts bytes that were received, and returns how many bytes must be held for the part of the head that is
 // among them, and how many are held for it already.
-func (r *receiver) count(read []byte) (n, holds int) {
+func (r *receiver) count(read []byte, now time.Time) (n, holds int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(read) == 0 || r.phase == phaseReceived {
 		return 0, 0
 	}
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.received += len(read)
 	for r.phase == phaseHead && len(read) > 0 {
 		line, rest, complete := bytes.Cut(read, []byte("\n"))
 		isEmpty := !r.inLine && (len(line) == 0 || string(line) == "\r")
@@ -92,7 +101,19 @@
 	if r.budget != nil {
 		r.budget.Release(r.held)
 	}
-	r.phase, r.inLine, r.held = phaseHead, false, 0
+	r.phase, r.inLine, r.held, r.received, r.since = phaseHead, false, 0, 0, time.Time{}
+}
+
+// rate returns how many bytes a second were received of a request that is not complete, and for how long it has
+// been received.
+func (r *receiver) rate(now time.Time) (bytesPerSecond float64, age time.Duration, receives bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() || r.phase == phaseReceived {
+		return 0, 0, false
+	}
+	age = now.Sub(r.since)
+	return float64(r.received) / max(age.Seconds(), 1e-3), age, true
 }
 
 // connKey is the key of a callerConn in the contexts of its requests.
@@ -111,7 +132,8 @@
 	}
 }
 
-// Received tells the listener that the whole request was received.
+// Received tells the listener that the whole request was received. From then on the listener doesn't close its
+// connection for being slow.
 func Received(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
 		c.receiver.setPhase(phaseReceived)
--- a/lib/entrance/receiver_test.go
+++ b/lib/entrance/receiver_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
@@ -35,7 +36,7 @@
 				r.reset()
 			default:
 				read := strings.NewReplacer(`\r`, "\r", `\n`, "\n", "_", " ").Replace(word)
-				qt.Assert(t, r.note([]byte(read)), qt.IsNil)
+				qt.Assert(t, r.note([]byte(read), time.Unix(1, 0)), qt.IsNil)
 			}
 		}
 		qt.Check(t, budget.Held(), qt.Equals, int64(fields*fieldBytes+text), qt.Commentf("%s", line))
@@ -50,11 +51,11 @@
 	ended := 0
 	for range heads {
 		r := receiver{budget: budget}
-		if r.note(head) != nil {
+		if r.note(head, time.Unix(1, 0)) != nil {
 			ended++
 		}
 		small := receiver{budget: budget}
-		qt.Assert(t, small.note([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")), qt.IsNil)
+		qt.Assert(t, small.note([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), time.Unix(1, 0)), qt.IsNil)
 		small.reset()
 	}
 	qt.Assert(t, ended > heads*9/10, qt.IsTrue, qt.Commentf("%d", ended))
--- /dev/null
+++ b/lib/entrance/reclaim_test.go
@@ -0,0 +1,125 @@
+package entrance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/lupinkeel/lupinkeel/lib/buffers"
+	"github.com/lupinkeel/lupinkeel/lib/task"
+	"github.com/lupinkeel/lupinkeel/overload"
+)
+
+// startReceiving starts a listener for a number of requests in progress, and a server that reads their bodies into
+// a budget.
+func startReceiving(c *qt.C, requests int, memory int64) *listenerTest {
+	policy := overload.Policy{Min: requests, Initial: requests, Max: requests, MaxDelay: time.Hour, DoubleTime: time.Second}
+	budget := buffers.New(memory, metrics.NewSet())
+	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: policy, MaxConnections: 1000, Memory: budget}, metrics.NewSet(), zerolog.Nop())
+	budget.SetReclaim(l.Reclaim)
+	c.Assert(l.Open(), qt.IsNil)
+	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		HeadReceived(r.Context())
+		held := 0
+		defer func() { budget.Release(held) }()
+		if _, err := io.ReadAll(buffers.Reader{R: r.Body, Budget: budget, Holds: &held}); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		Received(r.Context())
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := task.Start(ctx, "entrance", l.Run)
+	serving := task.Start(ctx, "server", func(context.Context) error { return serve(server, l) })
+	c.Cleanup(func() {
+		cancel()
+		c.Check(server.Close(), qt.IsNil)
+		c.Check(task.Wait(running, serving), qt.IsNil)
+	})
+	return &listenerTest{Listener: l, c: c}
+}
+
+// unfinished connects and sends a request but for the last byte of its body.
+func (e *listenerTest) unfinished(length int) net.Conn {
+	conn, err := e.connect()
+	e.c.Assert(err, qt.IsNil)
+	// The server may reject the request before all of it was sent.
+	_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("a", length-1))
+	return conn
+}
+
+// TestUnfinishedRequestsKeepOthersOut guards against requests that are never completed, and keep the place of
+// others.
+func TestUnfinishedRequestsKeepOthersOut(t *testing.T) {
+	c := qt.New(t)
+	const requests = 30
+	e := startReceiving(c, requests, 1<<20)
+	var last net.Conn
+	for range requests {
+		last = e.unfinished(100)
+	}
+	// Those that are left are fewer than the limit, and too many for the listener to open again.
+	c.Assert(last.Close(), qt.IsNil)
+	e.await("a request was served", e.serves)
+}
+
+// TestUnfinishedBodiesTakeAllMemory guards against bodies that are never completed, and take the memory that other
+// requests need.
+func TestUnfinishedBodiesTakeAllMemory(t *testing.T) {
+	c := qt.New(t)
+	const length, bodies = 100_000, 20
+	e := startReceiving(c, 1000, bodies/2*length)
+	for range bodies {
+		e.unfinished(length)
+	}
+	e.await("a request with a body was served", func() bool {
+		conn, err := net.DialTimeout("tcp4", e.Addr().String(), time.Second)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		resp, err := http.Post("http://"+e.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("a", length)))
+		if err != nil {
+			return false
+		}
+		return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+	})
+}
+
+// TestCompleteRequestsAreNotReclaimed checks that only requests that are still being received make room for others,
+// and the slowest of them first.
+func TestCompleteRequestsAreNotReclaimed(t *testing.T) {
+	c := qt.New(t)
+	e := startReceiving(c, 1000, 0)
+	slow, fast := e.unfinished(10), e.unfinished(10_000)
+	idle, err := e.connect()
+	c.Assert(err, qt.IsNil)
+	status, err := e.request(idle, "/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(e.Reclaim(), qt.IsFalse)
+	e.await("a connection was reclaimed", e.Reclaim)
+	c.Assert(slow.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	_, err = slow.Read(make([]byte, 1))
+	c.Assert(err, qt.Not(qt.IsNil))
+	_, err = fast.Write([]byte("a"))
+	c.Assert(err, qt.IsNil)
+	n, err := fast.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, 1)
+	time.Sleep(2 * reclaimPause)
+	c.Assert(e.Reclaim(), qt.IsFalse)
+	status, err = e.request(idle, "/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+}
