entrance: bound the listeners for readiness checks and operators

What clients could do at the address of the readiness check: heads of 1,000 KiB of short fields took a daemon to 500 MB and more; connections that say nothing took all its descriptors, so that nobody was served and no check answered; checks sent ahead, answered as fast as they came, took the processor from the connection to the store.

Cause: both listeners had the library's defaults: heads of 1 MiB, no time-outs, any number of connections and requests.

A guard accepts 32 connections, and closes the one that was accepted first for each further one, so that a new check gets in. Heads have 4 KiB and hold memory as at the callers' address; a request may take 5 s and its answer 10 s. Responses on a connection are 100 ms apart; the platform asks once a second.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/platform"
@@ -48,10 +49,12 @@
 		task.Start(background, "callers", func(context.Context) error { return serveOn(callers, g.entrance) }),
 	}
 	for addr, server := range servers {
-		l, err := net.Listen("tcp4", addr.String())
+		socket, err := net.Listen("tcp4", addr.String())
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		l := entrance.NewGuard(socket, g.buffers, g.set)
+		l.Protect(server)
 		tasks = append(tasks, task.Start(background, addr.String(), func(context.Context) error { return serveOn(server, l) }))
 	}
 	err := task.WaitAny(ctx, tasks...)
