gateway: bound the time that callers may take for bodies and answers

What clients could do: a request whose body is never completed was held without an answer for as long as its connection stayed, on a route and, in the server, also when it was rejected at once; so was an answer that its caller doesn't read, with all its bytes.

Cause: only the end of a planned stop ended the reading of a body, and nothing the writing of an answer. net/http reads the rest of a short body before it sends the response to a request that was rejected.

A body must arrive within the request's time, the route's time-out or the caller's own deadline, whichever ends first; after that the request gets 408, which promises that it did not run. The rest of the body of a rejected request is waited for 1 s. A response may be taken until 5 s after the request's time, one without a known time for 10 s.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/lupinkeel/lupinkeel/cluster"
@@ -79,7 +80,10 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	unblock := http.NewResponseController(e.w).SetReadDeadline
+	conn := http.NewResponseController(e.w)
+	unblock := conn.SetReadDeadline
+	e.setDeadline(unblock, e.deadline)
+	e.setDeadline(conn.SetWriteDeadline, e.deadline.Add(responseMargin))
 	proceed := e.g.stop.afterEnd(func() {
 		if err := unblock(time.Now()); err != nil {
 			e.g.log.Debug().Err(err).Msg("request-not-unblocked")
@@ -95,9 +99,12 @@
 		return errBodyTooLong
 	case errors.Is(err, buffers.ErrFull):
 		return buffers.ErrFull
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errBodyLate
 	case err != nil:
 		return errors.Join(errBodyIncomplete, err)
 	}
+	e.setDeadline(unblock, time.Time{})
 	e.body, e.received = body, time.Now()
 	entrance.Received(e.r.Context())
 	return nil
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -85,6 +85,7 @@
 	g.stats.inFlight.Add(1)
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, started: time.Now(), head: platform.DecodeRequest(r.Header)}
+	e.setDeadline(http.NewResponseController(w).SetWriteDeadline, e.started.Add(rejectionTimeout))
 	e.digest = sync.OnceValue(e.computeDigest)
 	e.parts = sync.OnceValue(func() []quarantine.Digest {
 		return quarantine.PartDigests(e.owner.Workspace, e.head.Model, e.head.SharedParts)
@@ -111,6 +112,22 @@
 	e.finish(ctx, err)
 }
 
+const (
+	// unreadBodyTimeout bounds how long the body of a rejected request is read.
+	unreadBodyTimeout = time.Second
+	// rejectionTimeout bounds the time in which a caller takes the response to a request without a deadline.
+	rejectionTimeout = 10 * time.Second
+	// responseMargin is for how long after the request's deadline its caller may take the response.
+	responseMargin = 5 * time.Second
+)
+
+// setDeadline sets a deadline of the caller's connection, which callers that don't send or read must not keep open.
+func (e *exchange) setDeadline(set func(time.Time) error, at time.Time) {
+	if err := set(at); err != nil {
+		e.g.log.Debug().Err(err).Msg("deadline-not-set")
+	}
+}
+
 // computeDigest returns the hash of the request's content.
 func (e *exchange) computeDigest() quarantine.Digest {
 	e.digestUsed.Store(true)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -40,6 +40,7 @@
 	errForwarded      = errors.New("another daemon takes this one for an instance")
 	errBodyTooLong    = errors.New("the request body is too long")
 	errBodyIncomplete = errors.New("the request body is incomplete")
+	errBodyLate       = errors.New("the request body did not arrive within the request's time")
 	errNoInstance     = errors.New("no instance is available for this request")
 	errAllFull        = errors.New("all instances are full")
 	errNotRun         = errors.New("the instance did not run the request")
@@ -85,6 +86,8 @@
 	case errors.Is(err, errBodyIncomplete):
 		outcome = outcomeCallerGone
 		status = http.StatusBadRequest
+	case errors.Is(err, errBodyLate):
+		status, outcome = http.StatusRequestTimeout, outcomeTimeout
 	case errors.Is(err, errQuarantined), errors.Is(err, errPartQuarantined):
 		// No Retry-After: it would only make the caller send the request again.
 		e.g.stats.quarantineRejections.Inc()
@@ -99,6 +102,10 @@
 	default:
 		platform.SetRetryAfter(e.w.Header(), retryAfter(err))
 	}
+	if e.received.IsZero() {
+		// net/http reads what is left of a short body before it sends the response.
+		e.setDeadline(http.NewResponseController(e.w).SetReadDeadline, time.Now().Add(unreadBodyTimeout))
+	}
 	e.logEnd(outcome, status, err)
 	e.announceStop()
 	e.w.WriteHeader(status)
