entrance: close connections that send requests ahead while others find no place

Cause: the listener opens again when fewer requests are in progress, and such a connection has its next one at once.

While the listener is closed for that reason, the response on a connection whose next request has begun to arrive before it closes the connection.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -189,7 +189,7 @@
 		}
 	}
 	e.frameByClose(resp)
-	e.announceStop()
+	e.announceClose()
 	e.headSent, e.firstByte = true, time.Now()
 	e.continueAfterEnd()
 	e.w.WriteHeader(resp.Status)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -107,7 +107,7 @@
 		e.setDeadline(http.NewResponseController(e.w).SetReadDeadline, time.Now().Add(unreadBodyTimeout))
 	}
 	e.logEnd(outcome, status, err)
-	e.announceStop()
+	e.announceClose()
 	e.w.WriteHeader(status)
 }
 
@@ -158,7 +158,7 @@
 // finish logs the end of a request, and answers it if no response was sent.
 func (e *exchange) finish(ctx context.Context, err error) {
 	if !e.headSent {
-		e.announceStop()
+		e.announceClose()
 	}
 	switch {
 	case err == nil:
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lupinkeel/lupinkeel/lib/entrance"
 	"github.com/lupinkeel/lupinkeel/models"
 )
 
@@ -119,10 +120,11 @@
 	return time.Until(e.deadline)
 }
 
-// announceStop closes the caller's connection after the response if the daemon stops, so that the next
-// request is sent to another daemon and does not cross the close.
-func (e *exchange) announceStop() {
-	if e.g.stop.begun() {
+// announceClose closes the caller's connection after the response if the daemon stops, so that the next
+// request is sent to another daemon and does not cross the close, or if the caller sends requests ahead while others
+// find no place.
+func (e *exchange) announceClose() {
+	if e.g.stop.begun() || entrance.MustClose(e.r.Context()) {
 		e.w.Header().Set("Connection", "close")
 	}
 }
--- a/lib/entrance/conn.go
+++ b/lib/entrance/conn.go
@@ -28,6 +28,7 @@
 // callerConn is a connection of a caller. The listener's lock guards its state.
 type callerConn struct {
 	net.Conn
+	listener   *Listener
 	arrival    atomic.Int32
 	receiver   receiver
 	acceptedAt time.Time
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -149,7 +149,7 @@
 			return nil, err
 		}
 		l.accepted.Inc()
-		c := &callerConn{Conn: conn, receiver: receiver{budget: l.cfg.Memory}, acceptedAt: time.Now()}
+		c := &callerConn{Conn: conn, listener: l, receiver: receiver{budget: l.cfg.Memory}, acceptedAt: time.Now()}
 		l.setState(c, http.StateNew)
 		return c, nil
 	}
@@ -433,6 +433,13 @@
 	l.limit.Served(time.Now(), took)
 }
 
+// isFull reports whether the listener is closed because of requests in progress or connections.
+func (l *Listener) isFull() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.socket == nil && !l.ended && !l.draining
+}
+
 // Overloaded reports whether the listener is closed so often that the load balancer should send
 // callers elsewhere.
 func (l *Listener) Overloaded() bool {
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -34,6 +34,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// ahead is set if something was received after the whole request, before its response was sent.
+	ahead bool
 	// inLine is set if a part of a line of the head was received.
 	inLine bool
 	// held is the number of bytes that are held for the head.
@@ -65,6 +67,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(read) == 0 || r.phase == phaseReceived {
+		r.ahead = r.ahead || len(read) > 0
 		return 0, 0
 	}
 	if r.since.IsZero() {
@@ -101,7 +104,7 @@
 	if r.budget != nil {
 		r.budget.Release(r.held)
 	}
-	r.phase, r.inLine, r.held, r.received, r.since = phaseHead, false, 0, 0, time.Time{}
+	r.phase, r.ahead, r.inLine, r.held, r.received, r.since = phaseHead, false, false, 0, 0, time.Time{}
 }
 
 // rate returns how many bytes a second were received of a request that is not complete, and for how long it has
@@ -116,6 +119,13 @@
 	return float64(r.received) / max(age.Seconds(), 1e-3), age, true
 }
 
+// isAhead reports whether the next request has begun to arrive before the response to the last one was sent.
+func (r *receiver) isAhead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ahead
+}
+
 // connKey is the key of a callerConn in the contexts of its requests.
 type connKey struct{}
 
@@ -139,3 +149,10 @@
 		c.receiver.setPhase(phaseReceived)
 	}
 }
+
+// MustClose reports whether the connection of the context's request should be closed after the response: its caller
+// sends requests ahead, and the listener is closed because of requests in progress.
+func MustClose(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && c.receiver.isAhead() && c.listener.isFull()
+}
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -123,3 +123,37 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, http.StatusOK)
 }
+
+// TestRequestsSentAheadKeepOthersOut guards against callers that always have a request in progress, since they send
+// many ahead.
+func TestRequestsSentAheadKeepOthersOut(t *testing.T) {
+	c := qt.New(t)
+	const requests = 4
+	policy := overload.Policy{Min: requests, Initial: requests, Max: requests, MaxDelay: time.Hour, DoubleTime: time.Second}
+	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: policy, MaxConnections: 1000}, metrics.NewSet(), zerolog.Nop())
+	c.Assert(l.Open(), qt.IsNil)
+	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		HeadReceived(r.Context())
+		Received(r.Context())
+		time.Sleep(20 * time.Millisecond)
+		if MustClose(r.Context()) {
+			w.Header().Set("Connection", "close")
+		}
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := task.Start(ctx, "entrance", l.Run)
+	serving := task.Start(ctx, "server", func(context.Context) error { return serve(server, l) })
+	c.Cleanup(func() {
+		cancel()
+		c.Check(server.Close(), qt.IsNil)
+		c.Check(task.Wait(running, serving), qt.IsNil)
+	})
+	e := &listenerTest{Listener: l, c: c}
+	for range requests {
+		conn, err := e.connect()
+		c.Assert(err, qt.IsNil)
+		// The server may close the connection meanwhile.
+		_, _ = fmt.Fprint(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 10_000))
+	}
+	e.await("a request was served", e.serves)
+}
