entrance: bound callers' connections by the memory, too

A connection that says nothing took some 17 KB in a run (1,052 connections, 34 MB where 17 are usual), and their number was bounded by the descriptors alone: 2,050 for 4,100 descriptors, 8,192 for 16,384, whatever the memory. They get 0.15 of it at 24 KiB each now; beyond that the one that has been idle for longest is closed, as before.

--- a/api/server.go
+++ b/api/server.go
@@ -91,7 +91,7 @@
 	}
 	s.callerListener = entrance.New(entrance.Settings{
 		Addr: cfg.Listen, Policy: overload.DefaultPolicy(float64(runtime.GOMAXPROCS(0)), cmp.Or(cfg.MaxRequests, entrance.MaxRequests(descriptors, 0))),
-		MaxConnections: entrance.MaxConnections(descriptors),
+		MaxConnections: entrance.MaxConnections(descriptors, 0),
 	}, d.Metrics(), s.log)
 	if err := s.callerListener.Open(); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -91,7 +91,7 @@
 	g := gateway.New(gateway.Settings{
 		Zone: s.Zone, Regions: s.Regions.Map(), Listen: s.Listen, Ready: s.Ready, Admin: s.Metrics, MaxKeysProofAge: s.MaxKeysProofAge(), MaxConfigAge: s.ConfigBound,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, FirstStart: s.FirstStart, StopGrace: s.StopGrace,
-		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: cmp.Or(s.MaxRequests, entrance.MaxRequests(descriptors, s.MemoryMB)), MaxConnections: entrance.MaxConnections(descriptors),
+		MaxBufferedBytes: int64(bufferMemoryRatio * s.MemoryMB * megabyte), CPUCores: s.CPUCores, MaxRequests: cmp.Or(s.MaxRequests, entrance.MaxRequests(descriptors, s.MemoryMB)), MaxConnections: entrance.MaxConnections(descriptors, s.MemoryMB),
 		StallReportDelay: stallReportDelay,
 	}, node, traffic, set, log)
 	log.Info().Str("daemon", string(s.ID)).Str("zone", string(s.Zone)).Stringer("callers", s.Listen).Stringer("peer", s.Peer).
--- a/lib/entrance/resources.go
+++ b/lib/entrance/resources.go
@@ -14,7 +14,11 @@
 	// without their bodies, and requestBytes what one of them takes with both its connections.
 	requestMemoryRatio = 0.25
 	requestBytes       = 64 << 10
-	megabyte           = 1 << 20
+	// connectionMemoryRatio is the fraction of the allowed memory that connections of callers may take beside
+	// their requests, and connectionBytes what one of them takes: buffers, and the stacks of two goroutines.
+	connectionMemoryRatio = 0.15
+	connectionBytes       = 24 << 10
+	megabyte              = 1 << 20
 )
 
 // MaxRequests returns how many requests a process can hold at once by its descriptors, and by its
@@ -27,9 +31,14 @@
 	return most
 }
 
-// MaxConnections returns how many connections callers may have open.
-func MaxConnections(descriptors uint64) int {
-	return int(min(descriptors, 1<<20)) / descriptorsPerConnection
+// MaxConnections returns how many connections callers may have open, by the process's descriptors, and by its
+// memory unless that is unlimited (0).
+func MaxConnections(descriptors uint64, memoryMB float64) int {
+	most := int(min(descriptors, 1<<20)) / descriptorsPerConnection
+	if memoryMB > 0 {
+		most = min(most, int(connectionMemoryRatio*memoryMB*megabyte/connectionBytes))
+	}
+	return most
 }
 
 // DescriptorLimit returns how many descriptors the process may have open.
