--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -269,7 +269,7 @@
 // last event, although the hedge ends there.
 func TestHedgeConfirmsEnd(t *testing.T) {
 	c := qt.New(t)
-	g1 := startAnswering(c, "g1", func(conn net.Conn, nth, _ int) {
+	g1 := startAnswering(c, "g1", func(conn net.Conn, _, _ int) {
 		sendEvents(conn, unframedEvent(1), unframedEvent(2))
 		awaitClose(conn)
 	})
@@ -287,7 +287,7 @@
 // TestSilentHedgeHoldsEnd guards against silent hedges that keep the end of a stream from being checked.
 func TestSilentHedgeHoldsEnd(t *testing.T) {
 	c := qt.New(t)
-	g1 := startAnswering(c, "g1", func(conn net.Conn, nth, after int) {
+	g1 := startAnswering(c, "g1", func(conn net.Conn, nth, _ int) {
 		if nth > 1 {
 			sendEvents(conn, unframedEvent(2))
 			return
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -397,7 +397,9 @@
 	l.limit.Observe(tick.At, delay, l.active, l.reached)
 	if l.socket == nil && !l.ended && !l.draining {
 		// Requests that are slow to come must not keep others out.
-		for surplus := float64(l.active) - reopenFraction*float64(l.limit.Max()); surplus > 0 && l.reclaim(tick.At); surplus-- {
+		surplus := float64(l.active) - reopenFraction*float64(l.limit.Max())
+		for surplus > 0 && l.reclaim(tick.At) {
+			surplus--
 		}
 	}
 	l.reached = false
