gateway: wait less for silent checks of prompt ends, and split the code by job

A stream with a prompt end waited 2 s for a check that stayed silent before that proof counted, as long as callers tolerate a pause. It waits 0.8 s now.

--- /dev/null
+++ b/gateway/end_check.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lupinkeel/lupinkeel/cluster"
+	"github.com/lupinkeel/lupinkeel/lib/h1"
+	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/models"
+	"github.com/lupinkeel/lupinkeel/quarantine"
+)
+
+const (
+	// maxEndChecks is how many answers may be asked for to find out whether a stream ends after its last event,
+	// and maxEndCheckRejections how many groups may reject that.
+	maxEndChecks          = 3
+	maxEndCheckRejections = 4
+	// Of the prompt ends of trusted instances, one in endSample is checked all the same.
+	endSample = 8
+	// endCheckWait is how long a check is waited for. Callers give up a stream that pauses for 2 s.
+	endCheckWait = 1200 * time.Millisecond
+	// endCheckPatience is how long a group that is asked may send nothing, promptEndPatience the same if the end
+	// was a prompt one, which is a proof by itself.
+	endCheckPatience  = 2 * time.Second
+	promptEndPatience = 800 * time.Millisecond
+	// minPromptEnd and maxPromptEnd bound how long after the last event a connection is closed that is
+	// closed because of it: half of the shortest pause between events, of which minPauses must be known. The
+	// kernel tells that time in its own ticks of 1 to 10 ms.
+	minPromptEnd = 4 * time.Millisecond
+	maxPromptEnd = 20 * time.Millisecond
+	minPauses    = 4
+)
+
+// unprovenEnd is the end of a stream that nothing but a closed connection marks.
+type unprovenEnd struct {
+	// group closed the connection of response.
+	group    cluster.Group
+	response *h1.Response
+	// prompt is set if it was closed with the last event.
+	prompt bool
+	// checks counts the answers that were asked for, confirmed those of them that ended there too, and
+	// rejections the groups that did not run the request.
+	checks, confirmed, rejections int
+	// rejecting are the heads of the latter, confirming is the group that confirmed the end last.
+	rejecting  []models.InstanceID
+	confirming *cluster.Group
+	// judged is set once the end was counted in the metrics.
+	judged bool
+}
+
+// noteUnframedEnd records that a group ended the stream without a proof, or confirmed such an end. An instance that
+// does not go on running confirms nothing: a request may crash each instance after the same event.
+func (s *stream) noteUnframedEnd() {
+	a := s.current
+	if !a.checksEnd {
+		s.unproven = &unprovenEnd{group: a.group, response: a.response, prompt: a.isPromptEnd()}
+		a.close()
+		return
+	}
+	a.close()
+	if s.g.crashes.survives(s.ctx, a.group.Head) {
+		s.unproven.confirmed++
+		s.unproven.confirming = &a.group
+	}
+}
+
+// checkEnd finds out whether the stream is complete, after an unproven end or a check that ended with the cause. It
+// returns errStreamEnd if the stream is complete, nil if a check was started, or else the cause.
+func (s *stream) checkEnd(cause error) error {
+	u, trust := s.unproven, s.g.endRecords.trust(s.service, time.Now())
+	if s.current.checksEnd && errors.Is(cause, errNotRun) {
+		u.checks--
+		u.rejections++
+		u.rejecting = append(u.rejecting, s.current.group.Head.ID)
+	}
+	if u.confirmed >= trust.neededConfirmations(u.prompt) {
+		return s.completeEnd(endCheckConfirmed)
+	}
+	if trust == endsTrusted && u.checks == 0 && rand.N(endSample) > 0 && s.isSurvivedPromptEnd() {
+		return s.completeEnd(endCheckPrompt)
+	}
+	err := s.checkQuarantine()
+	asks := err == nil && !s.unresumable
+	if u.prompt && errors.Is(cause, h1.ErrStalled) {
+		asks = false
+	}
+	for until := s.g.stop.bound(time.Now().Add(endCheckWait)); ; {
+		if asks {
+			if err = s.tryEndCheck(); err == nil {
+				return nil
+			}
+		}
+		if !s.unresumable && s.isSurvivedPromptEnd() {
+			return s.completeEnd(endCheckPrompt)
+		}
+		if !asks || errors.Is(err, errUnframedEnd) || time.Now().After(until) {
+			s.judgeEnd(endCheckBroken)
+			return errors.Join(cause, err)
+		}
+		select {
+		case <-s.ctx.Done():
+			s.judgeEnd(endCheckBroken)
+			return errors.Join(cause, s.ctx.Err())
+		case <-time.After(stallPollInterval):
+		}
+	}
+}
+
+// judgeEnd counts how the check of an unproven end ended.
+func (s *stream) judgeEnd(result endCheckResult) {
+	s.unproven.judged = true
+	s.g.stats.endChecks[result].Inc()
+}
+
+// completeEnd ends the stream as a complete one.
+func (s *stream) completeEnd(result endCheckResult) error {
+	if result == endCheckConfirmed {
+		s.g.endRecords.noteConfirmed(s.service)
+	}
+	s.judgeEnd(result)
+	// An instance that crashes later did not do so because of this request.
+	s.g.crashes.acquit(append([]quarantine.Digest{s.digest()}, s.parts()...)...)
+	return errStreamEnd
+}
+
+// isSurvivedPromptEnd reports whether the connection was closed with the last event by an instance that goes on
+// running. It does not count after an instance of the service has closed a connection so before the end.
+func (s *stream) isSurvivedPromptEnd() bool {
+	u := s.unproven
+	if !u.prompt || s.g.endRecords.arePromptDisputed(s.service, time.Now()) {
+		return false
+	}
+	// The instance is probed once.
+	u.prompt = s.g.crashes.survives(s.ctx, u.group.Head)
+	return u.prompt
+}
+
+// tryEndCheck asks a group for the last event once more, and what follows it. It returns errUnframedEnd if enough
+// were asked.
+func (s *stream) tryEndCheck() error {
+	u, now, daemons := s.unproven, time.Now(), s.g.node.View().Daemons
+	if u.checks == maxEndChecks || u.rejections == maxEndCheckRejections {
+		return errUnframedEnd
+	}
+	if !s.g.budget.mayCheck(now, daemons) {
+		return errRetryBudget
+	}
+	dest, found := s.endCheckTarget()
+	if !found {
+		return errNoInstance
+	}
+	if !s.g.budget.allowCheck(now, daemons) {
+		return errRetryBudget
+	}
+	u.checks++
+	s.startEndCheck(dest)
+	return nil
+}
+
+// isPromptEnd reports whether the connection was closed with the last event rather than when another one was
+// due, as a connection is that is closed for another reason.
+func (a *streamAttempt) isPromptEnd() bool {
+	if a.lastEvent.IsZero() {
+		return false
+	}
+	since, err := a.response.Body.SinceLastData()
+	switch {
+	case errors.Is(err, h1.ErrForwarded):
+		// A pause of the process that forwards the bytes would be taken for none.
+		return false
+	case err != nil:
+		since = time.Since(a.lastEvent)
+	}
+	if a.pauses < minPauses {
+		return since <= minPromptEnd
+	}
+	return since <= max(minPromptEnd, min(maxPromptEnd, a.shortestPause/2))
+}
+
+// endCheckTarget returns the group to ask whether the stream is complete: one that was not tried, if the
+// route allows another attempt and the group has capacity, or else the one that ended the stream, which
+// takes no further instance and has had room until now.
+func (s *stream) endCheckTarget() (target, bool) {
+	u, other, found, free := s.unproven, target{}, false, false
+	if s.mayRetry() {
+		other, found, free = s.findGroup()
+	}
+	if found && free {
+		return other, true
+	}
+	asked := []cluster.Group{u.group}
+	if u.confirming != nil {
+		asked = append(asked, *u.confirming)
+	}
+	for _, group := range asked {
+		if same, there := s.currentGroup(group); there && !s.g.needsPermit(same.Head) && !slices.Contains(u.rejecting, same.Head.ID) {
+			return target{group: same}, true
+		}
+	}
+	return other, found
+}
+
+// currentGroup returns a group as it is now, if it still takes requests.
+func (s *stream) currentGroup(group cluster.Group) (cluster.Group, bool) {
+	view := s.g.node.View()
+	head, known := view.Instances[group.Head.ID]
+	if !known || head.Draining || head.CompareIncarnation(group.Head.StartedAt) != models.SameIncarnation {
+		return group, false
+	}
+	for _, g := range view.Groups[s.servedModel()] {
+		if g.Key == group.Key && g.Head.ID == group.Head.ID {
+			return g, s.g.node.Breakers().Check(g.Head) == nil
+		}
+	}
+	return group, false
+}
+
+// startEndCheck asks a group for the last event that the caller has, and what follows it.
+func (s *stream) startEndCheck(dest target) {
+	end := s.currentEnd()
+	s.g.log.Info().Str("request", string(s.head.ID)).Str("from", string(s.current.group.Key.Name)).Str("to", string(dest.group.Key.Name)).
+		EmbedObject(end).Msg("stream-end-unproven")
+	s.current.close()
+	s.startAttempt(dest)
+	a := s.current
+	a.checksEnd = true
+	// A stream may begin with event 1.
+	a.resume, a.resumed = s.lastID-1, s.lastID > 1
+}
+
+// isRepeated notes the event that a check of the stream's end is to repeat. It reports whether the caller has
+// the event already.
+func (s *stream) isRepeated(event sse.Event) bool {
+	a := s.current
+	switch {
+	case !a.checksEnd:
+		return false
+	case !event.HasID:
+		// It comes before the event that is repeated.
+		return !a.repeated
+	case event.ID > s.lastID:
+		return false
+	}
+	a.repeated = event.ID == s.lastID
+	return true
+}
+
+// noteContinuation records that the stream continues after an end that a group has claimed.
+func (s *stream) noteContinuation() {
+	u := s.unproven
+	if u == nil {
+		return
+	}
+	if s.g.crashes.runs(u.group.Head) {
+		s.g.endRecords.noteEarly(s.service, time.Now(), u.prompt)
+	}
+	s.judgeEnd(endCheckContinued)
+	s.unproven, s.current.checksEnd, s.current.repeated = nil, false, false
+}
+
+// endCheckTimeout decides how much longer to wait for a silent check of the stream's end.
+func (a *streamAttempt) endCheckTimeout(silence time.Duration) time.Duration {
+	patience := endCheckPatience
+	if u := a.s.unproven; u != nil && u.prompt {
+		patience = promptEndPatience
+	}
+	left := time.Until(a.s.g.stop.bound(time.Now().Add(patience - silence)))
+	if a.s.g.hasRestarted(a.group.Head) || left <= 0 {
+		return 0
+	}
+	return min(idlePollInterval, left)
+}
+
+// endCheckResult is how the check of an unproven end of a stream ended.
+type endCheckResult string
+
+const (
+	// endCheckConfirmed: another response ended after the same event.
+	endCheckConfirmed endCheckResult = "confirmed"
+	// endCheckContinued: the stream went on.
+	endCheckContinued endCheckResult = "continued"
+	// endCheckPrompt: the connection was closed with the last event, and the instance went on running.
+	endCheckPrompt endCheckResult = "prompt"
+	// endCheckBroken: the stream was broken off.
+	endCheckBroken endCheckResult = "broken"
+)
+
+var endCheckResults = []endCheckResult{endCheckConfirmed, endCheckContinued, endCheckPrompt, endCheckBroken}
