h1, gateway: measure by the kernel alone when the end of a stream came

Cause: connections to instances are wrapped (cluster.directConn), so that no prompt end was ever measured by the kernel.

A wrapped connection tells its TCP connection now. And the time is the one between the last bytes and the last packet, which is the close, by the kernel's clock, rather than from the last bytes to now: a daemon that is paused or busy reads the same (TestEndDelayCountsOwnPause). A check that a planned stop leaves no time for gives way to the proof by a prompt end, and is no longer cut at the stop's end before the connections are.

--- a/cluster/direct_attempt.go
+++ b/cluster/direct_attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 
@@ -95,5 +96,13 @@
 	addr netip.AddrPort
 }
 
+var _ h1.TCPConner = (*directConn)(nil)
+
+// TCPConn returns the connection to the instance, or nil if it is not one of TCP.
+func (c *directConn) TCPConn() *net.TCPConn {
+	tcp, _ := c.Conn.(*net.TCPConn)
+	return tcp
+}
+
 // Stale reports whether connections to the instance take a detour now, because direct ones may hang.
 func (c *directConn) Stale() bool { return c.p.needsDetour(c.addr) }
--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -84,10 +84,12 @@
 	}
 	err := s.checkQuarantine()
 	asks := err == nil && !s.unresumable
-	if u.prompt && errors.Is(cause, h1.ErrStalled) {
+	until := time.Now().Add(endCheckWait)
+	if stops := s.g.stop.bound(until).Before(until); u.prompt && (stops || errors.Is(cause, h1.ErrStalled)) {
+		// There may be no time for another check.
 		asks = false
 	}
-	for until := s.g.stop.bound(time.Now().Add(endCheckWait)); ; {
+	for {
 		if asks {
 			if err = s.tryEndCheck(); err == nil {
 				return nil
@@ -166,18 +168,18 @@
 	if a.lastEvent.IsZero() {
 		return false
 	}
-	since, err := a.response.Body.SinceLastData()
+	delay, err := a.response.Body.EndDelay()
 	switch {
 	case errors.Is(err, h1.ErrForwarded):
 		// A pause of the process that forwards the bytes would be taken for none.
 		return false
 	case err != nil:
-		since = time.Since(a.lastEvent)
+		delay = time.Since(a.lastEvent)
 	}
 	if a.pauses < minPauses {
-		return since <= minPromptEnd
+		return delay <= minPromptEnd
 	}
-	return since <= max(minPromptEnd, min(maxPromptEnd, a.shortestPause/2))
+	return delay <= max(minPromptEnd, min(maxPromptEnd, a.shortestPause/2))
 }
 
 // endCheckTarget returns the group to ask whether the stream is complete: one that was not tried, if the
@@ -267,11 +269,10 @@
 	if u := a.s.unproven; u != nil && u.prompt {
 		patience = promptEndPatience
 	}
-	left := time.Until(a.s.g.stop.bound(time.Now().Add(patience - silence)))
-	if a.s.g.hasRestarted(a.group.Head) || left <= 0 {
+	if a.s.g.hasRestarted(a.group.Head) || silence >= patience {
 		return 0
 	}
-	return min(idlePollInterval, left)
+	return min(idlePollInterval, patience-silence)
 }
 
 // endCheckResult is how the check of an unproven end of a stream ended.
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -94,11 +94,12 @@
 // ErrForwarded is returned for a connection whose bytes another process forwards.
 var ErrForwarded = errors.New("the connection is forwarded")
 
-// SinceLastData returns how long ago the kernel received the last bytes, however long this process was paused since
-// then. The error wraps ErrForwarded if the kernel can't know that.
-func (b *Body) SinceLastData() (time.Duration, error) {
-	tcp, direct := b.c.nc.(*net.TCPConn)
-	if !direct {
+// EndDelay returns how long after the last bytes of the body its connection was closed, once the body has ended with
+// it. That is the time between both by the kernel's clock, however late this process reads them. The error wraps
+// ErrForwarded if the kernel can't know that.
+func (b *Body) EndDelay() (time.Duration, error) {
+	tcp := tcpConn(b.c.nc)
+	if tcp == nil {
 		return 0, ErrForwarded
 	}
 	raw, err := tcp.SyscallConn()
@@ -111,7 +112,20 @@
 	if err := errors.Join(err, infoErr); err != nil {
 		return 0, err
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+	// The last acknowledgement came with the close: nothing was sent since the request.
+	return time.Duration(info.Last_data_recv-info.Last_ack_recv) * time.Millisecond, nil
+}
+
+// tcpConn returns the TCP connection to the upstream itself, or nil if another process forwards its bytes.
+func tcpConn(c Conn) *net.TCPConn {
+	switch c := c.(type) {
+	case *net.TCPConn:
+		return c
+	case TCPConner:
+		return c.TCPConn()
+	default:
+		return nil
+	}
 }
 
 // Abort closes the connection, which makes the upstream stop.
--- a/lib/h1/pool.go
+++ b/lib/h1/pool.go
@@ -75,6 +75,9 @@
 // Staler is a Conn that may become unusable while it is idle, although it has received nothing.
 type Staler interface{ Stale() bool }
 
+// TCPConner is a Conn that wraps a TCP connection to the upstream itself.
+type TCPConner interface{ TCPConn() *net.TCPConn }
+
 // DialFunc connects to an address.
 type DialFunc func(ctx context.Context, addr netip.AddrPort) (Conn, error)
 
