h1: don't take an end that came with the last bytes for one weeks later

What callers saw: nothing yet, found by reading. With few retries left, a complete stream whose end the kernel received with its last bytes could be broken off.

Cause: EndDelay subtracts two unsigned times of the kernel. For a packet that has both bytes and the close, the kernel notes the acknowledgement before the data, so that its clock may tick between both, and the difference is below zero: TestEndDelayUnderflows got 1193h2m47s for -4 ms. Such an end did not count as a prompt one, which is the safe side for streams that break off, and the wrong one for complete streams.

The difference is signed now, and 0 if it is negative.

--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -112,8 +112,15 @@
 	if err := errors.Join(err, infoErr); err != nil {
 		return 0, err
 	}
-	// The last acknowledgement came with the close: nothing was sent since the request.
-	return time.Duration(info.Last_data_recv-info.Last_ack_recv) * time.Millisecond, nil
+	return endDelay(info), nil
+}
+
+// endDelay returns the time between the last bytes and the close of a connection. The last acknowledgement came with the
+// close: nothing was sent since the request.
+func endDelay(info *unix.TCPInfo) time.Duration {
+	// The kernel notes the acknowledgement first, so that its clock may tick between both.
+	delay := int32(info.Last_data_recv - info.Last_ack_recv)
+	return time.Duration(max(0, delay)) * time.Millisecond
 }
 
 // tcpConn returns the TCP connection to the upstream itself, or nil if another process forwards its bytes.
--- a/lib/h1/end_delay_test.go
+++ b/lib/h1/end_delay_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // TestEndDelayCountsOwnPause guards against a delay of the end of a body that is that of the reader.
@@ -53,3 +54,20 @@
 		c.Check(resp.Body.Close(), qt.IsNil)
 	}
 }
+
+// TestEndDelayUnderflows guards against ends that came with the last bytes, and whose delay is that of weeks because the
+// kernel's clock ticked between both times.
+func TestEndDelayUnderflows(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		lastData, lastAck uint32
+		want              time.Duration
+	}{
+		{120, 120, 0},
+		{160, 100, 60 * time.Millisecond},
+		{120, 124, 0},
+		{0, 4, 0},
+	} {
+		c.Check(endDelay(&unix.TCPInfo{Last_data_recv: test.lastData, Last_ack_recv: test.lastAck}), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
