--- a/lib/entrance/guard.go
+++ b/lib/entrance/guard.go
@@ -68,19 +68,27 @@
 		return nil, err
 	}
 	c := &guardedConn{Conn: conn, guard: g, receiver: receiver{budget: g.memory}}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c.place = g.open.PushBack(c)
-	if g.open.Len() > maxGuardedConnections {
+	if oldest := g.add(c); oldest != nil {
 		g.evicted.Inc()
-		oldest := g.open.Remove(g.open.Front()).(*guardedConn)
-		oldest.place = nil
 		// Nothing depends on the result: the server sees the end of the connection.
 		_ = oldest.Conn.Close()
 	}
 	return c, nil
 }
 
+// add adds a connection, and returns the one that must be closed for it, or nil if there is room.
+func (g *Guard) add(c *guardedConn) (oldest *guardedConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.place = g.open.PushBack(c)
+	if g.open.Len() <= maxGuardedConnections {
+		return nil
+	}
+	oldest = g.open.Remove(g.open.Front()).(*guardedConn)
+	oldest.place = nil
+	return oldest
+}
+
 // guardedConn is a connection of a Guard. The guard's lock guards place.
 type guardedConn struct {
 	net.Conn
