gateway: take a permit for another attempt only if a retry is left

What callers saw: while the budget for retries is used up, each slow plain request, and each stream whose group is silent, takes a permit from the daemon that grants them every 40 ms, if instances announce a rate limit, and drops it. Others' requests wait for these permits, or are rejected.

Cause: an instance or group is picked with its permit before the budget is asked, in a poll. Ruled out: checks of streams' ends, which ask the budget first (TestCheckWastesPermits); failovers pick with a permit first, too, but once for each failure.

The budget is asked before. TestSlowRequestWastesPermits, a request of 700 ms: 13 permits before, 1 now. TestStalledStreamWastesPermits, a pause of 1.5 s: 32 before, none now.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -151,6 +151,11 @@
 	return e.arrivals.Load() == 0 || e.g.budget.allowRetry(time.Now(), e.g.node.View().Daemons, rejected)
 }
 
+// hasRetry is allowRetry for a request that was not rejected, but counts nothing.
+func (e *exchange) hasRetry() bool {
+	return e.arrivals.Load() == 0 || e.g.budget.mayRetry(time.Now(), e.g.node.View().Daemons)
+}
+
 // unmarkTried records that the request was not sent to the instance after all.
 func (e *exchange) unmarkTried(i models.UpstreamInstance) {
 	e.tried = slices.DeleteFunc(e.tried, func(id models.InstanceID) bool { return id == i.ID })
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -152,7 +152,7 @@
 		// The first attempt may still answer as soon as any other group.
 		return stallPollInterval
 	}
-	if !free {
+	if !free && s.hasRetry() {
 		// Permits are scarce, and the first attempt may still continue: groups that need one come
 		// second.
 		dest, _, free = s.findGroup()
--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +31,8 @@
 	limit    string
 	status   int
 	headers  map[string]string
+	// delay is how long both wait before they respond.
+	delay time.Duration
 }
 
 func newLimitFixture(t *testing.T) *limitFixture {
@@ -37,6 +41,7 @@
 	for _, name := range []string{"p1", "p2"} {
 		upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.received = append(s.received, name)
+			time.Sleep(s.delay)
 			w.Header().Set("X-Lupinkeel-Request-Id", r.Header.Get("X-Lupinkeel-Request-Id"))
 			w.Header().Set("X-Lupinkeel-Response-Stamp", "s")
 			if name == "p1" && s.limit != "" {
@@ -186,3 +191,44 @@
 	s.c.Assert(permit{instance: "p1", granted: time.Now()}.allows(g, i), qt.IsTrue)
 	s.c.Assert(permit{instance: "p1", granted: time.Now().Add(-permitLifetime)}.allows(g, i), qt.IsFalse)
 }
+
+// TestSlowRequestWastesPermits guards against permits that are taken for another attempt of a slow request, and dropped
+// since no retry is left.
+func TestSlowRequestWastesPermits(t *testing.T) {
+	s := newLimitFixture(t)
+	s.delay = 700 * time.Millisecond
+	now := time.Now()
+	for _, id := range []models.InstanceID{"p1", "p2"} {
+		s.node.Limits().Observe(ratelimit.Observation{Instance: id, StartedAt: time.Unix(1, 0), Rate: 100, SentAt: now, ReceivedAt: now})
+	}
+	var granted atomic.Int32
+	s.node.permit = func(ratelimit.PermitRequest) (ratelimit.Grant, error) {
+		granted.Add(1)
+		return ratelimit.Grant{Granted: true}, nil
+	}
+	resp, _ := s.send("1")
+	s.c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	s.c.Check(granted.Load(), qt.Equals, int32(1))
+}
+
+// TestStalledStreamWastesPermits is TestSlowRequestWastesPermits for the hedge of a stream.
+func TestStalledStreamWastesPermits(t *testing.T) {
+	c := qt.New(t)
+	g1 := startAnswering(c, "g1", func(conn net.Conn, _, _ int) {
+		sendEvents(conn, unframedEvent(1))
+		time.Sleep(1500 * time.Millisecond)
+		_, _ = io.WriteString(conn, unframedEvent(2))
+	})
+	g2 := startAnswering(c, "g2", func(net.Conn, int, int) {})
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{g1, g2})
+	now := time.Now()
+	node.limits = emptyLimits()
+	node.Limits().Observe(ratelimit.Observation{Instance: "g2", StartedAt: time.Unix(1, 0), Rate: 100, SentAt: now, ReceivedAt: now})
+	var granted atomic.Int32
+	node.permit = func(ratelimit.PermitRequest) (ratelimit.Grant, error) {
+		granted.Add(1)
+		return ratelimit.Grant{Granted: true}, nil
+	}
+	askStream(t, 0, node)
+	c.Check(granted.Load(), qt.Equals, int32(0))
+}
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -83,7 +83,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	step, sum, limit := b.sum(now, daemons)
-	if float64(sum.retries+1) > limit || (rejected && float64(sum.rejections+1) > rejectionFraction*limit) {
+	if !sum.hasRetry(limit) || (rejected && float64(sum.rejections+1) > rejectionFraction*limit) {
 		return false
 	}
 	step.retries++
@@ -93,6 +93,14 @@
 	return true
 }
 
+// mayRetry is allowRetry for a request that was not rejected, but counts nothing.
+func (b *retryBudget) mayRetry(now time.Time, daemons int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, sum, limit := b.sum(now, daemons)
+	return sum.hasRetry(limit)
+}
+
 // allowCheck is allowRetry for a request that checks the end of a stream.
 func (b *retryBudget) allowCheck(now time.Time, daemons int) bool {
 	b.mu.Lock()
@@ -114,9 +122,12 @@
 	return sum.hasCheck(limit)
 }
 
+// hasRetry reports whether one more retry is within the limit.
+func (s budgetBucket) hasRetry(limit float64) bool { return float64(s.retries+1) <= limit }
+
 // hasCheck reports whether one more check is within the limit of retries.
 func (s budgetBucket) hasCheck(limit float64) bool {
-	return float64(s.retries+1) <= limit && float64(s.checks+1) <= checkFraction*limit
+	return s.hasRetry(limit) && float64(s.checks+1) <= checkFraction*limit
 }
 
 // sum returns the current bucket, the sum of all, and how many retries it may hold.
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -139,7 +139,7 @@
 
 // reserve reserves another instance for the request, and reports whether there is one.
 func (e *exchange) reserve(ctx context.Context) bool {
-	if e.checkTimeLeft(0) != nil || e.checkQuarantine() != nil {
+	if e.checkTimeLeft(0) != nil || e.checkQuarantine() != nil || !e.hasRetry() {
 		return false
 	}
 	i, p, found := e.pickPermittedInstance(ctx)
