h1, gateway: don't take an end whose time is not known for a prompt one

A stream without a length that was broken off after a whole event could look complete.

Where the kernel's times could not be read, this daemon's own clock took their place, which after a pause of the daemon reads each end as prompt.

EndDelay returns ErrUnmeasured in both cases, and the end is checked like one through another daemon. That the kernel tells times shows in that of the last bytes sent. TestUnmeasuredEndLooksPrompt failed before: the stream was complete without a proof. TestUntoldTimesLookPrompt: the delay was 0.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -169,12 +169,9 @@
 		return false
 	}
 	delay, err := a.response.Body.EndDelay()
-	switch {
-	case errors.Is(err, h1.ErrForwarded):
-		// A pause of the process that forwards the bytes would be taken for none.
+	if err != nil {
+		// This daemon's own clock would not do: after a pause it reads the event and the end at the same time.
 		return false
-	case err != nil:
-		delay = time.Since(a.lastEvent)
 	}
 	if a.pauses < minPauses {
 		return delay <= minPromptEnd
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -154,6 +154,32 @@
 	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3 cut")
 }
 
+// unmeasuredConn is a connection whose times the kernel doesn't tell.
+type unmeasuredConn struct{ h1.Conn }
+
+// TCPConn returns a connection that is not open.
+func (unmeasuredConn) TCPConn() *net.TCPConn { return &net.TCPConn{} }
+
+// unmeasuringNode is a fakeNode that connects to instances by unmeasuredConn.
+type unmeasuringNode struct{ *fakeNode }
+
+// DialInstance returns an unmeasuredConn.
+func (n unmeasuringNode) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	conn, err := n.fakeNode.DialInstance(ctx, addr)
+	return unmeasuredConn{conn}, err
+}
+
+// TestUnmeasuredEndLooksPrompt guards against ends whose delay the kernel doesn't tell, and that look prompt since this
+// daemon reads the event and the end at the same time.
+func TestUnmeasuredEndLooksPrompt(t *testing.T) {
+	c := qt.New(t)
+	g1 := startUnframed(c, "g1", []string{"3"}, &askedIDs{})
+	node := unmeasuringNode{newFakeNode(c, streamEndConfig, []*fakeInstance{g1})}
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryWindow: 10 * time.Second, FirstStart: true}
+	front := newFront(New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop()))
+	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3 cut")
+}
+
 // TestEndedStreamIsNoLoad guards against streams that count as load of the group that ended them while they wait for
 // a check.
 func TestEndedStreamIsNoLoad(t *testing.T) {
--- a/lib/h1/body.go
+++ b/lib/h1/body.go
@@ -91,12 +91,20 @@
 // Buffered returns the number of bytes that have been received but not read.
 func (b *Body) Buffered() int { return b.c.br.Buffered() }
 
-// ErrForwarded is returned for a connection whose bytes another process forwards.
-var ErrForwarded = errors.New("the connection is forwarded")
+// Errors of EndDelay.
+var (
+	// ErrForwarded: another process forwards the connection's bytes.
+	ErrForwarded = errors.New("the connection is forwarded")
+	// ErrUnmeasured: the kernel does not tell the connection's times.
+	ErrUnmeasured = errors.New("the times of the connection are not known")
+)
+
+// maxKernelTick is the longest time between two ticks of the clock by which the kernel measures connections.
+const maxKernelTick = 10 * time.Millisecond
 
 // EndDelay returns how long after the last bytes of the body its connection was closed, once the body has ended with
 // it. That is the time between both by the kernel's clock, however late this process reads them. The error wraps
-// ErrForwarded if the kernel can't know that.
+// ErrForwarded or ErrUnmeasured if the kernel can't know or doesn't tell that.
 func (b *Body) EndDelay() (time.Duration, error) {
 	tcp := tcpConn(b.c.nc)
 	if tcp == nil {
@@ -104,23 +112,26 @@
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0, err
+		return 0, errors.Join(ErrUnmeasured, err)
 	}
 	var info *unix.TCPInfo
 	var infoErr error
 	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 	if err := errors.Join(err, infoErr); err != nil {
-		return 0, err
+		return 0, errors.Join(ErrUnmeasured, err)
 	}
-	return endDelay(info), nil
+	return endDelay(info, time.Since(b.c.wroteAt))
 }
 
-// endDelay returns the time between the last bytes and the close of a connection. The last acknowledgement came with the
-// close: nothing was sent since the request.
-func endDelay(info *unix.TCPInfo) time.Duration {
+// endDelay returns the time between the last bytes and the close of a connection on which a request was sent some time
+// ago. The last acknowledgement came with the close: nothing was sent since the request.
+func endDelay(info *unix.TCPInfo, sinceSent time.Duration) (time.Duration, error) {
+	if info.Last_data_sent == 0 && sinceSent > 2*maxKernelTick {
+		return 0, ErrUnmeasured
+	}
 	// The kernel notes the acknowledgement first, so that its clock may tick between both.
 	delay := int32(info.Last_data_recv - info.Last_ack_recv)
-	return time.Duration(max(0, delay)) * time.Millisecond
+	return time.Duration(max(0, delay)) * time.Millisecond, nil
 }
 
 // tcpConn returns the TCP connection to the upstream itself, or nil if another process forwards its bytes.
--- a/lib/h1/conn.go
+++ b/lib/h1/conn.go
@@ -42,6 +42,8 @@
 	// readErr is the error of the first read that failed. A socket reports its error only once, and then
 	// the regular end.
 	readErr error
+	// wroteAt is when bytes were last written.
+	wroteAt time.Time
 }
 
 // readBufferLen is the length of a connection's read buffer in bytes, large enough for a response
@@ -80,6 +82,7 @@
 }
 
 func (c *conn) write(p []byte) (int, error) {
+	c.wroteAt = time.Now()
 	n, err := c.nc.Write(p)
 	if c.meter != nil {
 		c.meter.Sent(n)
--- a/lib/h1/end_delay_test.go
+++ b/lib/h1/end_delay_test.go
@@ -68,6 +68,20 @@
 		{120, 124, 0},
 		{0, 4, 0},
 	} {
-		c.Check(endDelay(&unix.TCPInfo{Last_data_recv: test.lastData, Last_ack_recv: test.lastAck}), qt.Equals, test.want, qt.Commentf("%+v", test))
+		delay, err := endDelay(&unix.TCPInfo{Last_data_sent: 200, Last_data_recv: test.lastData, Last_ack_recv: test.lastAck}, 200*time.Millisecond)
+		c.Check(err, qt.IsNil)
+		c.Check(delay, qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// TestUntoldTimesLookPrompt guards against kernels that tell no times of a connection, so that each end of a body looks as
+// if it came with the last bytes.
+func TestUntoldTimesLookPrompt(t *testing.T) {
+	c := qt.New(t)
+	_, err := endDelay(&unix.TCPInfo{State: 1, Rtt: 400}, 60*time.Millisecond)
+	c.Check(errors.Is(err, ErrUnmeasured), qt.IsTrue)
+	// All of it was within one tick.
+	delay, err := endDelay(&unix.TCPInfo{State: 1, Rtt: 400}, 5*time.Millisecond)
+	c.Check(err, qt.IsNil)
+	c.Check(delay, qt.Equals, time.Duration(0))
+}
