entrance: hold memory for the heads of requests that are sent ahead

What callers saw: nothing; found by reading. A daemon holds memory for short fields that its budget does not know, so that other bounds fill the memory that is left.

Cause: what arrives in one read with an earlier request is counted with that one, whose head has ended by then. Up to 4 KiB of the next head were parsed without being held, a hundred times their length in memory.

When the head was parsed, memory is held for the fields that were not counted. Without room the connection is closed at once: before a rejection the server would wait for the body, and hold the head meanwhile.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,7 +81,6 @@
 
 // serve handles one request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	entrance.HeadReceived(r.Context())
 	g.stats.inFlight.Add(1)
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, started: time.Now(), head: platform.DecodeRequest(r.Header)}
@@ -91,7 +90,10 @@
 		return quarantine.PartDigests(e.owner.Workspace, e.head.Model, e.head.SharedParts)
 	})
 	defer func() { g.buffers.Release(e.heldBytes) }()
-	err := e.admit()
+	err := entrance.HeadReceived(r)
+	if err == nil {
+		err = e.admit()
+	}
 	if err == nil {
 		err = e.checkQuarantine()
 	}
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -51,14 +52,7 @@
 	if n == 0 || r.budget == nil {
 		return nil
 	}
-	// The budget may ask all receivers how fast they are.
-	if err := r.budget.ReserveHead(n, holds); err != nil {
-		return errors.Join(errNoMemory, err)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.held += n
-	return nil
+	return r.hold(n, holds)
 }
 
 // count counts bytes that were received, and returns how many bytes must be held for the part of the head that is
@@ -134,12 +128,50 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// HeadReceived tells the listener that the head of the context's request was received. Otherwise it would take the
-// body for the head if both came with an earlier request.
-func HeadReceived(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
-		c.receiver.setPhase(phaseBody)
+// HeadReceived tells the listener that the head of a request was received. Otherwise it would take the body for the
+// head if both came with an earlier request. If there is no memory for what came so, it closes the connection and
+// returns an error that wraps buffers.ErrFull.
+func HeadReceived(r *http.Request) error {
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return nil
 	}
+	if err := c.receiver.endHead(r.Header); err != nil {
+		// Before a response the server waits for the body, and holds the head meanwhile.
+		return errors.Join(err, c.Conn.Close())
+	}
+	return nil
+}
+
+// endHead ends the head of a request, and holds memory for the fields that were not counted because they came with an
+// earlier request.
+func (r *receiver) endHead(fields http.Header) error {
+	r.setPhase(phaseBody)
+	size := 0
+	for name, values := range fields {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldBytes
+		}
+	}
+	r.mu.Lock()
+	holds := r.held
+	r.mu.Unlock()
+	if size <= holds || r.budget == nil {
+		return nil
+	}
+	return r.hold(size-holds, holds)
+}
+
+// hold holds memory for n bytes of a head that holds some already.
+func (r *receiver) hold(n, holds int) error {
+	// The budget may ask all receivers how fast they are.
+	if err := r.budget.ReserveHead(n, holds); err != nil {
+		return errors.Join(errNoMemory, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held += n
+	return nil
 }
 
 // Received tells the listener that the whole request was received. From then on the listener doesn't close its
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -1,12 +1,15 @@
 package entrance
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +32,10 @@
 	budget.SetReclaim(l.Reclaim)
 	c.Assert(l.Open(), qt.IsNil)
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		HeadReceived(r.Context())
+		if err := HeadReceived(r); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		held := 0
 		defer func() { budget.Release(held) }()
 		if _, err := io.ReadAll(buffers.Reader{R: r.Body, Budget: budget, Holds: &held}); err != nil {
@@ -96,6 +102,38 @@
 	})
 }
 
+// TestFieldsSentAheadFillMemory guards against heads of short fields that come in one piece with an earlier request, and
+// are parsed without memory that is held for them.
+func TestFieldsSentAheadFillMemory(t *testing.T) {
+	c := qt.New(t)
+	const memory, fields, crowd = 1 << 20, 600, 40
+	e := startReceiving(c, 1000, memory)
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range crowd {
+		conn, err := e.connect()
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"+
+			strings.Repeat("a:\r\n", fields)+"\r\nb")
+		c.Assert(err, qt.IsNil)
+		r := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(r, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+		conns, readers = append(conns, conn), append(readers, r)
+	}
+	// The second request is rejected, or waits for the end of its body.
+	held := 0
+	for n, conn := range conns {
+		c.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Millisecond)), qt.IsNil)
+		if _, err := readers[n].ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+			held++
+		}
+	}
+	c.Assert(held <= memory/(fields*fieldBytes), qt.IsTrue, qt.Commentf("%d requests are received", held))
+}
+
 // TestCompleteRequestsAreNotReclaimed checks that only requests that are still being received make room for others,
 // and the slowest of them first.
 func TestCompleteRequestsAreNotReclaimed(t *testing.T) {
@@ -133,7 +171,7 @@
 	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: policy, MaxConnections: 1000}, metrics.NewSet(), zerolog.Nop())
 	c.Assert(l.Open(), qt.IsNil)
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		HeadReceived(r.Context())
+		c.Check(HeadReceived(r), qt.IsNil)
 		Received(r.Context())
 		time.Sleep(20 * time.Millisecond)
 		if MustClose(r.Context()) {
--- a/soak/crowd_script_test.go
+++ b/soak/crowd_script_test.go
@@ -50,6 +50,13 @@
 	sendHead
 }
 
+// sendPair sends a request without a body and, in the same write, the head of another one with a number of short fields
+// of different names, and a body that lacks its end.
+type sendPair struct {
+	fields int
+	sendHead
+}
+
 // readAll reads until the daemon closes the connection, readSlowly a byte at an interval.
 type readAll struct{}
 
@@ -62,6 +69,7 @@
 func (sendHead) isCrowdStep()     {}
 func (sendText) isCrowdStep()     {}
 func (sendPieces) isCrowdStep()   {}
+func (sendPair) isCrowdStep()     {}
 func (readAll) isCrowdStep()      {}
 func (readSlowly) isCrowdStep()   {}
 func (expectServed) isCrowdStep() {}
@@ -116,6 +124,9 @@
 	case "ahead":
 		scan(c, line, rest, "%d %s %s", &count, &head.method, &head.path)
 		return sendAhead{count, head}
+	case "pair":
+		scan(c, line, rest, "%d %s %s", &count, &head.method, &head.path)
+		return sendPair{count, head}
 	case "read":
 		return readAll{}
 	case "trickle":
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -276,6 +276,9 @@
 			_, err = w.WriteString(step.text(newRequest(kindNonIdempotent, "").id) + "\r\n")
 		}
 		err = errors.Join(err, w.Flush())
+	case sendPair:
+		_, err = io.WriteString(conn, step.text(newRequest(kindNonIdempotent, "").id)+"\r\n"+step.sendHead.text(id)+
+			shortFields(step.fields)+"Content-Length: 2\r\n\r\nb")
 	case readAll:
 		err = m.readRefusal(conn, id)
 	case readSlowly:
@@ -295,6 +298,15 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Lupinkeel-Request-Id: %s\r\n", h.method, h.path, host, firstKey, id)
 }
 
+// shortFields returns fields of a head that are short and have different names.
+func shortFields(count int) string {
+	var text strings.Builder
+	for n := range count {
+		fmt.Fprintf(&text, "%s:\r\n", strconv.FormatInt(int64(n), 36))
+	}
+	return text.String()
+}
+
 // readRefusal reads until the connection is closed, and notes whether the request was refused.
 func (m *members) readRefusal(conn net.Conn, id string) error {
 	r := bufio.NewReader(conn)
