entrance, gateway: don't pass on requests whose connection was closed to make room

What callers saw: a connection that ends without an answer, while an instance runs the request. The listener closes idle connections when there are too many and when it drains, and the slowest ones when there is no memory. A request that was read by then was passed on all the same: an idle connection counts as idle until net/http has read the whole head, one sent ahead lies in net/http's buffer, and a body may be complete just before its connection is closed.

The listener notes that it closes a connection, under the same lock as the phase of its request; the handler looks before it passes the request on.

The race of a body with Reclaim is by reading.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -104,9 +104,11 @@
 	case err != nil:
 		return errors.Join(errBodyIncomplete, err)
 	}
+	if !entrance.Received(e.r.Context()) {
+		return errBodyIncomplete
+	}
 	e.setDeadline(unblock, time.Time{})
 	e.body, e.received = body, time.Now()
-	entrance.Received(e.r.Context())
 	return nil
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,7 +81,9 @@
 
 // serve handles one request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	entrance.HeadReceived(r.Context())
+	if !entrance.HeadReceived(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	g.stats.inFlight.Add(1)
 	defer g.stats.inFlight.Add(-1)
 	e := &exchange{g: g, w: w, r: r, started: time.Now(), head: platform.DecodeRequest(r.Header)}
--- a/lib/entrance/conn.go
+++ b/lib/entrance/conn.go
@@ -80,6 +80,8 @@
 	if !c.arrival.CompareAndSwap(arrivalClosing, arrivalClosed) {
 		return nil
 	}
+	// A request that came with an earlier one was read long ago.
+	c.receiver.abandon()
 	return errors.Join(err, c.Conn.Close())
 }
 
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -272,6 +272,7 @@
 		c.moveTo(nil)
 		l.setCounted(c, false)
 		l.evicted.Inc()
+		c.receiver.abandon()
 		if err := c.Conn.Close(); err != nil {
 			l.log.Debug().Err(err).Msg("connection-not-closed")
 		}
@@ -304,7 +305,7 @@
 			slowest, lowest = c, rate
 		}
 	}
-	if slowest == nil {
+	if slowest == nil || !slowest.receiver.abandon() {
 		l.reclaimAt = now.Add(reclaimPause)
 		return false
 	}
--- a/lib/entrance/entrance_test.go
+++ b/lib/entrance/entrance_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -259,3 +260,73 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(got), qt.Equals, request)
 }
+
+// TestEvictionLosesRequests guards against idle connections that are closed to make room when a request was just read
+// from them, which is passed on although nobody can be answered.
+func TestEvictionLosesRequests(t *testing.T) {
+	c := qt.New(t)
+	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: overload.Policy{Min: 10, Initial: 10, Max: 10}, MaxConnections: 2}, metrics.NewSet(), zerolog.Nop())
+	c.Assert(l.Open(), qt.IsNil)
+	defer l.Close()
+	caller, conn := acceptIdle(c, l)
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Read(make([]byte, 100))
+	c.Assert(err, qt.IsNil)
+	acceptIdle(c, l)
+	l.ConnState(conn, http.StateActive)
+	served := HeadReceived(ConnContext(t.Context(), conn))
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+	c.Check(err == nil || !served, qt.IsTrue, qt.Commentf("served on a closed connection: %v", err))
+}
+
+// acceptIdle opens a connection that counts as idle, and returns both of its ends.
+func acceptIdle(c *qt.C, l *Listener) (caller, conn net.Conn) {
+	caller, err := net.DialTimeout("tcp4", l.Addr().String(), time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { caller.Close() })
+	conn, err = l.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	l.ConnState(conn, http.StateIdle)
+	return caller, conn
+}
+
+// TestDrainLosesRequestsSentAhead guards against requests that came with an earlier one and are passed on after the
+// draining listener has closed their connection.
+func TestDrainLosesRequestsSentAhead(t *testing.T) {
+	c := qt.New(t)
+	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: overload.Policy{Min: 10, Initial: 10, Max: 10}, MaxConnections: 10}, metrics.NewSet(), zerolog.Nop())
+	c.Assert(l.Open(), qt.IsNil)
+	begun, release, served := make(chan struct{}, 1), make(chan struct{}), make(chan struct{}, 1)
+	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if !HeadReceived(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		Received(r.Context())
+		if r.URL.Path == "/ahead" {
+			served <- struct{}{}
+			return
+		}
+		begun <- struct{}{}
+		<-release
+	})}
+	serving := task.Start(context.Background(), "server", func(context.Context) error { return serve(server, l) })
+	defer func() {
+		c.Check(server.Close(), qt.IsNil)
+		c.Check(task.Wait(serving), qt.IsNil)
+	}()
+	caller, err := net.DialTimeout("tcp4", l.Addr().String(), time.Second)
+	c.Assert(err, qt.IsNil)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /ahead HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	<-begun
+	drained := l.Drain()
+	close(release)
+	<-drained
+	c.Assert(caller.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	got, _ := io.ReadAll(caller)
+	answers := strings.Count(string(got), "200 OK")
+	c.Check(answers, qt.Equals, 1+len(served), qt.Commentf("answers to %d requests", 1+len(served)))
+}
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -34,6 +34,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// closed is set once the listener has closed the connection: what was read from it can't be answered.
+	closed bool
 	// ahead is set if something was received after the whole request, before its response was sent.
 	ahead bool
 	// inLine is set if a part of a line of the head was received.
@@ -90,11 +92,21 @@
 	return n, r.held
 }
 
-// setPhase sets which part of the request is received next.
-func (r *receiver) setPhase(p phase) {
+// setPhase sets which part of the request is received next. It reports whether the request can be answered.
+func (r *receiver) setPhase(p phase) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.phase = p
+	return !r.closed
+}
+
+// abandon records that the listener closes the connection, unless the whole request was received. It reports whether
+// the listener may close it.
+func (r *receiver) abandon() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = r.closed || r.phase != phaseReceived
+	return r.closed
 }
 
 // reset prepares for the next request, and releases what was held for the last one.
@@ -135,19 +147,18 @@
 }
 
 // HeadReceived tells the listener that the head of the context's request was received. Otherwise it would take the
-// body for the head if both came with an earlier request.
-func HeadReceived(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
-		c.receiver.setPhase(phaseBody)
-	}
+// body for the head if both came with an earlier request. It reports whether the request can be answered: the listener
+// may have closed its connection.
+func HeadReceived(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return !ok || c.receiver.setPhase(phaseBody)
 }
 
 // Received tells the listener that the whole request was received. From then on the listener doesn't close its
-// connection for being slow.
-func Received(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
-		c.receiver.setPhase(phaseReceived)
-	}
+// connection for being slow. It reports whether the request can be answered, as HeadReceived does.
+func Received(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return !ok || c.receiver.setPhase(phaseReceived)
 }
 
 // MustClose reports whether the connection of the context's request should be closed after the response: its caller
