gateway: don't take a killed instance for one that closes early

What callers saw: complete streams without a length that are broken off in the minute after an instance was killed, if retries are scarce. An instance that is killed closes its connections some ms before its listening socket. Where the stream continued in that time at another group, there was no evidence of a crash yet, and that was taken as a proof that the instance goes on running: the service's ends then needed three checks, and prompt ends proved nothing, for a minute.

The ends are disputed as before until the probes of the instance have ended, 0.3 s later, and after that only if there is no evidence of a crash.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,7 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/quarantine"
 )
@@ -32,6 +34,9 @@
 	minPromptEnd = 4 * time.Millisecond
 	maxPromptEnd = 20 * time.Millisecond
 	minPauses    = 4
+	// crashEvidenceDelay is after which time the probes of an instance that has closed a connection have shown whether
+	// it was killed; see probeDelays.
+	crashEvidenceDelay = 300 * time.Millisecond
 )
 
 // unprovenEnd is the end of a stream that nothing but a closed connection marks.
@@ -256,13 +261,25 @@
 	if u == nil {
 		return
 	}
-	if s.g.crashes.runs(u.group.Head) {
-		s.g.endRecords.noteEarly(s.service, time.Now(), u.prompt)
-	}
+	s.g.noteEarlyEnd(s.ctx, s.service, u.group.Head, u.prompt)
 	s.judgeEnd(endCheckContinued)
 	s.unproven, s.current.checksEnd, s.current.repeated = nil, false, false
 }
 
+// noteEarlyEnd records that an instance has closed the connection of a stream before its end. If it turns out to have
+// been killed, that says nothing of other ends.
+func (g *Gateway) noteEarlyEnd(ctx context.Context, service models.ServiceName, i models.UpstreamInstance, prompt bool) {
+	if !g.crashes.runs(i) {
+		return
+	}
+	g.endRecords.suspectEarly(service, prompt)
+	task.Start(context.WithoutCancel(ctx), "early-end", func(context.Context) error {
+		time.Sleep(crashEvidenceDelay)
+		g.endRecords.settleEarly(service, time.Now(), prompt, g.crashes.runs(i))
+		return nil
+	})
+}
+
 // endCheckTimeout decides how much longer to wait for a silent check of the stream's end.
 func (a *streamAttempt) endCheckTimeout(silence time.Duration) time.Duration {
 	patience := endCheckPatience
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -402,3 +402,31 @@
 	front := newFront(g)
 	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3")
 }
+
+// TestKilledInstanceDisputesEnds guards against an instance that is killed between two events, whose listening socket
+// is closed some ms after its connections, and that counts as one that closes early and goes on running.
+func TestKilledInstanceDisputesEnds(t *testing.T) {
+	c := qt.New(t)
+	killed := make(chan struct{})
+	var g1 *fakeInstance
+	g1 = startAnswering(c, "g1", func(conn net.Conn, _, _ int) {
+		sendEvents(conn, unframedEvent(1), unframedEvent(2))
+		_ = conn.Close()
+		time.Sleep(20 * time.Millisecond)
+		_ = g1.l.Close()
+		close(killed)
+	})
+	g2 := startAnswering(c, "g2", func(conn net.Conn, _, _ int) {
+		_, _ = io.WriteString(conn, strings.Replace(closedHead, "Connection: close", "Content-Length: 54", 1)+"\r\n"+unframedEvent(2)+unframedEvent(3)+unframedEvent(4))
+	})
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{g1, g2})
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
+	got := askFront(t, newFront(g))
+	<-killed
+	time.Sleep(500 * time.Millisecond)
+	c.Check(got, qt.Equals, "id: 1 id: 2 id: 3 id: 4")
+	c.Check(g.crashes.hasCrashed(node.view.Instances["g1"]), qt.IsTrue)
+	c.Check(g.endRecords.trust("engines", time.Now()) == endsDisputed, qt.IsFalse)
+	c.Check(g.endRecords.arePromptDisputed("engines", time.Now()), qt.IsFalse)
+}
--- a/gateway/end_records.go
+++ b/gateway/end_records.go
@@ -46,6 +46,9 @@
 	confirmed int
 	// lastEarly is when the last early end was found, lastPromptEarly when it was one that came with an event.
 	lastEarly, lastPromptEarly time.Time
+	// suspected counts the ends that are early if their instances go on running, suspectedPrompt those of them that
+	// came with an event.
+	suspected, suspectedPrompt int
 }
 
 // endRecords are the records of all services. They are safe for concurrent use.
@@ -75,13 +78,38 @@
 	e.byService[service] = r
 }
 
+// suspectEarly records that the connection of a stream was closed before its end, by an instance that may have been
+// killed. settleEarly must follow.
+func (e *endRecords) suspectEarly(service models.ServiceName, prompt bool) {
+	e.addSuspected(service, prompt, 1)
+}
+
+// settleEarly records whether the instance of a suspected early end went on running.
+func (e *endRecords) settleEarly(service models.ServiceName, now time.Time, prompt, runs bool) {
+	if runs {
+		e.noteEarly(service, now, prompt)
+	}
+	e.addSuspected(service, prompt, -1)
+}
+
+func (e *endRecords) addSuspected(service models.ServiceName, prompt bool, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.byService[service]
+	r.suspected += n
+	if prompt {
+		r.suspectedPrompt += n
+	}
+	e.byService[service] = r
+}
+
 // trust returns how far the closed connections of a service's instances are trusted.
 func (e *endRecords) trust(service models.ServiceName, now time.Time) endTrust {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.byService[service]
 	switch {
-	case now.Sub(r.lastEarly) < disputedTime:
+	case r.suspected > 0, now.Sub(r.lastEarly) < disputedTime:
 		return endsDisputed
 	case r.confirmed >= trustedEnds:
 		return endsTrusted
@@ -94,5 +122,6 @@
 func (e *endRecords) arePromptDisputed(service models.ServiceName, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return now.Sub(e.byService[service].lastPromptEarly) < disputedTime
+	r := e.byService[service]
+	return r.suspectedPrompt > 0 || now.Sub(r.lastPromptEarly) < disputedTime
 }
