gateway: take no permit for a check that another group gets

What callers saw: nothing at once; requests to rate-limited instances wait for permits that nobody uses. To check the end of a stream, a group that was not tried was picked together with its permit, and the one that ended the stream was asked instead if the former had no room.

The capacity is looked at first, without a permit.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -191,23 +191,38 @@
 // route allows another attempt and the group has capacity, or else the one that ended the stream, which
 // takes no further instance and has had room until now.
 func (s *stream) endCheckTarget() (target, bool) {
-	u, other, found, free := s.unproven, target{}, false, false
-	if s.mayRetry() {
-		other, found, free = s.findGroup()
+	same, there := s.endingGroup()
+	if s.mayRetry() && (!there || s.hasFreeGroup()) {
+		if other, found, free := s.findGroup(); found && (free || !there) {
+			return other, true
+		}
 	}
-	if found && free {
-		return other, true
+	return target{group: same}, there
+}
+
+// hasFreeGroup reports whether the group that would be picked has capacity. Unlike findGroup it takes no permit.
+func (s *stream) hasFreeGroup() bool {
+	engine := s.engine()
+	if engine == nil {
+		return false
 	}
+	_, load, found := s.pickFreeGroup(engine)
+	return found && s.g.scheduler.policy.HasCapacity(engine, load)
+}
+
+// endingGroup returns the group that ended the stream, or the one that confirmed its end, if it may be asked.
+func (s *stream) endingGroup() (cluster.Group, bool) {
+	u := s.unproven
 	asked := []cluster.Group{u.group}
 	if u.confirming != nil {
 		asked = append(asked, *u.confirming)
 	}
 	for _, group := range asked {
 		if same, there := s.currentGroup(group); there && !s.g.needsPermit(same.Head) && !slices.Contains(u.rejecting, same.Head.ID) {
-			return target{group: same}, true
+			return same, true
 		}
 	}
-	return other, found
+	return cluster.Group{}, false
 }
 
 // currentGroup returns a group as it is now, if it still takes requests.
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -430,3 +430,40 @@
 	c.Check(g.endRecords.trust("engines", time.Now()) == endsDisputed, qt.IsFalse)
 	c.Check(g.endRecords.arePromptDisputed("engines", time.Now()), qt.IsFalse)
 }
+
+// TestCheckWastesPermitOfFullGroup guards against permits that are taken for a group without room, while the check is
+// sent to the group that ended the stream.
+func TestCheckWastesPermitOfFullGroup(t *testing.T) {
+	c := qt.New(t)
+	var mu sync.Mutex
+	granted, asked := 0, map[string]int{}
+	serve := func(name string) *fakeInstance {
+		return startAnswering(c, name, func(conn net.Conn, _, after int) {
+			mu.Lock()
+			asked[name]++
+			mu.Unlock()
+			if after < 0 {
+				sendEvents(conn, unframedEvent(1), unframedEvent(2))
+				return
+			}
+			sendEvents(conn, unframedEvent(2))
+		})
+	}
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{serve("g1"), serve("g2")})
+	now := time.Now()
+	node.limits = emptyLimits()
+	node.Limits().Observe(ratelimit.Observation{Instance: "g2", StartedAt: time.Unix(1, 0), Rate: 5, SentAt: now, ReceivedAt: now})
+	node.permit = func(ratelimit.PermitRequest) (ratelimit.Grant, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		granted++
+		return ratelimit.Grant{Granted: true}, nil
+	}
+	scheduler := newScheduler()
+	scheduler.addLoad("g2", 100, 0)
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	c.Check(askFront(t, newFront(New(cfg, node, scheduler, metrics.NewSet(), zerolog.Nop()))), qt.Equals, "id: 1 id: 2")
+	mu.Lock()
+	defer mu.Unlock()
+	c.Check(granted <= asked["g2"], qt.IsTrue, qt.Commentf("%d permits for %v", granted, asked))
+}
