gateway: check the ends of a leaving instance's streams

What callers saw: streams that look complete and lack events. After eight confirmed ends, seven of eight ends that come with an event are taken for complete if the instance goes on running. An instance that leaves may close all its connections at once and run for a while, so that the end may come with any event; that it still runs proves nothing then.

Such an end is checked first. It counts as before where no check is possible.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -84,7 +84,8 @@
 	if u.confirmed >= trust.neededConfirmations(u.prompt) {
 		return s.completeEnd(endCheckConfirmed)
 	}
-	if trust == endsTrusted && u.checks == 0 && rand.N(endSample) > 0 && s.isSurvivedPromptEnd() {
+	// A leaving instance may close all its connections at once.
+	if trust == endsTrusted && u.checks == 0 && s.g.crashes.runs(u.group.Head) && rand.N(endSample) > 0 && s.isSurvivedPromptEnd() {
 		return s.completeEnd(endCheckPrompt)
 	}
 	err := s.checkQuarantine()
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -467,3 +467,30 @@
 	defer mu.Unlock()
 	c.Check(granted <= asked["g2"], qt.IsTrue, qt.Commentf("%d permits for %v", granted, asked))
 }
+
+// TestLeavingInstanceEndsStreams guards against streams that a leaving instance closes early, and that look complete
+// without a check since other streams' ends were confirmed.
+func TestLeavingInstanceEndsStreams(t *testing.T) {
+	c := qt.New(t)
+	serve := func(last int) answer {
+		return func(conn net.Conn, _, after int) {
+			var events []string
+			for id := max(after, 0) + 1; id <= last; id++ {
+				events = append(events, unframedEvent(id))
+			}
+			sendEvents(conn, events...)
+		}
+	}
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{startAnswering(c, "g1", serve(2)), startAnswering(c, "g2", serve(4))})
+	leaving := node.view.Instances["g1"]
+	leaving.Draining = true
+	node.view.Instances["g1"] = leaving
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	for range 4 {
+		g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
+		for range trustedEnds {
+			g.endRecords.noteConfirmed("engines")
+		}
+		c.Check(askFront(t, newFront(g)), qt.Equals, "id: 1 id: 2 id: 3 id: 4")
+	}
+}
