--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,7 @@
 	"github.com/lupinkeel/lupinkeel/cluster"
 	"github.com/lupinkeel/lupinkeel/lib/h1"
 	"github.com/lupinkeel/lupinkeel/lib/sse"
+	"github.com/lupinkeel/lupinkeel/lib/task"
 	"github.com/lupinkeel/lupinkeel/models"
 	"github.com/lupinkeel/lupinkeel/quarantine"
 )
@@ -32,6 +34,9 @@
 	minPromptEnd = 4 * time.Millisecond
 	maxPromptEnd = 20 * time.Millisecond
 	minPauses    = 4
+	// crashEvidenceDelay is after which time the probes of an instance that has closed a connection have shown whether
+	// it was killed; see probeDelays.
+	crashEvidenceDelay = 300 * time.Millisecond
 )
 
 // unprovenEnd is the end of a stream that nothing but a closed connection marks.
@@ -79,7 +84,8 @@
 	if u.confirmed >= trust.neededConfirmations(u.prompt) {
 		return s.completeEnd(endCheckConfirmed)
 	}
-	if trust == endsTrusted && u.checks == 0 && rand.N(endSample) > 0 && s.isSurvivedPromptEnd() {
+	// A leaving instance may close all its connections at once.
+	if trust == endsTrusted && u.checks == 0 && s.g.crashes.runs(u.group.Head) && rand.N(endSample) > 0 && s.isSurvivedPromptEnd() {
 		return s.completeEnd(endCheckPrompt)
 	}
 	err := s.checkQuarantine()
@@ -183,23 +189,38 @@
 // route allows another attempt and the group has capacity, or else the one that ended the stream, which
 // takes no further instance and has had room until now.
 func (s *stream) endCheckTarget() (target, bool) {
-	u, other, found, free := s.unproven, target{}, false, false
-	if s.mayRetry() {
-		other, found, free = s.findGroup()
+	same, there := s.endingGroup()
+	if s.mayRetry() && (!there || s.hasFreeGroup()) {
+		if other, found, free := s.findGroup(); found && (free || !there) {
+			return other, true
+		}
 	}
-	if found && free {
-		return other, true
+	return target{group: same}, there
+}
+
+// hasFreeGroup reports whether the group that would be picked has capacity. Unlike findGroup it takes no permit.
+func (s *stream) hasFreeGroup() bool {
+	engine := s.engine()
+	if engine == nil {
+		return false
 	}
+	_, load, found := s.pickFreeGroup(engine)
+	return found && s.g.scheduler.policy.HasCapacity(engine, load)
+}
+
+// endingGroup returns the group that ended the stream, or the one that confirmed its end, if it may be asked.
+func (s *stream) endingGroup() (cluster.Group, bool) {
+	u := s.unproven
 	asked := []cluster.Group{u.group}
 	if u.confirming != nil {
 		asked = append(asked, *u.confirming)
 	}
 	for _, group := range asked {
 		if same, there := s.currentGroup(group); there && !s.g.needsPermit(same.Head) && !slices.Contains(u.rejecting, same.Head.ID) {
-			return target{group: same}, true
+			return same, true
 		}
 	}
-	return other, found
+	return cluster.Group{}, false
 }
 
 // currentGroup returns a group as it is now, if it still takes requests.
@@ -253,13 +274,25 @@
 	if u == nil {
 		return
 	}
-	if s.g.crashes.runs(u.group.Head) {
-		s.g.endRecords.noteEarly(s.service, time.Now(), u.prompt)
-	}
+	s.g.noteEarlyEnd(s.ctx, s.service, u.group.Head, u.prompt)
 	s.judgeEnd(endCheckContinued)
 	s.unproven, s.current.checksEnd, s.current.repeated = nil, false, false
 }
 
+// noteEarlyEnd records that an instance has closed the connection of a stream before its end. If it turns out to have
+// been killed, that says nothing of other ends.
+func (g *Gateway) noteEarlyEnd(ctx context.Context, service models.ServiceName, i models.UpstreamInstance, prompt bool) {
+	if !g.crashes.runs(i) {
+		return
+	}
+	g.endRecords.suspectEarly(service, prompt)
+	task.Start(context.WithoutCancel(ctx), "early-end", func(context.Context) error {
+		time.Sleep(crashEvidenceDelay)
+		g.endRecords.settleEarly(service, time.Now(), prompt, g.crashes.runs(i))
+		return nil
+	})
+}
+
 // endCheckTimeout decides how much longer to wait for a silent check of the stream's end.
 func (a *streamAttempt) endCheckTimeout(silence time.Duration) time.Duration {
 	patience := endCheckPatience
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -428,3 +428,95 @@
 	front := newFront(g)
 	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3")
 }
+
+// TestKilledInstanceDisputesEnds guards against an instance that is killed between two events, whose listening socket
+// is closed some ms after its connections, and that counts as one that closes early and goes on running.
+func TestKilledInstanceDisputesEnds(t *testing.T) {
+	c := qt.New(t)
+	killed := make(chan struct{})
+	var g1 *fakeInstance
+	g1 = startAnswering(c, "g1", func(conn net.Conn, _, _ int) {
+		sendEvents(conn, unframedEvent(1), unframedEvent(2))
+		_ = conn.Close()
+		time.Sleep(20 * time.Millisecond)
+		_ = g1.l.Close()
+		close(killed)
+	})
+	g2 := startAnswering(c, "g2", func(conn net.Conn, _, _ int) {
+		_, _ = io.WriteString(conn, strings.Replace(closedHead, "Connection: close", "Content-Length: 54", 1)+"\r\n"+unframedEvent(2)+unframedEvent(3)+unframedEvent(4))
+	})
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{g1, g2})
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
+	got := askFront(t, newFront(g))
+	<-killed
+	time.Sleep(500 * time.Millisecond)
+	c.Check(got, qt.Equals, "id: 1 id: 2 id: 3 id: 4")
+	c.Check(g.crashes.hasCrashed(node.view.Instances["g1"]), qt.IsTrue)
+	c.Check(g.endRecords.trust("engines", time.Now()) == endsDisputed, qt.IsFalse)
+	c.Check(g.endRecords.arePromptDisputed("engines", time.Now()), qt.IsFalse)
+}
+
+// TestCheckWastesPermitOfFullGroup guards against permits that are taken for a group without room, while the check is
+// sent to the group that ended the stream.
+func TestCheckWastesPermitOfFullGroup(t *testing.T) {
+	c := qt.New(t)
+	var mu sync.Mutex
+	granted, asked := 0, map[string]int{}
+	serve := func(name string) *fakeInstance {
+		return startAnswering(c, name, func(conn net.Conn, _, after int) {
+			mu.Lock()
+			asked[name]++
+			mu.Unlock()
+			if after < 0 {
+				sendEvents(conn, unframedEvent(1), unframedEvent(2))
+				return
+			}
+			sendEvents(conn, unframedEvent(2))
+		})
+	}
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{serve("g1"), serve("g2")})
+	now := time.Now()
+	node.limits = emptyLimits()
+	node.Limits().Observe(ratelimit.Observation{Instance: "g2", StartedAt: time.Unix(1, 0), Rate: 5, SentAt: now, ReceivedAt: now})
+	node.permit = func(ratelimit.PermitRequest) (ratelimit.Grant, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		granted++
+		return ratelimit.Grant{Granted: true}, nil
+	}
+	scheduler := newScheduler()
+	scheduler.addLoad("g2", 100, 0)
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	c.Check(askFront(t, newFront(New(cfg, node, scheduler, metrics.NewSet(), zerolog.Nop()))), qt.Equals, "id: 1 id: 2")
+	mu.Lock()
+	defer mu.Unlock()
+	c.Check(granted <= asked["g2"], qt.IsTrue, qt.Commentf("%d permits for %v", granted, asked))
+}
+
+// TestLeavingInstanceEndsStreams guards against streams that a leaving instance closes early, and that look complete
+// without a check since other streams' ends were confirmed.
+func TestLeavingInstanceEndsStreams(t *testing.T) {
+	c := qt.New(t)
+	serve := func(last int) answer {
+		return func(conn net.Conn, _, after int) {
+			var events []string
+			for id := max(after, 0) + 1; id <= last; id++ {
+				events = append(events, unframedEvent(id))
+			}
+			sendEvents(conn, events...)
+		}
+	}
+	node := newFakeNode(c, streamEndConfig, []*fakeInstance{startAnswering(c, "g1", serve(2)), startAnswering(c, "g2", serve(4))})
+	leaving := node.view.Instances["g1"]
+	leaving.Draining = true
+	node.view.Instances["g1"] = leaving
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	for range 4 {
+		g := New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop())
+		for range trustedEnds {
+			g.endRecords.noteConfirmed("engines")
+		}
+		c.Check(askFront(t, newFront(g)), qt.Equals, "id: 1 id: 2 id: 3 id: 4")
+	}
+}
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -35,6 +35,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// closed is set once the listener has closed the connection: what was read from it can't be answered.
+	closed bool
 	// ahead is set if something was received after the whole request, before its response was sent.
 	ahead bool
 	// inLine is set if a part of a line of the head was received.
@@ -84,11 +86,21 @@
 	return n, r.held
 }
 
-// setPhase sets which part of the request is received next.
-func (r *receiver) setPhase(p phase) {
+// setPhase sets which part of the request is received next. It reports whether the request can be answered.
+func (r *receiver) setPhase(p phase) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.phase = p
+	return !r.closed
+}
+
+// abandon records that the listener closes the connection, unless the whole request was received. It reports whether
+// the listener may close it.
+func (r *receiver) abandon() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = r.closed || r.phase != phaseReceived
+	return r.closed
 }
 
 // reset prepares for the next request, and releases what was held for the last one.
@@ -129,24 +141,28 @@
 }
 
 // HeadReceived tells the listener that the head of a request was received. Otherwise it would take the body for the
-// head if both came with an earlier request. If there is no memory for what came so, it closes the connection and
-// returns an error that wraps buffers.ErrFull.
-func HeadReceived(r *http.Request) error {
+// head if both came with an earlier request. It reports whether the request can be answered: the listener may have closed
+// its connection, and does so if there is no memory for what came with an earlier request.
+func HeadReceived(r *http.Request) bool {
 	c, ok := r.Context().Value(connKey{}).(*callerConn)
 	if !ok {
-		return nil
+		return true
 	}
-	if err := c.receiver.endHead(r.Header); err != nil {
-		// Before a response the server waits for the body, and holds the head meanwhile.
-		return errors.Join(err, c.Conn.Close())
+	if !c.receiver.setPhase(phaseBody) {
+		return false
 	}
-	return nil
+	if c.receiver.holdFields(r.Header) == nil {
+		return true
+	}
+	// Before a response the server would wait for the body, and hold the head meanwhile.
+	if err := c.Conn.Close(); err != nil {
+		c.listener.log.Debug().Err(err).Msg("connection-not-closed")
+	}
+	return false
 }
 
-// endHead ends the head of a request, and holds memory for the fields that were not counted because they came with an
-// earlier request.
-func (r *receiver) endHead(fields http.Header) error {
-	r.setPhase(phaseBody)
+// holdFields holds memory for those fields of a head that were not counted, since they came with an earlier request.
+func (r *receiver) holdFields(fields http.Header) error {
 	size := 0
 	for name, values := range fields {
 		for _, value := range values {
@@ -175,11 +191,10 @@
 }
 
 // Received tells the listener that the whole request was received. From then on the listener doesn't close its
-// connection for being slow.
-func Received(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
-		c.receiver.setPhase(phaseReceived)
-	}
+// connection for being slow. It reports whether the request can be answered, as HeadReceived does.
+func Received(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	return !ok || c.receiver.setPhase(phaseReceived)
 }
 
 // MustClose reports whether the connection of the context's request should be closed after the response: its caller
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -32,9 +32,8 @@
 	budget.SetReclaim(l.Reclaim)
 	c.Assert(l.Open(), qt.IsNil)
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := HeadReceived(r); err != nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+		if !HeadReceived(r) {
+			panic(http.ErrAbortHandler)
 		}
 		held := 0
 		defer func() { budget.Release(held) }()
@@ -171,7 +170,7 @@
 	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: policy, MaxConnections: 1000}, metrics.NewSet(), zerolog.Nop())
 	c.Assert(l.Open(), qt.IsNil)
 	server := &http.Server{ConnState: l.ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.Check(HeadReceived(r), qt.IsNil)
+		c.Check(HeadReceived(r), qt.IsTrue)
 		Received(r.Context())
 		time.Sleep(20 * time.Millisecond)
 		if MustClose(r.Context()) {
