gateway, entrance: handle "OPTIONS *" like other requests

net/http answers "OPTIONS *" itself unless the server tells it not to. These requests had no read or write deadline at the callers' address: a body that stops short of its end, or answers that are not read, kept a connection active for good. At the guarded addresses they were not spaced.

--- a/gateway/server.go
+++ b/gateway/server.go
@@ -69,9 +69,10 @@
 	return errors.Join(err, task.Wait(tasks...))
 }
 
-// newServer returns a server that logs its errors.
+// newServer returns a server that logs its errors. Its handler gets all requests, since net/http would set no
+// deadlines for those that it answers itself.
 func (g *Gateway) newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ErrorLog: log.New(serverErrorLog{g.log}, "", 0)}
+	return &http.Server{Handler: h, DisableGeneralOptionsHandler: true, ErrorLog: log.New(serverErrorLog{g.log}, "", 0)}
 }
 
 // serverErrorLog logs what an http.Server reports, such as panics of handlers.
--- a/lib/entrance/guard.go
+++ b/lib/entrance/guard.go
@@ -45,6 +45,8 @@
 // Protect sets the bounds of a server for the guard, and spaces the responses on each connection.
 func (g *Guard) Protect(s *http.Server) {
 	s.MaxHeaderBytes, s.ReadTimeout, s.WriteTimeout, s.IdleTimeout = guardedHeaderBytes, guardedReadTimeout, guardedWriteTimeout, guardedIdleTimeout
+	// The handler below spaces these responses, too.
+	s.DisableGeneralOptionsHandler = true
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*guardedConn); ok && state == http.StateIdle {
 			c.receiver.reset()
--- a/lib/entrance/guard_test.go
+++ b/lib/entrance/guard_test.go
@@ -91,3 +91,25 @@
 	}
 	c.Assert(requests.Load(), qt.Equals, int64(0))
 }
+
+// TestGeneralOptionsTakeProcessor guards against requests for "OPTIONS *" sent ahead, which net/http answers itself
+// unless it is told otherwise.
+func TestGeneralOptionsTakeProcessor(t *testing.T) {
+	c := qt.New(t)
+	addr, _ := startGuard(c)
+	conn := dialGuard(c, addr)
+	began := time.Now()
+	_, err := fmt.Fprint(conn, strings.Repeat("OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n", 1000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(began.Add(5*requestInterval)), qt.IsNil)
+	answered := int64(0)
+	for r := bufio.NewReader(conn); ; answered++ {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			break
+		}
+		c.Assert(resp.Body.Close(), qt.IsNil)
+	}
+	c.Assert(answered > 0, qt.IsTrue)
+	c.Assert(answered <= 1+int64(time.Since(began)/requestInterval), qt.IsTrue, qt.Commentf("%d", answered))
+}
