entrance: reclaim requests that were read with the one before them, too

A request of which a part came in one read with the request before it, and nothing after that, had no time of its first byte. Its connection counted as active and was never reclaimed: until the request's time if its handler read the body, and for good if net/http rejected it with 417 (an unknown Expect) and waited for the rest of its body without a deadline. As many connections as the limit kept all others out.

The time is now set when the server reports that a request has begun.

--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -222,6 +222,7 @@
 		c.moveTo(l.fresh)
 		l.setActive(c, true)
 	case http.StateActive:
+		c.receiver.begin(time.Now())
 		c.moveTo(nil)
 		l.setActive(c, true)
 	case http.StateIdle:
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -40,7 +40,7 @@
 	inLine bool
 	// held is the number of bytes that are held for the head.
 	held int
-	// received counts the bytes of the request, since is when the first of them came.
+	// received counts the bytes of the request that were read after the last one, since is when the first byte came.
 	received int
 	since    time.Time
 }
@@ -61,6 +61,15 @@
 	return nil
 }
 
+// begin records that a request is being received, all of which may have been read with the one before it.
+func (r *receiver) begin(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		r.since = now
+	}
+}
+
 // count counts bytes that were received, and returns how many bytes must be held for the part of the head that is
 // among them, and how many are held for it already.
 func (r *receiver) count(read []byte, now time.Time) (n, holds int) {
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -157,3 +157,19 @@
 	}
 	e.await("a request was served", e.serves)
 }
+
+// TestUnfinishedRequestsAfterOthersAreKept guards against a request that arrived in one piece with the one before it,
+// and is never completed: its connection must make room for others, too.
+func TestUnfinishedRequestsAfterOthersAreKept(t *testing.T) {
+	for _, head := range []string{"", "Expect: nothing\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			c := qt.New(t)
+			e := startReceiving(c, 1000, 0)
+			conn, err := e.connect()
+			c.Assert(err, qt.IsNil)
+			_, err = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\n%sContent-Length: 100\r\n\r\n%s", head, strings.Repeat("a", 99))
+			c.Assert(err, qt.IsNil)
+			e.await("the connection was reclaimed", e.Reclaim)
+		})
+	}
+}
