gateway: drop the trailers of a request once its body is read

Trailers are not passed on, but were kept until the end of the request, and no budget held them. net/http reads up to 4 KiB of them, which many short fields blow up.

TestTrailersFillMemory: 69 KB for each request with its head and reader before, 6.7 KB now.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -105,6 +105,8 @@
 		return errors.Join(errBodyIncomplete, err)
 	}
 	e.setDeadline(unblock, time.Time{})
+	// Trailers are not passed on, and no budget holds them.
+	e.r.Trailer = nil
 	e.body, e.received = body, time.Now()
 	entrance.Received(e.r.Context())
 	return nil
