buffers: close no connections for what can never be held

A head of many short fields may need more than the whole budget leaves for one, however much the others release. It still closed a slow connection each 5 ms for 100 ms, also in calm. Reservations that others can't make fit now fail at once.

--- a/lib/buffers/buffers.go
+++ b/lib/buffers/buffers.go
@@ -59,11 +59,12 @@
 	return false
 }
 
-// reserveOrReclaim reserves n bytes if that leaves a number of them free. If it does not, other holders are made to
-// release theirs.
-func (b *Budget) reserveOrReclaim(n int, free int64) error {
+// reserveOrReclaim reserves n bytes for a holder if that leaves a number of them free. If it does not, other holders
+// are made to release theirs, unless that would not be enough.
+func (b *Budget) reserveOrReclaim(n, holds int, free int64) error {
+	tooMany := int64(holds+n)+free > b.limit
 	for end := time.Now().Add(reclaimWait); !b.reserve(n, free); time.Sleep(reclaimPoll) {
-		if b.reclaim == nil || time.Now().After(end) || !b.reclaim() {
+		if b.reclaim == nil || tooMany || time.Now().After(end) || !b.reclaim() {
 			b.rejected.Inc()
 			return ErrFull
 		}
@@ -78,7 +79,7 @@
 	if holds+n > smallHolder {
 		free = int64(smallFraction * float64(b.limit))
 	}
-	return b.reserveOrReclaim(n, free)
+	return b.reserveOrReclaim(n, holds, free)
 }
 
 // ReserveHead reserves n bytes for a request's head that holds some already. One that is not small may hold as much
@@ -88,7 +89,7 @@
 	if holds+n > smallHolder {
 		free = int64(holds + n)
 	}
-	return b.reserveOrReclaim(n, free)
+	return b.reserveOrReclaim(n, holds, free)
 }
 
 // ReserveShare reserves n bytes for a response that holds some already. It is not to hold more than what is then
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -173,3 +175,23 @@
 		})
 	}
 }
+
+// TestTooLongHeadsCloseOthers guards against heads that can't be held even alone, for which the connections of slow
+// callers were closed.
+func TestTooLongHeadsCloseOthers(t *testing.T) {
+	c := qt.New(t)
+	const slow = 20
+	e := startReceiving(c, 1000, 1<<20)
+	for range slow {
+		e.unfinished(100)
+	}
+	time.Sleep(receivePatience + 100*time.Millisecond)
+	conn, err := e.connect()
+	c.Assert(err, qt.IsNil)
+	// The server closes the connection meanwhile.
+	_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n", strings.Repeat("a:\r\n", 16_000))
+	c.Assert(conn.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	_, err = io.Copy(io.Discard, conn)
+	c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+	c.Assert(e.reclaimed.Get(), qt.Equals, uint64(0))
+}
