entrance: read nothing more after a part of a head was dropped

Without memory for a head the entrance drops what it has read and returns an error, on which net/http was thought to close the connection. In the middle of a line net/http takes what it has for the line and reads on. If there was memory again by then, the handler got a head with a gap: in a trial, without the Authorization that the caller had sent, so that a sound caller gets 401 while the memory is full, or a request is judged by other fields than it had. The context of such a request is canceled, which does not keep admission from answering it.

The error is now returned by all further reads. TestRefusedHeadGoesOn: the third read returned bytes before, the error now.

--- a/lib/entrance/conn.go
+++ b/lib/entrance/conn.go
@@ -43,13 +43,16 @@
 // Read reads from the connection, and holds memory for the heads of requests. Nothing is read from one that was
 // closed before a request began, since it could not be answered.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if err := c.receiver.refused; err != nil {
+		// net/http reads on after an error in the middle of a line.
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.begin() {
 		return 0, net.ErrClosed
 	}
 	if full := c.receiver.note(p[:n], time.Now()); full != nil {
-		// net/http closes the connection without a response after this error.
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: full}
+		return 0, full
 	}
 	return n, err
 }
--- a/lib/entrance/guard.go
+++ b/lib/entrance/guard.go
@@ -103,9 +103,13 @@
 
 // Read reads from the connection, and holds memory for the heads of requests.
 func (c *guardedConn) Read(p []byte) (int, error) {
+	if err := c.receiver.refused; err != nil {
+		// net/http reads on after an error in the middle of a line.
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if full := c.receiver.note(p[:n], time.Now()); full != nil {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: full}
+		return 0, full
 	}
 	return n, err
 }
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -31,6 +31,8 @@
 // receiver follows the requests that are received on a connection, and holds memory for their heads.
 type receiver struct {
 	budget *buffers.Budget
+	// refused is set once a part of a head was dropped for want of memory. Only reads of the connection use it.
+	refused error
 
 	mu    sync.Mutex
 	phase phase
@@ -45,7 +47,8 @@
 	since    time.Time
 }
 
-// note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held.
+// note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held, and
+// sets refused.
 func (r *receiver) note(read []byte, now time.Time) error {
 	n, holds := r.count(read, now)
 	if n == 0 || r.budget == nil {
@@ -53,7 +56,9 @@
 	}
 	// The budget may ask all receivers how fast they are.
 	if err := r.budget.ReserveHead(n, holds); err != nil {
-		return errors.Join(errNoMemory, err)
+		// net/http sends no response after an error of this type, unless it comes in the middle of a line.
+		r.refused = &net.OpError{Op: "read", Net: "tcp", Err: errors.Join(errNoMemory, err)}
+		return r.refused
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/lib/entrance/receiver_test.go
+++ b/lib/entrance/receiver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -61,3 +62,42 @@
 	qt.Assert(t, ended > heads*9/10, qt.IsTrue, qt.Commentf("%d", ended))
 	qt.Assert(t, budget.Held() <= limit, qt.IsTrue)
 }
+
+// TestRefusedHeadGoesOn guards against a head of which a part was dropped for want of memory, and the rest is read
+// once there is some: net/http reads again after an error that comes in the middle of a line.
+func TestRefusedHeadGoesOn(t *testing.T) {
+	for name, wrap := range map[string]func(net.Conn, *buffers.Budget) net.Conn{
+		"caller": func(conn net.Conn, b *buffers.Budget) net.Conn {
+			return &callerConn{Conn: conn, receiver: receiver{budget: b}}
+		},
+		"guarded": func(conn net.Conn, b *buffers.Budget) net.Conn {
+			return &guardedConn{Conn: conn, receiver: receiver{budget: b}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			const limit = 4 << 10
+			budget := buffers.New(limit, metrics.NewSet())
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				for _, part := range []string{"GET / HTTP/1.1\r\nX-A: b", "c\r\nX-D:", "e\r\nHost: h\r\n\r\n"} {
+					if _, err := far.Write([]byte(part)); err != nil {
+						return
+					}
+				}
+			}()
+			defer near.Close()
+			conn := wrap(near, budget)
+			_, err := conn.Read(make([]byte, 100))
+			c.Assert(err, qt.IsNil)
+			held := limit - int(budget.Held())
+			c.Assert(budget.ReserveHead(held, 0), qt.IsNil)
+			_, err = conn.Read(make([]byte, 100))
+			c.Assert(err, qt.ErrorIs, errNoMemory)
+			budget.Release(held)
+			_, err = conn.Read(make([]byte, 100))
+			c.Assert(err, qt.ErrorIs, errNoMemory)
+		})
+	}
+}
