entrance: close connections for memory only if they hold some of it

A reservation that did not fit closed the slowest sender each 5 ms for up to 100 ms, whatever that held. Heads of many short fields need hundreds of KiB a read, a slow sound caller with a short body holds 2 KiB: one caller with a few such heads closed all slow ones, and got no memory from it. Connections that hold less than a small holder of the budget (16 KiB) are now spared unless the slow ones together hold most of what is held. For places in the listener all are closed as before.

TestCrowds was not run.

--- a/lib/buffers/buffers.go
+++ b/lib/buffers/buffers.go
@@ -14,9 +14,9 @@
 var ErrFull = errors.New("too many bytes of requests and responses are held")
 
 const (
-	// smallHolder is how many bytes a holder may have and still count as a small one. The last part of the
+	// SmallHolder is how many bytes a holder may have and still count as a small one. The last part of the
 	// budget, a smallFraction of it, is for these.
-	smallHolder   = 16 << 10
+	SmallHolder   = 16 << 10
 	smallFraction = 1.0 / 16
 	// reclaimWait is how long a reservation waits for bytes that are about to be released, reclaimPoll how
 	// often it looks for them.
@@ -76,7 +76,7 @@
 // small ones.
 func (b *Budget) ReserveBody(n, holds int) error {
 	free := int64(0)
-	if holds+n > smallHolder {
+	if holds+n > SmallHolder {
 		free = int64(smallFraction * float64(b.limit))
 	}
 	return b.reserveOrReclaim(n, holds, free)
@@ -86,7 +86,7 @@
 // as is then free, so that few that hold much leave room for many that hold little.
 func (b *Budget) ReserveHead(n, holds int) error {
 	free := int64(0)
-	if holds+n > smallHolder {
+	if holds+n > SmallHolder {
 		free = int64(holds + n)
 	}
 	return b.reserveOrReclaim(n, holds, free)
--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -77,8 +77,9 @@
 	fresh, idle *list.List
 	// conns holds all connections.
 	conns map[*callerConn]struct{}
-	// reclaimAt is when a slow connection is looked for again, after none was found.
-	reclaimAt time.Time
+	// reclaimAt and reclaimBytesAt are when a slow connection is looked for again, after none was found whose place or
+	// bytes would help.
+	reclaimAt, reclaimBytesAt time.Time
 	// reached is set if the limit was reached since the last measurement.
 	reached bool
 	delay   *runDelay
@@ -286,35 +287,69 @@
 	reclaimPause = 10 * time.Millisecond
 )
 
-// Reclaim closes the connection whose request is received most slowly, to make room for others. It reports whether
-// there is one whose request has been received for some time, but not completely.
+// Reclaim closes the connection whose request is received most slowly, to make the bytes that it holds available. It
+// reports whether there is one whose request has been received for some time, but not completely. Requests that hold
+// little are spared unless together they hold most of what is held, since closing them would help no one.
 func (l *Listener) Reclaim() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.reclaim(time.Now())
+	now := time.Now()
+	if now.Before(l.reclaimBytesAt) {
+		return false
+	}
+	slowest, _ := l.slowest(now, buffers.SmallHolder)
+	if slowest == nil {
+		small, held := l.slowest(now, 0)
+		if l.cfg.Memory != nil && int64(2*held) >= l.cfg.Memory.Held() {
+			slowest = small
+		}
+	}
+	if slowest == nil {
+		l.reclaimBytesAt = now.Add(reclaimPause)
+		return false
+	}
+	l.closeSlow(slowest)
+	return true
 }
 
-func (l *Listener) reclaim(now time.Time) bool {
+// reclaimPlace is Reclaim for the place of a request in progress, of which each takes one.
+func (l *Listener) reclaimPlace(now time.Time) bool {
 	if now.Before(l.reclaimAt) {
 		return false
 	}
-	var slowest *callerConn
+	slowest, _ := l.slowest(now, 0)
+	if slowest == nil {
+		l.reclaimAt = now.Add(reclaimPause)
+		return false
+	}
+	l.closeSlow(slowest)
+	return true
+}
+
+// slowest returns the connection whose request is received most slowly of those that hold at least a number of bytes,
+// nil if there is none, and how many bytes these hold together.
+func (l *Listener) slowest(now time.Time, least int) (slowest *callerConn, held int) {
 	lowest := math.Inf(1)
 	for c := range l.conns {
-		if rate, age, receives := c.receiver.rate(now); receives && age >= receivePatience && rate < lowest {
+		rate, age, receives := c.receiver.rate(now)
+		holds := c.receiver.holds()
+		if !receives || age < receivePatience || holds < least {
+			continue
+		}
+		held += holds
+		if rate < lowest {
 			slowest, lowest = c, rate
 		}
 	}
-	if slowest == nil {
-		l.reclaimAt = now.Add(reclaimPause)
-		return false
-	}
-	delete(l.conns, slowest)
+	return slowest, held
+}
+
+func (l *Listener) closeSlow(c *callerConn) {
+	delete(l.conns, c)
 	l.reclaimed.Inc()
-	if err := slowest.Conn.Close(); err != nil {
+	if err := c.Conn.Close(); err != nil {
 		l.log.Debug().Err(err).Msg("connection-not-closed")
 	}
-	return true
 }
 
 // expireFresh counts connections on which nothing has arrived for silentTime as idle.
@@ -399,7 +434,7 @@
 	if l.socket == nil && !l.ended && !l.draining {
 		// Requests that are slow to come must not keep others out.
 		surplus := float64(l.active) - reopenFraction*float64(l.limit.Max())
-		for surplus > 0 && l.reclaim(tick.At) {
+		for surplus > 0 && l.reclaimPlace(tick.At) {
 			surplus--
 		}
 	}
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -133,6 +133,13 @@
 	return float64(r.received) / max(age.Seconds(), 1e-3), age, true
 }
 
+// holds returns about how many bytes are held for the request.
+func (r *receiver) holds() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held + r.received
+}
+
 // isAhead reports whether the next request has begun to arrive before the response to the last one was sent.
 func (r *receiver) isAhead() bool {
 	r.mu.Lock()
