entrance: reclaim connections when all of them are active, too

With more requests allowed than connections (--max-requests), requests that are never completed could take all connections. Nothing was reclaimed then, since only the limit on requests was looked at.

TestUnfinishedRequestsTakeAllConnections: no request served in 2 s beside 20 unfinished ones before, served now.

--- a/lib/entrance/entrance.go
+++ b/lib/entrance/entrance.go
@@ -433,7 +433,7 @@
 	l.limit.Observe(tick.At, delay, l.active, l.reached)
 	if l.socket == nil && !l.ended && !l.draining {
 		// Requests that are slow to come must not keep others out.
-		surplus := float64(l.active) - reopenFraction*float64(l.limit.Max())
+		surplus := max(float64(l.active)-reopenFraction*float64(l.limit.Max()), float64(l.open-l.cfg.MaxConnections+1))
 		for surplus > 0 && l.reclaimPlace(tick.At) {
 			surplus--
 		}
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -219,3 +219,18 @@
 	time.Sleep(300 * time.Millisecond)
 	c.Assert(e.reclaimed.Get(), qt.Equals, uint64(0))
 }
+
+// TestUnfinishedRequestsTakeAllConnections guards against requests that are never completed, of which there may be more
+// than connections.
+func TestUnfinishedRequestsTakeAllConnections(t *testing.T) {
+	c := qt.New(t)
+	const connections = 20
+	e := startReceiving(c, 1000, 1<<20)
+	e.mu.Lock()
+	e.cfg.MaxConnections = connections
+	e.mu.Unlock()
+	for range connections {
+		e.unfinished(100)
+	}
+	e.await("a request was served", e.serves)
+}
