entrance: reclaim by how fast requests come now, not on average

The average since the first byte favors who sends much at once and stops: 100 KB sent at once look faster than a steady 20 KB/s for 5 s, so that a crowd of such senders, replaced every few seconds, kept its places and sound callers with slow links were closed. The rate is now a mean that decays with 0.5 s.

TestSteadySendersMakeRoomForSilentOnes: the steady sender closed after 2 s before, all five silent ones now. TestCrowds was not run.

--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -15,6 +16,10 @@
 // of a map, and the same again in the request that is passed on.
 const fieldBytes = 256
 
+// rateTime is the time over which the rate is measured at which a request is received. A sender that stops is slow soon,
+// however much it sent before.
+const rateTime = 500 * time.Millisecond
+
 // errNoMemory ends the reading of a head for which there is no memory.
 var errNoMemory = errors.New("the head of the request does not fit into the memory for requests")
 
@@ -45,6 +50,9 @@
 	// received counts the bytes of the request that were read after the last one, since is when the first byte came.
 	received int
 	since    time.Time
+	// recent is received with weights that decay with rateTime, as of lastAt, when something was received last.
+	recent float64
+	lastAt time.Time
 }
 
 // note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held, and
@@ -88,6 +96,7 @@
 		r.since = now
 	}
 	r.received += len(read)
+	r.recent, r.lastAt = r.recentBytes(now)+float64(len(read)), now
 	for r.phase == phaseHead && len(read) > 0 {
 		line, rest, complete := bytes.Cut(read, []byte("\n"))
 		isEmpty := !r.inLine && (len(line) == 0 || string(line) == "\r")
@@ -119,9 +128,18 @@
 		r.budget.Release(r.held)
 	}
 	r.phase, r.ahead, r.inLine, r.held, r.received, r.since = phaseHead, false, false, 0, 0, time.Time{}
+	r.recent, r.lastAt = 0, time.Time{}
+}
+
+// recentBytes returns recent as of now. The receiver must be locked.
+func (r *receiver) recentBytes(now time.Time) float64 {
+	if r.recent == 0 {
+		return 0
+	}
+	return r.recent * math.Exp(-now.Sub(r.lastAt).Seconds()/rateTime.Seconds())
 }
 
-// rate returns how many bytes a second were received of a request that is not complete, and for how long it has
+// rate returns how many bytes a second are being received of a request that is not complete, and for how long it has
 // been received.
 func (r *receiver) rate(now time.Time) (bytesPerSecond float64, age time.Duration, receives bool) {
 	r.mu.Lock()
@@ -129,8 +147,7 @@
 	if r.since.IsZero() || r.phase == phaseReceived {
 		return 0, 0, false
 	}
-	age = now.Sub(r.since)
-	return float64(r.received) / max(age.Seconds(), 1e-3), age, true
+	return r.recentBytes(now) / rateTime.Seconds(), now.Sub(r.since), true
 }
 
 // holds returns about how many bytes are held for the request.
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -1,6 +1,7 @@
 package entrance
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -234,3 +235,33 @@
 	}
 	e.await("a request was served", e.serves)
 }
+
+// TestSteadySendersMakeRoomForSilentOnes guards against closing a caller with a slow link for those that sent much
+// at once and then stopped.
+func TestSteadySendersMakeRoomForSilentOnes(t *testing.T) {
+	c := qt.New(t)
+	const length, piece, pause = 100_000, 1_000, 50 * time.Millisecond
+	e := startReceiving(c, 1000, 1<<20)
+	steady, err := e.connect()
+	c.Assert(err, qt.IsNil)
+	_, err = fmt.Fprintf(steady, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", length)
+	c.Assert(err, qt.IsNil)
+	for range 5 {
+		e.unfinished(length)
+	}
+	for sent := 0; sent < length; sent += piece {
+		_, err := fmt.Fprint(steady, strings.Repeat("a", piece))
+		c.Assert(err, qt.IsNil)
+		if sent == length*2/5 {
+			for range 5 {
+				c.Check(e.Reclaim(), qt.IsTrue)
+			}
+		}
+		time.Sleep(pause)
+	}
+	c.Assert(steady.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(steady), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Body.Close(), qt.IsNil)
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+}
