entrance: see requests that were sent ahead in one read

A caller was taken for one that sends ahead only if something was read while a request of it was being served. As many requests as fit into one read, 150 short ones, were not seen, so that callers which send such batches kept a full listener closed.

TestRequestsSentAheadKeepOthersOut/150, 40 connections: no request served in 2 s before, served now. The test has 40 places instead of 4, of which one is free for a moment between two requests in any case.

--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -41,7 +41,8 @@
 
 	mu    sync.Mutex
 	phase phase
-	// ahead is set if something was received after the whole request, before its response was sent.
+	// ahead is set if the request, or a part of the next one, was received before the response to the one before it
+	// was sent.
 	ahead bool
 	// inLine is set if a part of a line of the head was received.
 	inLine bool
@@ -74,12 +75,12 @@
 	return nil
 }
 
-// begin records that a request is being received, all of which may have been read with the one before it.
+// begin records that a request is being received. One whose head was read with the request before it was sent ahead.
 func (r *receiver) begin(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.since.IsZero() {
-		r.since = now
+		r.since, r.ahead = now, true
 	}
 }
 
--- a/lib/entrance/reclaim_test.go
+++ b/lib/entrance/reclaim_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -130,8 +131,15 @@
 // TestRequestsSentAheadKeepOthersOut guards against callers that always have a request in progress, since they send
 // many ahead.
 func TestRequestsSentAheadKeepOthersOut(t *testing.T) {
+	for _, ahead := range []int{150, 10_000} {
+		// The fewer arrive in one read.
+		t.Run(strconv.Itoa(ahead), func(t *testing.T) { testSentAhead(t, ahead) })
+	}
+}
+
+func testSentAhead(t *testing.T, ahead int) {
 	c := qt.New(t)
-	const requests = 4
+	const requests = 40
 	policy := overload.Policy{Min: requests, Initial: requests, Max: requests, MaxDelay: time.Hour, DoubleTime: time.Second}
 	l := New(Settings{Addr: netip.MustParseAddrPort("127.0.0.1:0"), Policy: policy, MaxConnections: 1000}, metrics.NewSet(), zerolog.Nop())
 	c.Assert(l.Open(), qt.IsNil)
@@ -156,7 +164,7 @@
 		conn, err := e.connect()
 		c.Assert(err, qt.IsNil)
 		// The server may close the connection meanwhile.
-		_, _ = fmt.Fprint(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 10_000))
+		_, _ = fmt.Fprint(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", ahead))
 	}
 	e.await("a request was served", e.serves)
 }
