--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -108,6 +108,8 @@
 		return errBodyIncomplete
 	}
 	e.setDeadline(unblock, time.Time{})
+	// Trailers are not passed on, and no budget holds them.
+	e.r.Trailer = nil
 	e.body, e.received = body, time.Now()
 	return nil
 }
--- a/lib/buffers/buffers.go
+++ b/lib/buffers/buffers.go
@@ -14,9 +14,9 @@
 var ErrFull = errors.New("too many bytes of requests and responses are held")
 
 const (
-	// smallHolder is how many bytes a holder may have and still count as a small one. The last part of the
+	// SmallHolder is how many bytes a holder may have and still count as a small one. The last part of the
 	// budget, a smallFraction of it, is for these.
-	smallHolder   = 16 << 10
+	SmallHolder   = 16 << 10
 	smallFraction = 1.0 / 16
 	// reclaimWait is how long a reservation waits for bytes that are about to be released, reclaimPoll how
 	// often it looks for them.
@@ -52,18 +52,23 @@
 
 // reserve reserves n bytes if that leaves a number of them free.
 func (b *Budget) reserve(n int, free int64) bool {
-	if total := b.held.Add(int64(n)); b.limit == 0 || total <= b.limit-free {
-		return true
+	for {
+		held := b.held.Load()
+		if b.limit != 0 && held+int64(n) > b.limit-free {
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+int64(n)) {
+			return true
+		}
 	}
-	b.held.Add(int64(-n))
-	return false
 }
 
-// reserveOrReclaim reserves n bytes if that leaves a number of them free. If it does not, other holders are made to
-// release theirs.
-func (b *Budget) reserveOrReclaim(n int, free int64) error {
+// reserveOrReclaim reserves n bytes for a holder if that leaves a number of them free. If it does not, other holders
+// are made to release theirs, unless that would not be enough.
+func (b *Budget) reserveOrReclaim(n, holds int, free int64) error {
+	tooMany := int64(holds+n)+free > b.limit
 	for end := time.Now().Add(reclaimWait); !b.reserve(n, free); time.Sleep(reclaimPoll) {
-		if b.reclaim == nil || time.Now().After(end) || !b.reclaim() {
+		if b.reclaim == nil || tooMany || time.Now().After(end) || !b.reclaim() {
 			b.rejected.Inc()
 			return ErrFull
 		}
@@ -75,20 +80,20 @@
 // small ones.
 func (b *Budget) ReserveBody(n, holds int) error {
 	free := int64(0)
-	if holds+n > smallHolder {
+	if holds+n > SmallHolder {
 		free = int64(smallFraction * float64(b.limit))
 	}
-	return b.reserveOrReclaim(n, free)
+	return b.reserveOrReclaim(n, holds, free)
 }
 
 // ReserveHead reserves n bytes for a request's head that holds some already. One that is not small may hold as much
 // as is then free, so that few that hold much leave room for many that hold little.
 func (b *Budget) ReserveHead(n, holds int) error {
 	free := int64(0)
-	if holds+n > smallHolder {
+	if holds+n > SmallHolder {
 		free = int64(holds + n)
 	}
-	return b.reserveOrReclaim(n, free)
+	return b.reserveOrReclaim(n, holds, free)
 }
 
 // ReserveShare reserves n bytes for a response that holds some already. It is not to hold more than what is then
--- a/lib/entrance/guard.go
+++ b/lib/entrance/guard.go
@@ -45,6 +45,8 @@
 // Protect sets the bounds of a server for the guard, and spaces the responses on each connection.
 func (g *Guard) Protect(s *http.Server) {
 	s.MaxHeaderBytes, s.ReadTimeout, s.WriteTimeout, s.IdleTimeout = guardedHeaderBytes, guardedReadTimeout, guardedWriteTimeout, guardedIdleTimeout
+	// The handler below spaces these responses, too.
+	s.DisableGeneralOptionsHandler = true
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*guardedConn); ok && state == http.StateIdle {
 			c.receiver.reset()
@@ -101,9 +103,13 @@
 
 // Read reads from the connection, and holds memory for the heads of requests.
 func (c *guardedConn) Read(p []byte) (int, error) {
+	if err := c.receiver.refused; err != nil {
+		// net/http reads on after an error in the middle of a line.
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if full := c.receiver.note(p[:n], time.Now()); full != nil {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: full}
+		return 0, full
 	}
 	return n, err
 }
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,10 @@
 // of a map, and the same again in the request that is passed on.
 const fieldBytes = 256
 
+// rateTime is the time over which the rate is measured at which a request is received. A sender that stops is slow soon,
+// however much it sent before.
+const rateTime = 500 * time.Millisecond
+
 // errNoMemory ends the reading of a head for which there is no memory.
 var errNoMemory = errors.New("the head of the request does not fit into the memory for requests")
 
@@ -32,29 +37,50 @@
 // receiver follows the requests that are received on a connection, and holds memory for their heads.
 type receiver struct {
 	budget *buffers.Budget
+	// refused is set once a part of a head was dropped for want of memory. Only reads of the connection use it.
+	refused error
 
 	mu    sync.Mutex
 	phase phase
 	// closed is set once the listener has closed the connection: what was read from it can't be answered.
 	closed bool
-	// ahead is set if something was received after the whole request, before its response was sent.
+	// ahead is set if the request, or a part of the next one, was received before the response to the one before it
+	// was sent.
 	ahead bool
 	// inLine is set if a part of a line of the head was received.
 	inLine bool
 	// held is the number of bytes that are held for the head.
 	held int
-	// received counts the bytes of the request, since is when the first of them came.
+	// received counts the bytes of the request that were read after the last one, since is when the first byte came.
 	received int
 	since    time.Time
+	// recent is received with weights that decay with rateTime, as of lastAt, when something was received last.
+	recent float64
+	lastAt time.Time
 }
 
-// note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held.
+// note takes note of bytes that were received. It returns errNoMemory if what they take in memory can't be held, and
+// sets refused.
 func (r *receiver) note(read []byte, now time.Time) error {
 	n, holds := r.count(read, now)
 	if n == 0 || r.budget == nil {
 		return nil
 	}
-	return r.hold(n, holds)
+	if err := r.hold(n, holds); err != nil {
+		// net/http sends no response after an error of this type, unless it comes in the middle of a line.
+		r.refused = &net.OpError{Op: "read", Net: "tcp", Err: err}
+		return r.refused
+	}
+	return nil
+}
+
+// begin records that a request is being received. One whose head was read with the request before it was sent ahead.
+func (r *receiver) begin(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		r.since, r.ahead = now, true
+	}
 }
 
 // count counts bytes that were received, and returns how many bytes must be held for the part of the head that is
@@ -70,6 +96,7 @@
 		r.since = now
 	}
 	r.received += len(read)
+	r.recent, r.lastAt = r.recentBytes(now)+float64(len(read)), now
 	for r.phase == phaseHead && len(read) > 0 {
 		line, rest, complete := bytes.Cut(read, []byte("\n"))
 		isEmpty := !r.inLine && (len(line) == 0 || string(line) == "\r")
@@ -111,9 +138,18 @@
 		r.budget.Release(r.held)
 	}
 	r.phase, r.ahead, r.inLine, r.held, r.received, r.since = phaseHead, false, false, 0, 0, time.Time{}
+	r.recent, r.lastAt = 0, time.Time{}
+}
+
+// recentBytes returns recent as of now. The receiver must be locked.
+func (r *receiver) recentBytes(now time.Time) float64 {
+	if r.recent == 0 {
+		return 0
+	}
+	return r.recent * math.Exp(-now.Sub(r.lastAt).Seconds()/rateTime.Seconds())
 }
 
-// rate returns how many bytes a second were received of a request that is not complete, and for how long it has
+// rate returns how many bytes a second are being received of a request that is not complete, and for how long it has
 // been received.
 func (r *receiver) rate(now time.Time) (bytesPerSecond float64, age time.Duration, receives bool) {
 	r.mu.Lock()
@@ -121,8 +157,14 @@
 	if r.since.IsZero() || r.phase == phaseReceived {
 		return 0, 0, false
 	}
-	age = now.Sub(r.since)
-	return float64(r.received) / max(age.Seconds(), 1e-3), age, true
+	return r.recentBytes(now) / rateTime.Seconds(), now.Sub(r.since), true
+}
+
+// holds returns about how many bytes are held for the request.
+func (r *receiver) holds() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held + r.received
 }
 
 // isAhead reports whether the next request has begun to arrive before the response to the last one was sent.
