gateway: don't measure by the daemon's clock when a stream ended

What callers saw: nothing yet, as far as known. Where the kernel couldn't tell when the last bytes and the end of a connection came, the time since the event was read decided whether the end came with it. A pause of the daemon makes that look short for any end, which is what the kernel's times were introduced for: the absence of a proof was taken for one.

Such an end is not a prompt one.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -175,12 +175,9 @@
 		return false
 	}
 	delay, err := a.response.Body.EndDelay()
-	switch {
-	case errors.Is(err, h1.ErrForwarded):
-		// A pause of the process that forwards the bytes would be taken for none.
+	if err != nil {
+		// By its own clock, this process would take a pause of its own or of a tunnel's for none.
 		return false
-	case err != nil:
-		delay = time.Since(a.lastEvent)
 	}
 	if a.pauses < minPauses {
 		return delay <= minPromptEnd
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -494,3 +494,29 @@
 		c.Check(askFront(t, newFront(g)), qt.Equals, "id: 1 id: 2 id: 3 id: 4")
 	}
 }
+
+// unknownDelayConn is a connection whose times the kernel doesn't tell.
+type unknownDelayConn struct{ h1.Conn }
+
+// TCPConn returns a connection that isn't open.
+func (unknownDelayConn) TCPConn() *net.TCPConn { return &net.TCPConn{} }
+
+// unknownDelayNode connects by unknownDelayConns.
+type unknownDelayNode struct{ *fakeNode }
+
+// DialInstance returns an unknownDelayConn.
+func (n unknownDelayNode) DialInstance(ctx context.Context, addr netip.AddrPort) (h1.Conn, error) {
+	conn, err := n.fakeNode.DialInstance(ctx, addr)
+	return unknownDelayConn{conn}, err
+}
+
+// TestUnknownEndDelayLooksPrompt guards against ends that look prompt by the daemon's own clock, which a pause of the
+// daemon makes of any end, where the kernel can't tell its times.
+func TestUnknownEndDelayLooksPrompt(t *testing.T) {
+	c := qt.New(t)
+	g1 := startUnframed(c, "g1", []string{"3"}, &askedIDs{})
+	node := unknownDelayNode{newFakeNode(c, streamEndConfig, []*fakeInstance{g1})}
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetryWindow: 10 * time.Second, FirstStart: true}
+	front := newFront(New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop()))
+	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3 cut")
+}
