gateway: don't take the deadline of a planned stop for the end of a stream

What callers saw: streams that look complete and lack events, around the end of a planned stop. A request that is sent after the stop began gets a deadline that ends with it. An instance stops work then, closes the connection, and goes on running: a prompt end, which suffices without a check in the last 1.2 s of a stop. Streams that may not be resumed ended so, too, without any proof.

An end in the last 20 ms before such a deadline, or later, is not a prompt one and confirms nothing; a stream that may not be resumed is broken off then.

How instances of the users end a stream at its deadline is not known.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -57,7 +57,8 @@
 }
 
 // noteUnframedEnd records that a group ended the stream without a proof, or confirmed such an end. An instance that
-// does not go on running confirms nothing: a request may crash each instance after the same event.
+// does not go on running confirms nothing: a request may crash each instance after the same event. Nor does one whose
+// time was up.
 func (s *stream) noteUnframedEnd() {
 	a := s.current
 	if !a.checksEnd {
@@ -65,8 +66,9 @@
 		a.close()
 		return
 	}
+	cut := a.mayBeCut()
 	a.close()
-	if s.g.crashes.survives(s.ctx, a.group.Head) {
+	if !cut && s.g.crashes.survives(s.ctx, a.group.Head) {
 		s.unproven.confirmed++
 		s.unproven.confirming = &a.group
 	}
@@ -171,7 +173,7 @@
 // isPromptEnd reports whether the connection was closed with the last event rather than when another one was
 // due, as a connection is that is closed for another reason.
 func (a *streamAttempt) isPromptEnd() bool {
-	if a.lastEvent.IsZero() {
+	if a.lastEvent.IsZero() || a.mayBeCut() {
 		return false
 	}
 	delay, err := a.response.Body.EndDelay()
--- a/gateway/end_check_test.go
+++ b/gateway/end_check_test.go
@@ -520,3 +520,56 @@
 	front := newFront(New(cfg, node, newScheduler(), metrics.NewSet(), zerolog.Nop()))
 	c.Check(askFront(t, front), qt.Equals, "id: 1 id: 2 id: 3 cut")
 }
+
+// TestDeadlineOfStopLooksLikeEnd guards against streams that look complete since their instances stop work at the
+// deadline that a planned stop gives them, and then close the connection.
+func TestDeadlineOfStopLooksLikeEnd(t *testing.T) {
+	c := qt.New(t)
+	untilDeadline := func(conn net.Conn, after int, left time.Duration) {
+		end := time.Now().Add(left)
+		_, _ = io.WriteString(conn, closedHead+"\r\n")
+		for id := max(after, 0) + 1; time.Now().Before(end); id++ {
+			_, _ = io.WriteString(conn, unframedEvent(id))
+			time.Sleep(min(10*time.Millisecond, max(0, time.Until(end)-2*time.Millisecond)))
+		}
+	}
+	var instances []*fakeInstance
+	for _, name := range []string{"g1", "g2"} {
+		instances = append(instances, startWorking(c, name, untilDeadline))
+	}
+	cfg := Settings{MaxKeysProofAge: time.Minute, MaxConfigAge: time.Minute, RetrySlack: 100, RetryWindow: 10 * time.Second, FirstStart: true}
+	for _, resumable := range []string{"true", "false"} {
+		config := strings.Replace(streamEndConfig, `"StreamResume":true`, `"StreamResume":`+resumable, 1)
+		g := New(cfg, newFakeNode(c, config, instances), newScheduler(), metrics.NewSet(), zerolog.Nop())
+		for range 10 {
+			g.durations.observe("stream", 100*time.Millisecond)
+		}
+		g.stop.begin(time.Now(), exitMargin+answerMargin+600*time.Millisecond)
+		got := askFront(t, newFront(g))
+		c.Check(strings.HasSuffix(got, "cut"), qt.IsTrue, qt.Commentf("resumable %s: %s", resumable, got))
+	}
+}
+
+// startWorking is startAnswering for a function that gets the Last-Event-Id, or -1, and the time that is left.
+func startWorking(c *qt.C, name string, work func(conn net.Conn, after int, left time.Duration)) *fakeInstance {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		if err != nil {
+			after = -1
+		}
+		left, err := strconv.Atoi(r.Header.Get("X-Lupinkeel-Deadline-Ms"))
+		c.Check(err, qt.IsNil)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if !c.Check(err, qt.IsNil) {
+			return
+		}
+		defer conn.Close()
+		work(conn, after, time.Duration(left)*time.Millisecond)
+	})}
+	go func() { _ = server.Serve(l) }()
+	c.Cleanup(func() { c.Check(server.Close(), qt.IsNil) })
+	return &fakeInstance{name: name, l: l}
+}
