gateway: don't take late ends in a planned stop for cut ones

What callers saw: complete streams broken off near the end of a planned stop. Both kinds of streams, those that may be resumed and others, whose instances had sent all of it.

Instances that were silent end many streams after that, and all of them are complete.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,8 +21,6 @@
 	// errUnframedEnd: the connection of a response without a length was closed, which also a killed
 	// instance does.
 	errUnframedEnd = errors.New("the connection was closed, and nothing marks the end of the stream")
-	// errEndAtStop: the same of a stream that may not be resumed, at the end of the planned stop.
-	errEndAtStop = errors.New("the connection was closed when the instance had to stop work")
 	// errFailureResponse: the instance answered with a status other than 200; see
 	// streamAttempt.response.
 	errFailureResponse = errors.New("the instance answered with a failure status")
@@ -45,10 +43,6 @@
 	// readTimeout is called when nothing is received from the group.
 	readTimeout h1.StallPolicy
 
-	// cutAt is when the instance stops work on the request since the daemon stops; zero if it has all of the
-	// request's time.
-	cutAt time.Time
-
 	response *h1.Response
 	events   *sse.Reader
 	// heldBytes is the number of bytes that are held for a long event.
@@ -114,9 +108,6 @@
 
 // open sends the request and reads the head of the response.
 func (a *streamAttempt) open() error {
-	if end := a.s.g.stop.bound(a.s.deadline); end.Before(a.s.deadline) {
-		a.cutAt = end
-	}
 	resp, err := a.s.send(a.ctx, a.group.Head, a.permit, models.Attempt{HasLastEventID: a.resumed, LastEventID: a.resume, FromStart: a.checksEnd && !a.resumed}, a.readTimeout)
 	if err != nil {
 		return err
@@ -176,23 +167,12 @@
 
 // bodyEnd returns what the end of the response's body means.
 func (a *streamAttempt) bodyEnd() error {
-	if a.response.Framing == h1.FramedByClose && !a.s.route.Idempotent() && a.mayBeCut() {
-		return errors.Join(errMayHaveRun, errEndAtStop)
-	}
 	return claim{
 		framing: a.response.Framing, resumable: a.s.route.Idempotent(), resumed: a.resumed, events: !a.lastEvent.IsZero(),
 		checksEnd: a.checksEnd, repeated: a.repeated,
 	}.judge()
 }
 
-// cutMargin is how much sooner than at its deadline an instance may stop work.
-const cutMargin = 20 * time.Millisecond
-
-// mayBeCut reports whether the instance may have ended the response because its time was up. It may be complete then.
-func (a *streamAttempt) mayBeCut() bool {
-	return !a.cutAt.IsZero() && time.Until(a.cutAt) < cutMargin
-}
-
 // noteEvent records that the group makes progress and, on the first event, that the prompt has been
 // prefilled.
 func (a *streamAttempt) noteEvent() {
--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -57,8 +57,7 @@
 }
 
 // noteUnframedEnd records that a group ended the stream without a proof, or confirmed such an end. An instance that
-// does not go on running confirms nothing: a request may crash each instance after the same event. Nor does one whose
-// time was up.
+// does not go on running confirms nothing: a request may crash each instance after the same event.
 func (s *stream) noteUnframedEnd() {
 	a := s.current
 	if !a.checksEnd {
@@ -66,9 +65,8 @@
 		a.close()
 		return
 	}
-	cut := a.mayBeCut()
 	a.close()
-	if !cut && s.g.crashes.survives(s.ctx, a.group.Head) {
+	if s.g.crashes.survives(s.ctx, a.group.Head) {
 		s.unproven.confirmed++
 		s.unproven.confirming = &a.group
 	}
@@ -173,7 +171,7 @@
 // isPromptEnd reports whether the connection was closed with the last event rather than when another one was
 // due, as a connection is that is closed for another reason.
 func (a *streamAttempt) isPromptEnd() bool {
-	if a.lastEvent.IsZero() || a.mayBeCut() {
+	if a.lastEvent.IsZero() {
 		return false
 	}
 	delay, err := a.response.Body.EndDelay()
