gateway: assume likely ends of streams that can't be checked any further

What callers saw: complete streams without a length broken off while no retry is left for a check.

Ruled out: that the streams lacked events (the instances' records), and that the daemon was paused (no process-paused in their logs).

If only retries or groups are missing for a check, the end is assumed if one check confirmed it, or if the service's last eight checks did and the instance goes on running; not while an early end is known of the last minute. A stop that ends before the wait is over decides at once. lupinkeel_stream_end_checks_total{result="assumed"} counts them.

TestCompleteStreamsLost/trusted_late and confirmed_once_late failed before. What remains: an instance that closes early, goes on running and is the first to do so in a minute, while no retry is left, looks complete.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -91,7 +91,8 @@
 	err := s.checkQuarantine()
 	asks := err == nil && !s.unresumable
 	until := time.Now().Add(endCheckWait)
-	if stops := s.g.stop.bound(until).Before(until); u.prompt && (stops || errors.Is(cause, h1.ErrStalled)) {
+	stops := s.g.stop.bound(until).Before(until)
+	if u.prompt && (stops || errors.Is(cause, h1.ErrStalled)) {
 		// There may be no time for another check.
 		asks = false
 	}
@@ -104,7 +105,12 @@
 		if !s.unresumable && s.isSurvivedPromptEnd() {
 			return s.completeEnd(endCheckPrompt)
 		}
-		if !asks || errors.Is(err, errUnframedEnd) || time.Now().After(until) {
+		last := !asks || errors.Is(err, errUnframedEnd) || time.Now().After(until)
+		impossible := errors.Is(err, errRetryBudget) || errors.Is(err, errNoInstance)
+		if impossible && (last || stops) && s.isAssumedEnd(trust) {
+			return s.completeEnd(endCheckAssumed)
+		}
+		if last {
 			s.judgeEnd(endCheckBroken)
 			return errors.Join(cause, err)
 		}
@@ -146,6 +152,20 @@
 	return u.prompt
 }
 
+// isAssumedEnd reports whether an end that can't be checked any further is taken for that of a complete stream: another
+// response ended there, or the service's instances are trusted and the one that ended it goes on running.
+func (s *stream) isAssumedEnd(trust endTrust) bool {
+	u := s.unproven
+	switch {
+	case s.unresumable, trust == endsDisputed:
+		return false
+	case u.confirmed > 0:
+		return true
+	default:
+		return trust == endsTrusted && s.g.crashes.runs(u.group.Head) && s.g.crashes.survives(s.ctx, u.group.Head)
+	}
+}
+
 // tryEndCheck asks a group for the last event once more, and what follows it. It returns errUnframedEnd if enough
 // were asked.
 func (s *stream) tryEndCheck() error {
@@ -315,8 +335,10 @@
 	endCheckContinued endCheckResult = "continued"
 	// endCheckPrompt: the connection was closed with the last event, and the instance went on running.
 	endCheckPrompt endCheckResult = "prompt"
+	// endCheckAssumed: no further check was possible; see stream.isAssumedEnd.
+	endCheckAssumed endCheckResult = "assumed"
 	// endCheckBroken: the stream was broken off.
 	endCheckBroken endCheckResult = "broken"
 )
 
-var endCheckResults = []endCheckResult{endCheckConfirmed, endCheckContinued, endCheckPrompt, endCheckBroken}
+var endCheckResults = []endCheckResult{endCheckConfirmed, endCheckContinued, endCheckPrompt, endCheckAssumed, endCheckBroken}
