api, entrance: tell the listener which requests of serve were received

What callers saw: at a daemon of serve with as many requests in progress as it may have, requests that take longer than a second are broken off.

The gateway tells it when one was received. serve uses the same listener and told it nothing, so that all of its requests looked as if they were being received. Ruled out: load; the script fails without it.

entrance.Handler tells the listener, for any server: when the head was received, and when the body was read to its end. TestScripts/overloaded passes, one run, and so did a longer request of its kind.

--- a/api/server.go
+++ b/api/server.go
@@ -117,7 +117,10 @@
 // Run serves until the context ends, and then shuts down gracefully: it fails the readiness
 // probe, after a delay rejects new requests, and drains the requests in flight.
 func (s *Server) Run(ctx context.Context) error {
-	callers := &http.Server{Handler: s.callerRoutes(), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.callerListener.ConnState}
+	callers := &http.Server{
+		Handler: entrance.Handler(s.callerRoutes()), ReadHeaderTimeout: readHeaderTimeout,
+		ConnState: s.callerListener.ConnState, ConnContext: entrance.ConnContext,
+	}
 	admin := &http.Server{Handler: s.adminRoutes(), ReadHeaderTimeout: readHeaderTimeout}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/lib/entrance/receiver.go
+++ b/lib/entrance/receiver.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -239,6 +240,37 @@
 	return !ok || c.receiver.setPhase(phaseReceived)
 }
 
+// Handler returns a handler that tells the listener when the heads and bodies of requests were received, and passes the
+// requests on that can be answered.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !HeadReceived(r) {
+			panic(http.ErrAbortHandler)
+		}
+		if r.Body == http.NoBody {
+			Received(r.Context())
+		} else {
+			r.Body = &followedBody{ReadCloser: r.Body, ctx: r.Context()}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// followedBody is a body whose end the listener is told of.
+type followedBody struct {
+	io.ReadCloser
+	ctx context.Context
+}
+
+// Read reads from the body.
+func (b *followedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !Received(b.ctx) {
+		return n, net.ErrClosed
+	}
+	return n, err
+}
+
 // MustClose reports whether the connection of the context's request should be closed after the response: its caller
 // sends requests ahead, and the listener is closed because of requests in progress.
 func MustClose(ctx context.Context) bool {
