gateway: leave checks to the ends of streams that have no other proof

What callers saw: complete streams without a length broken off, since no retry was left to check their late ends.

Cause: checks may take half of the retries, and prompt ends, which have a proof of their own, take two of them each until eight ends were confirmed. Nothing was left for late ends, which fail without a check.

The bound of a half is for ends with another proof; one without it may take any retry, as a failover does. TestProvenEndsUseAllChecks: 42 checks, then 42 for late ends; none before.

--- a/gateway/end_check.go
+++ b/gateway/end_check.go
@@ -173,14 +173,14 @@
 	if u.checks == maxEndChecks || u.rejections == maxEndCheckRejections {
 		return errUnframedEnd
 	}
-	if !s.g.budget.mayCheck(now, daemons) {
+	if !s.g.budget.mayCheck(now, daemons, u.prompt) {
 		return errRetryBudget
 	}
 	dest, found := s.endCheckTarget()
 	if !found {
 		return errNoInstance
 	}
-	if !s.g.budget.allowCheck(now, daemons) {
+	if !s.g.budget.allowCheck(now, daemons, u.prompt) {
 		return errRetryBudget
 	}
 	u.checks++
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -36,7 +36,7 @@
 // left for failures.
 const rejectionFraction = 0.7
 
-// checkFraction is the part of the retries that may check streams' ends.
+// checkFraction is the part of the retries that may check streams' ends for which there is another proof.
 const checkFraction = 0.5
 
 func newRetryBudget(ratio, slack float64, window time.Duration, startedAt time.Time, restarted bool) *retryBudget {
@@ -101,12 +101,13 @@
 	return sum.hasRetry(limit)
 }
 
-// allowCheck is allowRetry for a request that checks the end of a stream.
-func (b *retryBudget) allowCheck(now time.Time, daemons int) bool {
+// allowCheck is allowRetry for a request that checks the end of a stream. Without another proof of the end, the stream
+// would fail if it was not checked.
+func (b *retryBudget) allowCheck(now time.Time, daemons int, hasProof bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	step, sum, limit := b.sum(now, daemons)
-	if !sum.hasCheck(limit) {
+	if !sum.hasCheck(limit, hasProof) {
 		return false
 	}
 	step.retries++
@@ -115,19 +116,19 @@
 }
 
 // mayCheck is allowCheck, but counts nothing.
-func (b *retryBudget) mayCheck(now time.Time, daemons int) bool {
+func (b *retryBudget) mayCheck(now time.Time, daemons int, hasProof bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, sum, limit := b.sum(now, daemons)
-	return sum.hasCheck(limit)
+	return sum.hasCheck(limit, hasProof)
 }
 
 // hasRetry reports whether one more retry is within the limit.
 func (s budgetBucket) hasRetry(limit float64) bool { return float64(s.retries+1) <= limit }
 
 // hasCheck reports whether one more check is within the limit of retries.
-func (s budgetBucket) hasCheck(limit float64) bool {
-	return s.hasRetry(limit) && float64(s.checks+1) <= checkFraction*limit
+func (s budgetBucket) hasCheck(limit float64, hasProof bool) bool {
+	return s.hasRetry(limit) && (!hasProof || float64(s.checks+1) <= checkFraction*limit)
 }
 
 // sum returns the current bucket, the sum of all, and how many retries it may hold.
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -47,6 +47,23 @@
 	c.Assert(count(false), qt.Equals, 26)
 }
 
+// TestProvenEndsUseAllChecks guards against ends that have another proof and leave no check for those that have none.
+func TestProvenEndsUseAllChecks(t *testing.T) {
+	c := qt.New(t)
+	b := newRetryBudget(0.2, 100, 10*time.Second, time.Now(), false)
+	for range 100 {
+		b.addRequest(time.Now(), 0)
+	}
+	count := func(hasProof bool) (n int) {
+		for b.allowCheck(time.Now(), 1, hasProof) {
+			n++
+		}
+		return n
+	}
+	c.Assert(count(true), qt.Equals, 42)
+	c.Assert(count(false), qt.Equals, 42)
+}
+
 // TestRestartRenewsRetryBudget guards against daemons that have their whole share of the retries again
 // after each start, and against those that take the shares of daemons that have just gone.
 func TestRestartRenewsRetryBudget(t *testing.T) {
